--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/checks/__init__.py
@@ -0,0 +1,1 @@
+"""History checkers and the fault matrix."""
--- /dev/null
+++ b/cuminhill/__init__.py
@@ -0,0 +1,3 @@
+"""Cluster scheduler for unlike workloads."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/cuminhill/cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs."""
--- /dev/null
+++ b/cuminhill/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Pure coordination parts that can be embedded without the daemon."""
--- /dev/null
+++ b/cuminhill/errors.py
@@ -0,0 +1,68 @@
+"""Exceptions of cuminhill, each carrying the step and the peer at which it arose."""
+
+from __future__ import annotations
+
+
+class CuminhillError(Exception):
+    """Base class of all errors raised by this package.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong.
+    step : str
+        Stage of the request path at which the error arose.
+    peer : str, default=""
+        Address or name of the other side; empty for a local error.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = f"{self.step} [{self.peer}]" if self.peer else self.step
+        return f"{where}: {self.message}"
+
+
+class ValidationError(CuminhillError):
+    """Input does not match its schema."""
+
+
+class SettingsError(CuminhillError):
+    """A settings or configuration file is wrong."""
+
+
+class ProtocolError(CuminhillError):
+    """The other side broke the protocol."""
+
+
+class UnavailableError(CuminhillError):
+    """The other side refused, and the call took no effect."""
+
+
+class UnknownOutcomeError(CuminhillError):
+    """The call failed after it was sent; it may have taken effect."""
+
+
+class StaleEpochError(CuminhillError):
+    """A worker refused a call because its lease epoch is out of date."""
+
+
+class LeaseHeldError(CuminhillError):
+    """Another holder has the lease.
+
+    Parameters
+    ----------
+    holder : str
+        Name of the present holder.
+    remaining_s : float, seconds
+        Time until the lease lapses unless it is renewed.
+    """
+
+    def __init__(self, holder: str, remaining_s: float, *, peer: str) -> None:
+        super().__init__(f"lease is held by {holder}", step="lease", peer=peer)
+        self.holder = holder
+        self.remaining_s = remaining_s
--- /dev/null
+++ b/cuminhill/idl/peer.thrift
@@ -0,0 +1,56 @@
+// Messages between entry VMs.
+
+struct Member {
+    1: string vm
+    2: i64 incarnation
+    3: i64 counter
+    4: string state
+    5: string address
+    6: string failure_domain
+    7: list<string> shards
+    8: double free_cores
+    9: i64 config_revision
+    10: i64 log_offset
+}
+
+struct Heartbeat {
+    1: Member sender
+    2: list<Member> members
+}
+
+// request, answer and snapshots travel in the JSON form that the log also holds.
+struct SubmitCall {
+    1: string shard
+    2: binary request
+    3: double wait_s
+}
+
+struct LookupCall {
+    1: string request_id
+    2: double wait_s
+}
+
+struct CancelCall {
+    1: string request_id
+}
+
+struct ExplainCall {
+    1: string request_id
+}
+
+struct SnapshotCall {
+    1: string stream
+}
+
+struct Reply {
+    1: string status
+    2: binary value
+}
+
+struct Envelope {
+    1: i64 call_id
+    2: bool is_reply
+    3: string method
+    4: binary body
+    5: string error
+}
--- /dev/null
+++ b/cuminhill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform: log, VM list and workers."""
--- /dev/null
+++ b/cuminhill/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure placement and queueing decisions."""
--- /dev/null
+++ b/cuminhill/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers shared by the package."""
