--- /dev/null
+++ b/cuminhill/application.py
@@ -0,0 +1,404 @@
+"""The daemon: connects the pure parts to sockets, clocks and the platform."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import asdict
+from typing import TYPE_CHECKING, Any
+
+import curio
+import orjson
+import structlog
+
+from .coordination.claims import RequestIndex, record_from_dict
+from .coordination.membership import Member, MemberState, make_membership
+from .coordination.ownership import leader_of, shard_names, shard_of
+from .entry import Entry
+from .errors import CuminhillError, ProtocolError
+from .follower import Follower
+from .model import Answer
+from .peers import Peers
+from .platform.log import make_log
+from .platform.vmlist import ENTRY, WORKER, make_vm_listing
+from .routing import make_router
+from .rpc import RpcServer, idl
+from .shard import ShardDriver
+from .util.http import HttpServer
+
+if TYPE_CHECKING:
+    from .platform.vmlist import VmEntry
+    from .settings import Settings
+
+logger = structlog.get_logger(__name__)
+
+REQUESTS_STREAM = "requests"
+LIST_INTERVAL_S = 1.0
+LEAD_INTERVAL_S = 0.1
+LOOKUP_STEP_S = 0.25
+JOIN_WAIT_S = 0.6  # time to hear of the others before leading anything
+DRAIN_GRACE_S = 30.0
+EXPIRE_INTERVAL_S = 60.0
+EXPIRE_SLACK_S = 60.0
+
+
+class Application:
+    """One daemon.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings of the process.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = time.time_ns()
+        self.holder = f"{settings.vm}@{self.incarnation}"
+        self.started_at = time.monotonic()
+        self.draining = False
+        self.stopped = curio.Event()
+        self.n_bad_records = 0
+        self.vm_list: list[VmEntry] = []
+        self.index = RequestIndex()
+        self.follower = Follower(
+            make_log(settings.log_address), REQUESTS_STREAM, self._on_record
+        )
+        self.membership = make_membership(
+            Member(
+                settings.vm,
+                self.incarnation,
+                0,
+                settings.rpc_address,
+                settings.failure_domain,
+            )
+        )
+        self.peers = Peers(
+            self.membership,
+            self._describe,
+            list(settings.peers),
+            random.Random(self.incarnation),
+        )
+        self.drivers = {
+            shard: ShardDriver(shard, self.holder, settings, self.follower, self.index)
+            for shard in shard_names(settings.failure_domain, settings.n_shards)
+        }
+        self.router = make_router(self.drivers, self.membership, self.peers, self.index)
+        self.entry = Entry(self)
+        self.http = HttpServer(self.entry.handle)
+        self.rpc = RpcServer(
+            {
+                "heartbeat": self._on_heartbeat,
+                "submit": self.router.submit_here,
+                "lookup": self._on_lookup,
+                "cancel": self._on_cancel,
+                "explain": self._on_explain,
+            }
+        )
+        self._tasks: list[Any] = []
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen and start the background tasks."""
+        rpc_host, _, rpc_port = self.settings.rpc_address.rpartition(":")
+        http_host, _, http_port = self.settings.http_address.rpartition(":")
+        await self.rpc.start(rpc_host, int(rpc_port))
+        await self.http.start(http_host, int(http_port))
+        for run in (
+            self.follower.run_appends,
+            self.follower.run_reads,
+            self.peers.run,
+            self._run_vm_list,
+            self._run_leadership,
+            self._run_expiry,
+        ):
+            self._tasks.append(await curio.spawn(run, daemon=True))
+        logger.info("started", vm=self.settings.vm, http=self.settings.http_address)
+
+    async def drain(self) -> None:
+        """Begin a graceful stop; returns at once."""
+        if self.draining:
+            return
+        self.draining = True
+        logger.info("draining", vm=self.settings.vm)
+        await curio.spawn(self._drain, daemon=True)
+
+    async def close(self) -> None:
+        """Stop listening and cancel the background tasks."""
+        await self.http.close(DRAIN_GRACE_S)
+        for task in self._tasks:
+            await task.cancel()
+        await self.rpc.close()
+        logger.info("stopped", vm=self.settings.vm)
+
+    async def _drain(self) -> None:
+        await self.peers.announce()
+        for driver in self.drivers.values():
+            await driver.step_down()
+        await self.peers.announce()
+        give_up_at = time.monotonic() + DRAIN_GRACE_S
+        while self._n_in_progress() and time.monotonic() < give_up_at:
+            await curio.sleep(0.02)
+        await self.stopped.set()
+
+    def _n_in_progress(self) -> int:
+        waiting = sum(driver.dump()["n_waiters"] for driver in self.drivers.values())
+        return waiting + self.http.n_busy + self.follower.n_pending
+
+    def not_ready_reason(self) -> str:
+        """Return why the balancer is to send nothing; empty when ready."""
+        if self.draining:
+            return "draining"
+        if not self.router.leaders():
+            return "no leader is known"
+        return ""
+
+    # Requests
+
+    async def lookup(self, request_id: str, wait_s: float) -> Answer | None:
+        """Return what is known of a request, waiting for its final answer."""
+        give_up_at = time.monotonic() + wait_s
+        while True:
+            answer = await self._lookup_once(request_id)
+            left_s = give_up_at - time.monotonic()
+            if (answer is not None and answer.final) or left_s <= 0:
+                return answer
+            await curio.sleep(min(left_s, LOOKUP_STEP_S))
+
+    async def _lookup_once(self, request_id: str) -> Answer | None:
+        for driver in self.drivers.values():
+            answer = driver.known_answer(request_id)
+            if answer is not None:
+                return answer
+        for member in self.router.leaders().values():
+            if member is self.membership.me:
+                continue
+            try:
+                reply = await self.peers.client(member.address).call(
+                    "lookup", idl.LookupCall(request_id, 0.0), timeout_s=0.5
+                )
+            except CuminhillError:
+                continue
+            if reply.status == "answer":
+                return Answer.from_dict(orjson.loads(reply.value))
+        return None
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask whoever has a request to cancel it."""
+        entry = self.index.get(request_id)
+        if entry is not None:
+            await next(iter(self.drivers.values())).cancel(request_id)
+            return
+        for driver in self.drivers.values():
+            await driver.cancel(request_id)
+        for member in self.router.leaders().values():
+            if member is not self.membership.me:
+                await self.peers.client(member.address).call(
+                    "cancel", idl.CancelCall(request_id), timeout_s=1.0
+                )
+
+    async def explain(self, request_id: str) -> dict[str, Any] | None:
+        """Return why a request waits or where it runs."""
+        for driver in self.drivers.values():
+            found = driver.placer.explain(request_id)
+            if found is not None:
+                return found
+        for member in self.router.leaders().values():
+            if member is self.membership.me:
+                continue
+            reply = await self.peers.client(member.address).call(
+                "explain", idl.ExplainCall(request_id), timeout_s=1.0
+            )
+            if reply.status == "answer":
+                found = orjson.loads(reply.value)
+                return dict(found)
+        return None
+
+    # What operators see
+
+    def age(self) -> dict[str, float]:
+        """Return how old the view of the log may be, in seconds."""
+        if self.follower.reachable:
+            return {"age_s": 0.0}
+        return {"age_s": round(time.monotonic() - self.follower.read_ok_at, 3)}
+
+    def list_requests(self) -> list[dict[str, Any]]:
+        """Return one row per logged request."""
+        return [
+            {
+                "request_id": entry.request_id,
+                "shard": entry.shard,
+                "kind": (entry.request or {}).get("kind"),
+                "state": (entry.answer or {"state": "accepted"})["state"],
+            }
+            for entry in self.index.entries.values()
+        ]
+
+    def list_workers(self) -> list[dict[str, Any]]:
+        """Return one row per worker that this VM holds."""
+        return [
+            {"worker": vm, "shard": shard, **row}
+            for shard, driver in self.drivers.items()
+            if driver.leading
+            for vm, row in driver.placer.dump()["workers"].items()
+        ]
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state of the process in JSON-ready form."""
+        now = time.monotonic()
+        return {
+            "vm": self.settings.vm,
+            "failure_domain": self.settings.failure_domain,
+            "incarnation": str(self.incarnation),
+            "uptime_s": round(now - self.started_at, 3),
+            "draining": self.draining,
+            "not_ready_reason": self.not_ready_reason(),
+            "members": [
+                {
+                    "vm": member.vm,
+                    "state": self.membership.state(member.vm, now),
+                    "incarnation": str(member.incarnation),
+                    "shards": list(member.shards),
+                    "free_cores": member.free_cores,
+                    "log_offset": member.log_offset,
+                }
+                for member in self.membership.members()
+            ],
+            "log": {
+                "reachable": self.follower.reachable,
+                "next_offset": self.follower.next_offset,
+                "n_pending": self.follower.n_pending,
+                "n_appends": self.follower.n_appends,
+                "n_append_failures": self.follower.n_append_failures,
+                "n_read_failures": self.follower.n_read_failures,
+                "n_gaps": self.follower.n_gaps,
+                "n_replayed": self.follower.n_replayed,
+                "n_bad_records": self.n_bad_records,
+            },
+            "index": {
+                "n_entries": len(self.index.entries),
+                "n_lost_claims": self.index.n_lost_claims,
+                "n_void_starts": self.index.n_void_starts,
+            },
+            "shards": {name: item.dump() for name, item in self.drivers.items()},
+            "routing": {
+                "leaders": {
+                    shard: member.vm for shard, member in self.router.leaders().items()
+                },
+                "n_reroutes": self.router.n_reroutes,
+                "n_unknown_replies": self.router.n_unknown_replies,
+            },
+            "http": asdict(self.http.counters)
+            | {"n_connections": self.http.n_connections, "n_busy": self.http.n_busy},
+            "rpc": asdict(self.rpc.counters),
+            "answers": dict(self.entry.answers),
+        }
+
+    def _describe(self) -> dict[str, Any]:
+        leading = [name for name, item in self.drivers.items() if item.leading]
+        free = sum(self.drivers[name].placer.free().cores for name in leading)
+        return {
+            "leaving": self.draining,
+            "shards": tuple(leading),
+            "free_cores": free,
+            "log_offset": self.follower.next_offset,
+        }
+
+    # Calls of other entry VMs
+
+    async def _on_heartbeat(self, message: Any) -> Any:
+        now = time.monotonic()
+        self.peers.receive(message, now)
+        return self.peers.heartbeat(now)
+
+    async def _on_lookup(self, call: Any) -> Any:
+        for driver in self.drivers.values():
+            answer = driver.known_answer(call.request_id)
+            if answer is not None:
+                return idl.Reply("answer", orjson.dumps(answer.to_dict()))
+        return idl.Reply("unknown", b"")
+
+    async def _on_cancel(self, call: Any) -> Any:
+        for driver in self.drivers.values():
+            await driver.cancel(call.request_id)
+        return idl.Reply("ok", b"")
+
+    async def _on_explain(self, call: Any) -> Any:
+        for driver in self.drivers.values():
+            found = driver.placer.explain(call.request_id)
+            if found is not None:
+                return idl.Reply("answer", orjson.dumps(found))
+        return idl.Reply("unknown", b"")
+
+    # Background tasks
+
+    async def _on_record(self, offset: int, value: dict[str, Any]) -> None:
+        try:
+            record = record_from_dict(value)
+        except (KeyError, TypeError):
+            self.n_bad_records += 1
+            return
+        self.index.apply(offset, record)
+        for driver in self.drivers.values():
+            await driver.on_folded(record)
+
+    async def _run_vm_list(self) -> None:
+        listing = make_vm_listing(self.settings.vm_list_address)
+        while True:
+            try:
+                self.vm_list = await listing.read()
+            except (CuminhillError, ProtocolError):
+                await curio.sleep(LIST_INTERVAL_S)
+                continue
+            self.peers.seeds = [
+                item.address for item in self.vm_list if item.role == ENTRY
+            ]
+            await self._set_rosters()
+            await curio.sleep(LIST_INTERVAL_S)
+
+    async def _set_rosters(self) -> None:
+        workers = [
+            item
+            for item in self.vm_list
+            if item.role == WORKER
+            and item.failure_domain == self.settings.failure_domain
+        ]
+        names = list(self.drivers)
+        for shard, driver in self.drivers.items():
+            await driver.set_roster(
+                [item for item in workers if shard_of(item.vm, names) == shard]
+            )
+
+    async def _run_leadership(self) -> None:
+        await curio.sleep(JOIN_WAIT_S)
+        while True:
+            now = time.monotonic()
+            candidates = [
+                member.vm
+                for member in self.membership.alive(now)
+                if member.failure_domain == self.settings.failure_domain
+            ]
+            for shard, driver in self.drivers.items():
+                leader = leader_of(shard, candidates)
+                if leader == self.settings.vm and not driver.leading:
+                    await driver.lead()
+                    await self._set_rosters()
+                elif leader not in {None, self.settings.vm} and driver.leading:
+                    await driver.step_down()
+                    await self.peers.announce()
+            await curio.sleep(LEAD_INTERVAL_S)
+
+    async def _run_expiry(self) -> None:
+        keep_s = self.settings.dedupe_window_s + EXPIRE_SLACK_S
+        while True:
+            await curio.sleep(EXPIRE_INTERVAL_S)
+            self.index.expire(time.time() - keep_s)
+
+
+def make_application(settings: Settings) -> Application:
+    """Return a daemon that has not been started."""
+    return Application(settings)
+
+
+__all__ = ["Application", "MemberState", "make_application"]
--- /dev/null
+++ b/cuminhill/cmd/daemon.py
@@ -0,0 +1,53 @@
+"""The daemon ``cuminhilld``."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import curio
+
+from ..application import Application, make_application
+from ..errors import SettingsError
+from ..logs import set_up_logging
+from ..settings import Settings, load_settings
+
+
+async def serve(settings: Settings) -> None:
+    """Run one daemon until it has drained."""
+    app = make_application(settings)
+    stop_asked = curio.UniversalEvent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop_asked.set())
+    await app.start()
+    await curio.spawn(_drain_when, stop_asked, app, daemon=True)
+    await app.stopped.wait()
+    await app.close()
+
+
+async def _drain_when(stop_asked: Any, app: Application) -> None:
+    await stop_asked.wait()
+    await app.drain()
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="TOML file with the settings of this process.",
+)
+@click.version_option(package_name="cuminhill")
+def main(path: Path) -> None:
+    """Run one entry VM's daemon; SIGTERM stops it gracefully."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as exc:
+        click.echo(f"cuminhilld: {exc}", err=True)
+        sys.exit(2)
+    set_up_logging(settings.log_format, settings.vm)
+    curio.run(serve, settings)
--- /dev/null
+++ b/cuminhill/follower.py
@@ -0,0 +1,182 @@
+"""Follows one stream of the log and appends to it in batches."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import curio
+import structlog
+
+from .errors import CuminhillError, UnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .platform.log import Log
+
+logger = structlog.get_logger(__name__)
+
+APPEND_INTERVAL_S = 0.05  # bounds a daemon to 20 appends a second
+APPEND_TIMEOUT_S = 2.0
+MAX_BATCH_RECORDS = 500
+MAX_PENDING_RECORDS = 50_000
+READ_WAIT_S = 10.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+
+
+@dataclass(eq=False, slots=True)
+class PendingRecord:
+    """Record on its way to the log.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether some append that holds it may have taken effect.
+    """
+
+    value: dict[str, Any]
+    sent: bool = False
+
+
+@dataclass(eq=False)
+class Follower:
+    """One stream: reads on as it grows, appends in batches.
+
+    Appends are repeated until one succeeds; a record may thus stand in the log
+    more than once, and the fold of its stream has to allow for that.
+
+    Parameters
+    ----------
+    log : Log
+        The log service.
+    stream : str
+        Name of the stream.
+    on_record : callable
+        Coroutine function called with the offset and each record, in order.
+    """
+
+    log: Log
+    stream: str
+    on_record: Callable[[int, dict[str, Any]], Awaitable[None]]
+    next_offset: int = 0
+    caught_up: bool = False
+    n_replayed: int = 0
+    n_appends: int = 0
+    n_append_failures: int = 0
+    n_read_failures: int = 0
+    n_gaps: int = 0
+    read_ok_at: float = float("-inf")
+    reachable: bool = False
+    _pending: deque[PendingRecord] = field(default_factory=deque)
+    _in_flight: list[PendingRecord] = field(default_factory=list)
+    _wake: Any = field(default_factory=curio.Event)
+
+    @property
+    def n_pending(self) -> int:
+        """Number of records that are not known to be in the log."""
+        return len(self._pending) + len(self._in_flight)
+
+    async def append(self, value: dict[str, Any]) -> PendingRecord:
+        """Queue a record for the next batch.
+
+        Raises
+        ------
+        UnavailableError
+            If the queue is full; the record is not taken.
+        """
+        if self.n_pending >= MAX_PENDING_RECORDS:
+            raise UnavailableError("append queue is full", step="append")
+        record = PendingRecord(value)
+        self._pending.append(record)
+        await self._wake.set()
+        return record
+
+    def withdraw(self, record: PendingRecord) -> bool:
+        """Take a record back; return whether it certainly never was sent."""
+        if record.sent:
+            return False
+        try:
+            self._pending.remove(record)
+        except ValueError:
+            return False
+        return True
+
+    async def run_appends(self) -> None:
+        """Append batches for ever, one at a time."""
+        delay_s = RETRY_MIN_S
+        while True:
+            if not self.n_pending:
+                await self._wake.wait()
+            self._wake.clear()
+            if await self._append_batch():
+                delay_s = RETRY_MIN_S
+                await curio.sleep(APPEND_INTERVAL_S)
+            else:
+                await curio.sleep(delay_s)
+                delay_s = min(RETRY_MAX_S, delay_s * 2)
+
+    async def run_reads(self) -> None:
+        """Read the stream for ever and hand each record on."""
+        while True:
+            try:
+                wait_s = READ_WAIT_S if self.caught_up else 0.0
+                page = await self.log.read(self.stream, self.next_offset, wait_s=wait_s)
+            except CuminhillError as exc:
+                self.n_read_failures += 1
+                self._set_reachable(False, str(exc))
+                await curio.sleep(RETRY_MIN_S)
+                continue
+            self._set_reachable(True, "")
+            self.read_ok_at = time.monotonic()
+            if page.start > self.next_offset:
+                self.n_gaps += 1
+                self.next_offset = page.start
+            for offset, value in page.records:
+                self.next_offset = offset + 1
+                self.n_replayed += not self.caught_up
+                await self.on_record(offset, value)
+            if self.next_offset >= page.end:
+                self.caught_up = True
+
+    async def _append_batch(self) -> bool:
+        while self._pending and len(self._in_flight) < MAX_BATCH_RECORDS:
+            self._in_flight.append(self._pending.popleft())
+        if not self._in_flight:
+            return True
+        unsent = [record for record in self._in_flight if not record.sent]
+        for record in unsent:
+            record.sent = True
+        try:
+            await self.log.append(
+                self.stream,
+                [record.value for record in self._in_flight],
+                timeout_s=APPEND_TIMEOUT_S,
+            )
+        except UnavailableError:
+            # Certainly not appended, so what no earlier try sent can be withdrawn.
+            for record in unsent:
+                record.sent = False
+            self._pending.extendleft(reversed(unsent))
+            self._in_flight = [item for item in self._in_flight if item.sent]
+            self.n_append_failures += 1
+            return False
+        except CuminhillError:
+            self.n_append_failures += 1
+            return False
+        self.n_appends += 1
+        self._in_flight.clear()
+        return True
+
+    def _set_reachable(self, reachable: bool, detail: str) -> None:
+        if reachable is self.reachable:
+            return
+        self.reachable = reachable
+        logger.info(
+            "log reachable" if reachable else "log unreachable",
+            stream=self.stream,
+            detail=detail,
+        )
--- a/cuminhill/model.py
+++ b/cuminhill/model.py
@@ -145,7 +145,7 @@
 
     def task_id(self, index: int) -> str:
         """Return the id of task number ``index``."""
-        return f"{self.request_id}#{index}"
+        return f"{self.request_id}/{index}"
 
     def to_dict(self) -> dict[str, Any]:
         """Return a JSON-ready mapping; an infinite deadline becomes None."""
--- /dev/null
+++ b/cuminhill/platform/log.py
@@ -0,0 +1,107 @@
+"""Interface to the platform's append-only log and its HTTP client."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from ..errors import UnavailableError
+from ..util.http import make_http_client
+
+if TYPE_CHECKING:
+    from ..util.http import HttpClient
+
+WAIT_SLACK_S = 2.0  # on top of the server's own wait
+
+
+@dataclass(frozen=True, slots=True)
+class LogPage:
+    """Part of a stream.
+
+    Parameters
+    ----------
+    start : int
+        First offset that retention has kept.
+    end : int
+        Offset that the next record will get.
+    records : list of (int, dict)
+        Offsets and records, in order.
+    """
+
+    start: int
+    end: int
+    records: list[tuple[int, dict[str, Any]]]
+
+
+class Log(Protocol):
+    """Append-only log with named streams."""
+
+    async def append(
+        self, stream: str, records: list[dict[str, Any]], *, timeout_s: float
+    ) -> int:
+        """Append records as one batch and return the offset of the first."""
+
+    async def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait_s: float = 0.0
+    ) -> LogPage:
+        """Return records from an offset on, waiting up to ``wait_s`` for one."""
+
+
+class HttpLog:
+    """Log service behind HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Connection pool to the service.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def append(
+        self, stream: str, records: list[dict[str, Any]], *, timeout_s: float
+    ) -> int:
+        """Append records as one batch and return the offset of the first.
+
+        Raises
+        ------
+        UnavailableError
+            If the records were certainly not appended.
+        UnknownOutcomeError
+            If they may have been.
+        """
+        status, value = await self._client.request(
+            "POST", f"/streams/{stream}", {"records": records}, timeout_s=timeout_s
+        )
+        if status != 200:
+            raise UnavailableError(
+                f"status {status}: {value}", step="append", peer=self._client.peer
+            )
+        return int(value["first_offset"])
+
+    async def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait_s: float = 0.0
+    ) -> LogPage:
+        """Return records from an offset on, waiting up to ``wait_s`` for one.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError
+            If the service cannot be reached or refuses.
+        """
+        path = f"/streams/{stream}?from={offset}&limit={limit}&wait_s={wait_s}"
+        status, value = await self._client.request(
+            "GET", path, timeout_s=wait_s + WAIT_SLACK_S
+        )
+        if status != 200:
+            raise UnavailableError(
+                f"status {status}: {value}", step="read", peer=self._client.peer
+            )
+        records = [(int(item[0]), item[1]) for item in value["records"]]
+        return LogPage(value["start"], value["end"], records)
+
+
+def make_log(address: str) -> HttpLog:
+    """Return a client of the log service at ``"host:port"``."""
+    return HttpLog(make_http_client(address))
--- /dev/null
+++ b/cuminhill/platform/vmlist.py
@@ -0,0 +1,86 @@
+"""Interface to the platform's lagging list of VMs and its HTTP client."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from ..errors import UnavailableError
+from ..util.http import make_http_client
+
+if TYPE_CHECKING:
+    from ..util.http import HttpClient
+
+READ_TIMEOUT_S = 2.0
+ENTRY = "entry"
+WORKER = "worker"
+
+
+@dataclass(frozen=True, slots=True)
+class VmEntry:
+    """One VM as the platform lists it.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    role : str
+        ``"entry"`` for ours, ``"worker"`` for the back ends.
+    address : str
+        ``"host:port"`` of its service: RPC for entry VMs, HTTP for workers.
+    failure_domain : str
+        Where it stands.
+    leaving : bool
+        Whether the platform is about to take it away.
+    """
+
+    vm: str
+    role: str
+    address: str
+    failure_domain: str
+    leaving: bool
+
+
+class VmListing(Protocol):
+    """List of live and leaving VMs."""
+
+    async def read(self) -> list[VmEntry]:
+        """Return the VMs that the platform lists."""
+
+
+class HttpVmListing:
+    """VM list behind HTTP."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def read(self) -> list[VmEntry]:
+        """Return the VMs that the platform lists.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError
+            If the list cannot be read.
+        """
+        status, value = await self._client.request(
+            "GET", "/vms", timeout_s=READ_TIMEOUT_S
+        )
+        if status != 200:
+            raise UnavailableError(
+                f"status {status}", step="vm list", peer=self._client.peer
+            )
+        return [
+            VmEntry(
+                vm=item["vm"],
+                role=item["role"],
+                address=item["address"],
+                failure_domain=item["failure_domain"],
+                leaving=item.get("state") == "leaving",
+            )
+            for item in value["vms"]
+        ]
+
+
+def make_vm_listing(address: str) -> HttpVmListing:
+    """Return a client of the VM list at ``"host:port"``."""
+    return HttpVmListing(make_http_client(address))
--- /dev/null
+++ b/cuminhill/scheduling/events.py
@@ -0,0 +1,215 @@
+"""Events that a placer takes and actions that it gives."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..coordination.claims import Started
+    from ..model import Answer, Request
+    from ..platform.worker import LeaseReply, TaskResult
+
+
+class StartOutcome(StrEnum):
+    """What the start call said."""
+
+    RUNNING = "running"
+    REFUSED = "refused"  # certainly not started
+    UNKNOWN = "unknown"  # may have started; the worker's next list tells
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReported:
+    """A worker granted or renewed the lease.
+
+    Parameters
+    ----------
+    sent_at : float, seconds
+        Monotonic time before the renewal was sent: starts that were sent later
+        need not be in its list.
+    """
+
+    worker_id: str
+    reply: LeaseReply
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerUnreachable:
+    """The lease is no longer held; tasks may still run."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerStopped:
+    """The task leases of a lost worker have certainly lapsed."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLeaving:
+    """The platform takes the worker away; it gets no new work."""
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAccepted:
+    """A request is to be placed.
+
+    Parameters
+    ----------
+    request : Request
+        What to place.
+    started : dict of str to Started
+        Started records by task id, for a request taken over.
+    started_offsets : dict of str to int
+        Their offsets.
+    inherited : bool
+        Whether an earlier placer may have started tasks of it.
+    """
+
+    request: Request
+    started: dict[str, Started] = field(default_factory=dict)
+    started_offsets: dict[str, int] = field(default_factory=dict)
+    inherited: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """The log holds a final answer; nothing of it is to start."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartRecorded:
+    """The started record was read back.
+
+    Parameters
+    ----------
+    valid : bool
+        Whether this placer's record is the one that counts.
+    """
+
+    task_id: str
+    request_id: str
+    valid: bool
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartReplied:
+    """The start call ended without a result."""
+
+    task_id: str
+    worker_id: str
+    outcome: StartOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A task ended, as its worker says."""
+
+    worker_id: str
+    result: TaskResult
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequested:
+    """The request is cancelled (for logged kinds: its record was read back)."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class RosterComplete:
+    """Every worker of the shard was heard, or its task leases have lapsed.
+
+    Parameters
+    ----------
+    worker_ids : frozenset of str
+        Workers that were heard under this placer's lease.
+    """
+
+    worker_ids: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+Event = (
+    WorkerReported
+    | WorkerUnreachable
+    | WorkerStopped
+    | WorkerLeaving
+    | RequestAccepted
+    | RequestEnded
+    | StartRecorded
+    | StartReplied
+    | TaskEnded
+    | CancelRequested
+    | RosterComplete
+    | Tick
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordStart:
+    """Append a started record; `StartRecorded` follows."""
+
+    task_id: str
+    request: Request
+    worker_id: str
+    epoch: int
+    incarnation: str
+    prior: int
+
+
+@dataclass(frozen=True, slots=True)
+class StartTask:
+    """Call the worker; `TaskEnded` or `StartReplied` follows."""
+
+    task_id: str
+    request: Request
+    worker_id: str
+    epoch: int
+    run_time_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ControlTask:
+    """Stop, throttle or checkpoint a running task."""
+
+    task_id: str
+    worker_id: str
+    verb: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class FenceWorker:
+    """Release and acquire the lease again, so that its epoch rises.
+
+    Start calls still on their way are then refused, and the next list is
+    decisive for tasks whose start is unconfirmed.
+    """
+
+    worker_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The request has its final answer."""
+
+    request: Request
+    answer: Answer
+
+
+Action = RecordStart | StartTask | ControlTask | FenceWorker | Finish
--- /dev/null
+++ b/cuminhill/shard.py
@@ -0,0 +1,624 @@
+"""Drives the placer of one shard: leases, start calls, records and answers."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any
+
+import curio
+import structlog
+
+from .coordination.claims import (
+    Cancel,
+    Claim,
+    Done,
+    Entry,
+    Started,
+    record_to_dict,
+)
+from .coordination.lease import HeldLease
+from .errors import (
+    CuminhillError,
+    LeaseHeldError,
+    StaleEpochError,
+    UnavailableError,
+)
+from .model import (
+    LOGGED_KINDS,
+    Answer,
+    AnswerState,
+    Reason,
+    Request,
+    RequestKind,
+    not_run,
+)
+from .platform.worker import make_worker
+from .scheduling.events import (
+    Action,
+    CancelRequested,
+    ControlTask,
+    Event,
+    FenceWorker,
+    Finish,
+    RecordStart,
+    RequestAccepted,
+    RequestEnded,
+    RosterComplete,
+    StartOutcome,
+    StartRecorded,
+    StartReplied,
+    StartTask,
+    TaskEnded,
+    Tick,
+    WorkerLeaving,
+    WorkerReported,
+    WorkerStopped,
+    WorkerUnreachable,
+)
+from .scheduling.placer import make_placer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .coordination.claims import Record, RequestIndex
+    from .follower import Follower, PendingRecord
+    from .platform.vmlist import VmEntry
+    from .platform.worker import Worker
+    from .settings import Settings
+
+logger = structlog.get_logger(__name__)
+
+TICK_S = 0.1
+MAX_CACHED_ANSWERS = 20_000
+CHECK_WAIT_S = 5.0
+RECORD_WAIT_S = 0.5  # an answer is given unrecorded after this, if the log is down
+HOLD_WAIT_S = 30.0  # how long a request without deadline waits for the log
+
+
+class NotLeaderError(CuminhillError):
+    """The shard is led by another VM."""
+
+
+class BoundElsewhereError(CuminhillError):
+    """The request id belongs to another shard.
+
+    Parameters
+    ----------
+    shard : str
+        Shard that won the claim.
+    """
+
+    def __init__(self, shard: str) -> None:
+        super().__init__(f"bound to {shard}", step="claim")
+        self.shard = shard
+
+
+@dataclass(eq=False, slots=True)
+class _WorkerLoop:
+    """Lease of one worker."""
+
+    entry: VmEntry
+    client: Worker
+    lease: HeldLease | None = None
+    seq: int = 0
+    incarnation: str = ""
+    lost_at: float = 0.0
+    heard: bool = False
+    stopped: bool = False
+    fence: bool = False
+    task: Any = None
+
+
+@dataclass(eq=False, slots=True)
+class _Waiter:
+    """Callers that wait for news of one request."""
+
+    event: Any = field(default_factory=curio.Event)
+    n_users: int = 0
+
+
+@dataclass(eq=False)
+class ShardDriver:
+    """Everything that the leader of a shard does.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    holder : str
+        Name of this life of the process, used as lease holder.
+    settings : Settings
+        Settings of the process.
+    follower : Follower
+        Stream of request records.
+    index : RequestIndex
+        State folded from that stream.
+    """
+
+    shard: str
+    holder: str
+    settings: Settings
+    follower: Follower
+    index: RequestIndex
+    make_client: Callable[[str], Worker] = make_worker
+    leading: bool = False
+    n_stale_starts: int = 0
+    n_unknown_starts: int = 0
+    n_lapsed: int = 0
+    answers: OrderedDict[str, Answer] = field(default_factory=OrderedDict)
+    _loops: dict[str, _WorkerLoop] = field(default_factory=dict)
+    _waiters: dict[str, _Waiter] = field(default_factory=dict)
+    _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
+    _tick_task: Any = None
+    _roster_announced: bool = False
+
+    def __post_init__(self) -> None:
+        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+
+    # Leadership
+
+    async def lead(self) -> None:
+        """Begin to lead: take over live requests and acquire the workers."""
+        if self.leading:
+            return
+        self.leading = True
+        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+        self._roster_announced = False
+        logger.info("leading shard", shard=self.shard)
+        for entry in self.index.live_in(self.shard):
+            await self._take_over(entry)
+        self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
+
+    async def step_down(self) -> None:
+        """Stop placing and give the workers' leases back."""
+        if not self.leading:
+            return
+        self.leading = False
+        logger.info("leaving shard", shard=self.shard)
+        if self._tick_task is not None:
+            await self._tick_task.cancel()
+        loops, self._loops = self._loops, {}
+        for loop in loops.values():
+            await loop.task.cancel()
+            await self.apply(WorkerUnreachable(loop.entry.vm))
+            await curio.spawn(self._release, loop, daemon=True)
+        for waiter in list(self._waiters.values()):
+            await waiter.event.set()
+
+    async def set_roster(self, entries: list[VmEntry]) -> None:
+        """Set the workers of the shard, as the VM list names them."""
+        if not self.leading:
+            return
+        listed = {entry.vm: entry for entry in entries}
+        for vm, entry in listed.items():
+            loop = self._loops.get(vm)
+            if loop is not None and loop.entry.address != entry.address:
+                await self._drop_loop(loop)
+                loop = None
+            if loop is None:
+                loop = _WorkerLoop(entry, self.make_client(entry.address))
+                loop.lost_at = time.monotonic()
+                self._loops[vm] = loop
+                loop.task = await curio.spawn(self._run_lease, loop, daemon=True)
+            if entry.leaving and not loop.entry.leaving:
+                loop.entry = entry
+                await self.apply(WorkerLeaving(vm))
+        for vm, loop in list(self._loops.items()):
+            if vm not in listed and loop.lease is None and loop.stopped:
+                await self._drop_loop(loop)
+
+    async def apply(self, event: Event) -> None:
+        """Hand an event to the placer and carry out its actions."""
+        actions = self.placer.handle(event, time.monotonic(), time.time())
+        for action in actions:
+            await self._do(action)
+
+    # Requests
+
+    async def submit(self, request: Request, wait_s: float) -> Answer:
+        """Take a request and return its answer, or accepted after ``wait_s``.
+
+        Raises
+        ------
+        NotLeaderError
+            If this VM does not lead the shard; the request was not taken here.
+        BoundElsewhereError
+            If the id belongs to another shard.
+        """
+        if request.kind in LOGGED_KINDS:
+            return await self._submit_logged(request, wait_s)
+        return await self._submit_check(request)
+
+    async def wait(self, request_id: str, wait_s: float) -> Answer | None:
+        """Return the answer to a logged request, None if it is unknown here."""
+        give_up_at = time.monotonic() + wait_s
+        while True:
+            answer = self.known_answer(request_id)
+            if answer is None or answer.final:
+                return answer
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                return answer
+            await self._wait_for_news(request_id, min(left_s, RECORD_WAIT_S))
+
+    def known_answer(self, request_id: str) -> Answer | None:
+        """Return what can be said of a request now."""
+        entry = self.index.get(request_id)
+        if entry is None:
+            return self.answers.get(request_id)
+        if entry.answer is not None:
+            return Answer.from_dict(entry.answer)
+        unrecorded = self._unrecorded.get(request_id)
+        if unrecorded and time.monotonic() - unrecorded[0] >= RECORD_WAIT_S:
+            return unrecorded[1]
+        return Answer(request_id, AnswerState.ACCEPTED)
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask that a request be cancelled."""
+        if self.index.get(request_id) is not None:
+            await self._append(Cancel(request_id))
+        else:
+            await self.apply(CancelRequested(request_id))
+
+    async def on_folded(self, record: Record) -> None:
+        """Take note of a record that the index has folded."""
+        request_id = getattr(record, "request_id", "")
+        bound = self.index.get(request_id)
+        if self.leading and bound is not None and bound.shard == self.shard:
+            await self._follow(record, bound)
+        waiter = self._waiters.get(request_id)
+        if waiter is not None:
+            await waiter.event.set()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state in JSON-ready form."""
+        now = time.monotonic()
+        return {
+            "leading": self.leading,
+            "placer": self.placer.dump(),
+            "n_cached_answers": len(self.answers),
+            "n_waiters": len(self._waiters),
+            "n_unrecorded": len(self._unrecorded),
+            "n_stale_starts": self.n_stale_starts,
+            "n_unknown_starts": self.n_unknown_starts,
+            "n_lapsed": self.n_lapsed,
+            "leases": {
+                vm: {
+                    "epoch": loop.lease.epoch,
+                    "valid_for_s": round(loop.lease.valid_until - now, 3),
+                }
+                if loop.lease
+                else None
+                for vm, loop in self._loops.items()
+            },
+        }
+
+    async def _submit_check(self, request: Request) -> Answer:
+        request_id = request.request_id
+        cached = self.answers.get(request_id)
+        if cached is not None:
+            return cached
+        if not self.leading:
+            raise NotLeaderError("not leading", step="submit", peer=self.shard)
+        if request_id not in self.placer.requests:
+            refused = self.placer.refusal(request, time.time())
+            if refused is not None:
+                return refused
+            await self.apply(RequestAccepted(request))
+        give_up_at = time.monotonic() + CHECK_WAIT_S
+        while time.monotonic() < give_up_at:
+            cached = self.answers.get(request_id)
+            if cached is not None:
+                return cached
+            state = self.placer.requests.get(request_id)
+            if state is None or (not self.leading and state.untouched):
+                raise NotLeaderError("stepped down", step="submit", peer=self.shard)
+            await self._wait_for_news(request_id, give_up_at - time.monotonic())
+        return Answer(request_id, AnswerState.UNKNOWN, detail="no result in time")
+
+    async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
+        request_id = request.request_id
+        entry = self.index.get(request_id)
+        if entry is None:
+            if not self.leading:
+                raise NotLeaderError("not leading", step="submit", peer=self.shard)
+            refused = self._refusal(request)
+            if refused is not None:
+                return refused
+            answer = await self._claim(request)
+            if answer is not None:
+                return answer
+            entry = self.index.get(request_id)
+        if entry is None:
+            raise NotLeaderError("claim was lost", step="claim", peer=self.shard)
+        if entry.shard != self.shard:
+            raise BoundElsewhereError(entry.shard)
+        if entry.live and not self.leading:
+            raise NotLeaderError("not leading", step="submit", peer=self.shard)
+        answer = await self.wait(request_id, wait_s)
+        return answer or Answer(request_id, AnswerState.ACCEPTED)
+
+    def _refusal(self, request: Request) -> Answer | None:
+        wall = time.time()
+        window_s = self.settings.dedupe_window_s
+        if request.kind is RequestKind.ORDER and request.issued_at < wall - window_s:
+            return not_run(
+                request.request_id,
+                Reason.EXPIRED,
+                f"issued more than {window_s:g} s ago",
+            )
+        return self.placer.refusal(request, wall)
+
+    async def _claim(self, request: Request) -> Answer | None:
+        """Bind the id to this shard; return an answer only if that failed."""
+        request_id = request.request_id
+        claim = Claim(request_id, self.shard, request.to_dict(), time.time())
+        try:
+            pending = await self._append(claim)
+        except UnavailableError as exc:
+            return not_run(request_id, Reason.OVERLOAD, exc.message)
+        # Beyond the deadline and the clock error nobody starts the request, so
+        # "not run" is true even if the claim has reached the log.
+        error_s = self.settings.clock_error_s
+        until = min(request.deadline + error_s, time.time() + HOLD_WAIT_S)
+        while time.time() <= until:
+            if self.index.get(request_id) is not None:
+                return None
+            await self._wait_for_news(request_id, max(0.01, until - time.time()))
+        if self.index.get(request_id) is not None:
+            return None
+        withdrawn = self.follower.withdraw(pending)
+        if withdrawn or time.time() > request.deadline + error_s:
+            return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+        return Answer(
+            request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
+        )
+
+    async def _wait_for_news(self, request_id: str, timeout_s: float) -> None:
+        waiter = self._waiters.setdefault(request_id, _Waiter())
+        waiter.n_users += 1
+        waiter.event.clear()
+        try:
+            async with curio.timeout_after(max(0.0, timeout_s)):
+                await waiter.event.wait()
+        except curio.TaskTimeout:
+            pass
+        finally:
+            waiter.n_users -= 1
+            if not waiter.n_users:
+                self._waiters.pop(request_id, None)
+
+    # Records
+
+    async def _append(self, record: Record) -> PendingRecord:
+        return await self.follower.append(record_to_dict(record))
+
+    async def _take_over(self, entry: Entry) -> None:
+        if entry.request is None:
+            return
+        request = Request.from_dict(entry.request)
+        await self.apply(
+            RequestAccepted(
+                request, dict(entry.started), dict(entry.started_offsets), True
+            )
+        )
+        if entry.cancelled:
+            await self.apply(CancelRequested(entry.request_id))
+
+    @singledispatchmethod
+    async def _follow(self, record: Record, bound: Entry) -> None:
+        """Pass a folded record on to the placer."""
+
+    @_follow.register
+    async def _(self, record: Claim, bound: Entry) -> None:
+        if bound.request is not None and record.shard == self.shard:
+            await self.apply(RequestAccepted(Request.from_dict(bound.request)))
+
+    @_follow.register
+    async def _(self, record: Started, bound: Entry) -> None:
+        if record.by != self.holder:
+            return
+        valid = bound.started.get(record.task_id) == record
+        offset = bound.started_offsets.get(record.task_id, -1)
+        await self.apply(
+            StartRecorded(record.task_id, record.request_id, valid, offset)
+        )
+
+    @_follow.register
+    async def _(self, record: Cancel, bound: Entry) -> None:
+        if bound.live:
+            await self.apply(CancelRequested(record.request_id))
+
+    @_follow.register
+    async def _(self, record: Done, bound: Entry) -> None:
+        self._unrecorded.pop(record.request_id, None)
+        await self.apply(RequestEnded(record.request_id))
+
+    # Actions
+
+    @singledispatchmethod
+    async def _do(self, action: Action) -> None:
+        raise TypeError(f"not an action: {action!r}")
+
+    @_do.register
+    async def _(self, action: RecordStart) -> None:
+        await self._append(
+            Started(
+                action.request.request_id,
+                action.task_id,
+                action.worker_id,
+                action.epoch,
+                action.incarnation,
+                self.holder,
+                action.prior,
+            )
+        )
+
+    @_do.register
+    async def _(self, action: StartTask) -> None:
+        await curio.spawn(self._start, action, daemon=True)
+
+    @_do.register
+    async def _(self, action: ControlTask) -> None:
+        await curio.spawn(self._control, action, daemon=True)
+
+    @_do.register
+    async def _(self, action: FenceWorker) -> None:
+        loop = self._loops.get(action.worker_id)
+        if loop is not None:
+            loop.fence = True
+
+    @_do.register
+    async def _(self, action: Finish) -> None:
+        request, answer = action.request, action.answer
+        if request.kind in LOGGED_KINDS:
+            self._unrecorded[request.request_id] = (time.monotonic(), answer)
+            await self._append(Done(request.request_id, answer.to_dict(), time.time()))
+            return
+        self.answers[request.request_id] = answer
+        if len(self.answers) > MAX_CACHED_ANSWERS:
+            self.answers.popitem(last=False)
+        await self.apply(RequestEnded(request.request_id))
+        waiter = self._waiters.get(request.request_id)
+        if waiter is not None:
+            await waiter.event.set()
+
+    async def _start(self, action: StartTask) -> None:
+        loop = self._loops.get(action.worker_id)
+        lease = loop.lease if loop is not None else None
+        if (
+            loop is None
+            or lease is None
+            or lease.epoch != action.epoch
+            or not lease.valid(time.monotonic())
+        ):
+            self.n_lapsed += 1
+            await self._start_replied(action, StartOutcome.REFUSED)
+            return
+        is_check = action.request.kind is RequestKind.CHECK
+        try:
+            result = await loop.client.start(
+                action.request,
+                action.task_id,
+                action.epoch,
+                run_time_s=action.run_time_s,
+                wait_s=CHECK_WAIT_S if is_check else 0.0,
+                timeout_s=self.settings.lease.ttl_s,
+            )
+        except (StaleEpochError, UnavailableError):
+            self.n_stale_starts += 1
+            await self._start_replied(action, StartOutcome.REFUSED)
+            return
+        except CuminhillError:
+            self.n_unknown_starts += 1
+            await self._start_replied(action, StartOutcome.UNKNOWN)
+            return
+        if result is None:
+            await self._start_replied(action, StartOutcome.RUNNING)
+        else:
+            await self.apply(TaskEnded(action.worker_id, result))
+
+    async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
+        await self.apply(StartReplied(action.task_id, action.worker_id, outcome))
+
+    async def _control(self, action: ControlTask) -> None:
+        loop = self._loops.get(action.worker_id)
+        if loop is None:
+            return
+        try:
+            await loop.client.control(
+                action.task_id, action.verb, action.epoch, timeout_s=1.0
+            )
+        except CuminhillError as exc:
+            logger.info("control call failed", verb=action.verb, error=str(exc))
+
+    # Leases
+
+    async def _run_lease(self, loop: _WorkerLoop) -> None:
+        terms = self.settings.lease
+        while True:
+            if loop.fence and loop.lease is not None:
+                loop.fence = False
+                await self._release(loop)
+                loop.lease = None
+            delay_s = await self._renew(loop)
+            now = time.monotonic()
+            if loop.lease is not None and not loop.lease.valid(now):
+                loop.lease = None
+                loop.lost_at = now
+                await self.apply(WorkerUnreachable(loop.entry.vm))
+            if (
+                loop.lease is None
+                and not loop.stopped
+                and now >= terms.tasks_stopped_at(loop.lost_at)
+            ):
+                loop.stopped = True
+                await self.apply(WorkerStopped(loop.entry.vm))
+            await self._announce_roster()
+            await curio.sleep(delay_s)
+
+    async def _renew(self, loop: _WorkerLoop) -> float:
+        """Renew once; return the time until the next try, in seconds."""
+        terms = self.settings.lease
+        sent_at = time.monotonic()
+        known = self.placer.workers.get(loop.entry.vm)
+        try:
+            reply = await loop.client.lease(
+                self.holder,
+                terms.ttl_s,
+                loop.seq,
+                known.ack_seq if known else 0,
+                timeout_s=terms.renew_s,
+            )
+        except LeaseHeldError as exc:
+            # Another holder renews, so the task lease runs on.
+            loop.lost_at = time.monotonic()
+            return min(terms.renew_s, exc.remaining_s + 0.005)
+        except CuminhillError:
+            return terms.renew_s / 3
+        valid_until = terms.holder_expiry(sent_at)
+        if loop.lease is not None and loop.lease.epoch != reply.epoch:
+            loop.seq = 0  # a lapse in between: read the whole list again
+        if loop.incarnation != reply.incarnation:
+            loop.seq = 0
+        loop.lease = HeldLease(reply.epoch, valid_until)
+        loop.incarnation = reply.incarnation
+        loop.seq = max(loop.seq, reply.seq)
+        loop.heard = True
+        loop.stopped = False
+        await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
+        return terms.renew_s
+
+    async def _release(self, loop: _WorkerLoop) -> None:
+        if loop.lease is None:
+            return
+        try:
+            await loop.client.release(self.holder, loop.lease.epoch, timeout_s=0.5)
+        except CuminhillError as exc:
+            logger.info("release failed", vm=loop.entry.vm, error=str(exc))
+
+    async def _drop_loop(self, loop: _WorkerLoop) -> None:
+        await loop.task.cancel()
+        self._loops.pop(loop.entry.vm, None)
+        await self.apply(WorkerStopped(loop.entry.vm))
+
+    async def _announce_roster(self) -> None:
+        loops = list(self._loops.values())
+        if self._roster_announced or not loops:
+            return
+        if all(loop.heard or loop.stopped for loop in loops):
+            self._roster_announced = True
+            heard = frozenset(loop.entry.vm for loop in loops if loop.heard)
+            await self.apply(RosterComplete(heard))
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            await self.apply(Tick())
+            for waiter in [
+                self._waiters[key] for key in self._unrecorded if key in self._waiters
+            ]:
+                await waiter.event.set()
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -126,12 +126,13 @@
     Parameters
     ----------
     handler : callable
-        Coroutine function from `HttpRequest` to `HttpResponse`.
+        Coroutine function from `HttpRequest` to `HttpResponse`; None closes the
+        connection without a response.
     limits : HttpLimits
         Bounds of the server.
     """
 
-    handler: Callable[[HttpRequest], Awaitable[HttpResponse]]
+    handler: Callable[[HttpRequest], Awaitable[HttpResponse | None]]
     limits: HttpLimits = field(default_factory=HttpLimits)
     counters: HttpCounters = field(default_factory=HttpCounters)
     host: str = ""
@@ -227,6 +228,8 @@
         conn.busy = True
         try:
             response = await self._handle(req)
+            if response is None:
+                return False
             await self._send(conn, response)
         finally:
             conn.busy = False
@@ -236,7 +239,7 @@
             and conn.h11_conn.their_state is h11.DONE
         )
 
-    async def _handle(self, req: HttpRequest) -> HttpResponse:
+    async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         try:
             return await self.handler(req)
         except ProtocolError as exc:
--- /dev/null
+++ b/standins/vm_list.py
@@ -0,0 +1,44 @@
+"""Stand-in for the platform's lagging list of VMs."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from cuminhill.util.http import HttpRequest, HttpResponse
+
+
+@dataclass(slots=True)
+class VmList:
+    """List of VMs whose changes show only after a lag.
+
+    Parameters
+    ----------
+    lag_s : float, seconds
+        Time until a change is visible.
+    """
+
+    lag_s: float = 0.0
+    changes: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
+
+    def put(self, entry: dict[str, Any], now: float) -> None:
+        """Record a change of one VM; state ``gone`` removes it."""
+        self.changes.append((now, entry))
+
+    def visible(self, now: float) -> list[dict[str, Any]]:
+        """Return the VMs as seen after the lag, ordered by name."""
+        vms: dict[str, dict[str, Any]] = {}
+        for at, entry in self.changes:
+            if at <= now - self.lag_s:
+                vms[entry["vm"]] = vms.get(entry["vm"], {}) | entry
+        return [vms[key] for key in sorted(vms) if vms[key].get("state") != "gone"]
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Serve ``GET /vms`` and ``POST /vms``."""
+        if req.path != "/vms":
+            return HttpResponse(404, {"error": "not found"})
+        if req.method == "POST":
+            self.put(req.json(), time.monotonic())
+            return HttpResponse(200, {})
+        return HttpResponse(200, {"vms": self.visible(time.monotonic())})
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,297 @@
+"""Stand-in for a worker: runs tasks under leases and records violations.
+
+It does not refuse work beyond its capacity; it records the violation, so that a
+check can see it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from cuminhill.coordination.lease import Held, LeaseArbiter
+from cuminhill.model import NO_RESOURCES, Resources
+from cuminhill.util.http import HttpRequest, HttpResponse
+
+MAX_FINISHED = 10000
+TASK_TTL_S = 10.0
+VERBS = ("stop", "throttle", "checkpoint")
+
+
+@dataclass(slots=True)
+class RunningTask:
+    """Task in progress.
+
+    Parameters
+    ----------
+    remaining_s : float, seconds
+        Run time left at full speed.
+    progress_at : float, seconds
+        Monotonic time of the last update of ``remaining_s``.
+    """
+
+    task_id: str
+    request_id: str
+    epoch: int
+    need: Resources
+    payload: dict[str, Any]
+    remaining_s: float
+    progress_at: float
+    started_at: float
+    rate: float = 1.0
+    done: Any = field(default_factory=curio.Event)
+    changed: Any = field(default_factory=curio.Event)
+    result: dict[str, Any] | None = None
+
+
+@dataclass(slots=True)
+class Worker:
+    """One worker.
+
+    Parameters
+    ----------
+    worker_id : str
+        Name of the worker.
+    capacity : Resources
+        What the worker has.
+    rack : str
+        Rack in which it stands.
+    failure_domain : str
+        Failure domain in which it stands.
+    speed : float, default=1
+        Run times are divided by this.
+    fencing : bool, default=True
+        Whether calls with a stale epoch are refused.
+    fail_all : bool, default=False
+        Every task fails as soon as it starts.
+    usage_lag_s : float, seconds, default=1
+        Age of the reported usage.
+    """
+
+    worker_id: str
+    capacity: Resources
+    rack: str = "r0"
+    failure_domain: str = ""
+    speed: float = 1.0
+    fencing: bool = True
+    fail_all: bool = False
+    leaving: bool = False
+    usage_lag_s: float = 1.0
+    # Epochs start from the time, so that they rise across restarts too.
+    arbiter: LeaseArbiter = field(
+        default_factory=lambda: LeaseArbiter(epoch=time.time_ns() // 1_000_000)
+    )
+    incarnation: str = field(default_factory=lambda: str(time.time_ns()))
+    running: dict[str, RunningTask] = field(default_factory=dict)
+    finished: deque[dict[str, Any]] = field(default_factory=deque)
+    dropped: bool = False
+    seq: int = 0
+    starts: Counter[str] = field(default_factory=Counter)
+    violations: list[dict[str, Any]] = field(default_factory=list)
+    renewed_at: float = 0.0
+    history: list[dict[str, Any]] = field(default_factory=list)
+
+    def used(self) -> Resources:
+        """Return the sum of the needs of all running tasks."""
+        total = NO_RESOURCES
+        for task in self.running.values():
+            total = total + task.need
+        return total
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Serve the worker's HTTP interface."""
+        now = time.monotonic()
+        if req.path == "/lease":
+            return self._lease(req.json(), now)
+        if req.path == "/release":
+            body = req.json()
+            released = self.arbiter.release(body["holder"], body["epoch"])
+            return HttpResponse(200, {"released": released})
+        if req.path == "/tasks":
+            return await self._start(req.json(), now)
+        if req.path.startswith("/tasks/"):
+            return await self._control(req.path.split("/")[2:], req.json(), now)
+        if req.path == "/state":
+            return HttpResponse(200, self._state())
+        if req.path == "/set":
+            for name, value in req.json().items():
+                setattr(self, name, value)
+            return HttpResponse(200, {})
+        return HttpResponse(404, {"error": "not found"})
+
+    async def run_watchdog(self) -> None:
+        """Stop all tasks when no holder has renewed for the task lease."""
+        while True:
+            await curio.sleep(TASK_TTL_S / 50)
+            if time.monotonic() - self.renewed_at > TASK_TTL_S:
+                for task in list(self.running.values()):
+                    await self._end(task, ok=False, detail="task lease lapsed")
+
+    def _lease(self, body: dict[str, Any], now: float) -> HttpResponse:
+        grant = self.arbiter.acquire(body["holder"], body["ttl_s"], now)
+        if isinstance(grant, Held):
+            value = {"holder": grant.holder, "remaining_s": grant.remaining_s}
+            return HttpResponse(409, value)
+        self.renewed_at = now
+        since = body.get("seq", 0)
+        while self.finished and self.finished[0]["seq"] <= body.get("ack", 0):
+            self.finished.popleft()
+        used = self.used()
+        value = {
+            "epoch": grant.epoch,
+            "incarnation": self.incarnation,
+            "seq": self.seq,
+            "leaving": self.leaving,
+            "dropped": self.dropped,
+            "capacity": _resources(self.capacity),
+            "rack": self.rack,
+            "failure_domain": self.failure_domain,
+            "speed": self.speed,
+            "tasks": [
+                {
+                    "task_id": task.task_id,
+                    "request_id": task.request_id,
+                    "need": _resources(task.need),
+                    "run_s": now - task.started_at,
+                }
+                for task in self.running.values()
+            ],
+            "finished": [item for item in self.finished if item["seq"] > since],
+            "usage": {"cores": used.cores, "memory_mb": used.memory_mb},
+        }
+        return HttpResponse(200, value)
+
+    async def _start(self, body: dict[str, Any], now: float) -> HttpResponse:
+        if self.fencing and not self.arbiter.permits(body["epoch"], now):
+            return HttpResponse(409, {"error": "stale epoch"})
+        task = RunningTask(
+            body["task_id"],
+            body["request_id"],
+            body["epoch"],
+            Resources(**body["need"]),
+            body.get("payload") or {},
+            body.get("run_time_s", 0.0) / self.speed,
+            now,
+            now,
+        )
+        self._record_start(task)
+        self.running[task.task_id] = task
+        self._check_capacity(task)
+        await curio.spawn(self._run, task, daemon=True)
+        wait_s = body.get("wait_s", 0.0)
+        if wait_s <= 0:
+            return HttpResponse(202, {"state": "running"})
+        try:
+            async with curio.timeout_after(wait_s):
+                await task.done.wait()
+        except curio.TaskTimeout:
+            return HttpResponse(202, {"state": "running"})
+        return HttpResponse(200, task.result)
+
+    async def _control(
+        self, path: list[str], body: dict[str, Any], now: float
+    ) -> HttpResponse:
+        task_id, verb = "/".join(path[:-1]), path[-1]
+        if verb not in VERBS:
+            return HttpResponse(404, {"error": "not found"})
+        if self.fencing and not self.arbiter.permits(body["epoch"], now):
+            return HttpResponse(409, {"error": "stale epoch"})
+        task = self.running.get(task_id)
+        if task is None:
+            return HttpResponse(404, {"error": "no such task"})
+        if verb == "throttle":
+            task.remaining_s -= (now - task.progress_at) * task.rate
+            task.progress_at = now
+            task.rate = float(body.get("rate", 0.5))
+            await task.changed.set()
+            return HttpResponse(200, {})
+        progress_s = (now - task.progress_at) * task.rate
+        left_s = max(0.0, task.remaining_s - progress_s)
+        saved = {"remaining_s": left_s * self.speed if verb == "checkpoint" else None}
+        await self._end(task, ok=False, detail=verb, extra=saved)
+        return HttpResponse(200, saved)
+
+    async def _run(self, task: RunningTask) -> None:
+        if self.fail_all or task.payload.get("fail"):
+            await self._end(task, ok=False, detail="task failed")
+            return
+        while task.task_id in self.running:
+            task.changed.clear()
+            try:
+                async with curio.timeout_after(task.remaining_s / task.rate):
+                    await task.changed.wait()
+            except curio.TaskTimeout:
+                await self._end(task, ok=True, detail="")
+
+    async def _end(
+        self,
+        task: RunningTask,
+        *,
+        ok: bool,
+        detail: str,
+        extra: dict[str, Any] | None = None,
+    ) -> None:
+        if self.running.pop(task.task_id, None) is None:
+            return
+        now = time.monotonic()
+        self.seq += 1
+        task.result = {
+            "task_id": task.task_id,
+            "request_id": task.request_id,
+            "ok": ok,
+            "detail": detail,
+            "value": task.payload.get("echo"),
+            "run_s": now - task.started_at,
+            "seq": self.seq,
+            **(extra or {}),
+        }
+        self.finished.append(task.result)
+        if len(self.finished) > MAX_FINISHED:
+            self.finished.popleft()
+            self.dropped = True
+        self.history.append({"event": "end", "task_id": task.task_id, "at": now})
+        await task.changed.set()
+        await task.done.set()
+
+    def _record_start(self, task: RunningTask) -> None:
+        self.starts[task.task_id] += 1
+        self.history.append(
+            {
+                "event": "start",
+                "task_id": task.task_id,
+                "at": task.started_at,
+                "epoch": task.epoch,
+                "leaving": self.leaving,
+            }
+        )
+        if task.task_id in self.running:
+            self.violations.append({"kind": "double start", "task_id": task.task_id})
+
+    def _check_capacity(self, task: RunningTask) -> None:
+        if not self.used().fits(self.capacity):
+            self.violations.append({"kind": "capacity", "task_id": task.task_id})
+
+    def _state(self) -> dict[str, Any]:
+        return {
+            "worker_id": self.worker_id,
+            "epoch": self.arbiter.epoch,
+            "holder": self.arbiter.holder,
+            "running": sorted(self.running),
+            "starts": dict(self.starts),
+            "violations": self.violations,
+            "history": self.history,
+        }
+
+
+def _resources(value: Resources) -> dict[str, float]:
+    return {
+        "cores": value.cores,
+        "memory_mb": value.memory_mb,
+        "accelerators": value.accelerators,
+        "slots": value.slots,
+        "connections": value.connections,
+    }
