Resolve a start that another placer announced first

While leadership settled, two placers announced the start of the same order; the loser kept the task held without knowing which worker to ask. Ruled out: lost wake-ups in the follower (all records were folded) and lost results (no worker had a start). Change: StartRecorded carries the record that counts, and the worker it names decides. Also: replayed records are not passed to the placer one by one, a gap in the log rebuilds the index, and a VM advertises a shard only while it holds a worker.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -62,7 +62,11 @@
         self.vm_list: list[VmEntry] = []
         self.index = RequestIndex()
         self.follower = Follower(
-            make_log(settings.log_address), REQUESTS_STREAM, self._on_record
+            make_log(settings.log_address),
+            REQUESTS_STREAM,
+            self._on_record,
+            self._on_gap,
+            self._on_caught_up,
         )
         self.membership = make_membership(
             Member(
@@ -296,7 +300,7 @@
         }
 
     def _describe(self) -> dict[str, Any]:
-        leading = [name for name, item in self.drivers.items() if item.leading]
+        leading = [name for name, item in self.drivers.items() if item.serving]
         free = sum(self.drivers[name].placer.free().cores for name in leading)
         return {
             "leaving": self.draining,
@@ -343,6 +347,14 @@
         for driver in self.drivers.values():
             await driver.on_folded(record)
 
+    async def _on_gap(self) -> None:
+        logger.warning("log records were missed; rebuilding the index")
+        self.index.clear()
+
+    async def _on_caught_up(self) -> None:
+        for driver in self.drivers.values():
+            await driver.resume()
+
     async def _run_vm_list(self) -> None:
         listing = make_vm_listing(self.settings.vm_list_address)
         while True:
--- a/cuminhill/coordination/claims.py
+++ b/cuminhill/coordination/claims.py
@@ -185,6 +185,12 @@
         """Return the entry of a request."""
         return self.entries.get(request_id)
 
+    def clear(self) -> None:
+        """Forget everything, to be folded again from the records that are left."""
+        self.entries.clear()
+        self.live.clear()
+        self.next_offset = 0
+
     def live_in(self, shard: str) -> list[Entry]:
         """Return the entries of a shard that have no final answer."""
         return [self.entries[key] for key in sorted(self.live.get(shard, ()))]
--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from .platform.log import Log
+    from .platform.log import Log, LogPage
 
 logger = structlog.get_logger(__name__)
 
@@ -57,11 +57,19 @@
         Name of the stream.
     on_record : callable
         Coroutine function called with the offset and each record, in order.
+    on_gap : callable
+        Coroutine function called when retention has dropped records that were
+        not read; reading goes on from the first record that is left.
+    on_caught_up : callable
+        Coroutine function called whenever the end is reached for the first time
+        after the start or a gap.
     """
 
     log: Log
     stream: str
     on_record: Callable[[int, dict[str, Any]], Awaitable[None]]
+    on_gap: Callable[[], Awaitable[None]]
+    on_caught_up: Callable[[], Awaitable[None]]
     next_offset: int = 0
     caught_up: bool = False
     n_replayed: int = 0
@@ -132,15 +140,26 @@
                 continue
             self._set_reachable(True, "")
             self.read_ok_at = time.monotonic()
-            if page.start > self.next_offset:
+            await self._take_page(page)
+
+    async def _take_page(self, page: LogPage) -> None:
+        if page.start > self.next_offset:
+            # A state that misses records cannot be mended by reading on: what
+            # ended in the gap would stay live for ever.
+            if self.next_offset > 0:
                 self.n_gaps += 1
-                self.next_offset = page.start
-            for offset, value in page.records:
-                self.next_offset = offset + 1
-                self.n_replayed += not self.caught_up
-                await self.on_record(offset, value)
-            if self.next_offset >= page.end:
-                self.caught_up = True
+                self.caught_up = False
+                await self.on_gap()
+            self.next_offset = page.start
+        for offset, value in page.records:
+            if offset < self.next_offset:
+                continue
+            self.next_offset = offset + 1
+            self.n_replayed += not self.caught_up
+            await self.on_record(offset, value)
+        if not self.caught_up and self.next_offset >= page.end:
+            self.caught_up = True
+            await self.on_caught_up()
 
     async def _append_batch(self) -> bool:
         while self._pending and len(self._in_flight) < MAX_BATCH_RECORDS:
--- a/cuminhill/routing.py
+++ b/cuminhill/routing.py
@@ -78,7 +78,7 @@
             for shard in member.shards:
                 found.setdefault(shard, member)
         for shard, driver in self.drivers.items():
-            if driver.leading:
+            if driver.serving:
                 found[shard] = self.membership.me
         return found
 
--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -94,12 +94,17 @@
     ----------
     valid : bool
         Whether this placer's record is the one that counts.
+    offset : int
+        Offset of the record that counts; -1 if none does.
+    winner : Started or None
+        The record that counts, if it is another placer's.
     """
 
     task_id: str
     request_id: str
     valid: bool
     offset: int
+    winner: Started | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -258,8 +258,15 @@
             self._finish_if_over(state)
         elif event.valid:
             self._requeue(task, now)  # the worker was never called
-        else:
-            self._set_phase(task, Phase.HELD, now)  # another placer has it
+        elif event.winner is not None:
+            # Another placer announced the start first, perhaps just before it
+            # stepped down. The list of the worker it named decides.
+            self._set_phase(task, Phase.HELD, now)
+            task.prior = event.offset
+            task.worker_id = event.winner.worker_id
+            task.epoch = event.winner.epoch
+            task.incarnation = event.winner.incarnation
+            self._adopt_if_listed(task, now)
 
     @_on.register
     def _(self, event: StartReplied, now: float, wall: float) -> None:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -160,6 +160,17 @@
 
     # Leadership
 
+    @property
+    def serving(self) -> bool:
+        """Whether some worker of the shard is held by this VM.
+
+        A VM may believe that it leads while another one still holds the workers;
+        requests are to go to the one that holds them.
+        """
+        return self.leading and any(
+            loop.lease is not None for loop in self._loops.values()
+        )
+
     async def lead(self) -> None:
         """Begin to lead: take over live requests and acquire the workers."""
         if self.leading:
@@ -168,9 +179,24 @@
         self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
         self._roster_announced = False
         logger.info("leading shard", shard=self.shard)
+        await self.resume()
+        self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
+
+    async def resume(self) -> None:
+        """Bring the placer in line with an index that has caught up.
+
+        While the index replays old records they are not passed on one by one: a
+        claim alone does not tell that its task was started long ago.
+        """
+        if not self.leading or not self.follower.caught_up:
+            return
         for entry in self.index.live_in(self.shard):
             await self._take_over(entry)
-        self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
+        for request_id, state in list(self.placer.requests.items()):
+            entry_now = self.index.get(request_id)
+            over = entry_now is None or not entry_now.live
+            if state.kind in LOGGED_KINDS and over:
+                await self.apply(RequestEnded(request_id))
 
     async def step_down(self) -> None:
         """Stop placing and give the workers' leases back."""
@@ -267,7 +293,12 @@
         """Take note of a record that the index has folded."""
         request_id = getattr(record, "request_id", "")
         bound = self.index.get(request_id)
-        if self.leading and bound is not None and bound.shard == self.shard:
+        if (
+            self.leading
+            and self.follower.caught_up
+            and bound is not None
+            and bound.shard == self.shard
+        ):
             await self._follow(record, bound)
         waiter = self._waiters.get(request_id)
         if waiter is not None:
@@ -421,10 +452,17 @@
     async def _(self, record: Started, bound: Entry) -> None:
         if record.by != self.holder:
             return
-        valid = bound.started.get(record.task_id) == record
+        winner = bound.started.get(record.task_id)
+        valid = winner == record
         offset = bound.started_offsets.get(record.task_id, -1)
         await self.apply(
-            StartRecorded(record.task_id, record.request_id, valid, offset)
+            StartRecorded(
+                record.task_id,
+                record.request_id,
+                valid,
+                offset,
+                None if valid else winner,
+            )
         )
 
     @_follow.register
