Split the command-line tool by command group and fail over between VMs

Cause: the tool knew one address, printed only JSON, had no documented exit codes, and ended with a traceback when a reply was not JSON. Change: one module per command group (requests, operate, config, completion) over a session that tries each given address; a submission is repeated elsewhere with the same id and issue time, a drain acts on one VM only.

--- /dev/null
+++ b/cuminhill/cmd/session.py
@@ -0,0 +1,276 @@
+"""Calls of the command-line tool to one of several entry VMs."""
+
+from __future__ import annotations
+
+import sys
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import click
+import curio
+
+from ..errors import CuminhillError, UnknownOutcomeError
+from ..util.http import make_http_client
+from .exits import CommandError, ExitCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+DEFAULT_ADDRESS = "127.0.0.1:8080"
+CALL_SLACK_S = 10.0
+CONNECT_TIMEOUT_S = 2.0  # short, so that the next address is tried soon
+PROGRESS_INTERVAL_S = 0.5
+PROGRESS_AFTER_S = 1.0
+
+
+class AddressType(click.ParamType):
+    """An address ``host:port``; the environment variable holds a comma list."""
+
+    name = "host:port"
+    envvar_list_splitter = ","
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> str:
+        """Return the address if host and port are there."""
+        host, _, port = str(value).strip().rpartition(":")
+        if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+            self.fail(f"{value!r} is not host:port", param, ctx)
+        return f"{host}:{port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Response of an entry VM.
+
+    Parameters
+    ----------
+    address : str
+        Who answered.
+    method : str
+        HTTP method of the call.
+    status : int
+        HTTP status.
+    body : object
+        Decoded body.
+    may_repeat : bool
+        Whether an earlier address may have carried out the call already.
+    """
+
+    address: str
+    method: str
+    status: int
+    body: Any
+    may_repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Session:
+    """Addresses that the tool was given.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        ``"host:port"`` of entry VMs, tried in this order.
+    """
+
+    addresses: tuple[str, ...]
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        value: Any = None,
+        *,
+        wait_s: float = 0.0,
+        hold_s: float = 0.0,
+        progress: str = "",
+    ) -> Reply:
+        """Make an idempotent call; each address is tried until one answers.
+
+        Parameters
+        ----------
+        method, path : str
+            HTTP method and path.
+        value : object, default=None
+            JSON body.
+        wait_s : float, seconds
+            How long the daemon is asked to wait.
+        hold_s : float, seconds
+            How long the last address may hold the call in any case.
+        progress : str, default=""
+            What is being waited for, shown on a terminal.
+
+        Raises
+        ------
+        CommandError
+            If no address answers.
+        """
+        try:
+            return curio.run(
+                _with_progress,
+                progress,
+                wait_s,
+                _call_first(
+                    self.addresses, method, path, value, wait_s=wait_s, hold_s=hold_s
+                ),
+            )
+        except _NoReplyError as exc:
+            _fail(exc.errors, method)
+
+    def call_all(self, path: str) -> tuple[list[Reply], list[CuminhillError]]:
+        """Read a path from every address; return the replies and the errors."""
+        replies: list[Reply] = []
+        errors: list[CuminhillError] = []
+        for address in self.addresses:
+            try:
+                replies.append(curio.run(_call_first((address,), "GET", path)))
+            except _NoReplyError as exc:
+                errors += exc.errors
+        if not replies:
+            _fail(errors, "GET")
+        return replies, errors
+
+    def is_listening(self) -> bool:
+        """Return whether something accepts connections at the first address."""
+        try:
+            curio.run(_call_first(self.addresses[:1], "GET", "/healthz"))
+        except _NoReplyError as exc:
+            # A process that accepts but does not answer has not stopped.
+            return any(isinstance(item, UnknownOutcomeError) for item in exc.errors)
+        return True
+
+    def only_address(self) -> Session:
+        """Return this session if it has one address.
+
+        Raises
+        ------
+        click.UsageError
+            If it has several; the command acts on one VM only.
+        """
+        if len(self.addresses) != 1:
+            raise click.UsageError("this command acts on one VM: give one --address")
+        return self
+
+
+class _NoReplyError(Exception):
+    """No address answered."""
+
+    def __init__(self, errors: list[CuminhillError]) -> None:
+        super().__init__()
+        self.errors = errors
+
+
+def check_reply(reply: Reply) -> Any:
+    """Return the body of a successful reply.
+
+    Raises
+    ------
+    CommandError
+        If the status says otherwise.
+    """
+    if reply.status < 400 and isinstance(reply.body, dict):
+        return reply.body
+    text = reply.body.get("error") if isinstance(reply.body, dict) else None
+    step = reply.body.get("step") if isinstance(reply.body, dict) else None
+    message = f"{step}: {text}" if text else f"HTTP {reply.status}: {reply.body!r:.200}"
+    code = ExitCode.INVALID
+    if reply.status == 404 and text:
+        code = ExitCode.NOT_FOUND
+    elif reply.status >= 500 or reply.status < 400:
+        code = _code_without_reply(reply.method, True)
+    raise CommandError(f"{message} [{reply.address}]", code)
+
+
+def rows_of(reply: Reply, key: str) -> list[dict[str, Any]]:
+    """Return the list under a key of a successful reply.
+
+    Raises
+    ------
+    CommandError
+        If the reply is another one.
+    """
+    rows = check_reply(reply).get(key)
+    if isinstance(rows, list):
+        return rows
+    raise CommandError(
+        f"{reply.address} sent no {key}; is it an entry VM?", ExitCode.UNREACHABLE
+    )
+
+
+def _fail(errors: Iterable[CuminhillError], method: str) -> NoReturn:
+    errors = list(errors)
+    may_have_run = any(isinstance(item, UnknownOutcomeError) for item in errors)
+    raise CommandError(
+        "\n".join(str(item) for item in errors),
+        _code_without_reply(method, may_have_run),
+    )
+
+
+def _code_without_reply(method: str, may_have_run: bool) -> ExitCode:
+    if may_have_run and method != "GET":
+        return ExitCode.UNKNOWN
+    return ExitCode.UNREACHABLE
+
+
+async def _call_first(
+    addresses: tuple[str, ...],
+    method: str,
+    path: str,
+    value: Any = None,
+    *,
+    wait_s: float = 0.0,
+    hold_s: float = 0.0,
+) -> Reply:
+    errors: list[CuminhillError] = []
+    for address in addresses:
+        last = address is addresses[-1]
+        timeout_s = max(wait_s, hold_s if last else 0.0) + CALL_SLACK_S
+        try:
+            status, body = await _call_one(address, method, path, value, timeout_s)
+        except CuminhillError as exc:
+            errors.append(exc)
+            continue
+        if not last and _is_leaving(status, body):
+            continue
+        may_repeat = any(isinstance(item, UnknownOutcomeError) for item in errors)
+        return Reply(address, method, status, body, may_repeat)
+    raise _NoReplyError(errors)
+
+
+async def _call_one(
+    address: str, method: str, path: str, value: Any, timeout_s: float
+) -> tuple[int, Any]:
+    client = make_http_client(address, connect_timeout_s=CONNECT_TIMEOUT_S)
+    try:
+        return await client.request(method, path, value, timeout_s=timeout_s)
+    finally:
+        await client.close()
+
+
+def _is_leaving(status: int, body: Any) -> bool:
+    """Return whether a draining VM refused the request, so that others may run it."""
+    return status == 503 and isinstance(body, dict) and body.get("reason") == "draining"
+
+
+async def _with_progress(text: str, wait_s: float, coro: Any) -> Any:
+    if not text or not sys.stderr.isatty():
+        return await coro
+    task = await curio.spawn(_show_progress, text, wait_s, daemon=True)
+    try:
+        return await coro
+    finally:
+        await task.cancel()
+        sys.stderr.write("\r\x1b[K")
+        sys.stderr.flush()
+
+
+async def _show_progress(text: str, wait_s: float) -> None:
+    started_at = time.monotonic()
+    await curio.sleep(PROGRESS_AFTER_S)
+    while True:
+        passed_s = time.monotonic() - started_at
+        sys.stderr.write(f"\r\x1b[K{text}: {passed_s:.0f} s of {wait_s:.0f} s")
+        sys.stderr.flush()
+        await curio.sleep(PROGRESS_INTERVAL_S)
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -341,11 +342,14 @@
         TCP port of the server.
     max_idle : int, default=8
         Connections kept open between requests.
+    connect_timeout_s : float, seconds, default=inf
+        Bound on connecting, within the bound on the whole exchange.
     """
 
     host: str
     port: int
     max_idle: int = 8
+    connect_timeout_s: float = math.inf
     _idle: list[_PooledConnection] = field(default_factory=list)
 
     @property
@@ -391,7 +395,8 @@
         except curio.TaskTimeout as exc:
             await conn.sock.close()
             raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
-        except (OSError, h11.ProtocolError) as exc:
+        except (OSError, h11.ProtocolError, ValueError) as exc:
+            # A body that cannot be decoded (ValueError) leaves the outcome open too.
             await conn.sock.close()
             raise UnknownOutcomeError(repr(exc), step="http", peer=self.peer) from exc
         except BaseException:
@@ -412,7 +417,7 @@
                 return conn
             await conn.sock.close()
         try:
-            async with curio.timeout_after(timeout_s):
+            async with curio.timeout_after(min(timeout_s, self.connect_timeout_s)):
                 sock = await curio.open_connection(self.host, self.port)
         except (OSError, curio.TaskTimeout) as exc:
             raise UnavailableError(repr(exc), step="connect", peer=self.peer) from exc
@@ -462,7 +467,9 @@
                 raise ConnectionResetError("closed before the response was complete")
 
 
-def make_http_client(address: str, max_idle: int = 8) -> HttpClient:
+def make_http_client(
+    address: str, max_idle: int = 8, connect_timeout_s: float = math.inf
+) -> HttpClient:
     """Return a client for ``"host:port"``."""
     host, _, port = address.rpartition(":")
-    return HttpClient(host, int(port), max_idle)
+    return HttpClient(host, int(port), max_idle, connect_timeout_s)
--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections import Counter
+from dataclasses import dataclass, field
 
 import click
 import curio
@@ -11,39 +13,54 @@
 
 from cuminhill.application import make_application
 from cuminhill.cmd.cli import main as cli
+from cuminhill.cmd.exits import ExitCode
 from cuminhill.logs import set_up_logging
 from cuminhill.settings import Settings
 
 from .cluster import HOST, Cluster, make_cluster
 from .processes import free_port
 
-COMMANDS = [
-    ("check", ["--run-time", "0.05"]),
-    ("order", ["--run-time", "0.2"]),
-    ("batch", ["--tasks", "20", "--run-time", "0.2"]),
-    ("gang", ["--tasks", "6", "--run-time", "0.3"]),
-    ("service", ["--run-time", "3600", "--wait", "0"]),
+SUBMISSIONS = [
+    ["check", "--run-time", "0.05"],
+    ["order", "--run-time", "0.2"],
+    ["batch", "--tasks", "20", "--run-time", "0.2"],
+    ["gang", "--tasks", "6", "--run-time", "0.3"],
+    ["service", "--run-time", "3600"],
 ]
+FOLLOW_UPS = [
+    (["explain", "quick-service"], ExitCode.OK),
+    (["workers"], ExitCode.OK),
+    (["cancel", "quick-service"], ExitCode.OK),
+    (["status", "quick-service", "--wait", "5"], ExitCode.FAILED),
+    (["submit", "batch", "--id", "too-big", "--cores", "1000"], ExitCode.NOT_RUN),
+    (["jobs"], ExitCode.OK),
+]
+
 
+@dataclass
+class Tour:
+    """Runs commands as a person would and keeps what came out."""
 
-def _run_tool(address: str, *args: str) -> str:
-    result = CliRunner().invoke(cli, ["--address", address, *args])
-    if result.exit_code != 0:
-        raise RuntimeError(f"cuminhill {' '.join(args)}: {result.output}")
-    return str(result.output)
+    address: str
+    outcomes: Counter[str] = field(default_factory=Counter)
+    surprises: list[str] = field(default_factory=list)
 
+    def run(self, args: list[str], expected: ExitCode = ExitCode.OK) -> str:
+        """Run one command, print it and its output, and return the output."""
+        result = CliRunner().invoke(cli, ["--address", self.address, *args])
+        click.echo(f"$ cuminhill {' '.join(args)}\n{result.output}")
+        if result.exit_code != expected:
+            self.surprises.append(f"{' '.join(args)}: exit code {result.exit_code}")
+        return str(result.output)
 
-def _submit_all(address: str) -> Counter[str]:
-    states: Counter[str] = Counter()
-    for kind, options in COMMANDS:
-        click.echo(f"$ cuminhill submit {kind} --id quick-{kind} {' '.join(options)}")
-        output = _run_tool(address, "submit", kind, "--id", f"quick-{kind}", *options)
-        click.echo(output)
-        states["accepted" if '"accepted"' in output else "done"] += 1
-    click.echo("$ cuminhill cancel quick-service")
-    _run_tool(address, "cancel", "quick-service")
-    click.echo(_run_tool(address, "status", "quick-service", "--wait", "5"))
-    return states
+    def run_all(self) -> None:
+        """Submit a request of each kind, then look at what became of them."""
+        for kind, *options in SUBMISSIONS:
+            output = self.run(["submit", kind, "--id", f"quick-{kind}", *options])
+            state = output.split(": ")[1].split(",")[0].strip()
+            self.outcomes[state] += 1
+        for args, expected in FOLLOW_UPS:
+            self.run(args, expected)
 
 
 async def _serve(cluster: Cluster) -> int:
@@ -60,16 +77,26 @@
     await app.start()
     while app.not_ready_reason():
         await curio.sleep(0.05)
-    states = await curio.run_in_thread(_submit_all, settings.http_address)
+    tour = Tour(settings.http_address)
+    started_at = time.monotonic()
+    await curio.run_in_thread(tour.run_all)
+    took_s = time.monotonic() - started_at
     await app.drain()
     await app.stopped.wait()
     await app.close()
     n_violations = sum(len(worker.violations) for worker in cluster.workers.values())
+    n_starts = sum(
+        count for worker in cluster.workers.values() for count in worker.starts.values()
+    )
+    outcomes = ", ".join(f"{count} {state}" for state, count in tour.outcomes.items())
     click.echo(
-        f"summary: {sum(states.values())} requests, {dict(states)}, "
-        f"{n_violations} capacity violations"
+        f"summary: {len(SUBMISSIONS)} requests ({outcomes}), {n_starts} task starts on "
+        f"{len(cluster.workers)} workers, {n_violations} capacity violations, "
+        f"{len(tour.surprises)} surprises, {took_s:.1f} s"
     )
-    return 1 if n_violations else 0
+    for text in tour.surprises:
+        click.echo(f"surprise: {text}")
+    return 1 if n_violations or tour.surprises else 0
 
 
 async def _main() -> int:
