Declare every setting of a process in one table

Cause: settings were checked for unknown names only; a wrong type or value reached the sockets, and there was nothing to generate documentation from. Change: SETTINGS declares name, type, default, unit and effect; checks, defaults and the Markdown table (python -m cuminhill.settings) are derived from it. New settings: rpc_advertise, log_level and the bounds of the HTTP server (Settings.http_limits); application.py does not use them yet.

--- a/cuminhill/cmd/daemon.py
+++ b/cuminhill/cmd/daemon.py
@@ -41,13 +41,25 @@
     type=click.Path(dir_okay=False, path_type=Path),
     help="TOML file with the settings of this process.",
 )
+@click.option("--check", is_flag=True, help="Validate the settings and exit.")
 @click.version_option(package_name="cuminhill")
-def main(path: Path) -> None:
-    """Run one entry VM's daemon; SIGTERM stops it gracefully."""
+def main(path: Path, check: bool) -> None:
+    """Run one entry VM's daemon; SIGTERM stops it gracefully.
+
+    \b
+    Examples:
+      cuminhilld --settings /etc/cuminhill.toml --check
+      cuminhilld --settings /etc/cuminhill.toml
+
+    Exit codes: 0 stopped after a drain, 2 wrong settings.
+    """
     try:
         settings = load_settings(path)
     except SettingsError as exc:
-        click.echo(f"cuminhilld: {exc}", err=True)
+        click.echo(f"cuminhilld: {exc.message}", err=True)
         sys.exit(2)
-    set_up_logging(settings.log_format, settings.vm)
+    if check:
+        click.echo(f"{path}: valid")
+        return
+    set_up_logging(settings.log_format, settings.vm, settings.log_level)
     curio.run(serve, settings)
--- a/cuminhill/logs.py
+++ b/cuminhill/logs.py
@@ -7,7 +7,7 @@
 import structlog
 
 
-def set_up_logging(log_format: str, vm: str) -> None:
+def set_up_logging(log_format: str, vm: str, log_level: str = "info") -> None:
     """Write log lines to standard error.
 
     Parameters
@@ -16,6 +16,8 @@
         ``"json"`` for programs, ``"text"`` for people.
     vm : str
         Name of the VM, added to each line.
+    log_level : str, default="info"
+        Less severe lines are dropped.
     """
     renderer = (
         structlog.dev.ConsoleRenderer(colors=False)
@@ -29,6 +31,7 @@
             structlog.processors.TimeStamper(fmt="iso"),
             renderer,
         ],
+        wrapper_class=structlog.make_filtering_bound_logger(log_level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(process_vm=vm)
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -1,58 +1,268 @@
-"""Settings of one process, read from TOML."""
+"""Settings of one process: one table declares them, TOML gives them values.
+
+``python -m cuminhill.settings`` prints the table in Markdown for the manual.
+"""
 
 from __future__ import annotations
 
-import tomllib
-from dataclasses import dataclass, field, fields
-from typing import TYPE_CHECKING, Any
+import ipaddress
+from dataclasses import asdict, dataclass, field
+from functools import cache
+from typing import TYPE_CHECKING, Annotated, Any, Literal, get_args
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, create_model
 
 from .coordination.lease import LeaseTerms
 from .errors import SettingsError
+from .util.http import HttpLimits
+from .util.tables import Problem, describe_problems, read_toml, validate_model
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+LogFormat = Literal["json", "text"]
+LogLevel = Literal["debug", "info", "warning", "error"]
+REQUIRED = "required"
+ANY_HOST = "0.0.0.0"
+_LEASE = LeaseTerms()
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        valid = port.isdecimal() and 0 < int(port) < 1 << 16
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError("IPv4 address and port as 'a.b.c.d:port'")
+    return value
+
 
 @dataclass(frozen=True, slots=True)
-class Settings:
-    """What one daemon is told at its start.
+class Kind:
+    """Type of a setting: how it is checked and how the manual calls it."""
+
+    annotation: Any
+    text: str
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+NAME = Kind(Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")], "name")
+ADDRESS = Kind(Address, "address")
+ADDRESSES = Kind(list[Address], "list of addresses")
+COUNT = Kind(Annotated[int, Field(ge=1, le=1_000_000)], "integer")
+BYTES = Kind(Annotated[int, Field(ge=1024, le=1 << 30)], "integer")
+SECONDS = Kind(
+    Annotated[float, Field(gt=0, le=30 * 86400, allow_inf_nan=False)], "number"
+)
+ZERO_OR_SECONDS = Kind(
+    Annotated[float, Field(ge=0, le=60, allow_inf_nan=False)], "number"
+)
+FRACTION = Kind(Annotated[float, Field(ge=0, le=0.2, allow_inf_nan=False)], "number")
+LOG_FORMAT = Kind(LogFormat, " or ".join(get_args(LogFormat)))
+LOG_LEVEL = Kind(LogLevel, ", ".join(get_args(LogLevel)))
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One row of the settings table.
 
     Parameters
     ----------
-    vm : str
-        Name of the VM.
-    failure_domain : str
-        Where it stands.
-    http_address, rpc_address : str
-        ``"host:port"`` for callers and for other entry VMs.
-    log_address, vm_list_address : str
-        ``"host:port"`` of the platform's services.
-    peers : tuple of str
-        RPC addresses of other entry VMs, used until the VM list is read.
-    n_shards : int, default=1
-        Shards per failure domain.
-    clock_error_s : float, seconds
-        Largest difference between the wall clocks of two VMs.
-    dedupe_window_s : float, seconds
-        How long a finished request is remembered; at most half of the log's
-        retention.
-    log_format : str, default="json"
-        ``"json"`` or ``"text"``.
+    name : str
+        Key in the file; a dot separates table and key.
+    kind : Kind
+        Type.
+    default : object
+        Value when the file has none, or `REQUIRED`.
+    unit : str
+        Unit of the value; empty if it has none.
+    effect : str
+        What changing it affects.
     """
 
+    name: str
+    kind: Kind
+    default: Any
+    unit: str
+    effect: str
+
+
+SETTINGS = (
+    Setting("vm", NAME, REQUIRED, "", "Name under which other VMs know this one."),
+    Setting(
+        "failure_domain",
+        NAME,
+        REQUIRED,
+        "",
+        "Failure domain of the VM; it places work on the workers of this domain only.",
+    ),
+    Setting("http_address", ADDRESS, REQUIRED, "", "Where callers are served."),
+    Setting("rpc_address", ADDRESS, REQUIRED, "", "Where other entry VMs are served."),
+    Setting(
+        "rpc_advertise",
+        ADDRESS,
+        "",
+        "",
+        "Address told to other entry VMs; rpc_address if absent. Needed when "
+        "rpc_address is 0.0.0.0 or behind a translated address.",
+    ),
+    Setting("log_address", ADDRESS, REQUIRED, "", "The platform's log."),
+    Setting("vm_list_address", ADDRESS, REQUIRED, "", "The platform's list of VMs."),
+    Setting(
+        "peers",
+        ADDRESSES,
+        [],
+        "",
+        "Entry VMs to greet before the VM list has been read; needed to join while "
+        "the list is unavailable.",
+    ),
+    Setting(
+        "n_shards",
+        COUNT,
+        1,
+        "shards",
+        "Shards per failure domain, so placers that share its workers. All VMs of "
+        "a domain must have the same value.",
+    ),
+    Setting(
+        "clock_error_s",
+        ZERO_OR_SECONDS,
+        0.25,
+        "s",
+        "Largest difference between wall clocks that deadlines allow for. Too low "
+        "lets a late order run after 'not run' was answered; higher delays that "
+        "answer.",
+    ),
+    Setting(
+        "dedupe_window_s",
+        SECONDS,
+        1800.0,
+        "s",
+        "How long a finished request is remembered and how old an order may be. At "
+        "most half of the log's retention.",
+    ),
+    Setting("log_format", LOG_FORMAT, "json", "", "Form of the log lines."),
+    Setting("log_level", LOG_LEVEL, "info", "", "Least severe lines that are written."),
+    Setting(
+        "http_max_connections",
+        COUNT,
+        4096,
+        "connections",
+        "Open connections of callers. Beyond it the longest idle one is closed. Keep "
+        "it below the process's limit of open files.",
+    ),
+    Setting(
+        "http_max_body_bytes",
+        BYTES,
+        1 << 20,
+        "bytes",
+        "Largest request body; larger ones get status 413.",
+    ),
+    Setting(
+        "http_idle_timeout_s",
+        SECONDS,
+        30.0,
+        "s",
+        "How long a connection may stay without a request. Keep it above the idle "
+        "time of the load balancer's connections.",
+    ),
+    Setting(
+        "http_read_timeout_s",
+        SECONDS,
+        5.0,
+        "s",
+        "How long a request may take to arrive; slower ones get status 408.",
+    ),
+    Setting(
+        "http_write_timeout_s",
+        SECONDS,
+        10.0,
+        "s",
+        "How long a caller may take to read a response.",
+    ),
+    Setting(
+        "lease.ttl_s",
+        SECONDS,
+        _LEASE.ttl_s,
+        "s",
+        "How long a worker stays with a silent holder. Higher delays failover; lower "
+        "loses leases to short pauses.",
+    ),
+    Setting(
+        "lease.renew_s",
+        SECONDS,
+        _LEASE.renew_s,
+        "s",
+        "Time between renewals. Lower costs more calls to each worker.",
+    ),
+    Setting(
+        "lease.drift",
+        FRACTION,
+        _LEASE.drift,
+        "fraction",
+        "Largest relative difference between two monotonic clocks.",
+    ),
+    Setting(
+        "lease.margin_s",
+        ZERO_OR_SECONDS,
+        _LEASE.margin_s,
+        "s",
+        "Time that a call may take from the last check of the lease to its effect.",
+    ),
+    Setting(
+        "lease.task_ttl_s",
+        SECONDS,
+        _LEASE.task_ttl_s,
+        "s",
+        "After how long without a holder a worker stops its tasks. Higher delays "
+        "re-placing the tasks of an unreachable worker.",
+    ),
+)
+
+
+_DEFAULTS: dict[str, Any] = {item.name: item.default for item in SETTINGS}
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one daemon is told at its start; `SETTINGS` describes each value."""
+
     vm: str
     failure_domain: str
     http_address: str
     rpc_address: str
     log_address: str
     vm_list_address: str
+    rpc_advertise: str = ""
     peers: tuple[str, ...] = ()
-    n_shards: int = 1
-    clock_error_s: float = 0.25
-    dedupe_window_s: float = 1800.0
-    log_format: str = "json"
+    n_shards: int = _DEFAULTS["n_shards"]
+    clock_error_s: float = _DEFAULTS["clock_error_s"]
+    dedupe_window_s: float = _DEFAULTS["dedupe_window_s"]
+    log_format: LogFormat = _DEFAULTS["log_format"]
+    log_level: LogLevel = _DEFAULTS["log_level"]
+    http_max_connections: int = _DEFAULTS["http_max_connections"]
+    http_max_body_bytes: int = _DEFAULTS["http_max_body_bytes"]
+    http_idle_timeout_s: float = _DEFAULTS["http_idle_timeout_s"]
+    http_read_timeout_s: float = _DEFAULTS["http_read_timeout_s"]
+    http_write_timeout_s: float = _DEFAULTS["http_write_timeout_s"]
     lease: LeaseTerms = field(default_factory=LeaseTerms)
 
+    def __post_init__(self) -> None:
+        if not self.rpc_advertise:
+            object.__setattr__(self, "rpc_advertise", self.rpc_address)
+
+    def http_limits(self) -> HttpLimits:
+        """Return the bounds of the HTTP server."""
+        return HttpLimits(
+            self.http_max_connections,
+            self.http_max_body_bytes,
+            self.http_idle_timeout_s,
+            self.http_read_timeout_s,
+            self.http_write_timeout_s,
+        )
+
 
 def load_settings(path: Path) -> Settings:
     """Return the settings of a TOML file.
@@ -60,13 +270,10 @@
     Raises
     ------
     SettingsError
-        If the file cannot be read or a setting is unknown or missing.
+        If the file cannot be read or a value is wrong; the message names file,
+        key, value and what was expected.
     """
-    try:
-        values = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as exc:
-        raise SettingsError(str(exc), step="settings", peer=str(path)) from exc
-    return make_settings(values, str(path))
+    return make_settings(read_toml(path, "settings"), str(path))
 
 
 def make_settings(values: dict[str, Any], source: str = "") -> Settings:
@@ -75,19 +282,89 @@
     Raises
     ------
     SettingsError
-        If a setting is unknown or missing.
+        If a value is wrong; the message names source, key, value and what was
+        expected.
     """
-    values = dict(values)
-    unknown = set(values) - {item.name for item in fields(Settings)}
-    if unknown:
-        raise SettingsError(
-            f"unknown settings: {', '.join(sorted(unknown))}",
-            step="settings",
-            peer=source,
+    model, problems = validate_model(_make_model(), values)
+    if model is not None:
+        fields = model.model_dump(exclude_unset=True)
+        fields["peers"] = tuple(fields.get("peers", ()))
+        fields["lease"] = LeaseTerms(**fields.get("lease", {}))
+        settings = Settings(**fields)
+        problems = _contradictions(settings)
+        if not problems:
+            return settings
+    lines = describe_problems(problems, [(source, values)])
+    raise SettingsError("\n".join(lines), step="settings", peer=source)
+
+
+def markdown_table() -> str:
+    """Return the settings as a Markdown table, in the order of their declaration."""
+    lines = [
+        "| setting | type | default | unit | what changing it affects |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| `{item.name}` | {item.kind.text} | {_default_text(item)} | "
+        f"{item.unit or '-'} | {item.effect} |"
+        for item in SETTINGS
+    ]
+    return "\n".join(lines)
+
+
+@cache
+def _make_model() -> type[BaseModel]:
+    """Return a pydantic model with a field per setting and a model per table."""
+    tables: dict[str, dict[str, Any]] = {"": {}}
+    for item in SETTINGS:
+        table, _, key = item.name.rpartition(".")
+        default = ... if item.default is REQUIRED else item.default
+        tables.setdefault(table, {})[key] = (item.kind.annotation, default)
+    top = tables.pop("")
+    for table, columns in tables.items():
+        top[table] = (_create(table, columns), {})
+    return _create("settings", top)
+
+
+def _create(name: str, columns: dict[str, Any]) -> type[BaseModel]:
+    strict = ConfigDict(extra="forbid", strict=True)
+    model: type[BaseModel] = create_model(name, __config__=strict, **columns)
+    return model
+
+
+def _contradictions(settings: Settings) -> list[Problem]:
+    problems = lease_problems(asdict(settings.lease))
+    if settings.rpc_advertise.startswith(f"{ANY_HOST}:"):
+        problems.append(
+            Problem(
+                ("rpc_advertise",),
+                settings.rpc_advertise,
+                f"an address that other VMs can reach, not {ANY_HOST}",
+            )
         )
-    values["peers"] = tuple(values.get("peers", ()))
-    values["lease"] = LeaseTerms(**values.get("lease", {}))
-    try:
-        return Settings(**values)
-    except TypeError as exc:
-        raise SettingsError(str(exc), step="settings", peer=source) from exc
+    return problems
+
+
+def lease_problems(lease: dict[str, float]) -> list[Problem]:
+    """Return contradictions between the terms of a lease."""
+    usable_s = lease["ttl_s"] * (1 - lease["drift"]) - lease["margin_s"]
+    problems = []
+    if not lease["renew_s"] < usable_s:
+        expected = f"less than ttl_s less drift and margin_s ({usable_s:g} s)"
+        problems.append(Problem(("lease", "renew_s"), lease["renew_s"], expected))
+    if not lease["task_ttl_s"] >= lease["ttl_s"]:
+        expected = f"at least ttl_s ({lease['ttl_s']:g} s)"
+        problems.append(Problem(("lease", "task_ttl_s"), lease["task_ttl_s"], expected))
+    return problems
+
+
+def _default_text(item: Setting) -> str:
+    if item.default is REQUIRED:
+        return REQUIRED
+    if item.default in ("", []):
+        return "-"
+    return f"`{item.default}`"
+
+
+if __name__ == "__main__":
+    print(markdown_table())
--- a/cuminhill/siteconfig.py
+++ b/cuminhill/siteconfig.py
@@ -11,6 +11,7 @@
 
 from .coordination.lease import LeaseTerms
 from .errors import SettingsError
+from .settings import lease_problems
 from .util.tables import (
     Problem,
     describe_problems,
@@ -20,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Iterator
     from pathlib import Path
 
 BASE_FILE = "base.toml"
@@ -197,29 +198,6 @@
     return _parse(value, [(source, value)])
 
 
-def lease_problems(lease: Mapping[str, float]) -> list[Problem]:
-    """Return contradictions between the terms of a lease."""
-    usable_s = lease["ttl_s"] * (1 - lease["drift"]) - lease["margin_s"]
-    problems = []
-    if not lease["renew_s"] < usable_s:
-        problems.append(
-            Problem(
-                ("lease", "renew_s"),
-                lease["renew_s"],
-                f"less than ttl_s less drift and margin_s ({usable_s:g} s)",
-            )
-        )
-    if not lease["task_ttl_s"] >= lease["ttl_s"]:
-        problems.append(
-            Problem(
-                ("lease", "task_ttl_s"),
-                lease["task_ttl_s"],
-                f"at least ttl_s ({lease['ttl_s']:g} s)",
-            )
-        )
-    return problems
-
-
 def _parse(value: Any, layers: list[tuple[str, Any]]) -> SiteConfig:
     cfg, problems = validate_model(SiteConfig, value)
     if cfg is not None:
--- a/cuminhill/util/tables.py
+++ b/cuminhill/util/tables.py
@@ -120,7 +120,8 @@
         return Problem(key, ABSENT, "a value")
     if item["type"] == "extra_forbidden":
         return Problem(key, item["input"], f"one of: {', '.join(_fields(model, key))}")
-    return Problem(key, item["input"], _SUBJECT.sub("", item["msg"]))
+    message = item["msg"].removeprefix("Value error, ")
+    return Problem(key, item["input"], _SUBJECT.sub("", message))
 
 
 def _fields(model: type[BaseModel], key: tuple[str, ...]) -> list[str]:
