--- /dev/null
+++ b/bench/outcome.py
@@ -0,0 +1,57 @@
+"""What a scheduler must offer to be driven, and what a run measures."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from cuminhill.model import Answer, Request, RequestKind
+    from cuminhill.scheduling.events import Action, Event
+
+
+class PlacerLike(Protocol):
+    """What `cuminhill.scheduling.placer.Placer` and the baselines have in common."""
+
+    def handle(self, event: Event, now: float, wall: float) -> list[Action]:
+        """Take one event and return what is to be done."""
+
+    def refusal(self, request: Request, wall: float) -> Answer | None:
+        """Return why a request is not taken, or None."""
+
+
+@dataclass(eq=False)
+class Outcome:
+    """What one run has measured.
+
+    Parameters
+    ----------
+    waits_s : dict of RequestKind to list of float, seconds
+        From arrival to the first start of each task (of the last task for a
+        gang); tasks that never started count until the horizon or deadline.
+    useful : float, reference core-seconds
+        Work of attempts that succeeded or were succeeding at the horizon.
+    handle_ns : list of int, nanoseconds
+        Processor time of each call of the placer.
+    """
+
+    waits_s: dict[RequestKind, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    useful: float = 0.0
+    n_starts: int = 0
+    n_with_deadline: int = 0
+    n_missed: int = 0
+    n_refused: int = 0
+    n_overfilled: int = 0
+    n_double_starts: int = 0
+    n_split_gangs: int = 0
+    n_failed: int = 0
+    n_unstarted: int = 0
+    handle_ns: list[int] = field(default_factory=list)
+
+    @property
+    def us_per_placement(self) -> float:
+        """Processor time per start, in microseconds."""
+        return sum(self.handle_ns) / 1000 / max(1, self.n_starts)
