--- /dev/null
+++ b/cuminhill/coordination/admission.py
@@ -0,0 +1,206 @@
+"""Admission by deadline, with a measured service rate and a bounded queue."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import statistics
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+MAX_WAITING = 10_000
+N_SAMPLES = 9  # samples of the rate over which the median is taken
+MIN_STARTS = 8  # starts that make a sample
+MIN_BUSY_S = 0.05  # time that a sample covers at least
+STALL_S = 0.5  # time after which a sample in progress counts if it is slow
+STALL_FACTOR = 2.0  # how much slower than the median it must be
+
+
+class Refusal(StrEnum):
+    """Why a request was not admitted."""
+
+    DEADLINE = "deadline"  # it would start too late
+    QUEUE_FULL = "queue_full"
+
+
+@dataclass(eq=False, slots=True)
+class ServiceRate:
+    """Rate at which waiting requests are started, measured while some wait.
+
+    Time without a queue says nothing about capacity and is left out. The median
+    of several samples withstands a single pause or burst; a standstill is seen
+    from the sample in progress.
+    """
+
+    _samples: deque[float] = field(default_factory=lambda: deque(maxlen=N_SAMPLES))
+    _n_starts: int = 0
+    _busy_s: float = 0.0
+    _busy_since: float | None = None
+
+    def set_busy(self, busy: bool, now: float) -> None:
+        """Tell whether requests are waiting from now on."""
+        if self._busy_since is not None:
+            self._busy_s += max(0.0, now - self._busy_since)
+        self._busy_since = now if busy else None
+
+    def count(self, now: float) -> None:
+        """Count the start of a request that was waiting."""
+        self._n_starts += 1
+        busy_s = self._elapsed(now)
+        if self._n_starts < MIN_STARTS or busy_s < MIN_BUSY_S:
+            return
+        self._samples.append(self._n_starts / busy_s)
+        self._n_starts = 0
+        self._busy_s = 0.0
+        if self._busy_since is not None:
+            self._busy_since = now
+
+    def per_s(self, now: float) -> float:
+        """Return starts a second; infinite while nothing is known."""
+        busy_s = self._elapsed(now)
+        current = (self._n_starts + 1) / busy_s if busy_s > 0 else math.inf
+        if not self._samples:
+            return current if busy_s >= MIN_BUSY_S else math.inf
+        median = statistics.median(self._samples)
+        if busy_s >= STALL_S and current * STALL_FACTOR < median:
+            return current
+        return median
+
+    def _elapsed(self, now: float) -> float:
+        since = self._busy_since
+        return self._busy_s + (max(0.0, now - since) if since is not None else 0.0)
+
+
+@dataclass(eq=False, slots=True)
+class Admission:
+    """Refuses requests that would start after their deadline.
+
+    Parameters
+    ----------
+    max_waiting : int
+        Largest number of requests that wait for their start.
+    enabled : bool
+        If False only the bound on the number applies.
+    """
+
+    max_waiting: int = MAX_WAITING
+    enabled: bool = True
+    n_admitted: int = 0
+    n_refused_deadline: int = 0
+    n_refused_full: int = 0
+    _rate: ServiceRate = field(default_factory=ServiceRate)
+    _waiting: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def n_waiting(self) -> int:
+        """Number of admitted requests that have not started."""
+        return len(self._waiting)
+
+    def expected_wait(self, now: float) -> float:
+        """Return how long a new request would wait, in seconds."""
+        if not self._waiting:
+            return 0.0
+        return len(self._waiting) / self._rate.per_s(now)
+
+    def offer(self, key: str, left_s: float, now: float) -> Refusal | None:
+        """Admit a request, or return why it is refused.
+
+        Parameters
+        ----------
+        key : str
+            Id of the request; one that waits already is admitted again.
+        left_s : float, seconds
+            Time until its latest start.
+        now : float, seconds
+            Monotonic time.
+        """
+        if key in self._waiting:
+            return None
+        if len(self._waiting) >= self.max_waiting:
+            self.n_refused_full += 1
+            return Refusal.QUEUE_FULL
+        if self.enabled and self.expected_wait(now) > left_s:
+            self.n_refused_deadline += 1
+            return Refusal.DEADLINE
+        self.n_admitted += 1
+        if not self._waiting:
+            self._rate.set_busy(True, now)
+        self._waiting[key] = now
+        return None
+
+    def started(self, key: str, now: float) -> None:
+        """Note that a request has started; a repeat is no error."""
+        if self._waiting.pop(key, None) is None:
+            return
+        self._rate.count(now)
+        if not self._waiting:
+            self._rate.set_busy(False, now)
+
+    def withdrawn(self, key: str, now: float) -> None:
+        """Note that a request waits no more without having started."""
+        if self._waiting.pop(key, None) is not None and not self._waiting:
+            self._rate.set_busy(False, now)
+
+    def dump(self, now: float) -> dict[str, float | int | None]:
+        """Return estimate and counters."""
+        rate = self._rate.per_s(now)
+        return {
+            "n_waiting": self.n_waiting,
+            "n_admitted": self.n_admitted,
+            "n_refused_deadline": self.n_refused_deadline,
+            "n_refused_full": self.n_refused_full,
+            "expected_wait_s": round(self.expected_wait(now), 4),
+            "starts_per_s": None if math.isinf(rate) else round(rate, 2),
+        }
+
+
+@dataclass(eq=False, slots=True)
+class DeadlineQueue:
+    """Bounded queue that gives the earliest deadline first and sheds late items.
+
+    Parameters
+    ----------
+    max_items : int
+        Bound; when it is reached the newest item is refused unless a late one
+        can be shed instead.
+    """
+
+    max_items: int = MAX_WAITING
+    n_shed: int = 0
+    _heap: list[tuple[float, int, Any]] = field(default_factory=list)
+    _order: itertools.count[int] = field(default_factory=itertools.count)
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def push(self, item: Any, deadline: float, now: float) -> bool:
+        """Add an item; return False if the queue is full of items in time."""
+        if len(self._heap) >= self.max_items:
+            self.shed(now)
+        if len(self._heap) >= self.max_items:
+            return False
+        heapq.heappush(self._heap, (deadline, next(self._order), item))
+        return True
+
+    def pop(self, now: float) -> Any | None:
+        """Return the most urgent item that is still in time, or None."""
+        self.shed(now)
+        return heapq.heappop(self._heap)[2] if self._heap else None
+
+    def shed(self, now: float) -> list[Any]:
+        """Remove and return the items whose deadline has passed."""
+        late = []
+        while self._heap and self._heap[0][0] < now:
+            late.append(heapq.heappop(self._heap)[2])
+        self.n_shed += len(late)
+        return late
+
+
+def make_admission(
+    max_waiting: int = MAX_WAITING, *, enabled: bool = True
+) -> Admission:
+    """Return admission by deadline for one queue."""
+    return Admission(max_waiting, enabled)
--- /dev/null
+++ b/cuminhill/coordination/breaker.py
@@ -0,0 +1,253 @@
+"""Circuit breaker per destination, and outlier ejection over a set of them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MAX_FAILURES = 5  # in a row, until a breaker opens
+OPEN_S = 0.5  # first time that a breaker stays open
+MAX_OPEN_S = 8.0
+PROBE_TIMEOUT_S = 5.0  # a probe without a result is given up after this
+MAX_BREAKERS = 1024
+EJECT_AFTER = 3  # failures in a row, until a destination is ejected
+EJECT_S = 5.0  # first time that a destination stays ejected
+MAX_EJECT_S = 300.0
+MAX_EJECTED_SHARE = 0.34
+
+
+class BreakerState(StrEnum):
+    """State of a circuit breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave for one call.
+
+    Parameters
+    ----------
+    generation : int
+        Number of state changes before the call; results of calls that were
+        sent before the last change say nothing about the present state.
+    """
+
+    generation: int
+
+
+@dataclass(eq=False, slots=True)
+class CircuitBreaker:
+    """Stops calls to a destination that fails, and probes it later.
+
+    Parameters
+    ----------
+    max_failures : int
+        Failures in a row that open it.
+    open_s, max_open_s : float, seconds
+        How long it stays open at first and at most; doubles with each failed
+        probe.
+    """
+
+    max_failures: int = MAX_FAILURES
+    open_s: float = OPEN_S
+    max_open_s: float = MAX_OPEN_S
+    state: BreakerState = BreakerState.CLOSED
+    n_opened: int = 0
+    n_rejected: int = 0
+    _generation: int = 0
+    _n_failures: int = 0
+    _wait_s: float = 0.0
+    _until: float = 0.0  # end of the open state, or of the wait for a probe
+
+    def acquire(self, now: float) -> Permit | None:
+        """Return leave for a call, or None while the destination is avoided."""
+        if self.state is BreakerState.CLOSED:
+            return Permit(self._generation)
+        if now < self._until:
+            self.n_rejected += 1
+            return None
+        # Also reached when the probe was lost without a result.
+        self._change(BreakerState.HALF_OPEN)
+        self._until = now + PROBE_TIMEOUT_S
+        return Permit(self._generation)
+
+    def record(self, permit: Permit, ok: bool, now: float) -> None:
+        """Take in the result of a call."""
+        if permit.generation != self._generation:
+            return
+        if ok:
+            self._n_failures = 0
+            if self.state is BreakerState.HALF_OPEN:
+                self._wait_s = 0.0
+                self._change(BreakerState.CLOSED)
+            return
+        self._n_failures += 1
+        if self.state is BreakerState.HALF_OPEN or (
+            self._n_failures >= self.max_failures
+        ):
+            self._open(now)
+
+    def would_allow(self, now: float) -> bool:
+        """Return whether `acquire` would give leave; changes nothing."""
+        return self.state is BreakerState.CLOSED or now >= self._until
+
+    def _open(self, now: float) -> None:
+        self._wait_s = min(self.max_open_s, 2 * self._wait_s or self.open_s)
+        self._until = now + self._wait_s
+        self._n_failures = 0
+        self.n_opened += 1
+        self._change(BreakerState.OPEN)
+
+    def _change(self, state: BreakerState) -> None:
+        self.state = state
+        self._generation += 1
+
+
+@dataclass(eq=False, slots=True)
+class Breakers:
+    """Breakers by destination; the least recently used is dropped at the bound."""
+
+    max_breakers: int = MAX_BREAKERS
+    _breakers: OrderedDict[str, CircuitBreaker] = field(default_factory=OrderedDict)
+
+    def get(self, destination: str) -> CircuitBreaker:
+        """Return the breaker of a destination, a closed one if it is new."""
+        breaker = self._breakers.setdefault(destination, CircuitBreaker())
+        self._breakers.move_to_end(destination)
+        if len(self._breakers) > self.max_breakers:
+            self._breakers.popitem(last=False)
+        return breaker
+
+    def dump(self) -> dict[str, dict[str, str | int]]:
+        """Return state and counters by destination."""
+        return {
+            name: {
+                "state": str(item.state),
+                "n_opened": item.n_opened,
+                "n_rejected": item.n_rejected,
+            }
+            for name, item in self._breakers.items()
+        }
+
+
+@dataclass(eq=False, slots=True)
+class _Member:
+    """One destination under outlier ejection."""
+
+    n_failures: int = 0
+    n_ejections: int = 0
+    until: float | None = None  # end of the ejection; None if not ejected
+    probing_until: float = 0.0
+
+
+@dataclass(eq=False, slots=True)
+class OutlierEjector:
+    """Ejects destinations that fail while others do not, up to a share of all.
+
+    Parameters
+    ----------
+    max_share : float, fraction
+        Largest share of the destinations that is ejected at a time. If more of
+        them fail, the fault is likely a common one and ejection would only
+        shift the load.
+    eject_after : int
+        Failures in a row that eject a destination.
+    eject_s, max_eject_s : float, seconds
+        How long it stays ejected at first and at most; doubles each time.
+    """
+
+    max_share: float = MAX_EJECTED_SHARE
+    eject_after: int = EJECT_AFTER
+    eject_s: float = EJECT_S
+    max_eject_s: float = MAX_EJECT_S
+    n_ejected_total: int = 0
+    n_spared: int = 0  # would have been ejected but for the share
+    _members: dict[str, _Member] = field(default_factory=dict)
+
+    @property
+    def max_ejected(self) -> int:
+        """Number of destinations that may be ejected at a time."""
+        return int(self.max_share * len(self._members))
+
+    def set_destinations(self, names: Iterable[str]) -> None:
+        """Set which destinations there are; known ones keep their state."""
+        old = self._members
+        self._members = {name: old.get(name) or _Member() for name in names}
+        over = self._ejected()
+        over.sort(key=lambda name: self._members[name].until or 0.0)
+        for name in over[: max(0, len(over) - self.max_ejected)]:
+            self._members[name].until = None
+
+    def ejected(self) -> frozenset[str]:
+        """Return the destinations that are ejected or being probed."""
+        return frozenset(self._ejected())
+
+    def usable(self, name: str, now: float) -> bool:
+        """Return whether a call may be sent; changes nothing."""
+        member = self._members.get(name)
+        if member is None or member.until is None:
+            return True
+        return now >= member.until and now >= member.probing_until
+
+    def sent(self, name: str, now: float) -> None:
+        """Note a call; to an ejected destination it is the one probe."""
+        member = self._members.get(name)
+        if member is not None and member.until is not None:
+            member.probing_until = now + PROBE_TIMEOUT_S
+
+    def record(self, name: str, ok: bool, now: float) -> None:
+        """Take in a result of a destination."""
+        member = self._members.get(name)
+        if member is None:
+            return
+        if member.until is not None:
+            self._probed(member, ok, now)
+            return
+        if ok:
+            member.n_failures = member.n_ejections = 0
+            return
+        member.n_failures += 1
+        if member.n_failures < self.eject_after:
+            return
+        if len(self._ejected()) >= self.max_ejected:
+            self.n_spared += 1
+            return
+        self._eject(member, now)
+
+    def _probed(self, member: _Member, ok: bool, now: float) -> None:
+        assert member.until is not None
+        if now < member.until:
+            return  # result of a call from before the ejection
+        if ok:
+            member.until = None
+            member.n_failures = 0
+        else:
+            self._eject(member, now)
+
+    def _eject(self, member: _Member, now: float) -> None:
+        wait_s = min(self.max_eject_s, self.eject_s * 2.0**member.n_ejections)
+        member.until = now + wait_s
+        member.probing_until = 0.0
+        member.n_failures = 0
+        member.n_ejections = min(member.n_ejections + 1, 32)
+        self.n_ejected_total += 1
+
+    def _ejected(self) -> list[str]:
+        return [name for name, item in self._members.items() if item.until is not None]
+
+
+def make_ejector(
+    names: Iterable[str], *, max_share: float = MAX_EJECTED_SHARE
+) -> OutlierEjector:
+    """Return outlier ejection over the given destinations."""
+    ejector = OutlierEjector(max_share)
+    ejector.set_destinations(names)
+    return ejector
