Bind outgoing connections to the daemon's own address

Cause: stand-ins and relays have to tell which daemon calls, so that they can partition daemons by IP address; a peer has to be reachable through a relay. Change: HttpClient and RpcClient take a source_host, by default the host of rpc_address; setting rpc_advertise is what heartbeats announce; setting wall_clock_offset_s is declared for the clock error.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -5,6 +5,7 @@
 import random
 import time
 from dataclasses import asdict
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -21,6 +22,7 @@
 from .peers import Peers
 from .platform.log import make_log
 from .platform.vmlist import ENTRY, WORKER, make_vm_listing
+from .platform.worker import make_worker
 from .routing import make_router
 from .rpc import RpcServer, idl
 from .shard import ShardDriver
@@ -62,14 +64,16 @@
         self.vm_list: list[VmEntry] = []
         self.index = RequestIndex()
         self.follower = Follower(
-            make_log(settings.log_address), REQUESTS_STREAM, self._on_record
+            make_log(settings.log_address, settings.source_host),
+            REQUESTS_STREAM,
+            self._on_record,
         )
         self.membership = make_membership(
             Member(
                 settings.vm,
                 self.incarnation,
                 0,
-                settings.rpc_address,
+                settings.rpc_advertise or settings.rpc_address,
                 settings.failure_domain,
             )
         )
@@ -78,9 +82,17 @@
             self._describe,
             list(settings.peers),
             random.Random(self.incarnation),
+            settings.source_host,
         )
         self.drivers = {
-            shard: ShardDriver(shard, self.holder, settings, self.follower, self.index)
+            shard: ShardDriver(
+                shard,
+                self.holder,
+                settings,
+                self.follower,
+                self.index,
+                partial(make_worker, source_host=settings.source_host),
+            )
             for shard in shard_names(settings.failure_domain, settings.n_shards)
         }
         self.router = make_router(self.drivers, self.membership, self.peers, self.index)
@@ -344,7 +356,9 @@
             await driver.on_folded(record)
 
     async def _run_vm_list(self) -> None:
-        listing = make_vm_listing(self.settings.vm_list_address)
+        listing = make_vm_listing(
+            self.settings.vm_list_address, self.settings.source_host
+        )
         while True:
             try:
                 self.vm_list = await listing.read()
--- a/cuminhill/peers.py
+++ b/cuminhill/peers.py
@@ -38,18 +38,21 @@
         RPC addresses to greet until their names are known.
     rng : random.Random
         Chooses remote peers and the entries that are passed on.
+    source_host : str, default=""
+        IP address that connections are bound to.
     """
 
     membership: Membership
     describe: Callable[[], dict[str, Any]]
     seeds: list[str]
     rng: random.Random
+    source_host: str = ""
     _clients: dict[str, RpcClient] = field(default_factory=dict)
 
     def client(self, address: str) -> RpcClient:
         """Return the connection to an address."""
         if address not in self._clients:
-            self._clients[address] = RpcClient(address)
+            self._clients[address] = RpcClient(address, self.source_host)
         return self._clients[address]
 
     def byte_counts(self) -> tuple[int, int]:
--- a/cuminhill/platform/log.py
+++ b/cuminhill/platform/log.py
@@ -102,6 +102,6 @@
         return LogPage(value["start"], value["end"], records)
 
 
-def make_log(address: str) -> HttpLog:
+def make_log(address: str, source_host: str = "") -> HttpLog:
     """Return a client of the log service at ``"host:port"``."""
-    return HttpLog(make_http_client(address))
+    return HttpLog(make_http_client(address, source_host=source_host))
--- a/cuminhill/platform/vmlist.py
+++ b/cuminhill/platform/vmlist.py
@@ -81,6 +81,6 @@
         ]
 
 
-def make_vm_listing(address: str) -> HttpVmListing:
+def make_vm_listing(address: str, source_host: str = "") -> HttpVmListing:
     """Return a client of the VM list at ``"host:port"``."""
-    return HttpVmListing(make_http_client(address))
+    return HttpVmListing(make_http_client(address, source_host=source_host))
--- a/cuminhill/platform/worker.py
+++ b/cuminhill/platform/worker.py
@@ -293,6 +293,6 @@
         raise ProtocolError(repr(exc), step="lease", peer=peer) from exc
 
 
-def make_worker(address: str) -> HttpWorker:
+def make_worker(address: str, source_host: str = "") -> HttpWorker:
     """Return a client of the worker at ``"host:port"``."""
-    return HttpWorker(make_http_client(address, max_idle=64))
+    return HttpWorker(make_http_client(address, 64, source_host))
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -15,6 +15,7 @@
 from thriftpy2.utils import deserialize, serialize
 
 from .errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from .util.http import source_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -213,9 +214,12 @@
     ----------
     address : str
         ``"host:port"`` of the peer's RPC server.
+    source_host : str, default=""
+        IP address that connections are bound to; empty leaves it to the system.
     """
 
     address: str
+    source_host: str = ""
     counters: RpcCounters = field(default_factory=RpcCounters)
     _stream: _FrameStream | None = None
     _sock: Any = None
@@ -290,7 +294,9 @@
 
     async def _connect(self) -> None:
         host, _, port = self.address.rpartition(":")
-        self._sock = await curio.open_connection(host, int(port))
+        self._sock = await curio.open_connection(
+            host, int(port), source_addr=source_address(self.source_host)
+        )
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._stream = _FrameStream(self._sock, self.address, self.counters)
         self._reader = await curio.spawn(
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -27,6 +27,10 @@
         ``"host:port"`` for callers and for other entry VMs.
     log_address, vm_list_address : str
         ``"host:port"`` of the platform's services.
+    rpc_advertise : str, default=""
+        ``"host:port"`` that other entry VMs are to call; empty for the RPC address.
+    wall_clock_offset_s : float, seconds, default=0
+        Added to the wall clock; shows the effect of clock errors.
     peers : tuple of str
         RPC addresses of other entry VMs, used until the VM list is read.
     n_shards : int, default=1
@@ -46,6 +50,8 @@
     rpc_address: str
     log_address: str
     vm_list_address: str
+    rpc_advertise: str = ""
+    wall_clock_offset_s: float = 0.0
     peers: tuple[str, ...] = ()
     n_shards: int = 1
     clock_error_s: float = 0.25
@@ -53,6 +59,12 @@
     log_format: str = "json"
     lease: LeaseTerms = field(default_factory=LeaseTerms)
 
+    @property
+    def source_host(self) -> str:
+        """IP address that outgoing connections are bound to."""
+        host = self.rpc_address.rpartition(":")[0]
+        return "" if host == "0.0.0.0" else host
+
 
 def load_settings(path: Path) -> Settings:
     """Return the settings of a TOML file.
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -341,11 +341,14 @@
         TCP port of the server.
     max_idle : int, default=8
         Connections kept open between requests.
+    source_host : str, default=""
+        IP address that connections are bound to; empty leaves it to the system.
     """
 
     host: str
     port: int
     max_idle: int = 8
+    source_host: str = ""
     _idle: list[_PooledConnection] = field(default_factory=list)
 
     @property
@@ -413,7 +416,9 @@
             await conn.sock.close()
         try:
             async with curio.timeout_after(timeout_s):
-                sock = await curio.open_connection(self.host, self.port)
+                sock = await curio.open_connection(
+                    self.host, self.port, source_addr=source_address(self.source_host)
+                )
         except (OSError, curio.TaskTimeout) as exc:
             raise UnavailableError(repr(exc), step="connect", peer=self.peer) from exc
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -462,7 +467,14 @@
                 raise ConnectionResetError("closed before the response was complete")
 
 
-def make_http_client(address: str, max_idle: int = 8) -> HttpClient:
+def source_address(host: str) -> tuple[str, int] | None:
+    """Return the address to bind an outgoing connection to, None for any."""
+    return (host, 0) if host else None
+
+
+def make_http_client(
+    address: str, max_idle: int = 8, source_host: str = ""
+) -> HttpClient:
     """Return a client for ``"host:port"``."""
     host, _, port = address.rpartition(":")
-    return HttpClient(host, int(port), max_idle)
+    return HttpClient(host, int(port), max_idle, source_host)
