Take wall-clock time from one clock object

Cause: the effect of inaccurate clocks could not be tested; modules called time.time directly. Change: shard, routing, application and the parsing of requests use SystemClock, whose offset is the setting wall_clock_offset_s.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -12,6 +12,7 @@
 import orjson
 import structlog
 
+from .clock import SystemClock
 from .coordination.claims import RequestIndex, record_from_dict
 from .coordination.membership import Member, MemberState, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
@@ -55,7 +56,8 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.incarnation = time.time_ns()
+        self.clock = SystemClock(settings.wall_clock_offset_s)
+        self.incarnation = int(self.clock.wall() * 1e9)
         self.holder = f"{settings.vm}@{self.incarnation}"
         self.started_at = time.monotonic()
         self.draining = False
@@ -95,7 +97,9 @@
             )
             for shard in shard_names(settings.failure_domain, settings.n_shards)
         }
-        self.router = make_router(self.drivers, self.membership, self.peers, self.index)
+        self.router = make_router(
+            self.drivers, self.membership, self.peers, self.index, self.clock
+        )
         self.entry = Entry(self)
         self.http = HttpServer(self.entry.handle)
         self.rpc = RpcServer(
@@ -407,7 +411,7 @@
         keep_s = self.settings.dedupe_window_s + EXPIRE_SLACK_S
         while True:
             await curio.sleep(EXPIRE_INTERVAL_S)
-            self.index.expire(time.time() - keep_s)
+            self.index.expire(self.clock.wall() - keep_s)
 
 
 def make_application(settings: Settings) -> Application:
--- a/cuminhill/clock.py
+++ b/cuminhill/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import Protocol
 
 
@@ -16,8 +17,17 @@
         """Return seconds since the epoch."""
 
 
+@dataclass(frozen=True, slots=True)
 class SystemClock:
-    """Clock of the operating system."""
+    """Clock of the operating system.
+
+    Parameters
+    ----------
+    wall_offset_s : float, seconds
+        Added to the wall clock; not zero only where clock errors are tested.
+    """
+
+    wall_offset_s: float = 0.0
 
     def monotonic(self) -> float:
         """Return monotonic seconds; continues during a pause of the process."""
@@ -25,4 +35,4 @@
 
     def wall(self) -> float:
         """Return seconds since the epoch."""
-        return time.time()
+        return time.time() + self.wall_offset_s
--- a/cuminhill/entry.py
+++ b/cuminhill/entry.py
@@ -103,7 +103,7 @@
         return HttpResponse(404, {"error": "no such resource", "step": "route"})
 
     async def _submit(self, req: HttpRequest) -> HttpResponse:
-        request = parse_request(req.json(), req.peer)
+        request = parse_request(req.json(), req.peer, self.app.clock.wall())
         if self.app.draining:
             answer = not_run(
                 request.request_id, Reason.DRAINING, "this entry VM is draining"
--- a/cuminhill/routing.py
+++ b/cuminhill/routing.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import curio
 import orjson
 
+from .clock import SystemClock
 from .errors import CuminhillError, UnknownOutcomeError
 from .model import LOGGED_KINDS, Answer, AnswerState, Reason, Request, not_run
 from .rpc import idl
@@ -16,6 +17,7 @@
 from .util.hashing import rank
 
 if TYPE_CHECKING:
+    from .clock import Clock
     from .coordination.claims import RequestIndex
     from .coordination.membership import Member, Membership
     from .peers import Peers
@@ -42,12 +44,15 @@
         Connections to other entry VMs.
     index : RequestIndex
         Tells to which shard an id is bound.
+    clock : Clock
+        Wall clock for deadlines.
     """
 
     drivers: dict[str, ShardDriver]
     membership: Membership
     peers: Peers
     index: RequestIndex
+    clock: Clock = field(default_factory=SystemClock)
     n_reroutes: int = 0
     n_unknown_replies: int = 0
 
@@ -83,7 +88,7 @@
         return found
 
     async def _submit_check(self, request: Request) -> Answer:
-        give_up_at = min(request.deadline, time.time() + MAX_WAIT_S)
+        give_up_at = min(request.deadline, self.clock.wall() + MAX_WAIT_S)
         refused: Answer | None = None
         may_have_run = False
         while True:
@@ -104,7 +109,7 @@
                 if answer.reason not in TRY_ELSEWHERE:
                     return answer
                 refused = answer
-            if time.time() + RETRY_DELAY_S >= give_up_at:
+            if self.clock.wall() + RETRY_DELAY_S >= give_up_at:
                 break
             await curio.sleep(RETRY_DELAY_S)
         if may_have_run:
@@ -114,24 +119,27 @@
         )
 
     async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
-        started_at = time.time()
+        started_at = self.clock.wall()
         give_up_at = started_at + max(wait_s, LOGGED_ATTEMPT_S)
         if request.deadline != float("inf"):
             give_up_at = max(give_up_at, min(request.deadline, started_at + MAX_WAIT_S))
         sent_to = ""  # a shard that may have claimed the id
         refused: Answer | None = None
-        while time.time() < give_up_at:
+        while self.clock.wall() < give_up_at:
             entry = self.index.get(request.request_id)
             if entry is not None and entry.answer is not None:
                 return Answer.from_dict(entry.answer)
-            if entry is not None and time.time() - started_at >= wait_s:
+            if entry is not None and self.clock.wall() - started_at >= wait_s:
                 return Answer(request.request_id, AnswerState.ACCEPTED)
             shard = entry.shard if entry is not None else sent_to
             shard = shard or self._choose_shard(refused)
-            left_s = max(0.0, wait_s - (time.time() - started_at))
+            left_s = max(0.0, wait_s - (self.clock.wall() - started_at))
             try:
                 answer = await self._call(
-                    shard, request, left_s, give_up_at - time.time() + LOGGED_ATTEMPT_S
+                    shard,
+                    request,
+                    left_s,
+                    give_up_at - self.clock.wall() + LOGGED_ATTEMPT_S,
                 )
             except UnknownOutcomeError:
                 sent_to = shard
@@ -195,6 +203,7 @@
     membership: Membership,
     peers: Peers,
     index: RequestIndex,
+    clock: Clock,
 ) -> Router:
     """Return a router over the given parts."""
-    return Router(drivers, membership, peers, index)
+    return Router(drivers, membership, peers, index, clock)
--- a/cuminhill/schema.py
+++ b/cuminhill/schema.py
@@ -56,7 +56,7 @@
 }
 
 
-def parse_request(value: Any, peer: str) -> Request:
+def parse_request(value: Any, peer: str, now: float | None = None) -> Request:
     """Return the request described by a decoded body.
 
     Parameters
@@ -65,6 +65,8 @@
         Decoded JSON.
     peer : str
         Address of the caller, for the error.
+    now : float, seconds since the epoch, default=None
+        Wall-clock time from which deadlines count; None reads the system's.
 
     Raises
     ------
@@ -85,7 +87,7 @@
             step="validate",
             peer=peer,
         )
-    now = time.time()
+    now = time.time() if now is None else now
     deadline_s = model.deadline_s or _DEFAULT_DEADLINES_S.get(model.kind, math.inf)
     return Request(
         request_id=model.request_id,
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -11,6 +11,7 @@
 import curio
 import structlog
 
+from .clock import SystemClock
 from .coordination.claims import (
     Cancel,
     Claim,
@@ -156,6 +157,7 @@
     _roster_announced: bool = False
 
     def __post_init__(self) -> None:
+        self.clock = SystemClock(self.settings.wall_clock_offset_s)
         self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
 
     # Leadership
@@ -212,7 +214,7 @@
 
     async def apply(self, event: Event) -> None:
         """Hand an event to the placer and carry out its actions."""
-        actions = self.placer.handle(event, time.monotonic(), time.time())
+        actions = self.placer.handle(event, time.monotonic(), self.clock.wall())
         for action in actions:
             await self._do(action)
 
@@ -304,7 +306,7 @@
         if not self.leading:
             raise NotLeaderError("not leading", step="submit", peer=self.shard)
         if request_id not in self.placer.requests:
-            refused = self.placer.refusal(request, time.time())
+            refused = self.placer.refusal(request, self.clock.wall())
             if refused is not None:
                 return refused
             await self.apply(RequestAccepted(request))
@@ -342,7 +344,7 @@
         return answer or Answer(request_id, AnswerState.ACCEPTED)
 
     def _refusal(self, request: Request) -> Answer | None:
-        wall = time.time()
+        wall = self.clock.wall()
         window_s = self.settings.dedupe_window_s
         if request.kind is RequestKind.ORDER and request.issued_at < wall - window_s:
             return not_run(
@@ -355,7 +357,7 @@
     async def _claim(self, request: Request) -> Answer | None:
         """Bind the id to this shard; return an answer only if that failed."""
         request_id = request.request_id
-        claim = Claim(request_id, self.shard, request.to_dict(), time.time())
+        claim = Claim(request_id, self.shard, request.to_dict(), self.clock.wall())
         try:
             pending = await self._append(claim)
         except UnavailableError as exc:
@@ -363,15 +365,15 @@
         # Beyond the deadline and the clock error nobody starts the request, so
         # "not run" is true even if the claim has reached the log.
         error_s = self.settings.clock_error_s
-        until = min(request.deadline + error_s, time.time() + HOLD_WAIT_S)
-        while time.time() <= until:
+        until = min(request.deadline + error_s, self.clock.wall() + HOLD_WAIT_S)
+        while self.clock.wall() <= until:
             if self.index.get(request_id) is not None:
                 return None
-            await self._wait_for_news(request_id, max(0.01, until - time.time()))
+            await self._wait_for_news(request_id, max(0.01, until - self.clock.wall()))
         if self.index.get(request_id) is not None:
             return None
         withdrawn = self.follower.withdraw(pending)
-        if withdrawn or time.time() > request.deadline + error_s:
+        if withdrawn or self.clock.wall() > request.deadline + error_s:
             return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
         return Answer(
             request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
@@ -476,7 +478,9 @@
         request, answer = action.request, action.answer
         if request.kind in LOGGED_KINDS:
             self._unrecorded[request.request_id] = (time.monotonic(), answer)
-            await self._append(Done(request.request_id, answer.to_dict(), time.time()))
+            await self._append(
+                Done(request.request_id, answer.to_dict(), self.clock.wall())
+            )
             return
         self.answers[request.request_id] = answer
         if len(self.answers) > MAX_CACHED_ANSWERS:
