--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -13,6 +13,7 @@
 
 from .faults import Faults, with_faults
 from .log_service import LogService
+from .relay import Relays
 from .vm_list import VmList
 from .worker import Worker
 
@@ -41,6 +42,7 @@
 
     log: LogService = field(default_factory=LogService)
     vm_list: VmList = field(default_factory=VmList)
+    relays: Relays = field(default_factory=Relays)
     workers: dict[str, Worker] = field(default_factory=dict)
     served: dict[str, Served] = field(default_factory=dict)
 
@@ -105,6 +107,7 @@
     cluster = Cluster()
     await cluster.serve("log", cluster.log.handle)
     await cluster.serve("vm_list", cluster.vm_list.handle)
+    await cluster.serve("relays", cluster.relays.handle)
     for failure_domain, n_workers in failure_domains.items():
         for index in range(n_workers):
             await cluster.add_worker(
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 import curio
+import orjson
 
 from cuminhill.util.http import HttpRequest, HttpResponse
 
@@ -14,6 +15,63 @@
 
     Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
 
+BEFORE, AFTER = "before", "after"
+
+
+@dataclass(slots=True)
+class Match:
+    """Which requests are meant; an empty field matches all.
+
+    Parameters
+    ----------
+    path : str
+        Prefix of the path.
+    method : str
+        HTTP method.
+    record_type : str
+        Type of some record in the body of an append.
+    text : str
+        Part of the body, such as a request id.
+    """
+
+    path: str = ""
+    method: str = ""
+    record_type: str = ""
+    text: str = ""
+
+    def fits(self, req: HttpRequest) -> bool:
+        """Return whether a request is meant."""
+        if not req.path.startswith(self.path) or self.method not in {"", req.method}:
+            return False
+        if self.text.encode() not in req.body:
+            return False
+        return not self.record_type or self.record_type in _record_types(req.body)
+
+
+@dataclass(slots=True)
+class Gate:
+    """Holds matching requests until it is released.
+
+    Parameters
+    ----------
+    when : str
+        ``"before"`` or ``"after"`` the effect of the request.
+    """
+
+    name: str
+    match: Match
+    when: str = BEFORE
+    n_held: int = 0
+    released: Any = field(default_factory=curio.Event)
+
+    async def hold(self) -> None:
+        """Wait for the release."""
+        self.n_held += 1
+        try:
+            await self.released.wait()
+        finally:
+            self.n_held -= 1
+
 
 @dataclass(slots=True)
 class Faults:
@@ -33,6 +91,12 @@
         IP addresses whose connections are closed without effect.
     paths : list of str
         Path prefixes that the faults apply to; empty for all.
+    gates : dict of str to Gate
+        Gates that hold requests, by name.
+    lose_next : list of Match
+        The next call that fits loses its reply after its effect; each is used once.
+    n_lost : int
+        Replies lost so far through ``lose_next``.
     """
 
     down: bool = False
@@ -41,40 +105,116 @@
     n_lost_replies: int = 0
     blocked: list[str] = field(default_factory=list)
     paths: list[str] = field(default_factory=list)
+    gates: dict[str, Gate] = field(default_factory=dict)
+    lose_next: list[Match] = field(default_factory=list)
+    n_lost: int = 0
+
+    async def update(self, values: dict[str, Any]) -> None:
+        """Set the named faults; others keep their value.
 
-    def update(self, values: dict[str, Any]) -> None:
-        """Set the named faults; others keep their value."""
-        names = {item.name for item in fields(self)}
+        ``gate`` adds one gate, ``release`` names gates to release (``"*"`` for
+        all) and ``lose_next`` adds one trigger.
+        """
+        names = {item.name for item in fields(self)} | {"gate", "release"}
         for name, value in values.items():
             if name not in names:
                 raise ValueError(f"unknown fault {name!r}")
-            setattr(self, name, value)
+            if name == "gate":
+                options = dict(value)
+                gate = Gate(options.pop("name"), Match(), options.pop("when", BEFORE))
+                gate.match = Match(**options)
+                self.gates[gate.name] = gate
+            elif name == "release":
+                await self._release(value)
+            elif name == "lose_next":
+                self.lose_next = [*self.lose_next, Match(**value)] if value else []
+            else:
+                setattr(self, name, value)
 
     def applies(self, path: str) -> bool:
         """Return whether the faults apply to a path."""
         return not self.paths or any(path.startswith(item) for item in self.paths)
 
+    def unreachable_by(self, req: HttpRequest) -> bool:
+        """Return whether the caller cannot reach the stand-in now."""
+        return self.down or req.peer.rpartition(":")[0] in self.blocked
+
+    def gate_for(self, req: HttpRequest, when: str) -> Gate | None:
+        """Return the gate that holds a request, if one does."""
+        for gate in self.gates.values():
+            if gate.when == when and gate.match.fits(req):
+                return gate
+        return None
+
+    def loses_reply(self, req: HttpRequest) -> bool:
+        """Return whether the reply is lost; uses up one trigger."""
+        if self.unreachable_by(req):
+            return True
+        for match in self.lose_next:
+            if match.fits(req):
+                self.lose_next.remove(match)
+                self.n_lost += 1
+                return True
+        if self.n_lost_replies > 0:
+            self.n_lost_replies -= 1
+            return True
+        return False
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the faults and the number of held requests, JSON-ready."""
+        return {
+            item.name: getattr(self, item.name)
+            for item in fields(self)
+            if item.name not in {"gates", "lose_next"}
+        } | {
+            "gates": {name: gate.n_held for name, gate in self.gates.items()},
+            "lose_next": [asdict(match) for match in self.lose_next],
+        }
+
+    async def _release(self, name: str) -> None:
+        names = list(self.gates) if name == "*" else [name]
+        for key in names:
+            gate = self.gates.pop(key, None)
+            if gate is not None:
+                await gate.released.set()
+
 
 def with_faults(handler: Handler, faults: Faults) -> Handler:
-    """Return a handler that shows the faults; ``/faults`` reads and sets them."""
+    """Return a handler that shows the faults.
+
+    ``/faults`` reads and sets them and is itself never affected.
+    """
 
     async def handle(req: HttpRequest) -> HttpResponse | None:
         if req.path == "/faults":
             if req.method == "POST":
-                faults.update(req.json())
-            return HttpResponse(200, asdict(faults))
-        if not faults.applies(req.path):
+                await faults.update(req.json())
+            return HttpResponse(200, faults.to_dict())
+        if not faults.applies(req.path) or req.path in {"/state", "/set", "/die"}:
             return await handler(req)
-        if faults.down or req.peer.rpartition(":")[0] in faults.blocked:
+        if faults.unreachable_by(req):
             return None
         if faults.refuse:
             return HttpResponse(503, {"error": "refused"})
         if faults.delay_s:
             await curio.sleep(faults.delay_s)
+        gate = faults.gate_for(req, BEFORE)
+        if gate is not None:
+            await gate.hold()
+            if faults.unreachable_by(req):
+                return None
         response = await handler(req)
-        if faults.n_lost_replies > 0:
-            faults.n_lost_replies -= 1
-            return None
-        return response
+        gate = faults.gate_for(req, AFTER)
+        if gate is not None:
+            await gate.hold()
+        return None if faults.loses_reply(req) else response
 
     return handle
+
+
+def _record_types(body: bytes) -> set[str]:
+    try:
+        records = orjson.loads(body)["records"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return set()
+    return {item.get("type", "") for item in records}
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -81,7 +81,12 @@
         return {"start": stream.start, "end": stream.end, "records": records}
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
-        """Serve ``/streams/{name}`` and ``/stats``."""
+        """Serve ``/streams/{name}``, ``/stats`` and ``POST /set``."""
+        if req.path == "/set":
+            body = req.json()
+            self.retention_s = body.get("retention_s", self.retention_s)
+            self.appends_per_s = body.get("appends_per_s", self.appends_per_s)
+            return HttpResponse(200, {})
         if req.path == "/stats":
             return HttpResponse(
                 200, {"n_appends": self.n_appends, "n_refused": self.n_refused}
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -22,12 +22,23 @@
     from pathlib import Path
 
 HOST = "127.0.0.1"
-
-
-def free_port() -> int:
+DAEMON_ENTRY = "from cuminhill.cmd.daemon import main; main()"
+NO_FAULTS = {
+    "down": False,
+    "refuse": False,
+    "delay_s": 0.0,
+    "n_lost_replies": 0,
+    "blocked": [],
+    "lose_next": None,
+    "release": "*",
+}
+SERVICES = frozenset({"log", "vm_list", "relays"})
+
+
+def free_port(host: str = HOST) -> int:
     """Return a TCP port that was free a moment ago."""
     with socket.socket() as sock:
-        sock.bind((HOST, 0))
+        sock.bind((host, 0))
         return int(sock.getsockname()[1])
 
 
@@ -78,6 +89,7 @@
     http_address: str
     rpc_address: str
     settings_path: Path
+    entry: str = DAEMON_ENTRY
     process: subprocess.Popen[bytes] | None = None
 
     def start(self, log_path: Path) -> None:
@@ -87,7 +99,7 @@
                 [
                     sys.executable,
                     "-c",
-                    "from cuminhill.cmd.daemon import main; main()",
+                    self.entry,
                     "--settings",
                     str(self.settings_path),
                 ],
@@ -100,6 +112,16 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    @property
+    def host(self) -> str:
+        """IP address of the daemon."""
+        return self.rpc_address.rpartition(":")[0]
+
+    @property
+    def running(self) -> bool:
+        """Whether the process runs (it may be paused)."""
+        return self.process is not None and self.process.poll() is None
+
     def ready(self) -> bool:
         """Return whether the daemon says it is ready."""
         return call("GET", self.http_address, "/readyz")[0] == 200
@@ -117,29 +139,40 @@
     ----------
     directory : Path
         Where settings and log files go.
+    relays : bool, default=False
+        Whether daemons call each other through relays that can be cut.
+    entry : str
+        Python statements that start a daemon; a test may patch classes first.
     """
 
     directory: Path
     standins: subprocess.Popen[bytes]
     addresses: dict[str, str]
+    relays: bool = False
+    entry: str = DAEMON_ENTRY
     daemons: dict[str, DaemonProcess] = field(default_factory=dict)
 
     def add_daemon(
         self, vm: str, failure_domain: str, **settings: Any
     ) -> DaemonProcess:
         """Start a daemon and list its VM."""
+        # Each daemon has its own address, so that faults can tell who calls.
+        host = f"127.0.0.{len(self.daemons) + 2}"
         daemon = DaemonProcess(
             vm,
             failure_domain,
-            f"{HOST}:{free_port()}",
-            f"{HOST}:{free_port()}",
+            f"{host}:{free_port(host)}",
+            f"{host}:{free_port(host)}",
             self.directory / f"{vm}.toml",
+            self.entry,
         )
+        advertised = self._relayed(daemon.rpc_address)
         values = {
             "vm": vm,
             "failure_domain": failure_domain,
             "http_address": daemon.http_address,
             "rpc_address": daemon.rpc_address,
+            "rpc_advertise": advertised,
             "log_address": self.addresses["log"],
             "vm_list_address": self.addresses["vm_list"],
             **settings,
@@ -153,7 +186,7 @@
             {
                 "vm": vm,
                 "role": "entry",
-                "address": daemon.rpc_address,
+                "address": advertised,
                 "failure_domain": failure_domain,
                 "state": "live",
             },
@@ -167,7 +200,9 @@
         wait_until(self._settled, timeout_s)
 
     def _settled(self) -> bool:
-        domains = {item.failure_domain for item in self.daemons.values()}
+        domains = {
+            item.failure_domain for item in self.daemons.values() if item.running
+        }
         leaders = {domain: self.leader(domain) for domain in domains}
         expected = {
             f"{domain}/0": daemon.vm
@@ -179,14 +214,13 @@
         return all(
             daemon.dump()["routing"]["leaders"] == expected
             for daemon in self.daemons.values()
+            if daemon.running
         )
 
     def leader(self, failure_domain: str) -> DaemonProcess | None:
         """Return the daemon that leads a domain's only shard, if one does."""
         for daemon in self.daemons.values():
-            if daemon.failure_domain != failure_domain or daemon.process is None:
-                continue
-            if daemon.process.poll() is not None:
+            if daemon.failure_domain != failure_domain or not daemon.running:
                 continue
             shard = daemon.dump()["shards"][f"{failure_domain}/0"]
             if shard["leading"] and shard["placer"]["roster_complete"]:
@@ -202,9 +236,48 @@
         return {
             name: call("GET", address, "/state")[1]
             for name, address in self.addresses.items()
-            if name not in {"log", "vm_list"}
+            if name not in SERVICES
         }
 
+    def restart(self, vm: str) -> None:
+        """Start a daemon that has ended again, as a new life of its VM."""
+        daemon = self.daemons[vm]
+        if daemon.process is not None:
+            daemon.process.wait()
+        daemon.start(self.directory / f"{vm}.log")
+
+    def cut(self, *pairs: tuple[str, str]) -> None:
+        """Cut exactly these pairs of VMs from each other."""
+        hosts = [[self.daemons[vm].host for vm in pair] for pair in pairs]
+        call("POST", self.addresses["relays"], "/cuts", {"pairs": hosts})
+
+    def block(self, names: list[str], vms: list[str]) -> None:
+        """Let these stand-ins be unreachable by exactly these VMs."""
+        for name in names:
+            self.set_faults(name, blocked=[self.daemons[vm].host for vm in vms])
+
+    def n_held(self, name: str, gate: str) -> int:
+        """Return how many requests a gate of a stand-in holds."""
+        value = call("GET", self.addresses[name], "/faults")[1]
+        return int(value["gates"].get(gate, 0))
+
+    def clear_faults(self) -> None:
+        """End all faults of the stand-ins and relays and release all gates."""
+        for name, address in self.addresses.items():
+            if name != "relays":
+                call("POST", address, "/faults", NO_FAULTS)
+            if name not in SERVICES:
+                call("POST", address, "/set", {"fail_all": False, "frozen": False})
+        call("POST", self.addresses["vm_list"], "/set", {"lag_s": 0, "frozen": False})
+        self.cut()
+
+    def _relayed(self, address: str) -> str:
+        if not self.relays:
+            return address
+        body = {"host": HOST, "target": address}
+        reply = call("POST", self.addresses["relays"], "/relays", body)[1]
+        return str(reply["address"])
+
     def close(self) -> None:
         """End all processes that this object started."""
         processes = [item.process for item in self.daemons.values() if item.process]
@@ -217,7 +290,13 @@
 
 @contextlib.contextmanager
 def process_cluster(
-    directory: Path, workers: dict[str, int], daemons: dict[str, int], **settings: Any
+    directory: Path,
+    workers: dict[str, int],
+    daemons: dict[str, int],
+    *,
+    relays: bool = False,
+    entry: str = DAEMON_ENTRY,
+    **settings: Any,
 ) -> Iterator[ProcessCluster]:
     """Run stand-ins and daemons for the time of a ``with`` block.
 
@@ -229,6 +308,8 @@
         Number of workers in each failure domain.
     daemons : dict of str to int
         Number of entry VMs in each failure domain.
+    relays, entry
+        As in `ProcessCluster`.
     settings : dict
         Further settings of every daemon.
     """
@@ -238,7 +319,7 @@
     )
     assert standins.stdout is not None
     addresses = json.loads(standins.stdout.readline())
-    cluster = ProcessCluster(directory, standins, addresses)
+    cluster = ProcessCluster(directory, standins, addresses, relays, entry)
     try:
         for domain, count in daemons.items():
             for index in range(count):
--- a/standins/vm_list.py
+++ b/standins/vm_list.py
@@ -17,9 +17,12 @@
     ----------
     lag_s : float, seconds
         Time until a change is visible.
+    frozen_at : float or None, seconds
+        Changes after this monotonic time are not shown while it is set.
     """
 
     lag_s: float = 0.0
+    frozen_at: float | None = None
     changes: list[tuple[float, dict[str, Any]]] = field(default_factory=list)
 
     def put(self, entry: dict[str, Any], now: float) -> None:
@@ -28,6 +31,8 @@
 
     def visible(self, now: float) -> list[dict[str, Any]]:
         """Return the VMs as seen after the lag, ordered by name."""
+        if self.frozen_at is not None:
+            now = min(now, self.frozen_at)
         vms: dict[str, dict[str, Any]] = {}
         for at, entry in self.changes:
             if at <= now - self.lag_s:
@@ -35,7 +40,13 @@
         return [vms[key] for key in sorted(vms) if vms[key].get("state") != "gone"]
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
-        """Serve ``GET /vms`` and ``POST /vms``."""
+        """Serve ``GET /vms``, ``POST /vms`` and ``POST /set``."""
+        if req.path == "/set":
+            body = req.json()
+            self.lag_s = body.get("lag_s", self.lag_s)
+            if "frozen" in body:
+                self.frozen_at = time.monotonic() if body["frozen"] else None
+            return HttpResponse(200, {})
         if req.path != "/vms":
             return HttpResponse(404, {"error": "not found"})
         if req.method == "POST":
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,7 @@
 
 MAX_FINISHED = 10000
 TASK_TTL_S = 10.0
+FREEZE_POLL_S = 0.02
 VERBS = ("stop", "throttle", "checkpoint")
 
 
@@ -43,6 +44,7 @@
     progress_at: float
     started_at: float
     rate: float = 1.0
+    run: int = 0
     done: Any = field(default_factory=curio.Event)
     changed: Any = field(default_factory=curio.Event)
     result: dict[str, Any] | None = None
@@ -68,6 +70,8 @@
         Whether calls with a stale epoch are refused.
     fail_all : bool, default=False
         Every task fails as soon as it starts.
+    frozen : bool, default=False
+        Nothing is answered and no task ends until this is reset.
     usage_lag_s : float, seconds, default=1
         Age of the reported usage.
     """
@@ -79,6 +83,7 @@
     speed: float = 1.0
     fencing: bool = True
     fail_all: bool = False
+    frozen: bool = False
     leaving: bool = False
     usage_lag_s: float = 1.0
     # Epochs start from the time, so that they rise across restarts too.
@@ -90,6 +95,7 @@
     finished: deque[dict[str, Any]] = field(default_factory=deque)
     dropped: bool = False
     seq: int = 0
+    n_runs: int = 0
     starts: Counter[str] = field(default_factory=Counter)
     violations: list[dict[str, Any]] = field(default_factory=list)
     renewed_at: float = 0.0
@@ -104,6 +110,9 @@
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Serve the worker's HTTP interface."""
+        if req.path in {"/state", "/set", "/die"}:
+            return await self._administer(req)
+        await self._until_thawed()
         now = time.monotonic()
         if req.path == "/lease":
             return self._lease(req.json(), now)
@@ -115,18 +124,40 @@
             return await self._start(req.json(), now)
         if req.path.startswith("/tasks/"):
             return await self._control(req.path.split("/")[2:], req.json(), now)
+        return HttpResponse(404, {"error": "not found"})
+
+    async def die(self) -> None:
+        """End all tasks and begin a new life that remembers nothing."""
+        for task in list(self.running.values()):
+            await self._end(task, ok=False, detail="worker died")
+        self.finished.clear()
+        self.dropped = False
+        self.seq = 0
+        self.arbiter = LeaseArbiter(epoch=time.time_ns() // 1_000_000)
+        self.incarnation = str(time.time_ns())
+
+    async def _administer(self, req: HttpRequest) -> HttpResponse:
         if req.path == "/state":
             return HttpResponse(200, self._state())
-        if req.path == "/set":
-            for name, value in req.json().items():
-                setattr(self, name, value)
+        if req.path == "/die":
+            await self.die()
             return HttpResponse(200, {})
-        return HttpResponse(404, {"error": "not found"})
+        values = req.json()
+        if values.get("leaving") and not self.leaving:
+            self.history.append({"event": "leaving", "at": time.monotonic()})
+        for name, value in values.items():
+            setattr(self, name, value)
+        return HttpResponse(200, {})
+
+    async def _until_thawed(self) -> None:
+        while self.frozen:
+            await curio.sleep(FREEZE_POLL_S)
 
     async def run_watchdog(self) -> None:
         """Stop all tasks when no holder has renewed for the task lease."""
         while True:
             await curio.sleep(TASK_TTL_S / 50)
+            await self._until_thawed()
             if time.monotonic() - self.renewed_at > TASK_TTL_S:
                 for task in list(self.running.values()):
                     await self._end(task, ok=False, detail="task lease lapsed")
@@ -178,6 +209,8 @@
             now,
             now,
         )
+        self.n_runs += 1
+        task.run = self.n_runs
         self._record_start(task)
         self.running[task.task_id] = task
         self._check_capacity(task)
@@ -225,6 +258,7 @@
                 async with curio.timeout_after(task.remaining_s / task.rate):
                     await task.changed.wait()
             except curio.TaskTimeout:
+                await self._until_thawed()
                 await self._end(task, ok=True, detail="")
 
     async def _end(
@@ -253,7 +287,16 @@
         if len(self.finished) > MAX_FINISHED:
             self.finished.popleft()
             self.dropped = True
-        self.history.append({"event": "end", "task_id": task.task_id, "at": now})
+        self.history.append(
+            {
+                "event": "end",
+                "run": task.run,
+                "task_id": task.task_id,
+                "at": now,
+                "ok": ok,
+                "detail": detail,
+            }
+        )
         await task.changed.set()
         await task.done.set()
 
@@ -262,7 +305,10 @@
         self.history.append(
             {
                 "event": "start",
+                "run": task.run,
                 "task_id": task.task_id,
+                "request_id": task.request_id,
+                "need": _resources(task.need),
                 "at": task.started_at,
                 "epoch": task.epoch,
                 "leaving": self.leaving,
@@ -278,6 +324,7 @@
     def _state(self) -> dict[str, Any]:
         return {
             "worker_id": self.worker_id,
+            "capacity": _resources(self.capacity),
             "epoch": self.arbiter.epoch,
             "holder": self.arbiter.holder,
             "running": sorted(self.running),
