--- /dev/null
+++ b/checks/collect.py
@@ -0,0 +1,122 @@
+"""Collects the history of a run from callers, stand-ins and the log."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+from standins.processes import call as http_call
+
+from .history import History, add_worker_state
+
+if TYPE_CHECKING:
+    from standins.processes import ProcessCluster
+
+    from .load import Load
+
+SETTLE_BOUND_S = 30.0  # accepted requests must have their answer after this
+PAGE = 1000
+
+
+def read_log(cluster: ProcessCluster, stream: str) -> list[tuple[int, dict[str, Any]]]:
+    """Return all records of a stream that retention has kept."""
+    found: list[tuple[int, dict[str, Any]]] = []
+    offset = 0
+    while True:
+        path = f"/streams/{stream}?from={offset}&limit={PAGE}"
+        page = http_call("GET", cluster.addresses["log"], path)[1]
+        if not page["records"]:
+            return found
+        found += [(item[0], item[1]) for item in page["records"]]
+        offset = found[-1][0] + 1
+
+
+def wait_appended(cluster: ProcessCluster, timeout_s: float = SETTLE_BOUND_S) -> bool:
+    """Wait until no daemon has a record that is not known to be in the log."""
+    give_up_at = time.monotonic() + timeout_s
+    while time.monotonic() < give_up_at:
+        with contextlib.suppress(OSError):
+            dumps = [item.dump() for item in cluster.daemons.values() if item.running]
+            if all(item["log"]["n_pending"] == 0 for item in dumps):
+                return True
+        time.sleep(0.05)
+    return False
+
+
+def collect(
+    cluster: ProcessCluster, load: Load, since: float, history: History
+) -> History:
+    """Fill in a history after the faults have stopped.
+
+    Every request that was accepted is looked up until it has its final answer or
+    the bound has passed.
+
+    Parameters
+    ----------
+    cluster : ProcessCluster
+        Where the load ran.
+    load : Load
+        Its callers; they have stopped.
+    since : float, seconds
+        Runs that ended before this monotonic time are left out.
+    history : History
+        Receives the records.
+    """
+    give_up_at = history.quiet_at + SETTLE_BOUND_S
+    wait_appended(cluster)
+    own = f"{load.prefix}-"
+    history.log = [
+        (offset, record)
+        for offset, record in read_log(cluster, "requests")
+        if str(record.get("request_id", "")).startswith(own)
+    ]
+    _sweep(cluster, load, history, give_up_at)
+    history.calls = list(load.calls)
+    while True:
+        history.runs.clear()
+        history.violations.clear()
+        for worker_id, state in cluster.worker_states().items():
+            add_worker_state(history, worker_id, state)
+        if _services_as_wished(history) or time.monotonic() > give_up_at:
+            break
+        time.sleep(0.1)
+    history.runs = [
+        run for run in history.runs if run.ended_at is None or run.ended_at >= since
+    ]
+    history.ended_at = time.monotonic()
+    return history
+
+
+def _sweep(
+    cluster: ProcessCluster, load: Load, history: History, give_up_at: float
+) -> None:
+    rng = random.Random(load.seed)
+    vms = sorted(vm for vm, item in cluster.daemons.items() if item.running)
+    cancelled = {item.request_id for item in load.calls if item.op == "cancel"}
+    services = {item.request_id for item in load.wishes if item.kind == "service"}
+    ids = {item.request_id for item in load.calls if item.state == "accepted"} | {
+        record["request_id"] for _, record in history.log
+    }
+    for request_id in sorted(ids):
+        lasting = request_id in services - cancelled
+        while True:
+            left_s = max(0.0, give_up_at - time.monotonic())
+            wait_s = 0.0 if lasting else min(1.0, left_s)
+            found = load.look_up(request_id, rng.choice(vms), wait_s, sweep=True)
+            if found.state not in {"", "accepted"} or left_s <= 0:
+                break
+            if lasting and found.state == "accepted":
+                break
+
+
+def _services_as_wished(history: History) -> bool:
+    """Return whether exactly the services that are wanted run."""
+    last = {item.request_id: item for item in history.calls if item.sweep}
+    services = {item.request_id for item in history.calls if item.kind == "service"}
+    running = {run.request_id for run in history.runs if run.ended_at is None}
+    return all(
+        (request_id in running) == (last[request_id].state == "accepted")
+        for request_id in services & set(last)
+    )
--- /dev/null
+++ b/checks/load.py
@@ -0,0 +1,251 @@
+"""Concurrent callers that submit, repeat, cancel and look up, and record it all."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from .history import Call
+
+if TYPE_CHECKING:
+    from standins.processes import ProcessCluster
+
+CONNECT_TIMEOUT_S = 1.0
+PACE_S = 0.05  # mean pause of one caller between two calls
+MAX_SERVICES = 4
+RECENT = 40  # repeats, look-ups and cancellations choose among so many ids
+KINDS = ["check"] * 9 + ["order"] * 6 + ["batch"] * 3 + ["gang"] * 2 + ["service"]
+OPS = ["submit"] * 14 + ["repeat"] * 3 + ["lookup"] * 2 + ["cancel"]
+
+
+@dataclass(slots=True)
+class Wish:
+    """A request that may be sent more than once.
+
+    Parameters
+    ----------
+    body : dict
+        As submitted; ``issued_at`` stays the same in repeats.
+    """
+
+    request_id: str
+    kind: str
+    body: dict[str, Any]
+    n_tasks: int = 1
+
+
+class Connection:
+    """HTTP connection of one caller to one VM, made again after errors."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._conn: http.client.HTTPConnection | None = None
+
+    def send(
+        self, call: Call, method: str, path: str, value: Any, wait_s: float
+    ) -> Any:
+        """Do one call and fill in its outcome; return the decoded body."""
+        call.invoked_at = time.monotonic()
+        conn = self._conn
+        if conn is None:
+            host, _, port = self.address.rpartition(":")
+            conn = http.client.HTTPConnection(host, int(port), CONNECT_TIMEOUT_S)
+            try:
+                conn.connect()
+            except OSError:
+                call.error = "refused"
+                return None
+        assert conn.sock is not None
+        conn.sock.settimeout(wait_s)
+        self._conn = None
+        try:
+            conn.request(method, path, None if value is None else json.dumps(value))
+            response = conn.getresponse()
+            data = response.read()
+        except TimeoutError:
+            call.error = "timeout"
+            conn.close()
+            return None
+        except (OSError, http.client.HTTPException):
+            call.error = "closed"
+            conn.close()
+            return None
+        call.answered_at = time.monotonic()
+        call.status = response.status
+        if not response.will_close:
+            self._conn = conn
+        return json.loads(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+
+
+@dataclass(eq=False)
+class Load:
+    """Callers of one run.
+
+    Parameters
+    ----------
+    cluster : ProcessCluster
+        Where to submit.
+    prefix : str
+        Begin of every request id.
+    seed : int
+        Seed of all choices.
+    vms : list of str
+        Entry VMs that callers choose from; empty for all.
+    """
+
+    cluster: ProcessCluster
+    prefix: str
+    seed: int
+    n_callers: int = 6
+    vms: list[str] = field(default_factory=list)
+    kinds: list[str] = field(default_factory=lambda: KINDS)
+    calls: list[Call] = field(default_factory=list)
+    wishes: list[Wish] = field(default_factory=list)
+    _stopped: threading.Event = field(default_factory=threading.Event)
+    _threads: list[threading.Thread] = field(default_factory=list)
+    _n_services: int = 0
+
+    def start(self) -> None:
+        """Start the callers."""
+        self.vms = self.vms or sorted(self.cluster.daemons)
+        for index in range(self.n_callers):
+            thread = threading.Thread(target=self._run, args=(index,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def stop(self, timeout_s: float = 20.0) -> None:
+        """Let the callers end their present calls."""
+        self._stopped.set()
+        give_up_at = time.monotonic() + timeout_s
+        for thread in self._threads:
+            thread.join(max(0.0, give_up_at - time.monotonic()))
+
+    def submit(
+        self, wish: Wish, vm: str, *, wait_s: float = 2.0, caller: str = "main"
+    ) -> Call:
+        """Submit a request once through one VM and record it."""
+        conn = self._connection(vm)
+        return self._submit(
+            caller, wish, conn, vm=vm, wait_s=wait_s, patience_s=wait_s + 6.0
+        )
+
+    def look_up(self, request_id: str, vm: str, wait_s: float, sweep: bool) -> Call:
+        """Look a request up through one VM and record it."""
+        conn = self._connection(vm)
+        return self._look_up(
+            "main", request_id, conn, vm=vm, wait_s=wait_s, sweep=sweep
+        )
+
+    def make_wish(self, kind: str, request_id: str, rng: random.Random) -> Wish:
+        """Return a new request of a kind."""
+        n_tasks = rng.randint(2, 5) if kind in {"batch", "gang"} else 1
+        body: dict[str, Any] = {
+            "request_id": request_id,
+            "kind": kind,
+            "n_tasks": n_tasks,
+            "need": {"cores": rng.choice([1, 2, 4])},
+            "run_time_s": 3600.0 if kind == "service" else rng.uniform(0.01, 0.2),
+            "payload": {"echo": f"echo of {request_id}"},
+        }
+        if kind == "order":
+            body["issued_at"] = time.time()
+            body["deadline_s"] = rng.choice([1.5, 3.0, 8.0])
+        return Wish(request_id, kind, body, n_tasks)
+
+    def _run(self, index: int) -> None:
+        rng = random.Random(f"{self.seed} {self.prefix} {index}")
+        caller = f"c{index}"
+        conns = {vm: self._connection(vm) for vm in self.vms}
+        count = 0
+        while not self._stopped.is_set():
+            vm = rng.choice(self.vms)
+            op = rng.choice(OPS)
+            old = rng.choice(self.wishes[-RECENT:]) if self.wishes else None
+            if op == "submit" or old is None:
+                count += 1
+                kind = self._choose_kind(rng)
+                request_id = f"{self.prefix}-{caller}-{count}"
+                old = self.make_wish(kind, request_id, rng)
+                self.wishes.append(old)
+                op = "repeat"
+            wait_s = rng.choice([0.0, 0.5, 2.0])
+            if op == "repeat":
+                # One caller in ten gives up early and leaves its call behind.
+                patience_s = rng.choice([0.3, *[wait_s + 8.0] * 9])
+                self._submit(
+                    caller, old, conns[vm], vm=vm, wait_s=wait_s, patience_s=patience_s
+                )
+            elif op == "lookup":
+                self._look_up(
+                    caller, old.request_id, conns[vm], vm=vm, wait_s=wait_s, sweep=False
+                )
+            else:
+                self._cancel(caller, old, conns[vm], vm)
+            self._stopped.wait(rng.uniform(0, 2 * PACE_S))
+        for conn in conns.values():
+            conn.close()
+
+    def _choose_kind(self, rng: random.Random) -> str:
+        kind = rng.choice(self.kinds)
+        if kind == "service":
+            self._n_services += 1
+            if self._n_services > MAX_SERVICES:
+                return "check"
+        return kind
+
+    def _connection(self, vm: str) -> Connection:
+        return Connection(self.cluster.daemons[vm].http_address)
+
+    def _submit(
+        self,
+        caller: str,
+        wish: Wish,
+        conn: Connection,
+        *,
+        vm: str,
+        wait_s: float,
+        patience_s: float,
+    ) -> Call:
+        call = Call(caller, "submit", wish.request_id, wish.kind, vm, time.monotonic())
+        call.n_tasks, call.echo = wish.n_tasks, wish.body["payload"]["echo"]
+        self.calls.append(call)
+        path = f"/v1/requests?wait_s={wait_s}"
+        call.answer = conn.send(call, "POST", path, wish.body, patience_s)
+        return call
+
+    def _look_up(
+        self,
+        caller: str,
+        request_id: str,
+        conn: Connection,
+        *,
+        vm: str,
+        wait_s: float,
+        sweep: bool,
+    ) -> Call:
+        call = Call(caller, "lookup", request_id, "", vm, time.monotonic(), sweep=sweep)
+        self.calls.append(call)
+        path = f"/v1/requests/{request_id}?wait_s={wait_s}"
+        call.answer = conn.send(call, "GET", path, None, wait_s + 5.0)
+        return call
+
+    def _cancel(self, caller: str, wish: Wish, conn: Connection, vm: str) -> Call:
+        call = Call(caller, "cancel", wish.request_id, wish.kind, vm, time.monotonic())
+        self.calls.append(call)
+        path = f"/v1/requests/{wish.request_id}"
+        call.answer = conn.send(call, "DELETE", path, None, 5.0)
+        return call
+
+    def cancel(self, wish: Wish, vm: str) -> Call:
+        """Cancel a request through one VM and record it."""
+        return self._cancel("main", wish, self._connection(vm), vm)
--- /dev/null
+++ b/checks/promises.py
@@ -0,0 +1,288 @@
+"""One checker for each promise of the design page, as pure functions."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .history import Call, History, Run
+
+LEAVING_BOUND_S = 3.0  # P6: no new work on a leaving worker after this
+CONFIG_BOUND_S = 10.0  # P8: an accepted configuration is in force after this
+# Wall and monotonic times of different processes are read one after another.
+TIME_SLACK_S = 0.002
+SURE_STATES = frozenset({"done", "failed", "cancelled"})
+OPEN_STATES = frozenset({"", "accepted"})
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One breach of a promise."""
+
+    promise: str
+    subject: str
+    detail: str
+
+
+def check_p1(history: History) -> list[Violation]:
+    """Check that no worker ever held more than its capacity."""
+    found = []
+    for worker_id, capacity in history.capacity.items():
+        runs = [run for run in history.runs if run.worker_id == worker_id]
+        found += _overfull(worker_id, capacity, runs)
+    return found
+
+
+def _overfull(
+    worker_id: str, capacity: dict[str, float], runs: list[Run]
+) -> list[Violation]:
+    # At equal times ends come first: the worker frees before it takes.
+    events = [(run.started_at, 1, run) for run in runs]
+    events += [(run.ended_at, 0, run) for run in runs if run.ended_at is not None]
+    events.sort(key=lambda item: item[:2])
+    used: dict[str, float] = defaultdict(float)
+    found = []
+    for at, is_start, run in events:
+        for name, amount in run.need.items():
+            used[name] += amount if is_start else -amount
+            if is_start and used[name] > capacity[name] + 1e-6:
+                detail = f"{used[name]:g} {name} of {capacity[name]:g} at {at:.3f}"
+                found.append(Violation("P1", f"{worker_id} {run.task_id}", detail))
+    return found
+
+
+def check_p2(history: History) -> list[Violation]:
+    """Check that no task of a logged request runs in two places at once."""
+    logged = history.logged_ids()
+    found = []
+    for task_id, runs in history.runs_by_task().items():
+        if runs[0].request_id not in logged:
+            continue
+        for first, second in pairwise(runs):
+            if first.ended_at is None or second.started_at < first.ended_at:
+                detail = (
+                    f"on {first.worker_id} from {first.started_at:.3f} to "
+                    f"{first.ended_at} and on {second.worker_id} from "
+                    f"{second.started_at:.3f}"
+                )
+                found.append(Violation("P2", task_id, detail))
+    return found
+
+
+def check_p3(history: History) -> list[Violation]:
+    """Check that answers are complete, agree, and belong to their request."""
+    submits = history.submits()
+    runs = history.runs_by_task()
+    sure: dict[str, dict[str, object]] = {}
+    found = []
+    for call in sorted(history.answers(), key=lambda item: item.answered_at or 0.0):
+        problem = _answer_problem(call, submits.get(call.request_id, []), runs)
+        if not problem and call.state in SURE_STATES and call.kind != "check":
+            answer = {key: (call.answer or {}).get(key) for key in ("state", "results")}
+            if sure.setdefault(call.request_id, answer) != answer:
+                problem = f"{answer} after {sure[call.request_id]}"
+        if problem:
+            found.append(Violation("P3", f"{call.request_id} via {call.vm}", problem))
+    return found
+
+
+def _answer_problem(call: Call, submits: list[Call], runs: dict[str, list[Run]]) -> str:
+    answer = call.answer or {}
+    if answer.get("request_id") != call.request_id:
+        return f"answer is about {answer.get('request_id')!r}"
+    if call.state != "done" or not submits:
+        return ""
+    wanted = submits[0]
+    results = answer.get("results") or []
+    if [item.get("task") for item in results] != list(range(wanted.n_tasks)):
+        return f"{len(results)} results of {wanted.n_tasks}"
+    for index, item in enumerate(results):
+        if item.get("value") != wanted.echo:
+            return f"result {index} is {item.get('value')!r}, not {wanted.echo!r}"
+        ran = any(
+            run.ok and (run.ended_at or 0.0) <= (call.answered_at or 0.0) + TIME_SLACK_S
+            for run in runs.get(f"{call.request_id}/{index}", [])
+            if run.ended_at is not None
+        )
+        if not ran:
+            return f"task {index} had not run when the answer was given"
+    return ""
+
+
+def check_p4(history: History) -> list[Violation]:
+    """Check that a request answered "not run" did not run.
+
+    A start of the id after the refused submission began is permitted only if
+    another submission, concurrent or later, that was not itself refused explains
+    it.
+    """
+    submits = history.submits()
+    runs = history.runs_by_request()
+    found = []
+    for call in history.answers():
+        if call.state != "not_run":
+            continue
+        others = [
+            item
+            for item in submits.get(call.request_id, [])
+            if item is not call
+            and item.state != "not_run"
+            and (item.answered_at is None or item.answered_at >= call.invoked_at)
+        ]
+        for run in runs.get(call.request_id, []):
+            if run.started_at < _refused_from(call, submits):
+                continue
+            if not any(item.invoked_at <= run.started_at for item in others):
+                detail = (
+                    f"refused via {call.vm} from {call.invoked_at:.3f} to "
+                    f"{call.answered_at:.3f} ({(call.answer or {}).get('reason')}), "
+                    f"started on {run.worker_id} at {run.started_at:.3f}"
+                )
+                found.append(Violation("P4", call.request_id, detail))
+    return found
+
+
+def _refused_from(call: Call, submits: dict[str, list[Call]]) -> float:
+    """Return from when on a start contradicts the answer.
+
+    A look-up tells what became of the request since its first submission; so does
+    the only submission of an id.
+    """
+    same_id = submits.get(call.request_id, [])
+    if call.op == "lookup" or len(same_id) <= 1:
+        return float("-inf")
+    return call.invoked_at
+
+
+def check_p5(history: History) -> list[Violation]:
+    """Check that no order starts more than once."""
+    orders = {call.request_id for call in history.calls if call.kind == "order"}
+    return [
+        Violation(
+            "P5",
+            task_id,
+            ", ".join(f"{run.worker_id} at {run.started_at:.3f}" for run in runs),
+        )
+        for task_id, runs in history.runs_by_task().items()
+        if runs[0].request_id in orders and len(runs) > 1
+    ]
+
+
+def check_p6(history: History) -> list[Violation]:
+    """Check that a leaving worker gets no new work after the bound."""
+    return [
+        Violation(
+            "P6",
+            run.worker_id,
+            f"{run.task_id} started {run.started_at - leaving_at:.3f} s after it "
+            "began to leave",
+        )
+        for run in history.runs
+        if (leaving_at := history.leaving.get(run.worker_id)) is not None
+        and run.started_at > leaving_at + LEAVING_BOUND_S
+    ]
+
+
+def check_p7(history: History) -> list[Violation]:
+    """Check that a planned stop interrupts no request in progress."""
+    found = []
+    for stop in history.stops:
+        if stop.exit_code != 0:
+            found.append(Violation("P7", stop.vm, f"exit code {stop.exit_code}"))
+        for call in history.calls:
+            in_progress = (
+                call.vm == stop.vm
+                and call.invoked_at < stop.at
+                and (call.answered_at is None or call.answered_at >= stop.at)
+            )
+            if in_progress and call.error == "closed":
+                detail = f"{call.op} of {call.request_id} was cut off"
+                found.append(Violation("P7", stop.vm, detail))
+    return found
+
+
+def check_p8(history: History) -> list[Violation]:
+    """Check that accepted configurations come into force and never revert."""
+    found = []
+    digests: dict[int, str] = {}
+    for item in history.publications:
+        if not item.accepted:
+            continue
+        if digests.setdefault(item.revision, item.digest) != item.digest:
+            detail = f"revision {item.revision} was accepted twice"
+            found.append(Violation("P8", item.vm, detail))
+    highest: dict[str, int] = {}
+    for read in sorted(history.config_reads, key=lambda item: item.at):
+        if digests.setdefault(read.revision, read.digest) != read.digest:
+            detail = f"revision {read.revision} has two contents"
+            found.append(Violation("P8", read.vm, detail))
+        if read.revision < highest.get(read.vm, 0):
+            detail = f"revision {read.revision} after {highest[read.vm]}"
+            found.append(Violation("P8", read.vm, detail))
+        highest[read.vm] = max(read.revision, highest.get(read.vm, 0))
+        due = [
+            item.revision
+            for item in history.publications
+            if item.accepted
+            and item.answered_at is not None
+            and read.at > max(item.answered_at, history.quiet_at) + CONFIG_BOUND_S
+        ]
+        if due and read.revision < max(due):
+            detail = f"revision {read.revision} in force, {max(due)} was accepted"
+            found.append(Violation("P8", read.vm, detail))
+    return found
+
+
+def check_nothing_lost(history: History) -> list[Violation]:
+    """Check that every accepted request has its final answer at the end.
+
+    A service is to run, or to be cancelled if that was asked.
+    """
+    claimed = {
+        record["request_id"]
+        for _, record in history.log
+        if record.get("type") == "claim"
+    }
+    accepted = {
+        call.request_id for call in history.answers() if call.state == "accepted"
+    }
+    last = {call.request_id: call for call in history.calls if call.sweep}
+    services = {call.request_id for call in history.calls if call.kind == "service"}
+    running = {run.request_id for run in history.runs if run.ended_at is None}
+    cancelled = {call.request_id for call in history.calls if call.op == "cancel"}
+    found = []
+    for request_id in sorted(claimed | accepted):
+        state = last[request_id].state if request_id in last else ""
+        if request_id in services and request_id not in cancelled:
+            if state in OPEN_STATES and request_id not in running:
+                found.append(Violation("lost", request_id, "service does not run"))
+        elif request_id in services and state in OPEN_STATES:
+            if request_id in running:
+                found.append(Violation("lost", request_id, "cancelled service runs"))
+        elif state in OPEN_STATES:
+            detail = f"no final answer, state {state!r}"
+            found.append(Violation("lost", request_id, detail))
+    return found
+
+
+CHECKERS: dict[str, Callable[[History], list[Violation]]] = {
+    "P1": check_p1,
+    "P2": check_p2,
+    "P3": check_p3,
+    "P4": check_p4,
+    "P5": check_p5,
+    "P6": check_p6,
+    "P7": check_p7,
+    "P8": check_p8,
+    "lost": check_nothing_lost,
+}
+
+
+def check_all(history: History) -> list[Violation]:
+    """Run every checker."""
+    return [item for check in CHECKERS.values() for item in check(history)]
