Acknowledge only results that the worker's list has told

Cause: the reply of a start call with wait (a check) raised last_seq past results that the list had not told yet; the next renewal acknowledged them, the worker forgot them, and their orders ended as unknown without any fault. Change: the acknowledged position never exceeds what was read from the list.

--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -574,7 +574,9 @@
                 self.holder,
                 terms.ttl_s,
                 loop.seq,
-                known.ack_seq if known else 0,
+                # A start reply may tell a result ahead of the list; results
+                # that the list has not told yet must not be forgotten.
+                min(known.ack_seq, loop.seq) if known else 0,
                 timeout_s=terms.renew_s,
             )
         except LeaseHeldError as exc:
