--- a/checks/collect.py
+++ b/checks/collect.py
@@ -77,6 +77,7 @@
     while True:
         history.runs.clear()
         history.violations.clear()
+        history.leaving.clear()
         for worker_id, state in cluster.worker_states().items():
             add_worker_state(history, worker_id, state)
         if _services_as_wished(history) or time.monotonic() > give_up_at:
--- a/checks/load.py
+++ b/checks/load.py
@@ -139,6 +139,14 @@
             caller, wish, conn, vm=vm, wait_s=wait_s, patience_s=wait_s + 6.0
         )
 
+    def submit_later(self, wish: Wish, vm: str, *, wait_s: float = 5.0) -> None:
+        """Submit a request in a thread of its own."""
+        thread = threading.Thread(
+            target=lambda: self.submit(wish, vm, wait_s=wait_s), daemon=True
+        )
+        self._threads.append(thread)
+        thread.start()
+
     def look_up(self, request_id: str, vm: str, wait_s: float, sweep: bool) -> Call:
         """Look a request up through one VM and record it."""
         conn = self._connection(vm)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -130,6 +130,9 @@
         """End all tasks and begin a new life that remembers nothing."""
         for task in list(self.running.values()):
             await self._end(task, ok=False, detail="worker died")
+        if self.leaving:
+            self.leaving = False
+            self.history.append({"event": "returned", "at": time.monotonic()})
         self.finished.clear()
         self.dropped = False
         self.seq = 0
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,164 @@
+"""Whole clusters of processes under faults; the history checkers judge the runs."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import pytest
+
+from checks.scenario import scenario
+from standins.processes import process_cluster
+
+SEED = 7
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    """Three entry VMs in Tainan and two in Chiayi behind relays."""
+    directory = tmp_path_factory.mktemp("faults")
+    with process_cluster(
+        directory, {"Tainan": 4, "Chiayi": 3}, {"Tainan": 3, "Chiayi": 2}, relays=True
+    ) as running:
+        yield running
+
+
+def gate_starts(run, when="before"):
+    for worker_id in run.workers():
+        run.gate(
+            "start",
+            worker_id,
+            path="/tasks",
+            method="POST",
+            text="run_time_s",
+            when=when,
+        )
+
+
+def states_of(run, kind):
+    return {
+        call.state for call in run.history.calls if call.kind == kind and call.state
+    }
+
+
+def test_without_faults_every_answer_is_sure(cluster):
+    """Guards against results that are lost between a worker and its placer."""
+    with scenario(cluster, "calm", SEED) as run:
+        time.sleep(2.0)
+        assert run.finish() == []
+    unknown = [item for item in run.history.answers() if item.state == "unknown"]
+    assert unknown == []
+
+
+@pytest.mark.parametrize(
+    ("step", "record_type"), [("claim", "claim"), ("started", "started")]
+)
+def test_leader_is_killed_while_orders_and_checks_are_in_flight(
+    cluster, step, record_type
+):
+    """Guards against orders that are lost or run twice at failover."""
+    with scenario(cluster, f"kill-{step}", SEED) as run:
+        run.gate("log", "log", method="POST", record_type=record_type)
+        assert run.wait_held("log", ["log"], 5.0)
+        run.kill(run.leader())
+        time.sleep(0.5)
+        assert run.finish() == []
+
+
+def test_leader_is_paused_past_its_lease_and_continues(cluster):
+    """Guards against a stale leader that starts what its successor has started."""
+    with scenario(cluster, "pause", SEED) as run:
+        gate_starts(run)
+        assert run.wait_held("start", run.workers(), 5.0)
+        run.pause(run.leader())
+        time.sleep(2.5)
+        run.resume()
+        time.sleep(0.5)
+        assert run.finish() == []
+
+
+def test_log_outage_holds_orders_and_answers_checks(cluster):
+    """Guards against speculative orders and against checks that wait for the log."""
+    with scenario(cluster, "log", SEED) as run:
+        cluster.set_faults("log", down=True)
+        since = time.monotonic()
+        time.sleep(4.0)
+        until = time.monotonic()
+        assert run.finish() == []
+    checks = [
+        item
+        for item in run.history.calls
+        if item.kind == "check"
+        and item.op == "submit"
+        and item.invoked_at > since
+        and (item.answered_at or until) < until
+    ]
+    assert checks
+    assert {item.state for item in checks if item.state} == {"done"}
+
+
+@pytest.mark.parametrize("record_type", ["claim", "started", "done"])
+def test_append_reply_is_lost(cluster, record_type):
+    """Guards against a record that counts twice because its append was repeated."""
+    with scenario(cluster, f"append-{record_type}", SEED) as run:
+        for _ in range(3):
+            cluster.set_faults(
+                "log", lose_next={"method": "POST", "record_type": record_type}
+            )
+        time.sleep(1.5)
+        assert run.finish() == []
+
+
+def test_start_reply_is_lost(cluster):
+    """Guards against a second start of a task whose first start took effect."""
+    with scenario(cluster, "start", SEED) as run:
+        for worker_id in run.workers():
+            for _ in range(2):
+                cluster.set_faults(
+                    worker_id, lose_next={"path": "/tasks", "text": "run_time_s"}
+                )
+        time.sleep(2.0)
+        assert run.finish() == []
+
+
+@pytest.mark.parametrize("platform", [False, True])
+def test_leader_is_partitioned(cluster, platform):
+    """Guards against two leaders that both run the same request."""
+    with scenario(cluster, f"cut-{platform}", SEED) as run:
+        run.isolate(run.leader(), peers=True, platform=platform)
+        time.sleep(2.5)
+        assert run.finish() == []
+
+
+def test_drain_of_the_leader_interrupts_nothing(cluster):
+    """Guards against answers that are cut off by a planned stop (P7)."""
+    with scenario(cluster, "drain", SEED, n_callers=10) as run:
+        run.drain(run.leader())
+        time.sleep(1.0)
+        assert run.finish() == []
+
+
+def test_leaving_worker_gets_no_new_work(cluster):
+    """Guards against work on a worker that is about to go (P6)."""
+    with scenario(cluster, "leave", SEED) as run:
+        run.set_worker(run.workers()[0], leaving=True)
+        time.sleep(4.0)
+        assert run.finish() == []
+    assert run.history.leaving
+
+
+def test_repeat_with_short_deadline_during_a_pause_is_not_denied(cluster):
+    """Guards against "not run" for an order that the successor has run (P4)."""
+    rng = random.Random(SEED)
+    with scenario(cluster, "deny", SEED) as run:
+        leader = run.leader()
+        run.gate("log", "log", method="POST", text="deny-order", when="after")
+        wish = run.load.make_wish("order", "deny-order", rng)
+        wish.body["deadline_s"] = 3.0
+        run.load.submit_later(wish, leader.vm)
+        assert run.wait_held("log", ["log"], 5.0)
+        run.pause(leader)
+        time.sleep(4.5)
+        run.resume()
+        time.sleep(0.3)
+        assert run.finish() == []
