--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -5,12 +5,14 @@
 import random
 import time
 from dataclasses import asdict
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import curio
 import orjson
 import structlog
 
+from .clock import SystemClock
 from .coordination.claims import RequestIndex, record_from_dict
 from .coordination.membership import Member, MemberState, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
@@ -21,6 +23,7 @@
 from .peers import Peers
 from .platform.log import make_log
 from .platform.vmlist import ENTRY, WORKER, make_vm_listing
+from .platform.worker import make_worker
 from .routing import make_router
 from .rpc import RpcServer, idl
 from .shard import ShardDriver
@@ -53,7 +56,8 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.incarnation = time.time_ns()
+        self.clock = SystemClock(settings.wall_clock_offset_s)
+        self.incarnation = int(self.clock.wall() * 1e9)
         self.holder = f"{settings.vm}@{self.incarnation}"
         self.started_at = time.monotonic()
         self.draining = False
@@ -62,7 +66,7 @@
         self.vm_list: list[VmEntry] = []
         self.index = RequestIndex()
         self.follower = Follower(
-            make_log(settings.log_address),
+            make_log(settings.log_address, settings.source_host),
             REQUESTS_STREAM,
             self._on_record,
             self._on_gap,
@@ -73,7 +77,7 @@
                 settings.vm,
                 self.incarnation,
                 0,
-                settings.rpc_address,
+                settings.rpc_advertise or settings.rpc_address,
                 settings.failure_domain,
             )
         )
@@ -82,14 +86,24 @@
             self._describe,
             list(settings.peers),
             random.Random(self.incarnation),
+            settings.source_host,
         )
         self.drivers = {
-            shard: ShardDriver(shard, self.holder, settings, self.follower, self.index)
+            shard: ShardDriver(
+                shard,
+                self.holder,
+                settings,
+                self.follower,
+                self.index,
+                partial(make_worker, source_host=settings.source_host),
+            )
             for shard in shard_names(settings.failure_domain, settings.n_shards)
         }
-        self.router = make_router(self.drivers, self.membership, self.peers, self.index)
+        self.router = make_router(
+            self.drivers, self.membership, self.peers, self.index, self.clock
+        )
         self.entry = Entry(self)
-        self.http = HttpServer(self.entry.handle)
+        self.http = HttpServer(self.entry.handle, settings.http_limits())
         self.rpc = RpcServer(
             {
                 "heartbeat": self._on_heartbeat,
@@ -356,7 +370,9 @@
             await driver.resume()
 
     async def _run_vm_list(self) -> None:
-        listing = make_vm_listing(self.settings.vm_list_address)
+        listing = make_vm_listing(
+            self.settings.vm_list_address, self.settings.source_host
+        )
         while True:
             try:
                 self.vm_list = await listing.read()
@@ -405,7 +421,7 @@
         keep_s = self.settings.dedupe_window_s + EXPIRE_SLACK_S
         while True:
             await curio.sleep(EXPIRE_INTERVAL_S)
-            self.index.expire(time.time() - keep_s)
+            self.index.expire(self.clock.wall() - keep_s)
 
 
 def make_application(settings: Settings) -> Application:
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -59,6 +59,9 @@
 ZERO_OR_SECONDS = Kind(
     Annotated[float, Field(ge=0, le=60, allow_inf_nan=False)], "number"
 )
+OFFSET_SECONDS = Kind(
+    Annotated[float, Field(ge=-60, le=60, allow_inf_nan=False)], "number"
+)
 FRACTION = Kind(Annotated[float, Field(ge=0, le=0.2, allow_inf_nan=False)], "number")
 LOG_FORMAT = Kind(LogFormat, " or ".join(get_args(LogFormat)))
 LOG_LEVEL = Kind(LogLevel, ", ".join(get_args(LogLevel)))
@@ -108,6 +111,13 @@
         "Address told to other entry VMs; rpc_address if absent. Needed when "
         "rpc_address is 0.0.0.0 or behind a translated address.",
     ),
+    Setting(
+        "wall_clock_offset_s",
+        OFFSET_SECONDS,
+        0.0,
+        "s",
+        "Added to the wall clock; for tests of clock errors only.",
+    ),
     Setting("log_address", ADDRESS, REQUIRED, "", "The platform's log."),
     Setting("vm_list_address", ADDRESS, REQUIRED, "", "The platform's list of VMs."),
     Setting(
@@ -236,6 +246,7 @@
     log_address: str
     vm_list_address: str
     rpc_advertise: str = ""
+    wall_clock_offset_s: float = 0.0
     peers: tuple[str, ...] = ()
     n_shards: int = _DEFAULTS["n_shards"]
     clock_error_s: float = _DEFAULTS["clock_error_s"]
@@ -253,6 +264,12 @@
         if not self.rpc_advertise:
             object.__setattr__(self, "rpc_advertise", self.rpc_address)
 
+    @property
+    def source_host(self) -> str:
+        """IP address that outgoing connections are bound to."""
+        host = self.rpc_address.rpartition(":")[0]
+        return "" if host == ANY_HOST else host
+
     def http_limits(self) -> HttpLimits:
         """Return the bounds of the HTTP server."""
         return HttpLimits(
