Follow the started record of another placer

Cause: a placer that took a shard over before its predecessor's started record was folded recorded its own start, which was void; the task was then held for ever, as nothing named the worker of the valid record. Change: the read-back of a void record carries the record that counts; the placer holds the task for that worker, whose next list decides.

--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -94,12 +94,17 @@
     ----------
     valid : bool
         Whether this placer's record is the one that counts.
+    offset : int
+        Offset of the record that counts; -1 for none.
+    other : Started or None
+        The record that counts, if it is another placer's.
     """
 
     task_id: str
     request_id: str
     valid: bool
     offset: int
+    other: Started | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -50,6 +50,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..coordination.claims import Started
     from ..platform.worker import LeaseReply, TaskResult
 
 MAX_TRIES = 3
@@ -258,8 +259,10 @@
             self._finish_if_over(state)
         elif event.valid:
             self._requeue(task, now)  # the worker was never called
+        elif event.other is not None:
+            self._hold_for(event.other, event.offset, task, now)
         else:
-            self._set_phase(task, Phase.HELD, now)  # another placer has it
+            self._set_phase(task, Phase.HELD, now)  # its final answer follows
 
     @_on.register
     def _(self, event: StartReplied, now: float, wall: float) -> None:
@@ -395,6 +398,23 @@
         else:
             self._outcome_unknown(state, task, now)
 
+    def _hold_for(
+        self, started: Started, offset: int, task: TaskState, now: float
+    ) -> None:
+        """Leave a task to the worker that another placer's record names.
+
+        The worker's next list under a newer epoch tells whether it started.
+        """
+        task.prior = offset
+        task.worker_id = started.worker_id
+        task.epoch = started.epoch
+        task.incarnation = started.incarnation
+        self._set_phase(task, Phase.HELD, now)
+        self._adopt_if_listed(task, now)
+        lost = self.roster_complete and started.worker_id not in self.workers
+        if lost and task.phase is Phase.HELD:
+            self._outcome_unknown(self.requests[task.request_id], task, now)
+
     def _pause_worker(self, worker_id: str) -> None:
         """Place nothing more on a worker until it is heard again."""
         worker = self.workers.get(worker_id)
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -423,10 +423,17 @@
     async def _(self, record: Started, bound: Entry) -> None:
         if record.by != self.holder:
             return
-        valid = bound.started.get(record.task_id) == record
+        counts = bound.started.get(record.task_id)
+        valid = counts == record
         offset = bound.started_offsets.get(record.task_id, -1)
         await self.apply(
-            StartRecorded(record.task_id, record.request_id, valid, offset)
+            StartRecorded(
+                record.task_id,
+                record.request_id,
+                valid,
+                offset,
+                None if valid else counts,
+            )
         )
 
     @_follow.register
