Report a worker only under an epoch newer than its doubtful calls

Cause: after a lease had lapsed locally, a renewal could extend the same epoch while start calls were still on their way; a failed release made the fence a no-op for ever. Change: a lapse and FenceWorker note the epoch to leave; a grant of that epoch is released again until the worker grants a newer one.

--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -109,7 +109,9 @@
     lost_at: float = 0.0
     heard: bool = False
     stopped: bool = False
-    fence: bool = False
+    # A grant counts only under a newer epoch than this: start calls may still be
+    # on their way under the older ones.
+    fenced_epoch: int = -1
     task: Any = None
 
 
@@ -186,7 +188,8 @@
         for loop in loops.values():
             await loop.task.cancel()
             await self.apply(WorkerUnreachable(loop.entry.vm))
-            await curio.spawn(self._release, loop, daemon=True)
+            if loop.lease is not None:
+                await curio.spawn(self._release, loop, loop.lease.epoch, daemon=True)
         for waiter in list(self._waiters.values()):
             await waiter.event.set()
 
@@ -477,8 +480,8 @@
     @_do.register
     async def _(self, action: FenceWorker) -> None:
         loop = self._loops.get(action.worker_id)
-        if loop is not None:
-            loop.fence = True
+        if loop is not None and loop.lease is not None:
+            loop.fenced_epoch = loop.lease.epoch
 
     @_do.register
     async def _(self, action: Finish) -> None:
@@ -551,13 +554,10 @@
     async def _run_lease(self, loop: _WorkerLoop) -> None:
         terms = self.settings.lease
         while True:
-            if loop.fence and loop.lease is not None:
-                loop.fence = False
-                await self._release(loop)
-                loop.lease = None
             delay_s = await self._renew(loop)
             now = time.monotonic()
             if loop.lease is not None and not loop.lease.valid(now):
+                loop.fenced_epoch = max(loop.fenced_epoch, loop.lease.epoch)
                 loop.lease = None
                 loop.lost_at = now
                 await self.apply(WorkerUnreachable(loop.entry.vm))
@@ -593,6 +593,11 @@
         except CuminhillError:
             return terms.renew_s / 3
         valid_until = terms.holder_expiry(sent_at)
+        same_life = loop.incarnation in {"", reply.incarnation}
+        if same_life and reply.epoch <= loop.fenced_epoch:
+            loop.lease = None
+            released = await self._release(loop, reply.epoch)
+            return 0.0 if released else terms.renew_s / 3
         if loop.lease is not None and loop.lease.epoch != reply.epoch:
             loop.seq = 0  # a lapse in between: read the whole list again
         if loop.incarnation != reply.incarnation:
@@ -605,13 +610,13 @@
         await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
         return terms.renew_s
 
-    async def _release(self, loop: _WorkerLoop) -> None:
-        if loop.lease is None:
-            return
+    async def _release(self, loop: _WorkerLoop, epoch: int) -> bool:
         try:
-            await loop.client.release(self.holder, loop.lease.epoch, timeout_s=0.5)
+            await loop.client.release(self.holder, epoch, timeout_s=0.5)
         except CuminhillError as exc:
             logger.info("release failed", vm=loop.entry.vm, error=str(exc))
+            return False
+        return True
 
     async def _drop_loop(self, loop: _WorkerLoop) -> None:
         await loop.task.cancel()
