--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -109,11 +109,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StartReplied:
-    """The start call ended without a result."""
+    """The start call ended without a result.
+
+    Parameters
+    ----------
+    epoch : int
+        Lease epoch of the call; a reply to an earlier call than the present one
+        says nothing about the present one.
+    """
 
     task_id: str
     worker_id: str
     outcome: StartOutcome
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -269,6 +269,8 @@
         task = self._tasks.get(event.task_id)
         if task is None or task.phase is not Phase.STARTING:
             return
+        if (task.worker_id, task.epoch) != (event.worker_id, event.epoch):
+            return
         if event.outcome is StartOutcome.RUNNING:
             self._set_phase(task, Phase.RUNNING, now)
         elif event.outcome is StartOutcome.UNKNOWN:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -536,7 +536,9 @@
             await self.apply(TaskEnded(action.worker_id, result))
 
     async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
-        await self.apply(StartReplied(action.task_id, action.worker_id, outcome))
+        await self.apply(
+            StartReplied(action.task_id, action.worker_id, outcome, action.epoch)
+        )
 
     async def _control(self, action: ControlTask) -> None:
         loop = self._loops.get(action.worker_id)
