--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -95,8 +95,8 @@
     valid : bool
         Whether this placer's record is the one that counts.
     offset : int
-        Offset of the record that counts; -1 if none does.
-    winner : Started or None
+        Offset of the record that counts; -1 for none.
+    other : Started or None
         The record that counts, if it is another placer's.
     """
 
@@ -104,16 +104,24 @@
     request_id: str
     valid: bool
     offset: int
-    winner: Started | None = None
+    other: Started | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class StartReplied:
-    """The start call ended without a result."""
+    """The start call ended without a result.
+
+    Parameters
+    ----------
+    epoch : int
+        Lease epoch of the call; a reply to an earlier call than the present one
+        says nothing about the present one.
+    """
 
     task_id: str
     worker_id: str
     outcome: StartOutcome
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
