Refuse request bodies that later stages cannot handle

Cause: orjson reads 1024 levels of nesting but writes only 254, so a deep payload was accepted and could then not be logged; strings and booleans passed as numbers; an order issued in the future would outlive the deduplication window; a task without a slot bypassed the slots of a worker; error messages grew with the body. Change: strict types, bounds on payload size and depth, on the issue time ahead of the clock (60 s), and at least one slot per task. Errors name field, value and expectation, at most 20 of them.

--- a/cuminhill/schema.py
+++ b/cuminhill/schema.py
@@ -6,13 +6,21 @@
 import time
 from typing import Annotated, Any
 
+import orjson
 from pydantic import BaseModel, ConfigDict, Field
-from pydantic import ValidationError as PydanticError
 
 from .errors import ValidationError
 from .model import Request, RequestKind, Resources
+from .util.tables import describe_problems, validate_model
 
 MAX_TASKS = 10_000
+# Payloads travel in log records and start calls, and results are about as large.
+MAX_PAYLOAD_BYTES = 65_536
+# orjson reads 1024 levels but writes only 254, so that a deep payload that was
+# accepted could not be logged.
+MAX_PAYLOAD_DEPTH = 32
+# An order issued in the future would outlive the deduplication window by as much.
+MAX_ISSUED_AHEAD_S = 60.0
 DEFAULT_ORDER_DEADLINE_S = 60.0
 DEFAULT_CHECK_DEADLINE_S = 5.0
 
@@ -23,29 +31,32 @@
 class NeedModel(BaseModel):
     """What each task needs."""
 
-    model_config = ConfigDict(extra="forbid")
+    model_config = ConfigDict(extra="forbid", strict=True)
 
     cores: Amount = 1.0
     memory_mb: Amount = 256.0
     accelerators: Amount = 0.0
-    slots: Amount = 1.0
+    # Without a slot, any number of tasks would fit on one worker.
+    slots: Annotated[float, Field(ge=1, le=1e6, allow_inf_nan=False)] = 1.0
     connections: Amount = 1.0
 
 
 class RequestModel(BaseModel):
     """Body of ``POST /v1/requests``."""
 
-    model_config = ConfigDict(extra="forbid")
+    model_config = ConfigDict(extra="forbid", strict=True)
 
     request_id: Name
-    kind: RequestKind
+    kind: Annotated[RequestKind, Field(strict=False)]
     team: Name = "default"
     need: NeedModel = Field(default_factory=NeedModel)
     n_tasks: Annotated[int, Field(ge=1, le=MAX_TASKS)] = 1
     priority: Annotated[int, Field(ge=-100, le=100)] = 0
-    deadline_s: Annotated[float, Field(gt=0, le=30 * 86400)] | None = None
+    deadline_s: (
+        Annotated[float, Field(gt=0, le=30 * 86400, allow_inf_nan=False)] | None
+    ) = None
     issued_at: Annotated[float, Field(ge=0, allow_inf_nan=False)] | None = None
-    run_time_s: Annotated[float, Field(ge=0, le=1e7)] = 1.0
+    run_time_s: Annotated[float, Field(ge=0, le=1e7, allow_inf_nan=False)] = 1.0
     job_class: str = Field(default="", max_length=128)
     payload: dict[str, Any] = Field(default_factory=dict)
 
@@ -69,23 +80,26 @@
     Raises
     ------
     ValidationError
-        If a field is missing, unknown or out of range; the message names it.
+        If a field is missing, unknown or out of range; the message names it, its
+        value and what was expected.
     """
-    try:
-        model = RequestModel.model_validate(value)
-    except PydanticError as exc:
-        problems = [
-            f"{'.'.join(str(part) for part in item['loc']) or 'body'}: {item['msg']}"
-            for item in exc.errors()
-        ]
-        raise ValidationError("; ".join(problems), step="validate", peer=peer) from exc
+    model, problems = validate_model(RequestModel, value)
+    if model is None:
+        lines = describe_problems(problems, [("body", value)])
+        raise _error("; ".join(lines), peer)
     if model.kind is RequestKind.ORDER and model.issued_at is None:
-        raise ValidationError(
-            "issued_at: an order must carry the time at which it was first issued",
-            step="validate",
-            peer=peer,
+        raise _error(
+            "issued_at: an order must carry the time at which it was first issued", peer
         )
+    _check_payload(model.payload, peer)
     now = time.time()
+    ahead_s = (model.issued_at or 0.0) - now
+    if ahead_s > MAX_ISSUED_AHEAD_S:
+        raise _error(
+            f"issued_at = {model.issued_at}: expected a time at most "
+            f"{MAX_ISSUED_AHEAD_S:g} s ahead of this VM's clock, not {ahead_s:.0f} s",
+            peer,
+        )
     deadline_s = model.deadline_s or _DEFAULT_DEADLINES_S.get(model.kind, math.inf)
     return Request(
         request_id=model.request_id,
@@ -100,3 +114,28 @@
         job_class=model.job_class,
         payload=model.payload,
     )
+
+
+def _check_payload(payload: dict[str, Any], peer: str) -> None:
+    level: list[Any] = [payload]
+    for _ in range(MAX_PAYLOAD_DEPTH):
+        level = [
+            child
+            for item in level
+            for child in (item.values() if isinstance(item, dict) else item)
+            if isinstance(child, dict | list)
+        ]
+        if not level:
+            break
+    else:
+        raise _error(f"payload: nested deeper than {MAX_PAYLOAD_DEPTH} levels", peer)
+    try:
+        size = len(orjson.dumps(payload))
+    except orjson.JSONEncodeError as exc:
+        raise _error(f"payload: {exc}", peer) from exc
+    if size > MAX_PAYLOAD_BYTES:
+        raise _error(f"payload: {size} bytes exceed {MAX_PAYLOAD_BYTES}", peer)
+
+
+def _error(message: str, peer: str) -> ValidationError:
+    return ValidationError(message, step="validate", peer=peer)
--- a/cuminhill/util/tables.py
+++ b/cuminhill/util/tables.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import re
+import reprlib
 import tomllib
 from dataclasses import dataclass
+from functools import cache
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from pydantic import BaseModel
@@ -18,6 +20,7 @@
 
 ABSENT = "absent"
 MAX_SHOWN_CHARS = 80
+MAX_PROBLEMS = 20  # a hostile body can have a hundred thousand
 # How pydantic's messages begin; the rest says what was expected.
 _SUBJECT = re.compile(r"^(Input|Value|String|Dictionary|List) should (be )?")
 
@@ -100,7 +103,8 @@
     try:
         return model.model_validate(value), []
     except PydanticError as exc:
-        return None, [_problem(model, item) for item in exc.errors()]
+        found = exc.errors(include_url=False)[:MAX_PROBLEMS]
+        return None, [_problem(model, item) for item in found]
 
 
 def describe_problems(
@@ -108,7 +112,7 @@
 ) -> list[str]:
     """Return one line per problem, naming the layer that set the key."""
     return [
-        f"{_origin(item.key, layers)}: {'.'.join(item.key) or 'content'} = "
+        f"{_origin(item.key, layers)}: {shown_key(item.key)} = "
         f"{_shown(item.value)}: expected {item.expected}"
         for item in problems
     ]
@@ -126,7 +130,7 @@
 
 def _fields(model: type[BaseModel], key: tuple[str, ...]) -> list[str]:
     """Return the names allowed beside an unknown key."""
-    schema = model.model_json_schema()
+    schema = _schema(model)
     node: Any = schema
     for part in key[:-1]:
         node = node.get("properties", {}).get(part) or _of_any_key(node)
@@ -136,6 +140,11 @@
     return list(node.get("properties", {}))
 
 
+@cache
+def _schema(model: type[BaseModel]) -> dict[str, Any]:
+    return model.model_json_schema()
+
+
 def _of_any_key(node: Any) -> Any:
     """Return the schema of the values of a table whose keys are free names."""
     found = node.get("additionalProperties")
@@ -161,8 +170,16 @@
     return True
 
 
+def shown_key(key: tuple[str, ...]) -> str:
+    """Return the dotted path of a key, shortened for a message."""
+    text = ".".join(key) or "content"
+    if len(text) <= MAX_SHOWN_CHARS:
+        return text
+    return f"{text[: MAX_SHOWN_CHARS - 3]}..."
+
+
 def _shown(value: Any) -> str:
-    text = value if value is ABSENT else repr(value)
+    text = value if value is ABSENT else reprlib.repr(value)
     return text if len(text) <= MAX_SHOWN_CHARS else f"{text[: MAX_SHOWN_CHARS - 3]}..."
 
 
