Bound what a connection of a caller can cost the others

Cause: a failed accept (out of file descriptors) ended the accept task; idle connections up to the bound locked out new callers; a response after an oversized body was lost to a reset; a slow reader, a malformed target or HEAD ended the task of the connection with an exception; a pipeline did not yield to other callers; the client reused connections that the server had closed. The client moved to util/http_client.py (re-exported by util/http.py) and bounds responses. http counters: n_refused_connections is now connections.n_refused.

--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -1,8 +1,7 @@
-"""HTTP/1.1 server and client on curio, with h11 on both sides."""
+"""HTTP/1.1 server on curio and h11; `http_client` has the other side."""
 
 from __future__ import annotations
 
-import math
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -11,19 +10,24 @@
 import curio
 import h11
 import orjson
+import structlog
 from curio import socket
 
-from ..errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from ..errors import ProtocolError
+from .http_client import HttpClient, make_http_client
+from .listener import Connection, Listener, ListenerCounters
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+logger = structlog.get_logger(__name__)
+
 READ_SIZE = 65536  # bytes
 MAX_HEADER_BYTES = 16384
-LISTEN_BACKLOG = 1024
-CONN_MAX_IDLE_S = (
-    10.0  # below the servers' idle time-out, so reuse rarely races a close
-)
+# After a refusal the rest of the request is read for so long, since closing with
+# unread input resets the connection and can destroy the response.
+LINGER_S = 1.0
+LINGER_BYTES = 4 << 20
 
 
 @dataclass(slots=True)
@@ -74,7 +78,8 @@
     Parameters
     ----------
     max_connections : int
-        Connections beyond this are closed at once.
+        Beyond this the longest idle connection is closed for a new one; if none
+        is idle, the new one is closed.
     max_body_bytes : int
         Larger bodies get status 413.
     idle_timeout_s : float, seconds
@@ -97,27 +102,30 @@
     """What a server has seen, by kind."""
 
     n_requests: int = 0
-    n_refused_connections: int = 0
     n_bad_requests: int = 0
     n_too_large: int = 0
     n_read_timeouts: int = 0
+    n_write_timeouts: int = 0
     n_idle_closed: int = 0
     n_handler_errors: int = 0
+    connections: ListenerCounters = field(default_factory=ListenerCounters)
 
 
 class _TooLargeError(Exception):
     """The body exceeds the limit."""
 
 
+class _BadTargetError(Exception):
+    """The target of the request is no path."""
+
+
 @dataclass(eq=False, slots=True)
-class _Connection:
-    """Server side of one connection."""
+class _Exchange:
+    """State of one connection between its requests and responses."""
 
-    sock: Any
-    peer: str
+    conn: Connection
     h11_conn: h11.Connection
-    task: Any = None
-    busy: bool = False
+    method: str = ""
 
 
 @dataclass(eq=False)
@@ -136,31 +144,33 @@
     handler: Callable[[HttpRequest], Awaitable[HttpResponse | None]]
     limits: HttpLimits = field(default_factory=HttpLimits)
     counters: HttpCounters = field(default_factory=HttpCounters)
-    host: str = ""
-    port: int = 0
-    _sock: Any = None
-    _accept_task: Any = None
-    _conns: set[_Connection] = field(default_factory=set)
+    n_busy: int = 0
+    listener: Listener = field(init=False)
     _closing: bool = False
 
+    def __post_init__(self) -> None:
+        self.listener = Listener(
+            self._serve, self.limits.max_connections, self.counters.connections
+        )
+
     @property
-    def n_connections(self) -> int:
-        """Number of open connections."""
-        return len(self._conns)
+    def host(self) -> str:
+        """IP address at which the server listens."""
+        return self.listener.host
+
+    @property
+    def port(self) -> int:
+        """TCP port at which the server listens."""
+        return self.listener.port
 
     @property
-    def n_busy(self) -> int:
-        """Number of connections with a request in progress."""
-        return sum(conn.busy for conn in self._conns)
+    def n_connections(self) -> int:
+        """Number of open connections."""
+        return len(self.listener.conns)
 
     async def start(self, host: str, port: int) -> None:
         """Bind, listen and accept in the background; port 0 takes a free one."""
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind((host, port))
-        self._sock.listen(LISTEN_BACKLOG)
-        self.host, self.port = self._sock.getsockname()
-        self._accept_task = await curio.spawn(self._accept, daemon=True)
+        await self.listener.start(host, port)
 
     async def close(self, grace_s: float = 10.0) -> None:
         """Stop accepting, let requests in progress finish, then close.
@@ -171,74 +181,63 @@
             Requests still in progress after this time are cut off.
         """
         self._closing = True
-        if self._accept_task is not None:
-            await self._accept_task.cancel()
-            await self._sock.close()
+        await self.listener.stop_accepting()
         give_up_at = time.monotonic() + grace_s
         while self.n_busy and time.monotonic() < give_up_at:
             await curio.sleep(0.01)
-        for conn in list(self._conns):
-            await conn.task.cancel()
+        await self.listener.close_all()
 
-    async def _accept(self) -> None:
-        while True:
-            sock, address = await self._sock.accept()
-            if len(self._conns) >= self.limits.max_connections:
-                self.counters.n_refused_connections += 1
-                await sock.close()
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            conn = _Connection(
-                sock,
-                f"{address[0]}:{address[1]}",
-                h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES),
-            )
-            self._conns.add(conn)
-            conn.task = await curio.spawn(self._serve, conn, daemon=True)
-
-    async def _serve(self, conn: _Connection) -> None:
+    async def _serve(self, conn: Connection) -> None:
+        h11_conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        exchange = _Exchange(conn, h11_conn)
         try:
-            while await self._serve_one(conn):
-                conn.h11_conn.start_next_cycle()
+            while await self._serve_one(exchange):
+                h11_conn.start_next_cycle()
+                if h11_conn.trailing_data[0]:
+                    await curio.sleep(0)  # lets others run between pipelined requests
+        except curio.TaskTimeout:
+            self.counters.n_write_timeouts += 1
         except (OSError, h11.LocalProtocolError):
             pass  # the caller has gone; nobody is left to tell
-        finally:
-            self._conns.discard(conn)
-            await conn.sock.close()
 
-    async def _serve_one(self, conn: _Connection) -> bool:
+    async def _serve_one(self, exchange: _Exchange) -> bool:
         """Serve one request; return whether the connection can serve another."""
         try:
-            req = await self._read_request(conn)
+            req = await self._read_request(exchange)
         except curio.TaskTimeout:
             self.counters.n_read_timeouts += 1
-            await self._refuse(conn, 408, "request did not arrive in time")
+            await self._refuse(exchange, 408, "request did not arrive in time")
             return False
         except _TooLargeError:
             self.counters.n_too_large += 1
             limit = self.limits.max_body_bytes
-            await self._refuse(conn, 413, f"body exceeds {limit} bytes")
+            await self._refuse(exchange, 413, f"body exceeds {limit} bytes")
+            return False
+        except _BadTargetError as exc:
+            self.counters.n_bad_requests += 1
+            await self._refuse(exchange, 400, str(exc))
             return False
         except h11.RemoteProtocolError as exc:
             self.counters.n_bad_requests += 1
-            await self._refuse(conn, exc.error_status_hint, str(exc))
+            await self._refuse(exchange, exc.error_status_hint, str(exc))
             return False
         if req is None:
             return False
         self.counters.n_requests += 1
-        conn.busy = True
+        self.n_busy += 1
+        self.listener.mark_busy(exchange.conn)
         try:
             response = await self._handle(req)
             if response is None:
                 return False
-            await self._send(conn, response)
+            await self._send(exchange, response, self._closing)
         finally:
-            conn.busy = False
-        return (
-            not self._closing
-            and conn.h11_conn.our_state is h11.DONE
-            and conn.h11_conn.their_state is h11.DONE
-        )
+            self.n_busy -= 1
+            self.listener.mark_idle(exchange.conn)
+        states = {exchange.h11_conn.our_state, exchange.h11_conn.their_state}
+        return not self._closing and states == {h11.DONE}
 
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         try:
@@ -246,71 +245,100 @@
         except ProtocolError as exc:
             self.counters.n_bad_requests += 1
             return HttpResponse(400, {"error": exc.message, "step": exc.step})
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:
             self.counters.n_handler_errors += 1
+            logger.error("handler failed", path=req.path, peer=req.peer, exc_info=exc)
             return HttpResponse(500, {"error": repr(exc), "step": "handle"})
 
-    async def _refuse(self, conn: _Connection, status: int, message: str) -> None:
-        if conn.h11_conn.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+    async def _refuse(self, exchange: _Exchange, status: int, message: str) -> None:
+        if exchange.h11_conn.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        await self._send(conn, HttpResponse(status, {"error": message, "step": "read"}))
+        response = HttpResponse(status, {"error": message, "step": "read"})
+        await self._send(exchange, response, True)
+        await _linger(exchange.conn.sock)
 
-    async def _read_request(self, conn: _Connection) -> HttpRequest | None:
+    async def _read_request(self, exchange: _Exchange) -> HttpRequest | None:
         """Return the next request, or None when the connection ends in between."""
-        if conn.h11_conn.trailing_data[0] == b"":
+        if exchange.h11_conn.trailing_data[0] == b"":
             try:
                 async with curio.timeout_after(self.limits.idle_timeout_s):
-                    data = await conn.sock.recv(READ_SIZE)
+                    data = await exchange.conn.sock.recv(READ_SIZE)
             except curio.TaskTimeout:
                 self.counters.n_idle_closed += 1
                 return None
-            conn.h11_conn.receive_data(data)
+            exchange.h11_conn.receive_data(data)
         async with curio.timeout_after(self.limits.read_timeout_s):
-            return await self._read_events(conn)
+            return await self._read_events(exchange)
 
-    async def _read_events(self, conn: _Connection) -> HttpRequest | None:
+    async def _read_events(self, exchange: _Exchange) -> HttpRequest | None:
+        h11_conn, sock = exchange.h11_conn, exchange.conn.sock
         head: h11.Request | None = None
-        body = b""
+        body = bytearray()
         while True:
-            event = conn.h11_conn.next_event()
+            event = h11_conn.next_event()
             if event is h11.NEED_DATA:
-                if conn.h11_conn.they_are_waiting_for_100_continue:
-                    await conn.sock.sendall(
-                        conn.h11_conn.send(
-                            h11.InformationalResponse(status_code=100, headers=[])
-                        )
-                    )
-                conn.h11_conn.receive_data(await conn.sock.recv(READ_SIZE))
+                if h11_conn.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await sock.sendall(h11_conn.send(go_on))
+                h11_conn.receive_data(await sock.recv(READ_SIZE))
             elif isinstance(event, h11.Request):
                 head = event
+                exchange.method = head.method.decode("ascii")
+                if _declared_length(head) > self.limits.max_body_bytes:
+                    raise _TooLargeError
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.limits.max_body_bytes:
                     raise _TooLargeError
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, body, conn.peer)
+                return _make_request(head, bytes(body), exchange.conn.peer)
             else:
                 return None
 
-    async def _send(self, conn: _Connection, response: HttpResponse) -> None:
+    async def _send(
+        self, exchange: _Exchange, response: HttpResponse, close: bool
+    ) -> None:
         body = response.body()
         headers = [
             ("content-type", response.content_type),
             ("content-length", str(len(body))),
         ]
-        if self._closing:
+        if close:
             headers.append(("connection", "close"))
-        h11_conn = conn.h11_conn
+        h11_conn = exchange.h11_conn
         head = h11.Response(status_code=response.status, headers=headers)
         data = h11_conn.send(head) or b""
-        data += h11_conn.send(h11.Data(data=body)) or b""
+        if exchange.method != "HEAD":
+            data += h11_conn.send(h11.Data(data=body)) or b""
         data += h11_conn.send(h11.EndOfMessage()) or b""
         async with curio.timeout_after(self.limits.write_timeout_s):
-            await conn.sock.sendall(data)
+            await exchange.conn.sock.sendall(data)
+
+
+def _declared_length(head: h11.Request) -> int:
+    # h11 has checked that the value is a number.
+    values = [int(value) for key, value in head.headers if key == b"content-length"]
+    return values[0] if values else 0
+
+
+async def _linger(sock: Any) -> None:
+    """Read what the caller still sends, within bounds, before the close."""
+    n_read = 0
+    try:
+        await sock.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_S):
+            while n_read < LINGER_BYTES and (data := await sock.recv(READ_SIZE)):
+                n_read += len(data)
+    except OSError:
+        pass  # the caller has closed as well
 
 
 def _make_request(head: h11.Request, body: bytes, peer: str) -> HttpRequest:
-    parts = urlsplit(head.target.decode("ascii"))
+    target = head.target.decode("ascii")
+    try:
+        parts = urlsplit(target)
+    except ValueError as exc:
+        raise _BadTargetError(f"target {target!r}: {exc}") from exc
     return HttpRequest(
         method=head.method.decode("ascii"),
         path=parts.path,
@@ -321,155 +349,12 @@
     )
 
 
-@dataclass(eq=False, slots=True)
-class _PooledConnection:
-    """Client side of one connection."""
-
-    sock: Any
-    h11_conn: h11.Connection
-    used_at: float
-
-
-@dataclass(eq=False)
-class HttpClient:
-    """HTTP client for one server, with a small pool of kept connections.
-
-    Parameters
-    ----------
-    host : str
-        IP address of the server.
-    port : int
-        TCP port of the server.
-    max_idle : int, default=8
-        Connections kept open between requests.
-    connect_timeout_s : float, seconds, default=inf
-        Bound on connecting, within the bound on the whole exchange.
-    """
-
-    host: str
-    port: int
-    max_idle: int = 8
-    connect_timeout_s: float = math.inf
-    _idle: list[_PooledConnection] = field(default_factory=list)
-
-    @property
-    def peer(self) -> str:
-        """Address of the server."""
-        return f"{self.host}:{self.port}"
-
-    async def request(
-        self, method: str, path: str, value: Any = None, *, timeout_s: float = 5.0
-    ) -> tuple[int, Any]:
-        """Send a request with a JSON body and return status and decoded body.
-
-        Parameters
-        ----------
-        method : str
-            HTTP method.
-        path : str
-            Path with query.
-        value : object, default=None
-            JSON value of the body; None sends no body.
-        timeout_s : float, seconds
-            Bound on the whole exchange.
-
-        Returns
-        -------
-        status : int
-            HTTP status.
-        value : object
-            Decoded JSON body, or the text of a body of another type.
-
-        Raises
-        ------
-        UnavailableError
-            If the request was certainly not sent.
-        UnknownOutcomeError
-            If the connection or the time ran out after sending began.
-        """
-        give_up_at = time.monotonic() + timeout_s
-        conn = await self._connect(timeout_s)
-        try:
-            async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
-                result = await self._exchange(conn, method, path, value)
-        except curio.TaskTimeout as exc:
-            await conn.sock.close()
-            raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
-        except (OSError, h11.ProtocolError, ValueError) as exc:
-            # A body that cannot be decoded (ValueError) leaves the outcome open too.
-            await conn.sock.close()
-            raise UnknownOutcomeError(repr(exc), step="http", peer=self.peer) from exc
-        except BaseException:
-            await conn.sock.close()
-            raise
-        await self._give_back(conn)
-        return result
-
-    async def close(self) -> None:
-        """Close the kept connections."""
-        while self._idle:
-            await self._idle.pop().sock.close()
-
-    async def _connect(self, timeout_s: float) -> _PooledConnection:
-        while self._idle:
-            conn = self._idle.pop()
-            if time.monotonic() - conn.used_at < CONN_MAX_IDLE_S:
-                return conn
-            await conn.sock.close()
-        try:
-            async with curio.timeout_after(min(timeout_s, self.connect_timeout_s)):
-                sock = await curio.open_connection(self.host, self.port)
-        except (OSError, curio.TaskTimeout) as exc:
-            raise UnavailableError(repr(exc), step="connect", peer=self.peer) from exc
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return _PooledConnection(sock, h11.Connection(h11.CLIENT), time.monotonic())
-
-    async def _give_back(self, conn: _PooledConnection) -> None:
-        states = {conn.h11_conn.our_state, conn.h11_conn.their_state}
-        if states != {h11.DONE} or len(self._idle) >= self.max_idle:
-            await conn.sock.close()
-            return
-        conn.h11_conn.start_next_cycle()
-        conn.used_at = time.monotonic()
-        self._idle.append(conn)
-
-    async def _exchange(
-        self, conn: _PooledConnection, method: str, path: str, value: Any
-    ) -> tuple[int, Any]:
-        body = b"" if value is None else orjson.dumps(value)
-        headers = [("host", self.peer), ("content-length", str(len(body)))]
-        head = h11.Request(method=method, target=path, headers=headers)
-        data = conn.h11_conn.send(head) or b""
-        if body:
-            data += conn.h11_conn.send(h11.Data(data=body)) or b""
-        data += conn.h11_conn.send(h11.EndOfMessage()) or b""
-        await conn.sock.sendall(data)
-        return await self._read_response(conn)
-
-    async def _read_response(self, conn: _PooledConnection) -> tuple[int, Any]:
-        status = 0
-        is_json = False
-        chunks: list[bytes] = []
-        while True:
-            event = conn.h11_conn.next_event()
-            if event is h11.NEED_DATA:
-                conn.h11_conn.receive_data(await conn.sock.recv(READ_SIZE))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-                kinds = [v for k, v in event.headers if k == b"content-type"]
-                is_json = b"application/json" in kinds
-            elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                body = b"".join(chunks)
-                return status, orjson.loads(body) if is_json else body.decode()
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("closed before the response was complete")
-
-
-def make_http_client(
-    address: str, max_idle: int = 8, connect_timeout_s: float = math.inf
-) -> HttpClient:
-    """Return a client for ``"host:port"``."""
-    host, _, port = address.rpartition(":")
-    return HttpClient(host, int(port), max_idle, connect_timeout_s)
+__all__ = [
+    "HttpClient",
+    "HttpCounters",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "make_http_client",
+]
--- /dev/null
+++ b/cuminhill/util/http_client.py
@@ -0,0 +1,188 @@
+"""HTTP/1.1 client on curio and h11, with kept connections."""
+
+from __future__ import annotations
+
+import math
+import select
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import h11
+import orjson
+from curio import socket
+
+from ..errors import UnavailableError, UnknownOutcomeError
+
+READ_SIZE = 65536  # bytes
+MAX_RESPONSE_BYTES = 64 << 20
+# Below the servers' idle time-out, so that reuse rarely races a close.
+CONN_MAX_IDLE_S = 10.0
+
+
+class _TooLargeError(ValueError):
+    """The response exceeds `MAX_RESPONSE_BYTES`."""
+
+
+@dataclass(eq=False, slots=True)
+class _PooledConnection:
+    """Client side of one connection."""
+
+    sock: Any
+    h11_conn: h11.Connection
+    used_at: float
+
+
+@dataclass(eq=False)
+class HttpClient:
+    """HTTP client for one server, with a small pool of kept connections.
+
+    Parameters
+    ----------
+    host : str
+        IP address of the server.
+    port : int
+        TCP port of the server.
+    max_idle : int, default=8
+        Connections kept open between requests.
+    connect_timeout_s : float, seconds, default=inf
+        Bound on connecting, within the bound on the whole exchange.
+    """
+
+    host: str
+    port: int
+    max_idle: int = 8
+    connect_timeout_s: float = math.inf
+    _idle: list[_PooledConnection] = field(default_factory=list)
+
+    @property
+    def peer(self) -> str:
+        """Address of the server."""
+        return f"{self.host}:{self.port}"
+
+    async def request(
+        self, method: str, path: str, value: Any = None, *, timeout_s: float = 5.0
+    ) -> tuple[int, Any]:
+        """Send a request with a JSON body and return status and decoded body.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        path : str
+            Path with query.
+        value : object, default=None
+            JSON value of the body; None sends no body.
+        timeout_s : float, seconds
+            Bound on the whole exchange.
+
+        Returns
+        -------
+        status : int
+            HTTP status.
+        value : object
+            Decoded JSON body, or the text of a body of another type.
+
+        Raises
+        ------
+        UnavailableError
+            If the request was certainly not sent.
+        UnknownOutcomeError
+            If the connection or the time ran out after sending began.
+        """
+        give_up_at = time.monotonic() + timeout_s
+        conn = await self._connect(timeout_s)
+        try:
+            async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
+                result = await self._exchange(conn, method, path, value)
+        except curio.TaskTimeout as exc:
+            await conn.sock.close()
+            raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
+        except (OSError, h11.ProtocolError, ValueError) as exc:
+            # A body that cannot be decoded (ValueError) leaves the outcome open too.
+            await conn.sock.close()
+            raise UnknownOutcomeError(repr(exc), step="http", peer=self.peer) from exc
+        except BaseException:
+            await conn.sock.close()
+            raise
+        await self._give_back(conn)
+        return result
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            await self._idle.pop().sock.close()
+
+    async def _connect(self, timeout_s: float) -> _PooledConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            fresh = time.monotonic() - conn.used_at < CONN_MAX_IDLE_S
+            if fresh and not _has_input(conn.sock):
+                return conn
+            await conn.sock.close()
+        try:
+            async with curio.timeout_after(min(timeout_s, self.connect_timeout_s)):
+                sock = await curio.open_connection(self.host, self.port)
+        except (OSError, curio.TaskTimeout) as exc:
+            raise UnavailableError(repr(exc), step="connect", peer=self.peer) from exc
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return _PooledConnection(sock, h11.Connection(h11.CLIENT), time.monotonic())
+
+    async def _give_back(self, conn: _PooledConnection) -> None:
+        states = {conn.h11_conn.our_state, conn.h11_conn.their_state}
+        if states != {h11.DONE} or len(self._idle) >= self.max_idle:
+            await conn.sock.close()
+            return
+        conn.h11_conn.start_next_cycle()
+        conn.used_at = time.monotonic()
+        self._idle.append(conn)
+
+    async def _exchange(
+        self, conn: _PooledConnection, method: str, path: str, value: Any
+    ) -> tuple[int, Any]:
+        body = b"" if value is None else orjson.dumps(value)
+        headers = [("host", self.peer), ("content-length", str(len(body)))]
+        head = h11.Request(method=method, target=path, headers=headers)
+        data = conn.h11_conn.send(head) or b""
+        if body:
+            data += conn.h11_conn.send(h11.Data(data=body)) or b""
+        data += conn.h11_conn.send(h11.EndOfMessage()) or b""
+        await conn.sock.sendall(data)
+        return await self._read_response(conn)
+
+    async def _read_response(self, conn: _PooledConnection) -> tuple[int, Any]:
+        status = 0
+        is_json = False
+        body = bytearray()
+        while True:
+            event = conn.h11_conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.h11_conn.receive_data(await conn.sock.recv(READ_SIZE))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                kinds = [v for k, v in event.headers if k == b"content-type"]
+                is_json = b"application/json" in kinds
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise _TooLargeError(f"response of over {len(body)} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                return status, orjson.loads(body) if is_json else body.decode()
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the response was complete")
+
+
+def make_http_client(
+    address: str, max_idle: int = 8, connect_timeout_s: float = math.inf
+) -> HttpClient:
+    """Return a client for ``"host:port"``."""
+    host, _, port = address.rpartition(":")
+    return HttpClient(host, int(port), max_idle, connect_timeout_s)
+
+
+def _has_input(sock: Any) -> bool:
+    """Return whether an idle connection has been closed by the other side."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- /dev/null
+++ b/cuminhill/util/listener.py
@@ -0,0 +1,152 @@
+"""Accepts TCP connections within a bound and spawns a task for each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import TYPE_CHECKING, Any
+
+import curio
+from curio import socket
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+LISTEN_BACKLOG = 1024
+ACCEPT_RETRY_S = 0.05
+N_EVICTED_ON_ERROR = 16
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One accepted connection.
+
+    Parameters
+    ----------
+    sock : object
+        Socket of curio.
+    peer : str
+        ``"host:port"`` of the other side.
+    task : object
+        Task that serves it.
+    """
+
+    sock: Any
+    peer: str
+    task: Any = None
+
+
+@dataclass(slots=True)
+class ListenerCounters:
+    """What a listener has seen."""
+
+    n_accepted: int = 0
+    n_refused: int = 0
+    n_evicted: int = 0
+    n_accept_errors: int = 0
+
+
+@dataclass(eq=False)
+class Listener:
+    """Accepts connections; when full, it closes the longest idle one.
+
+    Idle connections are those that the serving side has marked so; closing them
+    keeps callers that hold many unused connections from locking out others.
+
+    Parameters
+    ----------
+    serve : callable
+        Coroutine function that serves one connection until it ends.
+    max_connections : int
+        Bound on open connections.
+    """
+
+    serve: Callable[[Connection], Awaitable[None]]
+    max_connections: int
+    counters: ListenerCounters = field(default_factory=ListenerCounters)
+    host: str = ""
+    port: int = 0
+    conns: set[Connection] = field(default_factory=set)
+    _idle: dict[Connection, None] = field(default_factory=dict)
+    _sock: Any = None
+    _task: Any = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Bind, listen and accept in the background; port 0 takes a free one."""
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind((host, port))
+        self._sock.listen(LISTEN_BACKLOG)
+        self.host, self.port = self._sock.getsockname()
+        self._task = await curio.spawn(self._accept, daemon=True)
+
+    async def stop_accepting(self) -> None:
+        """Close the listening socket; open connections stay."""
+        if self._task is not None:
+            await self._task.cancel()
+            await self._sock.close()
+            self._task = None
+
+    async def close_all(self) -> None:
+        """Cancel the tasks of all connections."""
+        for conn in list(self.conns):
+            if conn.task is not None:
+                await conn.task.cancel()
+
+    def mark_idle(self, conn: Connection) -> None:
+        """Allow closing a connection in favour of a new one."""
+        if conn in self.conns:
+            self._idle[conn] = None
+
+    def mark_busy(self, conn: Connection) -> None:
+        """Keep a connection until it is idle again."""
+        self._idle.pop(conn, None)
+
+    async def _accept(self) -> None:
+        while True:
+            try:
+                sock, address = await self._sock.accept()
+            except OSError:
+                # Out of file descriptors, most likely: make room and go on.
+                self.counters.n_accept_errors += 1
+                await self._evict(N_EVICTED_ON_ERROR)
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
+            if len(self.conns) >= self.max_connections and not await self._evict(1):
+                self.counters.n_refused += 1
+                await sock.close()
+                continue
+            await self._begin(Connection(sock, f"{address[0]}:{address[1]}"))
+
+    async def _begin(self, conn: Connection) -> None:
+        try:
+            conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # reset before it was accepted
+            await conn.sock.close()
+            return
+        self.counters.n_accepted += 1
+        self.conns.add(conn)
+        self.mark_idle(conn)
+        conn.task = await curio.spawn(self._run, conn, daemon=True)
+
+    async def _run(self, conn: Connection) -> None:
+        try:
+            await self.serve(conn)
+        finally:
+            self._forget(conn)
+            await conn.sock.close()
+
+    async def _evict(self, count: int) -> int:
+        """Close the longest idle connections; return how many were closed."""
+        n_evicted = 0
+        for conn in list(islice(self._idle, count)):
+            self._forget(conn)
+            n_evicted += 1
+            if conn.task is not None:
+                await conn.task.cancel(blocking=False)
+        self.counters.n_evicted += n_evicted
+        return n_evicted
+
+    def _forget(self, conn: Connection) -> None:
+        self.conns.discard(conn)
+        self._idle.pop(conn, None)
--- /dev/null
+++ b/tests/util/test_http.py
@@ -0,0 +1,330 @@
+"""Tests of the HTTP server and client against real sockets."""
+
+from __future__ import annotations
+
+import errno
+import functools
+
+import curio
+import pytest
+from curio import socket
+
+from cuminhill.errors import UnavailableError, UnknownOutcomeError
+from cuminhill.util import http_client
+from cuminhill.util.http import HttpLimits, HttpResponse, HttpServer, make_http_client
+
+HOST = "127.0.0.1"
+LIMITS = HttpLimits(
+    max_connections=50,
+    max_body_bytes=2000,
+    idle_timeout_s=0.4,
+    read_timeout_s=0.15,
+    write_timeout_s=0.2,
+)
+GET = b"GET /ok HTTP/1.1\r\nhost: x\r\n\r\n"
+POST = b"POST /json HTTP/1.1\r\nhost: x\r\n"
+
+
+class Handler:
+    """Echoes JSON; some paths misbehave."""
+
+    def __init__(self):
+        self.paths = []
+        self.release = curio.Event()
+
+    async def __call__(self, req):
+        """Serve one request."""
+        self.paths.append(req.path)
+        match req.path:
+            case "/json":
+                return HttpResponse(200, req.json())
+            case "/hold":
+                await self.release.wait()
+            case "/error":
+                raise ValueError("bug")
+            case "/timeout":
+                async with curio.timeout_after(0.01):
+                    await curio.sleep(1)
+            case "/large":
+                return HttpResponse(200, raw=b"x" * 30_000_000)
+            case "/garbage":
+                return HttpResponse(200, raw=b"{")
+            case "/close":
+                return None
+        return HttpResponse(200, {"ok": True})
+
+
+def on_server(limits=LIMITS):
+    """Run an async test with a server; a bystander must be served at its end."""
+
+    def wrap(test):
+        @functools.wraps(test)
+        def run():
+            curio.run(main)
+
+        async def main():
+            server = HttpServer(Handler(), limits)
+            await server.start(HOST, 0)
+            async with curio.timeout_after(20):
+                await test(server)
+                assert await get(server, "/ok") == (200, {"ok": True})
+            await server.close(0)
+
+        del run.__wrapped__  # pytest would look for a fixture named "server"
+        return run
+
+    return wrap
+
+
+async def get(server, path):
+    client = make_http_client(f"{HOST}:{server.port}")
+    try:
+        return await client.request("GET", path)
+    finally:
+        await client.close()
+
+
+async def read_all(sock):
+    data = b""
+    while chunk := await sock.recv(65536):
+        data += chunk
+    return data
+
+
+async def exchange(server, *parts, shut=False):
+    """Send raw bytes and return all that comes back until the server closes."""
+    sock = await curio.open_connection(HOST, server.port)
+    try:
+        for part in parts:
+            await sock.sendall(part)
+        if shut:
+            await sock.shutdown(socket.SHUT_WR)
+        return await read_all(sock)
+    finally:
+        await sock.close()
+
+
+REFUSED = {
+    "malformed JSON": ([POST + b"content-length: 1\r\n\r\n{"], 400, "n_bad_requests"),
+    "NaN": ([POST + b"content-length: 3\r\n\r\nNaN"], 400, "n_bad_requests"),
+    "deep nesting": (
+        [POST + b"content-length: 2000\r\n\r\n" + b"[" * 2000],
+        400,
+        "n_bad_requests",
+    ),
+    "no HTTP": ([b"\x16\x03\x01\x02\x00\x01\r\n\r\n"], 400, "n_bad_requests"),
+    "no host": ([b"GET / HTTP/1.1\r\n\r\n"], 400, "n_bad_requests"),
+    "bad target": ([GET.replace(b"/ok", b"http://[")], 400, "n_bad_requests"),
+    "two lengths": (
+        [POST + b"content-length: 1\r\ncontent-length: 2\r\n\r\n12"],
+        400,
+        "n_bad_requests",
+    ),
+    "header without end": ([GET[:-2] + b"a: " + b"x" * 40_000], 431, "n_bad_requests"),
+    "declared too large": (
+        [POST + b"content-length: 3000000\r\n\r\n", b"x" * 3_000_000],
+        413,
+        "n_too_large",
+    ),
+    "huge declared length": (
+        [POST + b"content-length: 99999999999999999999\r\n\r\n"],
+        413,
+        "n_too_large",
+    ),
+    "chunked too large": (
+        [POST + b"transfer-encoding: chunked\r\n\r\n", b"3e8\r\n%b\r\n" % (b"x" * 1000)]
+        + [b"3e8\r\n%b\r\n" % (b"x" * 1000)] * 3,
+        413,
+        "n_too_large",
+    ),
+    "slow header": ([GET[:20]], 408, "n_read_timeouts"),
+    "slow body": ([POST + b"content-length: 5\r\n\r\n12"], 408, "n_read_timeouts"),
+}
+
+
+@pytest.mark.parametrize("fault", REFUSED)
+def test_bad_request_gets_a_clear_error_and_a_counter(fault):
+    """Guards against bad input that is dropped silently or ends the server."""
+    parts, status, counter = REFUSED[fault]
+
+    @on_server()
+    async def run(server):
+        data = await exchange(server, *parts, shut=status == 400)
+        head, _, body = data.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 %d " % status), data
+        assert b'"error"' in body
+        assert getattr(server.counters, counter) == 1
+
+    run()
+
+
+@on_server()
+async def test_idle_and_half_open_connections_end(server):
+    """Guards against connections whose callers are gone and that stay for ever."""
+    silent = await curio.open_connection(HOST, server.port)
+    gone = await curio.open_connection(HOST, server.port)
+    await gone.sendall(GET[:10])
+    await gone.close()
+    assert await read_all(silent) == b""
+    assert (await exchange(server, GET, shut=True)).endswith(b'{"ok":true}')
+    assert server.counters.n_idle_closed == 1
+    assert server.n_connections == 0
+    await silent.close()
+
+
+@on_server(HttpLimits(max_connections=200, idle_timeout_s=60))
+async def test_thousands_of_idle_connections_lock_nobody_out(server):
+    """Guards against callers that are refused because others hold connections."""
+    idle = [await curio.open_connection(HOST, server.port) for _ in range(2500)]
+    for _ in range(5):
+        assert (await get(server, "/ok"))[0] == 200
+    counters = server.counters.connections
+    assert server.n_connections <= 200
+    assert counters.n_evicted >= 2300
+    assert counters.n_refused == 0
+    for sock in idle:
+        await sock.close()
+
+
+@on_server(HttpLimits(max_connections=3, idle_timeout_s=60))
+async def test_busy_connections_are_not_closed_for_new_ones(server):
+    """Guards against a flood of connections that cuts off requests in progress."""
+    held = [await curio.spawn(get, server, "/hold") for _ in range(3)]
+    while server.n_busy < 3:
+        await curio.sleep(0.01)
+    with pytest.raises((UnavailableError, UnknownOutcomeError)):
+        await get(server, "/ok")
+    await server.handler.release.set()
+    assert [(await task.join())[0] for task in held] == [200] * 3
+    assert server.counters.connections.n_refused == 1
+
+
+@on_server()
+async def test_pipelined_requests_are_answered_in_order_and_share_the_server(server):
+    """Guards against mixed-up answers, and a pipeline that starves other callers."""
+    paths = [b"/p%d" % index for index in range(1500)]
+    sock = await curio.open_connection(HOST, server.port)
+    await sock.sendall(b"".join(GET.replace(b"/ok", path) for path in paths))
+    other = await curio.spawn(get, server, "/other")
+    data = b""
+    while data.count(b"HTTP/1.1 200") < len(paths):
+        data += await sock.recv(65536)
+    await other.join()
+    served = [path for path in server.handler.paths if path.startswith("/p")]
+    assert served == [path.decode() for path in paths]
+    assert server.handler.paths.index("/other") < len(paths)
+    await sock.close()
+
+
+@on_server()
+async def test_caller_that_reads_nothing_is_cut_off(server):
+    """Guards against a response that holds its connection for ever."""
+    sock = await curio.open_connection(HOST, server.port)
+    await sock.sendall(GET.replace(b"/ok", b"/large"))
+    while not server.counters.n_write_timeouts:
+        await curio.sleep(0.05)
+    assert server.n_connections == 0
+    await sock.close()
+
+
+@on_server()
+async def test_failing_handler_gives_status_500(server):
+    """Guards against a fault of one handler that ends the connection's task."""
+    for path in ("/error", "/timeout"):
+        status, body = await get(server, path)
+        assert (status, body["step"]) == (500, "handle")
+    assert server.counters.n_handler_errors == 2
+
+
+@on_server()
+async def test_head_and_expect_are_served(server):
+    """Guards against probes and uploads that hang or break the connection."""
+    data = await exchange(server, GET.replace(b"GET", b"HEAD"), shut=True)
+    assert data.startswith(b"HTTP/1.1 200")
+    assert data.endswith(b"\r\n\r\n")
+    expect = POST + b"expect: 100-continue\r\ncontent-length: 2\r\n\r\n"
+    sock = await curio.open_connection(HOST, server.port)
+    await sock.sendall(expect)
+    assert b"100" in await sock.recv(1000)
+    await sock.sendall(b"[]")
+    assert b"200" in await sock.recv(1000)
+    await sock.close()
+
+
+def test_accept_survives_a_lack_of_file_descriptors():
+    """Guards against a server that stops accepting after one failed accept."""
+
+    class Failing:
+        """Listening socket whose first calls fail."""
+
+        def __init__(self, sock):
+            self.sock = sock
+            self.n_failures = 3
+
+        async def accept(self):
+            """Fail, then accept."""
+            if self.n_failures:
+                self.n_failures -= 1
+                raise OSError(errno.EMFILE, "too many open files")
+            return await self.sock.accept()
+
+        async def close(self):
+            """Close the socket."""
+            await self.sock.close()
+
+    @on_server()
+    async def run(server):
+        idle = await curio.open_connection(HOST, server.port)
+        while not server.n_connections:
+            await curio.sleep(0.01)
+        server.listener._sock = Failing(server.listener._sock)
+        await (await curio.open_connection(HOST, server.port)).close()
+        assert (await get(server, "/ok"))[0] == 200
+        assert server.counters.connections.n_accept_errors == 3
+        assert server.counters.connections.n_evicted >= 1
+        await idle.close()
+
+    run()
+
+
+def test_close_lets_a_request_finish_and_ends_idle_connections():
+    """Guards against a planned stop that cuts off a request in progress."""
+
+    async def main():
+        server = HttpServer(Handler(), LIMITS)
+        await server.start(HOST, 0)
+        idle = await curio.open_connection(HOST, server.port)
+        held = await curio.spawn(get, server, "/hold")
+        while not server.n_busy:
+            await curio.sleep(0.01)
+        closing = await curio.spawn(server.close, 10)
+        await server.handler.release.set()
+        assert (await held.join())[0] == 200
+        await closing.join()
+        assert await read_all(idle) == b""
+        await idle.close()
+
+    curio.run(main)
+
+
+@on_server()
+async def test_client_reports_an_unusable_reply_as_an_unknown_outcome(server):
+    """Guards against a call that took effect and is reported as another error."""
+    http_client.MAX_RESPONSE_BYTES, kept = 1000, http_client.MAX_RESPONSE_BYTES
+    try:
+        for path in ("/garbage", "/close", "/large"):
+            with pytest.raises(UnknownOutcomeError):
+                await get(server, path)
+    finally:
+        http_client.MAX_RESPONSE_BYTES = kept
+
+
+@on_server()
+async def test_client_does_not_reuse_a_connection_that_the_server_closed(server):
+    """Guards against a needless unknown outcome after a server's idle time-out."""
+    client = make_http_client(f"{HOST}:{server.port}")
+    assert (await client.request("GET", "/ok"))[0] == 200
+    while server.n_connections:
+        await curio.sleep(0.05)
+    assert (await client.request("POST", "/json", [1])) == (200, [1])
+    await client.close()
