Check thrift frames before decoding and tell refused calls from failed ones

A failed handler and an undecodable reply were reported as "took no effect". A frame cut off by a time-out was followed by the next one on the same connection. Idle, half-open and non-reading peers held connections for ever. Envelope.refused marks calls that no handler saw; other errors are unknown outcomes. Settings rpc_max_connections, rpc_frame_timeout_s and rpc_idle_timeout_s (Settings.rpc_limits, not used by application.py yet).

--- /dev/null
+++ b/cuminhill/frames.py
@@ -0,0 +1,218 @@
+"""Thrift messages in length-prefixed frames, as entry VMs exchange them.
+
+A new field of a message needs a default in ``idl/peer.thrift``: a message of an
+older daemon lacks it, and a missing field without a default is an error.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import curio
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.thrift import TType
+from thriftpy2.utils import deserialize, serialize
+
+from .errors import ProtocolError
+from .util.listener import ListenerCounters
+from .util.thriftcheck import check_struct
+
+MAX_FRAME_BYTES = 4 << 20
+MAX_CALLS_PER_CONNECTION = 4096
+
+idl = thriftpy2.load(
+    str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="peer_thrift"
+)
+_PROTOCOL = TCyBinaryProtocolFactory(strict_decode=True)
+_LENGTH = struct.Struct("!I")
+
+CALL_TYPES = {
+    "heartbeat": idl.Heartbeat,
+    "submit": idl.SubmitCall,
+    "lookup": idl.LookupCall,
+    "cancel": idl.CancelCall,
+    "explain": idl.ExplainCall,
+    "snapshot": idl.SnapshotCall,
+}
+REPLY_TYPES = {name: idl.Reply for name in CALL_TYPES} | {"heartbeat": idl.Heartbeat}
+
+
+def encode(message: Any) -> bytes:
+    """Return the binary form of a thrift struct."""
+    return serialize(message, proto_factory=_PROTOCOL)
+
+
+def decode(kind: Any, data: bytes, peer: str) -> Any:
+    """Return the struct of a type read from its binary form.
+
+    Raises
+    ------
+    ProtocolError
+        If the bytes are not a struct of that type.
+    """
+    try:
+        check_struct(data)
+        message = deserialize(kind(), data, proto_factory=_PROTOCOL)
+        _check_complete(message)
+    except Exception as exc:  # thriftpy2 raises many types on malformed input
+        raise ProtocolError(repr(exc), step="decode", peer=peer) from exc
+    return message
+
+
+def _check_complete(message: Any) -> None:
+    """Raise ValueError if a field without a default is missing."""
+    for spec in message.thrift_spec.values():
+        value = getattr(message, spec[1])
+        if value is None:
+            raise ValueError(f"{type(message).__name__}.{spec[1]} is missing")
+        if spec[0] == TType.STRUCT:
+            _check_complete(value)
+        elif spec[0] == TType.LIST and value and hasattr(value[0], "thrift_spec"):
+            for item in value:
+                _check_complete(item)
+
+
+@dataclass(frozen=True, slots=True)
+class RpcLimits:
+    """Bounds of a server or client.
+
+    Parameters
+    ----------
+    max_connections : int
+        Beyond this the longest idle connection is closed for a new one.
+    max_frame_bytes : int
+        Larger frames are not sent, and end the connection when received.
+    max_calls : int
+        Calls in progress on one connection; further ones wait unread.
+    frame_timeout_s : float, seconds
+        How long a frame may take to arrive once its first byte is there.
+    write_timeout_s : float, seconds
+        How long a reply may take to leave.
+    idle_timeout_s : float, seconds
+        How long a connection may stay silent; ends those whose peer is gone.
+    """
+
+    max_connections: int = 1024
+    max_frame_bytes: int = MAX_FRAME_BYTES
+    max_calls: int = MAX_CALLS_PER_CONNECTION
+    frame_timeout_s: float = 5.0
+    write_timeout_s: float = 5.0
+    idle_timeout_s: float = 600.0
+
+
+@dataclass(slots=True)
+class RpcCounters:
+    """Traffic of a server or client."""
+
+    n_calls: int = 0
+    n_bad_frames: int = 0
+    n_unknown_methods: int = 0
+    n_read_timeouts: int = 0
+    n_write_timeouts: int = 0
+    n_idle_closed: int = 0
+    n_lost_connections: int = 0
+    n_failed_calls: int = 0
+    n_sent_bytes: int = 0
+    n_received_bytes: int = 0
+    connections: ListenerCounters = field(default_factory=ListenerCounters)
+
+
+class IdleError(Exception):
+    """Nothing has arrived on a connection for the idle time-out."""
+
+
+class FrameStream:
+    """Reads and writes length-prefixed frames on one socket."""
+
+    def __init__(
+        self, sock: Any, peer: str, counters: RpcCounters, limits: RpcLimits
+    ) -> None:
+        self._sock = sock
+        self._peer = peer
+        self._counters = counters
+        self._limits = limits
+        self._write_lock = curio.Lock()
+        self._buffer = bytearray()
+        self.broken = False
+
+    async def write(self, envelope: Any) -> None:
+        """Send one envelope.
+
+        Raises
+        ------
+        ProtocolError
+            If it is larger than a frame may be; nothing was sent.
+        """
+        data = encode(envelope)
+        if len(data) > self._limits.max_frame_bytes:
+            raise ProtocolError(
+                f"frame of {len(data)} bytes", step="write", peer=self._peer
+            )
+        async with self._write_lock:
+            if self.broken:
+                raise ConnectionResetError("an earlier frame was cut off")
+            try:
+                await self._sock.sendall(_LENGTH.pack(len(data)) + data)
+            except BaseException:
+                # Part of the frame may be out; another one would be misread.
+                self.broken = True
+                raise
+        self._counters.n_sent_bytes += len(data) + _LENGTH.size
+
+    async def read(self, idle_timeout_s: float) -> Any:
+        """Return the next envelope, or None at the end of the stream.
+
+        Raises
+        ------
+        IdleError
+            If nothing arrives for ``idle_timeout_s`` seconds.
+        ProtocolError
+            If the bytes are not a frame, or it does not arrive in time.
+        """
+        frame = self._take()
+        if frame is None and not self._buffer:
+            try:
+                async with curio.timeout_after(idle_timeout_s):
+                    if not await self._receive():
+                        return None
+            except curio.TaskTimeout:
+                raise IdleError from None
+            frame = self._take()
+        if frame is None:
+            try:
+                async with curio.timeout_after(self._limits.frame_timeout_s):
+                    while (frame := self._take()) is None:
+                        if not await self._receive():
+                            return None
+            except curio.TaskTimeout:
+                self._counters.n_read_timeouts += 1
+                raise ProtocolError(
+                    "frame did not arrive in time", step="read", peer=self._peer
+                ) from None
+        return decode(idl.Envelope, frame, self._peer)
+
+    async def _receive(self) -> bool:
+        data = await self._sock.recv(65536)
+        self._counters.n_received_bytes += len(data)
+        self._buffer += data
+        return bool(data)
+
+    def _take(self) -> bytes | None:
+        """Return the next frame if all of it is in the buffer."""
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if length > self._limits.max_frame_bytes:
+            raise ProtocolError(
+                f"frame of {length} bytes", step="read", peer=self._peer
+            )
+        end = _LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        frame = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        return frame
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -53,4 +53,5 @@
     3: string method
     4: binary body
     5: string error
+    6: bool refused = false  // the call was not handled and took no effect
 }
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -1,112 +1,49 @@
-"""Remote calls between entry VMs: thrift messages in frames over TCP."""
+"""Remote calls between entry VMs: a server and a client of thrift messages."""
 
 from __future__ import annotations
 
-import struct
 import time
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import curio
-import thriftpy2
 from curio import socket
-from thriftpy2.protocol import TCyBinaryProtocolFactory
-from thriftpy2.utils import deserialize, serialize
 
 from .errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from .frames import (
+    CALL_TYPES,
+    REPLY_TYPES,
+    FrameStream,
+    IdleError,
+    RpcCounters,
+    RpcLimits,
+    decode,
+    encode,
+    idl,
+)
+from .util.listener import Connection, Listener
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-MAX_FRAME_BYTES = 4 << 20
-MAX_CALLS_PER_CONNECTION = 4096
-LISTEN_BACKLOG = 128
 CONNECT_TIMEOUT_S = 0.5
-
-idl = thriftpy2.load(
-    str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="peer_thrift"
-)
-_PROTOCOL = TCyBinaryProtocolFactory()
-_LENGTH = struct.Struct("!I")
-
-CALL_TYPES = {
-    "heartbeat": idl.Heartbeat,
-    "submit": idl.SubmitCall,
-    "lookup": idl.LookupCall,
-    "cancel": idl.CancelCall,
-    "explain": idl.ExplainCall,
-    "snapshot": idl.SnapshotCall,
-}
-REPLY_TYPES = {name: idl.Reply for name in CALL_TYPES} | {"heartbeat": idl.Heartbeat}
-
-
-def encode(message: Any) -> bytes:
-    """Return the binary form of a thrift struct."""
-    return serialize(message, proto_factory=_PROTOCOL)
+# Ends a connection whose peer has vanished or is cut off, so that calls after the
+# partition use a new one and do not wait for the kernel's back-off.
+UNACKED_TIMEOUT_MS = 5000
 
 
-def decode(kind: Any, data: bytes, peer: str) -> Any:
-    """Return the struct of a type read from its binary form.
-
-    Raises
-    ------
-    ProtocolError
-        If the bytes are not a struct of that type.
-    """
-    try:
-        return deserialize(kind(), data, proto_factory=_PROTOCOL)
-    except Exception as exc:  # thriftpy2 raises many types on malformed input
-        raise ProtocolError(repr(exc), step="decode", peer=peer) from exc
+class _RefusedError(ProtocolError):
+    """The call was not handed to a handler, so it took no effect."""
 
 
-@dataclass(slots=True)
-class RpcCounters:
-    """Traffic of a server or client."""
+@dataclass(eq=False, slots=True)
+class _ServedConnection:
+    """Server side of one connection and its calls in progress."""
 
+    conn: Connection
+    stream: FrameStream
+    free: Any
     n_calls: int = 0
-    n_bad_frames: int = 0
-    n_failed_calls: int = 0
-    n_sent_bytes: int = 0
-    n_received_bytes: int = 0
-
-
-class _FrameStream:
-    """Reads and writes length-prefixed frames on one socket."""
-
-    def __init__(self, sock: Any, peer: str, counters: RpcCounters) -> None:
-        self._sock = sock
-        self._peer = peer
-        self._counters = counters
-        self._write_lock = curio.Lock()
-        self._buffer = bytearray()
-
-    async def write(self, envelope: Any) -> None:
-        """Send one envelope."""
-        data = encode(envelope)
-        async with self._write_lock:
-            await self._sock.sendall(_LENGTH.pack(len(data)) + data)
-        self._counters.n_sent_bytes += len(data) + _LENGTH.size
-
-    async def read(self) -> Any:
-        """Return the next envelope, or None at the end of the stream."""
-        while True:
-            if len(self._buffer) >= _LENGTH.size:
-                (length,) = _LENGTH.unpack_from(self._buffer)
-                if length > MAX_FRAME_BYTES:
-                    raise ProtocolError(
-                        f"frame of {length} bytes", step="read", peer=self._peer
-                    )
-                end = _LENGTH.size + length
-                if len(self._buffer) >= end:
-                    data = bytes(self._buffer[_LENGTH.size : end])
-                    del self._buffer[:end]
-                    return decode(idl.Envelope, data, self._peer)
-            data = await self._sock.recv(65536)
-            if not data:
-                return None
-            self._counters.n_received_bytes += len(data)
-            self._buffer += data
 
 
 @dataclass(eq=False)
@@ -117,91 +54,132 @@
     ----------
     handlers : dict
         Method name to coroutine function from call struct to reply struct.
+    limits : RpcLimits
+        Bounds of the server.
     """
 
     handlers: dict[str, Callable[[Any], Awaitable[Any]]]
+    limits: RpcLimits = field(default_factory=RpcLimits)
     counters: RpcCounters = field(default_factory=RpcCounters)
-    host: str = ""
-    port: int = 0
-    _sock: Any = None
-    _accept_task: Any = None
-    _conn_tasks: set[Any] = field(default_factory=set)
+    listener: Listener = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.listener = Listener(
+            self._serve, self.limits.max_connections, self.counters.connections
+        )
+
+    @property
+    def host(self) -> str:
+        """IP address at which the server listens."""
+        return self.listener.host
+
+    @property
+    def port(self) -> int:
+        """TCP port at which the server listens."""
+        return self.listener.port
+
+    @property
+    def n_connections(self) -> int:
+        """Number of open connections."""
+        return len(self.listener.conns)
 
     async def start(self, host: str, port: int) -> None:
         """Bind, listen and accept in the background; port 0 takes a free one."""
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind((host, port))
-        self._sock.listen(LISTEN_BACKLOG)
-        self.host, self.port = self._sock.getsockname()
-        self._accept_task = await curio.spawn(self._accept, daemon=True)
+        await self.listener.start(host, port)
 
     async def close(self) -> None:
         """Stop accepting and close every connection."""
-        if self._accept_task is not None:
-            await self._accept_task.cancel()
-            await self._sock.close()
-        for task in list(self._conn_tasks):
-            await task.cancel()
-
-    async def _accept(self) -> None:
-        while True:
-            sock, address = await self._sock.accept()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            peer = f"{address[0]}:{address[1]}"
-            self._conn_tasks.add(
-                await curio.spawn(self._serve, sock, peer, daemon=True)
-            )
+        await self.listener.stop_accepting()
+        await self.listener.close_all()
 
-    async def _serve(self, sock: Any, peer: str) -> None:
-        stream = _FrameStream(sock, peer, self.counters)
-        calls: set[Any] = set()
+    async def _serve(self, conn: Connection) -> None:
+        stream = FrameStream(conn.sock, conn.peer, self.counters, self.limits)
+        served = _ServedConnection(conn, stream, curio.Semaphore(self.limits.max_calls))
         try:
-            while (envelope := await stream.read()) is not None:
-                if len(calls) >= MAX_CALLS_PER_CONNECTION:
-                    break
-                task = await curio.spawn(
-                    self._call, stream, envelope, peer, calls, daemon=True
-                )
-                calls.add(task)
+            while True:
+                await served.free.acquire()
+                envelope = await self._next_call(served)
+                if envelope is None or stream.broken:
+                    return
+                if envelope.is_reply:
+                    raise ProtocolError("reply to no call", step="read", peer=conn.peer)
+                served.n_calls += 1
+                self.listener.mark_busy(conn)
+                await curio.spawn(self._run_call, served, envelope, daemon=True)
         except ProtocolError:
             self.counters.n_bad_frames += 1
         except OSError:
             pass  # the peer has gone; its callers handle the lost reply
+
+    async def _next_call(self, served: _ServedConnection) -> Any:
+        """Return the next call, or None if the connection is to be closed."""
+        while True:
+            try:
+                return await served.stream.read(self.limits.idle_timeout_s)
+            except IdleError:
+                if not served.n_calls:
+                    self.counters.n_idle_closed += 1
+                    return None
+
+    async def _run_call(self, served: _ServedConnection, envelope: Any) -> None:
+        try:
+            await self._call(served, envelope)
         finally:
-            self._conn_tasks.discard(await curio.current_task())
-            await sock.close()
+            served.n_calls -= 1
+            if not served.n_calls:
+                self.listener.mark_idle(served.conn)
+            await served.free.release()
 
-    async def _call(
-        self, stream: _FrameStream, envelope: Any, peer: str, calls: set[Any]
-    ) -> None:
+    async def _call(self, served: _ServedConnection, envelope: Any) -> None:
         self.counters.n_calls += 1
-        reply = idl.Envelope(envelope.call_id, True, envelope.method, b"", "")
+        reply = idl.Envelope(envelope.call_id, True, envelope.method, b"", "", False)
         try:
-            call = decode(CALL_TYPES[envelope.method], envelope.body, peer)
-            result = await self.handlers[envelope.method](call)
-            reply.body = encode(result)
-        except KeyError:
-            reply.error = f"unknown method {envelope.method!r}"
-        except ProtocolError as exc:
-            self.counters.n_bad_frames += 1
-            reply.error = str(exc)
-        except Exception as exc:
+            handler, call = self._decode_call(envelope, served.conn.peer)
+            reply.body = encode(await handler(call))
+        except _RefusedError as exc:
+            reply.error, reply.refused = str(exc), True
+        except (Exception, curio.TaskTimeout) as exc:
             self.counters.n_failed_calls += 1
             reply.error = repr(exc)
-        finally:
-            calls.discard(await curio.current_task())
         try:
-            await stream.write(reply)
+            async with curio.timeout_after(self.limits.write_timeout_s):
+                await _write_reply(served.stream, reply)
+        except curio.TaskTimeout:
+            self.counters.n_write_timeouts += 1
+            # The peer reads no replies; closing tells its callers at once.
+            await served.conn.task.cancel(blocking=False)
         except OSError:
             self.counters.n_failed_calls += 1
 
+    def _decode_call(self, envelope: Any, peer: str) -> tuple[Any, Any]:
+        """Return the handler and the call struct."""
+        handler = self.handlers.get(envelope.method)
+        if handler is None or envelope.method not in CALL_TYPES:
+            self.counters.n_unknown_methods += 1
+            raise _RefusedError(
+                f"unknown method {envelope.method!r}", step="decode", peer=peer
+            )
+        try:
+            return handler, decode(CALL_TYPES[envelope.method], envelope.body, peer)
+        except ProtocolError as exc:
+            self.counters.n_bad_frames += 1
+            raise _RefusedError(exc.message, step="decode", peer=peer) from exc
+
+
+async def _write_reply(stream: FrameStream, reply: Any) -> None:
+    try:
+        await stream.write(reply)
+    except ProtocolError as exc:  # too large; the caller is told so
+        reply.body, reply.error = b"", str(exc)
+        await stream.write(reply)
+
 
 @dataclass(eq=False)
 class _PendingCall:
     """Call whose reply has not arrived."""
 
     event: Any
+    stream: FrameStream
     reply: Any = None
 
 
@@ -217,7 +195,8 @@
 
     address: str
     counters: RpcCounters = field(default_factory=RpcCounters)
-    _stream: _FrameStream | None = None
+    limits: RpcLimits = field(default_factory=RpcLimits)
+    _stream: FrameStream | None = None
     _sock: Any = None
     _reader: Any = None
     _pending: dict[int, _PendingCall] = field(default_factory=dict)
@@ -241,16 +220,18 @@
         UnavailableError
             If the call was certainly not sent.
         UnknownOutcomeError
-            If it was sent and no reply came.
+            If it was sent and no reply came, the handler failed, or the reply
+            cannot be decoded.
         ProtocolError
-            If the peer could not handle the call.
+            If the peer refused the call before handling it, or the call is too
+            large to send; it took no effect.
         """
         give_up_at = time.monotonic() + timeout_s
         stream = await self._connected(min(timeout_s, CONNECT_TIMEOUT_S))
         call_id = self._next_id
         self._next_id += 1
-        pending = self._pending[call_id] = _PendingCall(curio.Event())
-        envelope = idl.Envelope(call_id, False, method, encode(message), "")
+        pending = self._pending[call_id] = _PendingCall(curio.Event(), stream)
+        envelope = idl.Envelope(call_id, False, method, encode(message), "", False)
         self.counters.n_calls += 1
         try:
             async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
@@ -263,19 +244,35 @@
             ) from exc
         finally:
             self._pending.pop(call_id, None)
+            if stream.broken:
+                await self._drop(stream)
         reply = pending.reply
         if reply is None:
             raise UnknownOutcomeError("connection lost", step=method, peer=self.address)
-        if reply.error:
+        if reply.refused:
             raise ProtocolError(reply.error, step=method, peer=self.address)
-        return decode(REPLY_TYPES[method], reply.body, self.address)
+        if reply.error:
+            raise UnknownOutcomeError(reply.error, step=method, peer=self.address)
+        try:
+            return decode(REPLY_TYPES[method], reply.body, self.address)
+        except ProtocolError as exc:
+            self.counters.n_bad_frames += 1
+            raise UnknownOutcomeError(
+                exc.message, step=method, peer=self.address
+            ) from exc
 
     async def close(self) -> None:
         """Close the connection."""
         if self._reader is not None:
             await self._reader.cancel()
 
-    async def _connected(self, timeout_s: float) -> _FrameStream:
+    async def _drop(self, stream: FrameStream) -> None:
+        """Stop using a connection on which a frame was cut off."""
+        if self._stream is stream:
+            self._stream = None
+            await self._reader.cancel(blocking=False)
+
+    async def _connected(self, timeout_s: float) -> FrameStream:
         try:
             async with curio.timeout_after(timeout_s), self._connect_lock:
                 if self._stream is None:
@@ -292,23 +289,52 @@
         host, _, port = self.address.rpartition(":")
         self._sock = await curio.open_connection(host, int(port))
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._stream = _FrameStream(self._sock, self.address, self.counters)
+        self._sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
+        )
+        self._stream = FrameStream(self._sock, self.address, self.counters, self.limits)
         self._reader = await curio.spawn(
             self._read, self._sock, self._stream, daemon=True
         )
 
-    async def _read(self, sock: Any, stream: _FrameStream) -> None:
+    async def _next_reply(self, stream: FrameStream) -> Any:
+        """Return the next reply, or None if the connection is to be closed."""
+        while True:
+            # Half of the server's idle time-out: the side that calls closes first,
+            # so that no call meets a connection that is being closed.
+            try:
+                return await stream.read(self.limits.idle_timeout_s / 2)
+            except IdleError:
+                if not any(item.stream is stream for item in self._pending.values()):
+                    self.counters.n_idle_closed += 1
+                    return None
+
+    async def _read(self, sock: Any, stream: FrameStream) -> None:
         try:
-            while (envelope := await stream.read()) is not None:
+            while (envelope := await self._next_reply(stream)) is not None:
                 pending = self._pending.get(envelope.call_id)
-                if pending is not None:
+                if pending is not None and pending.stream is stream:
                     pending.reply = envelope
                     await pending.event.set()
-        except (OSError, ProtocolError):
+        except ProtocolError:
             self.counters.n_bad_frames += 1
+        except OSError:
+            self.counters.n_lost_connections += 1
         finally:
             if self._stream is stream:
                 self._stream = None
-                for pending in list(self._pending.values()):
+            for pending in list(self._pending.values()):
+                if pending.stream is stream:
                     await pending.event.set()
             await sock.close()
+
+
+__all__ = [
+    "RpcClient",
+    "RpcCounters",
+    "RpcLimits",
+    "RpcServer",
+    "decode",
+    "encode",
+    "idl",
+]
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -14,6 +14,8 @@
 
 from .coordination.lease import LeaseTerms
 from .errors import SettingsError
+from .frames import RpcLimits
+from .siteconfig import lease_problems
 from .util.http import HttpLimits
 from .util.tables import Problem, describe_problems, read_toml, validate_model
 
@@ -182,6 +184,29 @@
         "s",
         "How long a caller may take to read a response.",
     ),
+    Setting(
+        "rpc_max_connections",
+        COUNT,
+        1024,
+        "connections",
+        "Open connections of other entry VMs. Beyond it the longest idle one is "
+        "closed; keep it above the number of entry VMs.",
+    ),
+    Setting(
+        "rpc_frame_timeout_s",
+        SECONDS,
+        5.0,
+        "s",
+        "How long a frame of another entry VM may take to arrive.",
+    ),
+    Setting(
+        "rpc_idle_timeout_s",
+        SECONDS,
+        600.0,
+        "s",
+        "How long a connection of another entry VM may stay silent. The same on all "
+        "VMs: the calling side closes after half of it.",
+    ),
     Setting(
         "lease.ttl_s",
         SECONDS,
@@ -247,6 +272,9 @@
     http_idle_timeout_s: float = _DEFAULTS["http_idle_timeout_s"]
     http_read_timeout_s: float = _DEFAULTS["http_read_timeout_s"]
     http_write_timeout_s: float = _DEFAULTS["http_write_timeout_s"]
+    rpc_max_connections: int = _DEFAULTS["rpc_max_connections"]
+    rpc_frame_timeout_s: float = _DEFAULTS["rpc_frame_timeout_s"]
+    rpc_idle_timeout_s: float = _DEFAULTS["rpc_idle_timeout_s"]
     lease: LeaseTerms = field(default_factory=LeaseTerms)
 
     def __post_init__(self) -> None:
@@ -263,6 +291,14 @@
             self.http_write_timeout_s,
         )
 
+    def rpc_limits(self) -> RpcLimits:
+        """Return the bounds of the server for other entry VMs."""
+        return RpcLimits(
+            max_connections=self.rpc_max_connections,
+            frame_timeout_s=self.rpc_frame_timeout_s,
+            idle_timeout_s=self.rpc_idle_timeout_s,
+        )
+
 
 def load_settings(path: Path) -> Settings:
     """Return the settings of a TOML file.
@@ -345,19 +381,6 @@
     return problems
 
 
-def lease_problems(lease: dict[str, float]) -> list[Problem]:
-    """Return contradictions between the terms of a lease."""
-    usable_s = lease["ttl_s"] * (1 - lease["drift"]) - lease["margin_s"]
-    problems = []
-    if not lease["renew_s"] < usable_s:
-        expected = f"less than ttl_s less drift and margin_s ({usable_s:g} s)"
-        problems.append(Problem(("lease", "renew_s"), lease["renew_s"], expected))
-    if not lease["task_ttl_s"] >= lease["ttl_s"]:
-        expected = f"at least ttl_s ({lease['ttl_s']:g} s)"
-        problems.append(Problem(("lease", "task_ttl_s"), lease["task_ttl_s"], expected))
-    return problems
-
-
 def _default_text(item: Setting) -> str:
     if item.default is REQUIRED:
         return REQUIRED
--- a/cuminhill/siteconfig.py
+++ b/cuminhill/siteconfig.py
@@ -11,7 +11,6 @@
 
 from .coordination.lease import LeaseTerms
 from .errors import SettingsError
-from .settings import lease_problems
 from .util.tables import (
     Problem,
     describe_problems,
@@ -198,6 +197,19 @@
     return _parse(value, [(source, value)])
 
 
+def lease_problems(lease: dict[str, float]) -> list[Problem]:
+    """Return contradictions between the terms of a lease."""
+    usable_s = lease["ttl_s"] * (1 - lease["drift"]) - lease["margin_s"]
+    problems = []
+    if not lease["renew_s"] < usable_s:
+        expected = f"less than ttl_s less drift and margin_s ({usable_s:g} s)"
+        problems.append(Problem(("lease", "renew_s"), lease["renew_s"], expected))
+    if not lease["task_ttl_s"] >= lease["ttl_s"]:
+        expected = f"at least ttl_s ({lease['ttl_s']:g} s)"
+        problems.append(Problem(("lease", "task_ttl_s"), lease["task_ttl_s"], expected))
+    return problems
+
+
 def _parse(value: Any, layers: list[tuple[str, Any]]) -> SiteConfig:
     cfg, problems = validate_model(SiteConfig, value)
     if cfg is not None:
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,347 @@
+"""Tests of the calls between entry VMs against real sockets."""
+
+from __future__ import annotations
+
+import functools
+import random
+import struct
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhill import rpc
+from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from cuminhill.rpc import RpcClient, RpcLimits, RpcServer, decode, encode, idl
+from cuminhill.util.listener import Listener
+from cuminhill.util.thriftcheck import MAX_ITEMS
+
+HOST = "127.0.0.1"
+LIMITS = RpcLimits(
+    max_connections=20,
+    max_frame_bytes=100_000,
+    max_calls=8,
+    frame_timeout_s=0.15,
+    write_timeout_s=0.2,
+    idle_timeout_s=0.3,
+)
+MEMBER = idl.Member("a", 1, 2, "alive", "x:1", "T", ["T/0"], 1.0, 1, 1)
+HEARTBEAT = encode(idl.Heartbeat(MEMBER, [MEMBER] * 4))
+
+
+def frame(method, body, call_id=1):
+    data = encode(idl.Envelope(call_id, False, method, body, "", False))
+    return struct.pack("!I", len(data)) + data
+
+
+LOOKUP = frame("lookup", encode(idl.LookupCall("r", 0.0)))
+
+
+class Handlers:
+    """Serves look-ups; ids choose what happens."""
+
+    def __init__(self):
+        self.release = curio.Event()
+        self.n_running = 0
+        self.n_most = 0
+
+    async def lookup(self, call):
+        """Answer with the id."""
+        self.n_running += 1
+        self.n_most = max(self.n_most, self.n_running)
+        try:
+            if call.request_id == "hold":
+                await self.release.wait()
+            if call.request_id == "error":
+                raise KeyError("bug")
+            size = 200_000 if call.request_id == "large" else 1
+            size = 90_000 if call.request_id == "big" else size
+            return idl.Reply(call.request_id, b"x" * size)
+        finally:
+            self.n_running -= 1
+
+
+def on_server(limits=LIMITS):
+    """Run an async test with a server; a bystander must be served all along."""
+
+    def wrap(test):
+        @functools.wraps(test)
+        def run():
+            curio.run(main)
+
+        async def main():
+            handlers = Handlers()
+            server = RpcServer({"lookup": handlers.lookup}, limits)
+            await server.start(HOST, 0)
+            bystander = RpcClient(f"{HOST}:{server.port}", limits=limits)
+            async with curio.timeout_after(20):
+                assert await lookup(bystander, "before")
+                await test(server, handlers)
+                assert await lookup(bystander, "after")
+            await bystander.close()
+            await server.close()
+
+        del run.__wrapped__  # pytest would look for fixtures of these names
+        return run
+
+    return wrap
+
+
+async def lookup(client, request_id, timeout_s=2.0):
+    call = idl.LookupCall(request_id, 0.0)
+    return (await client.call("lookup", call, timeout_s=timeout_s)).status
+
+
+async def exchange(server, data):
+    """Send bytes and return the envelopes that come back until the end."""
+    sock = await curio.open_connection(HOST, server.port)
+    await sock.sendall(data)
+    received = b""
+    while chunk := await sock.recv(65536):
+        received += chunk
+    await sock.close()
+    replies = []
+    while received:
+        (length,) = struct.unpack_from("!I", received)
+        replies.append(decode(idl.Envelope, received[4 : 4 + length], "server"))
+        received = received[4 + length :]
+    return replies
+
+
+WRONG_FRAMES = {
+    "absurd length": (b"\xff\xff\xff\xff", "n_bad_frames"),
+    "HTTP": (b"GET / HTTP/1.1\r\n\r\n", "n_bad_frames"),
+    "above the limit": (struct.pack("!I", 100_001) + b"x", "n_bad_frames"),
+    "empty frame": (b"\0\0\0\0", "n_bad_frames"),
+    "garbage": (struct.pack("!I", 50) + random.Random(3).randbytes(50), "n_bad_frames"),
+    "no fields": (struct.pack("!I", 1) + b"\0", "n_bad_frames"),
+    "length too short": (
+        struct.pack("!I", len(LOOKUP) - 9) + LOOKUP[4:],
+        "n_bad_frames",
+    ),
+    "length too long": (
+        struct.pack("!I", len(LOOKUP) + 9) + LOOKUP[4:],
+        "n_read_timeouts",
+    ),
+    "half a length": (LOOKUP[:2], "n_read_timeouts"),
+    "half a frame": (LOOKUP[:-5], "n_read_timeouts"),
+    "reply to no call": (
+        LOOKUP.replace(b"\x02\x00\x02\x00", b"\x02\x00\x02\x01"),
+        "n_bad_frames",
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", WRONG_FRAMES)
+def test_wrong_frame_ends_its_own_connection_only(fault):
+    """Guards against a peer whose garbage blocks or stops the server."""
+    data, counter = WRONG_FRAMES[fault]
+
+    @on_server()
+    async def run(server, handlers):
+        replies = await exchange(server, LOOKUP + data)
+        assert [item.error for item in replies] in ([""], [])
+        assert getattr(server.counters, counter) == 1
+
+    run()
+
+
+@pytest.mark.parametrize(
+    ("data", "message"),
+    [
+        (frame("format", b"\0"), "unknown method 'format'"),
+        (frame("explain", encode(idl.ExplainCall("r"))), "unknown method 'explain'"),
+        (frame("lookup", b""), "decode"),
+        (frame("lookup", b"\0"), "LookupCall.request_id is missing"),
+        (frame("lookup", b"\x0b\0\1\x7f\xff\xff\xff"), "exceeds the data"),
+        (frame("lookup", HEARTBEAT), "is missing"),
+    ],
+    ids=["method", "no handler", "no body", "no fields", "bad length", "other type"],
+)
+def test_wrong_call_in_a_right_frame_is_refused_and_the_connection_stays(data, message):
+    """Guards against one wrong call that costs the others on its connection."""
+
+    @on_server()
+    async def run(server, handlers):
+        refused, served = await exchange(server, data + LOOKUP)
+        assert refused.refused
+        assert message in refused.error
+        assert (served.error, served.refused) == ("", False)
+
+    run()
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, len(HEARTBEAT) - 1), st.integers(0, 255)), min_size=1
+    )
+)
+def test_altered_message_is_decoded_whole_or_refused(changes):
+    """Guards against lengths that thriftpy2 believes: it allocated 4 GB for one."""
+    data = bytearray(HEARTBEAT)
+    for index, value in changes:
+        data[index] = value
+    try:
+        message = decode(idl.Heartbeat, bytes(data), "peer")
+    except ProtocolError:
+        return
+    assert len(message.members) in {0, 4}
+    assert isinstance(message.sender.vm, str)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEARTBEAT + b"\0",
+        HEARTBEAT[:-1],
+        b"\x0f\0\2\x0c" + struct.pack("!i", MAX_ITEMS + 1) + b"\0" * (MAX_ITEMS + 2),
+        b"\x0f\0\2\x0c" + struct.pack("!i", -1) + b"\0",
+        b"\x0d\0\x09\x0b\x0b" + struct.pack("!i", 1 << 30) + b"\0",
+        b"\x0c\0\x09" * 100 + b"\0" * 101,
+        b"\x63\0\1\0",
+    ],
+    ids=["left over", "cut", "items", "negative", "map", "depth", "type"],
+)
+def test_structure_beyond_the_bounds_is_refused(data):
+    """Guards against messages that cost far more than their bytes."""
+    with pytest.raises(ProtocolError, match="StructureError"):
+        decode(idl.Heartbeat, data, "peer")
+
+
+def test_field_with_a_default_may_be_missing():
+    """Guards against refusing the calls of daemons without a newer field."""
+    data = encode(idl.Envelope(1, False, "lookup", b"", "", None))
+    assert decode(idl.Envelope, data, "peer").refused is False
+
+
+@on_server()
+async def test_calls_that_took_no_effect_are_told_from_doubtful_ones(server, handlers):
+    """Guards against 'not run' for a call that a peer may have carried out."""
+    client = RpcClient(f"{HOST}:{server.port}", limits=LIMITS)
+    for request_id in ("error", "large"):
+        with pytest.raises(UnknownOutcomeError):
+            await lookup(client, request_id)
+    with pytest.raises(ProtocolError, match="unknown method"):
+        await client.call("cancel", idl.CancelCall("r"), timeout_s=2)
+    with pytest.raises(ProtocolError, match="frame of"):
+        await lookup(client, "x" * 100_001)
+    with pytest.raises(UnknownOutcomeError):
+        await lookup(client, "hold", 0.05)
+    assert await lookup(client, "ok") == "ok"
+    await client.close()
+    with pytest.raises(UnavailableError):
+        await lookup(RpcClient(f"{HOST}:1"), "r")
+
+
+@on_server(RpcLimits(max_connections=30))
+async def test_idle_connections_lock_no_peer_out(server, handlers):
+    """Guards against peers that are refused because others hold connections."""
+    idle = [await curio.open_connection(HOST, server.port) for _ in range(300)]
+    client = RpcClient(f"{HOST}:{server.port}")
+    assert await lookup(client, "r") == "r"
+    assert server.n_connections <= 30
+    assert server.counters.connections.n_evicted > 250
+    await client.close()
+    for sock in idle:
+        await sock.close()
+
+
+@on_server()
+async def test_silent_connection_is_closed(server, handlers):
+    """Guards against connections of vanished peers that stay for ever."""
+    assert await exchange(server, b"") == []
+    assert server.counters.n_idle_closed >= 1
+
+
+@on_server()
+async def test_long_call_outlives_the_idle_time_out(server, handlers):
+    """Guards against a lost reply to a call that takes longer than the time-out."""
+    client = RpcClient(f"{HOST}:{server.port}", limits=LIMITS)
+    held = await curio.spawn(lookup, client, "hold", 10.0)
+    await curio.sleep(2 * LIMITS.idle_timeout_s)
+    await handlers.release.set()
+    assert await held.join() == "hold"
+    await client.close()
+
+
+@on_server()
+async def test_calls_beyond_the_bound_wait_unread(server, handlers):
+    """Guards against a peer that starts any number of calls."""
+    calls = [frame("lookup", encode(idl.LookupCall("hold", 0.0)), n) for n in range(30)]
+    task = await curio.spawn(exchange, server, b"".join(calls))
+    while handlers.n_running < LIMITS.max_calls:
+        await curio.sleep(0.01)
+    await curio.sleep(0.1)
+    await handlers.release.set()
+    replies = await task.join()
+    assert {item.call_id for item in replies} == set(range(30))
+    assert handlers.n_most == LIMITS.max_calls
+
+
+@on_server(RpcLimits(write_timeout_s=0.2))
+async def test_peer_that_reads_no_replies_is_cut_off(server, handlers):
+    """Guards against replies that pile up for a peer that has stopped reading."""
+    sock = await curio.open_connection(HOST, server.port)
+    await sock.sendall(frame("lookup", encode(idl.LookupCall("big", 0.0))) * 200)
+    while server.n_connections != 1:
+        await curio.sleep(0.01)
+    assert server.counters.n_write_timeouts
+    await sock.close()
+
+
+@on_server(RpcLimits(max_connections=5))
+async def test_connection_with_a_call_in_progress_is_kept(server, handlers):
+    """Guards against a flood of connections that loses replies of other peers."""
+    client = RpcClient(f"{HOST}:{server.port}")
+    held = await curio.spawn(lookup, client, "hold", 10.0)
+    while not handlers.n_running:
+        await curio.sleep(0.01)
+    idle = [await curio.open_connection(HOST, server.port) for _ in range(50)]
+    while server.counters.connections.n_accepted < 50:
+        await curio.sleep(0.01)
+    await handlers.release.set()
+    assert await held.join() == "hold"
+    await client.close()
+    for sock in idle:
+        await sock.close()
+
+
+def test_client_gives_up_a_server_that_sends_garbage():
+    """Guards against a client that waits for the reply that garbage replaced."""
+
+    async def serve(conn):
+        await conn.sock.recv(1000)
+        await conn.sock.sendall(b"\xff" * 100)
+        await conn.sock.recv(1000)
+
+    async def main():
+        listener = Listener(serve, 10)
+        await listener.start(HOST, 0)
+        client = RpcClient(f"{HOST}:{listener.port}", limits=LIMITS)
+        with pytest.raises(UnknownOutcomeError, match="connection lost"):
+            await lookup(client, "r", 20.0)
+        assert client.counters.n_bad_frames == 1
+
+    curio.run(main)
+
+
+def test_client_drops_a_connection_on_which_a_frame_was_cut_off(monkeypatch):
+    """Guards against frames that the peer reads from the middle of another one."""
+    monkeypatch.setattr(rpc, "UNACKED_TIMEOUT_MS", 60_000)
+
+    async def serve(conn):
+        await curio.sleep(60)
+
+    async def main():
+        listener = Listener(serve, 10)
+        await listener.start(HOST, 0)
+        client = RpcClient(f"{HOST}:{listener.port}", limits=LIMITS)
+        waiting = await curio.spawn(lookup, client, "r", 30.0)
+        while not waiting.terminated:
+            with pytest.raises(UnknownOutcomeError):
+                await lookup(client, "x" * 99_000, 0.02)
+        assert "connection lost" in str(waiting.exception)
+
+    curio.run(main)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -65,12 +65,14 @@
         rpc_address='"0.0.0.0:8081"',
         rpc_advertise='"10.0.0.9:8081"',
         http_max_body_bytes="2048",
+        rpc_max_connections="7",
         lease="{ttl_s = 2.0}",
     )
     settings = load_settings(path)
     assert settings.peers == ("10.0.0.1:1", "10.0.0.2:2")
     assert settings.rpc_advertise == "10.0.0.9:8081"
     assert settings.http_limits().max_body_bytes == 2048
+    assert settings.rpc_limits().max_connections == 7
     assert (settings.lease.ttl_s, settings.lease.renew_s) == (2.0, 0.35)
 
 
