Serve the daemon's metrics at GET /metrics

Cause: counters could only be read from the state dump, one process at a time. Change: cuminhill/metrics.py declares every metric in one table with its source in the state dump, keeps them in an aioprometheus registry without its asyncio parts and renders the Prometheus text format; entry.py serves it and observes the time to each answer. Label values are escaped, which the library does not do. Changes of leader are those seen between two readings. Result: 223 tests pass (pytest tests); read from a daemon process on loopback.

--- a/cuminhill/entry.py
+++ b/cuminhill/entry.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from .errors import CuminhillError, ProtocolError, ValidationError
+from .metrics import CONTENT_TYPE, Metrics, make_metrics
 from .model import Answer, AnswerState, Reason, not_run
 from .schema import parse_request
 from .util.http import HttpResponse
@@ -62,6 +64,7 @@
 
     app: Application
     answers: Counter[str] = field(default_factory=Counter)
+    metrics: Metrics = field(default_factory=make_metrics)
 
     async def handle(self, req: HttpRequest) -> HttpResponse:
         """Serve one HTTP request."""
@@ -93,6 +96,11 @@
                 return HttpResponse(202, {"draining": True})
             case "GET", ["v1", "dump"]:
                 return HttpResponse(200, self.app.dump())
+            case "GET", ["metrics"]:
+                self.metrics.fill(self.app.dump())
+                return HttpResponse(
+                    200, raw=self.metrics.render(), content_type=CONTENT_TYPE
+                )
             case "GET", ["healthz"]:
                 return HttpResponse(200, {"alive": True})
             case "GET", ["readyz"]:
@@ -103,6 +111,7 @@
         return HttpResponse(404, {"error": "no such resource", "step": "route"})
 
     async def _submit(self, req: HttpRequest) -> HttpResponse:
+        started_at = time.monotonic()
         request = parse_request(req.json(), req.peer)
         if self.app.draining:
             answer = not_run(
@@ -111,6 +120,8 @@
         else:
             answer = await self.app.router.submit(request, _wait_s(req))
         self.answers[f"{request.kind}:{answer.reason or answer.state}"] += 1
+        took_s = time.monotonic() - started_at
+        self.metrics.observe("answer_seconds", took_s, kind=request.kind)
         return answer_response(answer)
 
     async def _lookup(self, request_id: str, wait_s: float) -> HttpResponse:
