--- /dev/null
+++ b/cuminhill/scheduling/book.py
@@ -0,0 +1,323 @@
+"""Book of a placer: every change of a task, its room and its answer."""
+
+from __future__ import annotations
+
+import contextlib
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..model import Answer, AnswerState, Reason, RequestKind, not_run
+from .events import ControlTask, Finish
+from .policies import Weights
+from .queueing import Queue
+from .quotas import TeamLedger
+from .room import Room
+from .state import OCCUPYING, Phase, Ran, RequestState, TaskState, WorkerState
+
+if TYPE_CHECKING:
+    from ..platform.worker import TaskResult
+    from .events import Action
+
+INFINITY = float("inf")
+
+
+@dataclass(eq=False)
+class Book:
+    """State of a placer and the elementary changes of it.
+
+    Parameters
+    ----------
+    tasks : dict of str to TaskState
+        Tasks that have not ended, and those of requests without an answer.
+    tasks_on : dict of str to dict
+        Tasks by the worker on which they are, as far as is known.
+    strays : dict of str to str
+        Tasks that a worker lists and whose request is not known: task to worker.
+    """
+
+    shard: str
+    clock_error_s: float
+    weights: Weights = field(default_factory=Weights)
+    workers: dict[str, WorkerState] = field(default_factory=dict)
+    requests: dict[str, RequestState] = field(default_factory=dict)
+    tasks: dict[str, TaskState] = field(default_factory=dict)
+    tasks_on: dict[str, dict[str, TaskState]] = field(default_factory=dict)
+    strays: dict[str, str] = field(default_factory=dict)
+    actions: list[Action] = field(default_factory=list)
+    roster_complete: bool = False
+    n_placed: int = 0
+    n_queued: int = 0
+
+    def __post_init__(self) -> None:
+        self.teams = TeamLedger()
+        self.queue = Queue(self.teams.rank)
+        self.room = Room(self.workers, self.tasks_on)
+        self._wakeups: list[tuple[float, int, TaskState]] = []
+        self._deadlines: list[tuple[float, str]] = []
+        self._numbers = itertools.count()
+
+    # Workers
+
+    def touch(self, worker: WorkerState) -> None:
+        """Take note of a change of a worker's room."""
+        self.room.touch(worker)
+        self.teams.set_total(self.room.total)
+
+    def wake(self, worker: WorkerState) -> None:
+        """Let waiting requests be tried on a worker on which room was made."""
+        if worker.usable:
+            self.queue.wake(self.room.general_free(worker), self.room.free_of(worker))
+
+    def free_on(self, worker: WorkerState, task_id: str) -> None:
+        """Give back the room of a task that has left a worker."""
+        if task_id not in worker.needs:
+            return
+        worker.free_task(task_id)
+        self.touch(worker)
+        self.wake(worker)
+
+    def pause_worker(self, worker_id: str) -> None:
+        """Place nothing more on a worker until it is heard again."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.held:
+            worker.held = False
+            self.touch(worker)
+
+    # Tasks
+
+    def set_phase(self, task: TaskState, phase: Phase, now: float) -> None:
+        """Change the phase of a task and the use of its team with it."""
+        was, becomes = task.phase in OCCUPYING, phase in OCCUPYING
+        if was != becomes:
+            self._count(task, occupies=becomes)
+        if phase is Phase.QUEUED or task.phase is Phase.QUEUED:
+            self.n_queued += (phase is Phase.QUEUED) - (task.phase is Phase.QUEUED)
+        task.phase = phase
+        task.phase_at = now
+
+    def attach(self, task: TaskState, worker_id: str) -> None:
+        """Note on which worker a task is."""
+        self.detach(task)
+        task.worker_id = worker_id
+        self.tasks_on.setdefault(worker_id, {})[task.task_id] = task
+
+    def detach(self, task: TaskState) -> None:
+        """Note that a task is on no worker; its room there is another matter."""
+        on = self.tasks_on.get(task.worker_id)
+        if on is not None and on.get(task.task_id) is task:
+            del on[task.task_id]
+            if not on:
+                del self.tasks_on[task.worker_id]
+        task.worker_id = ""
+
+    def occupy(
+        self, task: TaskState, worker: WorkerState, phase: Phase, now: float
+    ) -> None:
+        """Give a task room on a worker."""
+        if task.phase in OCCUPYING:
+            self._count(task, occupies=False)  # the rack may change
+            task.phase = Phase.HELD
+        self.attach(task, worker.worker_id)
+        task.epoch = worker.epoch
+        task.incarnation = worker.incarnation
+        if task.task_id not in worker.needs:
+            worker.reserve(task.task_id, task.need)
+            self.touch(worker)
+        self.set_phase(task, phase, now)
+
+    def release(self, task: TaskState) -> None:
+        """Give back the room that a task has on its present worker."""
+        worker = self.workers.get(task.worker_id)
+        if worker is not None:
+            self.free_on(worker, task.task_id)
+
+    def requeue(self, task: TaskState, now: float, not_before: float = 0.0) -> None:
+        """Let a task that is on no worker start again, if it still may."""
+        state = task.owner
+        if state.over or (state.expired and not self._may_restart(task)):
+            self.end(task, None, now)
+            return
+        self.set_phase(task, Phase.QUEUED, now)
+        self.detach(task)
+        if not state.ready:
+            state.waiting_since = now
+        if not_before > now:
+            task.not_before = not_before
+            entry = (not_before, next(self._numbers), task)
+            heapq.heappush(self._wakeups, entry)
+        else:
+            self._make_ready(task)
+        self.offer(state)
+
+    def offer(self, state: RequestState) -> None:
+        """Enter a request into the queue if it has tasks to place."""
+        wanted = len(state.ready) > 0 and not state.over
+        if state.kind is RequestKind.GANG:
+            wanted = wanted and len(state.ready) == state.n_open
+        if wanted:
+            state.regrouping = False
+            self.queue.add(state)
+        else:
+            self.queue.discard(state)
+
+    def take_ready(self, state: RequestState, task: TaskState) -> None:
+        """Remove a task that is being placed from its request's ready tasks."""
+        if state.ready and state.ready[0] is task:
+            state.ready.popleft()
+        else:
+            state.ready.remove(task)
+        if not state.ready:
+            self.queue.discard(state)
+
+    def end(self, task: TaskState, result: TaskResult | None, now: float) -> None:
+        """Note that a task will not run any more."""
+        if task.phase is Phase.ENDED:
+            return
+        state = task.owner
+        if task.phase is Phase.QUEUED and task.not_before <= now:
+            with contextlib.suppress(ValueError):
+                state.ready.remove(task)
+        self.set_phase(task, Phase.ENDED, now)
+        self.detach(task)
+        if result is not None:
+            task.result = result
+        state.n_open -= 1
+        if state.ended:
+            self.tasks.pop(task.task_id, None)
+            return
+        if not state.ready or state.kind is RequestKind.GANG:
+            self.offer(state)
+        self.finish_if_over(state)
+
+    def stop(self, task: TaskState, now: float, verb: str = "stop") -> None:
+        """Stop a running task, or repeat the call that does."""
+        worker = self.workers.get(task.worker_id)
+        if task.phase is not Phase.STOPPING:
+            self.set_phase(task, Phase.STOPPING, now)
+        task.verb = verb
+        task.verb_at = now
+        if worker is not None:
+            self.room.touch(worker)  # it has less to reclaim
+            self.actions.append(
+                ControlTask(task.task_id, task.worker_id, verb, worker.epoch)
+            )
+
+    def stop_on(self, worker: WorkerState, task_id: str) -> None:
+        """Stop whatever runs under a task id on a worker."""
+        self.actions.append(
+            ControlTask(task_id, worker.worker_id, "stop", worker.epoch)
+        )
+
+    # Time
+
+    def watch_deadline(self, state: RequestState) -> None:
+        """Remember when a request is late."""
+        deadline = state.request.deadline
+        if deadline < INFINITY:
+            entry = (deadline + self.clock_error(state), state.request.request_id)
+            heapq.heappush(self._deadlines, entry)
+
+    def pass_time(self, now: float, wall: float) -> None:
+        """Act on deadlines and retry delays that have passed."""
+        while self._wakeups and self._wakeups[0][0] <= now:
+            _, _, task = heapq.heappop(self._wakeups)
+            if task.phase is Phase.QUEUED and 0.0 < task.not_before <= now:
+                task.not_before = 0.0
+                self._make_ready(task)
+                self.offer(task.owner)
+        while self._deadlines and self._deadlines[0][0] < wall:
+            _, request_id = heapq.heappop(self._deadlines)
+            state = self.requests.get(request_id)
+            if state is not None and not state.finished:
+                self._expire(state, now)
+
+    def clock_error(self, state: RequestState) -> float:
+        """Return how far the clocks that judge a deadline may differ, in seconds."""
+        # A check lives in one process only, so one clock judges its deadline.
+        return 0.0 if state.kind is RequestKind.CHECK else self.clock_error_s
+
+    def may_start(self, task: TaskState, wall: float) -> bool:
+        """Return whether a task may start now.
+
+        The deadline limits first starts: a task that has certainly run before
+        may be started again after it.
+        """
+        state = task.owner
+        if state.over:
+            return False
+        if wall < state.request.deadline - self.clock_error(state):
+            return True
+        return self._may_restart(task)
+
+    # Answers
+
+    def finish_if_over(self, state: RequestState) -> None:
+        """Answer a request all of whose tasks have ended."""
+        if state.n_open > 0 or state.finished or state.ended:
+            return
+        results = [task.result for task in state.tasks]
+        if state.unknown:
+            self._finish(state, AnswerState.UNKNOWN, state.unknown)
+        elif state.cancelled and not all(r is not None and r.ok for r in results):
+            self._finish(state, AnswerState.CANCELLED)
+        elif failed := [r for r in results if r is not None and not r.ok]:
+            self._finish(state, AnswerState.FAILED, failed[0].detail)
+        elif state.expired and None in results:
+            if all(task.ran is Ran.NEVER for task in state.tasks):
+                self._finish_not_run(state)
+            else:
+                self._finish(state, AnswerState.FAILED, "not all started in time")
+        else:
+            self._finish(state, AnswerState.DONE)
+
+    def outcome_unknown(self, task: TaskState, now: float) -> None:
+        """End a task of an order whose outcome can never be known."""
+        task.owner.unknown = f"worker {task.worker_id} was lost after the start"
+        self.end(task, None, now)
+
+    def _finish(
+        self, state: RequestState, answer_state: AnswerState, detail: str = ""
+    ) -> None:
+        state.finished = True
+        results = [
+            {"task": task.index, "ok": task.result.ok, "value": task.result.value}
+            for task in state.tasks
+            if task.result is not None
+        ]
+        answer = Answer(state.request.request_id, answer_state, None, detail, results)
+        self.actions.append(Finish(state.request, answer))
+
+    def _finish_not_run(self, state: RequestState) -> None:
+        state.finished = True
+        answer = not_run(state.request.request_id, Reason.DEADLINE, "no worker in time")
+        self.actions.append(Finish(state.request, answer))
+
+    def _expire(self, state: RequestState, now: float) -> None:
+        state.expired = True
+        for task in state.tasks:
+            if task.phase is Phase.QUEUED and not self._may_restart(task):
+                self.end(task, None, now)
+
+    def _may_restart(self, task: TaskState) -> bool:
+        state = task.owner
+        if state.kind is RequestKind.GANG:
+            return any(other.ran is Ran.YES for other in state.tasks)
+        return task.ran is Ran.YES
+
+    def _make_ready(self, task: TaskState) -> None:
+        task.not_before = 0.0
+        task.owner.ready.append(task)
+
+    def _count(self, task: TaskState, *, occupies: bool) -> None:
+        state = task.owner
+        if occupies:
+            worker = self.workers.get(task.worker_id)
+            task.rack = worker.rack if worker is not None else ""
+            self.teams.charge(state.request.team, task.need)
+            state.racks[task.rack] += 1
+            return
+        self.teams.credit(state.request.team, task.need)
+        state.racks[task.rack] -= 1
+        self.queue.uncap(state.request.team)
--- /dev/null
+++ b/cuminhill/scheduling/dispatch.py
@@ -0,0 +1,111 @@
+"""Places queued requests: which task starts next, and where."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestKind
+from .events import RecordStart, StartTask
+from .policies import choose, policy_for
+from .state import Phase
+
+if TYPE_CHECKING:
+    from .book import Book
+    from .state import RequestState, TaskState, WorkerState
+
+# Bounds on the work of one decision; what remains is taken up at the next event.
+MAX_STARTS_PER_EVENT = 16
+MAX_ATTEMPTS_PER_EVENT = 24
+
+
+def place_queued(book: Book, now: float, wall: float) -> bool:
+    """Start queued tasks; return whether the bound left some for later."""
+    n_left = MAX_STARTS_PER_EVENT
+    for _ in range(MAX_ATTEMPTS_PER_EVENT):
+        state = book.queue.best()
+        if state is None:
+            return False
+        if n_left <= 0:
+            return True
+        n_left -= place_request(book, state, now, wall)
+    return book.queue.has_open
+
+
+def place_request(book: Book, state: RequestState, now: float, wall: float) -> int:
+    """Place the next task of a request (a gang: all); return how many started."""
+    task = state.ready[0]
+    if not book.may_start(task, wall):
+        book.queue.discard(state)  # its deadline is near: it will be answered
+        return 0
+    if state.kind is RequestKind.GANG:
+        return _place_gang(book, state, now)
+    if not book.teams.within_limit(state.request.team, task.need):
+        state.waits_for = "the team's hard limit"
+        book.queue.cap(state)
+        return 0
+    worker = choose(policy_for(state.kind), task, book.room, book.weights)
+    if worker is None:
+        state.waits_for = "room on a worker"
+        book.queue.block(state)
+        return 0
+    book.take_ready(state, task)
+    start_on(book, task, worker, now)
+    return 1
+
+
+def start_on(book: Book, task: TaskState, worker: WorkerState, now: float) -> None:
+    """Give a task a worker; an order is recorded before it is started."""
+    if task.owner.kind is RequestKind.ORDER:
+        book.occupy(task, worker, Phase.RECORDING, now)
+        book.actions.append(
+            RecordStart(
+                task.task_id,
+                task.owner.request,
+                task.worker_id,
+                task.epoch,
+                task.incarnation,
+                task.prior,
+            )
+        )
+        return
+    book.occupy(task, worker, Phase.STARTING, now)
+    call_start(book, task)
+
+
+def call_start(book: Book, task: TaskState) -> None:
+    """Have the worker called."""
+    book.n_placed += 1
+    book.actions.append(
+        StartTask(
+            task.task_id,
+            task.owner.request,
+            task.worker_id,
+            task.epoch,
+            task.remaining_s,
+        )
+    )
+
+
+def _place_gang(book: Book, state: RequestState, now: float) -> int:
+    """Place all tasks of a gang or none."""
+    tasks = list(state.ready)
+    policy = policy_for(state.kind)
+    chosen: list[tuple[TaskState, WorkerState]] = []
+    for task in tasks:
+        worker = choose(policy, task, book.room, book.weights)
+        if worker is None:
+            break
+        worker.reserve(task.task_id, task.need)
+        book.room.touch(worker)
+        chosen.append((task, worker))
+    if len(chosen) < len(tasks):
+        for task, worker in chosen:
+            worker.free_task(task.task_id)
+            book.room.touch(worker)
+        state.waits_for = f"room for {len(tasks)} tasks at once"
+        book.queue.block(state)
+        return 0
+    for task, worker in chosen:
+        book.take_ready(state, task)
+        start_on(book, task, worker, now)
+    return len(chosen)
--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -10,6 +10,8 @@
     from ..coordination.claims import Started
     from ..model import Answer, Request
     from ..platform.worker import LeaseReply, TaskResult
+    from .policies import Weights
+    from .quotas import TeamQuota
 
 
 class StartOutcome(StrEnum):
@@ -94,21 +96,34 @@
     ----------
     valid : bool
         Whether this placer's record is the one that counts.
+    offset : int
+        Offset of the record that counts.
+    other : Started or None, default=None
+        The record that counts, if it is another placer's.
     """
 
     task_id: str
     request_id: str
     valid: bool
     offset: int
+    other: Started | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class StartReplied:
-    """The start call ended without a result."""
+    """The start call ended without a result.
+
+    Parameters
+    ----------
+    epoch : int, default=0
+        Epoch that the call carried; 0 if the caller does not know it. It tells
+        the reply to an earlier try on the same worker from the present one.
+    """
 
     task_id: str
     worker_id: str
     outcome: StartOutcome
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +154,27 @@
     worker_ids: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class WeightsChanged:
+    """The configuration has other policy weights."""
+
+    weights: Weights
+
+
+@dataclass(frozen=True, slots=True)
+class QuotasChanged:
+    """The configuration has other quotas.
+
+    Parameters
+    ----------
+    quotas : dict of str to TeamQuota
+        Quota of each team in this shard; a team without one has no guaranteed
+        share and no limit.
+    """
+
+    quotas: dict[str, TeamQuota]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -156,6 +192,8 @@
     | TaskEnded
     | CancelRequested
     | RosterComplete
+    | WeightsChanged
+    | QuotasChanged
     | Tick
 )
 
--- /dev/null
+++ b/cuminhill/scheduling/intake.py
@@ -0,0 +1,153 @@
+"""Takes requests in, cancels them, and drops those that have ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import Answer, Reason, Request, RequestKind, not_run
+from .queueing import MAX_QUEUED_TASKS, MAX_REQUESTS
+from .reconcile import adopt
+from .state import Phase, Ran, make_request_state
+
+if TYPE_CHECKING:
+    from .book import Book
+    from .events import RequestAccepted
+    from .state import TaskState
+
+
+def refusal(book: Book, request: Request, wall: float) -> Answer | None:
+    """Return why a request is not taken, or None if it is.
+
+    Parameters
+    ----------
+    wall : float, seconds since the epoch
+        Wall-clock time.
+    """
+    request_id = request.request_id
+    if request.deadline <= wall:
+        return not_run(request_id, Reason.DEADLINE, "deadline has passed")
+    n_queued = book.n_queued + request.n_tasks
+    if n_queued > MAX_QUEUED_TASKS or len(book.requests) >= MAX_REQUESTS:
+        return not_run(request_id, Reason.OVERLOAD, "queue is full")
+    if not book.workers:
+        return not_run(request_id, Reason.UNAVAILABLE, "no worker is held")
+    if not book.room.ever_fits(request.need):
+        return not_run(request_id, Reason.INFEASIBLE, "a task fits on no worker here")
+    is_gang = request.kind is RequestKind.GANG
+    if is_gang and not book.room.ever_fits(request.need, request.n_tasks):
+        return not_run(
+            request_id, Reason.INFEASIBLE, "the tasks do not fit here at once"
+        )
+    return None
+
+
+def accept(book: Book, event: RequestAccepted, now: float) -> bool:
+    """Take a request in.
+
+    Returns
+    -------
+    bool
+        False if tasks of an ended request with this id are still being stopped;
+        the request is then to be taken in later.
+    """
+    request = event.request
+    if request.request_id in book.requests:
+        return True
+    if any(request.task_id(i) in book.tasks for i in range(request.n_tasks)):
+        return False
+    state = make_request_state(request, now)
+    book.requests[request.request_id] = state
+    book.watch_deadline(state)
+    for task in state.tasks:
+        book.tasks[task.task_id] = task
+        _admit(book, task, event, now)
+    book.offer(state)
+    return True
+
+
+def give_up_if_lost(book: Book, task: TaskState, now: float) -> None:
+    """End a held order whose worker can no longer tell what became of it."""
+    if task.phase is not Phase.HELD or task.prior < 0:
+        return
+    worker = book.workers.get(task.worker_id)
+    if worker is None:
+        lost = book.roster_complete
+    else:
+        lost = worker.incarnation != task.incarnation
+    if lost:
+        book.outcome_unknown(task, now)
+
+
+def end_request(book: Book, request_id: str, now: float) -> None:
+    """Drop a request whose answer is recorded; stop what still runs of it."""
+    state = book.requests.pop(request_id, None)
+    if state is None:
+        _stop_strays(book, request_id)
+        return
+    for worker_id, seq in state.results_at:
+        worker = book.workers.get(worker_id)
+        if worker and worker.unsettled.get(seq) == request_id:
+            del worker.unsettled[seq]
+    book.queue.discard(state)
+    state.ready.clear()
+    state.ended = True
+    for task in state.tasks:
+        if task.phase is Phase.ENDED:
+            book.tasks.pop(task.task_id, None)
+        elif task.phase is Phase.RUNNING:
+            # The worker's list frees the room when the stop has taken effect.
+            book.stop(task, now)
+        elif task.phase is Phase.RECORDING:
+            book.release(task)
+            book.end(task, None, now)
+        elif task.phase in {Phase.QUEUED, Phase.HELD}:
+            book.end(task, None, now)
+
+
+def cancel(book: Book, request_id: str, now: float) -> None:
+    """Cancel a request: nothing of it starts any more, what runs is stopped."""
+    state = book.requests.get(request_id)
+    if state is None or state.finished or state.cancelled:
+        return
+    state.cancelled = True
+    book.queue.discard(state)
+    state.ready.clear()
+    for task in state.tasks:
+        if task.phase is Phase.QUEUED:
+            book.end(task, None, now)
+        elif task.phase is Phase.RUNNING:
+            book.stop(task, now)
+    book.finish_if_over(state)
+
+
+def _admit(book: Book, task: TaskState, event: RequestAccepted, now: float) -> None:
+    started = event.started.get(task.task_id)
+    if started is not None:
+        task.prior = event.started_offsets[task.task_id]
+        task.epoch = started.epoch
+        task.incarnation = started.incarnation
+        book.attach(task, started.worker_id)
+        book.set_phase(task, Phase.HELD, now)
+        book.n_queued += 1  # it was never among the queued ones
+    elif event.inherited:
+        # An order without a started record has certainly not started.
+        is_order = event.request.kind is RequestKind.ORDER
+        task.ran = Ran.NEVER if is_order else Ran.MAYBE
+        if not book.roster_complete:
+            book.set_phase(task, Phase.HELD, now)
+            book.n_queued += 1
+    if task.phase is Phase.QUEUED:
+        book.n_queued += 1
+        task.owner.ready.append(task)
+    stray_on = book.strays.pop(task.task_id, None)
+    if stray_on in book.workers:
+        adopt(book, task, book.workers[stray_on], now)
+    give_up_if_lost(book, task, now)
+
+
+def _stop_strays(book: Book, request_id: str) -> None:
+    """Stop tasks of a request that ended before this placer knew it."""
+    for task_id, worker_id in book.strays.items():
+        worker = book.workers.get(worker_id)
+        if worker is not None and task_id.startswith(f"{request_id}/"):
+            book.stop_on(worker, task_id)
--- a/cuminhill/scheduling/policies.py
+++ b/cuminhill/scheduling/policies.py
@@ -2,37 +2,76 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
-from ..model import RequestKind
-from .state import WorkerState
+from ..model import RequestKind, Resources
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from .room import Room
+    from .state import TaskState, WorkerState
 
-    from .state import TaskState
+N_SPREAD_CANDIDATES = 32  # enough to see several racks
+RACK_PENALTY = 4.0  # a shared rack outweighs any difference in load
 
 
 @dataclass(frozen=True, slots=True)
-class SpreadPolicy:
-    """Prefers workers that hold least: short waits and few shared failures."""
+class Weights:
+    """What a site wants optimized.
+
+    Parameters
+    ----------
+    waiting : float, default=1
+        Weight of waiting time: faster workers, earlier preemption.
+    packing : float, default=1
+        Weight of packing: tighter fits.
+    control_cost : float, default=1
+        Weight of control cost: fewer preemptions.
+    check_reserve : float, default=0.03
+        Fraction of all slots kept free for checks.
+    """
+
+    waiting: float = 1.0
+    packing: float = 1.0
+    control_cost: float = 1.0
+    check_reserve: float = 0.03
 
 
 @dataclass(frozen=True, slots=True)
-class PackPolicy:
-    """Prefers the fullest worker that still fits."""
+class CheckPolicy:
+    """Fast and idle workers; the check reserve if all else is full."""
 
 
-Policy = SpreadPolicy | PackPolicy
+@dataclass(frozen=True, slots=True)
+class OrderPolicy:
+    """Fast and idle workers; may use room kept for a waiting gang."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePolicy:
+    """Racks that hold least of the service, then idle workers."""
+
+
+@dataclass(frozen=True, slots=True)
+class BatchPolicy:
+    """The worker on which least is left over in every dimension."""
+
+
+@dataclass(frozen=True, slots=True)
+class GangPolicy:
+    """Packs like batch; all tasks are placed or none."""
+
+
+Policy = CheckPolicy | OrderPolicy | ServicePolicy | BatchPolicy | GangPolicy
 
 _POLICIES: dict[RequestKind, Policy] = {
-    RequestKind.CHECK: SpreadPolicy(),
-    RequestKind.ORDER: SpreadPolicy(),
-    RequestKind.BATCH: PackPolicy(),
-    RequestKind.GANG: PackPolicy(),
-    RequestKind.SERVICE: SpreadPolicy(),
+    RequestKind.CHECK: CheckPolicy(),
+    RequestKind.ORDER: OrderPolicy(),
+    RequestKind.BATCH: BatchPolicy(),
+    RequestKind.GANG: GangPolicy(),
+    RequestKind.SERVICE: ServicePolicy(),
 }
 
 
@@ -42,26 +81,132 @@
 
 
 @singledispatch
-def score(policy: Policy, worker: WorkerState) -> float:
-    """Return how well a worker suits; larger is better."""
+def score(
+    policy: Policy, task: TaskState, worker: WorkerState, room: Room, weights: Weights
+) -> float:
+    """Return how well a worker on which a task fits suits; larger is better."""
     raise TypeError(f"not a policy: {policy!r}")
 
 
-@score.register
-def _(policy: SpreadPolicy, worker: WorkerState) -> float:
-    return worker.free.cores / worker.capacity.cores
+@score.register(CheckPolicy)
+@score.register(OrderPolicy)
+def _(
+    policy: Policy, task: TaskState, worker: WorkerState, room: Room, weights: Weights
+) -> float:
+    speed = math.log2(max(room.speed(worker), 1e-3))
+    return weights.waiting * speed + idle_fraction(worker, room.free_of(worker))
+
+
+@score.register(ServicePolicy)
+def _(
+    policy: ServicePolicy,
+    task: TaskState,
+    worker: WorkerState,
+    room: Room,
+    weights: Weights,
+) -> float:
+    shared = task.owner.racks[worker.rack]
+    return idle_fraction(worker, room.free_of(worker)) - RACK_PENALTY * shared
+
+
+@score.register(BatchPolicy)
+@score.register(GangPolicy)
+def _(
+    policy: Policy, task: TaskState, worker: WorkerState, room: Room, weights: Weights
+) -> float:
+    speed = math.log2(max(room.speed(worker), 1e-3))
+    fit = fit_score(task.need, room.free_of(worker), worker.capacity)
+    return weights.packing * fit + 0.1 * weights.waiting * speed
+
+
+@singledispatch
+def candidates(policy: Policy, task: TaskState, room: Room) -> list[str]:
+    """Return workers to compare; empty only if the task fits on none."""
+    raise TypeError(f"not a policy: {policy!r}")
+
+
+@candidates.register(CheckPolicy)
+@candidates.register(OrderPolicy)
+def _(policy: Policy, task: TaskState, room: Room) -> list[str]:
+    found = room.general.fitting(task.need, tight=False)
+    if found:
+        return found
+    if isinstance(policy, CheckPolicy) or not room.reserves:
+        return room.whole.fitting(task.need, tight=False)
+    # Orders may use what is kept for a gang, but not the reserve of the checks.
+    found = room.whole.fitting(task.need, tight=False, limit=N_SPREAD_CANDIDATES)
+    return [key for key in found if key not in room.reserves]
+
+
+@candidates.register(ServicePolicy)
+def _(policy: ServicePolicy, task: TaskState, room: Room) -> list[str]:
+    return room.general.fitting(task.need, tight=False, limit=N_SPREAD_CANDIDATES)
 
 
-@score.register
-def _(policy: PackPolicy, worker: WorkerState) -> float:
-    return -worker.free.cores / worker.capacity.cores
+@candidates.register(BatchPolicy)
+@candidates.register(GangPolicy)
+def _(policy: Policy, task: TaskState, room: Room) -> list[str]:
+    return room.general.fitting(task.need, tight=True)
 
 
 def choose(
-    policy: Policy, task: TaskState, workers: Iterable[WorkerState]
+    policy: Policy, task: TaskState, room: Room, weights: Weights
 ) -> WorkerState | None:
-    """Return the best usable worker that the task fits on, or None."""
-    fitting = [
-        worker for worker in workers if worker.usable and task.need.fits(worker.free)
+    """Return the best worker that a task fits on, or None."""
+    found = candidates(policy, task, room)
+    if not found and room.needs_reserve(task.need):
+        found = room.whole.fitting(task.need, tight=True)
+    workers = room.workers
+    # A copy that an unreachable worker may still run must not meet this one.
+    found = [key for key in found if task.task_id not in workers[key].needs]
+    if task.failed_on:
+        found = _elsewhere(task, found, room)
+    if not found:
+        return None
+    return max(
+        (workers[key] for key in found),
+        key=lambda worker: score(policy, task, worker, room, weights),
+    )
+
+
+def _elsewhere(task: TaskState, found: list[str], room: Room) -> list[str]:
+    """Prefer workers on which the task has not failed yet."""
+    if any(key not in task.failed_on for key in found):
+        return [key for key in found if key not in task.failed_on]
+    limit = len(task.failed_on) + 1
+    more = room.general.fitting(task.need, tight=False, limit=limit)
+    return [key for key in more if key not in task.failed_on] or found
+
+
+def idle_fraction(worker: WorkerState, free: Resources) -> float:
+    """Return the smallest free fraction of a worker's cores and slots."""
+    capacity = worker.capacity
+    return min(
+        free.cores / capacity.cores if capacity.cores else 1.0,
+        free.slots / capacity.slots if capacity.slots else 1.0,
+    )
+
+
+def fit_score(need: Resources, free: Resources, capacity: Resources) -> float:
+    """Return how well a need fills what is free; 0 is a perfect fit.
+
+    Two parts: how much is left over, and how unevenly, since a worker with
+    cores but no memory left holds nothing more.
+
+    Parameters
+    ----------
+    need, free, capacity : Resources
+        Of the task and the worker.
+    """
+    left = [
+        (available - amount) / size
+        for amount, available, size in (
+            (need.cores, free.cores, capacity.cores),
+            (need.memory_mb, free.memory_mb, capacity.memory_mb),
+            (need.slots, free.slots, capacity.slots),
+        )
+        if size > 0
     ]
-    return max(fitting, key=lambda worker: score(policy, worker), default=None)
+    # Work without accelerators keeps off workers that have some free.
+    wasted = 1.0 if free.accelerators > 0 and need.accelerators <= 0 else 0.0
+    return -sum(left) / 3.0 - 0.5 * (max(left) - min(left)) - wasted
--- /dev/null
+++ b/cuminhill/scheduling/quotas.py
@@ -0,0 +1,136 @@
+"""Quotas and fair shares of teams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..model import NO_RESOURCES, Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Weight of a team without a guaranteed share in the fair order.
+DEFAULT_WEIGHT = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class TeamQuota:
+    """What a team may use in one shard.
+
+    Parameters
+    ----------
+    share : float, default=0
+        Guaranteed fraction of every resource; it is lent while unused.
+    limit : Resources or None, default=None
+        Never more than this at a time.
+    """
+
+    share: float = 0.0
+    limit: Resources | None = None
+
+
+NO_QUOTA = TeamQuota()
+
+
+@dataclass(eq=False, slots=True)
+class TeamLedger:
+    """What each team uses.
+
+    Notes
+    -----
+    The order of teams is weighted dominant-resource fairness: the share of a
+    team is that of the resource of which it uses the largest fraction. See
+    Ghodsi et al., "Dominant Resource Fairness", NSDI 2011.
+    """
+
+    quotas: Mapping[str, TeamQuota] = field(default_factory=dict)
+    used: dict[str, Resources] = field(default_factory=dict)
+    total: Resources = NO_RESOURCES
+    _ranks: dict[str, float] = field(default_factory=dict)
+
+    def quota(self, team: str) -> TeamQuota:
+        """Return the quota of a team."""
+        return self.quotas.get(team, NO_QUOTA)
+
+    def set_quotas(self, quotas: Mapping[str, TeamQuota]) -> None:
+        """Use other quotas from now on."""
+        self.quotas = dict(quotas)
+        self._ranks.clear()
+
+    def set_total(self, total: Resources) -> None:
+        """Set the capacity of which shares are fractions."""
+        if total is not self.total:
+            self.total = total
+            self._ranks.clear()
+
+    def charge(self, team: str, need: Resources) -> None:
+        """Count a task that occupies a worker."""
+        self.used[team] = self.used.get(team, NO_RESOURCES) + need
+        self._ranks.pop(team, None)
+
+    def credit(self, team: str, need: Resources) -> None:
+        """Stop counting a task."""
+        left = self.used[team] - need
+        self._ranks.pop(team, None)
+        if left.slots <= 0 and left.connections <= 0 and left.cores <= 1e-9:
+            del self.used[team]
+        else:
+            self.used[team] = left
+
+    def dominant_share(self, team: str, extra: Resources = NO_RESOURCES) -> float:
+        """Return the largest fraction of any resource that a team uses.
+
+        Parameters
+        ----------
+        extra : Resources
+            Counted on top of what the team uses now.
+        """
+        used = self.used.get(team, NO_RESOURCES) + extra
+        total = self.total
+        return max(
+            used.cores / total.cores if total.cores else 0.0,
+            used.memory_mb / total.memory_mb if total.memory_mb else 0.0,
+            used.accelerators / total.accelerators if total.accelerators else 0.0,
+            used.slots / total.slots if total.slots else 0.0,
+        )
+
+    def rank(self, team: str) -> float:
+        """Return the dominant share relative to the team's weight."""
+        rank = self._ranks.get(team)
+        if rank is None:
+            weight = max(self.quota(team).share, DEFAULT_WEIGHT)
+            rank = self._ranks[team] = self.dominant_share(team) / weight
+        return rank
+
+    def within_limit(self, team: str, need: Resources) -> bool:
+        """Return whether the hard limit of a team leaves room for a task."""
+        limit = self.quota(team).limit
+        if limit is None:
+            return True
+        return (self.used.get(team, NO_RESOURCES) + need).fits(limit)
+
+    def ever_within_limit(self, team: str, need: Resources, n_tasks: int) -> bool:
+        """Return whether so many tasks at a time are within the hard limit."""
+        limit = self.quota(team).limit
+        return limit is None or times(need, n_tasks).fits(limit)
+
+    def is_owed(self, team: str, need: Resources) -> bool:
+        """Return whether a team stays within its guaranteed share with a task."""
+        share = self.quota(team).share
+        return share > 0 and self.dominant_share(team, need) <= share + 1e-9
+
+    def borrows(self, team: str) -> bool:
+        """Return whether a team uses more than its guaranteed share."""
+        return self.dominant_share(team) > self.quota(team).share + 1e-9
+
+
+def times(need: Resources, count: int) -> Resources:
+    """Return ``count`` times a resource vector."""
+    return Resources(
+        need.cores * count,
+        need.memory_mb * count,
+        need.accelerators * count,
+        need.slots * count,
+        need.connections * count,
+    )
--- /dev/null
+++ b/cuminhill/scheduling/reconcile.py
@@ -0,0 +1,264 @@
+"""Brings tasks and capacity in line with what the workers say."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestKind
+from .events import FenceWorker
+from .state import OCCUPYING, Phase, Ran, WorkerState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..platform.worker import LeaseReply, TaskReport, TaskResult
+    from .book import Book
+    from .events import RosterComplete, WorkerReported
+    from .state import TaskState
+
+    TakeResult = Callable[[WorkerState, TaskResult, float], None]
+
+START_TIMEOUT_S = 10.0  # a start call that is silent for longer is uncertain
+REPEAT_S = 1.0  # between repeats of a stop or fence that had no effect
+STOP_AFTER_S = 3.0  # a checkpoint without effect for this long becomes a stop
+LOST_DELAY_S = 0.25  # before a task that vanished from its worker is tried again
+
+
+def take_report(
+    book: Book, event: WorkerReported, take_result: TakeResult, now: float
+) -> None:
+    """Take a worker's reply to a renewal of its lease."""
+    reply = event.reply
+    worker = book.workers.get(event.worker_id)
+    if worker is not None and event.sent_at < worker.reported_at:
+        return  # an older reply that was overtaken
+    if worker is not None and worker.incarnation != reply.incarnation:
+        forget_worker(book, worker, now)
+        worker = None
+    if worker is not None and reply.epoch < worker.epoch:
+        return
+    is_new = worker is None
+    if worker is None:
+        worker = WorkerState(
+            event.worker_id,
+            reply.capacity,
+            reply.rack,
+            reply.failure_domain,
+            reply.speed,
+            reply.epoch,
+            reply.incarnation,
+        )
+        book.workers[event.worker_id] = worker
+    was_usable = worker.usable and not is_new
+    worker.reported_at = event.sent_at
+    worker.held = True
+    worker.epoch = reply.epoch
+    worker.leaving = worker.leaving or reply.leaving
+    changed = worker.capacity != reply.capacity or was_usable != worker.usable
+    worker.capacity = reply.capacity
+    worker.usage_cores = reply.usage_cores
+    worker.usage_memory_mb = reply.usage_memory_mb
+    _reconcile(book, worker, event, take_result, now)
+    if changed:
+        book.touch(worker)
+        book.wake(worker)
+        if is_new:
+            book.queue.reopen_all()  # totals and infeasible gangs have changed
+
+
+def forget_worker(book: Book, worker: WorkerState, now: float) -> None:
+    """Drop a worker whose tasks have certainly stopped."""
+    worker_id = worker.worker_id
+    tasks = list(book.tasks_on.get(worker_id, {}).values())
+    book.room.forget(worker_id)
+    del book.workers[worker_id]
+    book.teams.set_total(book.room.total)
+    for task_id in [key for key, on in book.strays.items() if on == worker_id]:
+        del book.strays[task_id]
+    for task in tasks:
+        if task.phase is Phase.RECORDING:
+            continue  # decided when the record is read back
+        if task.owner.kind is RequestKind.ORDER and task.phase is not Phase.STOPPING:
+            book.outcome_unknown(task, now)
+            continue
+        task.ran = max(task.ran, _ran_when_lost(task))
+        _not_there(book, task, now)
+
+
+def complete_roster(book: Book, event: RosterComplete, now: float) -> None:
+    """Decide on tasks of an earlier placer that no worker lists."""
+    book.roster_complete = True
+    for state in list(book.requests.values()):
+        for task in state.tasks:
+            if task.phase is not Phase.HELD:
+                continue
+            if task.prior < 0:
+                _not_there(book, task, now)
+            elif task.worker_id not in event.worker_ids:
+                book.outcome_unknown(task, now)
+
+
+def adopt(book: Book, task: TaskState, worker: WorkerState, now: float) -> None:
+    """Take over a task that a worker lists as running."""
+    worker.confirm(task.task_id, now)
+    if task.worker_id == worker.worker_id and task.phase is Phase.RUNNING:
+        return
+    elsewhere = task.phase in OCCUPYING and task.worker_id != worker.worker_id
+    if task.phase is Phase.ENDED or elsewhere:
+        _stop_copy(book, task, worker)
+        return
+    if task.phase is Phase.RECORDING:
+        return  # a list that is older than the record
+    task.ran = Ran.YES
+    if task.phase is Phase.STOPPING:
+        repeat_stop(book, task, now)
+        return
+    if task.phase is Phase.QUEUED:
+        _unqueue(book, task)
+    book.occupy(task, worker, Phase.RUNNING, now)
+    stop_if_unwanted(book, task, now)
+
+
+def stop_if_unwanted(book: Book, task: TaskState, now: float) -> None:
+    """Stop a running task of a request that is over or that regroups."""
+    if task.owner.over:
+        book.stop(task, now)
+    elif task.owner.regrouping:
+        book.stop(task, now, "checkpoint")
+
+
+def repeat_stop(book: Book, task: TaskState, now: float) -> None:
+    """Repeat a stop that has had no effect for some time."""
+    if now - task.verb_at < REPEAT_S:
+        return
+    late = now - task.phase_at > STOP_AFTER_S
+    book.stop(task, now, "stop" if late or task.owner.over else task.verb)
+
+
+def _reconcile(
+    book: Book,
+    worker: WorkerState,
+    event: WorkerReported,
+    take_result: TakeResult,
+    now: float,
+) -> None:
+    reply = event.reply
+    for result in reply.finished:
+        take_result(worker, result, now)
+    # Results that arrived ahead of this list: their tasks had not ended in it.
+    ended_since = {task_id for seq, task_id in worker.told.items() if seq > reply.seq}
+    worker.settle_list(reply.seq)
+    listed = {r.task_id for r in reply.tasks if r.task_id not in ended_since}
+    for report in reply.tasks:
+        if report.task_id in listed:
+            _take_listed(book, worker, report, now)
+    for task_id in [key for key in worker.needs if key not in listed]:
+        if not worker.proves_gone(task_id, reply.epoch, event.sent_at):
+            continue
+        task = book.tasks.get(task_id)
+        if task is None or task.worker_id != worker.worker_id:
+            book.strays.pop(task_id, None)
+            book.free_on(worker, task_id)
+        else:
+            _missing(book, worker, task, reply, now)
+    for task in list(book.tasks_on.get(worker.worker_id, {}).values()):
+        if task.phase is not Phase.HELD:
+            _check_silence(book, task, now)
+        elif task.task_id not in listed and task.epoch < reply.epoch:
+            _missing(book, worker, task, reply, now)
+
+
+def _take_listed(
+    book: Book, worker: WorkerState, report: TaskReport, now: float
+) -> None:
+    task_id = report.task_id
+    if worker.needs.get(task_id) != report.need:
+        worker.reserve(task_id, report.need)
+        book.touch(worker)
+    task = book.tasks.get(task_id)
+    if task is not None:
+        adopt(book, task, worker, now)
+    else:
+        worker.confirm(task_id, now)
+        book.strays[task_id] = worker.worker_id
+
+
+def _check_silence(book: Book, task: TaskState, now: float) -> None:
+    """Look after tasks that have waited long for a reply or a fence."""
+    if task.phase is Phase.STARTING and now - task.phase_at > START_TIMEOUT_S:
+        book.set_phase(task, Phase.UNCERTAIN, now)
+        fence(book, task, now)
+    elif task.phase is Phase.UNCERTAIN and now - task.verb_at > REPEAT_S:
+        fence(book, task, now)
+
+
+def fence(book: Book, task: TaskState, now: float) -> None:
+    """Ask for a newer epoch, which decides whether a start took effect."""
+    task.verb_at = now
+    book.actions.append(FenceWorker(task.worker_id))
+
+
+def _missing(
+    book: Book, worker: WorkerState, task: TaskState, reply: LeaseReply, now: float
+) -> None:
+    """Handle a task of ours that its worker lists no more."""
+    if task.phase in {Phase.RECORDING, Phase.STARTING}:
+        return
+    was_held = task.phase is Phase.HELD
+    book.free_on(worker, task.task_id)
+    is_order = task.owner.kind is RequestKind.ORDER
+    if task.phase is Phase.STOPPING:
+        if is_order and not task.owner.over:
+            book.outcome_unknown(task, now)
+        else:
+            _not_there(book, task, now)
+        return
+    proven = task.incarnation == reply.incarnation and not reply.dropped
+    if task.phase in {Phase.UNCERTAIN, Phase.HELD} and proven:
+        # Same life, newer epoch, neither listed nor finished: the start never
+        # took effect, and fencing keeps it from doing so later.
+        if not is_order and was_held:
+            task.ran = Ran.MAYBE
+        _not_there(book, task, now)
+    elif is_order:
+        book.outcome_unknown(task, now)
+    else:
+        task.ran = max(task.ran, _ran_when_lost(task))
+        _not_there(book, task, now, LOST_DELAY_S)
+
+
+def _not_there(book: Book, task: TaskState, now: float, delay_s: float = 0.0) -> None:
+    """Queue a task that is on no worker; a gang is queued as a whole."""
+    state = task.owner
+    book.requeue(task, now, now + delay_s)
+    if state.kind is RequestKind.GANG and not state.over:
+        regroup(book, task, now)
+
+
+def regroup(book: Book, task: TaskState, now: float) -> None:
+    """Bring back the other tasks of a gang that has lost one, to start together."""
+    state = task.owner
+    others = [t for t in state.tasks if t.phase in OCCUPYING]
+    if not others:
+        return
+    state.regrouping = True
+    for other in others:
+        if other.phase is Phase.RUNNING:
+            book.stop(other, now, "checkpoint")
+
+
+def _ran_when_lost(task: TaskState) -> Ran:
+    return Ran.YES if task.phase in {Phase.RUNNING, Phase.STOPPING} else Ran.MAYBE
+
+
+def _unqueue(book: Book, task: TaskState) -> None:
+    if task in task.owner.ready:
+        task.owner.ready.remove(task)
+    task.not_before = 0.0
+    book.offer(task.owner)
+
+
+def _stop_copy(book: Book, task: TaskState, worker: WorkerState) -> None:
+    """Stop a second copy of a task that runs, or has ended, elsewhere."""
+    if task.owner.kind is not RequestKind.ORDER:
+        book.stop_on(worker, task.task_id)
--- /dev/null
+++ b/cuminhill/scheduling/results.py
@@ -0,0 +1,141 @@
+"""What the result of a task, or its refused start, leads to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestKind
+from .reconcile import fence, regroup, stop_if_unwanted
+from .state import OCCUPYING, Phase, Ran
+
+if TYPE_CHECKING:
+    from ..platform.worker import TaskResult
+    from .book import Book
+    from .events import StartReplied
+    from .state import TaskState, WorkerState
+
+MAX_TRIES = 3
+RETRY_BASE_S = 0.2  # delay after the first failure; doubles with each further one
+RETRY_MAX_S = 30.0
+STABLE_RUN_S = 10.0  # a service that ran for longer is replaced at once
+
+
+def retry_delay_s(n_failures: int) -> float:
+    """Return the delay before the next try, in seconds."""
+    return float(min(RETRY_MAX_S, RETRY_BASE_S * 2.0 ** min(n_failures - 1, 30)))
+
+
+def take_result(
+    book: Book, worker: WorkerState, result: TaskResult, now: float
+) -> None:
+    """Take the result of a task, which may be told more than once."""
+    if not worker.take(result.seq, result.task_id):
+        return
+    task = book.tasks.get(result.task_id)
+    book.strays.pop(result.task_id, None)
+    was_present = (
+        task is not None
+        and task.worker_id == worker.worker_id
+        and task.phase in OCCUPYING
+        and task.phase is not Phase.RECORDING
+    )
+    if task is None or was_present or task.worker_id != worker.worker_id:
+        book.free_on(worker, result.task_id)
+    if task is None or task.phase is Phase.ENDED:
+        return
+    if not was_present and not _counts_late(task, result):
+        return
+    if not task.owner.ended:
+        worker.unsettled[result.seq] = task.request_id
+        task.owner.results_at.append((worker.worker_id, result.seq))
+    task.ran = Ran.YES
+    _decide(book, worker, task, result, now)
+    kept = worker.unsettled.get(result.seq) is not None
+    if kept and task.phase is not Phase.ENDED and result.remaining_s is None:
+        # It will be tried again, so nobody needs this result any more.
+        worker.unsettled.pop(result.seq, None)
+        task.owner.results_at.pop()
+
+
+def _counts_late(task: TaskState, result: TaskResult) -> bool:
+    """Whether a result counts although its task is not on that worker now.
+
+    A task that a former placer started may have ended there; one that was given
+    up for lost may have ended well. Another try that is under way goes on.
+    """
+    if task.phase is Phase.HELD:
+        return True
+    is_service = task.owner.kind is RequestKind.SERVICE
+    return task.phase is Phase.QUEUED and result.ok and not is_service
+
+
+def _decide(
+    book: Book, worker: WorkerState, task: TaskState, result: TaskResult, now: float
+) -> None:
+    state = task.owner
+    was_stopped = task.phase is Phase.STOPPING
+    if result.remaining_s is not None and not result.ok:
+        task.remaining_s = max(0.0, min(task.remaining_s, result.remaining_s))
+    if state.over:
+        # A result that came before the stop took effect is still the result.
+        book.end(task, result, now)
+    elif (
+        result.ok and state.kind is not RequestKind.SERVICE
+    ) or state.kind is RequestKind.ORDER:
+        book.end(task, result, now)
+    elif was_stopped or result.remaining_s is not None:
+        _again(book, task, now)
+    elif state.kind is RequestKind.SERVICE:
+        _replace(book, task, result, now)
+    else:
+        _failed(book, worker, task, result, now)
+
+
+def _replace(book: Book, task: TaskState, result: TaskResult, now: float) -> None:
+    if result.run_s >= STABLE_RUN_S:
+        task.n_tries = 0
+        _again(book, task, now)
+        return
+    task.n_tries += 1
+    _again(book, task, now, retry_delay_s(task.n_tries))
+
+
+def _failed(
+    book: Book, worker: WorkerState, task: TaskState, result: TaskResult, now: float
+) -> None:
+    task.n_tries += 1
+    if worker.worker_id not in task.failed_on:
+        task.failed_on = (*task.failed_on, worker.worker_id)
+    if task.n_tries >= MAX_TRIES:
+        book.end(task, result, now)
+    else:
+        _again(book, task, now, retry_delay_s(task.n_tries))
+
+
+def _again(book: Book, task: TaskState, now: float, delay_s: float = 0.0) -> None:
+    book.requeue(task, now, now + delay_s)
+    if task.owner.kind is RequestKind.GANG and not task.owner.over:
+        regroup(book, task, now)
+
+
+def take_start_reply(book: Book, event: StartReplied, now: float) -> None:
+    """Take what a start call said."""
+    task = book.tasks.get(event.task_id)
+    if task is None or task.phase is not Phase.STARTING:
+        return
+    if task.worker_id != event.worker_id or event.epoch not in {0, task.epoch}:
+        return  # the reply to an earlier try
+    worker = book.workers.get(task.worker_id)
+    if event.outcome == "running":
+        task.ran = Ran.YES
+        book.set_phase(task, Phase.RUNNING, now)
+        if worker is not None:
+            worker.confirm(task.task_id, now)
+        stop_if_unwanted(book, task, now)
+    elif event.outcome == "unknown":
+        book.set_phase(task, Phase.UNCERTAIN, now)
+        fence(book, task, now)
+    else:
+        book.pause_worker(task.worker_id)
+        book.release(task)
+        _again(book, task, now)
--- /dev/null
+++ b/cuminhill/scheduling/room.py
@@ -0,0 +1,205 @@
+"""Free room of a shard, as the placement policies see it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..model import NO_RESOURCES, RequestKind, Resources
+from .capacity import CapacityIndex
+from .state import Phase
+
+if TYPE_CHECKING:
+    from .state import TaskState, WorkerState
+
+# What a check is expected to need; a reserve of this size is kept per slot.
+CHECK_NEED = Resources(1.0, 512.0, 0.0, 1.0, 1.0)
+RESERVE_PERIOD_S = 1.0  # sorting the workers at each change would be quadratic
+
+
+@dataclass(eq=False, slots=True)
+class Room:
+    """Indexes over the free resources of all usable workers.
+
+    Parameters
+    ----------
+    general : CapacityIndex
+        Free for all kinds: without check reserves and gang reservations.
+    whole : CapacityIndex
+        Free for urgent work: everything that is free.
+    reserves : dict of str to Resources
+        Kept free for checks, by worker.
+    planned : dict of str to Resources
+        Kept free for a waiting gang, by worker.
+    total : Resources
+        Capacity of all usable workers.
+    """
+
+    workers: dict[str, WorkerState]
+    tasks_on: dict[str, dict[str, TaskState]]
+    speeds: dict[str, float] = field(default_factory=dict)
+    general: CapacityIndex = field(default_factory=CapacityIndex)
+    whole: CapacityIndex = field(default_factory=CapacityIndex)
+    reserves: dict[str, Resources] = field(default_factory=dict)
+    planned: dict[str, Resources] = field(default_factory=dict)
+    total: Resources = NO_RESOURCES
+    shapes: Counter[Resources] = field(default_factory=Counter)
+    _reclaim: CapacityIndex = field(default_factory=CapacityIndex)
+    _dirty: dict[str, None] = field(default_factory=dict)
+    _counted: dict[str, Resources] = field(default_factory=dict)
+    _shape_of: dict[str, Resources] = field(default_factory=dict)
+    _reserve_due_at: float = 0.0
+    _reserve_stale: bool = True
+    _kinds: list[Resources] | None = None
+
+    def touch(self, worker: WorkerState) -> None:
+        """Take note of a change of a worker."""
+        worker_id = worker.worker_id
+        self._count(worker_id, worker.capacity if worker.usable else None)
+        if self._shape_of.get(worker_id) != worker.capacity:
+            self._set_shape(worker_id, worker.capacity)
+        self._dirty[worker_id] = None
+        if not worker.usable:
+            self.general.drop(worker_id)
+            self.whole.drop(worker_id)
+            return
+        speed = self.speed(worker)
+        free = self.free_of(worker)
+        self.whole.put(worker_id, free, speed)
+        self.general.put(worker_id, self._less_kept(worker_id, free), speed)
+
+    def forget(self, worker_id: str) -> None:
+        """Drop a worker that has left."""
+        self._count(worker_id, None)
+        self._set_shape(worker_id, None)
+        for index in (self.general, self.whole, self._reclaim):
+            index.drop(worker_id)
+        self.reserves.pop(worker_id, None)
+        self.planned.pop(worker_id, None)
+
+    def speed(self, worker: WorkerState) -> float:
+        """Return the speed of a worker, learned if possible."""
+        return self.speeds.get(worker.worker_id, worker.speed)
+
+    def free_of(self, worker: WorkerState) -> Resources:
+        """Return what is free by the declared needs and by the measured use."""
+        if worker.excess is NO_RESOURCES:
+            return worker.free
+        return worker.free - worker.excess
+
+    def general_free(self, worker: WorkerState) -> Resources:
+        """Return what is free on a worker for work of any kind."""
+        return self._less_kept(worker.worker_id, self.free_of(worker))
+
+    def reclaimable(self) -> CapacityIndex:
+        """Return the index over what is free or held by running batch tasks."""
+        for worker_id in self._dirty:
+            worker = self.workers.get(worker_id)
+            if worker is None or not worker.usable:
+                self._reclaim.drop(worker_id)
+                continue
+            free = self.free_of(worker)
+            for task in self.tasks_on.get(worker_id, {}).values():
+                if task.phase is Phase.RUNNING and task.owner.kind is RequestKind.BATCH:
+                    free = free + task.need
+            self._reclaim.put(worker_id, free, self.speed(worker))
+        self._dirty.clear()
+        return self._reclaim
+
+    def ever_fits(self, need: Resources, n_tasks: int = 1) -> bool:
+        """Return whether so many tasks fit on the known workers when empty."""
+        n_places = 0
+        for capacity, n_workers in self.shapes.items():
+            n_places += n_workers * n_fitting(need, capacity)
+            if n_places >= n_tasks:
+                return True
+        return False
+
+    def needs_reserve(self, need: Resources) -> bool:
+        """Return whether a need fits only where room is kept for checks."""
+        if not self.reserves:
+            return False
+        if self._kinds is None:
+            self._kinds = list(
+                {
+                    capacity - self.reserves.get(worker_id, NO_RESOURCES)
+                    for worker_id, capacity in self._counted.items()
+                }
+            )
+        return not any(need.fits(capacity) for capacity in self._kinds)
+
+    def set_reserve(self, fraction: float, now: float) -> list[str]:
+        """Keep a fraction of all slots for checks, on the fastest workers.
+
+        Returns
+        -------
+        list of str
+            Workers whose reserve has changed.
+        """
+        if not self._reserve_stale or now < self._reserve_due_at:
+            return []
+        self._reserve_stale = False
+        self._reserve_due_at = now + RESERVE_PERIOD_S
+        n_slots = int(fraction * self.total.slots)
+        usable = [w for w in self.workers.values() if w.usable]
+        usable.sort(key=lambda w: (-self.speed(w), w.worker_id))
+        # At most one slot per worker and half of the workers, so that a task that
+        # needs a whole worker still finds one.
+        chosen = {w.worker_id for w in usable[: min(n_slots, len(usable) // 2)]}
+        changed = chosen.symmetric_difference(self.reserves)
+        self.reserves = {worker_id: CHECK_NEED for worker_id in sorted(chosen)}
+        self._kinds = None
+        for worker_id in changed:
+            self.touch(self.workers[worker_id])
+        return sorted(changed)
+
+    def refresh_reserve(self) -> None:
+        """Let the reserve be chosen anew, since its fraction has changed."""
+        self._reserve_stale = True
+
+    def _less_kept(self, worker_id: str, free: Resources) -> Resources:
+        reserve = self.reserves.get(worker_id)
+        if reserve is not None:
+            free = free - reserve
+        planned = self.planned.get(worker_id)
+        return free if planned is None else free - planned
+
+    def _count(self, worker_id: str, capacity: Resources | None) -> None:
+        old = self._counted.get(worker_id)
+        if old is capacity or old == capacity:
+            return
+        self._reserve_stale = True
+        self._kinds = None
+        if old is not None:
+            self.total = self.total - old
+            del self._counted[worker_id]
+        if capacity is not None:
+            self.total = self.total + capacity
+            self._counted[worker_id] = capacity
+
+    def _set_shape(self, worker_id: str, capacity: Resources | None) -> None:
+        old = self._shape_of.pop(worker_id, None)
+        if old is not None:
+            self.shapes[old] -= 1
+            if not self.shapes[old]:
+                del self.shapes[old]
+        if capacity is not None:
+            self._shape_of[worker_id] = capacity
+            self.shapes[capacity] += 1
+
+
+def n_fitting(need: Resources, free: Resources) -> int:
+    """Return how many tasks of a need fit into ``free``."""
+    pairs = (
+        (need.cores, free.cores),
+        (need.memory_mb, free.memory_mb),
+        (need.accelerators, free.accelerators),
+        (need.slots, free.slots),
+        (need.connections, free.connections),
+    )
+    count = 10**9
+    for amount, available in pairs:
+        if amount > 0:
+            count = min(count, int(available // amount))
+    return max(0, count)
--- a/cuminhill/scheduling/state.py
+++ b/cuminhill/scheduling/state.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter, deque
 from dataclasses import dataclass, field
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from typing import TYPE_CHECKING
 
 from ..model import NO_RESOURCES, RequestKind, Resources
@@ -39,12 +40,22 @@
 )
 
 
+class Ran(IntEnum):
+    """Whether a task has ever run."""
+
+    NEVER = 0  # provably not
+    MAYBE = 1  # an earlier placer may have started it
+    YES = 2
+
+
 @dataclass(eq=False, slots=True)
 class TaskState:
     """One task of a request.
 
     Parameters
     ----------
+    owner : RequestState
+        Request to which it belongs.
     epoch : int
         Lease epoch under which it was started.
     incarnation : str
@@ -57,10 +68,20 @@
         Declared run time left; less than the request's after a checkpoint.
     phase_at : float, seconds
         Monotonic time of the last change of phase.
+    failed_on : tuple of str
+        Workers on which it failed.
+    not_before : float, seconds
+        Monotonic time before which it is not tried again.
+    verb : str
+        How it is being stopped: stop or checkpoint.
+    verb_at : float, seconds
+        Monotonic time of the last such call.
+    placed_because : str
+        Why its worker was chosen.
     """
 
     task_id: str
-    request_id: str
+    owner: RequestState
     index: int
     need: Resources
     remaining_s: float
@@ -72,35 +93,102 @@
     prior: int = -1
     n_tries: int = 0
     result: TaskResult | None = None
+    ran: Ran = Ran.NEVER
+    failed_on: tuple[str, ...] = ()
+    not_before: float = 0.0
+    verb: str = ""
+    verb_at: float = 0.0
+    n_preempted: int = 0
+    placed_because: str = ""
+    rack: str = ""
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.owner.request.request_id
 
 
 @dataclass(eq=False, slots=True)
 class RequestState:
-    """One request that the placer is responsible for."""
+    """One request that the placer is responsible for.
+
+    Parameters
+    ----------
+    ready : deque of TaskState
+        Queued tasks that may start now; others wait for a retry delay.
+    n_open : int
+        Number of tasks that have not ended.
+    finished : bool
+        Whether the final answer has been given.
+    ended : bool
+        Whether the log holds the final answer; what still runs is only stopped.
+    unknown : str
+        Why the outcome of one of its tasks can never be known.
+    waits_for : str
+        Why nothing of it could be placed at the last attempt.
+    racks : Counter of str
+        Number of its tasks on each rack.
+    results_at : list of tuple
+        Workers and numbers of results that they keep for this request.
+    regrouping : bool
+        Whether the tasks of a gang are brought back to start together again.
+    """
 
     request: Request
     tasks: list[TaskState]
     accepted_at: float
     cancelled: bool = False
     finished: bool = False
+    ended: bool = False
+    expired: bool = False
     detail: str = ""
+    unknown: str = ""
+    waits_for: str = ""
+    ready: deque[TaskState] = field(default_factory=deque)
+    n_open: int = 0
+    racks: Counter[str] = field(default_factory=Counter)
+    results_at: list[tuple[str, int]] = field(default_factory=list)
+    regrouping: bool = False
+    preempt_until: float = 0.0
+    waiting_since: float = 0.0
 
     @property
     def kind(self) -> RequestKind:
         """Kind of the request."""
         return self.request.kind
 
+    @property
+    def over(self) -> bool:
+        """Whether nothing of it may be started any more."""
+        return self.cancelled or self.finished or self.ended
+
     @property
     def untouched(self) -> bool:
         """Whether certainly none of its tasks has ever started."""
         return all(
-            task.phase is Phase.QUEUED
-            and task.n_tries == 0
-            and task.remaining_s == self.request.run_time_s
+            task.ran is Ran.NEVER and task.phase in {Phase.QUEUED, Phase.ENDED}
             for task in self.tasks
         )
 
 
+@dataclass(eq=False, slots=True)
+class StartMark:
+    """What is known of the start call behind a reservation.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch that the call carried.
+    confirmed_at : float, seconds
+        Monotonic time at which the start was known to have taken effect;
+        infinite before. Only a list that was asked for later, or under a newer
+        epoch, proves by its silence that the task is gone.
+    """
+
+    epoch: int
+    confirmed_at: float = float("inf")
+
+
 @dataclass(eq=False, slots=True)
 class WorkerState:
     """One worker under this placer's lease.
@@ -111,8 +199,18 @@
         Sum over all tasks that may be running.
     needs : dict of str to Resources
         What each of those tasks occupies, by task id.
+    marks : dict of str to StartMark
+        Start call behind each of those.
+    tasks : dict of str to TaskState
+        Tasks of known requests that are on this worker, as far as is known.
+    excess : Resources
+        Measured use beyond the declared needs.
     unsettled : dict of int to str
         Results whose request has no recorded final answer: seq to request id.
+    told : dict of int to str
+        Results that arrived ahead of the list that names them: seq to task id.
+    listed_seq : int
+        Result up to which the worker's lists have been read.
     """
 
     worker_id: str
@@ -124,10 +222,17 @@
     incarnation: str
     held: bool = True
     leaving: bool = False
+    ejected: bool = False
     used: Resources = NO_RESOURCES
     needs: dict[str, Resources] = field(default_factory=dict)
+    marks: dict[str, StartMark] = field(default_factory=dict)
+    tasks: dict[str, TaskState] = field(default_factory=dict)
+    excess: Resources = NO_RESOURCES
     unsettled: dict[int, str] = field(default_factory=dict)
+    told: dict[int, str] = field(default_factory=dict)
+    listed_seq: int = 0
     last_seq: int = 0
+    reported_at: float = float("-inf")
     usage_cores: float = 0.0
     usage_memory_mb: float = 0.0
 
@@ -139,22 +244,58 @@
     @property
     def usable(self) -> bool:
         """Whether new work may be placed here."""
-        return self.held and not self.leaving
+        return self.held and not self.leaving and not self.ejected
 
-    def reserve(self, task_id: str, need: Resources) -> None:
+    def reserve(self, task_id: str, need: Resources, epoch: int = 0) -> None:
         """Count a task; counting it again replaces the earlier amount."""
         self.free_task(task_id)
         self.needs[task_id] = need
+        self.marks[task_id] = StartMark(epoch or self.epoch)
         self.used = self.used + need
 
+    def confirm(self, task_id: str, now: float) -> None:
+        """Note that the start of a task has taken effect."""
+        mark = self.marks.get(task_id)
+        if mark is not None:
+            mark.confirmed_at = min(mark.confirmed_at, now)
+
+    def proves_gone(self, task_id: str, epoch: int, sent_at: float) -> bool:
+        """Return whether a list without the task proves that it is gone.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the list.
+        sent_at : float, seconds
+            Monotonic time before the list was asked for.
+        """
+        mark = self.marks.get(task_id)
+        return mark is None or mark.epoch < epoch or mark.confirmed_at < sent_at
+
     def free_task(self, task_id: str) -> None:
         """Stop counting a task; an unknown task is no error."""
         need = self.needs.pop(task_id, None)
         if need is None:
             return
+        self.marks.pop(task_id, None)
         # The sum starts again from zero, so rounding errors cannot add up.
         self.used = self.used - need if self.needs else NO_RESOURCES
 
+    def take(self, seq: int, task_id: str) -> bool:
+        """Note a result; return whether it is new."""
+        self.last_seq = max(self.last_seq, seq)
+        if seq <= self.listed_seq or seq in self.told:
+            return False
+        self.told[seq] = task_id
+        return True
+
+    def settle_list(self, seq: int) -> None:
+        """Note that the worker's results up to ``seq`` have been read."""
+        self.last_seq = max(self.last_seq, seq)
+        self.listed_seq = max(self.listed_seq, seq)
+        for key in [key for key in self.told if key <= seq]:
+            del self.told[key]
+
     @property
     def ack_seq(self) -> int:
         """Result up to which the worker may forget."""
@@ -173,10 +314,11 @@
     now : float, seconds
         Monotonic time.
     """
-    tasks = [
+    state = RequestState(request, [], now, waiting_since=now)
+    state.tasks = [
         TaskState(
             request.task_id(index),
-            request.request_id,
+            state,
             index,
             request.need,
             request.run_time_s,
@@ -184,4 +326,5 @@
         )
         for index in range(request.n_tasks)
     ]
-    return RequestState(request, tasks, now)
+    state.n_open = len(state.tasks)
+    return state
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -154,6 +154,7 @@
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     _tick_task: Any = None
     _roster_announced: bool = False
+    _continuing: bool = False
 
     def __post_init__(self) -> None:
         self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
@@ -215,6 +216,9 @@
         actions = self.placer.handle(event, time.monotonic(), time.time())
         for action in actions:
             await self._do(action)
+        if self.placer.has_more and not self._continuing:
+            self._continuing = True
+            await curio.spawn(self._continue_placing, daemon=True)
 
     # Requests
 
@@ -421,10 +425,17 @@
     async def _(self, record: Started, bound: Entry) -> None:
         if record.by != self.holder:
             return
-        valid = bound.started.get(record.task_id) == record
+        counts = bound.started.get(record.task_id)
         offset = bound.started_offsets.get(record.task_id, -1)
+        valid = counts == record
         await self.apply(
-            StartRecorded(record.task_id, record.request_id, valid, offset)
+            StartRecorded(
+                record.task_id,
+                record.request_id,
+                valid,
+                offset,
+                None if valid else counts,
+            )
         )
 
     @_follow.register
@@ -522,7 +533,9 @@
             await self.apply(TaskEnded(action.worker_id, result))
 
     async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
-        await self.apply(StartReplied(action.task_id, action.worker_id, outcome))
+        await self.apply(
+            StartReplied(action.task_id, action.worker_id, outcome, action.epoch)
+        )
 
     async def _control(self, action: ControlTask) -> None:
         loop = self._loops.get(action.worker_id)
@@ -614,6 +627,15 @@
             heard = frozenset(loop.entry.vm for loop in loops if loop.heard)
             await self.apply(RosterComplete(heard))
 
+    async def _continue_placing(self) -> None:
+        """Place what one decision left over, giving way to other work."""
+        try:
+            while self.leading and self.placer.has_more:
+                await curio.sleep(0)
+                await self.apply(Tick())
+        finally:
+            self._continuing = False
+
     async def _run_ticks(self) -> None:
         while True:
             await curio.sleep(TICK_S)
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pure scheduling parts."""
