Reserve room for the oldest gang and check the placer with a state machine

The state machine found more faults: after a failover the failed result of an earlier try requeued a task that a worker not yet heard was running; a late reply to an earlier try under the same epoch confirmed the present one; a report sent before WorkerStopped brought the worker back under its old epoch; tasks that may still start after the deadline were not queued again when others of their request expired. Change: gangs.py retries gangs at a bounded rate, keeps room for the oldest (one plan at a time, started in one decision) and backfills short batch tasks behind it. StartTask and StartReplied carry a number. tests/scheduling/world.py is a small fake with faults, test_machine.py drives it and checks capacity, double runs, orders, gangs and answers, also on eight seeded mutants.

--- a/cuminhill/scheduling/book.py
+++ b/cuminhill/scheduling/book.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from ..platform.worker import TaskResult
     from .events import Action
+    from .gangs import GangPlan
 
 INFINITY = float("inf")
 
@@ -35,6 +36,8 @@
         Tasks by the worker on which they are, as far as is known.
     strays : dict of str to str
         Tasks that a worker lists and whose request is not known: task to worker.
+    stopped_at : dict of str to float, seconds
+        When workers were given up, so that a late reply does not bring them back.
     """
 
     shard: str
@@ -45,10 +48,15 @@
     tasks: dict[str, TaskState] = field(default_factory=dict)
     tasks_on: dict[str, dict[str, TaskState]] = field(default_factory=dict)
     strays: dict[str, str] = field(default_factory=dict)
+    stopped_at: dict[str, float] = field(default_factory=dict)
     actions: list[Action] = field(default_factory=list)
     roster_complete: bool = False
     n_placed: int = 0
     n_queued: int = 0
+    plan: GangPlan | None = None
+    gangs_due_at: float = 0.0
+    gang_turn: int = 0
+    made_room: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.teams = TeamLedger()
@@ -67,8 +75,15 @@
 
     def wake(self, worker: WorkerState) -> None:
         """Let waiting requests be tried on a worker on which room was made."""
-        if worker.usable:
-            self.queue.wake(self.room.general_free(worker), self.room.free_of(worker))
+        if not worker.usable:
+            return
+        free = self.room.free_of(worker)
+        planned = self.plan is not None and worker.worker_id in self.plan.missing
+        if planned:
+            self.made_room.append(worker.worker_id)
+        # Short tasks may be backfilled on workers that are kept for a gang.
+        behind = worker.worker_id in self.room.planned
+        self.queue.wake(free if behind else self.room.general_free(worker), free)
 
     def free_on(self, worker: WorkerState, task_id: str) -> None:
         """Give back the room of a task that has left a worker."""
@@ -85,6 +100,10 @@
             worker.held = False
             self.touch(worker)
 
+    def run_time_s(self, task: TaskState, worker: WorkerState) -> float:
+        """Return how long a task is expected to run on a worker, in seconds."""
+        return task.remaining_s / max(self.room.speed(worker), 1e-3)
+
     # Tasks
 
     def set_phase(self, task: TaskState, phase: Phase, now: float) -> None:
@@ -299,6 +318,7 @@
         for task in state.tasks:
             if task.phase is Phase.QUEUED and not self._may_restart(task):
                 self.end(task, None, now)
+        self.offer(state)
 
     def _may_restart(self, task: TaskState) -> bool:
         state = task.owner
--- a/cuminhill/scheduling/dispatch.py
+++ b/cuminhill/scheduling/dispatch.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ..model import RequestKind
 from .events import RecordStart, StartTask
 from .policies import choose, policy_for
+from .quotas import times
 from .state import Phase
 
 if TYPE_CHECKING:
@@ -18,8 +20,17 @@
 MAX_ATTEMPTS_PER_EVENT = 24
 
 
-def place_queued(book: Book, now: float, wall: float) -> bool:
-    """Start queued tasks; return whether the bound left some for later."""
+Backfill = Callable[["Book", "TaskState", float], "WorkerState | None"]
+
+
+def place_queued(book: Book, backfill: Backfill, now: float, wall: float) -> bool:
+    """Start queued tasks; return whether the bound left some for later.
+
+    Parameters
+    ----------
+    backfill : callable
+        Finds room behind a gang's reservation when there is no other.
+    """
     n_left = MAX_STARTS_PER_EVENT
     for _ in range(MAX_ATTEMPTS_PER_EVENT):
         state = book.queue.best()
@@ -27,23 +38,27 @@
             return False
         if n_left <= 0:
             return True
-        n_left -= place_request(book, state, now, wall)
+        n_left -= place_request(book, state, backfill, now, wall)
     return book.queue.has_open
 
 
-def place_request(book: Book, state: RequestState, now: float, wall: float) -> int:
+def place_request(
+    book: Book, state: RequestState, backfill: Backfill, now: float, wall: float
+) -> int:
     """Place the next task of a request (a gang: all); return how many started."""
     task = state.ready[0]
     if not book.may_start(task, wall):
         book.queue.discard(state)  # its deadline is near: it will be answered
         return 0
     if state.kind is RequestKind.GANG:
-        return _place_gang(book, state, now)
+        return place_gang(book, state, now)
     if not book.teams.within_limit(state.request.team, task.need):
         state.waits_for = "the team's hard limit"
         book.queue.cap(state)
         return 0
     worker = choose(policy_for(state.kind), task, book.room, book.weights)
+    if worker is None:
+        worker = backfill(book, task, now)
     if worker is None:
         state.waits_for = "room on a worker"
         book.queue.block(state)
@@ -75,6 +90,7 @@
 def call_start(book: Book, task: TaskState) -> None:
     """Have the worker called."""
     book.n_placed += 1
+    task.start_number = book.n_placed
     book.actions.append(
         StartTask(
             task.task_id,
@@ -82,13 +98,20 @@
             task.worker_id,
             task.epoch,
             task.remaining_s,
+            task.start_number,
         )
     )
 
 
-def _place_gang(book: Book, state: RequestState, now: float) -> int:
+def place_gang(book: Book, state: RequestState, now: float) -> int:
     """Place all tasks of a gang or none."""
     tasks = list(state.ready)
+    if not book.teams.within_limit(
+        state.request.team, times(state.request.need, len(tasks))
+    ):
+        state.waits_for = "the team's hard limit"
+        book.queue.cap(state)
+        return 0
     policy = policy_for(state.kind)
     chosen: list[tuple[TaskState, WorkerState]] = []
     for task in tasks:
--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -118,12 +118,16 @@
     epoch : int, default=0
         Epoch that the call carried; 0 if the caller does not know it. It tells
         the reply to an earlier try on the same worker from the present one.
+    number : int, default=0
+        Number of the call as in `StartTask`; 0 if the caller does not know it.
+        Two tries under one epoch differ in it.
     """
 
     task_id: str
     worker_id: str
     outcome: StartOutcome
     epoch: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,13 +216,22 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Call the worker; `TaskEnded` or `StartReplied` follows."""
+    """Call the worker; `TaskEnded` or `StartReplied` follows.
+
+    Parameters
+    ----------
+    run_time_s : float, seconds
+        Declared run time left.
+    number : int, default=0
+        Number of the call, to be repeated in `StartReplied`.
+    """
 
     task_id: str
     request: Request
     worker_id: str
     epoch: int
     run_time_s: float
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cuminhill/scheduling/gangs.py
@@ -0,0 +1,241 @@
+"""All-at-once jobs: a reservation for the oldest that does not fit."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..model import NO_RESOURCES, RequestKind, Resources
+from .dispatch import place_gang, start_on
+from .quotas import times
+from .room import n_fitting
+from .state import Phase
+
+if TYPE_CHECKING:
+    from .book import Book
+    from .state import RequestState, TaskState, WorkerState
+
+RETRY_S = 0.25  # between attempts to place gangs that did not fit
+MAX_RETRIES = 4  # gangs tried at a time
+REPLAN_S = 2.0  # a reservation is made anew after this, as estimates are off
+MIN_PLAN_WORKERS = 64  # workers looked at for a reservation, at least
+N_BACKFILL = 16  # reserved workers looked at for one backfilled task
+
+
+@dataclass(eq=False, slots=True)
+class GangPlan:
+    """Room that is kept for a waiting gang.
+
+    Only one gang at a time has a plan, and it starts in one decision, so two
+    gangs can never each hold a part of what the other needs.
+
+    Parameters
+    ----------
+    n_tasks_on : dict of str to int
+        Number of its tasks by worker.
+    missing : set of str
+        Workers on which room is still in use.
+    start_at : float, seconds
+        Monotonic time at which all room is expected to be free.
+    made_at : float, seconds
+        Monotonic time at which the plan was made.
+    """
+
+    state: RequestState
+    n_tasks_on: dict[str, int] = field(default_factory=dict)
+    missing: set[str] = field(default_factory=set)
+    start_at: float = 0.0
+    made_at: float = 0.0
+
+
+def serve_gangs(book: Book, now: float) -> None:
+    """Start the planned gang if its room is free; retry and plan others."""
+    plan = book.plan
+    made_room, book.made_room = book.made_room, []
+    if plan is not None:
+        for worker_id in plan.missing.intersection(made_room):
+            _note_room(book, plan, worker_id)
+        if plan.state not in book.queue:
+            drop_plan(book)
+        elif not plan.missing and _start_planned(book, plan, now):
+            return
+    if now < book.gangs_due_at:
+        return
+    book.gangs_due_at = now + RETRY_S
+    gangs = [
+        state
+        for state in book.queue.blocked_gangs()
+        if book.teams.within_limit(state.request.team, whole_need(state))
+    ]
+    if not gangs:
+        return
+    _retry(book, gangs, now)
+    _plan_oldest(book, now)
+
+
+def whole_need(state: RequestState) -> Resources:
+    """Return what the waiting tasks of a gang need together."""
+    return times(state.request.need, len(state.ready))
+
+
+def drop_plan(book: Book) -> None:
+    """Give up the reservation."""
+    plan, book.plan = book.plan, None
+    if plan is None:
+        return
+    for worker_id in plan.n_tasks_on:
+        book.room.planned.pop(worker_id, None)
+        worker = book.workers.get(worker_id)
+        if worker is not None:
+            book.room.touch(worker)
+            book.wake(worker)
+
+
+def backfill(book: Book, task: TaskState, now: float) -> WorkerState | None:
+    """Return a reserved worker that a short batch task leaves in time."""
+    plan = book.plan
+    if plan is None or task.owner.kind is not RequestKind.BATCH:
+        return None
+    for worker_id in list(plan.n_tasks_on)[:N_BACKFILL]:
+        worker = book.workers.get(worker_id)
+        if worker is None or not worker.usable or task.task_id in worker.needs:
+            continue
+        if now + book.run_time_s(task, worker) > plan.start_at:
+            continue
+        if task.need.fits(_room_for_plan(book, worker)):
+            plan.missing.add(worker_id)
+            return worker
+    return None
+
+
+def _retry(book: Book, gangs: list[RequestState], now: float) -> None:
+    planned = book.plan.state if book.plan is not None else None
+    first = book.gang_turn % len(gangs)
+    book.gang_turn += MAX_RETRIES
+    for state in (gangs[first:] + gangs[:first])[:MAX_RETRIES]:
+        if state is not planned and state in book.queue:
+            place_gang(book, state, now)
+
+
+def _plan_oldest(book: Book, now: float) -> None:
+    plan = book.plan
+    if plan is not None and now - plan.made_at < REPLAN_S:
+        return
+    drop_plan(book)
+    for state in book.queue.blocked_gangs():
+        if not book.teams.within_limit(state.request.team, whole_need(state)):
+            continue
+        plan = make_plan(book, state, now)
+        if plan is not None:
+            _keep_room(book, plan)
+            return
+
+
+def _keep_room(book: Book, plan: GangPlan) -> None:
+    book.plan = plan
+    need = plan.state.request.need
+    for worker_id, n_tasks in plan.n_tasks_on.items():
+        worker = book.workers[worker_id]
+        book.room.planned[worker_id] = times(need, n_tasks)
+        if not _has_room(book, plan, worker):
+            plan.missing.add(worker_id)
+        book.room.touch(worker)
+
+
+def make_plan(book: Book, state: RequestState, now: float) -> GangPlan | None:
+    """Choose the workers that will have room for a gang soonest.
+
+    Returns
+    -------
+    GangPlan or None
+        None if the known workers cannot hold it at once.
+    """
+    need, n_left = state.request.need, len(state.ready)
+    offers: list[tuple[float, str, int]] = []
+    n_seen = n_offered = 0
+    for worker in book.workers.values():
+        if not worker.usable:
+            continue
+        n_now = n_fitting(need, _room_for_plan(book, worker))
+        n_later, free_at = _later(book, worker, need, now)
+        if n_now:
+            offers.append((now, worker.worker_id, n_now))
+        if n_later > n_now:
+            offers.append((free_at, worker.worker_id, n_later))
+        n_seen += 1
+        n_offered += max(n_now, n_later)
+        if n_seen >= MIN_PLAN_WORKERS and n_offered >= 2 * n_left:
+            break
+    offers.sort()
+    plan = GangPlan(state, made_at=now, start_at=now)
+    for at, worker_id, n_tasks in offers:
+        had = plan.n_tasks_on.get(worker_id, 0)
+        more = min(n_tasks - had, n_left)
+        if more > 0:
+            plan.n_tasks_on[worker_id] = had + more
+            plan.start_at = max(plan.start_at, at)
+            n_left -= more
+        if n_left == 0:
+            return plan
+    return None
+
+
+def _later(
+    book: Book, worker: WorkerState, need: Resources, now: float
+) -> tuple[int, float]:
+    """Return how many tasks fit once the running ones have ended, and when."""
+    free_at = now
+    staying = NO_RESOURCES
+    tasks = book.tasks_on.get(worker.worker_id, {})
+    for task_id, amount in worker.needs.items():
+        task = tasks.get(task_id)
+        if task is None or task.owner.kind is RequestKind.SERVICE:
+            staying = staying + amount
+        else:
+            end_at = task.phase_at + book.run_time_s(task, worker)
+            free_at = max(free_at, end_at)
+    kept = book.room.reserves.get(worker.worker_id, NO_RESOURCES)
+    return n_fitting(need, worker.capacity - staying - kept), free_at
+
+
+def _room_for_plan(book: Book, worker: WorkerState) -> Resources:
+    free = book.room.free_of(worker)
+    kept = book.room.reserves.get(worker.worker_id)
+    return free if kept is None else free - kept
+
+
+def _has_room(book: Book, plan: GangPlan, worker: WorkerState) -> bool:
+    n_tasks = plan.n_tasks_on[worker.worker_id]
+    need = plan.state.request.need
+    return worker.usable and n_fitting(need, _room_for_plan(book, worker)) >= n_tasks
+
+
+def _note_room(book: Book, plan: GangPlan, worker_id: str) -> None:
+    worker = book.workers.get(worker_id)
+    if worker is not None and _has_room(book, plan, worker):
+        plan.missing.discard(worker_id)
+
+
+def _start_planned(book: Book, plan: GangPlan, now: float) -> bool:
+    """Start the planned gang if really all of its room is free."""
+    for worker_id in plan.n_tasks_on:
+        worker = book.workers.get(worker_id)
+        if worker is None:
+            drop_plan(book)
+            return False
+        if not _has_room(book, plan, worker):
+            plan.missing.add(worker_id)
+    if plan.missing or len(plan.state.ready) != sum(plan.n_tasks_on.values()):
+        return False
+    need = whole_need(plan.state)
+    if not book.teams.within_limit(plan.state.request.team, need):
+        return False
+    tasks = list(plan.state.ready)
+    for worker_id, n_tasks in plan.n_tasks_on.items():
+        for _ in range(n_tasks):
+            task = tasks.pop()
+            if task.phase is Phase.QUEUED:
+                book.take_ready(plan.state, task)
+                start_on(book, task, book.workers[worker_id], now)
+    drop_plan(book)
+    return True
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -26,6 +26,7 @@
     WorkerStopped,
     WorkerUnreachable,
 )
+from .gangs import backfill, serve_gangs
 from .intake import accept, cancel, end_request, give_up_if_lost, refusal
 from .policies import Weights
 from .reconcile import complete_roster, forget_worker, take_report
@@ -101,7 +102,8 @@
         book = self._book
         self._on(event, now, wall)
         book.pass_time(now, wall)
-        self.has_more = place_queued(book, now, wall)
+        serve_gangs(book, now)
+        self.has_more = place_queued(book, backfill, now, wall)
         actions, book.actions = book.actions, []
         return actions
 
@@ -212,6 +214,7 @@
             and worker.usable
             and worker.epoch == task.epoch
             and worker.incarnation == task.incarnation
+            and task.task_id in worker.needs
         )
         if event.valid and current and book.may_start(task, wall):
             book.set_phase(task, Phase.STARTING, now)
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -18,6 +18,7 @@
 
     TakeResult = Callable[[WorkerState, TaskResult, float], None]
 
+MAX_STOPPED = 50_000  # workers that have left and whose late replies are ignored
 START_TIMEOUT_S = 10.0  # a start call that is silent for longer is uncertain
 REPEAT_S = 1.0  # between repeats of a stop or fence that had no effect
 STOP_AFTER_S = 3.0  # a checkpoint without effect for this long becomes a stop
@@ -30,10 +31,14 @@
     """Take a worker's reply to a renewal of its lease."""
     reply = event.reply
     worker = book.workers.get(event.worker_id)
-    if worker is not None and event.sent_at < worker.reported_at:
-        return  # an older reply that was overtaken
+    stopped_at = book.stopped_at.get(event.worker_id, event.sent_at)
+    if event.sent_at < stopped_at:
+        return  # asked for before the tasks of the worker were given up
+    if worker is not None and _is_overtaken(worker, event):
+        return
     if worker is not None and worker.incarnation != reply.incarnation:
         forget_worker(book, worker, now)
+        del book.stopped_at[event.worker_id]  # the present reply is newer
         worker = None
     if worker is not None and reply.epoch < worker.epoch:
         return
@@ -66,12 +71,24 @@
             book.queue.reopen_all()  # totals and infeasible gangs have changed
 
 
+def _is_overtaken(worker: WorkerState, event: WorkerReported) -> bool:
+    """Whether a later reply of the worker has been read already."""
+    if event.sent_at != worker.reported_at:
+        return event.sent_at < worker.reported_at
+    if event.reply.incarnation != worker.incarnation:
+        return event.reply.epoch <= worker.epoch
+    return event.reply.seq < worker.listed_seq
+
+
 def forget_worker(book: Book, worker: WorkerState, now: float) -> None:
     """Drop a worker whose tasks have certainly stopped."""
     worker_id = worker.worker_id
     tasks = list(book.tasks_on.get(worker_id, {}).values())
     book.room.forget(worker_id)
     del book.workers[worker_id]
+    book.stopped_at[worker_id] = now
+    while len(book.stopped_at) > MAX_STOPPED:
+        del book.stopped_at[next(iter(book.stopped_at))]
     book.teams.set_total(book.room.total)
     for task_id in [key for key, on in book.strays.items() if on == worker_id]:
         del book.strays[task_id]
--- a/cuminhill/scheduling/results.py
+++ b/cuminhill/scheduling/results.py
@@ -44,6 +44,7 @@
     if task is None or task.phase is Phase.ENDED:
         return
     if not was_present and not _counts_late(task, result):
+        _keep_progress(task, result)
         return
     if not task.owner.ended:
         worker.unsettled[result.seq] = task.request_id
@@ -61,12 +62,14 @@
     """Whether a result counts although its task is not on that worker now.
 
     A task that a former placer started may have ended there; one that was given
-    up for lost may have ended well. Another try that is under way goes on.
+    up for lost may have ended well. A failure proves nothing, since a later try
+    may run elsewhere; an order has no later try.
     """
-    if task.phase is Phase.HELD:
+    if task.phase not in {Phase.HELD, Phase.QUEUED}:
+        return False
+    if task.owner.kind is RequestKind.ORDER:
         return True
-    is_service = task.owner.kind is RequestKind.SERVICE
-    return task.phase is Phase.QUEUED and result.ok and not is_service
+    return result.ok and task.owner.kind is not RequestKind.SERVICE
 
 
 def _decide(
@@ -74,8 +77,7 @@
 ) -> None:
     state = task.owner
     was_stopped = task.phase is Phase.STOPPING
-    if result.remaining_s is not None and not result.ok:
-        task.remaining_s = max(0.0, min(task.remaining_s, result.remaining_s))
+    _keep_progress(task, result)
     if state.over:
         # A result that came before the stop took effect is still the result.
         book.end(task, result, now)
@@ -91,6 +93,12 @@
         _failed(book, worker, task, result, now)
 
 
+def _keep_progress(task: TaskState, result: TaskResult) -> None:
+    """Note what a checkpoint has saved."""
+    if result.remaining_s is not None and not result.ok:
+        task.remaining_s = max(0.0, min(task.remaining_s, result.remaining_s))
+
+
 def _replace(book: Book, task: TaskState, result: TaskResult, now: float) -> None:
     if result.run_s >= STABLE_RUN_S:
         task.n_tries = 0
@@ -125,6 +133,8 @@
         return
     if task.worker_id != event.worker_id or event.epoch not in {0, task.epoch}:
         return  # the reply to an earlier try
+    if event.number not in {0, task.start_number}:
+        return
     worker = book.workers.get(task.worker_id)
     if event.outcome == "running":
         task.ran = Ran.YES
--- a/cuminhill/scheduling/state.py
+++ b/cuminhill/scheduling/state.py
@@ -78,6 +78,10 @@
         Monotonic time of the last such call.
     placed_because : str
         Why its worker was chosen.
+    rack : str
+        Rack on which it is counted.
+    start_number : int
+        Number of its present start call.
     """
 
     task_id: str
@@ -101,6 +105,7 @@
     n_preempted: int = 0
     placed_because: str = ""
     rack: str = ""
+    start_number: int = 0
 
     @property
     def request_id(self) -> str:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -534,7 +534,13 @@
 
     async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
         await self.apply(
-            StartReplied(action.task_id, action.worker_id, outcome, action.epoch)
+            StartReplied(
+                action.task_id,
+                action.worker_id,
+                outcome,
+                action.epoch,
+                action.number,
+            )
         )
 
     async def _control(self, action: ControlTask) -> None:
--- /dev/null
+++ b/tests/scheduling/test_gangs.py
@@ -0,0 +1,53 @@
+"""Gangs: all or none, reservation and backfill."""
+
+from __future__ import annotations
+
+from .conftest import starts
+
+
+def fill(harness, n_workers, run_time_s=5.0):
+    """Fill each worker with one task; return their start actions."""
+    for index in range(n_workers):
+        harness.report(f"w{index}")
+    _, given = harness.start_batch(n_tasks=n_workers, cores=16.0, run_time_s=run_time_s)
+    return given
+
+
+def test_two_big_gangs_both_run(harness):
+    """Guards against two gangs that each hold what the other needs."""
+    filled = fill(harness, 4)
+    gangs = [harness.accept("gang", n_tasks=3, cores=16.0)[0] for _ in range(2)]
+    harness.actions.clear()
+    for action in filled:
+        harness.end(action)
+        harness.run(1)
+    for action in starts(harness.actions):
+        harness.running(action)
+        harness.end(action)
+    harness.run(3)
+    order = starts(harness.actions)
+    ids = [action.request.request_id for action in order]
+    assert ids == [gangs[0].request_id] * 3 + [gangs[1].request_id] * 3
+
+
+def test_gang_is_not_starved_by_a_stream_of_small_tasks(harness):
+    """Guards against room for a gang that small tasks take up again and again."""
+    running = fill(harness, 2)
+    gang, _ = harness.accept("gang", n_tasks=2, cores=16.0)
+    harness.run(1)
+    for _ in range(30):
+        harness.accept("batch", cores=8.0, run_time_s=100.0)
+        if running:
+            harness.end(running.pop(0))
+        harness.run(0.3)
+    assert len([a for a in starts(harness.actions) if a.request == gang]) == 2
+
+
+def test_short_task_is_backfilled_behind_a_gang(harness):
+    """Guards against reserved room that stays empty although a task fits in time."""
+    running = fill(harness, 2, run_time_s=60.0)
+    harness.accept("gang", n_tasks=2, cores=16.0)
+    harness.end(running[0])
+    harness.run(1)
+    assert len(starts(harness.accept("batch", cores=8.0, run_time_s=5.0)[1])) == 1
+    assert starts(harness.accept("batch", cores=8.0, run_time_s=500.0)[1]) == []
--- /dev/null
+++ b/tests/scheduling/test_machine.py
@@ -0,0 +1,213 @@
+"""State machine: a placer against workers, a log and calls with faults."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cuminhill.scheduling import (
+    book,
+    capacity,
+    dispatch,
+    policies,
+    queueing,
+    reconcile,
+    state,
+)
+from cuminhill.scheduling.events import Tick
+
+from .world import World
+
+SETTINGS = settings(
+    max_examples=400,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+PICK = st.integers(0, 1 << 16)
+KINDS = ["check", "order", "batch", "batch", "gang", "service"]
+
+
+class NothingThereError(Exception):
+    """A step finds nothing to act on."""
+
+
+def pick_from(items, pick):
+    items = list(items)
+    if not items:
+        raise NothingThereError
+    return items[pick % len(items)]
+
+
+def submit(world, kind, cores, n_tasks, deadline):
+    deadline_s = [None, None, 3.0][deadline % 3]
+    kind = KINDS[kind % len(KINDS)]
+    world.submit(kind, cores % 4 + 1, n_tasks % 4 + 1, deadline_s)
+
+
+def start(world, pick, outcome, *_):
+    outcomes = ["reply", "reply", "reply", "late", "lost", "slow"]
+    world.start(pick_from(world.calls, pick), pick_from(outcomes, outcome))
+
+
+def reply_late(world, pick, keep, *_):
+    reply = pick_from(world.replies, pick)
+    if keep % 2:
+        world.replies.remove(reply)
+    world.send(reply)
+
+
+def record(world, pick, repeat, *_):
+    entry = pick_from(world.records, pick)
+    world.record(entry)
+    if repeat % 2:
+        world.record(entry, repeat=True)
+
+
+def old_report(world, pick, repeat, *_):
+    event = pick_from(world.old, pick)
+    if repeat % 2:
+        world.old.remove(event)
+    world.send(event)
+
+
+def lapse(world, pick, stopped, *_):
+    worker = pick_from(world.workers.values(), pick)
+    world.lapse(worker)
+    if stopped % 2:
+        world.stop_tasks(worker)
+
+
+def end_task(world, pick, which, ok, tell):
+    worker = pick_from([w for w in world.workers.values() if w.running], pick)
+    task_id = pick_from(worker.running, which)
+    world.end_task(worker, task_id, ok % 2 == 0, tell % 2 == 0)
+
+
+def on_one(items, method, **fields):
+    """Return a step that calls a method of the world with one of its things."""
+
+    def step(world, pick, *_):
+        getattr(world, method)(pick_from(items(world), pick), **fields)
+
+    return step
+
+
+def workers(world):
+    return world.workers.values()
+
+
+# Step and how often it is chosen; one that finds nothing to act on is skipped.
+STEPS = [
+    (submit, 8),
+    (start, 10),
+    (reply_late, 3),
+    (record, 6),
+    (old_report, 1),
+    (lapse, 1),
+    (end_task, 6),
+    (on_one(lambda world: world.late_calls, "arrive_late"), 3),
+    (on_one(lambda world: world.controls, "control"), 3),
+    (on_one(lambda world: world.controls, "control", lost=True), 1),
+    (on_one(lambda world: world.endings, "end_request"), 4),
+    (on_one(lambda world: world.requests, "cancel"), 1),
+    (on_one(workers, "report"), 6),
+    (on_one(workers, "report", fence=False), 2),
+    (on_one(workers, "keep_report"), 1),
+    (on_one(workers, "restart"), 1),
+    (lambda world, pick, *_: world.send(Tick(), [0.1, 0.1, 2.0][pick % 3]), 4),
+]
+WEIGHTED = [step for step, weight in STEPS for _ in range(weight)]
+
+
+class PlacerMachine(RuleBasedStateMachine):
+    """Adversarial events in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    @rule(numbers=st.lists(st.tuples(PICK, PICK, PICK, PICK, PICK), max_size=8))
+    def act(self, numbers):
+        for which, *arguments in numbers:
+            with contextlib.suppress(NothingThereError):
+                pick_from(WEIGHTED, which)(self.world, *arguments)
+            assert self.world.violations == []
+
+    @rule(chance=st.integers(0, 7))
+    def fail_over(self, chance):
+        if chance == 0:
+            self.world.fail_over()
+
+    def teardown(self):
+        self.world.settle()
+        assert self.world.violations == []
+
+
+def test_promises_hold_under_faults():
+    """Guards against overfilling, double runs, lost answers and partial gangs."""
+    run_state_machine_as_test(PlacerMachine, settings=SETTINGS)
+
+
+def place_some(placer_book, state, now):
+    """Place tasks of a gang until one does not fit."""
+    for task in list(state.ready):
+        policy = policies.policy_for(state.kind)
+        worker = policies.choose(policy, task, placer_book.room, policies.Weights())
+        if worker is None:
+            break
+        placer_book.take_ready(state, task)
+        dispatch.start_on(placer_book, task, worker, now)
+    placer_book.queue.discard(state)
+    return 1
+
+
+def never(*args, **kwargs):
+    return None
+
+
+def always(*args, **kwargs):
+    return True
+
+
+MUTANTS = {
+    "room is free while a start is unconfirmed": (
+        state.WorkerState,
+        "proves_gone",
+        always,
+    ),
+    "results are taken again": (state.WorkerState, "take", always),
+    "every worker fits": (
+        capacity.CapacityIndex,
+        "fitting",
+        lambda self, need, *, tight, limit=12: list(self._free)[:limit],
+    ),
+    "stops are not repeated": (reconcile, "repeat_stop", never),
+    "unknown outcomes are retried": (
+        book.Book,
+        "outcome_unknown",
+        lambda self, task, now: self.requeue(task, now),
+    ),
+    "gangs are placed in part": (dispatch, "place_gang", place_some),
+    "blocked requests are not woken": (queueing.Queue, "wake", never),
+    "delayed tasks are forgotten": (book.Book, "_make_ready", never),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_checks_catch(name, monkeypatch):
+    """Guards against checks that pass whatever the placer does."""
+    owner, attribute, mutant = MUTANTS[name]
+    monkeypatch.setattr(owner, attribute, mutant)
+    with pytest.raises(Exception, match=r"assert|violations|Flaky"):
+        run_state_machine_as_test(PlacerMachine, settings=SETTINGS)
