Preempt batch work for urgent work and for teams below their share

Cause: orders and checks waited behind batch work, quotas were not kept and the weights of a site had no effect. Change: preempt.py checkpoints the batch tasks whose loss harms least when an urgent request has waited for its patience (weights of waiting and control cost), and lent batch tasks when a team below its guaranteed share waits; a checkpoint without effect becomes a stop after 0.7 s, so that urgent work starts within 1.7 s. Refusals by quota happen only for what the hard limit rules out; a refusal as infeasible names what the nearest worker lacks.

--- a/cuminhill/scheduling/book.py
+++ b/cuminhill/scheduling/book.py
@@ -53,6 +53,7 @@
     roster_complete: bool = False
     n_placed: int = 0
     n_queued: int = 0
+    n_preempted: int = 0
     plan: GangPlan | None = None
     gangs_due_at: float = 0.0
     gang_turn: int = 0
--- a/cuminhill/scheduling/intake.py
+++ b/cuminhill/scheduling/intake.py
@@ -10,6 +10,7 @@
 from .state import Phase, Ran, make_request_state
 
 if TYPE_CHECKING:
+    from ..model import Resources
     from .book import Book
     from .events import RequestAccepted
     from .state import TaskState
@@ -32,8 +33,16 @@
     if not book.workers:
         return not_run(request_id, Reason.UNAVAILABLE, "no worker is held")
     if not book.room.ever_fits(request.need):
-        return not_run(request_id, Reason.INFEASIBLE, "a task fits on no worker here")
+        return not_run(request_id, Reason.INFEASIBLE, nearest_fit(book, request.need))
     is_gang = request.kind is RequestKind.GANG
+    n_at_once = request.n_tasks if is_gang else 1
+    if not book.teams.ever_within_limit(request.team, request.need, n_at_once):
+        return not_run(
+            request_id,
+            Reason.QUOTA,
+            f"beyond the hard limit of team {request.team}: "
+            f"{book.teams.quota(request.team).limit}",
+        )
     if is_gang and not book.room.ever_fits(request.need, request.n_tasks):
         return not_run(
             request_id, Reason.INFEASIBLE, "the tasks do not fit here at once"
@@ -41,6 +50,28 @@
     return None
 
 
+def nearest_fit(book: Book, need: Resources) -> str:
+    """Return which worker shape comes nearest to a need, and what it lacks."""
+
+    def lacks(capacity: Resources) -> dict[str, float]:
+        return {
+            name: getattr(need, name) - getattr(capacity, name)
+            for name in need.__dataclass_fields__
+            if getattr(need, name) > getattr(capacity, name)
+        }
+
+    shapes = sorted(book.room.shapes, key=lambda c: (-c.cores, -c.memory_mb))
+    nearest = min(
+        shapes,
+        key=lambda capacity: sum(
+            amount / max(getattr(need, name), 1e-9)
+            for name, amount in lacks(capacity).items()
+        ),
+    )
+    missing = ", ".join(f"{amount:g} {name}" for name, amount in lacks(nearest).items())
+    return f"a task fits on no worker here; the nearest one lacks {missing}"
+
+
 def accept(book: Book, event: RequestAccepted, now: float) -> bool:
     """Take a request in.
 
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -29,6 +29,7 @@
 from .gangs import backfill, serve_gangs
 from .intake import accept, cancel, end_request, give_up_if_lost, refusal
 from .policies import Weights
+from .preempt import make_room
 from .reconcile import complete_roster, forget_worker, take_report
 from .results import take_result, take_start_reply
 from .state import OCCUPYING, Phase, Ran
@@ -104,6 +105,7 @@
         book.pass_time(now, wall)
         serve_gangs(book, now)
         self.has_more = place_queued(book, backfill, now, wall)
+        make_room(book, now)
         actions, book.actions = book.actions, []
         return actions
 
@@ -145,6 +147,7 @@
             "roster_complete": self.roster_complete,
             "n_placed": self.n_placed,
             "n_queued": self._book.n_queued,
+            "n_preempted": self._book.n_preempted,
             "requests": sorted(self.requests),
             "strays": dict(self._book.strays),
             "workers": {
--- /dev/null
+++ b/cuminhill/scheduling/preempt.py
@@ -0,0 +1,133 @@
+"""Preemption of batch work by urgent work and by teams below their share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestKind
+from .queueing import LANES, N_URGENT_LANES
+from .state import Phase
+
+if TYPE_CHECKING:
+    from ..model import Resources
+    from .book import Book
+    from .state import RequestState, TaskState, WorkerState
+
+# Urgent work starts within 1.7 s: it waits at most this long for a task to end by
+# itself, then `reconcile.STOP_AFTER_S` for the checkpoint, and for two reports.
+MAX_PATIENCE_S = 0.2
+PATIENCE_S = 0.15  # with equal weights of waiting and control cost
+AGAIN_S = 1.2  # until room is made for the same request once more
+MAX_REQUESTS_PER_EVENT = 4
+MAX_TASKS_PER_REQUEST = 4
+N_WORKERS = 16  # workers compared for the least harm
+N_LENT_WORKERS = 64  # the same when only lent work may be stopped
+MAX_PREEMPTIONS = 5  # of one task, except by checks and orders
+
+BATCH_LANE = LANES[RequestKind.BATCH]
+
+
+def make_room(book: Book, now: float) -> None:
+    """Checkpoint batch tasks for requests that would otherwise wait long."""
+    n_left = MAX_REQUESTS_PER_EVENT
+    for lane in range(BATCH_LANE):
+        for state in book.queue.waiting(lane, MAX_REQUESTS_PER_EVENT):
+            if n_left > 0 and _is_due(book, state, now):
+                n_left -= 1
+                _make_room_for(book, state, lane, now)
+    if not book.teams.quotas:
+        return
+    for state in book.queue.waiting(BATCH_LANE, len(book.teams.quotas) + 8):
+        team, need = state.request.team, state.request.need
+        is_owed = book.teams.is_owed(team, need) and state.kind is RequestKind.BATCH
+        if n_left > 0 and is_owed and _is_due(book, state, now):
+            n_left -= 1
+            _make_room_for(book, state, BATCH_LANE, now)
+
+
+def patience_s(book: Book) -> float:
+    """Return how long a request waits before others are stopped, in seconds."""
+    weights = book.weights
+    ratio = weights.control_cost / max(weights.waiting, 1e-3)
+    return min(MAX_PATIENCE_S, PATIENCE_S * ratio)
+
+
+def _is_due(book: Book, state: RequestState, now: float) -> bool:
+    waited_s = now - state.waiting_since
+    return waited_s >= patience_s(book) and now >= state.preempt_until
+
+
+def _make_room_for(book: Book, state: RequestState, lane: int, now: float) -> None:
+    state.preempt_until = now + AGAIN_S
+    for _ in range(min(len(state.ready), MAX_TASKS_PER_REQUEST)):
+        victims = _least_harm(book, state, lane)
+        if not victims:
+            return
+        state.waits_for = f"{len(victims)} batch tasks to be checkpointed"
+        for task in victims:
+            task.n_preempted += 1
+            book.n_preempted += 1
+            book.stop(task, now, "checkpoint")
+
+
+def _least_harm(book: Book, state: RequestState, lane: int) -> list[TaskState]:
+    """Return the tasks to stop on the worker where that harms least."""
+    need = state.request.need
+    limit = N_LENT_WORKERS if lane == BATCH_LANE else N_WORKERS
+    best: list[TaskState] = []
+    best_harm = float("inf")
+    for worker_id in book.room.reclaimable().fitting(need, tight=False, limit=limit):
+        worker = book.workers[worker_id]
+        victims = _victims_on(book, worker, need, lane)
+        if not victims:
+            continue
+        harm = sum(1.0 + 0.5 * task.n_preempted for task in victims)
+        if harm < best_harm:
+            best, best_harm = victims, harm
+    return best
+
+
+def _victims_on(
+    book: Book, worker: WorkerState, need: Resources, lane: int
+) -> list[TaskState]:
+    """Return few batch tasks whose end makes room on a worker, or none."""
+    if lane == 0:
+        free = book.room.free_of(worker)
+    elif lane < N_URGENT_LANES:
+        free = book.room.free_of(worker)
+        kept = book.room.reserves.get(worker.worker_id)
+        free = free if kept is None else free - kept
+    else:
+        free = book.room.general_free(worker)
+    if need.fits(free):
+        return []  # it is about to be placed
+    chosen: list[TaskState] = []
+    for task in _preemptible(book, worker, lane):
+        chosen.append(task)
+        free = free + task.need
+        if need.fits(free):
+            break
+    else:
+        return []
+    for task in list(chosen):
+        if need.fits(free - task.need):
+            chosen.remove(task)
+            free = free - task.need
+    return chosen
+
+
+def _preemptible(book: Book, worker: WorkerState, lane: int) -> list[TaskState]:
+    """Return batch tasks on a worker, those that lose least first."""
+    found = []
+    for task in book.tasks_on.get(worker.worker_id, {}).values():
+        if task.phase is not Phase.RUNNING or task.owner.kind is not RequestKind.BATCH:
+            continue
+        if lane >= N_URGENT_LANES and task.n_preempted >= MAX_PREEMPTIONS:
+            continue
+        if lane == BATCH_LANE and not book.teams.borrows(task.owner.request.team):
+            continue
+        found.append(task)
+    found.sort(
+        key=lambda t: (t.owner.request.priority, t.n_preempted, -t.phase_at, t.task_id)
+    )
+    return found
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -20,8 +20,11 @@
 
 MAX_STOPPED = 50_000  # workers that have left and whose late replies are ignored
 START_TIMEOUT_S = 10.0  # a start call that is silent for longer is uncertain
-REPEAT_S = 1.0  # between repeats of a stop or fence that had no effect
-STOP_AFTER_S = 3.0  # a checkpoint without effect for this long becomes a stop
+REPEAT_S = 0.7  # between repeats of a stop or fence that had no effect
+# A checkpoint without effect for this long becomes a stop. With the patience before
+# it, a tick and two reports it must stay below the urgent bound of 1.7 s.
+STOP_AFTER_S = 0.7
+REGROUP_STOP_AFTER_S = 10.0  # the same for a gang, for which no urgent work waits
 LOST_DELAY_S = 0.25  # before a task that vanished from its worker is tried again
 
 
@@ -146,10 +149,12 @@
 
 def repeat_stop(book: Book, task: TaskState, now: float) -> None:
     """Repeat a stop that has had no effect for some time."""
-    if now - task.verb_at < REPEAT_S:
-        return
-    late = now - task.phase_at > STOP_AFTER_S
-    book.stop(task, now, "stop" if late or task.owner.over else task.verb)
+    limit_s = REGROUP_STOP_AFTER_S if task.owner.regrouping else STOP_AFTER_S
+    late = now - task.phase_at > limit_s or task.owner.over
+    if late and task.verb != "stop":
+        book.stop(task, now)
+    elif now - task.verb_at >= REPEAT_S:
+        book.stop(task, now, task.verb)
 
 
 def _reconcile(
