--- a/cuminhill/scheduling/events.py
+++ b/cuminhill/scheduling/events.py
@@ -10,6 +10,8 @@
     from ..coordination.claims import Started
     from ..model import Answer, Request
     from ..platform.worker import LeaseReply, TaskResult
+    from .policies import Weights
+    from .quotas import TeamQuota
 
 
 class StartOutcome(StrEnum):
@@ -95,8 +97,8 @@
     valid : bool
         Whether this placer's record is the one that counts.
     offset : int
-        Offset of the record that counts; -1 for none.
-    other : Started or None
+        Offset of the record that counts.
+    other : Started or None, default=None
         The record that counts, if it is another placer's.
     """
 
@@ -113,15 +115,19 @@
 
     Parameters
     ----------
-    epoch : int
-        Lease epoch of the call; a reply to an earlier call than the present one
-        says nothing about the present one.
+    epoch : int, default=0
+        Epoch that the call carried; 0 if the caller does not know it. It tells
+        the reply to an earlier try on the same worker from the present one.
+    number : int, default=0
+        Number of the call as in `StartTask`; 0 if the caller does not know it.
+        Two tries under one epoch differ in it.
     """
 
     task_id: str
     worker_id: str
     outcome: StartOutcome
-    epoch: int
+    epoch: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +158,27 @@
     worker_ids: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class WeightsChanged:
+    """The configuration has other policy weights."""
+
+    weights: Weights
+
+
+@dataclass(frozen=True, slots=True)
+class QuotasChanged:
+    """The configuration has other quotas.
+
+    Parameters
+    ----------
+    quotas : dict of str to TeamQuota
+        Quota of each team in this shard; a team without one has no guaranteed
+        share and no limit.
+    """
+
+    quotas: dict[str, TeamQuota]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed."""
@@ -169,6 +196,8 @@
     | TaskEnded
     | CancelRequested
     | RosterComplete
+    | WeightsChanged
+    | QuotasChanged
     | Tick
 )
 
@@ -187,13 +216,22 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Call the worker; `TaskEnded` or `StartReplied` follows."""
+    """Call the worker; `TaskEnded` or `StartReplied` follows.
+
+    Parameters
+    ----------
+    run_time_s : float, seconds
+        Declared run time left.
+    number : int, default=0
+        Number of the call, to be repeated in `StartReplied`.
+    """
 
     task_id: str
     request: Request
     worker_id: str
     epoch: int
     run_time_s: float
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -157,6 +157,7 @@
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     _tick_task: Any = None
     _roster_announced: bool = False
+    _continuing: bool = False
 
     def __post_init__(self) -> None:
         self.clock = SystemClock(self.settings.wall_clock_offset_s)
@@ -246,6 +247,9 @@
         actions = self.placer.handle(event, time.monotonic(), self.clock.wall())
         for action in actions:
             await self._do(action)
+        if self.placer.has_more and not self._continuing:
+            self._continuing = True
+            await curio.spawn(self._continue_placing, daemon=True)
 
     # Requests
 
@@ -458,8 +462,8 @@
         if record.by != self.holder:
             return
         counts = bound.started.get(record.task_id)
-        valid = counts == record
         offset = bound.started_offsets.get(record.task_id, -1)
+        valid = counts == record
         await self.apply(
             StartRecorded(
                 record.task_id,
@@ -568,7 +572,13 @@
 
     async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
         await self.apply(
-            StartReplied(action.task_id, action.worker_id, outcome, action.epoch)
+            StartReplied(
+                action.task_id,
+                action.worker_id,
+                outcome,
+                action.epoch,
+                action.number,
+            )
         )
 
     async def _control(self, action: ControlTask) -> None:
@@ -665,6 +675,15 @@
             heard = frozenset(loop.entry.vm for loop in loops if loop.heard)
             await self.apply(RosterComplete(heard))
 
+    async def _continue_placing(self) -> None:
+        """Place what one decision left over, giving way to other work."""
+        try:
+            while self.leading and self.placer.has_more:
+                await curio.sleep(0)
+                await self.apply(Tick())
+        finally:
+            self._continuing = False
+
     async def _run_ticks(self) -> None:
         while True:
             await curio.sleep(TICK_S)
