Watch members within a failure domain and pass on what watchers find

Cause: every process refreshed every member from random carried entries, so suspicion after 0.8 s was wrong for members of other domains, news had no precedence, the table had no bound, leaving depended on message order and a paused process trusted its old view.

Change: membership.py chooses the heartbeat targets (8 rendezvous successors of the own failure domain, one random remote member a second, one dead or listed one while there are any), watches the local ones after 0.8 s and other domains as a whole after 5 s, spreads accusations that a newer counter refutes, carries news with fewest sends first, keeps leaving within a life, takes the VM list's hint, evicts after 600 s, bounds the table at 1024 and treats every member as suspect after a gap between ticks. Entries without news carry the counter only. peers.py only converts and sends.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -310,7 +310,7 @@
     async def _on_heartbeat(self, message: Any) -> Any:
         now = time.monotonic()
         self.peers.receive(message, now)
-        return self.peers.heartbeat(now)
+        return self.peers.heartbeat(now, message.sender.vm)
 
     async def _on_lookup(self, call: Any) -> Any:
         for driver in self.drivers.values():
--- a/cuminhill/peers.py
+++ b/cuminhill/peers.py
@@ -8,7 +8,8 @@
 
 import curio
 
-from .coordination.membership import Member, MemberState
+from .coordination.members import Heartbeat, Member, MemberState
+from .coordination.membership import LOCAL_INTERVAL_S, REMOTE_INTERVAL_S
 from .errors import CuminhillError
 from .rpc import RpcClient, idl
 
@@ -18,10 +19,7 @@
 
     from .coordination.membership import Membership
 
-LOCAL_INTERVAL_S = 0.25
-REMOTE_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 0.5
-MAX_CARRIED_MEMBERS = 16
 
 
 @dataclass(eq=False)
@@ -37,7 +35,7 @@
     seeds : list of str
         RPC addresses to greet until their names are known.
     rng : random.Random
-        Chooses remote peers and the entries that are passed on.
+        Chooses remote peers.
     """
 
     membership: Membership
@@ -60,44 +58,40 @@
             sum(item.n_received_bytes for item in counters),
         )
 
-    def heartbeat(self, now: float) -> Any:
-        """Return the heartbeat to send or to answer with."""
-        me = self.membership.update_me(**self.describe())
-        others = [
-            member
-            for member in self.membership.members()[1:]
-            if self.membership.state(member.vm, now) is not MemberState.DEAD
-        ]
-        if len(others) > MAX_CARRIED_MEMBERS:
-            others = self.rng.sample(others, MAX_CARRIED_MEMBERS)
-        return idl.Heartbeat(_to_thrift(me), [_to_thrift(item) for item in others])
+    def heartbeat(self, now: float, to: str | None = None) -> Any:
+        """Return the heartbeat to send to a VM, or to answer it with."""
+        self.membership.update_me(**self.describe())
+        return heartbeat_to_thrift(self.membership.heartbeat(to, now))
 
     def receive(self, message: Any, now: float) -> None:
         """Take in a heartbeat."""
-        for item in [message.sender, *message.members]:
-            self.membership.receive(_from_thrift(item), now)
+        self.membership.receive_heartbeat(heartbeat_from_thrift(message), now)
 
     async def run(self) -> None:
         """Send heartbeats for ever."""
         remote_at = 0.0
         while True:
             now = time.monotonic()
-            for address in self._local_addresses(now):
-                await curio.spawn(self._greet, address, daemon=True)
+            self.membership.tick(now)
+            for member in self.membership.local_targets(now):
+                await curio.spawn(self._greet, member.address, member.vm, daemon=True)
             if now >= remote_at:
                 remote_at = now + REMOTE_INTERVAL_S
-                remote = self._remote_address(now)
-                if remote is not None:
-                    await curio.spawn(self._greet, remote, daemon=True)
+                names = {item.address: item.vm for item in self.membership.members()}
+                for address in self.membership.remote_targets(
+                    now, self.rng, self.seeds
+                ):
+                    vm = names.get(address)
+                    await curio.spawn(self._greet, address, vm, daemon=True)
             await curio.sleep(LOCAL_INTERVAL_S)
 
     async def announce(self) -> None:
         """Send one heartbeat to every known peer at once."""
         for member in self.membership.members()[1:]:
-            await curio.spawn(self._greet, member.address, daemon=True)
+            await curio.spawn(self._greet, member.address, member.vm, daemon=True)
 
-    async def _greet(self, address: str) -> None:
-        message = self.heartbeat(time.monotonic())
+    async def _greet(self, address: str, vm: str | None) -> None:
+        message = self.heartbeat(time.monotonic(), vm)
         try:
             reply = await self.client(address).call(
                 "heartbeat", message, timeout_s=HEARTBEAT_TIMEOUT_S
@@ -106,53 +100,56 @@
             return  # silence is what the failure detector counts
         self.receive(reply, time.monotonic())
 
-    def _local_addresses(self, now: float) -> list[str]:
-        me = self.membership.me
-        return [
-            member.address
-            for member in self.membership.members()[1:]
-            if member.failure_domain == me.failure_domain
-        ]
-
-    def _remote_address(self, now: float) -> str | None:
-        me = self.membership.me
-        members = self.membership.members()[1:]
-        known = {member.address for member in members} | {me.address}
-        remote = [
-            member.address
-            for member in members
-            if member.failure_domain != me.failure_domain
-        ]
-        remote += [address for address in self.seeds if address not in known]
-        return self.rng.choice(remote) if remote else None
-
-
-def _to_thrift(member: Member) -> Any:
-    state = MemberState.LEAVING if member.leaving else MemberState.ALIVE
-    return idl.Member(
-        member.vm,
-        member.incarnation,
-        member.counter,
-        str(state),
-        member.address,
-        member.failure_domain,
-        list(member.shards),
-        member.free_cores,
-        member.config_revision,
-        member.log_offset,
+
+def heartbeat_to_thrift(message: Heartbeat) -> Any:
+    """Return the thrift form of a heartbeat."""
+    return idl.Heartbeat(
+        _to_thrift(message.sender, MemberState.ALIVE),
+        [_to_thrift(member, state) for member, state in message.carried],
+    )
+
+
+def heartbeat_from_thrift(message: Any) -> Heartbeat:
+    """Return the heartbeat for its thrift form."""
+    return Heartbeat(
+        _from_thrift(message.sender),
+        tuple((_from_thrift(item), _state(item)) for item in message.members or ()),
     )
 
 
+def _to_thrift(member: Member, state: MemberState) -> Any:
+    if member.leaving and state is MemberState.ALIVE:
+        state = MemberState.LEAVING
+    item = idl.Member(member.vm, member.incarnation, member.counter)
+    if state is not MemberState.ALIVE:
+        item.state = str(state)
+    if member.address:
+        # Fields that are left out of a brief entry take no bytes.
+        item.address = member.address
+        item.failure_domain = member.failure_domain
+        item.shards = list(member.shards)
+        item.free_cores = member.free_cores
+        item.config_revision = member.config_revision
+        item.log_offset = member.log_offset
+    return item
+
+
+def _state(item: Any) -> MemberState:
+    if item.state in {MemberState.SUSPECT, MemberState.DEAD}:
+        return MemberState(item.state)
+    return MemberState.ALIVE
+
+
 def _from_thrift(item: Any) -> Member:
     return Member(
         item.vm,
         item.incarnation,
         item.counter,
-        item.address,
-        item.failure_domain,
+        item.address or "",
+        item.failure_domain or "",
         item.state == MemberState.LEAVING,
         tuple(item.shards or ()),
-        item.free_cores,
-        item.config_revision,
-        item.log_offset,
+        item.free_cores or 0.0,
+        item.config_revision or 0,
+        item.log_offset or 0,
     )
