Let the index of requests expire, restart and refresh deterministically

Cause: finished requests were forgotten by each process's own clock, so a repeat could be new for one and known to another. A refresh was taken for the state at its own offset although a start may stand between its author's last read and that offset; after a restart such an order could run twice. A late end "not run" could contradict another placer's start, and records of a paused placer could act on a later life of the same id.

Refresh and Bookmark have new required fields. RequestIndex.expire is gone, and with it the loop in application.py; shard.py passes the new fields.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -38,8 +38,6 @@
 LOOKUP_STEP_S = 0.25
 JOIN_WAIT_S = 0.6  # time to hear of the others before leading anything
 DRAIN_GRACE_S = 30.0
-EXPIRE_INTERVAL_S = 60.0
-EXPIRE_SLACK_S = 60.0
 
 
 class Application:
@@ -60,7 +58,7 @@
         self.stopped = curio.Event()
         self.n_bad_records = 0
         self.vm_list: list[VmEntry] = []
-        self.index = RequestIndex()
+        self.index = RequestIndex(settings.dedupe_window_s)
         self.follower = Follower(
             make_log(settings.log_address), REQUESTS_STREAM, self._on_record
         )
@@ -111,7 +109,6 @@
             self.peers.run,
             self._run_vm_list,
             self._run_leadership,
-            self._run_expiry,
         ):
             self._tasks.append(await curio.spawn(run, daemon=True))
         logger.info("started", vm=self.settings.vm, http=self.settings.http_address)
@@ -389,12 +386,6 @@
                     await self.peers.announce()
             await curio.sleep(LEAD_INTERVAL_S)
 
-    async def _run_expiry(self) -> None:
-        keep_s = self.settings.dedupe_window_s + EXPIRE_SLACK_S
-        while True:
-            await curio.sleep(EXPIRE_INTERVAL_S)
-            self.index.expire(time.time() - keep_s)
-
 
 def make_application(settings: Settings) -> Application:
     """Return a daemon that has not been started."""
--- a/cuminhill/coordination/claims.py
+++ b/cuminhill/coordination/claims.py
@@ -6,160 +6,106 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass, field
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, field
 from functools import singledispatchmethod
-from typing import Any
 
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Binds a request id to a shard; the smallest origin offset wins."""
-
-    request_id: str
-    shard: str
-    request: dict[str, Any]
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Started:
-    """Announces the start of a task before the worker is called.
-
-    Parameters
-    ----------
-    request_id, task_id, worker_id : str
-        What is started where.
-    epoch : int
-        Lease epoch under which the worker will be called.
-    incarnation : str
-        Life of the worker.
-    by : str
-        Life of the process that appends the record.
-    prior : int, default=-1
-        Offset of the started record that this one replaces; -1 for the first.
-    """
-
-    request_id: str
-    task_id: str
-    worker_id: str
-    epoch: int
-    incarnation: str
-    by: str
-    prior: int = -1
-
-
-@dataclass(frozen=True, slots=True)
-class Done:
-    """Final answer to a request; the first one counts."""
-
-    request_id: str
-    answer: dict[str, Any]
-    at: float
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """No task of the request may start after this record."""
-
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Refresh:
-    """Repeats a live request before retention drops its older records."""
-
-    request_id: str
-    shard: str
-    request: dict[str, Any]
-    at: float
-    origin: int
-    started: dict[str, dict[str, Any]]
-    started_offsets: dict[str, int]
-    cancelled: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Bookmark:
-    """No record before ``low`` is needed to rebuild the state."""
-
-    low: int
-
-
-Record = Claim | Started | Done | Cancel | Refresh | Bookmark
-
-_TYPES: dict[str, type[Any]] = {
-    "claim": Claim,
-    "started": Started,
-    "done": Done,
-    "cancel": Cancel,
-    "refresh": Refresh,
-    "bookmark": Bookmark,
-}
-_NAMES = {kind: name for name, kind in _TYPES.items()}
-
-
-def record_to_dict(record: Record) -> dict[str, Any]:
-    """Return the JSON-ready form of a record."""
-    return {"type": _NAMES[type(record)], **asdict(record)}
-
-
-def record_from_dict(data: dict[str, Any]) -> Record:
-    """Return the record for a mapping made by ``record_to_dict``.
-
-    Raises
-    ------
-    KeyError, TypeError
-        If the mapping is not a record.
-    """
-    fields = dict(data)
-    return _TYPES[fields.pop("type")](**fields)
-
-
-@dataclass(slots=True)
-class Entry:
-    """What the log says of one request.
-
-    Parameters
-    ----------
-    origin : int
-        Offset of the winning claim.
-    last_offset : int
-        Offset from which the entry can be rebuilt.
-    """
-
-    request_id: str
-    shard: str
-    request: dict[str, Any] | None
-    at: float
-    origin: int
-    last_offset: int
-    started: dict[str, Started] = field(default_factory=dict)
-    started_offsets: dict[str, int] = field(default_factory=dict)
-    cancelled: bool = False
-    answer: dict[str, Any] | None = None
-
-    @property
-    def live(self) -> bool:
-        """Whether the request has no final answer yet."""
-        return self.answer is None
-
-
-@dataclass(slots=True)
+from .entries import Entry
+from .horizon import Horizon
+from .records import (
+    Bookmark,
+    Cancel,
+    Claim,
+    Done,
+    Record,
+    Refresh,
+    Started,
+    record_from_dict,
+    record_to_dict,
+)
+
+DEDUPE_WINDOW_S = 1800.0
+# Bounds how late a claim or refresh may reach the log; what is kept for the
+# dedupe window and this long decides every claim that is not void.
+MAX_DELAY_S = 300.0
+MAX_ENTRIES = 400_000  # 120,000 live and 300,000 a day kept for half an hour
+MAX_UNBOUND_IDS = 4096
+# The newest of so many records tells the time at the log's start; the first alone
+# may have been appended late.
+N_UNTRUSTED_RECORDS = 32
+MAX_RECENT_RECORDS = 64
+
+
+@dataclass(eq=False, slots=True)
 class RequestIndex:
     """State folded from the stream of request records.
 
     Parameters
     ----------
+    dedupe_window_s : float, seconds
+        A finished request is known to claims made until this long after its end.
+        Must be the same in every process.
+    max_entries : int
+        Claims are void while there are so many entries. Must be the same in
+        every process.
+
+    Attributes
+    ----------
     next_offset : int
         Offset of the first record that has not been folded.
+    log_time : float, seconds since the epoch
+        Largest time in the records; the clock by which entries expire, so that
+        expiry depends on the log alone.
+    exact : bool
+        Whether every record that matters was seen.
     """
 
+    dedupe_window_s: float = DEDUPE_WINDOW_S
+    max_entries: int = MAX_ENTRIES
     next_offset: int = 0
+    log_time: float = 0.0
+    exact: bool = True
     entries: dict[str, Entry] = field(default_factory=dict)
     live: dict[str, set[str]] = field(default_factory=dict)
     low: int = 0
     n_lost_claims: int = 0
+    n_void_claims: int = 0
     n_void_starts: int = 0
+    n_void_dones: int = 0
+    n_void_refreshes: int = 0
+    n_gaps: int = 0
+    n_expired: int = 0
+    trust_after: float = float("-inf")
+    bookmark_offset: int = -1
+    horizon: Horizon = field(default_factory=Horizon)
+    _expiry: list[tuple[float, str, int]] = field(default_factory=list)
+    # Records by id that a refresh may have to be completed with.
+    recent: dict[str, list[tuple[int, Record]]] = field(default_factory=dict)
+    unbound: OrderedDict[str, None] = field(default_factory=OrderedDict)
+
+    # Folding
+
+    def start_at(self, offset: int, log_time: float | None) -> None:
+        """Forget everything and begin at an offset, see ``recovery.restart_point``.
+
+        Parameters
+        ----------
+        offset : int
+            First record that will be folded.
+        log_time : float or None, seconds since the epoch
+            From the bookmark; None if records that matter may be missing.
+        """
+        self.entries.clear()
+        self.live.clear()
+        self._expiry.clear()
+        self.recent.clear()
+        self.unbound.clear()
+        self.horizon = Horizon()
+        self.next_offset = offset
+        self.log_time = log_time or 0.0
+        self.exact = offset == 0 or log_time is not None
+        self.trust_after = float("-inf")
 
     def apply(self, offset: int, record: Record) -> Entry | None:
         """Fold one record.
@@ -167,7 +113,8 @@
         Parameters
         ----------
         offset : int
-            Offset of the record; offsets already folded are ignored.
+            Offset of the record; offsets already folded are ignored. A gap means
+            that retention dropped records, and the index starts anew.
         record : Record
             What stands there.
 
@@ -178,8 +125,22 @@
         """
         if offset < self.next_offset:
             return None
+        if offset > self.next_offset:
+            self.n_gaps += 1
+            self.start_at(offset, None)
+        marked = self.horizon.mark(offset, self.log_time)
+        at = record_time(record)
+        if at is not None:
+            self.log_time = max(self.log_time, at)
+        if not self.exact and offset - self.horizon.first_offset < N_UNTRUSTED_RECORDS:
+            after = self.log_time + self.dedupe_window_s + MAX_DELAY_S
+            self.trust_after = max(self.trust_after, after)
         self.next_offset = offset + 1
-        return self._fold(record, offset)
+        found = self._fold(record, offset)
+        self._expire()
+        if marked and not self.exact:
+            self._check_exact()
+        return found
 
     def get(self, request_id: str) -> Entry | None:
         """Return the entry of a request."""
@@ -187,44 +148,15 @@
 
     def live_in(self, shard: str) -> list[Entry]:
         """Return the entries of a shard that have no final answer."""
-        return [self.entries[key] for key in sorted(self.live.get(shard, ()))]
+        found = [self.entries[key] for key in sorted(self.live.get(shard, ()))]
+        return [entry for entry in found if entry.confirmed]
 
-    def expire(self, before: float) -> int:
-        """Drop finished entries last written before a wall-clock time.
-
-        Returns
-        -------
-        int
-            Number of entries dropped.
-        """
-        old = [
-            key
-            for key, entry in self.entries.items()
-            if not entry.live and entry.at < before
-        ]
-        for key in old:
-            del self.entries[key]
-        return len(old)
-
-    def low_offset(self) -> int:
-        """Return the smallest offset that a rebuild of this state needs."""
-        return min(
-            (entry.last_offset for entry in self.entries.values()),
-            default=self.next_offset,
-        )
+    @property
+    def full(self) -> bool:
+        """Whether new claims would be void for lack of room."""
+        return len(self.entries) >= self.max_entries
 
-    def refresh_record(self, entry: Entry) -> Refresh:
-        """Return the record that repeats a live entry."""
-        return Refresh(
-            entry.request_id,
-            entry.shard,
-            entry.request or {},
-            entry.at,
-            entry.origin,
-            {key: asdict(started) for key, started in entry.started.items()},
-            dict(entry.started_offsets),
-            entry.cancelled,
-        )
+    # Details
 
     @singledispatchmethod
     def _fold(self, record: Record, offset: int) -> Entry | None:
@@ -232,22 +164,40 @@
 
     @_fold.register
     def _(self, record: Claim, offset: int) -> Entry | None:
-        if record.request_id in self.entries:
-            self.n_lost_claims += 1
+        if record.at < self.log_time - MAX_DELAY_S:
+            self.n_void_claims += 1
+            return None
+        known = self.entries.get(record.request_id)
+        if known is not None:
+            if known.live or record.at <= known.at + self.dedupe_window_s:
+                self.n_lost_claims += 1
+                known.lost_offset = offset
+                return None
+            self._drop(known)
+        if self.full:
+            self.n_void_claims += 1
             return None
         entry = Entry(
             record.request_id, record.shard, record.request, record.at, offset, offset
         )
+        if not self.exact and record.at < self.trust_after:
+            # May repeat a request whose end was dropped; a refresh confirms it.
+            entry.confirmed = False
+            self.expire_later(entry)
         self._put(entry)
         return entry
 
     @_fold.register
     def _(self, record: Started, offset: int) -> Entry | None:
-        entry = self.entries.get(record.request_id)
-        if entry is None or not entry.live or entry.cancelled:
-            self.n_void_starts += 1
-            return None
-        if entry.started_offsets.get(record.task_id, -1) != record.prior:
+        self._keep_recent(record, offset)
+        return self._start(record, offset)
+
+    def _start(self, record: Started, offset: int) -> Entry | None:
+        entry = self._own_entry(record)
+        prior = -1
+        if entry is not None:
+            prior = entry.started_offsets.get(record.task_id, -1)
+        if entry is None or entry.cancelled or prior != record.prior:
             self.n_void_starts += 1
             return None
         entry.started[record.task_id] = record
@@ -255,57 +205,179 @@
         return entry
 
     @_fold.register
-    def _(self, record: Done, offset: int) -> Entry | None:
-        entry = self.entries.get(record.request_id)
-        if entry is None or not entry.live:
-            return None
-        entry.answer = record.answer
-        entry.request = None  # finished requests keep only their answer
-        entry.started.clear()
-        entry.started_offsets.clear()
-        entry.at = record.at
-        self.live[entry.shard].discard(record.request_id)
+    def _(self, record: Cancel, offset: int) -> Entry | None:
+        self._keep_recent(record, offset)
+        entry = self._own_entry(record)
+        if entry is not None:
+            entry.cancelled = True
         return entry
 
     @_fold.register
-    def _(self, record: Cancel, offset: int) -> Entry | None:
-        entry = self.entries.get(record.request_id)
-        if entry is None or not entry.live:
+    def _(self, record: Done, offset: int) -> Entry | None:
+        if record.request_id not in self.entries and not self.exact:
+            return self._rebuild_finished(record, offset)
+        entry = self._own_entry(record)
+        if entry is None or self._started_unseen(entry, record):
+            self.n_void_dones += 1
+            self._keep_recent(record, offset)
             return None
-        entry.cancelled = True
+        self.live[entry.shard].discard(record.request_id)
+        if record.origin >= 0:
+            entry.shard, entry.origin = record.shard, record.origin
+        self._finish(entry, record)
         return entry
 
     @_fold.register
     def _(self, record: Refresh, offset: int) -> Entry | None:
+        if record.as_of_time < self.log_time - MAX_DELAY_S:
+            self.n_void_refreshes += 1
+            return None
         entry = self.entries.get(record.request_id)
-        if entry is not None and entry.origin < record.origin:
+        if entry is not None and not entry.live:
             return None
         if entry is not None and entry.origin == record.origin:
-            # The entry knows all that the record repeats, and perhaps more.
-            if entry.live:
-                entry.last_offset = offset
+            entry.merge(record)
+            return entry
+        if entry is not None and entry.confirmed and entry.origin < record.origin:
             return None
+        lost_offset = -1
         if entry is not None:
-            self.live[entry.shard].discard(record.request_id)
+            # A claim that lost, folded first because the winner was dropped.
+            lost_offset = max(entry.origin, entry.lost_offset)
+            self._forget(entry)
         entry = Entry(
             record.request_id,
             record.shard,
             record.request,
             record.at,
             record.origin,
-            offset,
-            {key: Started(**value) for key, value in record.started.items()},
-            dict(record.started_offsets),
-            record.cancelled,
+            record.as_of + 1,
+            lost_offset=lost_offset,
         )
+        entry.merge(record)
         self._put(entry)
+        for later, item in self.recent.get(record.request_id, []):
+            if later > record.as_of and isinstance(item, Started):
+                self._start(item, later)
+            elif later > record.as_of:
+                self._fold(item, later)
         return entry
 
     @_fold.register
     def _(self, record: Bookmark, offset: int) -> Entry | None:
         self.low = max(self.low, record.low)
+        self.bookmark_offset = offset
         return None
 
+    def _own_entry(self, record: Started | Cancel | Done) -> Entry | None:
+        """Return the live entry of the claim to which a record belongs."""
+        entry = self.entries.get(record.request_id)
+        if entry is None or not entry.live:
+            return None
+        if entry.confirmed and record.origin not in {-1, entry.origin}:
+            return None
+        return entry
+
+    def _started_unseen(self, entry: Entry, record: Done) -> bool:
+        if record.seen is None or record.answer.get("state") != "not_run":
+            return False
+        return max(entry.started_offsets.values(), default=-1) > record.seen
+
+    def _rebuild_finished(self, record: Done, offset: int) -> Entry | None:
+        """Take the end of a request whose claim was dropped before we began."""
+        if record.origin >= self.horizon.first_offset:
+            self.n_void_dones += 1
+            return None
+        entry = Entry(
+            record.request_id, record.shard, None, record.at, record.origin, offset
+        )
+        self.entries[record.request_id] = entry
+        self._finish(entry, record)
+        entry.confirmed = False  # nobody can rebuild it from here
+        return entry
+
+    def _finish(self, entry: Entry, record: Done) -> None:
+        # A result that a log outage held up is kept as long as any other.
+        entry.finish(record, max(record.at, self.log_time - MAX_DELAY_S))
+        self.recent.pop(entry.request_id, None)
+        self.unbound.pop(entry.request_id, None)
+        self.expire_later(entry)
+
+    def _check_exact(self) -> None:
+        """End the time after an incomplete start, when all has been seen again."""
+        if self.log_time >= self.trust_after:
+            self.exact = all(entry.confirmed for entry in self.entries.values())
+
     def _put(self, entry: Entry) -> None:
         self.entries[entry.request_id] = entry
         self.live.setdefault(entry.shard, set()).add(entry.request_id)
+        self.unbound.pop(entry.request_id, None)
+
+    def _drop(self, entry: Entry) -> None:
+        self._forget(entry)
+        self.recent.pop(entry.request_id, None)
+        if entry.lost_offset > entry.last_offset:
+            self.horizon.keep(entry.last_offset, entry.lost_offset)
+
+    def _forget(self, entry: Entry) -> None:
+        del self.entries[entry.request_id]
+        self.live.get(entry.shard, set()).discard(entry.request_id)
+
+    def _keep_recent(self, record: Started | Cancel | Done, offset: int) -> None:
+        request_id = record.request_id
+        entry = self.entries.get(request_id)
+        if entry is not None and not entry.live:
+            return
+        items = self.recent.setdefault(request_id, [])
+        if (offset, record) not in items:
+            items.append((offset, record))
+        del items[:-MAX_RECENT_RECORDS]
+        if entry is None:
+            self.unbound[request_id] = None
+            if len(self.unbound) > MAX_UNBOUND_IDS:
+                self.recent.pop(self.unbound.popitem(last=False)[0], None)
+
+    def expire_later(self, entry: Entry) -> None:
+        """Let an entry end with its part of the dedupe window."""
+        heapq.heappush(self._expiry, (entry.at, entry.request_id, entry.origin))
+
+    def _expire(self) -> None:
+        """Drop what no claim that is not void can refer to any more."""
+        before = self.log_time - self.dedupe_window_s - MAX_DELAY_S
+        while self._expiry and self._expiry[0][0] < before:
+            at, request_id, origin = heapq.heappop(self._expiry)
+            entry = self.entries.get(request_id)
+            if entry is None or (entry.at, entry.origin) != (at, origin):
+                continue
+            if not entry.live or not entry.confirmed:
+                self.n_expired += 1
+                self._drop(entry)
+
+
+def record_time(record: Record) -> float | None:
+    """Return when a record was made, in seconds since the epoch, if it says so."""
+    if isinstance(record, Claim | Done):
+        return record.at
+    return record.written_at if isinstance(record, Refresh) else None
+
+
+def make_request_index(dedupe_window_s: float = DEDUPE_WINDOW_S) -> RequestIndex:
+    """Return the index before the first record of a stream."""
+    return RequestIndex(dedupe_window_s)
+
+
+__all__ = [
+    "Bookmark",
+    "Cancel",
+    "Claim",
+    "Done",
+    "Entry",
+    "Record",
+    "Refresh",
+    "RequestIndex",
+    "Started",
+    "make_request_index",
+    "record_from_dict",
+    "record_time",
+    "record_to_dict",
+]
--- /dev/null
+++ b/cuminhill/coordination/records.py
@@ -0,0 +1,153 @@
+"""Records of the stream of requests."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Binds a request id to a shard; the smallest origin offset wins.
+
+    Parameters
+    ----------
+    at : float, seconds since the epoch
+        When it was made; a claim that is appended long after that is void.
+    """
+
+    request_id: str
+    shard: str
+    request: dict[str, Any]
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """Announces the start of a task before the worker is called.
+
+    Parameters
+    ----------
+    request_id, task_id, worker_id : str
+        What is started where.
+    epoch : int
+        Lease epoch under which the worker will be called.
+    incarnation : str
+        Life of the worker.
+    by : str
+        Life of the process that appends the record.
+    prior : int, default=-1
+        Offset of the started record that this one replaces; -1 for the first.
+    origin : int, default=-1
+        Origin of the claim that it belongs to; -1 if the author does not say.
+    """
+
+    request_id: str
+    task_id: str
+    worker_id: str
+    epoch: int
+    incarnation: str
+    by: str
+    prior: int = -1
+    origin: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Final answer to a request; the first one counts.
+
+    Parameters
+    ----------
+    shard, origin : str, int
+        Of the claim that it belongs to; a Done of an earlier life of the id is
+        void. An origin of -1 is not checked.
+    seen : int or None
+        Largest offset of a started record that the author knows, -1 for none.
+        "Not run" is void if there is a later one: another placer has started.
+    """
+
+    request_id: str
+    answer: dict[str, Any]
+    at: float
+    shard: str = ""
+    origin: int = -1
+    seen: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """No task of the request may start after this record."""
+
+    request_id: str
+    origin: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Refresh:
+    """Repeats a live request before retention drops its older records.
+
+    Parameters
+    ----------
+    as_of : int
+        Offset through which the author had folded; later records still count.
+    as_of_time : float, seconds since the epoch
+        The log's time at that offset; void if the log is long past that.
+    written_at : float, seconds since the epoch
+        When the author made it.
+    """
+
+    request_id: str
+    shard: str
+    request: dict[str, Any]
+    at: float
+    origin: int
+    started: dict[str, dict[str, Any]]
+    started_offsets: dict[str, int]
+    cancelled: bool
+    as_of: int
+    as_of_time: float
+    written_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Bookmark:
+    """No record before ``low`` is needed to rebuild the state.
+
+    Parameters
+    ----------
+    log_time : float, seconds since the epoch
+        Largest time of all records before ``low``, which decides what has expired.
+    """
+
+    low: int
+    log_time: float
+
+
+Record = Claim | Started | Done | Cancel | Refresh | Bookmark
+
+_TYPES: dict[str, type[Any]] = {
+    "claim": Claim,
+    "started": Started,
+    "done": Done,
+    "cancel": Cancel,
+    "refresh": Refresh,
+    "bookmark": Bookmark,
+}
+_NAMES = {kind: name for name, kind in _TYPES.items()}
+
+
+def record_to_dict(record: Record) -> dict[str, Any]:
+    """Return the JSON-ready form of a record."""
+    return {"type": _NAMES[type(record)], **asdict(record)}
+
+
+def record_from_dict(data: dict[str, Any]) -> Record:
+    """Return the record for a mapping made by ``record_to_dict``.
+
+    Raises
+    ------
+    KeyError, TypeError
+        If the mapping is not a record.
+    """
+    fields = dict(data)
+    return _TYPES[fields.pop("type")](**fields)
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -396,6 +396,17 @@
     async def _append(self, record: Record) -> PendingRecord:
         return await self.follower.append(record_to_dict(record))
 
+    def _done_record(self, request_id: str, answer: Answer) -> Done:
+        state = self.placer.requests.get(request_id)
+        seen = max((task.prior for task in state.tasks), default=-1) if state else -1
+        origin = self._origin(request_id)
+        value = answer.to_dict()
+        return Done(request_id, value, time.time(), self.shard, origin, seen)
+
+    def _origin(self, request_id: str) -> int:
+        bound = self.index.get(request_id)
+        return bound.origin if bound is not None else -1
+
     async def _take_over(self, entry: Entry) -> None:
         if entry.request is None:
             return
@@ -454,6 +465,7 @@
                 action.incarnation,
                 self.holder,
                 action.prior,
+                self._origin(action.request.request_id),
             )
         )
 
@@ -476,7 +488,7 @@
         request, answer = action.request, action.answer
         if request.kind in LOGGED_KINDS:
             self._unrecorded[request.request_id] = (time.monotonic(), answer)
-            await self._append(Done(request.request_id, answer.to_dict(), time.time()))
+            await self._append(self._done_record(request.request_id, answer))
             return
         self.answers[request.request_id] = answer
         if len(self.answers) > MAX_CACHED_ANSWERS:
