Route within retry budgets and breakers; admit checks by deadline

Cause: routing retried every 50 ms without bound, waited out the time-out of a paused leader for every check, and could answer "not run" after an earlier attempt whose outcome was unknown. Overloaded placers took checks that could not start in time.

Change: attempts.py puts a breaker and a retry budget in front of each shard leader. A token is spent only on attempts that may cost work after an earlier one did; polls for a new leader are refunded. Attempts carry the deadline. Overload from all shards is answered at once. "Not run" after an attempt that may have taken effect becomes "unknown". The shard driver asks admission before it takes a check. Both dumps show the counters.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -282,13 +282,7 @@
                 "n_void_starts": self.index.n_void_starts,
             },
             "shards": {name: item.dump() for name, item in self.drivers.items()},
-            "routing": {
-                "leaders": {
-                    shard: member.vm for shard, member in self.router.leaders().items()
-                },
-                "n_reroutes": self.router.n_reroutes,
-                "n_unknown_replies": self.router.n_unknown_replies,
-            },
+            "routing": self.router.dump(),
             "http": asdict(self.http.counters)
             | {"n_connections": self.http.n_connections, "n_busy": self.http.n_busy},
             "rpc": asdict(self.rpc.counters),
--- /dev/null
+++ b/cuminhill/attempts.py
@@ -0,0 +1,150 @@
+"""Attempts of one request, held back by circuit breakers and retry budgets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from .coordination.breaker import Breakers
+from .coordination.retry import CallOutcome, RetryBudgets
+from .errors import CuminhillError, ProtocolError, UnknownOutcomeError
+from .model import AnswerState, Reason
+
+if TYPE_CHECKING:
+    from .coordination.breaker import Permit
+    from .model import Answer
+
+TRY_ELSEWHERE = frozenset({Reason.OVERLOAD, Reason.UNAVAILABLE, Reason.DRAINING})
+
+
+class HeldBackError(CuminhillError):
+    """Nothing was sent: the breaker is open or the retry budget is spent."""
+
+
+def call_outcome(exc: CuminhillError) -> CallOutcome:
+    """Return what an error says of the effect of the call."""
+    # After a protocol error the peer may have failed half-way through the call.
+    if isinstance(exc, UnknownOutcomeError | ProtocolError):
+        return CallOutcome.UNKNOWN
+    return CallOutcome.NOT_SENT
+
+
+@dataclass(eq=False, slots=True)
+class Attempts:
+    """What the attempts of one request have come to.
+
+    Parameters
+    ----------
+    outcome : CallOutcome
+        Unknown if any attempt may have taken effect.
+    loaded : bool
+        Whether an attempt may have cost a destination work; every further one
+        is then a retry.
+    refused : Answer or None
+        Latest answer that says that nothing ran.
+    """
+
+    outcome: CallOutcome = CallOutcome.NOT_SENT
+    loaded: bool = False
+    refused: Answer | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether "not run" can no longer be promised."""
+        return self.outcome is CallOutcome.UNKNOWN
+
+    def take_answer(self, answer: Answer) -> None:
+        """Note the answer of an attempt."""
+        if answer.reason not in TRY_ELSEWHERE:
+            return
+        self.refused = answer
+        self.loaded = self.loaded or answer.reason is Reason.OVERLOAD
+        if not self.may_have_run:
+            self.outcome = CallOutcome.REFUSED
+
+    def take_unknown(self) -> None:
+        """Note an attempt that may have taken effect."""
+        self.outcome = CallOutcome.UNKNOWN
+        self.loaded = True
+
+    def doubts(self, answer: Answer) -> bool:
+        """Return whether an earlier attempt makes "not run" uncertain."""
+        return self.may_have_run and answer.state is AnswerState.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Passage:
+    """Leave for one attempt.
+
+    Parameters
+    ----------
+    paid : bool
+        Whether a retry token was spent.
+    """
+
+    destination: str
+    permit: Permit
+    paid: bool
+
+
+@dataclass(eq=False)
+class Gate:
+    """Breaker and retry budget of each destination."""
+
+    budgets: RetryBudgets = field(default_factory=RetryBudgets)
+    breakers: Breakers = field(default_factory=Breakers)
+    n_held_back: int = 0
+
+    def enter(self, destination: str, attempts: Attempts, now: float) -> Passage:
+        """Return leave for an attempt.
+
+        Raises
+        ------
+        HeldBackError
+            If the breaker is open or the budget has no token for a retry.
+        """
+        breaker = self.breakers.get(destination)
+        if breaker.would_allow(now):
+            paid = attempts.loaded
+            if paid and not self.budgets.get(destination).try_spend():
+                self.n_held_back += 1
+                raise HeldBackError("no retry left", step="route", peer=destination)
+            permit = breaker.acquire(now)
+            assert permit is not None
+            return Passage(destination, permit, paid)
+        breaker.n_rejected += 1
+        self.n_held_back += 1
+        raise HeldBackError("breaker is open", step="route", peer=destination)
+
+    def answered(self, passage: Passage, answer: Answer, now: float) -> None:
+        """Take in the answer to an attempt."""
+        self.breakers.get(passage.destination).record(passage.permit, True, now)
+        if answer.reason not in TRY_ELSEWHERE:
+            self.budgets.get(passage.destination).earn()
+        elif answer.reason is not Reason.OVERLOAD:
+            self._refund(passage)
+
+    def turned_away(self, passage: Passage, now: float) -> None:
+        """Take in that the destination lives but does not handle the request."""
+        self.breakers.get(passage.destination).record(passage.permit, True, now)
+        self._refund(passage)
+
+    def failed(self, passage: Passage, outcome: CallOutcome, now: float) -> None:
+        """Take in that an attempt gave no answer."""
+        self.breakers.get(passage.destination).record(passage.permit, False, now)
+        if outcome is CallOutcome.NOT_SENT:
+            self._refund(passage)
+
+    def dump(self) -> dict[str, Any]:
+        """Return budgets, breakers and counters in JSON-ready form."""
+        return {
+            "n_held_back": self.n_held_back,
+            "retry_budgets": self.budgets.dump(),
+            "breakers": self.breakers.dump(),
+        }
+
+    def _refund(self, passage: Passage) -> None:
+        # The attempt cost the destination no work. Otherwise the polls for a new
+        # leader during a failover would use up the retries that follow it.
+        if passage.paid:
+            self.budgets.get(passage.destination).refund()
--- a/cuminhill/coordination/admission.py
+++ b/cuminhill/coordination/admission.py
@@ -58,6 +58,11 @@
         if self._busy_since is not None:
             self._busy_since = now
 
+    def discard_current(self) -> None:
+        """Drop the sample in progress."""
+        self._n_starts = 0
+        self._busy_s = 0.0
+
     def per_s(self, now: float) -> float:
         """Return starts a second; infinite while nothing is known."""
         busy_s = self._elapsed(now)
@@ -141,8 +146,12 @@
 
     def withdrawn(self, key: str, now: float) -> None:
         """Note that a request waits no more without having started."""
-        if self._waiting.pop(key, None) is not None and not self._waiting:
-            self._rate.set_busy(False, now)
+        if self._waiting.pop(key, None) is None or self._waiting:
+            return
+        self._rate.set_busy(False, now)
+        # The queue went away without being served. A standstill that lies in the
+        # past must not slow down what comes after it.
+        self._rate.discard_current()
 
     def dump(self, now: float) -> dict[str, float | int | None]:
         """Return estimate and counters."""
--- a/cuminhill/coordination/breaker.py
+++ b/cuminhill/coordination/breaker.py
@@ -13,11 +13,12 @@
 MAX_FAILURES = 5  # in a row, until a breaker opens
 OPEN_S = 0.5  # first time that a breaker stays open
 MAX_OPEN_S = 8.0
-PROBE_TIMEOUT_S = 5.0  # a probe without a result is given up after this
+PROBE_TIMEOUT_S = 1.0  # a probe without a result is given up after this
 MAX_BREAKERS = 1024
 EJECT_AFTER = 3  # failures in a row, until a destination is ejected
 EJECT_S = 5.0  # first time that a destination stays ejected
 MAX_EJECT_S = 300.0
+EJECT_PROBE_S = 5.0  # a probe task may run for long; then another one may go
 MAX_EJECTED_SHARE = 0.34
 
 
@@ -201,7 +202,7 @@
         """Note a call; to an ejected destination it is the one probe."""
         member = self._members.get(name)
         if member is not None and member.until is not None:
-            member.probing_until = now + PROBE_TIMEOUT_S
+            member.probing_until = now + EJECT_PROBE_S
 
     def record(self, name: str, ok: bool, now: float) -> None:
         """Take in a result of a destination."""
--- a/cuminhill/coordination/retry.py
+++ b/cuminhill/coordination/retry.py
@@ -93,6 +93,11 @@
         self.n_spent += 1
         return True
 
+    def refund(self) -> None:
+        """Give back the token of a retry that cost the destination no work."""
+        self.tokens = min(MAX_TOKENS, self.tokens + RETRY_COST)
+        self.n_spent -= 1
+
 
 @dataclass(eq=False, slots=True)
 class RetryBudgets:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -11,6 +11,7 @@
 import curio
 import structlog
 
+from .coordination.admission import make_admission
 from .coordination.claims import (
     Cancel,
     Claim,
@@ -63,6 +64,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .coordination.admission import Admission
     from .coordination.claims import Record, RequestIndex
     from .follower import Follower, PendingRecord
     from .platform.vmlist import VmEntry
@@ -149,6 +151,7 @@
     n_unknown_starts: int = 0
     n_lapsed: int = 0
     answers: OrderedDict[str, Answer] = field(default_factory=OrderedDict)
+    admission: Admission = field(default_factory=make_admission)
     _loops: dict[str, _WorkerLoop] = field(default_factory=dict)
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
@@ -166,6 +169,7 @@
             return
         self.leading = True
         self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+        self.admission = make_admission()
         self._roster_announced = False
         logger.info("leading shard", shard=self.shard)
         for entry in self.index.live_in(self.shard):
@@ -285,6 +289,7 @@
             "n_stale_starts": self.n_stale_starts,
             "n_unknown_starts": self.n_unknown_starts,
             "n_lapsed": self.n_lapsed,
+            "admission": self.admission.dump(now),
             "leases": {
                 vm: {
                     "epoch": loop.lease.epoch,
@@ -305,6 +310,7 @@
             raise NotLeaderError("not leading", step="submit", peer=self.shard)
         if request_id not in self.placer.requests:
             refused = self.placer.refusal(request, time.time())
+            refused = refused or self._overload(request)
             if refused is not None:
                 return refused
             await self.apply(RequestAccepted(request))
@@ -319,6 +325,20 @@
             await self._wait_for_news(request_id, give_up_at - time.monotonic())
         return Answer(request_id, AnswerState.UNKNOWN, detail="no result in time")
 
+    def _overload(self, request: Request) -> Answer | None:
+        """Return the refusal of a check that would start too late."""
+        now = time.monotonic()
+        left_s = request.deadline - time.time()
+        refusal = self.admission.offer(request.request_id, left_s, now)
+        if refusal is None:
+            return None
+        wait_s = self.admission.expected_wait(now)
+        return not_run(
+            request.request_id,
+            Reason.OVERLOAD,
+            f"{refusal}: {self.admission.n_waiting} checks wait, about {wait_s:.2f} s",
+        )
+
     async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
         request_id = request.request_id
         entry = self.index.get(request_id)
@@ -459,6 +479,8 @@
 
     @_do.register
     async def _(self, action: StartTask) -> None:
+        if action.request.kind is RequestKind.CHECK:
+            self.admission.started(action.request.request_id, time.monotonic())
         await curio.spawn(self._start, action, daemon=True)
 
     @_do.register
@@ -478,6 +500,7 @@
             self._unrecorded[request.request_id] = (time.monotonic(), answer)
             await self._append(Done(request.request_id, answer.to_dict(), time.time()))
             return
+        self.admission.withdrawn(request.request_id, time.monotonic())
         self.answers[request.request_id] = answer
         if len(self.answers) > MAX_CACHED_ANSWERS:
             self.answers.popitem(last=False)
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -68,6 +68,16 @@
     assert admission.offer("during", 0.5, now + 3.0) is Refusal.DEADLINE
 
 
+def test_a_standstill_is_forgotten_once_its_queue_is_gone():
+    """Guards against refusals after all waiting requests have expired."""
+    admission = make_admission()
+    admission.offer("stuck", 5.0, 0.0)
+    assert admission.offer("next", 4.0, 5.0) is Refusal.DEADLINE
+    admission.withdrawn("stuck", 5.0)
+    assert admission.offer("first", 1.0, 5.0) is None
+    assert admission.offer("second", 1.0, 5.0) is None
+
+
 def test_queue_is_bounded_even_without_admission():
     """Guards against a queue that grows without limit."""
     admission = make_admission(2, enabled=False)
--- a/tests/coordination/test_breaker.py
+++ b/tests/coordination/test_breaker.py
@@ -8,6 +8,7 @@
 
 from cuminhill.coordination.breaker import (
     EJECT_AFTER,
+    EJECT_PROBE_S,
     EJECT_S,
     MAX_EJECT_S,
     MAX_FAILURES,
@@ -166,7 +167,7 @@
     @invariant()
     def bounded(self):
         assert len(self.ejector.ejected()) <= self.ejector.max_ejected
-        later = self.now + MAX_EJECT_S + PROBE_TIMEOUT_S
+        later = self.now + MAX_EJECT_S + EJECT_PROBE_S
         assert all(self.ejector.usable(name, later) for name in NAMES)
 
 
--- a/tests/coordination/test_retry.py
+++ b/tests/coordination/test_retry.py
@@ -58,6 +58,11 @@
     def retry(self):
         self.n_retries += self.budget.try_spend()
 
+    @rule()
+    def retry_in_vain(self):
+        if self.budget.try_spend():
+            self.budget.refund()
+
     @invariant()
     def bounded(self):
         assert 0.0 <= self.budget.tokens <= MAX_TOKENS
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,175 @@
+"""Tests of routing with scripted leaders."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import curio
+import orjson
+import pytest
+
+from cuminhill.coordination.breaker import MAX_FAILURES
+from cuminhill.coordination.claims import RequestIndex
+from cuminhill.coordination.membership import Member, make_membership
+from cuminhill.coordination.retry import MAX_TOKENS
+from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from cuminhill.model import (
+    Answer,
+    AnswerState,
+    Reason,
+    Request,
+    RequestKind,
+    Resources,
+    not_run,
+)
+from cuminhill.routing import CHECK_ATTEMPT_S, REPLY_MARGIN_S, make_router
+from cuminhill.rpc import idl
+
+DONE = "done"
+LOST = UnknownOutcomeError("time-out", step="submit", peer="b")
+
+
+class _FakePeers:
+    """Answers calls from a script for each address; the last entry repeats."""
+
+    def __init__(self, scripts):
+        self.scripts = scripts
+        self.calls = []
+
+    def client(self, address):
+        return _FakeClient(self, address)
+
+    def n_calls(self, address):
+        return sum(call[0] == address for call in self.calls)
+
+
+class _FakeClient:
+    """One address of `_FakePeers`."""
+
+    def __init__(self, peers, address):
+        self.peers = peers
+        self.address = address
+
+    async def call(self, method, message, *, timeout_s):
+        request_id = orjson.loads(message.request)["request_id"]
+        self.peers.calls.append((self.address, request_id, timeout_s))
+        script = self.peers.scripts[self.address]
+        step = script.pop(0) if len(script) > 1 else script[0]
+        if isinstance(step, Exception):
+            raise step
+        if step == "not_leader":
+            return idl.Reply("not_leader", b"")
+        answer = Answer(request_id, AnswerState.DONE)
+        if isinstance(step, Reason):
+            answer = not_run(request_id, step)
+        return idl.Reply("answer", orjson.dumps(answer.to_dict()))
+
+
+def make(scripts):
+    """Return a router whose only leaders are the scripted ones."""
+    membership = make_membership(Member("me", 1, 0, "me", "home"))
+    now = time.monotonic() + 60.0  # no suspicion during the test
+    for name in scripts:
+        member = Member(name, 1, 1, name, f"domain-{name}", shards=(f"s-{name}",))
+        membership.receive(member, now)
+    peers = _FakePeers({name: list(script) for name, script in scripts.items()})
+    router = make_router({}, membership, peers, RequestIndex(), random.Random(1))
+    return router, peers
+
+
+def check(request_id="c", deadline_s=0.3, kind=RequestKind.CHECK):
+    deadline = time.time() + deadline_s
+    return Request(
+        request_id, kind, "t", Resources(), deadline=deadline, run_time_s=0.05
+    )
+
+
+def submit(router, request):
+    return curio.run(router.submit, request, 0.0)
+
+
+@pytest.mark.parametrize("later", [Reason.DEADLINE, Reason.OVERLOAD, Reason.QUOTA])
+@pytest.mark.parametrize("error", [LOST, ProtocolError("half-way", step="submit")])
+def test_not_run_is_not_promised_after_an_unknown_attempt(later, error):
+    """Guards against "not run" for a check that another worker has run."""
+    router, _ = make({"b": [error, later]})
+    assert submit(router, check()).state is AnswerState.UNKNOWN
+
+
+def test_retries_are_bounded_by_the_budget():
+    """Guards against a retry storm against a leader that loses every reply."""
+    lost_then_done = [LOST, DONE] * 40  # successes keep the breaker closed
+    router, peers = make({"b": [*lost_then_done, LOST]})
+
+    async def many():
+        tasks = [
+            await curio.spawn(router.submit, check(f"c{index}"), 0.0)
+            for index in range(40)
+        ]
+        for task in tasks:
+            await task.join()
+
+    curio.run(many)
+    budget = router.dump()["retry_budgets"]["s-b@b"]
+    assert budget["n_denied"] > 0
+    n_retries = peers.n_calls("b") - 40
+    assert n_retries == budget["n_spent"] <= MAX_TOKENS + 0.1 * peers.n_calls("b")
+
+
+def test_a_silent_leader_gets_few_calls():
+    """Guards against calls that each wait for a paused leader's time-out."""
+    router, peers = make({"b": [LOST], "c": [DONE]})
+    answers = [submit(router, check(f"c{index}")) for index in range(60)]
+    assert all(answer.state is AnswerState.DONE for answer in answers)
+    assert peers.n_calls("b") == MAX_FAILURES
+    assert router.dump()["breakers"]["s-b@b"]["state"] == "open"
+
+
+def test_overload_everywhere_is_told_at_once():
+    """Guards against refused checks that wait and retry until their deadline."""
+    router, peers = make({"b": [Reason.OVERLOAD], "c": [Reason.OVERLOAD]})
+    answer = submit(router, check(deadline_s=30.0))
+    assert answer.reason is Reason.OVERLOAD
+    assert len(peers.calls) == 2
+
+
+@pytest.mark.parametrize(
+    "step",
+    [Reason.UNAVAILABLE, "not_leader", UnavailableError("refused", step="connect")],
+)
+def test_polls_for_a_new_leader_cost_no_retry(step):
+    """Guards against a failover that uses up the retries needed after it."""
+    # Two refused connections stay below the number that opens the breaker.
+    router, _ = make({"b": [LOST, step, step, DONE]})
+    assert submit(router, check(deadline_s=20.0)).state is AnswerState.DONE
+    budget = router.dump()["retry_budgets"]["s-b@b"]
+    assert budget["n_spent"] == 1
+
+
+def test_attempts_end_with_the_deadline():
+    """Guards against calls that outlive the deadline of their request."""
+    router, peers = make({"b": [Reason.UNAVAILABLE]})
+    request = check(deadline_s=0.25)
+    answer = submit(router, request)
+    assert answer.reason is Reason.UNAVAILABLE
+    for _, _, timeout_s in peers.calls:
+        assert timeout_s <= request.run_time_s + 0.25 + REPLY_MARGIN_S
+        assert timeout_s <= request.run_time_s + CHECK_ATTEMPT_S
+
+
+def test_an_order_stays_with_the_shard_that_may_have_claimed_it():
+    """Guards against a second claim of an order whose reply was lost."""
+    router, peers = make({"b": [LOST, LOST, DONE], "c": [LOST, LOST, DONE]})
+    order = check("o", deadline_s=5.0, kind=RequestKind.ORDER)
+    assert submit(router, order).state is AnswerState.DONE
+    assert len({address for address, _, _ in peers.calls}) == 1
+    assert len(peers.calls) == 3
+
+
+def test_an_order_that_may_be_claimed_is_not_reported_as_not_run(monkeypatch):
+    """Guards against "not run" for an order whose claim reaches the log later."""
+    monkeypatch.setattr("cuminhill.routing.LOGGED_ATTEMPT_S", 0.3)
+    router, _ = make({"b": [LOST, Reason.OVERLOAD]})
+    order = check("o", deadline_s=0.3, kind=RequestKind.ORDER)
+    assert submit(router, order).state is AnswerState.UNKNOWN
