Benchmark a daemon against a bare HTTP server, and idle daemons

Cause: the targets for request time and for the overhead per node had no figures, and HTTP clients did not count their bytes.

Change: bench.end_to_end measures checks through one daemon process in turn with a bare h11 server, and processor, memory and bytes of nine idle daemons. HTTP clients count bytes; the dump shows them with those of the RPC clients.

--- /dev/null
+++ b/bench/end_to_end.py
@@ -0,0 +1,237 @@
+"""One daemon against a bare HTTP server, and the idle cost of nine daemons."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from cuminhill.util.http import HttpResponse, HttpServer, make_http_client
+from standins.processes import HOST, process_cluster
+
+from .figures import figure, quantile
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cuminhill.util.http import HttpRequest
+    from standins.processes import DaemonProcess
+
+BENCH = "end_to_end"
+N_WARM_UP = 100
+N_REQUESTS = 800  # for each side of one round
+N_ROUNDS = 3  # floor and daemon in turn, so that a busy machine slows both
+CONCURRENCIES = (1, 8)
+FLOOR_TARGET = 3.0  # times the floor
+IDLE_S = 10.0
+SETTLE_S = 3.0
+CORE_TARGET = 0.026  # share of a core, per node
+MEMORY_TARGET_MB = 256.0
+TRAFFIC_TARGET = 9000.0  # bytes a second, per node
+MB = 1024.0 * 1024.0
+
+
+def run() -> list[dict[str, Any]]:
+    """Return request times against the floor, and idle cost."""
+    return [*_request_times(), *_idle_cost()]
+
+
+# Request times
+
+
+def serve_bare() -> None:
+    """Serve an HTTP server that only decodes and echoes; print its port."""
+
+    async def handle(req: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, req.json())
+
+    async def main() -> None:
+        server = HttpServer(handle)
+        await server.start(HOST, 0)
+        print(server.port, flush=True)
+        await curio.sleep(3600.0)
+
+    curio.run(main)
+
+
+@contextlib.contextmanager
+def _bare_server() -> Iterator[str]:
+    process = subprocess.Popen(
+        [sys.executable, "-c", "from bench.end_to_end import serve_bare; serve_bare()"],
+        stdout=subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    try:
+        yield f"{HOST}:{int(process.stdout.readline())}"
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _body(name: str) -> dict[str, Any]:
+    return {
+        "request_id": name,
+        "kind": "check",
+        "run_time_s": 0.0,
+        "need": {"cores": 0.1},
+    }
+
+
+async def _load(
+    address: str, concurrency: int, label: str
+) -> tuple[list[float], float]:
+    """Return the time of each request and the time of all together."""
+    client = make_http_client(address, max_idle=concurrency)
+    times: list[float] = []
+
+    async def send(first: int, last: int) -> None:
+        for index in range(first, last):
+            body = _body(f"{label}-{index}")
+            before = time.perf_counter()
+            status, value = await client.request("POST", "/v1/requests", body)
+            times.append(time.perf_counter() - before)
+            if status != 200:
+                raise RuntimeError(f"status {status}: {value}")
+
+    await send(-N_WARM_UP, 0)
+    times.clear()
+    share = N_REQUESTS // concurrency
+    began = time.perf_counter()
+    tasks = [
+        await curio.spawn(send, index * share, (index + 1) * share)
+        for index in range(concurrency)
+    ]
+    for task in tasks:
+        await task.join()
+    total_s = time.perf_counter() - began
+    await client.close()
+    return times, total_s
+
+
+def _request_times() -> list[dict[str, Any]]:
+    rows = []
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        process_cluster(Path(directory), {"Tainan": 8}, {"Tainan": 1}) as cluster,
+        _bare_server() as bare,
+    ):
+        (daemon,) = cluster.daemons.values()
+        for concurrency in CONCURRENCIES:
+            label = f"{concurrency} at a time"
+            floor: list[float] = []
+            times: list[float] = []
+            floor_s = total_s = 0.0
+            for number in range(N_ROUNDS):
+                name = f"r{number}-{concurrency}"
+                found, took_s = curio.run(_load, bare, concurrency, name)
+                floor += found
+                floor_s += took_s
+                found, took_s = curio.run(_load, daemon.http_address, concurrency, name)
+                times += found
+                total_s += took_s
+            rate, floor_rate = len(times) / total_s, len(floor) / floor_s
+            for q in (0.5, 0.99):
+                rows.append(
+                    figure(
+                        BENCH,
+                        f"check, {label}, p{q * 100:g}",
+                        quantile(times, q) * 1000,
+                        "ms",
+                        baseline=quantile(floor, q) * 1000,
+                        target=FLOOR_TARGET,
+                        note="includes the call of the worker's stand-in",
+                    )
+                )
+            rows.append(
+                figure(
+                    BENCH,
+                    f"check, {label}, time per request",
+                    1000 / rate,
+                    "ms",
+                    baseline=1000 / floor_rate,
+                    target=FLOOR_TARGET,
+                    note=f"{rate:.0f} requests/s; floor {floor_rate:.0f}",
+                )
+            )
+    return rows
+
+
+# Idle cost
+
+
+def _cpu_s(pid: int) -> float:
+    """Return processor time used so far, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _memory_mb(pid: int) -> float:
+    """Return resident memory in megabytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / MB
+
+
+def _traffic(daemon: DaemonProcess) -> dict[str, int]:
+    """Return bytes sent and received so far, but for callers' HTTP."""
+    dump = daemon.dump()
+    return {
+        "heartbeats in": dump["rpc"]["n_sent_bytes"] + dump["rpc"]["n_received_bytes"],
+        "heartbeats out": sum(dump["sent_received"]["rpc"]),
+        "leases and log": sum(dump["sent_received"]["http"]),
+    }
+
+
+def _idle_cost() -> list[dict[str, Any]]:
+    """Return share of a core, memory and bytes a second of idle daemons.
+
+    Nine daemons in three failure domains with eight workers each, as at Formosa.
+    The leaders of the three shards renew the leases and cost most.
+    """
+    domains = ("Tainan", "Chiayi", "Pingtung")
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        process_cluster(
+            Path(directory), dict.fromkeys(domains, 8), dict.fromkeys(domains, 3)
+        ) as cluster,
+    ):
+        time.sleep(SETTLE_S)
+        items = list(cluster.daemons.items())
+        pids = {vm: item.process.pid for vm, item in items if item.process}
+        traffic = {vm: (_traffic(item), time.monotonic()) for vm, item in items}
+        cpu = {vm: (_cpu_s(pid), time.monotonic()) for vm, pid in pids.items()}
+        time.sleep(IDLE_S)
+        cpu_share = [
+            (_cpu_s(pids[vm]) - used) / (time.monotonic() - at)
+            for vm, (used, at) in cpu.items()
+        ]
+        rates = [_rate(item, *traffic[vm]) for vm, item in items]
+        memory_mb = [_memory_mb(pid) for pid in pids.values()]
+    columns: list[tuple[str, list[float], str, float | None]] = [
+        ("processor", cpu_share, "share of a core", CORE_TARGET),
+        ("memory", memory_mb, "MB", MEMORY_TARGET_MB),
+        ("traffic", [sum(r.values()) for r in rates], "bytes/s", TRAFFIC_TARGET),
+    ]
+    columns += [
+        (f"traffic for {name}", [r[name] for r in rates], "bytes/s", None)
+        for name in rates[0]
+    ]
+    note = f"{len(items)} daemons in 3 domains of 8 workers, {IDLE_S:g} s"
+    return [
+        figure(BENCH, f"idle {name} {which}", value, unit, target=target, note=note)
+        for name, values, unit, target in columns
+        for which, value in (("mean", sum(values) / len(values)), ("max", max(values)))
+    ]
+
+
+def _rate(daemon: DaemonProcess, before: dict[str, int], at: float) -> dict[str, float]:
+    """Return bytes a second since an earlier reading, without TCP/IP headers."""
+    after = _traffic(daemon)
+    elapsed_s = time.monotonic() - at
+    return {name: (after[name] - before[name]) / elapsed_s for name in before}
--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -24,7 +24,7 @@
 from .routing import make_router
 from .rpc import RpcServer, idl
 from .shard import ShardDriver
-from .util.http import HttpServer
+from .util.http import HttpServer, byte_counts
 
 if TYPE_CHECKING:
     from .platform.vmlist import VmEntry
@@ -286,6 +286,7 @@
             "http": asdict(self.http.counters)
             | {"n_connections": self.http.n_connections, "n_busy": self.http.n_busy},
             "rpc": asdict(self.rpc.counters),
+            "sent_received": {"rpc": self.peers.byte_counts(), "http": byte_counts()},
             "answers": dict(self.entry.answers),
         }
 
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -104,6 +104,22 @@
     n_handler_errors: int = 0
 
 
+@dataclass(slots=True)
+class HttpTraffic:
+    """Bytes of all HTTP clients of this process, without TCP and IP headers."""
+
+    n_sent_bytes: int = 0
+    n_received_bytes: int = 0
+
+
+_CLIENT_TRAFFIC = HttpTraffic()
+
+
+def byte_counts() -> tuple[int, int]:
+    """Return the bytes sent and received by all HTTP clients of this process."""
+    return _CLIENT_TRAFFIC.n_sent_bytes, _CLIENT_TRAFFIC.n_received_bytes
+
+
 class _TooLargeError(Exception):
     """The body exceeds the limit."""
 
@@ -439,6 +455,7 @@
             data += conn.h11_conn.send(h11.Data(data=body)) or b""
         data += conn.h11_conn.send(h11.EndOfMessage()) or b""
         await conn.sock.sendall(data)
+        _CLIENT_TRAFFIC.n_sent_bytes += len(data)
         return await self._read_response(conn)
 
     async def _read_response(self, conn: _PooledConnection) -> tuple[int, Any]:
@@ -448,7 +465,9 @@
         while True:
             event = conn.h11_conn.next_event()
             if event is h11.NEED_DATA:
-                conn.h11_conn.receive_data(await conn.sock.recv(READ_SIZE))
+                data = await conn.sock.recv(READ_SIZE)
+                _CLIENT_TRAFFIC.n_received_bytes += len(data)
+                conn.h11_conn.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 kinds = [v for k, v in event.headers if k == b"content-type"]
