Let checks of a replaced leader move without retry tokens

Change: an attempt is a retry, and costs a token, only while a destination to which earlier work went still leads its shard.

--- a/cuminhill/attempts.py
+++ b/cuminhill/attempts.py
@@ -37,15 +37,14 @@
     ----------
     outcome : CallOutcome
         Unknown if any attempt may have taken effect.
-    loaded : bool
-        Whether an attempt may have cost a destination work; every further one
-        is then a retry.
+    loaded : set of str
+        Destinations to which an attempt may have cost work.
     refused : Answer or None
         Latest answer that says that nothing ran.
     """
 
     outcome: CallOutcome = CallOutcome.NOT_SENT
-    loaded: bool = False
+    loaded: set[str] = field(default_factory=set)
     refused: Answer | None = None
 
     @property
@@ -53,19 +52,29 @@
         """Whether "not run" can no longer be promised."""
         return self.outcome is CallOutcome.UNKNOWN
 
-    def take_answer(self, answer: Answer) -> None:
+    def take_answer(self, answer: Answer, destination: str) -> None:
         """Note the answer of an attempt."""
         if answer.reason not in TRY_ELSEWHERE:
             return
         self.refused = answer
-        self.loaded = self.loaded or answer.reason is Reason.OVERLOAD
+        if answer.reason is Reason.OVERLOAD:
+            self.loaded.add(destination)
         if not self.may_have_run:
             self.outcome = CallOutcome.REFUSED
 
-    def take_unknown(self) -> None:
+    def take_unknown(self, destination: str) -> None:
         """Note an attempt that may have taken effect."""
         self.outcome = CallOutcome.UNKNOWN
-        self.loaded = True
+        self.loaded.add(destination)
+
+    def is_retry(self, live: set[str]) -> bool:
+        """Return whether a further attempt adds to the load of live destinations.
+
+        Work sent to a leader that was since replaced is lost. If moving it cost
+        tokens, the checks that a paused leader held would use up the budget of
+        its successor and wait for their deadline.
+        """
+        return not self.loaded.isdisjoint(live)
 
     def doubts(self, answer: Answer) -> bool:
         """Return whether an earlier attempt makes "not run" uncertain."""
@@ -95,9 +104,16 @@
     breakers: Breakers = field(default_factory=Breakers)
     n_held_back: int = 0
 
-    def enter(self, destination: str, attempts: Attempts, now: float) -> Passage:
+    def enter(
+        self, destination: str, attempts: Attempts, live: set[str], now: float
+    ) -> Passage:
         """Return leave for an attempt.
 
+        Parameters
+        ----------
+        live : set of str
+            All present destinations.
+
         Raises
         ------
         HeldBackError
@@ -105,7 +121,7 @@
         """
         breaker = self.breakers.get(destination)
         if breaker.would_allow(now):
-            paid = attempts.loaded
+            paid = attempts.is_retry(live)
             if paid and not self.budgets.get(destination).try_spend():
                 self.n_held_back += 1
                 raise HeldBackError("no retry left", step="route", peer=destination)
--- a/cuminhill/routing.py
+++ b/cuminhill/routing.py
@@ -204,22 +204,17 @@
     ) -> Answer | None:
         """Call the leader of a shard once; None if it gave no answer."""
         try:
-            answer = await self._call_leader(
-                shard, request, wait_s, timeout_s, attempts
-            )
+            return await self._call_leader(shard, request, wait_s, timeout_s, attempts)
         except BoundElsewhereError:
             raise
         except HeldBackError:
             return None
         except CuminhillError as exc:
             if call_outcome(exc) is CallOutcome.UNKNOWN:
-                attempts.take_unknown()
                 self.n_unknown_replies += 1
             else:
                 self.n_reroutes += 1
             return None
-        attempts.take_answer(answer)
-        return answer
 
     def _choose_shard(self, refused: Answer | None) -> str:
         """Return a shard for a new request: own failure domain, then freest."""
@@ -242,11 +237,13 @@
         attempts: Attempts,
     ) -> Answer:
         """Call a leader if breaker and budget allow."""
-        leader = self.leaders().get(shard)
+        leaders = self.leaders()
+        leader = leaders.get(shard)
         if leader is None:
             raise NotLeaderError("no leader is known", step="route", peer=shard)
-        destination = f"{shard}@{leader.vm}"
-        passage = self.gate.enter(destination, attempts, time.monotonic())
+        live = {_destination(name, member) for name, member in leaders.items()}
+        destination = _destination(shard, leader)
+        passage = self.gate.enter(destination, attempts, live, time.monotonic())
         try:
             if leader is self.membership.me:
                 answer = await self.drivers[shard].submit(request, wait_s)
@@ -256,8 +253,12 @@
             self.gate.turned_away(passage, time.monotonic())
             raise
         except CuminhillError as exc:
-            self.gate.failed(passage, call_outcome(exc), time.monotonic())
+            outcome = call_outcome(exc)
+            self.gate.failed(passage, outcome, time.monotonic())
+            if outcome is CallOutcome.UNKNOWN:
+                attempts.take_unknown(destination)
             raise
+        attempts.take_answer(answer, destination)
         self.gate.answered(passage, answer, time.monotonic())
         return answer
 
@@ -280,6 +281,10 @@
         return Answer.from_dict(orjson.loads(reply.value))
 
 
+def _destination(shard: str, leader: Member) -> str:
+    return f"{shard}@{leader.vm}"
+
+
 def _unknown(request: Request, detail: str = "") -> Answer:
     return Answer(request.request_id, AnswerState.UNKNOWN, detail=detail)
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -27,6 +27,7 @@
 from cuminhill.rpc import idl
 
 DONE = "done"
+LOSS_S = 0.02  # until a call fails, so that several are in flight
 LOST = UnknownOutcomeError("time-out", step="submit", peer="b")
 
 
@@ -57,6 +58,7 @@
         script = self.peers.scripts[self.address]
         step = script.pop(0) if len(script) > 1 else script[0]
         if isinstance(step, Exception):
+            await curio.sleep(LOSS_S)
             raise step
         if step == "not_leader":
             return idl.Reply("not_leader", b"")
@@ -99,8 +101,8 @@
 
 def test_retries_are_bounded_by_the_budget():
     """Guards against a retry storm against a leader that loses every reply."""
-    lost_then_done = [LOST, DONE] * 40  # successes keep the breaker closed
-    router, peers = make({"b": [*lost_then_done, LOST]})
+    router, peers = make({"b": [LOST, LOST, DONE] * 40})
+    router.gate.breakers.get("s-b@b").max_failures = 10**6  # the budget alone
 
     async def many():
         tasks = [
@@ -126,6 +128,28 @@
     assert router.dump()["breakers"]["s-b@b"]["state"] == "open"
 
 
+def test_checks_of_a_replaced_leader_move_without_paying():
+    """Guards against a failover whose checks wait for their deadline."""
+    router, peers = make({"b": [LOST]})
+    peers.scripts["c"] = [DONE]
+
+    async def fail_over():
+        tasks = [
+            await curio.spawn(router.submit, check(f"c{index}", 5.0), 0.0)
+            for index in range(40)
+        ]
+        await curio.sleep(3 * LOSS_S)
+        del router.membership.heard["b"]
+        successor = Member("c", 1, 1, "c", "domain-b", shards=("s-b",))
+        router.membership.receive(successor, time.monotonic())
+        return [await task.join() for task in tasks]
+
+    answers = curio.run(fail_over)
+    assert [answer.state for answer in answers] == [AnswerState.DONE] * 40
+    assert peers.n_calls("c") == 40
+    assert router.dump()["retry_budgets"]["s-b@c"]["n_denied"] == 0
+
+
 def test_overload_everywhere_is_told_at_once():
     """Guards against refused checks that wait and retry until their deadline."""
     router, peers = make({"b": [Reason.OVERLOAD], "c": [Reason.OVERLOAD]})
