Let terms decide who places a request, not single leases

Change: coordination/term.py: a placer that held a worker without a break goes on; one that takes over leaves what an earlier one may have taken until it has heard all workers; lead records separate the two, and whoever reads a newer one gives up. Renewals say whether they extend the task leases. Results of requests that are not known yet are kept. Lease loops moved to leases.py. Starting VMs greet the listed VMs of their domain at once.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -13,7 +13,7 @@
 import structlog
 
 from .clock import SystemClock
-from .coordination.claims import RequestIndex, record_from_dict
+from .coordination.claims import Lead, RequestIndex, record_from_dict
 from .coordination.membership import Member, MemberState, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
 from .entry import Entry
@@ -354,12 +354,14 @@
             self.n_bad_records += 1
             return
         self.index.apply(offset, record)
+        if isinstance(record, Lead) and record.shard in self.drivers:
+            await self.drivers[record.shard].take_lead(offset, record)
         for driver in self.drivers.values():
             await driver.on_folded(record)
 
-    async def _on_gap(self) -> None:
-        logger.warning("log records were missed; rebuilding the index")
-        self.index.clear()
+    async def _on_gap(self, start: int) -> None:
+        logger.warning("log records were missed; rebuilding the index", start=start)
+        self.index.start_at(start, None)
 
     async def _on_caught_up(self) -> None:
         for driver in self.drivers.values():
@@ -375,12 +377,18 @@
             except (CuminhillError, ProtocolError):
                 await curio.sleep(LIST_INTERVAL_S)
                 continue
-            self.peers.seeds = [
-                item.address for item in self.vm_list if item.role == ENTRY
-            ]
+            self._take_entry_vms([item for item in self.vm_list if item.role == ENTRY])
             await self._set_rosters()
             await curio.sleep(LIST_INTERVAL_S)
 
+    def _take_entry_vms(self, listed: list[VmEntry]) -> None:
+        domain = self.settings.failure_domain
+        self.peers.seeds = [item.address for item in listed]
+        self.peers.local_seeds = [
+            item.address for item in listed if item.failure_domain == domain
+        ]
+        self.membership.set_leaving(item.vm for item in listed if item.leaving)
+
     async def _set_rosters(self) -> None:
         workers = [
             item
@@ -406,6 +414,8 @@
             for shard, driver in self.drivers.items():
                 leader = leader_of(shard, candidates)
                 if leader == self.settings.vm and not driver.leading:
+                    if not driver.may_lead:
+                        continue
                     await driver.lead()
                     await self._set_rosters()
                 elif leader not in {None, self.settings.vm} and driver.leading:
--- a/cuminhill/coordination/claims.py
+++ b/cuminhill/coordination/claims.py
@@ -18,6 +18,7 @@
     Cancel,
     Claim,
     Done,
+    Lead,
     Record,
     Refresh,
     Started,
@@ -146,12 +147,6 @@
         """Return the entry of a request."""
         return self.entries.get(request_id)
 
-    def clear(self) -> None:
-        """Forget everything, to be folded again from the records that are left."""
-        self.entries.clear()
-        self.live.clear()
-        self.next_offset = 0
-
     def live_in(self, shard: str) -> list[Entry]:
         """Return the entries of a shard that have no final answer."""
         found = [self.entries[key] for key in sorted(self.live.get(shard, ()))]
@@ -275,6 +270,10 @@
         self.bookmark_offset = offset
         return None
 
+    @_fold.register
+    def _(self, record: Lead, offset: int) -> Entry | None:
+        return None  # concerns the placers of the shard, not any request
+
     def _own_entry(self, record: Started | Cancel | Done) -> Entry | None:
         """Return the live entry of the claim to which a record belongs."""
         entry = self.entries.get(record.request_id)
@@ -378,6 +377,7 @@
     "Claim",
     "Done",
     "Entry",
+    "Lead",
     "Record",
     "Refresh",
     "RequestIndex",
--- a/cuminhill/coordination/records.py
+++ b/cuminhill/coordination/records.py
@@ -123,7 +123,21 @@
     log_time: float
 
 
-Record = Claim | Started | Done | Cancel | Refresh | Bookmark
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """Announces that a placer holds workers of a shard; the newest one counts.
+
+    Parameters
+    ----------
+    by : str
+        Name of the placer's term.
+    """
+
+    shard: str
+    by: str
+
+
+Record = Claim | Started | Done | Cancel | Refresh | Bookmark | Lead
 
 _TYPES: dict[str, type[Any]] = {
     "claim": Claim,
@@ -132,6 +146,7 @@
     "cancel": Cancel,
     "refresh": Refresh,
     "bookmark": Bookmark,
+    "lead": Lead,
 }
 _NAMES = {kind: name for name, kind in _TYPES.items()}
 
--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -23,7 +23,7 @@
 APPEND_TIMEOUT_S = 2.0
 MAX_BATCH_RECORDS = 500
 MAX_PENDING_RECORDS = 50_000
-READ_WAIT_S = 10.0
+READ_WAIT_S = 2.0  # bounds how old the last complete view can be on a quiet stream
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
@@ -58,17 +58,22 @@
     on_record : callable
         Coroutine function called with the offset and each record, in order.
     on_gap : callable
-        Coroutine function called when retention has dropped records that were
-        not read; reading goes on from the first record that is left.
+        Coroutine function called with the first offset that is left when
+        retention has dropped records that were not read.
     on_caught_up : callable
         Coroutine function called whenever the end is reached for the first time
         after the start or a gap.
+
+    Attributes
+    ----------
+    complete_as_of : float, seconds
+        Every record that was in the stream at this monotonic time was folded.
     """
 
     log: Log
     stream: str
     on_record: Callable[[int, dict[str, Any]], Awaitable[None]]
-    on_gap: Callable[[], Awaitable[None]]
+    on_gap: Callable[[int], Awaitable[None]]
     on_caught_up: Callable[[], Awaitable[None]]
     next_offset: int = 0
     caught_up: bool = False
@@ -78,6 +83,7 @@
     n_read_failures: int = 0
     n_gaps: int = 0
     read_ok_at: float = float("-inf")
+    complete_as_of: float = float("-inf")
     reachable: bool = False
     _pending: deque[PendingRecord] = field(default_factory=deque)
     _in_flight: list[PendingRecord] = field(default_factory=list)
@@ -130,6 +136,7 @@
     async def run_reads(self) -> None:
         """Read the stream for ever and hand each record on."""
         while True:
+            asked_at = time.monotonic()
             try:
                 wait_s = READ_WAIT_S if self.caught_up else 0.0
                 page = await self.log.read(self.stream, self.next_offset, wait_s=wait_s)
@@ -141,6 +148,8 @@
             self._set_reachable(True, "")
             self.read_ok_at = time.monotonic()
             await self._take_page(page)
+            if self.next_offset >= page.end:
+                self.complete_as_of = asked_at
 
     async def _take_page(self, page: LogPage) -> None:
         if page.start > self.next_offset:
@@ -149,7 +158,7 @@
             if self.next_offset > 0:
                 self.n_gaps += 1
                 self.caught_up = False
-                await self.on_gap()
+                await self.on_gap(page.start)
             self.next_offset = page.start
         for offset, value in page.records:
             if offset < self.next_offset:
--- a/cuminhill/peers.py
+++ b/cuminhill/peers.py
@@ -20,6 +20,7 @@
     from .coordination.membership import Membership
 
 HEARTBEAT_TIMEOUT_S = 0.5
+MAX_LOCAL_GREETINGS = 8
 
 
 @dataclass(eq=False)
@@ -38,6 +39,8 @@
         Chooses remote peers.
     source_host : str, default=""
         IP address that connections are bound to.
+    local_seeds : list of str
+        Those of them in the own failure domain.
     """
 
     membership: Membership
@@ -45,6 +48,7 @@
     seeds: list[str]
     rng: random.Random
     source_host: str = ""
+    local_seeds: list[str] = field(default_factory=list)
     _clients: dict[str, RpcClient] = field(default_factory=dict)
 
     def client(self, address: str) -> RpcClient:
@@ -78,6 +82,8 @@
             self.membership.tick(now)
             for member in self.membership.local_targets(now):
                 await curio.spawn(self._greet, member.address, member.vm, daemon=True)
+            for address in self._unknown_local():
+                await curio.spawn(self._greet, address, None, daemon=True)
             if now >= remote_at:
                 remote_at = now + REMOTE_INTERVAL_S
                 names = {item.address: item.vm for item in self.membership.members()}
@@ -88,6 +94,16 @@
                     await curio.spawn(self._greet, address, vm, daemon=True)
             await curio.sleep(LOCAL_INTERVAL_S)
 
+    def _unknown_local(self) -> list[str]:
+        """Return listed VMs of the own failure domain that were never heard.
+
+        They are greeted at the local interval, so that a starting VM does not try
+        to lead before it knows the others.
+        """
+        known = {member.address for member in self.membership.members()}
+        unknown = [item for item in self.local_seeds if item not in known]
+        return unknown[:MAX_LOCAL_GREETINGS]
+
     async def announce(self) -> None:
         """Send one heartbeat to every known peer at once."""
         for member in self.membership.members()[1:]:
--- a/cuminhill/platform/worker.py
+++ b/cuminhill/platform/worker.py
@@ -101,7 +101,14 @@
     """One worker of the platform."""
 
     async def lease(
-        self, holder: str, ttl_s: float, seq: int, ack: int, *, timeout_s: float
+        self,
+        holder: str,
+        ttl_s: float,
+        seq: int,
+        ack: int,
+        *,
+        extend_tasks: bool,
+        timeout_s: float,
     ) -> LeaseReply:
         """Acquire or renew the capacity lease; tell results after ``seq``."""
 
@@ -133,7 +140,14 @@
         self._client = client
 
     async def lease(
-        self, holder: str, ttl_s: float, seq: int, ack: int, *, timeout_s: float
+        self,
+        holder: str,
+        ttl_s: float,
+        seq: int,
+        ack: int,
+        *,
+        extend_tasks: bool,
+        timeout_s: float,
     ) -> LeaseReply:
         """Acquire or renew the capacity lease; tell results after ``seq``.
 
@@ -147,6 +161,8 @@
             Last result that this holder knows.
         ack : int
             The worker may forget results up to this one.
+        extend_tasks : bool
+            Whether the leases of the running tasks are renewed too.
 
         Raises
         ------
@@ -158,7 +174,13 @@
         status, value = await self._client.request(
             "POST",
             "/lease",
-            {"holder": holder, "ttl_s": ttl_s, "seq": seq, "ack": ack},
+            {
+                "holder": holder,
+                "ttl_s": ttl_s,
+                "seq": seq,
+                "ack": ack,
+                "extend_tasks": extend_tasks,
+            },
             timeout_s=timeout_s,
         )
         if status == 409:
--- a/cuminhill/scheduling/book.py
+++ b/cuminhill/scheduling/book.py
@@ -10,6 +10,7 @@
 
 from ..model import Answer, AnswerState, Reason, RequestKind, not_run
 from .events import ControlTask, Finish
+from .orphans import Orphans
 from .policies import Weights
 from .queueing import Queue
 from .quotas import TeamLedger
@@ -36,6 +37,8 @@
         Tasks by the worker on which they are, as far as is known.
     strays : dict of str to str
         Tasks that a worker lists and whose request is not known: task to worker.
+    orphans : Orphans
+        Results of tasks whose request is not known.
     stopped_at : dict of str to float, seconds
         When workers were given up, so that a late reply does not bring them back.
     """
@@ -49,6 +52,7 @@
     tasks_on: dict[str, dict[str, TaskState]] = field(default_factory=dict)
     strays: dict[str, str] = field(default_factory=dict)
     stopped_at: dict[str, float] = field(default_factory=dict)
+    orphans: Orphans = field(default_factory=Orphans)
     actions: list[Action] = field(default_factory=list)
     roster_complete: bool = False
     n_placed: int = 0
--- a/cuminhill/scheduling/intake.py
+++ b/cuminhill/scheduling/intake.py
@@ -7,6 +7,7 @@
 from ..model import Answer, Reason, Request, RequestKind, not_run
 from .queueing import MAX_QUEUED_TASKS, MAX_REQUESTS
 from .reconcile import adopt
+from .results import take_orphan
 from .state import Phase, Ran, make_request_state
 
 if TYPE_CHECKING:
@@ -114,6 +115,7 @@
     state = book.requests.pop(request_id, None)
     if state is None:
         _stop_strays(book, request_id)
+        book.orphans.drop(request_id)
         return
     for worker_id, seq in state.results_at:
         worker = book.workers.get(worker_id)
@@ -173,6 +175,7 @@
     stray_on = book.strays.pop(task.task_id, None)
     if stray_on in book.workers:
         adopt(book, task, book.workers[stray_on], now)
+    take_orphan(book, task, now)
     give_up_if_lost(book, task, now)
 
 
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -113,6 +113,17 @@
         """Return why a request is not taken, or None if it is."""
         return refusal(self._book, request, wall)
 
+    def orphan_requests(self, before: float) -> set[str]:
+        """Return unknown requests of which results were heard before a time.
+
+        Parameters
+        ----------
+        before : float, seconds
+            Monotonic time. The caller ends those that the log does not hold as
+            live with `RequestEnded`, so that the workers may forget the results.
+        """
+        return self._book.orphans.requests(before)
+
     def free(self) -> Resources:
         """Return what is free on all usable workers together."""
         total = Resources(0.0, 0.0, 0.0, 0.0, 0.0)
@@ -150,6 +161,7 @@
             "n_preempted": self._book.n_preempted,
             "requests": sorted(self.requests),
             "strays": dict(self._book.strays),
+            "n_orphans": len(self._book.orphans.found),
             "workers": {
                 worker.worker_id: {
                     "epoch": worker.epoch,
--- a/cuminhill/scheduling/results.py
+++ b/cuminhill/scheduling/results.py
@@ -41,11 +41,21 @@
     )
     if task is None or was_present or task.worker_id != worker.worker_id:
         book.free_on(worker, result.task_id)
-    if task is None or task.phase is Phase.ENDED:
+    if task is None:
+        book.orphans.put(worker, result, now)
+        return
+    if task.phase is Phase.ENDED:
         return
     if not was_present and not _counts_late(task, result):
         _keep_progress(task, result)
         return
+    settle(book, worker, task, result, now)
+
+
+def settle(
+    book: Book, worker: WorkerState, task: TaskState, result: TaskResult, now: float
+) -> None:
+    """Keep a result that counts until its request is over, and act on it."""
     if not task.owner.ended:
         worker.unsettled[result.seq] = task.request_id
         task.owner.results_at.append((worker.worker_id, result.seq))
@@ -58,6 +68,17 @@
         task.owner.results_at.pop()
 
 
+def take_orphan(book: Book, task: TaskState, now: float) -> None:
+    """Take the result that a worker told before the task was known here."""
+    orphan = book.orphans.take(task.task_id)
+    if orphan is None:
+        return
+    if _counts_late(task, orphan.result):
+        settle(book, orphan.worker, task, orphan.result, now)
+    else:
+        _keep_progress(task, orphan.result)
+
+
 def _counts_late(task: TaskState, result: TaskResult) -> bool:
     """Whether a result counts although its task is not on that worker now.
 
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -18,16 +18,17 @@
     Claim,
     Done,
     Entry,
+    Lead,
     Started,
     record_to_dict,
 )
-from .coordination.lease import HeldLease
+from .coordination.term import make_term
 from .errors import (
     CuminhillError,
-    LeaseHeldError,
     StaleEpochError,
     UnavailableError,
 )
+from .leases import WorkerLeases
 from .model import (
     LOGGED_KINDS,
     Answer,
@@ -55,10 +56,6 @@
     StartTask,
     TaskEnded,
     Tick,
-    WorkerLeaving,
-    WorkerReported,
-    WorkerStopped,
-    WorkerUnreachable,
 )
 from .scheduling.placer import make_placer
 
@@ -70,6 +67,7 @@
     from .follower import Follower, PendingRecord
     from .platform.vmlist import VmEntry
     from .platform.worker import Worker
+    from .scheduling.placer import Placer
     from .settings import Settings
 
 logger = structlog.get_logger(__name__)
@@ -79,6 +77,11 @@
 CHECK_WAIT_S = 5.0
 RECORD_WAIT_S = 0.5  # an answer is given unrecorded after this, if the log is down
 HOLD_WAIT_S = 30.0  # how long a request without deadline waits for the log
+ORPHAN_WAIT_S = 5.0  # records that explain a result are folded long before this
+# Time before a deposed placer tries again; doubles, so that two placers that cannot
+# see each other do not depose one another all the time.
+HOLD_OFF_S = 1.0
+HOLD_OFF_MAX_S = 30.0
 
 
 class NotLeaderError(CuminhillError):
@@ -99,24 +102,6 @@
         self.shard = shard
 
 
-@dataclass(eq=False, slots=True)
-class _WorkerLoop:
-    """Lease of one worker."""
-
-    entry: VmEntry
-    client: Worker
-    lease: HeldLease | None = None
-    seq: int = 0
-    incarnation: str = ""
-    lost_at: float = 0.0
-    heard: bool = False
-    stopped: bool = False
-    # A grant counts only under a newer epoch than this: start calls may still be
-    # on their way under the older ones.
-    fenced_epoch: int = -1
-    task: Any = None
-
-
 @dataclass(eq=False, slots=True)
 class _Waiter:
     """Callers that wait for news of one request."""
@@ -153,18 +138,40 @@
     n_stale_starts: int = 0
     n_unknown_starts: int = 0
     n_lapsed: int = 0
+    n_deposed: int = 0
+    n_broken: int = 0
     answers: OrderedDict[str, Answer] = field(default_factory=OrderedDict)
     admission: Admission = field(default_factory=make_admission)
-    _loops: dict[str, _WorkerLoop] = field(default_factory=dict)
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     _tick_task: Any = None
-    _roster_announced: bool = False
+    _n_terms: int = 0
+    _lead_sent: bool = False
+    _hold_off_until: float = 0.0
     _continuing: bool = False
 
     def __post_init__(self) -> None:
         self.clock = SystemClock(self.settings.wall_clock_offset_s)
-        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+        self.term = make_term(self.holder, 0)
+        self.placer = self._make_placer()
+        self.leases = self._make_leases()
+
+    def _make_placer(self) -> Placer:
+        return make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+
+    def _make_leases(self) -> WorkerLeases:
+        return WorkerLeases(
+            self.term,
+            self.settings.lease,
+            self.follower,
+            self.make_client,
+            self.apply,
+            self._ack_seq,
+        )
+
+    def _ack_seq(self, worker_id: str) -> int:
+        worker = self.placer.workers.get(worker_id)
+        return worker.ack_seq if worker is not None else 0
 
     # Leadership
 
@@ -175,19 +182,25 @@
         A VM may believe that it leads while another one still holds the workers;
         requests are to go to the one that holds them.
         """
-        return self.leading and any(
-            loop.lease is not None for loop in self._loops.values()
-        )
+        return self.leading and self.leases.any_held
+
+    @property
+    def may_lead(self) -> bool:
+        """Whether this VM may try to lead, if it ranks first."""
+        return time.monotonic() >= self._hold_off_until
 
     async def lead(self) -> None:
-        """Begin to lead: take over live requests and acquire the workers."""
-        if self.leading:
-            return
+        """Begin a term: take over live requests and acquire the workers."""
+        if self.leading or self.leases.workers:
+            return  # the term before this one is still being ended
         self.leading = True
-        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+        self._n_terms += 1
+        self.term = make_term(self.holder, self._n_terms)
+        self.placer = self._make_placer()
+        self.leases = self._make_leases()
         self.admission = make_admission()
-        self._roster_announced = False
-        logger.info("leading shard", shard=self.shard)
+        self._lead_sent = False
+        logger.info("leading shard", shard=self.shard, term=self._n_terms)
         await self.resume()
         self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
 
@@ -202,52 +215,49 @@
         for entry in self.index.live_in(self.shard):
             await self._take_over(entry)
         for request_id, state in list(self.placer.requests.items()):
-            entry_now = self.index.get(request_id)
-            over = entry_now is None or not entry_now.live
-            if state.kind in LOGGED_KINDS and over:
+            if state.kind in LOGGED_KINDS and not self._is_live(request_id):
                 await self.apply(RequestEnded(request_id))
 
     async def step_down(self) -> None:
-        """Stop placing and give the workers' leases back."""
+        """End the term: stop placing and give the workers' leases back."""
         if not self.leading:
             return
         self.leading = False
-        logger.info("leaving shard", shard=self.shard)
+        await self._end_term()
+
+    async def _end_term(self) -> None:
+        logger.info("leaving shard", shard=self.shard, term=self._n_terms)
         if self._tick_task is not None:
             await self._tick_task.cancel()
-        loops, self._loops = self._loops, {}
-        for loop in loops.values():
-            await loop.task.cancel()
-            await self.apply(WorkerUnreachable(loop.entry.vm))
-            if loop.lease is not None:
-                await curio.spawn(self._release, loop, loop.lease.epoch, daemon=True)
+        await self.leases.close()
         for waiter in list(self._waiters.values()):
             await waiter.event.set()
 
     async def set_roster(self, entries: list[VmEntry]) -> None:
         """Set the workers of the shard, as the VM list names them."""
+        if self.leading:
+            await self.leases.set_roster(entries)
+
+    async def take_lead(self, offset: int, record: Lead) -> None:
+        """Take note of a lead record of this shard."""
         if not self.leading:
             return
-        listed = {entry.vm: entry for entry in entries}
-        for vm, entry in listed.items():
-            loop = self._loops.get(vm)
-            if loop is not None and loop.entry.address != entry.address:
-                await self._drop_loop(loop)
-                loop = None
-            if loop is None:
-                loop = _WorkerLoop(entry, self.make_client(entry.address))
-                loop.lost_at = time.monotonic()
-                self._loops[vm] = loop
-                loop.task = await curio.spawn(self._run_lease, loop, daemon=True)
-            if entry.leaving and not loop.entry.leaving:
-                loop.entry = entry
-                await self.apply(WorkerLeaving(vm))
-        for vm, loop in list(self._loops.items()):
-            if vm not in listed and loop.lease is None and loop.stopped:
-                await self._drop_loop(loop)
+        self.term.take_lead(offset, record.by)
+        if self.term.deposed:
+            self.n_deposed += 1
+            delay_s = min(HOLD_OFF_MAX_S, HOLD_OFF_S * 2.0 ** min(self.n_deposed, 5))
+            self._hold_off_until = time.monotonic() + delay_s
+            logger.info("another placer leads", shard=self.shard, by=record.by)
+            await self.step_down()
 
     async def apply(self, event: Event) -> None:
         """Hand an event to the placer and carry out its actions."""
+        if self.leading and self.term.broken(time.monotonic()):
+            # Another placer may have placed our requests meanwhile. The term ends
+            # in a task of its own, as this one may be a loop that it cancels.
+            self.leading = False
+            self.n_broken += 1
+            await curio.spawn(self._end_term, daemon=True)
         actions = self.placer.handle(event, time.monotonic(), self.clock.wall())
         for action in actions:
             await self._do(action)
@@ -330,15 +340,14 @@
             "n_unknown_starts": self.n_unknown_starts,
             "n_lapsed": self.n_lapsed,
             "admission": self.admission.dump(now),
-            "leases": {
-                vm: {
-                    "epoch": loop.lease.epoch,
-                    "valid_for_s": round(loop.lease.valid_until - now, 3),
-                }
-                if loop.lease
-                else None
-                for vm, loop in self._loops.items()
+            "n_deposed": self.n_deposed,
+            "n_broken": self.n_broken,
+            "term": {
+                "name": self.term.name,
+                "confirmed": self.term.confirmed,
+                "exclusive": self.term.exclusive,
             },
+            "leases": self.leases.dump(),
         }
 
     async def _submit_check(self, request: Request) -> Answer:
@@ -486,11 +495,13 @@
     @_follow.register
     async def _(self, record: Claim, bound: Entry) -> None:
         if bound.request is not None and record.shard == self.shard:
-            await self.apply(RequestAccepted(Request.from_dict(bound.request)))
+            request = Request.from_dict(bound.request)
+            inherited = not self.term.owns(bound.origin)
+            await self.apply(RequestAccepted(request, inherited=inherited))
 
     @_follow.register
     async def _(self, record: Started, bound: Entry) -> None:
-        if record.by != self.holder:
+        if record.by != self.term.name:
             return
         counts = bound.started.get(record.task_id)
         offset = bound.started_offsets.get(record.task_id, -1)
@@ -530,7 +541,7 @@
                 action.worker_id,
                 action.epoch,
                 action.incarnation,
-                self.holder,
+                self.term.name,
                 action.prior,
                 self._origin(action.request.request_id),
             )
@@ -548,14 +559,14 @@
 
     @_do.register
     async def _(self, action: FenceWorker) -> None:
-        loop = self._loops.get(action.worker_id)
-        if loop is not None and loop.lease is not None:
-            loop.fenced_epoch = loop.lease.epoch
+        self.leases.fence(action.worker_id)
 
     @_do.register
     async def _(self, action: Finish) -> None:
         request, answer = action.request, action.answer
         if request.kind in LOGGED_KINDS:
+            if answer.state is AnswerState.NOT_RUN and not self.leases.any_held:
+                return  # another placer may have run it; its next placer decides
             self._unrecorded[request.request_id] = (time.monotonic(), answer)
             await self._append(self._done_record(request.request_id, answer))
             return
@@ -569,20 +580,14 @@
             await waiter.event.set()
 
     async def _start(self, action: StartTask) -> None:
-        loop = self._loops.get(action.worker_id)
-        lease = loop.lease if loop is not None else None
-        if (
-            loop is None
-            or lease is None
-            or lease.epoch != action.epoch
-            or not lease.valid(time.monotonic())
-        ):
+        lease = self.leases.usable(action.worker_id, action.epoch)
+        if lease is None:
             self.n_lapsed += 1
             await self._start_replied(action, StartOutcome.REFUSED)
             return
         is_check = action.request.kind is RequestKind.CHECK
         try:
-            result = await loop.client.start(
+            result = await lease.client.start(
                 action.request,
                 action.task_id,
                 action.epoch,
@@ -615,98 +620,17 @@
         )
 
     async def _control(self, action: ControlTask) -> None:
-        loop = self._loops.get(action.worker_id)
-        if loop is None:
+        lease = self.leases.usable(action.worker_id, action.epoch)
+        if lease is None:
             return
         try:
-            await loop.client.control(
+            await lease.client.control(
                 action.task_id, action.verb, action.epoch, timeout_s=1.0
             )
         except CuminhillError as exc:
             logger.info("control call failed", verb=action.verb, error=str(exc))
 
-    # Leases
-
-    async def _run_lease(self, loop: _WorkerLoop) -> None:
-        terms = self.settings.lease
-        while True:
-            delay_s = await self._renew(loop)
-            now = time.monotonic()
-            if loop.lease is not None and not loop.lease.valid(now):
-                loop.fenced_epoch = max(loop.fenced_epoch, loop.lease.epoch)
-                loop.lease = None
-                loop.lost_at = now
-                await self.apply(WorkerUnreachable(loop.entry.vm))
-            if (
-                loop.lease is None
-                and not loop.stopped
-                and now >= terms.tasks_stopped_at(loop.lost_at)
-            ):
-                loop.stopped = True
-                await self.apply(WorkerStopped(loop.entry.vm))
-            await self._announce_roster()
-            await curio.sleep(delay_s)
-
-    async def _renew(self, loop: _WorkerLoop) -> float:
-        """Renew once; return the time until the next try, in seconds."""
-        terms = self.settings.lease
-        sent_at = time.monotonic()
-        known = self.placer.workers.get(loop.entry.vm)
-        try:
-            reply = await loop.client.lease(
-                self.holder,
-                terms.ttl_s,
-                loop.seq,
-                # A start reply may tell a result ahead of the list; results
-                # that the list has not told yet must not be forgotten.
-                min(known.ack_seq, loop.seq) if known else 0,
-                timeout_s=terms.renew_s,
-            )
-        except LeaseHeldError as exc:
-            # Another holder renews, so the task lease runs on.
-            loop.lost_at = time.monotonic()
-            return min(terms.renew_s, exc.remaining_s + 0.005)
-        except CuminhillError:
-            return terms.renew_s / 3
-        valid_until = terms.holder_expiry(sent_at)
-        same_life = loop.incarnation in {"", reply.incarnation}
-        if same_life and reply.epoch <= loop.fenced_epoch:
-            loop.lease = None
-            released = await self._release(loop, reply.epoch)
-            return 0.0 if released else terms.renew_s / 3
-        if loop.lease is not None and loop.lease.epoch != reply.epoch:
-            loop.seq = 0  # a lapse in between: read the whole list again
-        if loop.incarnation != reply.incarnation:
-            loop.seq = 0
-        loop.lease = HeldLease(reply.epoch, valid_until)
-        loop.incarnation = reply.incarnation
-        loop.seq = max(loop.seq, reply.seq)
-        loop.heard = True
-        loop.stopped = False
-        await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
-        return terms.renew_s
-
-    async def _release(self, loop: _WorkerLoop, epoch: int) -> bool:
-        try:
-            await loop.client.release(self.holder, epoch, timeout_s=0.5)
-        except CuminhillError as exc:
-            logger.info("release failed", vm=loop.entry.vm, error=str(exc))
-            return False
-        return True
-
-    async def _drop_loop(self, loop: _WorkerLoop) -> None:
-        await loop.task.cancel()
-        self._loops.pop(loop.entry.vm, None)
-        await self.apply(WorkerStopped(loop.entry.vm))
-
-    async def _announce_roster(self) -> None:
-        loops = list(self._loops.values())
-        if self._roster_announced or not loops:
-            return
-        if all(loop.heard or loop.stopped for loop in loops):
-            self._roster_announced = True
-            heard = frozenset(loop.entry.vm for loop in loops if loop.heard)
-            await self.apply(RosterComplete(heard))
+    # Background tasks
 
     async def _continue_placing(self) -> None:
         """Place what one decision left over, giving way to other work."""
@@ -721,7 +645,29 @@
         while True:
             await curio.sleep(TICK_S)
             await self.apply(Tick())
+            await self._keep_term()
             for waiter in [
                 self._waiters[key] for key in self._unrecorded if key in self._waiters
             ]:
                 await waiter.event.set()
+
+    async def _keep_term(self) -> None:
+        """Announce the term, note when all workers were heard, and tidy up."""
+        if not self.leading:
+            return
+        if not self._lead_sent and self.leases.any_held:
+            self._lead_sent = True
+            await self._append(Lead(self.shard, self.term.name))
+        heard = self.leases.roster()
+        if heard is not None and not self.term.exclusive:
+            self.term.exclusive = True
+            await self.apply(RosterComplete(heard))
+        if self.follower.reachable and self.follower.caught_up:
+            before = time.monotonic() - ORPHAN_WAIT_S
+            for request_id in self.placer.orphan_requests(before):
+                if not self._is_live(request_id):
+                    await self.apply(RequestEnded(request_id))
+
+    def _is_live(self, request_id: str) -> bool:
+        entry = self.index.get(request_id)
+        return entry is not None and entry.live
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -19,6 +19,7 @@
 
 MAX_FINISHED = 10000
 TASK_TTL_S = 10.0
+WATCHDOG_POLL_S = 0.1
 FREEZE_POLL_S = 0.02
 VERBS = ("stop", "throttle", "checkpoint")
 
@@ -157,12 +158,14 @@
             await curio.sleep(FREEZE_POLL_S)
 
     async def run_watchdog(self) -> None:
-        """Stop all tasks when no holder has renewed for the task lease."""
+        """Stop tasks whose lease no holder has renewed in time."""
         while True:
-            await curio.sleep(TASK_TTL_S / 50)
+            await curio.sleep(WATCHDOG_POLL_S)
             await self._until_thawed()
-            if time.monotonic() - self.renewed_at > TASK_TTL_S:
-                for task in list(self.running.values()):
+            # One poll early, so that no task outlives its lease.
+            before = time.monotonic() - TASK_TTL_S + WATCHDOG_POLL_S
+            for task in list(self.running.values()):
+                if max(self.renewed_at, task.started_at) < before:
                     await self._end(task, ok=False, detail="task lease lapsed")
 
     def _lease(self, body: dict[str, Any], now: float) -> HttpResponse:
@@ -170,7 +173,8 @@
         if isinstance(grant, Held):
             value = {"holder": grant.holder, "remaining_s": grant.remaining_s}
             return HttpResponse(409, value)
-        self.renewed_at = now
+        if body.get("extend_tasks", True):
+            self.renewed_at = now
         since = body.get("seq", 0)
         while self.finished and self.finished[0]["seq"] <= body.get("ack", 0):
             self.finished.popleft()
