End cancelled tasks that are found not to run

Cause: after a change of leader a cancelled task was queued again when its worker said that it had stopped; a cancelled request is never placed, so it never ended (service stays accepted). A deadline was judged while an earlier placer might have started the request. A started record of another placer was not followed by a task that was queued or held. Change: requeueing a task of a cancelled request ends it; deadlines of logged requests are judged only with a complete roster; held and queued tasks follow other placers' started records.

--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -238,7 +238,11 @@
     @_on.register
     def _(self, event: StartRecorded, now: float, wall: float) -> None:
         task = self._tasks.get(event.task_id)
-        if task is None or task.phase is not Phase.RECORDING:
+        if task is None:
+            return
+        if event.other is not None and task.phase in {Phase.HELD, Phase.QUEUED}:
+            self._hold_for(event.other, event.offset, task, now)
+        if task.phase is not Phase.RECORDING:
             return
         state = self.requests[task.request_id]
         if event.valid:
@@ -279,7 +283,7 @@
         else:
             self._release(task)
             self._pause_worker(event.worker_id)
-            self._not_started(task, now)
+            self._requeue(task, now)
         if self.requests[task.request_id].cancelled and task.phase is Phase.RUNNING:
             self._stop(task)
 
@@ -390,13 +394,13 @@
             return  # the start call may still be on its way under this epoch
         worker.free_task(task.task_id)
         if state.kind is not RequestKind.ORDER:
-            self._not_started(task, now)
+            self._requeue(task, now)
         elif task.phase in {Phase.UNCERTAIN, Phase.HELD} and (
             task.incarnation == reply.incarnation and not reply.dropped
         ):
             # Same life, newer epoch, neither listed nor finished: the start
             # never took effect, and fencing keeps it from doing so later.
-            self._not_started(task, now)
+            self._requeue(task, now)
         else:
             self._outcome_unknown(state, task, now)
 
@@ -495,17 +499,15 @@
                 self._requeue(task, now)
         self._finish_if_over(state)
 
-    def _not_started(self, task: TaskState, now: float) -> None:
+    def _requeue(self, task: TaskState, now: float) -> None:
+        """Let a task that certainly does not run wait for a start, unless cancelled."""
+        task.worker_id = ""
         state = self.requests[task.request_id]
         if state.cancelled:
             self._set_phase(task, Phase.ENDED, now)
             self._finish_if_over(state)
         else:
-            self._requeue(task, now)
-
-    def _requeue(self, task: TaskState, now: float) -> None:
-        task.worker_id = ""
-        self._set_phase(task, Phase.QUEUED, now)
+            self._set_phase(task, Phase.QUEUED, now)
 
     def _outcome_unknown(
         self, state: RequestState, task: TaskState, now: float
@@ -576,6 +578,8 @@
         for state in self.requests.values():
             if state.finished or state.request.deadline == float("inf"):
                 continue
+            if state.kind is not RequestKind.CHECK and not self.roster_complete:
+                continue  # an earlier placer may have started it
             late = wall > state.request.deadline + self._clock_error(state)
             if late and state.untouched:
                 state.finished = True
