Begin again after another holder, prove not run before it is told

(P4) it answered not run after the deadline although its claim had reached the log and the successor had run the order; a refusal was passed on although an earlier attempt might have claimed the id. Change: claims of other VMs wait until every worker has been heard again; a worker's grant to another holder makes the leader take the shard over anew; not run needs unbroken possession of all workers or a read to the end of the log; the router passes no refusal on once an attempt has had an unknown outcome.

--- a/checks/promises.py
+++ b/checks/promises.py
@@ -255,15 +255,14 @@
     last = {call.request_id: call for call in history.calls if call.sweep}
     services = {call.request_id for call in history.calls if call.kind == "service"}
     running = {run.request_id for run in history.runs if run.ended_at is None}
-    cancelled = {call.request_id for call in history.calls if call.op == "cancel"}
+    cancelled = _certainly_cancelled(history)
     found = []
     for request_id in sorted(claimed | accepted):
         state = last[request_id].state if request_id in last else ""
-        if request_id in services and request_id not in cancelled:
+        if request_id in services:
             if state in OPEN_STATES and request_id not in running:
                 found.append(Violation("lost", request_id, "service does not run"))
-        elif request_id in services and state in OPEN_STATES:
-            if request_id in running:
+            elif state in OPEN_STATES and request_id in cancelled:
                 found.append(Violation("lost", request_id, "cancelled service runs"))
         elif state in OPEN_STATES:
             detail = f"no final answer, state {state!r}"
@@ -271,6 +270,26 @@
     return found
 
 
+def _certainly_cancelled(history: History) -> set[str]:
+    """Return the requests whose cancellation came after their acceptance.
+
+    A cancellation that runs concurrently with the submission may come before it.
+    """
+    accepted_at = {
+        call.request_id: call.answered_at
+        for call in sorted(
+            history.answers(), key=lambda item: -(item.answered_at or 0.0)
+        )
+    }
+    return {
+        call.request_id
+        for call in history.calls
+        if call.op == "cancel"
+        and call.status == 202
+        and call.invoked_at > (accepted_at.get(call.request_id) or float("inf"))
+    }
+
+
 CHECKERS: dict[str, Callable[[History], list[Violation]]] = {
     "P1": check_p1,
     "P2": check_p2,
--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -24,6 +24,8 @@
 MAX_BATCH_RECORDS = 500
 MAX_PENDING_RECORDS = 50_000
 READ_WAIT_S = 10.0
+CATCH_UP_S = 2.0
+CATCH_UP_STEP_S = 0.01
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 1.0
 
@@ -105,6 +107,19 @@
             return False
         return True
 
+    async def catch_up(self, timeout_s: float = CATCH_UP_S) -> bool:
+        """Fold all that stands in the log now; return whether that is certain."""
+        give_up_at = time.monotonic() + timeout_s
+        try:
+            page = await self.log.read(self.stream, self.next_offset, limit=1)
+        except CuminhillError:
+            return False
+        while self.next_offset < page.end:
+            if time.monotonic() >= give_up_at:
+                return False
+            await curio.sleep(CATCH_UP_STEP_S)
+        return True
+
     async def run_appends(self) -> None:
         """Append batches for ever, one at a time."""
         delay_s = RETRY_MIN_S
--- a/cuminhill/routing.py
+++ b/cuminhill/routing.py
@@ -120,9 +120,7 @@
 
     async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
         started_at = self.clock.wall()
-        give_up_at = started_at + max(wait_s, LOGGED_ATTEMPT_S)
-        if request.deadline != float("inf"):
-            give_up_at = max(give_up_at, min(request.deadline, started_at + MAX_WAIT_S))
+        give_up_at = _give_up_at(request, wait_s, started_at)
         sent_to = ""  # a shard that may have claimed the id
         refused: Answer | None = None
         while self.clock.wall() < give_up_at:
@@ -149,12 +147,13 @@
             except CuminhillError:
                 self.n_reroutes += 1
             else:
-                if answer.reason not in TRY_ELSEWHERE or sent_to:
+                if answer.state is not AnswerState.NOT_RUN:
                     return answer
-                # Unavailable passes when a new leader has heard its workers.
-                if refused is not None and answer.reason is not Reason.UNAVAILABLE:
+                # A refusal says nothing of an earlier attempt that may have
+                # claimed the id; the own index will tell.
+                if not sent_to and _is_last_word(answer, refused):
                     return answer
-                refused = answer
+                refused = refused if sent_to else answer
             await curio.sleep(RETRY_DELAY_S)
         entry = self.index.get(request.request_id)
         if entry is not None:
@@ -198,6 +197,22 @@
         return Answer.from_dict(orjson.loads(reply.value))
 
 
+def _give_up_at(request: Request, wait_s: float, now: float) -> float:
+    """Return until when, in wall-clock seconds, a logged request is tried."""
+    at_least = now + max(wait_s, LOGGED_ATTEMPT_S)
+    if request.deadline == float("inf"):
+        return at_least
+    return max(at_least, min(request.deadline, now + MAX_WAIT_S))
+
+
+def _is_last_word(answer: Answer, refused: Answer | None) -> bool:
+    """Return whether a refusal is passed on instead of trying elsewhere."""
+    if answer.reason not in TRY_ELSEWHERE:
+        return True
+    # Unavailable passes when a new leader has heard its workers.
+    return refused is not None and answer.reason is not Reason.UNAVAILABLE
+
+
 def make_router(
     drivers: dict[str, ShardDriver],
     membership: Membership,
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -112,6 +112,8 @@
     # A grant counts only under a newer epoch than this: start calls may still be
     # on their way under the older ones.
     fenced_epoch: int = -1
+    n_starting: int = 0  # start calls on their way
+    epoch: int = 0  # of the last grant to this VM; 0 if another has the lease
     task: Any = None
 
 
@@ -155,8 +157,11 @@
     _loops: dict[str, _WorkerLoop] = field(default_factory=dict)
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
+    _own_claims: set[str] = field(default_factory=set)
     _tick_task: Any = None
+    _n_losses: int = 0  # how often some worker may have had another holder
     _roster_announced: bool = False
+    _roster_asked_at: float = 0.0
 
     def __post_init__(self) -> None:
         self.clock = SystemClock(self.settings.wall_clock_offset_s)
@@ -169,12 +174,38 @@
         if self.leading:
             return
         self.leading = True
-        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
-        self._roster_announced = False
         logger.info("leading shard", shard=self.shard)
+        await self._begin()
+        self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
+
+    async def _begin(self) -> None:
+        self.placer = make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
+        self._own_claims.clear()
+        self._n_losses += 1
+        self._hear_roster_again()
         for entry in self.index.live_in(self.shard):
             await self._take_over(entry)
-        self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
+
+    async def _begin_again(self) -> None:
+        """Take the shard over anew after another holder had one of its workers.
+
+        The other holder may have placed any request that waits here.
+        """
+        logger.info("beginning again", shard=self.shard)
+        for loop in self._loops.values():
+            loop.seq = 0
+            if loop.lease is not None and loop.n_starting:
+                loop.fenced_epoch = loop.lease.epoch
+                loop.lease = None
+        await self._begin()
+
+    def _hear_roster_again(self) -> None:
+        """Start nothing that another placer may have started until all are heard."""
+        self.placer.roster_complete = False
+        self._roster_announced = False
+        self._roster_asked_at = time.monotonic()
+        for loop in self._loops.values():
+            loop.heard = False
 
     async def step_down(self) -> None:
         """Stop placing and give the workers' leases back."""
@@ -360,6 +391,8 @@
     async def _claim(self, request: Request) -> Answer | None:
         """Bind the id to this shard; return an answer only if that failed."""
         request_id = request.request_id
+        n_losses = self._n_losses if self._holds_all() else -1
+        self._own_claims.add(request_id)
         claim = Claim(request_id, self.shard, request.to_dict(), self.clock.wall())
         try:
             pending = await self._append(claim)
@@ -375,13 +408,29 @@
             await self._wait_for_news(request_id, max(0.01, until - self.clock.wall()))
         if self.index.get(request_id) is not None:
             return None
-        withdrawn = self.follower.withdraw(pending)
-        if withdrawn or self.clock.wall() > request.deadline + error_s:
+        if self.follower.withdraw(pending):
             return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+        if self.clock.wall() > request.deadline + error_s:
+            # The claim may stand in the log. Only a leader that has held every
+            # worker since, or that has read the log, knows that nobody acted on it.
+            if n_losses == self._n_losses and self._holds_all():
+                return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+            if await self.follower.catch_up():
+                if self.index.get(request_id) is not None:
+                    return None
+                return not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
         return Answer(
             request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
         )
 
+    def _holds_all(self) -> bool:
+        """Return whether this VM holds every worker of the shard now."""
+        now = time.monotonic()
+        return self.leading and all(
+            loop.lease is not None and loop.lease.valid(now)
+            for loop in self._loops.values()
+        )
+
     async def _wait_for_news(self, request_id: str, timeout_s: float) -> None:
         waiter = self._waiters.setdefault(request_id, _Waiter())
         waiter.n_users += 1
@@ -419,15 +468,24 @@
 
     @_follow.register
     async def _(self, record: Claim, bound: Entry) -> None:
-        if bound.request is not None and record.shard == self.shard:
-            await self.apply(RequestAccepted(Request.from_dict(bound.request)))
+        if bound.request is None or record.shard != self.shard:
+            return
+        foreign = record.request_id not in self._own_claims
+        self._own_claims.discard(record.request_id)
+        if foreign:
+            # Another VM believed to lead when it claimed, and may have started
+            # tasks on a worker that this VM has lost without knowing it yet.
+            self._hear_roster_again()
+        await self.apply(
+            RequestAccepted(Request.from_dict(bound.request), inherited=foreign)
+        )
 
     @_follow.register
     async def _(self, record: Started, bound: Entry) -> None:
-        if record.by != self.holder:
-            return
         counts = bound.started.get(record.task_id)
-        valid = counts == record
+        valid = counts == record and record.by == self.holder
+        if not valid and record.by != self.holder and counts != record:
+            return  # void, and not ours
         offset = bound.started_offsets.get(record.task_id, -1)
         await self.apply(
             StartRecorded(
@@ -486,6 +544,9 @@
     @_do.register
     async def _(self, action: Finish) -> None:
         request, answer = action.request, action.answer
+        if answer.state is AnswerState.NOT_RUN and request.kind in LOGGED_KINDS:
+            await curio.spawn(self._finish_not_run, action, daemon=True)
+            return
         if request.kind in LOGGED_KINDS:
             self._unrecorded[request.request_id] = (time.monotonic(), answer)
             await self._append(
@@ -500,6 +561,24 @@
         if waiter is not None:
             await waiter.event.set()
 
+    async def _finish_not_run(self, action: Finish) -> None:
+        """Record "not run" once the log shows that no other placer started it."""
+        request_id = action.request.request_id
+        placer = self.placer
+        while not (placer.roster_complete and await self.follower.catch_up()):
+            await curio.sleep(TICK_S)
+            if not self.leading or placer is not self.placer:
+                return  # whoever leads now decides anew
+        entry = self.index.get(request_id)
+        if entry is None or not entry.live:
+            return
+        state = placer.requests.get(request_id)
+        judged = {task.task_id: task.prior for task in state.tasks} if state else {}
+        if any(judged.get(key) != at for key, at in entry.started_offsets.items()):
+            await self._begin_again()  # a start that the placer did not know of
+            return
+        await self._append(Done(request_id, action.answer.to_dict(), self.clock.wall()))
+
     async def _start(self, action: StartTask) -> None:
         loop = self._loops.get(action.worker_id)
         lease = loop.lease if loop is not None else None
@@ -513,6 +592,7 @@
             await self._start_replied(action, StartOutcome.REFUSED)
             return
         is_check = action.request.kind is RequestKind.CHECK
+        loop.n_starting += 1
         try:
             result = await loop.client.start(
                 action.request,
@@ -530,6 +610,8 @@
             self.n_unknown_starts += 1
             await self._start_replied(action, StartOutcome.UNKNOWN)
             return
+        finally:
+            loop.n_starting -= 1
         if result is None:
             await self._start_replied(action, StartOutcome.RUNNING)
         else:
@@ -562,6 +644,7 @@
                 loop.fenced_epoch = max(loop.fenced_epoch, loop.lease.epoch)
                 loop.lease = None
                 loop.lost_at = now
+                self._n_losses += 1
                 await self.apply(WorkerUnreachable(loop.entry.vm))
             if (
                 loop.lease is None
@@ -577,7 +660,8 @@
         """Renew once; return the time until the next try, in seconds."""
         terms = self.settings.lease
         sent_at = time.monotonic()
-        known = self.placer.workers.get(loop.entry.vm)
+        placer = self.placer
+        known = placer.workers.get(loop.entry.vm)
         try:
             reply = await loop.client.lease(
                 self.holder,
@@ -591,23 +675,32 @@
         except LeaseHeldError as exc:
             # Another holder renews, so the task lease runs on.
             loop.lost_at = time.monotonic()
+            if loop.epoch:
+                loop.epoch = 0
+                await self._begin_again()
             return min(terms.renew_s, exc.remaining_s + 0.005)
         except CuminhillError:
             return terms.renew_s / 3
         valid_until = terms.holder_expiry(sent_at)
+        loop.lost_at = time.monotonic()  # this call renewed the task lease as well
         same_life = loop.incarnation in {"", reply.incarnation}
-        if same_life and reply.epoch <= loop.fenced_epoch:
+        last_epoch, loop.epoch = loop.epoch, reply.epoch
+        if same_life and last_epoch and reply.epoch > last_epoch + 1:
+            await self._begin_again()
+            return 0.0  # asks for the whole list
+        if placer is not self.placer:
+            return 0.0
+        if not same_life:
+            loop.incarnation, loop.seq = reply.incarnation, 0
+            return 0.0
+        if reply.epoch <= loop.fenced_epoch:
             loop.lease = None
             released = await self._release(loop, reply.epoch)
             return 0.0 if released else terms.renew_s / 3
-        if loop.lease is not None and loop.lease.epoch != reply.epoch:
-            loop.seq = 0  # a lapse in between: read the whole list again
-        if loop.incarnation != reply.incarnation:
-            loop.seq = 0
         loop.lease = HeldLease(reply.epoch, valid_until)
         loop.incarnation = reply.incarnation
         loop.seq = max(loop.seq, reply.seq)
-        loop.heard = True
+        loop.heard = loop.heard or sent_at >= self._roster_asked_at
         loop.stopped = False
         await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
         return terms.renew_s
--- a/tests/checks/test_history.py
+++ b/tests/checks/test_history.py
@@ -159,6 +159,10 @@
     del history.calls[1]
 
 
+def run_the_cancelled_service(history):
+    history.calls.append(submit("s", 1.2, 1.3, "", op="cancel", status=202))
+
+
 def stop_the_service(history):
     history.runs[2].ended_at = 3.0
 
@@ -189,6 +193,7 @@
         ("lost", lose_the_end),
         ("lost", lose_the_lookup),
         ("lost", stop_the_service),
+        ("lost", run_the_cancelled_service),
     ],
 )
 def test_a_bad_history_is_rejected(promise, break_it):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -157,8 +157,11 @@
         wish.body["deadline_s"] = 3.0
         run.load.submit_later(wish, leader.vm)
         assert run.wait_held("log", ["log"], 5.0)
+        # The claim stands in the log, but the leader can neither know nor read it.
+        run.isolate(leader, peers=True, platform=True)
         run.pause(leader)
-        time.sleep(4.5)
+        time.sleep(4.0)
         run.resume()
-        time.sleep(0.3)
+        time.sleep(1.0)
         assert run.finish() == []
+        assert [item for item in run.history.runs if item.request_id == wish.request_id]
