--- a/standins/processes.py
+++ b/standins/processes.py
@@ -296,6 +296,7 @@
     *,
     relays: bool = False,
     entry: str = DAEMON_ENTRY,
+    clock_offsets: dict[str, float] | None = None,
     **settings: Any,
 ) -> Iterator[ProcessCluster]:
     """Run stand-ins and daemons for the time of a ``with`` block.
@@ -310,6 +311,8 @@
         Number of entry VMs in each failure domain.
     relays, entry
         As in `ProcessCluster`.
+    clock_offsets : dict of str to float, default=None
+        Offset of the wall clock of each VM, in seconds.
     settings : dict
         Further settings of every daemon.
     """
@@ -323,7 +326,10 @@
     try:
         for domain, count in daemons.items():
             for index in range(count):
-                cluster.add_daemon(f"{domain.lower()}-e{index}", domain, **settings)
+                vm = f"{domain.lower()}-e{index}"
+                if clock_offsets is not None:
+                    settings["wall_clock_offset_s"] = clock_offsets[vm]
+                cluster.add_daemon(vm, domain, **settings)
         cluster.wait_ready()
         yield cluster
     finally:
