Take each result once and repeat lost stop calls

The worker stand-in forgot the first of two runs of one task. Change: results already told by start replies are taken out of the list; tasks that are listed although they are to be over are stopped again at each renewal; the stand-in keeps runs apart.

--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
 
@@ -60,6 +60,7 @@
     WorkerUnreachable,
 )
 from .scheduling.placer import make_placer
+from .scheduling.state import Phase
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,7 +68,7 @@
     from .coordination.claims import Record, RequestIndex
     from .follower import Follower, PendingRecord
     from .platform.vmlist import VmEntry
-    from .platform.worker import Worker
+    from .platform.worker import LeaseReply, Worker
     from .settings import Settings
 
 logger = structlog.get_logger(__name__)
@@ -112,6 +113,7 @@
     # A grant counts only under a newer epoch than this: start calls may still be
     # on their way under the older ones.
     fenced_epoch: int = -1
+    told: set[int] = field(default_factory=set)  # results that start replies told
     n_starting: int = 0  # start calls on their way
     epoch: int = 0  # of the last grant to this VM; 0 if another has the lease
     task: Any = None
@@ -194,6 +196,7 @@
         logger.info("beginning again", shard=self.shard)
         for loop in self._loops.values():
             loop.seq = 0
+            loop.told.clear()
             if loop.lease is not None and loop.n_starting:
                 loop.fenced_epoch = loop.lease.epoch
                 loop.lease = None
@@ -614,7 +617,8 @@
             loop.n_starting -= 1
         if result is None:
             await self._start_replied(action, StartOutcome.RUNNING)
-        else:
+        elif result.seq > loop.seq:  # else the worker's list has told it before
+            loop.told.add(result.seq)
             await self.apply(TaskEnded(action.worker_id, result))
 
     async def _start_replied(self, action: StartTask, outcome: StartOutcome) -> None:
@@ -692,6 +696,7 @@
             return 0.0
         if not same_life:
             loop.incarnation, loop.seq = reply.incarnation, 0
+            loop.told.clear()
             return 0.0
         if reply.epoch <= loop.fenced_epoch:
             loop.lease = None
@@ -702,9 +707,29 @@
         loop.seq = max(loop.seq, reply.seq)
         loop.heard = loop.heard or sent_at >= self._roster_asked_at
         loop.stopped = False
+        news = [item for item in reply.finished if item.seq not in loop.told]
+        loop.told = {seq for seq in loop.told if seq > reply.seq}
+        reply = replace(reply, finished=tuple(news))
         await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
+        await self._stop_leftovers(loop, reply)
         return terms.renew_s
 
+    async def _stop_leftovers(self, loop: _WorkerLoop, reply: LeaseReply) -> None:
+        """Stop listed tasks that are to be over: an earlier stop call was lost."""
+        for report in reply.tasks:
+            state = self.placer.requests.get(report.request_id)
+            entry = self.index.get(report.request_id)
+            if state is not None:
+                over = any(
+                    task.task_id == report.task_id and task.phase is Phase.STOPPING
+                    for task in state.tasks
+                )
+            else:
+                over = entry is not None and not entry.live
+            if over:
+                stop = ControlTask(report.task_id, loop.entry.vm, "stop", reply.epoch)
+                await curio.spawn(self._control, stop, daemon=True)
+
     async def _release(self, loop: _WorkerLoop, epoch: int) -> bool:
         try:
             await loop.client.release(self.holder, epoch, timeout_s=0.5)
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -91,7 +91,7 @@
         default_factory=lambda: LeaseArbiter(epoch=time.time_ns() // 1_000_000)
     )
     incarnation: str = field(default_factory=lambda: str(time.time_ns()))
-    running: dict[str, RunningTask] = field(default_factory=dict)
+    running: dict[int, RunningTask] = field(default_factory=dict)  # by run
     finished: deque[dict[str, Any]] = field(default_factory=deque)
     dropped: bool = False
     seq: int = 0
@@ -215,7 +215,7 @@
         self.n_runs += 1
         task.run = self.n_runs
         self._record_start(task)
-        self.running[task.task_id] = task
+        self.running[task.run] = task
         self._check_capacity(task)
         await curio.spawn(self._run, task, daemon=True)
         wait_s = body.get("wait_s", 0.0)
@@ -236,7 +236,8 @@
             return HttpResponse(404, {"error": "not found"})
         if self.fencing and not self.arbiter.permits(body["epoch"], now):
             return HttpResponse(409, {"error": "stale epoch"})
-        task = self.running.get(task_id)
+        runs = [item for item in self.running.values() if item.task_id == task_id]
+        task = runs[0] if runs else None
         if task is None:
             return HttpResponse(404, {"error": "no such task"})
         if verb == "throttle":
@@ -255,7 +256,7 @@
         if self.fail_all or task.payload.get("fail"):
             await self._end(task, ok=False, detail="task failed")
             return
-        while task.task_id in self.running:
+        while task.run in self.running:
             task.changed.clear()
             try:
                 async with curio.timeout_after(task.remaining_s / task.rate):
@@ -272,7 +273,7 @@
         detail: str,
         extra: dict[str, Any] | None = None,
     ) -> None:
-        if self.running.pop(task.task_id, None) is None:
+        if self.running.pop(task.run, None) is None:
             return
         now = time.monotonic()
         self.seq += 1
@@ -317,7 +318,7 @@
                 "leaving": self.leaving,
             }
         )
-        if task.task_id in self.running:
+        if any(item.task_id == task.task_id for item in self.running.values()):
             self.violations.append({"kind": "double start", "task_id": task.task_id})
 
     def _check_capacity(self, task: RunningTask) -> None:
@@ -330,7 +331,7 @@
             "capacity": _resources(self.capacity),
             "epoch": self.arbiter.epoch,
             "holder": self.arbiter.holder,
-            "running": sorted(self.running),
+            "running": sorted(item.task_id for item in self.running.values()),
             "starts": dict(self.starts),
             "violations": self.violations,
             "history": self.history,
