--- a/cuminhill/leases.py
+++ b/cuminhill/leases.py
@@ -95,6 +95,7 @@
     apply: Callable[[Event], Awaitable[None]]
     ack_seq: Callable[[str], int]
     workers: dict[str, WorkerLease] = field(default_factory=dict)
+    n_losses: int = 0
 
     @property
     def any_held(self) -> bool:
@@ -105,6 +106,15 @@
             for item in self.workers.values()
         )
 
+    @property
+    def all_held(self) -> bool:
+        """Whether every worker of the shard is held now."""
+        now = time.monotonic()
+        return bool(self.workers) and all(
+            item.lease is not None and item.lease.valid(now)
+            for item in self.workers.values()
+        )
+
     def usable(self, worker_id: str, epoch: int) -> WorkerLease | None:
         """Return the lease of a worker if it is valid now under an epoch.
 
@@ -200,6 +210,7 @@
         item.fenced_epoch = max(item.fenced_epoch, item.lease.epoch)
         item.lease = None
         item.lost_at = now
+        self.n_losses += 1
         await self.apply(WorkerUnreachable(item.entry.vm))
 
     def _has_stopped(self, item: WorkerLease) -> bool:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -429,9 +429,8 @@
             pending = await self._append(claim)
         except UnavailableError as exc:
             return not_run(request_id, Reason.OVERLOAD, exc.message)
-        # Beyond the deadline and the clock error nobody starts the request, so
-        # "not run" is true even if the claim has reached the log.
         error_s = self.settings.clock_error_s
+        losses = self.leases.n_losses if self.leases.all_held else None
         until = min(request.deadline + error_s, self.clock.wall() + HOLD_WAIT_S)
         while self.clock.wall() <= until:
             if self.index.get(request_id) is not None:
@@ -439,9 +438,18 @@
             await self._wait_for_news(request_id, max(0.01, until - self.clock.wall()))
         if self.index.get(request_id) is not None:
             return None
-        withdrawn = self.follower.withdraw(pending)
-        if withdrawn or self.clock.wall() > request.deadline + error_s:
+        if self.follower.withdraw(pending):
             return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+        if self.clock.wall() > request.deadline + error_s:
+            # The claim may stand in the log, but nobody starts the request after
+            # this. A leader that has held every worker since, or that has read
+            # the log to its end, knows that nobody has started it before.
+            if self.leases.all_held and losses == self.leases.n_losses:
+                return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+            if await self.follower.catch_up():
+                if self.index.get(request_id) is not None:
+                    return None
+                return not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
         return Answer(
             request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
         )
