Count a worker's tasks as stopped only from the last renewal on

Change: each renewal that may have reached the worker moves the time of loss; renewals of a lost lease do not extend task leases; the stand-in ends lapsed tasks before it takes a renewal.

--- a/cuminhill/leases.py
+++ b/cuminhill/leases.py
@@ -43,7 +43,8 @@
     seq : int
         Last result that was heard.
     lost_at : float, seconds
-        Monotonic time after which no renewal of ours has reached the worker.
+        Monotonic time after which no renewal of the task leases that is known
+        of has reached the worker.
     heard : bool
         Whether the worker was heard in this term.
     listed : bool
@@ -209,7 +210,6 @@
             return
         item.fenced_epoch = max(item.fenced_epoch, item.lease.epoch)
         item.lease = None
-        item.lost_at = now
         self.n_losses += 1
         await self.apply(WorkerUnreachable(item.entry.vm))
 
@@ -233,6 +233,9 @@
     async def _renew(self, item: WorkerLease) -> float:
         """Renew once; return the time until the next try, in seconds."""
         sent_at = time.monotonic()
+        # While the lease is lost a renewal must not extend the tasks: it could
+        # arrive late, after they were taken to have stopped.
+        extend_tasks = item.lease is not None and self.term.may_extend
         try:
             reply = await item.client.lease(
                 self.term.name,
@@ -241,7 +244,7 @@
                 # A start reply may tell a result ahead of the list; results
                 # that the list has not told yet must not be forgotten.
                 min(self.ack_seq(item.entry.vm), item.seq),
-                extend_tasks=self.term.may_extend,
+                extend_tasks=extend_tasks,
                 timeout_s=self.terms.renew_s,
             )
         except LeaseHeldError as exc:
@@ -249,7 +252,10 @@
             item.lost_at = time.monotonic()
             return min(self.terms.renew_s, exc.remaining_s + HELD_SLACK_S)
         except CuminhillError:
+            if extend_tasks:
+                item.lost_at = time.monotonic()
             return self.terms.renew_s / 3
+        item.lost_at = time.monotonic()
         return await self._take_grant(item, reply, sent_at)
 
     async def _take_grant(
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -116,7 +116,7 @@
         await self._until_thawed()
         now = time.monotonic()
         if req.path == "/lease":
-            return self._lease(req.json(), now)
+            return await self._lease(req.json(), now)
         if req.path == "/release":
             body = req.json()
             released = self.arbiter.release(body["holder"], body["epoch"])
@@ -162,13 +162,17 @@
         while True:
             await curio.sleep(WATCHDOG_POLL_S)
             await self._until_thawed()
-            # One poll early, so that no task outlives its lease.
-            before = time.monotonic() - TASK_TTL_S + WATCHDOG_POLL_S
-            for task in list(self.running.values()):
-                if max(self.renewed_at, task.started_at) < before:
-                    await self._end(task, ok=False, detail="task lease lapsed")
+            await self._end_lapsed()
 
-    def _lease(self, body: dict[str, Any], now: float) -> HttpResponse:
+    async def _end_lapsed(self) -> None:
+        # One poll early, so that no task outlives its lease.
+        before = time.monotonic() - TASK_TTL_S + WATCHDOG_POLL_S
+        for task in list(self.running.values()):
+            if max(self.renewed_at, task.started_at) < before:
+                await self._end(task, ok=False, detail="task lease lapsed")
+
+    async def _lease(self, body: dict[str, Any], now: float) -> HttpResponse:
+        await self._end_lapsed()  # a renewal cannot revive a task lease
         grant = self.arbiter.acquire(body["holder"], body["ttl_s"], now)
         if isinstance(grant, Held):
             value = {"holder": grant.holder, "remaining_s": grant.remaining_s}
