--- a/cuminhill/cmd/config.py
+++ b/cuminhill/cmd/config.py
@@ -181,7 +181,7 @@
 
 def _current(session: Session) -> dict[str, Any]:
     reply = session.call("GET", "/v1/config")
-    if reply.status == 404 or (reply.status == 200 and not reply.body.get("config")):
+    if _has_no_config(reply):
         raise CommandError(
             "no configuration has been published; use --base-revision 0",
             ExitCode.NOT_FOUND,
@@ -189,6 +189,14 @@
     return dict(check_reply(reply))
 
 
+def _has_no_config(reply: Reply) -> bool:
+    body = reply.body if isinstance(reply.body, dict) else {}
+    if reply.status == 404:
+        # A daemon that lacks the whole resource says so at its route.
+        return body.get("step") != "route"
+    return reply.status == 200 and not body.get("config")
+
+
 def _history(session: Session) -> list[dict[str, Any]]:
     return rows_of(session.call("GET", "/v1/config/history"), "history")
 
--- a/tests/cmd/test_config.py
+++ b/tests/cmd/test_config.py
@@ -85,6 +85,14 @@
     assert publish(run, [daemon], 0).exit_code == ExitCode.NOT_RUN
 
 
+def test_missing_resource_is_not_taken_for_a_missing_configuration(make_daemon, run):
+    """Guards against a first publication over one that an old daemon cannot show."""
+    missing = HttpResponse(404, {"error": "no such resource", "step": "route"})
+    result = run([make_daemon({("", "config"): missing})], "config", "show")
+    assert result.exit_code == ExitCode.NOT_FOUND
+    assert "no such resource" in result.output
+
+
 def test_base_revision_must_be_named(make_daemon, run):
     """Guards against a publication that silently overwrites a newer one."""
     daemon = make_daemon()
--- a/tests/cmd/test_requests.py
+++ b/tests/cmd/test_requests.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 
 import pytest
 
 from cuminhill.cmd.exits import ExitCode
+from cuminhill.model import AnswerState, Reason, RequestKind
 from cuminhill.util.http import HttpResponse
 
 SUBMIT = ("POST", "/v1/requests")
@@ -124,3 +126,13 @@
     assert "a:1: cancellation accepted" in run([daemon], "cancel", "a:1").output
     assert "PHASE\n  queued" in run([daemon], "explain", "a:1").output
     assert run([daemon], "cancel", "a/../b").exit_code == ExitCode.NOT_FOUND
+
+
+def test_manual_lists_every_answer_reason_and_exit_code():
+    """Guards against an answer for which callers find no advice."""
+    path = Path(__file__).parent.parent.parent / "docs" / "CALLING.md"
+    rows = [line for line in path.read_text().splitlines() if line[:1] == "|"]
+    for value in (*AnswerState, *Reason, *RequestKind):
+        assert any(f"`{value}`" in row for row in rows), value
+    for code in ExitCode:
+        assert f"| {code.value} | {code.meaning} |" in rows
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from pathlib import Path
 
 import curio
 import pytest
@@ -66,6 +67,14 @@
     assert 'cuminhill_read_timeouts_total{server="rpc"}' in series
 
 
+def test_manual_names_only_metrics_that_exist():
+    """Guards against an alert that can never fire."""
+    text = (Path(__file__).parent.parent / "docs" / "OPERATING.md").read_text()
+    names = {f"cuminhill_{item.name}" for item in METRICS}
+    for name in re.findall(r"cuminhill_\w+", text):
+        assert name.removesuffix("_bucket") in names
+
+
 def test_answers_and_waits_are_counted_by_kind_and_outcome(app):
     """Guards against requests that no metric shows."""
     app.draining = True
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from dataclasses import fields
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
@@ -13,6 +14,7 @@
 from cuminhill.errors import SettingsError
 from cuminhill.settings import SETTINGS, Settings, load_settings, markdown_table
 
+DOCS = Path(__file__).parent.parent / "docs"
 VALID = {
     "vm": '"e0"',
     "failure_domain": '"Tainan"',
@@ -115,6 +117,11 @@
     assert "n_shards = 0" in result.output
 
 
+def test_manual_has_the_table_as_it_is_printed():
+    """Guards against a manual that describes older settings."""
+    assert markdown_table() in (DOCS / "OPERATING.md").read_text()
+
+
 def test_printed_table_has_a_row_per_setting_in_order():
     """Guards against documentation that drops or reorders settings."""
     printed = subprocess.run(
