Report a refusal after a lost reply as unknown in the tool

Cause: when the first address took a submission or publication and its reply was lost, a refusal by the next address was reported as "did not run". The progress line started again with every step of a long wait, and draining showed none. Change: such a refusal exits with 5 and says how to repeat; a publication is settled by the history where it can be read. One Progress spans a whole wait.

--- a/cuminhill/cmd/config.py
+++ b/cuminhill/cmd/config.py
@@ -15,7 +15,7 @@
 from ..util.tables import diff_tables
 from .exits import EXIT_HELP, CommandError, ExitCode
 from .output import emit, json_option, render_table
-from .session import Reply, check_reply, rows_of
+from .session import Progress, Reply, check_reply, rows_of
 
 if TYPE_CHECKING:
     from .session import Session
@@ -128,17 +128,15 @@
         "config": cfg.to_dict(),
         "publication_id": str(uuid.uuid4()),
     }
-    reply = session.call(
-        "POST", "/v1/config", value, hold_s=HOLD_S, progress="waiting for the log"
-    )
-    if reply.status == 409 and reply.may_repeat:
+    progress = Progress("waiting for the log", HOLD_S)
+    reply = session.call("POST", "/v1/config", value, hold_s=HOLD_S, progress=progress)
+    if reply.may_repeat and reply.status in {409, 503}:
         reply = _own_earlier_attempt(session, value, cfg) or reply
     if reply.status == 409:
         emit(reply.body, as_json, lambda body: _lost_text(body, file))
         raise click.exceptions.Exit(ExitCode.LOST_RACE.value)
     if reply.status == 503:
-        text = reply.body.get("error") or reply.body.get("detail") or "unavailable"
-        raise CommandError(f"not published: {text}", ExitCode.NOT_RUN)
+        raise _refused(reply)
     body = check_reply(reply)
     emit(body, as_json, lambda _: f"accepted as revision {body['revision']}")
 
@@ -205,7 +203,11 @@
     session: Session, value: dict[str, Any], cfg: SiteConfig
 ) -> Reply | None:
     """Return acceptance if an earlier attempt, whose reply was lost, has won."""
-    for row in _history(session):
+    try:
+        rows = _history(session)
+    except CommandError:
+        return None
+    for row in rows:
         if row["revision"] > value["base_revision"]:
             won = (row["author"], row["digest"]) == (value["author"], cfg.digest())
             body = {"accepted": True, "revision": row["revision"]}
@@ -213,6 +215,18 @@
     return None
 
 
+def _refused(reply: Reply) -> CommandError:
+    body = reply.body if isinstance(reply.body, dict) else {}
+    text = body.get("error") or body.get("detail") or "unavailable"
+    if reply.may_repeat:
+        return CommandError(
+            f"{text}; the reply to an earlier attempt was lost: see `cuminhill config "
+            "history`",
+            ExitCode.UNKNOWN,
+        )
+    return CommandError(f"not published: {text}", ExitCode.NOT_RUN)
+
+
 def _lost_text(body: dict[str, Any], file: Path) -> str:
     return (
         f"not accepted: revision {body['revision']} by {body['author']} came first\n"
--- a/cuminhill/cmd/operate.py
+++ b/cuminhill/cmd/operate.py
@@ -9,7 +9,7 @@
 
 from .exits import EXIT_HELP, CommandError, ExitCode
 from .output import emit, json_option, render_table
-from .session import check_reply, rows_of
+from .session import Progress, check_reply, rows_of
 
 if TYPE_CHECKING:
     from .session import Session
@@ -80,9 +80,13 @@
 
 
 def _wait_stopped(session: Session, wait_s: float) -> bool:
-    give_up_at = time.monotonic() + wait_s
-    while time.monotonic() < give_up_at:
-        if not session.is_listening():
-            return True
-        time.sleep(POLL_INTERVAL_S)
+    progress = Progress(f"draining {session.addresses[0]}", wait_s)
+    try:
+        while progress.left_s():
+            if not session.is_listening():
+                return True
+            time.sleep(POLL_INTERVAL_S)
+            progress.show()
+    finally:
+        progress.clear()
     return False
--- a/cuminhill/cmd/requests.py
+++ b/cuminhill/cmd/requests.py
@@ -15,7 +15,7 @@
 from ..model import AnswerState, RequestKind
 from .exits import EXIT_HELP, CommandError, ExitCode, code_of_answer, exit_with
 from .output import emit, json_option, render_table
-from .session import check_reply, rows_of
+from .session import Progress, check_reply, rows_of
 
 if TYPE_CHECKING:
     from .session import Reply, Session
@@ -93,8 +93,9 @@
         "payload": _payload(payload),
         **fields,
     }
-    give_up_at = time.monotonic() + wait_s
+    progress = Progress(f"waiting for {body['request_id']}", wait_s)
     step_s = min(wait_s, WAIT_STEP_S)
+    repeat = f"--id {body['request_id']} --issued-at {body['issued_at']!r}"
     try:
         reply = session.call(
             "POST",
@@ -102,17 +103,17 @@
             body,
             wait_s=step_s,
             hold_s=min(deadline_s or HOLD_S, HOLD_S),
-            progress=f"waiting for {body['request_id']}",
+            progress=progress,
         )
     except CommandError as exc:
         if exc.exit_code != ExitCode.UNKNOWN:
             raise
-        raise CommandError(
-            f"{exc.message}\nto learn the outcome, repeat with "
-            f"--id {body['request_id']} --issued-at {body['issued_at']!r}",
-            ExitCode.UNKNOWN,
-        ) from exc
-    _show_answer(_await_final(session, _answer(reply), give_up_at), as_json)
+        raise _doubt(exc.message, repeat) from exc
+    answer = _answer(reply)
+    if reply.may_repeat and answer["state"] == AnswerState.NOT_RUN:
+        # The refusal is about this attempt; an earlier one may have been accepted.
+        raise _doubt(f"{render_answer(answer)} [{reply.address}]", repeat)
+    _show_answer(_await_final(session, answer, progress), as_json)
 
 
 @click.command(epilog=EXIT_HELP)
@@ -128,9 +129,9 @@
       cuminhill status pump-4711
       cuminhill status nightly-17 --wait 3600 && echo finished
     """
-    give_up_at = time.monotonic() + wait_s
-    answer = _look_up(session, request_id, min(wait_s, WAIT_STEP_S))
-    _show_answer(_await_final(session, answer, give_up_at), as_json)
+    progress = Progress(f"waiting for {request_id}", wait_s)
+    answer = _look_up(session, request_id, progress)
+    _show_answer(_await_final(session, answer, progress), as_json)
 
 
 @click.command(epilog=EXIT_HELP)
@@ -199,6 +200,13 @@
     return f"/v1/requests/{quote(request_id, safe=':')}"
 
 
+def _doubt(message: str, repeat: str) -> CommandError:
+    return CommandError(
+        f"{message}\na reply was lost; to learn the outcome, repeat with {repeat}",
+        ExitCode.UNKNOWN,
+    )
+
+
 def _payload(text: str) -> Any:
     if not text:
         return {}
@@ -222,25 +230,23 @@
     raise CommandError(f"{reply.address} sent no answer; is it an entry VM?", code)
 
 
-def _look_up(session: Session, request_id: str, wait_s: float) -> dict[str, Any]:
+def _look_up(session: Session, request_id: str, progress: Progress) -> dict[str, Any]:
+    wait_s = min(progress.left_s(), WAIT_STEP_S)
     reply = session.call(
         "GET",
-        f"{_path(request_id)}?wait_s={wait_s:g}",
+        f"{_path(request_id)}?wait_s={wait_s:.3f}",
         wait_s=wait_s,
-        progress=f"waiting for {request_id}",
+        progress=progress,
     )
     return _answer(reply)
 
 
 def _await_final(
-    session: Session, answer: dict[str, Any], give_up_at: float
+    session: Session, answer: dict[str, Any], progress: Progress
 ) -> dict[str, Any]:
     """Look an accepted request up until its answer is final or time is over."""
-    while answer["state"] == AnswerState.ACCEPTED:
-        left_s = give_up_at - time.monotonic()
-        if left_s <= 0:
-            break
-        answer = _look_up(session, answer["request_id"], min(left_s, WAIT_STEP_S))
+    while answer["state"] == AnswerState.ACCEPTED and progress.left_s():
+        answer = _look_up(session, answer["request_id"], progress)
     return answer
 
 
--- a/cuminhill/cmd/session.py
+++ b/cuminhill/cmd/session.py
@@ -4,7 +4,7 @@
 
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import click
@@ -40,6 +40,42 @@
         return f"{host}:{port}"
 
 
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Line on standard error about a long wait, only if that is a terminal.
+
+    Parameters
+    ----------
+    text : str
+        What is waited for.
+    total_s : float, seconds
+        How long the wait may last.
+    """
+
+    text: str
+    total_s: float
+    started_at: float = field(default_factory=time.monotonic)
+
+    def left_s(self) -> float:
+        """Return the rest of the wait in seconds."""
+        return max(0.0, self.started_at + self.total_s - time.monotonic())
+
+    def show(self) -> None:
+        """Write how long the wait has lasted, once that is worth a line."""
+        passed_s = time.monotonic() - self.started_at
+        if passed_s >= PROGRESS_AFTER_S and sys.stderr.isatty():
+            sys.stderr.write(
+                f"\r\x1b[K{self.text}: {passed_s:.0f} s of {self.total_s:.0f} s"
+            )
+            sys.stderr.flush()
+
+    def clear(self) -> None:
+        """Remove the line."""
+        if sys.stderr.isatty():
+            sys.stderr.write("\r\x1b[K")
+            sys.stderr.flush()
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Response of an entry VM.
@@ -85,7 +121,7 @@
         *,
         wait_s: float = 0.0,
         hold_s: float = 0.0,
-        progress: str = "",
+        progress: Progress | None = None,
     ) -> Reply:
         """Make an idempotent call; each address is tried until one answers.
 
@@ -99,8 +135,8 @@
             How long the daemon is asked to wait.
         hold_s : float, seconds
             How long the last address may hold the call in any case.
-        progress : str, default=""
-            What is being waited for, shown on a terminal.
+        progress : Progress, default=None
+            Shown while the call lasts.
 
         Raises
         ------
@@ -111,7 +147,6 @@
             return curio.run(
                 _with_progress,
                 progress,
-                wait_s,
                 _call_first(
                     self.addresses, method, path, value, wait_s=wait_s, hold_s=hold_s
                 ),
@@ -254,23 +289,18 @@
     return status == 503 and isinstance(body, dict) and body.get("reason") == "draining"
 
 
-async def _with_progress(text: str, wait_s: float, coro: Any) -> Any:
-    if not text or not sys.stderr.isatty():
+async def _with_progress(progress: Progress | None, coro: Any) -> Any:
+    if progress is None:
         return await coro
-    task = await curio.spawn(_show_progress, text, wait_s, daemon=True)
+    task = await curio.spawn(_show_progress, progress, daemon=True)
     try:
         return await coro
     finally:
         await task.cancel()
-        sys.stderr.write("\r\x1b[K")
-        sys.stderr.flush()
+        progress.clear()
 
 
-async def _show_progress(text: str, wait_s: float) -> None:
-    started_at = time.monotonic()
-    await curio.sleep(PROGRESS_AFTER_S)
+async def _show_progress(progress: Progress) -> None:
     while True:
-        passed_s = time.monotonic() - started_at
-        sys.stderr.write(f"\r\x1b[K{text}: {passed_s:.0f} s of {wait_s:.0f} s")
-        sys.stderr.flush()
         await curio.sleep(PROGRESS_INTERVAL_S)
+        progress.show()
--- a/tests/cmd/test_config.py
+++ b/tests/cmd/test_config.py
@@ -78,6 +78,17 @@
     assert publish(run, [first, second], 1).exit_code == ExitCode.LOST_RACE
 
 
+@pytest.mark.parametrize(("n_lost", "code"), [(1, ExitCode.OK), (2, ExitCode.UNKNOWN)])
+def test_refusal_after_a_lost_reply_is_settled_by_the_history(
+    make_daemon, run, n_lost, code
+):
+    """Guards against 'not published' for a publication that is in force."""
+    first = make_daemon(n_lost_replies=n_lost)
+    second = make_daemon({("", "config"): HttpResponse(503, {"error": "no log"})})
+    assert publish(run, [first, second], 0).exit_code == code
+    assert first.config.history[0]["author"] == "asha"
+
+
 @pytest.mark.parametrize("body", [{"error": "log unreachable"}, {"reason": "x"}])
 def test_refused_publication_did_not_run(make_daemon, run, body):
     """Guards against a doubt where the daemon says that nothing took effect."""
--- a/tests/cmd/test_requests.py
+++ b/tests/cmd/test_requests.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+import time
 from pathlib import Path
 
 import pytest
 
 from cuminhill.cmd.exits import ExitCode
+from cuminhill.cmd.session import Progress
 from cuminhill.model import AnswerState, Reason, RequestKind
 from cuminhill.util.http import HttpResponse
 
@@ -67,6 +69,16 @@
     assert f"--id o-1 --issued-at {issued_at!r}" in result.output
 
 
+def test_refusal_after_a_lost_reply_is_unknown(make_daemon, run):
+    """Guards against 'did not run' when an earlier attempt may have been accepted."""
+    first = make_daemon({SUBMIT: answer("accepted", 202)}, n_lost_replies=1)
+    second = make_daemon({SUBMIT: answer("not_run", 503, reason="unavailable")})
+    result = run([first, second], "submit", "order", "--id", "r")
+    assert result.exit_code == ExitCode.UNKNOWN
+    assert "not_run (unavailable)" in result.output
+    assert "--id r --issued-at" in result.output
+
+
 def test_no_address_listens(run, closed_address):
     """Guards against a traceback, or a doubt, when nothing was sent."""
     result = run([closed_address, closed_address], "submit", "order")
@@ -84,6 +96,17 @@
     assert len(daemon.seen) == 4
 
 
+@pytest.mark.parametrize("is_terminal", [True, False])
+def test_progress_is_shown_on_a_terminal_only(monkeypatch, capsys, is_terminal):
+    """Guards against control characters in the logs of scripts."""
+    monkeypatch.setattr("sys.stderr.isatty", lambda: is_terminal)
+    progress = Progress("waiting for r", 60, time.monotonic() - 45)
+    progress.show()
+    progress.clear()
+    shown = "\r\x1b[Kwaiting for r: 45 s of 60 s\r\x1b[K"
+    assert capsys.readouterr().err == (shown if is_terminal else "")
+
+
 def test_status_names_failed_tasks_and_unknown_requests(make_daemon, run):
     """Guards against a failure hidden among successes, and a missing request."""
     results = [{"task": 0, "ok": True, "value": None},
