--- a/tests/cmd/test_requests.py
+++ b/tests/cmd/test_requests.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import json
+import time
+from pathlib import Path
 
 import pytest
 
 from cuminhill.cmd.exits import ExitCode
+from cuminhill.cmd.session import Progress
+from cuminhill.model import AnswerState, Reason, RequestKind
 from cuminhill.util.http import HttpResponse
 
 SUBMIT = ("POST", "/v1/requests")
@@ -65,6 +69,16 @@
     assert f"--id o-1 --issued-at {issued_at!r}" in result.output
 
 
+def test_refusal_after_a_lost_reply_is_unknown(make_daemon, run):
+    """Guards against 'did not run' when an earlier attempt may have been accepted."""
+    first = make_daemon({SUBMIT: answer("accepted", 202)}, n_lost_replies=1)
+    second = make_daemon({SUBMIT: answer("not_run", 503, reason="unavailable")})
+    result = run([first, second], "submit", "order", "--id", "r")
+    assert result.exit_code == ExitCode.UNKNOWN
+    assert "not_run (unavailable)" in result.output
+    assert "--id r --issued-at" in result.output
+
+
 def test_no_address_listens(run, closed_address):
     """Guards against a traceback, or a doubt, when nothing was sent."""
     result = run([closed_address, closed_address], "submit", "order")
@@ -82,6 +96,17 @@
     assert len(daemon.seen) == 4
 
 
+@pytest.mark.parametrize("is_terminal", [True, False])
+def test_progress_is_shown_on_a_terminal_only(monkeypatch, capsys, is_terminal):
+    """Guards against control characters in the logs of scripts."""
+    monkeypatch.setattr("sys.stderr.isatty", lambda: is_terminal)
+    progress = Progress("waiting for r", 60, time.monotonic() - 45)
+    progress.show()
+    progress.clear()
+    shown = "\r\x1b[Kwaiting for r: 45 s of 60 s\r\x1b[K"
+    assert capsys.readouterr().err == (shown if is_terminal else "")
+
+
 def test_status_names_failed_tasks_and_unknown_requests(make_daemon, run):
     """Guards against a failure hidden among successes, and a missing request."""
     results = [{"task": 0, "ok": True, "value": None},
@@ -124,3 +149,13 @@
     assert "a:1: cancellation accepted" in run([daemon], "cancel", "a:1").output
     assert "PHASE\n  queued" in run([daemon], "explain", "a:1").output
     assert run([daemon], "cancel", "a/../b").exit_code == ExitCode.NOT_FOUND
+
+
+def test_manual_lists_every_answer_reason_and_exit_code():
+    """Guards against an answer for which callers find no advice."""
+    path = Path(__file__).parent.parent.parent / "docs" / "CALLING.md"
+    rows = [line for line in path.read_text().splitlines() if line[:1] == "|"]
+    for value in (*AnswerState, *Reason, *RequestKind):
+        assert any(f"`{value}`" in row for row in rows), value
+    for code in ExitCode:
+        assert f"| {code.value} | {code.meaning} |" in rows
