Measure placement at four loads

Cause: the plots against load had two points.

Change: bench.placement runs loads 0.5, 0.8, 1.0 and 1.2.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -21,7 +21,7 @@
 BENCH = "placement"
 SEEDS = (1, 2, 3)
 HORIZON_S = 60.0
-LOADS = (0.7, 1.2)
+LOADS = (0.5, 0.8, 1.0, 1.2)
 SATURATED = LOADS[-1]
 PACKING_TARGET = 0.95  # of the fractional bound, on Malanad's stream
 CHECK_WAIT_TARGET = 0.1  # of the best baseline's p99
