Repeat the number of the start call in the decision benchmark

Cause: a start reply now carries epoch and number of its call, as the daemon's does.

Change: bench.decisions repeats both.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -187,6 +187,16 @@
     return decisions, n_placed, (time.thread_time_ns() - began) / 1e9
 
 
+def _running(start: StartTask) -> StartReplied:
+    return StartReplied(
+        start.task_id,
+        start.worker_id,
+        StartOutcome.RUNNING,
+        start.epoch,
+        start.number,
+    )
+
+
 def _end(bed: _Bed, start: StartTask) -> tuple[list[StartTask], int]:
     bed.seq += 1
     result = TaskResult(
