--- a/bench/driver.py
+++ b/bench/driver.py
@@ -233,7 +233,11 @@
         self._schedule_end(run)
         if action.request.kind is not RequestKind.CHECK:
             reply = StartReplied(
-                task_id, action.worker_id, StartOutcome.RUNNING, action.epoch
+                task_id,
+                action.worker_id,
+                StartOutcome.RUNNING,
+                action.epoch,
+                action.number,
             )
             self._at(self.now, self._send, reply)
 
