Eject workers that fail everything; learn run times, speeds and use

Cause: a worker that fails every task at once is always the emptiest and drew all work; a failing job blamed healthy workers; run times and speeds were taken as declared; measured use beyond the needs had no effect. Change: health.py ejects a worker after 3 failures of different requests, opens it later for one batch task as a probe, and ejects at most a third of the workers; a job fails after 3 tries on workers that are not ejected and avoids the workers on which it failed. estimates.py learns a bounded correction per team and job class and a bounded speed per worker, used for urgent work, gang plans and backfill. overuse.py subtracts measured use beyond the declared needs (never adds) and throttles, then checkpoints, then stops when the use exceeds the worker. The two parts share results.py and book.py, hence one commit.

--- a/cuminhill/scheduling/book.py
+++ b/cuminhill/scheduling/book.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 from ..model import Answer, AnswerState, Reason, RequestKind, not_run
+from .estimates import Estimates, UsageWatch
 from .events import ControlTask, Finish
+from .health import HealthBook
 from .policies import Weights
 from .queueing import Queue
 from .quotas import TeamLedger
@@ -54,6 +56,7 @@
     n_placed: int = 0
     n_queued: int = 0
     n_preempted: int = 0
+    n_overuse_steps: int = 0
     plan: GangPlan | None = None
     gangs_due_at: float = 0.0
     gang_turn: int = 0
@@ -62,7 +65,10 @@
     def __post_init__(self) -> None:
         self.teams = TeamLedger()
         self.queue = Queue(self.teams.rank)
-        self.room = Room(self.workers, self.tasks_on)
+        self.health = HealthBook()
+        self.estimates = Estimates()
+        self.usage: dict[str, UsageWatch] = {}
+        self.room = Room(self.workers, self.tasks_on, self.estimates.speeds)
         self._wakeups: list[tuple[float, int, TaskState]] = []
         self._deadlines: list[tuple[float, str]] = []
         self._numbers = itertools.count()
@@ -101,9 +107,36 @@
             worker.held = False
             self.touch(worker)
 
+    def set_ejected(self, worker: WorkerState, *, ejected: bool) -> None:
+        """Place no more, or again, on a worker that failed everything."""
+        self.room.probing.discard(worker.worker_id)
+        if worker.ejected != ejected:
+            worker.ejected = ejected
+            self.touch(worker)
+            self.wake(worker)
+
+    def note_start(self, task: TaskState, worker: WorkerState) -> None:
+        """Let no second task onto a worker that is being probed."""
+        if worker.worker_id in self.room.probing:
+            self.health.of(worker.worker_id).probing = task.task_id
+            self.set_ejected(worker, ejected=True)
+
+    def open_probes(self, now: float) -> None:
+        """Let one batch task onto each ejected worker that is due for a probe."""
+        for worker_id, health in self.health.workers.items():
+            if not health.ejected:
+                continue
+            if health.probing not in {"", *self.tasks_on.get(worker_id, {})}:
+                health.given_up(health.probing, now)
+            worker = self.workers.get(worker_id)
+            if worker is not None and health.may_take(now):
+                self.set_ejected(worker, ejected=False)
+                self.room.probing.add(worker_id)
+
     def run_time_s(self, task: TaskState, worker: WorkerState) -> float:
         """Return how long a task is expected to run on a worker, in seconds."""
-        return task.remaining_s / max(self.room.speed(worker), 1e-3)
+        factor = self.estimates.correction(task.owner.request)
+        return task.remaining_s * factor / max(self.room.speed(worker), 1e-3)
 
     # Tasks
 
--- a/cuminhill/scheduling/dispatch.py
+++ b/cuminhill/scheduling/dispatch.py
@@ -84,6 +84,7 @@
         )
         return
     book.occupy(task, worker, Phase.STARTING, now)
+    book.note_start(task, worker)
     call_start(book, task)
 
 
--- /dev/null
+++ b/cuminhill/scheduling/overuse.py
@@ -0,0 +1,73 @@
+"""Steps against tasks that use more than their worker has."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..model import RequestKind
+from .estimates import USAGE_LAG_S, UsageWatch
+from .events import ControlTask
+from .state import Phase
+
+if TYPE_CHECKING:
+    from .book import Book
+    from .state import TaskState, WorkerState
+
+VERBS = ("throttle", "checkpoint", "stop")
+# The effect of a step shows in the report only after the lag.
+STEP_S = USAGE_LAG_S + 1.0
+
+# Who yields first; checks and orders never do.
+_YIELDS = {RequestKind.BATCH: 0, RequestKind.GANG: 1, RequestKind.SERVICE: 2}
+
+
+def watch_usage(book: Book, worker: WorkerState, now: float) -> None:
+    """Correct a worker's free room by its measured use, and act on overuse."""
+    watch = book.usage.get(worker.worker_id)
+    if watch is None:
+        if worker.usage_cores <= 0 and worker.usage_memory_mb <= 0:
+            return
+        watch = book.usage[worker.worker_id] = UsageWatch()
+    excess = watch.excess(worker, now)
+    if excess != worker.excess:
+        worker.excess = excess
+        book.touch(worker)
+        book.wake(worker)
+    over = (
+        worker.usage_cores > worker.capacity.cores
+        or worker.usage_memory_mb > worker.capacity.memory_mb
+    )
+    if not over:
+        watch.stage = 0
+    elif now - watch.step_at >= STEP_S:
+        watch.step_at = now
+        _step(book, worker, watch, now)
+
+
+def _step(book: Book, worker: WorkerState, watch: UsageWatch, now: float) -> None:
+    task = _yielding(book, worker)
+    if task is None:
+        return
+    verb = VERBS[min(watch.stage, len(VERBS) - 1)]
+    watch.stage += 1
+    book.n_overuse_steps += 1
+    if verb == "throttle":
+        book.actions.append(
+            ControlTask(task.task_id, worker.worker_id, verb, worker.epoch)
+        )
+    else:
+        book.stop(task, now, verb)
+
+
+def _yielding(book: Book, worker: WorkerState) -> TaskState | None:
+    """Return the task that yields first: the youngest of the least urgent kind."""
+    running = [
+        task
+        for task in book.tasks_on.get(worker.worker_id, {}).values()
+        if task.phase is Phase.RUNNING and task.owner.kind in _YIELDS
+    ]
+    return min(
+        running,
+        key=lambda t: (_YIELDS[t.owner.kind], t.owner.request.priority, -t.phase_at),
+        default=None,
+    )
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -155,6 +155,7 @@
                     "epoch": worker.epoch,
                     "held": worker.held,
                     "leaving": worker.leaving,
+                    "ejected": worker.ejected,
                     "cores_used": worker.used.cores,
                     "cores": worker.capacity.cores,
                     "tasks": sorted(worker.needs),
@@ -172,6 +173,7 @@
         book = self._book
         for worker_id in book.room.set_reserve(book.weights.check_reserve, now):
             book.wake(book.workers[worker_id])
+        book.open_probes(now)
 
     @_on.register
     def _(self, event: WeightsChanged, now: float, wall: float) -> None:
--- a/cuminhill/scheduling/policies.py
+++ b/cuminhill/scheduling/policies.py
@@ -159,6 +159,8 @@
     workers = room.workers
     # A copy that an unreachable worker may still run must not meet this one.
     found = [key for key in found if task.task_id not in workers[key].needs]
+    if room.probing and not isinstance(policy, BatchPolicy):
+        found = [key for key in found if key not in room.probing]
     if task.failed_on:
         found = _elsewhere(task, found, room)
     if not found:
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -6,6 +6,7 @@
 
 from ..model import RequestKind
 from .events import FenceWorker
+from .overuse import watch_usage
 from .state import OCCUPYING, Phase, Ran, WorkerState
 
 if TYPE_CHECKING:
@@ -56,6 +57,7 @@
             reply.epoch,
             reply.incarnation,
         )
+        worker.ejected = book.health.is_ejected(event.worker_id)
         book.workers[event.worker_id] = worker
     was_usable = worker.usable and not is_new
     worker.reported_at = event.sent_at
@@ -72,6 +74,7 @@
         book.wake(worker)
         if is_new:
             book.queue.reopen_all()  # totals and infeasible gangs have changed
+    watch_usage(book, worker, now)
 
 
 def _is_overtaken(worker: WorkerState, event: WorkerReported) -> bool:
@@ -88,6 +91,7 @@
     worker_id = worker.worker_id
     tasks = list(book.tasks_on.get(worker_id, {}).values())
     book.room.forget(worker_id)
+    book.usage.pop(worker_id, None)
     del book.workers[worker_id]
     book.stopped_at[worker_id] = now
     while len(book.stopped_at) > MAX_STOPPED:
--- a/cuminhill/scheduling/results.py
+++ b/cuminhill/scheduling/results.py
@@ -14,7 +14,10 @@
     from .events import StartReplied
     from .state import TaskState, WorkerState
 
-MAX_TRIES = 3
+MAX_TRIES = 3  # on workers that do not fail everything
+MAX_TRIES_IN_ALL = 9
+# Many bad jobs at once must not take all workers out of service.
+MAX_EJECTED_FRACTION = 0.34
 RETRY_BASE_S = 0.2  # delay after the first failure; doubles with each further one
 RETRY_MAX_S = 30.0
 STABLE_RUN_S = 10.0  # a service that ran for longer is replaced at once
@@ -78,6 +81,8 @@
     state = task.owner
     was_stopped = task.phase is Phase.STOPPING
     _keep_progress(task, result)
+    if not was_stopped and result.remaining_s is None:
+        judge(book, worker, task, result, now)
     if state.over:
         # A result that came before the stop took effect is still the result.
         book.end(task, result, now)
@@ -105,6 +110,7 @@
         _again(book, task, now)
         return
     task.n_tries += 1
+    task.failed_on = (*task.failed_on, task.worker_id)[-MAX_TRIES:]
     _again(book, task, now, retry_delay_s(task.n_tries))
 
 
@@ -112,14 +118,36 @@
     book: Book, worker: WorkerState, task: TaskState, result: TaskResult, now: float
 ) -> None:
     task.n_tries += 1
-    if worker.worker_id not in task.failed_on:
-        task.failed_on = (*task.failed_on, worker.worker_id)
-    if task.n_tries >= MAX_TRIES:
+    task.failed_on = (*task.failed_on, worker.worker_id)
+    # A failure on a worker that fails everything is not the fault of the job.
+    n_blamed = sum(not book.health.is_ejected(key) for key in task.failed_on)
+    if n_blamed >= MAX_TRIES or task.n_tries >= MAX_TRIES_IN_ALL:
         book.end(task, result, now)
     else:
         _again(book, task, now, retry_delay_s(task.n_tries))
 
 
+def judge(
+    book: Book, worker: WorkerState, task: TaskState, result: TaskResult, now: float
+) -> None:
+    """Learn from a result whether its worker fails everything."""
+    if result.ok:
+        book.estimates.learn(task.owner.request, task.remaining_s, result.run_s, worker)
+        if book.health.succeeded(worker.worker_id):
+            book.set_ejected(worker, ejected=False)
+        return
+    health = book.health.of(worker.worker_id)
+    elsewhere = [key for key in task.failed_on if key != worker.worker_id]
+    if any(not book.health.is_ejected(key) for key in elsewhere):
+        return  # it fails on healthy workers too
+    n_ejected = sum(other.ejected for other in book.health.workers.values())
+    allowed = max(1, int(MAX_EJECTED_FRACTION * len(book.workers)))
+    if not health.ejected and n_ejected >= allowed:
+        return
+    if health.failed(task.task_id, task.request_id, now):
+        book.set_ejected(worker, ejected=True)
+
+
 def _again(book: Book, task: TaskState, now: float, delay_s: float = 0.0) -> None:
     book.requeue(task, now, now + delay_s)
     if task.owner.kind is RequestKind.GANG and not task.owner.over:
--- a/cuminhill/scheduling/room.py
+++ b/cuminhill/scheduling/room.py
@@ -32,6 +32,8 @@
         Kept free for checks, by worker.
     planned : dict of str to Resources
         Kept free for a waiting gang, by worker.
+    probing : set of str
+        Ejected workers that are open for one batch task.
     total : Resources
         Capacity of all usable workers.
     """
@@ -43,6 +45,7 @@
     whole: CapacityIndex = field(default_factory=CapacityIndex)
     reserves: dict[str, Resources] = field(default_factory=dict)
     planned: dict[str, Resources] = field(default_factory=dict)
+    probing: set[str] = field(default_factory=set)
     total: Resources = NO_RESOURCES
     shapes: Counter[Resources] = field(default_factory=Counter)
     _reclaim: CapacityIndex = field(default_factory=CapacityIndex)
