Explain why a request waits and why a task is where it is

Cause: explain() gave only the phase and the worker of each task. Change: explain.py adds what the request waits for, what would let it start (the workers on which least is missing, the team's limit, a gang's reservation), the delay until the next try, and the reason for a placement. Placer.explain takes the present time as an optional argument.

--- /dev/null
+++ b/cuminhill/scheduling/explain.py
@@ -0,0 +1,130 @@
+"""Reasons for what a placer has decided, for people."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ..model import RequestKind
+from .quotas import times
+from .state import Phase
+
+if TYPE_CHECKING:
+    from .book import Book
+    from .state import RequestState, TaskState
+
+MAX_TASKS = 200  # tasks listed one by one
+N_NEAREST = 3  # workers named as nearest to having room
+
+_PHASES = {
+    Phase.HELD: "an earlier placer may have started it; its worker has not told yet",
+    Phase.RECORDING: "its start is being recorded in the log",
+    Phase.STARTING: "the start call is in flight",
+    Phase.UNCERTAIN: "the start call had no reply; the worker's next list decides",
+    Phase.RUNNING: "runs",
+    Phase.ENDED: "has ended",
+}
+
+
+def explain(book: Book, request_id: str, now: float | None) -> dict[str, Any] | None:
+    """Return why a request waits or where it runs; None if unknown here.
+
+    Parameters
+    ----------
+    now : float or None, seconds
+        Monotonic time; None leaves out how long things will take.
+    """
+    state = book.requests.get(request_id)
+    if state is None:
+        return None
+    return {
+        "request_id": request_id,
+        "shard": book.shard,
+        "kind": state.kind,
+        "team": state.request.team,
+        "waits": _waits(book, state, now),
+        "n_tasks": len(state.tasks),
+        "n_open": state.n_open,
+        "tasks": [_task(book, task, now) for task in state.tasks[:MAX_TASKS]],
+    }
+
+
+def _task(book: Book, task: TaskState, now: float | None) -> dict[str, Any]:
+    return {
+        "task_id": task.task_id,
+        "phase": task.phase,
+        "worker": task.worker_id,
+        "n_tries": task.n_tries,
+        "n_preempted": task.n_preempted,
+        "failed_on": list(task.failed_on),
+        "why": _why(task, now),
+        "placed_because": task.placed_because if task.worker_id else "",
+    }
+
+
+def _why(task: TaskState, now: float | None) -> str:
+    if task.phase is Phase.STOPPING:
+        return f"a {task.verb} is under way"
+    if task.phase is not Phase.QUEUED:
+        return _PHASES[task.phase]
+    if task.owner.regrouping:
+        return "waits until the other tasks of the gang have been checkpointed"
+    if task.not_before and (now is None or task.not_before > now):
+        left = "" if now is None else f" in {task.not_before - now:.1f} s"
+        return f"failed {task.n_tries} times; the next try is{left or ' later'}"
+    return task.owner.waits_for or "waits for its turn"
+
+
+def _waits(book: Book, state: RequestState, now: float | None) -> dict[str, Any] | None:
+    """Return why nothing more of a request starts, and what would let it."""
+    if not state.ready:
+        return None
+    need, team = state.request.need, state.request.team
+    waits: dict[str, Any] = {
+        "for": state.waits_for or "its turn",
+        "since_s": None if now is None else round(now - state.waiting_since, 3),
+        "team_dominant_share": round(book.teams.dominant_share(team), 4),
+        "team_share": book.teams.quota(team).share,
+    }
+    is_gang = state.kind is RequestKind.GANG
+    whole = times(need, len(state.ready)) if is_gang else need
+    if not book.teams.within_limit(team, whole):
+        limit = book.teams.quota(team).limit
+        waits["would_start_if"] = f"team {team} used less of its limit {limit}"
+    elif not book.room.ever_fits(need, len(state.ready) if is_gang else 1):
+        waits["would_start_if"] = "larger workers joined the shard"
+    else:
+        waits["would_start_if"] = _nearest(book, state)
+    if book.plan is not None and book.plan.state is state:
+        plan = book.plan
+        waits["reserved_on"] = dict(plan.n_tasks_on)
+        waits["still_in_use"] = sorted(plan.missing)
+        if now is not None:
+            waits["expected_in_s"] = round(max(0.0, plan.start_at - now), 3)
+    return waits
+
+
+def _nearest(book: Book, state: RequestState) -> str:
+    """Name the workers on which least is missing for a task."""
+    need = state.request.need
+    gaps = []
+    for worker in book.workers.values():
+        if not worker.usable:
+            continue
+        free = book.room.general_free(worker)
+        lacks = {
+            name: getattr(need, name) - getattr(free, name)
+            for name in ("cores", "memory_mb", "accelerators", "slots", "connections")
+            if getattr(need, name) > getattr(free, name)
+        }
+        size = sum(
+            amount / max(getattr(worker.capacity, name), 1.0)
+            for name, amount in lacks.items()
+        )
+        gaps.append((size, worker.worker_id, lacks))
+    if not gaps:
+        return "a worker became usable"
+    parts = []
+    for _, worker_id, lacks in sorted(gaps, key=lambda gap: gap[:2])[:N_NEAREST]:
+        amounts = ", ".join(f"{amount:g} {name}" for name, amount in lacks.items())
+        parts.append(f"{worker_id} freed {amounts}" if amounts else f"{worker_id}")
+    return " or ".join(parts)
--- a/cuminhill/scheduling/gangs.py
+++ b/cuminhill/scheduling/gangs.py
@@ -104,6 +104,7 @@
             continue
         if task.need.fits(_room_for_plan(book, worker)):
             plan.missing.add(worker_id)
+            task.placed_because = "ends before the room is needed by a gang"
             return worker
     return None
 
@@ -236,6 +237,7 @@
             task = tasks.pop()
             if task.phase is Phase.QUEUED:
                 book.take_ready(plan.state, task)
+                task.placed_because = "the room was kept for the gang"
                 start_on(book, task, book.workers[worker_id], now)
     drop_plan(book)
     return True
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -26,6 +26,7 @@
     WorkerStopped,
     WorkerUnreachable,
 )
+from .explain import explain
 from .gangs import backfill, serve_gangs
 from .intake import accept, cancel, end_request, give_up_if_lost, refusal
 from .policies import Weights
@@ -121,24 +122,17 @@
                 total = total + worker.free
         return total
 
-    def explain(self, request_id: str) -> dict[str, Any] | None:
-        """Return why a request waits or where it runs; None if unknown here."""
-        state = self.requests.get(request_id)
-        if state is None:
-            return None
-        return {
-            "request_id": request_id,
-            "shard": self.shard,
-            "tasks": [
-                {
-                    "task_id": task.task_id,
-                    "phase": task.phase,
-                    "worker": task.worker_id,
-                    "n_tries": task.n_tries,
-                }
-                for task in state.tasks
-            ],
-        }
+    def explain(
+        self, request_id: str, now: float | None = None
+    ) -> dict[str, Any] | None:
+        """Return why a request waits or where it runs; None if unknown here.
+
+        Parameters
+        ----------
+        now : float or None, seconds
+            Monotonic time; None leaves out how long things will take.
+        """
+        return explain(self._book, request_id, now)
 
     def dump(self) -> dict[str, Any]:
         """Return the state in JSON-ready form."""
--- a/cuminhill/scheduling/policies.py
+++ b/cuminhill/scheduling/policies.py
@@ -75,6 +75,15 @@
 }
 
 
+REASONS: dict[type[Policy], str] = {
+    CheckPolicy: "fast and idle",
+    OrderPolicy: "fast and idle",
+    ServicePolicy: "shares its rack with fewest tasks of the service",
+    BatchPolicy: "least is left over on the worker",
+    GangPolicy: "least is left over on the worker",
+}
+
+
 def policy_for(kind: RequestKind) -> Policy:
     """Return the policy of a request kind."""
     return _POLICIES[kind]
@@ -165,10 +174,12 @@
         found = _elsewhere(task, found, room)
     if not found:
         return None
-    return max(
+    best = max(
         (workers[key] for key in found),
         key=lambda worker: score(policy, task, worker, room, weights),
     )
+    task.placed_because = f"{REASONS[type(policy)]}, best of {len(found)} compared"
+    return best
 
 
 def _elsewhere(task: TaskState, found: list[str], room: Room) -> list[str]:
