Clear the way for a gang, pack larger tasks first, reserve slow slots

Change: a gang's plan is made per task end, and after hold_s the batch tasks still in its way are checkpointed, so that kept room is not idle for long; no backfill follows that. The reserve is on the slowest workers, used only when all others are full. Batch and gang requests of about the same age are ordered by size, and fair shares are compared in steps of 0.02.

--- a/cuminhill/scheduling/gangs.py
+++ b/cuminhill/scheduling/gangs.py
@@ -17,11 +17,16 @@
 
 RETRY_S = 0.25  # between attempts to place gangs that did not fit
 MAX_RETRIES = 4  # gangs tried at a time
+PLAN_AFTER_S = 0.5  # room may turn up by itself; a reservation leaves some unused
 REPLAN_S = 2.0  # a reservation is made anew after this, as estimates are off
 MIN_PLAN_WORKERS = 64  # workers looked at for a reservation, at least
+HOLD_S = 1.0  # with equal weights of control cost and packing
 N_BACKFILL = 16  # reserved workers looked at for one backfilled task
 
 
+ENDING = frozenset({Phase.STARTING, Phase.RUNNING, Phase.STOPPING})
+
+
 @dataclass(eq=False, slots=True)
 class GangPlan:
     """Room that is kept for a waiting gang.
@@ -31,6 +36,10 @@
 
     Parameters
     ----------
+    first_at : float, seconds
+        Monotonic time at which room was first kept for this gang.
+    cleared : bool
+        Whether the batch tasks in the way have been checkpointed.
     n_tasks_on : dict of str to int
         Number of its tasks by worker.
     missing : set of str
@@ -42,6 +51,8 @@
     """
 
     state: RequestState
+    first_at: float = 0.0
+    cleared: bool = False
     n_tasks_on: dict[str, int] = field(default_factory=dict)
     missing: set[str] = field(default_factory=set)
     start_at: float = 0.0
@@ -59,6 +70,8 @@
             drop_plan(book)
         elif not plan.missing and _start_planned(book, plan, now):
             return
+        elif now - plan.first_at >= hold_s(book) and not plan.cleared:
+            _clear(book, plan, now)
     if now < book.gangs_due_at:
         return
     book.gangs_due_at = now + RETRY_S
@@ -119,15 +132,19 @@
 
 
 def _plan_oldest(book: Book, now: float) -> None:
-    plan = book.plan
-    if plan is not None and now - plan.made_at < REPLAN_S:
+    old = book.plan
+    if old is not None and now - old.made_at < REPLAN_S:
         return
     drop_plan(book)
     for state in book.queue.blocked_gangs():
+        if now - state.waiting_since < PLAN_AFTER_S:
+            continue
         if not book.teams.within_limit(state.request.team, whole_need(state)):
             continue
         plan = make_plan(book, state, now)
         if plan is not None:
+            if old is not None and old.state is state:
+                plan.first_at = old.first_at
             _keep_room(book, plan)
             return
 
@@ -157,18 +174,14 @@
     for worker in book.workers.values():
         if not worker.usable:
             continue
-        n_now = n_fitting(need, _room_for_plan(book, worker))
-        n_later, free_at = _later(book, worker, need, now)
-        if n_now:
-            offers.append((now, worker.worker_id, n_now))
-        if n_later > n_now:
-            offers.append((free_at, worker.worker_id, n_later))
+        mine = _offers(book, worker, need, now)
+        offers += mine
         n_seen += 1
-        n_offered += max(n_now, n_later)
+        n_offered += mine[-1][2] if mine else 0
         if n_seen >= MIN_PLAN_WORKERS and n_offered >= 2 * n_left:
             break
     offers.sort()
-    plan = GangPlan(state, made_at=now, start_at=now)
+    plan = GangPlan(state, first_at=now, made_at=now, start_at=now)
     for at, worker_id, n_tasks in offers:
         had = plan.n_tasks_on.get(worker_id, 0)
         more = min(n_tasks - had, n_left)
@@ -181,22 +194,58 @@
     return None
 
 
-def _later(
+def hold_s(book: Book) -> float:
+    """Return how long room is kept before batch tasks are checkpointed, in seconds.
+
+    Room that waits for the last task to end is lost to all others, so packing
+    shortens it; each checkpoint costs calls, so control cost lengthens it.
+    """
+    weights = book.weights
+    return HOLD_S * weights.control_cost / max(weights.packing, 1e-3)
+
+
+def _clear(book: Book, plan: GangPlan, now: float) -> None:
+    """Checkpoint the batch tasks that are still in the way of a gang."""
+    plan.cleared = True
+    plan.made_at = plan.start_at = now  # no more backfill
+    for worker_id in sorted(plan.missing):
+        worker = book.workers.get(worker_id)
+        if worker is None or not worker.usable:
+            continue
+        free = _room_for_plan(book, worker)
+        tasks = [
+            task
+            for task in book.tasks_on.get(worker_id, {}).values()
+            if task.phase is Phase.RUNNING and task.owner.kind is RequestKind.BATCH
+        ]
+        for task in sorted(tasks, key=lambda t: (t.n_preempted, -t.phase_at)):
+            if n_fitting(plan.state.request.need, free) >= plan.n_tasks_on[worker_id]:
+                break
+            free = free + task.need
+            task.n_preempted += 1
+            book.n_preempted += 1
+            book.stop(task, now, "checkpoint")
+
+
+def _offers(
     book: Book, worker: WorkerState, need: Resources, now: float
-) -> tuple[int, float]:
-    """Return how many tasks fit once the running ones have ended, and when."""
-    free_at = now
-    staying = NO_RESOURCES
-    tasks = book.tasks_on.get(worker.worker_id, {})
-    for task_id, amount in worker.needs.items():
-        task = tasks.get(task_id)
-        if task is None or task.owner.kind is RequestKind.SERVICE:
-            staying = staying + amount
-        else:
-            end_at = task.phase_at + book.run_time_s(task, worker)
-            free_at = max(free_at, end_at)
-    kept = book.room.reserves.get(worker.worker_id, NO_RESOURCES)
-    return n_fitting(need, worker.capacity - staying - kept), free_at
+) -> list[tuple[float, str, int]]:
+    """Return when a worker is expected to have room for how many tasks."""
+    free = _room_for_plan(book, worker)
+    tasks = book.tasks_on.get(worker.worker_id, {}).values()
+    ends = sorted(
+        (max(now, task.phase_at + book.run_time_s(task, worker)), task.task_id)
+        for task in tasks
+        if task.phase in ENDING and task.owner.kind is not RequestKind.SERVICE
+    )
+    count = n_fitting(need, free)
+    found = [(now, worker.worker_id, count)] if count else []
+    for end_at, task_id in ends:
+        free = free + worker.needs.get(task_id, NO_RESOURCES)
+        if n_fitting(need, free) > count:
+            count = n_fitting(need, free)
+            found.append((end_at, worker.worker_id, count))
+    return found
 
 
 def _room_for_plan(book: Book, worker: WorkerState) -> Resources:
--- a/cuminhill/scheduling/queueing.py
+++ b/cuminhill/scheduling/queueing.py
@@ -26,21 +26,26 @@
     RequestKind.GANG: 3,
     RequestKind.BATCH: 3,
 }
+# Among batch and gang requests of about the same age the larger ones come first,
+# since small ones fill what they leave; a longer step packs better and lets small
+# ones wait.
+AGE_STEP_S = 10.0
 N_URGENT_LANES = 2  # lanes that are ordered without regard to fair shares
 
 Shape = tuple[object, ...]
-OrderKey = tuple[float, float, float, str]
+OrderKey = tuple[float, float, float, float, float, str]
 
 
 def order_key(state: RequestState) -> OrderKey:
     """Return the position of a request among those of its team and lane."""
     request = state.request
-    return (
-        -request.priority,
-        request.deadline,
-        state.accepted_at,
-        request.request_id,
-    )
+    age = state.accepted_at
+    size = step = 0.0
+    if LANES[state.kind] == LANES[RequestKind.BATCH]:
+        step = age // AGE_STEP_S
+        is_gang = state.kind is RequestKind.GANG
+        size = request.need.cores * (request.n_tasks if is_gang else 1)
+    return (-request.priority, request.deadline, step, -size, age, request.request_id)
 
 
 def shape_of(state: RequestState) -> Shape:
@@ -169,7 +174,7 @@
         shapes = self._lanes[lane].shapes
         for shape in self._lanes[lane].blocked:
             for entries in shapes[shape].values():
-                found.append(self._entries[entries[0][3]][3])
+                found.append(self._entries[entries[0][-1]][3])
                 if len(found) >= limit:
                     return found
         return found
@@ -259,7 +264,7 @@
                 candidate = (0.0 if urgent else rank(team), entries[0])
                 if best is None or candidate < best:
                     best = candidate
-        return None if best is None else self._entries[best[1][3]][3]
+        return None if best is None else self._entries[best[1][-1]][3]
 
 
 def smaller(first: Resources, second: Resources) -> Resources:
--- a/cuminhill/scheduling/quotas.py
+++ b/cuminhill/scheduling/quotas.py
@@ -12,6 +12,8 @@
 
 # Weight of a team without a guaranteed share in the fair order.
 DEFAULT_WEIGHT = 0.01
+# Teams whose shares differ by less are served by priority, deadline and age.
+SHARE_STEP = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +102,8 @@
         rank = self._ranks.get(team)
         if rank is None:
             weight = max(self.quota(team).share, DEFAULT_WEIGHT)
-            rank = self._ranks[team] = self.dominant_share(team) / weight
+            steps = self.dominant_share(team) // SHARE_STEP
+            rank = self._ranks[team] = steps * SHARE_STEP / weight
         return rank
 
     def within_limit(self, team: str, need: Resources) -> bool:
--- a/cuminhill/scheduling/room.py
+++ b/cuminhill/scheduling/room.py
@@ -133,7 +133,7 @@
         return not any(need.fits(capacity) for capacity in self._kinds)
 
     def set_reserve(self, fraction: float, now: float) -> list[str]:
-        """Keep a fraction of all slots for checks, on the fastest workers.
+        """Keep a fraction of all slots for checks, on the slowest workers.
 
         Returns
         -------
@@ -146,7 +146,9 @@
         self._reserve_due_at = now + RESERVE_PERIOD_S
         n_slots = int(fraction * self.total.slots)
         usable = [w for w in self.workers.values() if w.usable]
-        usable.sort(key=lambda w: (-self.speed(w), w.worker_id))
+        # A reserved slot costs least capacity on a slow worker; checks get there
+        # only when all others are full.
+        usable.sort(key=lambda w: (self.speed(w), w.worker_id))
         # At most one slot per worker and half of the workers, so that a task that
         # needs a whole worker still finds one.
         chosen = {w.worker_id for w in usable[: min(n_slots, len(usable) // 2)]}
--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .conftest import starts
+from .conftest import controls, starts
 
 
 def fill(harness, n_workers, run_time_s=5.0):
@@ -51,3 +51,15 @@
     harness.run(1)
     assert len(starts(harness.accept("batch", cores=8.0, run_time_s=5.0)[1])) == 1
     assert starts(harness.accept("batch", cores=8.0, run_time_s=500.0)[1]) == []
+
+
+def test_gang_starts_soon_and_checkpoints_what_is_in_its_way(harness):
+    """Guards against kept room that stays empty until the last task ends."""
+    running = fill(harness, 2, run_time_s=1e4)
+    gang, _ = harness.accept("gang", n_tasks=2, cores=16.0)
+    harness.run(2.5)
+    assert len(controls(harness.actions, "checkpoint")) == 2
+    harness.actions.clear()
+    for action in running:
+        harness.end(action, ok=False, remaining_s=5.0)
+    assert [a.request for a in starts(harness.actions)] == [gang, gang]
