Keep the sum of free resources up to date

Cause: Placer.free() added up all workers on each call, and heartbeats call it several times a second. Change: Room.total_free is maintained with each change of a worker; the fake world of the tests compares it with the sum after each event. Result: tests/: 59 passed.

--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -116,11 +116,7 @@
 
     def free(self) -> Resources:
         """Return what is free on all usable workers together."""
-        total = Resources(0.0, 0.0, 0.0, 0.0, 0.0)
-        for worker in self.workers.values():
-            if worker.usable:
-                total = total + worker.free
-        return total
+        return self._book.room.total_free
 
     def explain(
         self, request_id: str, now: float | None = None
--- a/cuminhill/scheduling/room.py
+++ b/cuminhill/scheduling/room.py
@@ -36,6 +36,8 @@
         Ejected workers that are open for one batch task.
     total : Resources
         Capacity of all usable workers.
+    total_free : Resources
+        What is free on them by the declared needs.
     """
 
     workers: dict[str, WorkerState]
@@ -47,10 +49,12 @@
     planned: dict[str, Resources] = field(default_factory=dict)
     probing: set[str] = field(default_factory=set)
     total: Resources = NO_RESOURCES
+    total_free: Resources = NO_RESOURCES
     shapes: Counter[Resources] = field(default_factory=Counter)
     _reclaim: CapacityIndex = field(default_factory=CapacityIndex)
     _dirty: dict[str, None] = field(default_factory=dict)
     _counted: dict[str, Resources] = field(default_factory=dict)
+    _free_counted: dict[str, Resources] = field(default_factory=dict)
     _shape_of: dict[str, Resources] = field(default_factory=dict)
     _reserve_due_at: float = 0.0
     _reserve_stale: bool = True
@@ -63,6 +67,7 @@
         if self._shape_of.get(worker_id) != worker.capacity:
             self._set_shape(worker_id, worker.capacity)
         self._dirty[worker_id] = None
+        self._count_free(worker_id, worker.free if worker.usable else None)
         if not worker.usable:
             self.general.drop(worker_id)
             self.whole.drop(worker_id)
@@ -75,6 +80,7 @@
     def forget(self, worker_id: str) -> None:
         """Drop a worker that has left."""
         self._count(worker_id, None)
+        self._count_free(worker_id, None)
         self._set_shape(worker_id, None)
         for index in (self.general, self.whole, self._reclaim):
             index.drop(worker_id)
@@ -183,6 +189,16 @@
             self.total = self.total + capacity
             self._counted[worker_id] = capacity
 
+    def _count_free(self, worker_id: str, free: Resources | None) -> None:
+        old = self._free_counted.pop(worker_id, None)
+        if old is not None:
+            self.total_free = self.total_free - old
+        if free is not None:
+            self.total_free = self.total_free + free
+            self._free_counted[worker_id] = free
+        if not self._free_counted:
+            self.total_free = NO_RESOURCES  # rounding errors cannot add up
+
     def _set_shape(self, worker_id: str, capacity: Resources | None) -> None:
         old = self._shape_of.pop(worker_id, None)
         if old is not None:
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -105,10 +105,15 @@
         self.check_gangs(actions)
         for action in actions:
             self.carry_out(action)
+        free = NO_RESOURCES
         for worker in self.placer.workers.values():
+            free = free + worker.free if worker.usable else free
             if not worker.used.fits(worker.capacity):
                 self.violations.append(f"{worker.worker_id} is counted beyond capacity")
 
+        if free != self.placer.free():
+            self.violations.append("the sum of what is free is wrong")
+
     def carry_out(self, action):
         if isinstance(action, StartTask):
             self.calls.append(action)
