--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -26,6 +26,7 @@
     WorkerStopped,
     WorkerUnreachable,
 )
+from .explain import explain
 from .gangs import backfill, serve_gangs
 from .intake import accept, cancel, end_request, give_up_if_lost, refusal
 from .policies import Weights
@@ -126,30 +127,19 @@
 
     def free(self) -> Resources:
         """Return what is free on all usable workers together."""
-        total = Resources(0.0, 0.0, 0.0, 0.0, 0.0)
-        for worker in self.workers.values():
-            if worker.usable:
-                total = total + worker.free
-        return total
-
-    def explain(self, request_id: str) -> dict[str, Any] | None:
-        """Return why a request waits or where it runs; None if unknown here."""
-        state = self.requests.get(request_id)
-        if state is None:
-            return None
-        return {
-            "request_id": request_id,
-            "shard": self.shard,
-            "tasks": [
-                {
-                    "task_id": task.task_id,
-                    "phase": task.phase,
-                    "worker": task.worker_id,
-                    "n_tries": task.n_tries,
-                }
-                for task in state.tasks
-            ],
-        }
+        return self._book.room.total_free
+
+    def explain(
+        self, request_id: str, now: float | None = None
+    ) -> dict[str, Any] | None:
+        """Return why a request waits or where it runs; None if unknown here.
+
+        Parameters
+        ----------
+        now : float or None, seconds
+            Monotonic time; None leaves out how long things will take.
+        """
+        return explain(self._book, request_id, now)
 
     def dump(self) -> dict[str, Any]:
         """Return the state in JSON-ready form."""
@@ -167,6 +157,7 @@
                     "epoch": worker.epoch,
                     "held": worker.held,
                     "leaving": worker.leaving,
+                    "ejected": worker.ejected,
                     "cores_used": worker.used.cores,
                     "cores": worker.capacity.cores,
                     "tasks": sorted(worker.needs),
@@ -184,6 +175,7 @@
         book = self._book
         for worker_id in book.room.set_reserve(book.weights.check_reserve, now):
             book.wake(book.workers[worker_id])
+        book.open_probes(now)
 
     @_on.register
     def _(self, event: WeightsChanged, now: float, wall: float) -> None:
--- a/cuminhill/scheduling/room.py
+++ b/cuminhill/scheduling/room.py
@@ -32,8 +32,12 @@
         Kept free for checks, by worker.
     planned : dict of str to Resources
         Kept free for a waiting gang, by worker.
+    probing : set of str
+        Ejected workers that are open for one batch task.
     total : Resources
         Capacity of all usable workers.
+    total_free : Resources
+        What is free on them by the declared needs.
     """
 
     workers: dict[str, WorkerState]
@@ -43,11 +47,14 @@
     whole: CapacityIndex = field(default_factory=CapacityIndex)
     reserves: dict[str, Resources] = field(default_factory=dict)
     planned: dict[str, Resources] = field(default_factory=dict)
+    probing: set[str] = field(default_factory=set)
     total: Resources = NO_RESOURCES
+    total_free: Resources = NO_RESOURCES
     shapes: Counter[Resources] = field(default_factory=Counter)
     _reclaim: CapacityIndex = field(default_factory=CapacityIndex)
     _dirty: dict[str, None] = field(default_factory=dict)
     _counted: dict[str, Resources] = field(default_factory=dict)
+    _free_counted: dict[str, Resources] = field(default_factory=dict)
     _shape_of: dict[str, Resources] = field(default_factory=dict)
     _reserve_due_at: float = 0.0
     _reserve_stale: bool = True
@@ -60,6 +67,7 @@
         if self._shape_of.get(worker_id) != worker.capacity:
             self._set_shape(worker_id, worker.capacity)
         self._dirty[worker_id] = None
+        self._count_free(worker_id, worker.free if worker.usable else None)
         if not worker.usable:
             self.general.drop(worker_id)
             self.whole.drop(worker_id)
@@ -72,6 +80,7 @@
     def forget(self, worker_id: str) -> None:
         """Drop a worker that has left."""
         self._count(worker_id, None)
+        self._count_free(worker_id, None)
         self._set_shape(worker_id, None)
         for index in (self.general, self.whole, self._reclaim):
             index.drop(worker_id)
@@ -130,7 +139,7 @@
         return not any(need.fits(capacity) for capacity in self._kinds)
 
     def set_reserve(self, fraction: float, now: float) -> list[str]:
-        """Keep a fraction of all slots for checks, on the fastest workers.
+        """Keep a fraction of all slots for checks, on the slowest workers.
 
         Returns
         -------
@@ -143,7 +152,9 @@
         self._reserve_due_at = now + RESERVE_PERIOD_S
         n_slots = int(fraction * self.total.slots)
         usable = [w for w in self.workers.values() if w.usable]
-        usable.sort(key=lambda w: (-self.speed(w), w.worker_id))
+        # A reserved slot costs least capacity on a slow worker; checks get there
+        # only when all others are full.
+        usable.sort(key=lambda w: (self.speed(w), w.worker_id))
         # At most one slot per worker and half of the workers, so that a task that
         # needs a whole worker still finds one.
         chosen = {w.worker_id for w in usable[: min(n_slots, len(usable) // 2)]}
@@ -178,6 +189,16 @@
             self.total = self.total + capacity
             self._counted[worker_id] = capacity
 
+    def _count_free(self, worker_id: str, free: Resources | None) -> None:
+        old = self._free_counted.pop(worker_id, None)
+        if old is not None:
+            self.total_free = self.total_free - old
+        if free is not None:
+            self.total_free = self.total_free + free
+            self._free_counted[worker_id] = free
+        if not self._free_counted:
+            self.total_free = NO_RESOURCES  # rounding errors cannot add up
+
     def _set_shape(self, worker_id: str, capacity: Resources | None) -> None:
         old = self._shape_of.pop(worker_id, None)
         if old is not None:
