--- a/cuminhill/peers.py
+++ b/cuminhill/peers.py
@@ -43,6 +43,8 @@
     seeds: list[str]
     rng: random.Random
     _clients: dict[str, RpcClient] = field(default_factory=dict)
+    _n_closed_sent_bytes: int = 0
+    _n_closed_received_bytes: int = 0
 
     def client(self, address: str) -> RpcClient:
         """Return the connection to an address."""
@@ -53,9 +55,11 @@
     def byte_counts(self) -> tuple[int, int]:
         """Return the bytes sent and received by all clients."""
         counters = [client.counters for client in self._clients.values()]
+        sent = sum(item.n_sent_bytes for item in counters)
+        received = sum(item.n_received_bytes for item in counters)
         return (
-            sum(item.n_sent_bytes for item in counters),
-            sum(item.n_received_bytes for item in counters),
+            self._n_closed_sent_bytes + sent,
+            self._n_closed_received_bytes + received,
         )
 
     def heartbeat(self, now: float, to: str | None = None) -> Any:
@@ -77,6 +81,7 @@
                 await curio.spawn(self._greet, member.address, member.vm, daemon=True)
             if now >= remote_at:
                 remote_at = now + REMOTE_INTERVAL_S
+                await self._close_unused()
                 names = {item.address: item.vm for item in self.membership.members()}
                 for address in self.membership.remote_targets(
                     now, self.rng, self.seeds
@@ -90,6 +95,15 @@
         for member in self.membership.members()[1:]:
             await curio.spawn(self._greet, member.address, member.vm, daemon=True)
 
+    async def _close_unused(self) -> None:
+        """Close connections to addresses that no member and no seed has."""
+        used = {member.address for member in self.membership.members()}
+        for address in self._clients.keys() - used.union(self.seeds):
+            client = self._clients.pop(address)
+            self._n_closed_sent_bytes += client.counters.n_sent_bytes
+            self._n_closed_received_bytes += client.counters.n_received_bytes
+            await client.close()
+
     async def _greet(self, address: str, vm: str | None) -> None:
         message = self.heartbeat(time.monotonic(), vm)
         try:
