--- a/tests/coordination/test_configstream.py
+++ b/tests/coordination/test_configstream.py
@@ -5,7 +5,7 @@
 import json
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -246,15 +246,9 @@
 
 
 MACHINE = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=300,
-    stateful_step_count=30,
-    database=None,
-    phases=(Phase.generate,),
+    settings.get_profile("machine"), max_examples=300, stateful_step_count=30
 )
-# Ends at the first failure. The examples depend on the set of modules that are
-# loaded, so a fault that is found late needs room.
+# Examples depend on the modules that are loaded; a search ends at the first failure.
 SEARCH = settings(MACHINE, max_examples=3000)
 
 
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -280,15 +280,9 @@
 
 
 MACHINE = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=40,
-    stateful_step_count=15,
-    database=None,
-    phases=(Phase.generate,),
+    settings.get_profile("machine"), max_examples=40, stateful_step_count=15
 )
-# Ends at the first failure. The examples depend on the set of modules that are
-# loaded, so a fault that is found late needs room.
+# Examples depend on the modules that are loaded; a search ends at the first failure.
 SEARCH = settings(MACHINE, max_examples=3000)
 
 
