--- a/cuminhill/coordination/detector.py
+++ b/cuminhill/coordination/detector.py
@@ -12,12 +12,12 @@
 
 SUSPECT_AFTER_S = 0.8
 DEAD_AFTER_S = 5.0
-# A failure domain is heard through random exchanges, about three a second between
-# two domains of three VMs; at 0.8 s one gap in eleven would be a false suspicion.
-DOMAIN_SUSPECT_AFTER_S = 5.0
-DOMAIN_DEAD_AFTER_S = 10.0
+# A failure domain is heard through random exchanges. Among 330 members in 18 domains
+# a limit of 5 s gave 182 false suspicions in 2,178,000 views.
+DOMAIN_SUSPECT_AFTER_S = 8.0
+DOMAIN_DEAD_AFTER_S = 15.0
 # Catches a member of a heard domain whose suspicion was lost on the way.
-UNREFRESHED_AFTER_S = 60.0
+UNREFRESHED_AFTER_S = 120.0
 
 ACCUSATIONS = {MemberState.SUSPECT: 1, MemberState.DEAD: 2}
 
--- a/cuminhill/coordination/membership.py
+++ b/cuminhill/coordination/membership.py
@@ -36,7 +36,9 @@
 # sends about thirty heartbeats within its failure domain for each one outside.
 N_LOCAL_SENDS = 8
 N_REMOTE_SENDS = 4
-FULL_EVERY = 8  # each eighth heartbeat repeats whole entries
+# One heartbeat in (members / this) repeats whole entries, with the free capacity:
+# each one in a small cell, few in a large one, so that the traffic stays level.
+MEMBERS_PER_WHOLE = 16
 WELCOME_S = 5.0  # a new peer gets as many whole entries as fit for so long
 N_JOIN_SEEDS = 3
 
@@ -241,7 +243,8 @@
         )
         # Another failure domain is greeted too seldom to count by peer.
         n_sent = known.n_sent_to if known is not None and local else self._n_sent
-        whole = welcome or n_sent % FULL_EVERY == 0
+        whole_every = max(1, len(self._known) // MEMBERS_PER_WHOLE)
+        whole = welcome or n_sent % whole_every == 0
         carried = self._carry(known, local, welcome, whole, now)
         if self._n_news_of_me > 0:
             self._n_news_of_me -= 1
