--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -435,13 +435,10 @@
 
 
 MACHINE = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=400,
-    stateful_step_count=40,
-    database=None,
-    phases=(Phase.generate,),
+    settings.get_profile("machine"), max_examples=400, stateful_step_count=40
 )
+# Examples depend on the modules that are loaded; a search ends at the first failure.
+SEARCH = settings(MACHINE, max_examples=3000)
 
 
 def test_all_indexes_agree():
@@ -496,4 +493,4 @@
     """Guards against a state machine that would not notice a wrong fold."""
     machine = type("Faulty", (LogMachine,), {"make_index": staticmethod(fault)})
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(machine, settings=MACHINE)
+        run_state_machine_as_test(machine, settings=SEARCH)
--- a/tests/coordination/test_configstream.py
+++ b/tests/coordination/test_configstream.py
@@ -5,7 +5,7 @@
 import json
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -246,13 +246,10 @@
 
 
 MACHINE = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=300,
-    stateful_step_count=30,
-    database=None,
-    phases=(Phase.generate,),
+    settings.get_profile("machine"), max_examples=300, stateful_step_count=30
 )
+# Examples depend on the modules that are loaded; a search ends at the first failure.
+SEARCH = settings(MACHINE, max_examples=3000)
 
 
 def test_readers_agree_on_every_revision():
@@ -294,4 +291,4 @@
     """Guards against a state machine that would not notice a wrong fold."""
     machine = type("Faulty", (StreamMachine,), {"make_state": staticmethod(fault)})
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(machine, settings=MACHINE)
+        run_state_machine_as_test(machine, settings=SEARCH)
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/test_membership.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -162,12 +162,12 @@
         view.receive(Member(f"m{index}", 1, 1, f"m{index}:1", "x"), 0.0)
     sent = set()
     for _ in range(3):
-        sent |= {member.vm for member, _ in view.heartbeat("b", 6.0).carried}
+        sent |= {member.vm for member, _ in view.heartbeat("b", 9.0).carried}
     assert len(sent) == 0  # all silent: the own silence is no news
     for index in range(40):
-        view.receive(Member(f"m{index}", 1, 2, f"m{index}:1", "x"), 6.0)
+        view.receive(Member(f"m{index}", 1, 2, f"m{index}:1", "x"), 9.0)
     for _ in range(3):
-        sent |= {member.vm for member, _ in view.heartbeat("b", 6.1).carried}
+        sent |= {member.vm for member, _ in view.heartbeat("b", 9.1).carried}
     assert len(sent) == 40
 
 
@@ -280,13 +280,10 @@
 
 
 MACHINE = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=40,
-    stateful_step_count=15,
-    database=None,
-    phases=(Phase.generate,),
+    settings.get_profile("machine"), max_examples=40, stateful_step_count=15
 )
+# Examples depend on the modules that are loaded; a search ends at the first failure.
+SEARCH = settings(MACHINE, max_examples=3000)
 
 
 def test_views_converge_when_faults_stop():
@@ -325,4 +322,4 @@
 
     machine = type("Faulty", (CellMachine,), {"make_view": staticmethod(make_view)})
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(machine, settings=MACHINE)
+        run_state_machine_as_test(machine, settings=SEARCH)
