Show that the checks fail without four mechanisms

Cause: a check that never fails proves nothing. Change: checks/mutants.py starts daemons without lease check, read-back of claims, started record or graceful drain; tests/checks/test_mutants.py judges each with and without the mechanism; gates can match the caller's address.

--- a/checks/matrix.py
+++ b/checks/matrix.py
@@ -108,7 +108,7 @@
                         run_cell(cluster, cell, seed, number)
                     except Exception:  # a broken cluster fails its cell only
                         cell.outcome = "FAIL"
-                        cell.notes = [traceback.format_exc(limit=-3)]
+                        cell.notes = [traceback.format_exc()]
                         _keep(cluster, cell, None)
                     _report(cell)
                     if cell.outcome == "FAIL":
--- /dev/null
+++ b/checks/mutants.py
@@ -0,0 +1,57 @@
+"""Daemons without one of their safety mechanisms, to show that the checks see it.
+
+Each value is the statements that start such a daemon in place of the real one.
+"""
+
+from __future__ import annotations
+
+_MAIN = "from cuminhill.cmd.daemon import main; main()\n"
+
+NO_LEASE_CHECK = (
+    """
+from cuminhill.coordination.lease import HeldLease
+HeldLease.valid = lambda self, now: True
+"""
+    + _MAIN
+)
+
+NO_READ_BACK = (
+    """
+from cuminhill import shard
+from cuminhill.coordination.claims import Claim, Entry
+from cuminhill.scheduling.events import RequestAccepted
+
+async def claim_without_read_back(self, request):
+    wall = self.clock.wall()
+    record = Claim(request.request_id, self.shard, request.to_dict(), wall)
+    self.index._put(
+        Entry(request.request_id, self.shard, request.to_dict(), wall, 0, 0)
+    )
+    await self._append(record)
+    await self.apply(RequestAccepted(request))
+
+shard.ShardDriver._claim = claim_without_read_back
+"""
+    + _MAIN
+)
+
+NO_STARTED_RECORD = (
+    """
+from cuminhill.scheduling.placer import Placer
+Placer._record_start = Placer._start
+"""
+    + _MAIN
+)
+
+EXIT_AT_ONCE = (
+    """
+from cuminhill import application
+
+async def exit_at_once(self):
+    await self.stopped.set()
+
+application.DRAIN_GRACE_S = 0.0
+application.Application._drain = exit_at_once
+"""
+    + _MAIN
+)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -32,12 +32,15 @@
         Type of some record in the body of an append.
     text : str
         Part of the body, such as a request id.
+    peer : str
+        IP address of the caller.
     """
 
     path: str = ""
     method: str = ""
     record_type: str = ""
     text: str = ""
+    peer: str = ""
 
     def fits(self, req: HttpRequest) -> bool:
         """Return whether a request is meant."""
@@ -45,6 +48,8 @@
             return False
         if self.text.encode() not in req.body:
             return False
+        if self.peer not in {"", req.peer.rpartition(":")[0]}:
+            return False
         return not self.record_type or self.record_type in _record_types(req.body)
 
 
--- /dev/null
+++ b/tests/checks/test_mutants.py
@@ -0,0 +1,118 @@
+"""The checks fail when one safety mechanism is taken out, and only then."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import pytest
+
+from checks import mutants
+from checks.scenario import scenario
+from standins.processes import DAEMON_ENTRY, call, process_cluster
+
+SEED = 3
+
+
+def judge(directory, entry, act):
+    """Return the promises that a small cluster breaks while ``act`` runs."""
+    with (
+        process_cluster(
+            directory,
+            {"Tainan": 2, "Chiayi": 2},
+            {"Tainan": 2, "Chiayi": 1},
+            relays=True,
+            entry=entry,
+        ) as cluster,
+        scenario(cluster, "mutant", SEED, n_callers=0) as run,
+    ):
+        act(run)
+        return {item.promise for item in run.finish()}
+
+
+def make_wish(run, kind, request_id, **body):
+    wish = run.load.make_wish(kind, request_id, random.Random(SEED))
+    wish.body.update(body)
+    wish.n_tasks = wish.body["n_tasks"]
+    run.load.wishes.append(wish)
+    return wish
+
+
+def wait_running(run):
+    for _ in range(200):
+        states = run.cluster.worker_states()
+        running = [name for name, state in states.items() if state["running"]]
+        if running:
+            return running[0]
+        time.sleep(0.02)
+    raise AssertionError("nothing runs")
+
+
+def resume_a_stale_leader(run):
+    """Pause a leader before it reads its claim back; its successor runs it."""
+    for worker_id in run.workers():
+        run.set_worker(worker_id, fencing=False)
+    leader = run.leader()
+    wish = make_wish(run, "batch", "mutant-b", n_tasks=2, run_time_s=8.0)
+    run.gate("reads", "log", method="GET", peer=leader.host, when="after")
+    run.load.submit_later(wish, leader.vm, wait_s=1.0)
+    assert run.wait_held("reads", ["log"], 5.0)
+    run.pause(leader)
+    run.cluster.set_faults("log", release="reads")
+    wait_running(run)
+    for worker_id in run.workers():  # no renewal tells it of its successor in time
+        run.gate("renewals", worker_id, path="/lease", peer=leader.host)
+    run.resume()
+    time.sleep(1.0)
+
+
+def submit_in_two_domains(run):
+    """Submit one batch through two failure domains at the same time."""
+    wish = make_wish(run, "batch", "mutant-b", n_tasks=2, run_time_s=1.0)
+    for vm in ("tainan-e0", "chiayi-e0"):
+        run.load.submit_later(wish, vm, wait_s=3.0)
+    time.sleep(2.0)
+
+
+def lose_leader_and_worker(run):
+    """Kill the leader and restart the worker while an order runs."""
+    leader = run.leader()
+    wish = make_wish(run, "order", "mutant-o", run_time_s=3.0, deadline_s=30.0)
+    run.load.submit_later(wish, leader.vm, wait_s=0.0)
+    worker_id = wait_running(run)
+    run.kill(leader)
+    call("POST", run.cluster.addresses[worker_id], "/die", {})
+    time.sleep(3.0)
+
+
+def drain_with_a_check_in_progress(run):
+    """Drain the leader while it holds a caller's connection."""
+    leader = run.leader()
+    wish = make_wish(run, "check", "mutant-c", run_time_s=1.0)
+    run.load.submit_later(wish, leader.vm)
+    wait_running(run)
+    run.drain(leader)
+    time.sleep(1.0)
+
+
+@pytest.mark.parametrize(
+    ("entry", "act", "broken"),
+    [
+        (mutants.NO_LEASE_CHECK, resume_a_stale_leader, "P2"),
+        (mutants.NO_READ_BACK, submit_in_two_domains, "P2"),
+        (mutants.NO_STARTED_RECORD, lose_leader_and_worker, "P5"),
+        (mutants.EXIT_AT_ONCE, drain_with_a_check_in_progress, "P7"),
+    ],
+    ids=["lease check", "read-back", "started record", "drain"],
+)
+def test_checks_fail_without_the_mechanism(tmp_path, entry, act, broken):
+    """Guards against checks that pass for lack of a provocation.
+
+    Without the lease check (and with workers that do not fence) a stale leader
+    runs a batch that its successor is running (P2); without the read-back of
+    claims two shards run one batch (P2); without the started record a new leader
+    runs an order again whose worker was lost (P5); a drain that exits at once
+    cuts off a check (P7).
+    """
+    assert judge(tmp_path, DAEMON_ENTRY, act) == set()
+    assert broken in judge(tmp_path, entry, act)
