Keep results whose request is not known yet

Change: such results are kept and not acknowledged until the log as of their hearing has been read; a claim that is read takes them.

--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -72,6 +72,7 @@
     n_read_failures: int = 0
     n_gaps: int = 0
     read_ok_at: float = float("-inf")
+    folded_at: float = float("-inf")  # all that stood in the log then is folded
     reachable: bool = False
     _pending: deque[PendingRecord] = field(default_factory=deque)
     _in_flight: list[PendingRecord] = field(default_factory=list)
@@ -138,6 +139,7 @@
         """Read the stream for ever and hand each record on."""
         while True:
             try:
+                sent_at = time.monotonic()
                 wait_s = READ_WAIT_S if self.caught_up else 0.0
                 page = await self.log.read(self.stream, self.next_offset, wait_s=wait_s)
             except CuminhillError as exc:
@@ -156,6 +158,7 @@
                 await self.on_record(offset, value)
             if self.next_offset >= page.end:
                 self.caught_up = True
+                self.folded_at = sent_at
 
     async def _append_batch(self) -> bool:
         while self._pending and len(self._in_flight) < MAX_BATCH_RECORDS:
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -68,7 +68,7 @@
     from .coordination.claims import Record, RequestIndex
     from .follower import Follower, PendingRecord
     from .platform.vmlist import VmEntry
-    from .platform.worker import LeaseReply, Worker
+    from .platform.worker import LeaseReply, TaskResult, Worker
     from .settings import Settings
 
 logger = structlog.get_logger(__name__)
@@ -77,6 +77,7 @@
 MAX_CACHED_ANSWERS = 20_000
 CHECK_WAIT_S = 5.0
 RECORD_WAIT_S = 0.5  # an answer is given unrecorded after this, if the log is down
+MAX_UNCLAIMED_RESULTS = 10_000  # per worker; the oldest are then given up
 HOLD_WAIT_S = 30.0  # how long a request without deadline waits for the log
 
 
@@ -113,6 +114,10 @@
     # A grant counts only under a newer epoch than this: start calls may still be
     # on their way under the older ones.
     fenced_epoch: int = -1
+    # Results whose request is not known here, by seq, with the time of hearing.
+    unclaimed: OrderedDict[int, tuple[TaskResult, float]] = field(
+        default_factory=OrderedDict
+    )
     told: set[int] = field(default_factory=set)  # results that start replies told
     n_starting: int = 0  # start calls on their way
     epoch: int = 0  # of the last grant to this VM; 0 if another has the lease
@@ -197,6 +202,7 @@
         for loop in self._loops.values():
             loop.seq = 0
             loop.told.clear()
+            loop.unclaimed.clear()
             if loop.lease is not None and loop.n_starting:
                 loop.fenced_epoch = loop.lease.epoch
                 loop.lease = None
@@ -482,6 +488,7 @@
         await self.apply(
             RequestAccepted(Request.from_dict(bound.request), inherited=foreign)
         )
+        await self._take_unclaimed(record.request_id)
 
     @_follow.register
     async def _(self, record: Started, bound: Entry) -> None:
@@ -673,7 +680,7 @@
                 loop.seq,
                 # A start reply may tell a result ahead of the list; results
                 # that the list has not told yet must not be forgotten.
-                min(known.ack_seq, loop.seq) if known else 0,
+                self._ack(loop, known.ack_seq) if known else 0,
                 timeout_s=terms.renew_s,
             )
         except LeaseHeldError as exc:
@@ -697,6 +704,7 @@
         if not same_life:
             loop.incarnation, loop.seq = reply.incarnation, 0
             loop.told.clear()
+            loop.unclaimed.clear()
             return 0.0
         if reply.epoch <= loop.fenced_epoch:
             loop.lease = None
@@ -710,10 +718,39 @@
         news = [item for item in reply.finished if item.seq not in loop.told]
         loop.told = {seq for seq in loop.told if seq > reply.seq}
         reply = replace(reply, finished=tuple(news))
+        self._keep_unclaimed(loop, reply)
         await self.apply(WorkerReported(loop.entry.vm, reply, sent_at))
         await self._stop_leftovers(loop, reply)
         return terms.renew_s
 
+    def _ack(self, loop: _WorkerLoop, ack_seq: int) -> int:
+        """Return the result up to which a worker may forget.
+
+        A result may belong to a request whose claim has not been read yet; it is
+        kept until the log as of its hearing has been read.
+        """
+        for seq, (_, heard_at) in list(loop.unclaimed.items()):
+            if heard_at < self.follower.folded_at:
+                del loop.unclaimed[seq]
+        first = min(loop.unclaimed, default=ack_seq + 1)
+        return min(ack_seq, loop.seq, first - 1)
+
+    def _keep_unclaimed(self, loop: _WorkerLoop, reply: LeaseReply) -> None:
+        for result in reply.finished:
+            if result.request_id in self.placer.requests:
+                continue
+            if self.index.get(result.request_id) is None:
+                loop.unclaimed[result.seq] = (result, time.monotonic())
+        while len(loop.unclaimed) > MAX_UNCLAIMED_RESULTS:
+            loop.unclaimed.popitem(last=False)
+
+    async def _take_unclaimed(self, request_id: str) -> None:
+        for loop in self._loops.values():
+            for seq, (result, _) in list(loop.unclaimed.items()):
+                if result.request_id == request_id:
+                    del loop.unclaimed[seq]
+                    await self.apply(TaskEnded(loop.entry.vm, result))
+
     async def _stop_leftovers(self, loop: _WorkerLoop, reply: LeaseReply) -> None:
         """Stop listed tasks that are to be over: an earlier stop call was lost."""
         for report in reply.tasks:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -8,7 +8,7 @@
 import pytest
 
 from checks.scenario import scenario
-from standins.processes import process_cluster
+from standins.processes import process_cluster, wait_until
 
 SEED = 7
 
@@ -35,10 +35,12 @@
         )
 
 
-def states_of(run, kind):
-    return {
-        call.state for call in run.history.calls if call.kind == kind and call.state
-    }
+def n_runs(cluster, request_id):
+    return sum(
+        event.get("request_id") == request_id and event["event"] == "start"
+        for state in cluster.worker_states().values()
+        for event in state["history"]
+    )
 
 
 def test_without_faults_every_answer_is_sure(cluster):
@@ -147,6 +149,24 @@
     assert run.history.leaving
 
 
+def test_order_that_ended_before_its_successor_knew_it_runs_once(cluster):
+    """Guards against a result that is forgotten before its claim is read (P5)."""
+    with scenario(cluster, "lag", SEED, n_callers=0) as run:
+        leader = run.leader()
+        for daemon in cluster.daemons.values():
+            if daemon is not leader:
+                name = f"reads of {daemon.vm}"
+                run.gate(name, "log", method="GET", peer=daemon.host, when="after")
+        wish = run.load.make_wish("order", "lag-order", random.Random(SEED))
+        wish.body |= {"deadline_s": 8.0, "run_time_s": 0.3}
+        run.load.submit_later(wish, leader.vm, wait_s=0.0)
+        wait_until(lambda: n_runs(cluster, "lag-order"), 5.0)
+        run.kill(leader)
+        time.sleep(3.0)  # the successor hears the workers and acknowledges
+        assert run.finish() == []
+        assert n_runs(cluster, "lag-order") == 1
+
+
 def test_repeat_with_short_deadline_during_a_pause_is_not_denied(cluster):
     """Guards against "not run" for an order that the successor has run (P4)."""
     rng = random.Random(SEED)
