--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -88,7 +89,10 @@
             await self._until_healed(pair)
             await target.shutdown(socket.SHUT_WR)
         except OSError:
-            await target.close()
+            # Ends the other direction as well. Closing would free the descriptor
+            # while that direction still waits on it.
+            with contextlib.suppress(OSError):
+                await target.shutdown(socket.SHUT_RDWR)
 
     async def _until_healed(self, pair: frozenset[str]) -> None:
         while pair in self.cuts:
