--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -406,6 +406,9 @@
         await curio.sleep(JOIN_WAIT_S)
         while True:
             now = time.monotonic()
+            if self.membership.stale(now):
+                await curio.sleep(LEAD_INTERVAL_S)
+                continue  # paused for a while: nothing that is believed is recent
             candidates = [
                 member.vm
                 for member in self.membership.alive(now)
