--- /dev/null
+++ b/cuminhill/journal.py
@@ -0,0 +1,128 @@
+"""Keeps the stream of request records short to replay and safe from retention."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+import structlog
+
+from .coordination.claims import record_from_dict, record_to_dict
+from .coordination.recovery import restart_point
+from .coordination.upkeep import (
+    SCAN_RECORDS,
+    bookmark,
+    bookmark_due,
+    due_refreshes,
+    refresh_record,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .clock import Clock
+    from .coordination.claims import Record, RequestIndex
+    from .follower import Follower
+    from .platform.log import LogPage
+
+logger = structlog.get_logger(__name__)
+
+UPKEEP_INTERVAL_S = 1.0
+MAX_REFRESHES = 2000  # in one round
+REPEAT_REFRESH_S = 10.0  # between rounds; time to read the last one back
+
+
+@dataclass(eq=False)
+class Journal:
+    """Upkeep of the stream of request records.
+
+    Parameters
+    ----------
+    follower : Follower
+        The stream.
+    index : RequestIndex
+        What is folded from it.
+    clock : Clock
+        Wall clock.
+    retention_s : float, seconds
+        Age at which the log drops records.
+    led_shards : callable
+        Returns the shards whose live requests this process refreshes.
+    writes_bookmarks : callable
+        Returns whether this process is the one that appends bookmarks.
+    """
+
+    follower: Follower
+    index: RequestIndex
+    clock: Clock
+    retention_s: float
+    led_shards: Callable[[], list[str]]
+    writes_bookmarks: Callable[[], bool]
+    n_refreshes: int = 0
+    n_bookmarks: int = 0
+    _refreshed_at: float = float("-inf")
+
+    async def find_start(self) -> None:
+        """Begin at the newest bookmark instead of the log's first record.
+
+        Raises
+        ------
+        CuminhillError
+            If the log cannot be read.
+        """
+        log, stream = self.follower.log, self.follower.stream
+        probe = await log.read(stream, 0, limit=1)
+        begin = max(probe.start, probe.end - SCAN_RECORDS)
+        records: list[tuple[int, Record]] = []
+        while begin < probe.end:
+            page = await log.read(stream, begin)
+            records += _known_records(page)
+            begin = page.records[-1][0] + 1 if page.records else probe.end
+        offset, log_time = restart_point(records, probe.start)
+        if offset > 0:
+            self.index.start_at(offset, log_time)
+            self.follower.next_offset = offset
+        logger.info("replay begins", offset=offset, end=probe.end)
+
+    async def run(self) -> None:
+        """Refresh live requests and append bookmarks for ever."""
+        while True:
+            await curio.sleep(UPKEEP_INTERVAL_S)
+            if self.follower.reachable and self.follower.caught_up:
+                await self._refresh()
+                await self._mark()
+
+    async def _refresh(self) -> None:
+        now = time.monotonic()
+        if now - self._refreshed_at < REPEAT_REFRESH_S:
+            return
+        wall = self.clock.wall()
+        due = due_refreshes(
+            self.index, wall, self.retention_s, MAX_REFRESHES, self.led_shards()
+        )
+        for entry in due:
+            record = refresh_record(self.index, entry, wall)
+            await self.follower.append(record_to_dict(record))
+            self.n_refreshes += 1
+        if due:
+            self._refreshed_at = now
+
+    async def _mark(self) -> None:
+        if self.follower.n_pending or not bookmark_due(self.index):
+            return
+        record = bookmark(self.index) if self.writes_bookmarks() else None
+        if record is not None:
+            self.n_bookmarks += 1
+            await self.follower.append(record_to_dict(record))
+
+
+def _known_records(page: LogPage) -> list[tuple[int, Record]]:
+    found = []
+    for offset, value in page.records:
+        try:
+            found.append((offset, record_from_dict(value)))
+        except (KeyError, TypeError):
+            continue  # the index counts it when it folds it
+    return found
