Follow, publish and apply the configuration; begin at bookmarks

Change: GET and POST /v1/config and its history; a VM without configuration is not ready and refuses requests; weights and quotas reach the placers; a newer revision or the index is taken from a peer while the log is unreachable; a starting daemon reads from the newest bookmark; live requests are written again before retention drops them. The lease mutant also disables the term's judgement of the same leases.

--- a/checks/mutants.py
+++ b/checks/mutants.py
@@ -10,7 +10,9 @@
 NO_LEASE_CHECK = (
     """
 from cuminhill.coordination.lease import HeldLease
+from cuminhill.coordination.term import Term
 HeldLease.valid = lambda self, now: True
+Term.broken = lambda self, now: False  # judges the same leases by time
 """
     + _MAIN
 )
--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -13,12 +13,16 @@
 import structlog
 
 from .clock import SystemClock
+from .configuration import STREAM as CONFIG_STREAM
+from .configuration import Configuration
 from .coordination.claims import Lead, RequestIndex, record_from_dict
 from .coordination.membership import Member, MemberState, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
+from .coordination.recovery import from_snapshot, to_snapshot
 from .entry import Entry
 from .errors import CuminhillError, ProtocolError
 from .follower import Follower
+from .journal import Journal
 from .model import Answer
 from .peers import Peers
 from .platform.log import make_log
@@ -30,12 +34,19 @@
 from .util.http import HttpServer, byte_counts
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .platform.vmlist import VmEntry
     from .settings import Settings
+    from .siteconfig import SiteConfig
 
 logger = structlog.get_logger(__name__)
 
 REQUESTS_STREAM = "requests"
+CONFIG_INTERVAL_S = 0.5
+START_RETRY_S = 0.2
+SNAPSHOT_TIMEOUT_S = 1.0
+MAX_SNAPSHOT_BYTES = 3 << 20  # below the bound on a frame
 LIST_INTERVAL_S = 1.0
 LEAD_INTERVAL_S = 0.1
 LOOKUP_STEP_S = 0.25
@@ -63,13 +74,23 @@
         self.n_bad_records = 0
         self.vm_list: list[VmEntry] = []
         self.index = RequestIndex(settings.dedupe_window_s)
+        log = make_log(settings.log_address, settings.source_host)
+        self.config = Configuration(log, self.clock, self._on_config)
         self.follower = Follower(
-            make_log(settings.log_address, settings.source_host),
+            log,
             REQUESTS_STREAM,
             self._on_record,
             self._on_gap,
             self._on_caught_up,
         )
+        self.journal = Journal(
+            self.follower,
+            self.index,
+            self.clock,
+            settings.log_retention_s,
+            self._led_shards,
+            self._is_first,
+        )
         self.membership = make_membership(
             Member(
                 settings.vm,
@@ -113,6 +134,7 @@
                 "lookup": self._on_lookup,
                 "cancel": self._on_cancel,
                 "explain": self._on_explain,
+                "snapshot": self._on_snapshot,
             }
         )
         self._tasks: list[Any] = []
@@ -127,7 +149,11 @@
         await self.http.start(http_host, int(http_port))
         for run in (
             self.follower.run_appends,
-            self.follower.run_reads,
+            self._run_reads,
+            self.config.follower.run_appends,
+            self.config.follower.run_reads,
+            self._run_config_upkeep,
+            self.journal.run,
             self.peers.run,
             self._run_vm_list,
             self._run_leadership,
@@ -169,6 +195,8 @@
         """Return why the balancer is to send nothing; empty when ready."""
         if self.draining:
             return "draining"
+        if self.config.site is None:
+            return "no configuration yet"
         if not self.router.leaders():
             return "no leader is known"
         return ""
@@ -294,7 +322,10 @@
                 "n_gaps": self.follower.n_gaps,
                 "n_replayed": self.follower.n_replayed,
                 "n_bad_records": self.n_bad_records,
+                "n_refreshes": self.journal.n_refreshes,
+                "n_bookmarks": self.journal.n_bookmarks,
             },
+            "config": self.config.dump(),
             "index": {
                 "n_entries": len(self.index.entries),
                 "n_lost_claims": self.index.n_lost_claims,
@@ -316,6 +347,7 @@
             "leaving": self.draining,
             "shards": tuple(leading),
             "free_cores": free,
+            "config_revision": self.config.revision,
             "log_offset": self.follower.next_offset,
         }
 
@@ -345,8 +377,90 @@
                 return idl.Reply("answer", orjson.dumps(found))
         return idl.Reply("unknown", b"")
 
+    async def _on_snapshot(self, call: Any) -> Any:
+        if call.stream == CONFIG_STREAM:
+            value = self.config.snapshot()
+        elif call.stream == REQUESTS_STREAM and self.follower.caught_up:
+            value = to_snapshot(self.index)
+        else:
+            value = None
+        data = b"" if value is None else orjson.dumps(value)
+        if not data or len(data) > MAX_SNAPSHOT_BYTES:
+            return idl.Reply("none", b"")
+        return idl.Reply("snapshot", data)
+
     # Background tasks
 
+    async def _run_reads(self) -> None:
+        """Find where to begin, in the log or at a peer, and read on from there."""
+        while not self.follower.caught_up and not self.follower.next_offset:
+            try:
+                await self.journal.find_start()
+                break
+            except CuminhillError:
+                if await self._adopt_index():
+                    break
+                await curio.sleep(START_RETRY_S)
+        await self.follower.run_reads()
+
+    async def _adopt_index(self) -> bool:
+        """Take the index of requests from a peer while the log is unreachable."""
+        value = await self._ask_snapshot(REQUESTS_STREAM, lambda member: True)
+        if value is None:
+            return False
+        self.index.adopt(from_snapshot(value))
+        self.follower.next_offset = self.index.next_offset
+        logger.info("index taken from a peer", offset=self.index.next_offset)
+        await self.follower.begin_caught_up()
+        return True
+
+    async def _ask_snapshot(
+        self, stream: str, wanted: Callable[[Member], bool]
+    ) -> dict[str, Any] | None:
+        """Return the first snapshot that a wanted peer gives."""
+        for member in self.membership.alive(time.monotonic())[1:]:
+            if not wanted(member):
+                continue
+            try:
+                reply = await self.peers.client(member.address).call(
+                    "snapshot", idl.SnapshotCall(stream), timeout_s=SNAPSHOT_TIMEOUT_S
+                )
+            except CuminhillError:
+                continue
+            if reply.status == "snapshot":
+                return dict(orjson.loads(reply.value))
+        return None
+
+    async def _on_config(self, site: SiteConfig) -> None:
+        for driver in self.drivers.values():
+            await driver.set_site(site)
+
+    async def _run_config_upkeep(self) -> None:
+        while True:
+            await curio.sleep(CONFIG_INTERVAL_S)
+            if self._is_first() and self.config.follower.reachable:
+                await self.config.keep(self.settings.log_retention_s)
+            await self._catch_up_config()
+
+    async def _catch_up_config(self) -> None:
+        """Take a newer revision from a peer if the log has not brought it."""
+        value = await self._ask_snapshot(
+            CONFIG_STREAM, lambda member: member.config_revision > self.config.revision
+        )
+        if value is not None:
+            try:
+                await self.config.adopt(value)
+            except (KeyError, TypeError):
+                self.n_bad_records += 1
+
+    def _is_first(self) -> bool:
+        """Whether this VM is the one that keeps the streams usable for all."""
+        alive = [item.vm for item in self.membership.alive(time.monotonic())]
+        return leader_of(CONFIG_STREAM, alive) == self.settings.vm
+
+    def _led_shards(self) -> list[str]:
+        return [name for name, driver in self.drivers.items() if driver.leading]
+
     async def _on_record(self, offset: int, value: dict[str, Any]) -> None:
         try:
             record = record_from_dict(value)
--- a/cuminhill/coordination/claims.py
+++ b/cuminhill/coordination/claims.py
@@ -8,7 +8,7 @@
 
 import heapq
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from functools import singledispatchmethod
 
 from .entries import Entry
@@ -143,6 +143,12 @@
             self._check_exact()
         return found
 
+    def adopt(self, other: RequestIndex) -> None:
+        """Become equal to another index, keeping the own counters."""
+        for item in fields(self):
+            if not item.name.startswith("n_"):
+                setattr(self, item.name, getattr(other, item.name))
+
     def get(self, request_id: str) -> Entry | None:
         """Return the entry of a request."""
         return self.entries.get(request_id)
--- a/cuminhill/entry.py
+++ b/cuminhill/entry.py
@@ -4,13 +4,20 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from .errors import CuminhillError, ProtocolError, ValidationError
+from .configuration import outcome_to_dict
+from .errors import (
+    CuminhillError,
+    ProtocolError,
+    SettingsError,
+    UnknownOutcomeError,
+    ValidationError,
+)
 from .metrics import CONTENT_TYPE, Metrics, make_metrics
 from .model import Answer, AnswerState, Reason, not_run
-from .schema import parse_request
+from .schema import parse_publication, parse_request
 from .util.http import HttpResponse
 
 if TYPE_CHECKING:
@@ -89,6 +96,11 @@
             case "DELETE", ["v1", "requests", request_id]:
                 await self.app.cancel(request_id)
                 return HttpResponse(202, {"request_id": request_id})
+            case _:
+                return await self._route_operator(req)
+
+    async def _route_operator(self, req: HttpRequest) -> HttpResponse:
+        match req.method, req.path.strip("/").split("/"):
             case "GET", ["v1", "workers"]:
                 return HttpResponse(200, {"workers": self.app.list_workers()})
             case "POST", ["v1", "drain"]:
@@ -101,6 +113,12 @@
                 return HttpResponse(
                     200, raw=self.metrics.render(), content_type=CONTENT_TYPE
                 )
+            case "GET", ["v1", "config"]:
+                return self._config()
+            case "POST", ["v1", "config"]:
+                return await self._publish(req)
+            case "GET", ["v1", "config", "history"]:
+                return HttpResponse(200, {"history": self._history()})
             case "GET", ["healthz"]:
                 return HttpResponse(200, {"alive": True})
             case "GET", ["readyz"]:
@@ -117,6 +135,10 @@
             answer = not_run(
                 request.request_id, Reason.DRAINING, "this entry VM is draining"
             )
+        elif self.app.config.site is None:
+            answer = not_run(
+                request.request_id, Reason.CONFIGURATION, "no configuration yet"
+            )
         else:
             answer = await self.app.router.submit(request, _wait_s(req))
         self.answers[f"{request.kind}:{answer.reason or answer.state}"] += 1
@@ -124,6 +146,38 @@
         self.metrics.observe("answer_seconds", took_s, kind=request.kind)
         return answer_response(answer)
 
+    def _config(self) -> HttpResponse:
+        config = self.app.config
+        if config.site is None:
+            return HttpResponse(404, {"error": "no configuration yet", "step": "read"})
+        revision = config.state.in_force
+        return HttpResponse(
+            200,
+            {
+                "revision": revision.revision,
+                "author": revision.author,
+                "at": revision.at,
+                "digest": config.site.digest(),
+                "config": config.site.to_dict(),
+            },
+        )
+
+    def _history(self) -> list[dict[str, Any]]:
+        return [asdict(item) for item in self.app.config.state.history]
+
+    async def _publish(self, req: HttpRequest) -> HttpResponse:
+        body = parse_publication(req.json(), req.peer)
+        try:
+            outcome = await self.app.config.publish(
+                body.publication_id, body.author, body.base_revision, body.config
+            )
+        except SettingsError as exc:
+            return error_response(400, exc)
+        except UnknownOutcomeError as exc:
+            return error_response(504, exc)  # may be accepted; 503 says it is not
+        value = outcome_to_dict(outcome)
+        return HttpResponse(200 if value["accepted"] else 409, value)
+
     async def _lookup(self, request_id: str, wait_s: float) -> HttpResponse:
         answer = await self.app.lookup(request_id, wait_s)
         return (
--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -134,6 +134,11 @@
             await curio.sleep(CATCH_UP_STEP_S)
         return True
 
+    async def begin_caught_up(self) -> None:
+        """Go on from a state that was taken from elsewhere."""
+        self.caught_up = True
+        await self.on_caught_up()
+
     async def run_appends(self) -> None:
         """Append batches for ever, one at a time."""
         delay_s = RETRY_MIN_S
--- a/cuminhill/schema.py
+++ b/cuminhill/schema.py
@@ -141,3 +141,29 @@
 
 def _error(message: str, peer: str) -> ValidationError:
     return ValidationError(message, step="validate", peer=peer)
+
+
+class PublicationModel(BaseModel):
+    """Body of ``POST /v1/config``."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    publication_id: Name
+    author: Name
+    base_revision: Annotated[int, Field(ge=0)]
+    config: dict[str, Any]
+
+
+def parse_publication(value: Any, peer: str) -> PublicationModel:
+    """Return the publication described by a decoded body.
+
+    Raises
+    ------
+    ValidationError
+        If a field is missing, unknown or out of range; the message names it, its
+        value and what was expected.
+    """
+    model, problems = validate_model(PublicationModel, value)
+    if model is None:
+        raise _error("; ".join(describe_problems(problems, [("body", value)])), peer)
+    return model
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import ipaddress
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from functools import cache
 from typing import TYPE_CHECKING, Annotated, Any, Literal, get_args
 
@@ -155,6 +155,14 @@
         "How long a finished request is remembered and how old an order may be. At "
         "most half of the log's retention.",
     ),
+    Setting(
+        "log_retention_s",
+        SECONDS,
+        3600.0,
+        "s",
+        "How long the platform's log keeps records. Live requests and the "
+        "configuration are written again well before.",
+    ),
     Setting("log_format", LOG_FORMAT, "json", "", "Form of the log lines."),
     Setting("log_level", LOG_LEVEL, "info", "", "Least severe lines that are written."),
     Setting(
@@ -276,6 +284,7 @@
     n_shards: int = _DEFAULTS["n_shards"]
     clock_error_s: float = _DEFAULTS["clock_error_s"]
     dedupe_window_s: float = _DEFAULTS["dedupe_window_s"]
+    log_retention_s: float = _DEFAULTS["log_retention_s"]
     log_format: LogFormat = _DEFAULTS["log_format"]
     log_level: LogLevel = _DEFAULTS["log_level"]
     http_max_connections: int = _DEFAULTS["http_max_connections"]
@@ -342,11 +351,11 @@
     if model is not None:
         fields = model.model_dump(exclude_unset=True)
         fields["peers"] = tuple(fields.get("peers", ()))
-        fields["lease"] = LeaseTerms(**fields.get("lease", {}))
+        lease = asdict(_LEASE) | fields.pop("lease", {})
         settings = Settings(**fields)
-        problems = _contradictions(settings)
+        problems = lease_problems(lease) + _contradictions(settings)
         if not problems:
-            return settings
+            return replace(settings, lease=LeaseTerms(**lease))
     lines = describe_problems(problems, [(source, values)])
     raise SettingsError("\n".join(lines), step="settings", peer=source)
 
@@ -386,7 +395,15 @@
 
 
 def _contradictions(settings: Settings) -> list[Problem]:
-    problems = lease_problems(asdict(settings.lease))
+    problems = []
+    if settings.dedupe_window_s > settings.log_retention_s / 2:
+        problems.append(
+            Problem(
+                ("dedupe_window_s",),
+                settings.dedupe_window_s,
+                f"at most half of log_retention_s ({settings.log_retention_s:g} s)",
+            )
+        )
     if settings.rpc_advertise.startswith(f"{ANY_HOST}:"):
         problems.append(
             Problem(
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -12,6 +12,7 @@
 import structlog
 
 from .clock import SystemClock
+from .configuration import placement_weights, team_quotas
 from .coordination.admission import make_admission
 from .coordination.claims import (
     Cancel,
@@ -46,6 +47,7 @@
     Event,
     FenceWorker,
     Finish,
+    QuotasChanged,
     RecordStart,
     RequestAccepted,
     RequestEnded,
@@ -56,6 +58,7 @@
     StartTask,
     TaskEnded,
     Tick,
+    WeightsChanged,
 )
 from .scheduling.placer import make_placer
 
@@ -69,6 +72,7 @@
     from .platform.worker import Worker
     from .scheduling.placer import Placer
     from .settings import Settings
+    from .siteconfig import SiteConfig
 
 logger = structlog.get_logger(__name__)
 
@@ -145,6 +149,7 @@
     _waiters: dict[str, _Waiter] = field(default_factory=dict)
     _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     _tick_task: Any = None
+    _site: SiteConfig | None = None
     _n_terms: int = 0
     _lead_sent: bool = False
     _hold_off_until: float = 0.0
@@ -201,6 +206,7 @@
         self.admission = make_admission()
         self._lead_sent = False
         logger.info("leading shard", shard=self.shard, term=self._n_terms)
+        await self._apply_site()
         await self.resume()
         self._tick_task = await curio.spawn(self._run_ticks, daemon=True)
 
@@ -238,6 +244,17 @@
         if self.leading:
             await self.leases.set_roster(entries)
 
+    async def set_site(self, site: SiteConfig) -> None:
+        """Apply a site configuration that came into force."""
+        self._site = site
+        await self._apply_site()
+
+    async def _apply_site(self) -> None:
+        if self._site is not None:
+            domain = self.settings.failure_domain
+            await self.apply(WeightsChanged(placement_weights(self._site)))
+            await self.apply(QuotasChanged(team_quotas(self._site, domain)))
+
     async def take_lead(self, offset: int, record: Lead) -> None:
         """Take note of a lead record of this shard."""
         if not self.leading:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -4,11 +4,14 @@
 
 import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import curio
 
+from cuminhill.coordination.configstream import Publication, config_record_to_dict
 from cuminhill.model import Resources
+from cuminhill.siteconfig import load_config
 from cuminhill.util.http import HttpServer
 
 from .faults import Faults, with_faults
@@ -21,6 +24,19 @@
     from .faults import Handler
 
 HOST = "127.0.0.1"
+SITE_FILE = Path(__file__).parent.parent / "config" / "formosa.toml"
+
+
+def first_publication(at: float) -> dict[str, Any]:
+    """Return the record that puts the configuration of Formosa in force.
+
+    Parameters
+    ----------
+    at : float, seconds since the epoch
+        Time of the record.
+    """
+    site = load_config(SITE_FILE).to_dict()
+    return config_record_to_dict(Publication("first", "stand-in", 0, site, at))
 
 
 @dataclass(eq=False)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from .cluster import first_publication
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from pathlib import Path
@@ -323,6 +325,12 @@
     assert standins.stdout is not None
     addresses = json.loads(standins.stdout.readline())
     cluster = ProcessCluster(directory, standins, addresses, relays, entry)
+    call(
+        "POST",
+        addresses["log"],
+        "/streams/config",
+        {"records": [first_publication(time.time())]},
+    )
     try:
         for domain, count in daemons.items():
             for index in range(count):
--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -17,7 +17,7 @@
 from cuminhill.logs import set_up_logging
 from cuminhill.settings import Settings
 
-from .cluster import HOST, Cluster, make_cluster
+from .cluster import HOST, Cluster, first_publication, make_cluster
 from .processes import free_port
 
 SUBMISSIONS = [
@@ -74,6 +74,8 @@
     )
     app = make_application(settings)
     cluster.add_entry_vm(settings.vm, settings.rpc_address, settings.failure_domain)
+    # An operator's first publication; without a configuration no VM is ready.
+    cluster.log.append("config", [first_publication(time.time())], time.monotonic())
     await app.start()
     while app.not_ready_reason():
         await curio.sleep(0.05)
