Split the shard driver: submissions and waiting callers apart

Cause: shard.py had grown to 698 lines with two jobs, requests and placing. Change: submissions.py takes requests and keeps answers, waiters.py holds waiting callers, the two errors stand in errors.py. Unrecorded answers are dropped when their record is read, also by a VM that no longer leads (they leaked before). Result: whole path, routing, metrics and command-line tests pass; shard.py has 493 lines.

--- a/checks/mutants.py
+++ b/checks/mutants.py
@@ -19,20 +19,21 @@
 
 NO_READ_BACK = (
     """
-from cuminhill import shard
+from cuminhill import submissions
 from cuminhill.coordination.claims import Claim, Entry
 from cuminhill.scheduling.events import RequestAccepted
 
 async def claim_without_read_back(self, request):
-    wall = self.clock.wall()
-    record = Claim(request.request_id, self.shard, request.to_dict(), wall)
-    self.index._put(
-        Entry(request.request_id, self.shard, request.to_dict(), wall, 0, 0)
+    driver = self._driver
+    wall = driver.clock.wall()
+    record = Claim(request.request_id, driver.shard, request.to_dict(), wall)
+    driver.index._put(
+        Entry(request.request_id, driver.shard, request.to_dict(), wall, 0, 0)
     )
-    await self._append(record)
-    await self.apply(RequestAccepted(request))
+    await driver.append(record)
+    await driver.apply(RequestAccepted(request))
 
-shard.ShardDriver._claim = claim_without_read_back
+submissions.Submissions._claim = claim_without_read_back
 """
     + _MAIN
 )
--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -215,7 +215,7 @@
 
     async def _lookup_once(self, request_id: str) -> Answer | None:
         for driver in self.drivers.values():
-            answer = driver.known_answer(request_id)
+            answer = driver.submissions.known_answer(request_id)
             if answer is not None:
                 return answer
         for member in self.router.leaders().values():
@@ -235,10 +235,10 @@
         """Ask whoever has a request to cancel it."""
         entry = self.index.get(request_id)
         if entry is not None:
-            await next(iter(self.drivers.values())).cancel(request_id)
+            await next(iter(self.drivers.values())).submissions.cancel(request_id)
             return
         for driver in self.drivers.values():
-            await driver.cancel(request_id)
+            await driver.submissions.cancel(request_id)
         for member in self.router.leaders().values():
             if member is not self.membership.me:
                 await self.peers.client(member.address).call(
@@ -360,14 +360,14 @@
 
     async def _on_lookup(self, call: Any) -> Any:
         for driver in self.drivers.values():
-            answer = driver.known_answer(call.request_id)
+            answer = driver.submissions.known_answer(call.request_id)
             if answer is not None:
                 return idl.Reply("answer", orjson.dumps(answer.to_dict()))
         return idl.Reply("unknown", b"")
 
     async def _on_cancel(self, call: Any) -> Any:
         for driver in self.drivers.values():
-            await driver.cancel(call.request_id)
+            await driver.submissions.cancel(call.request_id)
         return idl.Reply("ok", b"")
 
     async def _on_explain(self, call: Any) -> Any:
--- a/cuminhill/errors.py
+++ b/cuminhill/errors.py
@@ -66,3 +66,21 @@
         super().__init__(f"lease is held by {holder}", step="lease", peer=peer)
         self.holder = holder
         self.remaining_s = remaining_s
+
+
+class NotLeaderError(CuminhillError):
+    """The shard is led by another VM."""
+
+
+class BoundElsewhereError(CuminhillError):
+    """The request id belongs to another shard.
+
+    Parameters
+    ----------
+    shard : str
+        Shard that won the claim.
+    """
+
+    def __init__(self, shard: str) -> None:
+        super().__init__(f"bound to {shard}", step="claim")
+        self.shard = shard
--- a/cuminhill/routing.py
+++ b/cuminhill/routing.py
@@ -13,10 +13,9 @@
 from .attempts import TRY_ELSEWHERE, Attempts, Gate, HeldBackError, call_outcome
 from .clock import SystemClock
 from .coordination.retry import CallOutcome, Deadline, make_backoff, may_retry
-from .errors import CuminhillError
+from .errors import BoundElsewhereError, CuminhillError, NotLeaderError
 from .model import LOGGED_KINDS, Answer, AnswerState, Reason, Request, not_run
 from .rpc import idl
-from .shard import BoundElsewhereError, NotLeaderError
 from .util.hashing import rank
 
 if TYPE_CHECKING:
@@ -78,7 +77,7 @@
             return idl.Reply("not_leader", b"")
         request = Request.from_dict(orjson.loads(call.request))
         try:
-            answer = await driver.submit(request, call.wait_s)
+            answer = await driver.submissions.submit(request, call.wait_s)
         except NotLeaderError:
             return idl.Reply("not_leader", b"")
         except BoundElsewhereError as exc:
@@ -251,7 +250,7 @@
         passage = self.gate.enter(destination, attempts, live, time.monotonic())
         try:
             if leader is self.membership.me:
-                answer = await self.drivers[shard].submit(request, wait_s)
+                answer = await self.drivers[shard].submissions.submit(request, wait_s)
             else:
                 answer = await self._call(leader, shard, request, wait_s, timeout_s)
         except (NotLeaderError, BoundElsewhereError):
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections import OrderedDict
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any
@@ -34,10 +33,8 @@
     LOGGED_KINDS,
     Answer,
     AnswerState,
-    Reason,
     Request,
     RequestKind,
-    not_run,
 )
 from .platform.worker import make_worker
 from .scheduling.events import (
@@ -61,6 +58,7 @@
     WeightsChanged,
 )
 from .scheduling.placer import make_placer
+from .submissions import CHECK_WAIT_S, Submissions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -77,10 +75,6 @@
 logger = structlog.get_logger(__name__)
 
 TICK_S = 0.1
-MAX_CACHED_ANSWERS = 20_000
-CHECK_WAIT_S = 5.0
-RECORD_WAIT_S = 0.5  # an answer is given unrecorded after this, if the log is down
-HOLD_WAIT_S = 30.0  # how long a request without deadline waits for the log
 ORPHAN_WAIT_S = 5.0  # records that explain a result are folded long before this
 # Time before a deposed placer tries again; doubles, so that two placers that cannot
 # see each other do not depose one another all the time.
@@ -88,32 +82,6 @@
 HOLD_OFF_MAX_S = 30.0
 
 
-class NotLeaderError(CuminhillError):
-    """The shard is led by another VM."""
-
-
-class BoundElsewhereError(CuminhillError):
-    """The request id belongs to another shard.
-
-    Parameters
-    ----------
-    shard : str
-        Shard that won the claim.
-    """
-
-    def __init__(self, shard: str) -> None:
-        super().__init__(f"bound to {shard}", step="claim")
-        self.shard = shard
-
-
-@dataclass(eq=False, slots=True)
-class _Waiter:
-    """Callers that wait for news of one request."""
-
-    event: Any = field(default_factory=curio.Event)
-    n_users: int = 0
-
-
 @dataclass(eq=False)
 class ShardDriver:
     """Everything that the leader of a shard does.
@@ -144,10 +112,7 @@
     n_lapsed: int = 0
     n_deposed: int = 0
     n_broken: int = 0
-    answers: OrderedDict[str, Answer] = field(default_factory=OrderedDict)
     admission: Admission = field(default_factory=make_admission)
-    _waiters: dict[str, _Waiter] = field(default_factory=dict)
-    _unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
     _tick_task: Any = None
     _site: SiteConfig | None = None
     _n_terms: int = 0
@@ -160,6 +125,7 @@
         self.term = make_term(self.holder, 0)
         self.placer = self._make_placer()
         self.leases = self._make_leases()
+        self.submissions = Submissions(self)
 
     def _make_placer(self) -> Placer:
         return make_placer(self.shard, clock_error_s=self.settings.clock_error_s)
@@ -236,8 +202,7 @@
         if self._tick_task is not None:
             await self._tick_task.cancel()
         await self.leases.close()
-        for waiter in list(self._waiters.values()):
-            await waiter.event.set()
+        await self.submissions.waiters.wake_all()
 
     async def set_roster(self, entries: list[VmEntry]) -> None:
         """Set the workers of the shard, as the VM list names them."""
@@ -282,52 +247,7 @@
             self._continuing = True
             await curio.spawn(self._continue_placing, daemon=True)
 
-    # Requests
-
-    async def submit(self, request: Request, wait_s: float) -> Answer:
-        """Take a request and return its answer, or accepted after ``wait_s``.
-
-        Raises
-        ------
-        NotLeaderError
-            If this VM does not lead the shard; the request was not taken here.
-        BoundElsewhereError
-            If the id belongs to another shard.
-        """
-        if request.kind in LOGGED_KINDS:
-            return await self._submit_logged(request, wait_s)
-        return await self._submit_check(request)
-
-    async def wait(self, request_id: str, wait_s: float) -> Answer | None:
-        """Return the answer to a logged request, None if it is unknown here."""
-        give_up_at = time.monotonic() + wait_s
-        while True:
-            answer = self.known_answer(request_id)
-            if answer is None or answer.final:
-                return answer
-            left_s = give_up_at - time.monotonic()
-            if left_s <= 0:
-                return answer
-            await self._wait_for_news(request_id, min(left_s, RECORD_WAIT_S))
-
-    def known_answer(self, request_id: str) -> Answer | None:
-        """Return what can be said of a request now."""
-        entry = self.index.get(request_id)
-        if entry is None:
-            return self.answers.get(request_id)
-        if entry.answer is not None:
-            return Answer.from_dict(entry.answer)
-        unrecorded = self._unrecorded.get(request_id)
-        if unrecorded and time.monotonic() - unrecorded[0] >= RECORD_WAIT_S:
-            return unrecorded[1]
-        return Answer(request_id, AnswerState.ACCEPTED)
-
-    async def cancel(self, request_id: str) -> None:
-        """Ask that a request be cancelled."""
-        if self.index.get(request_id) is not None:
-            await self._append(Cancel(request_id))
-        else:
-            await self.apply(CancelRequested(request_id))
+    # Records
 
     async def on_folded(self, record: Record) -> None:
         """Take note of a record that the index has folded."""
@@ -340,9 +260,9 @@
             and bound.shard == self.shard
         ):
             await self._follow(record, bound)
-        waiter = self._waiters.get(request_id)
-        if waiter is not None:
-            await waiter.event.set()
+        if isinstance(record, Done):
+            self.submissions.unrecorded.pop(request_id, None)
+        await self.submissions.waiters.wake([request_id])
 
     def dump(self) -> dict[str, Any]:
         """Return the state in JSON-ready form."""
@@ -350,9 +270,9 @@
         return {
             "leading": self.leading,
             "placer": self.placer.dump(),
-            "n_cached_answers": len(self.answers),
-            "n_waiters": len(self._waiters),
-            "n_unrecorded": len(self._unrecorded),
+            "n_cached_answers": len(self.submissions.answers),
+            "n_waiters": len(self.submissions.waiters),
+            "n_unrecorded": len(self.submissions.unrecorded),
             "n_stale_starts": self.n_stale_starts,
             "n_unknown_starts": self.n_unknown_starts,
             "n_lapsed": self.n_lapsed,
@@ -367,127 +287,8 @@
             "leases": self.leases.dump(),
         }
 
-    async def _submit_check(self, request: Request) -> Answer:
-        request_id = request.request_id
-        cached = self.answers.get(request_id)
-        if cached is not None:
-            return cached
-        if not self.leading:
-            raise NotLeaderError("not leading", step="submit", peer=self.shard)
-        if request_id not in self.placer.requests:
-            refused = self.placer.refusal(request, self.clock.wall())
-            refused = refused or self._overload(request)
-            if refused is not None:
-                return refused
-            await self.apply(RequestAccepted(request))
-        give_up_at = time.monotonic() + CHECK_WAIT_S
-        while time.monotonic() < give_up_at:
-            cached = self.answers.get(request_id)
-            if cached is not None:
-                return cached
-            state = self.placer.requests.get(request_id)
-            if state is None or (not self.leading and state.untouched):
-                raise NotLeaderError("stepped down", step="submit", peer=self.shard)
-            await self._wait_for_news(request_id, give_up_at - time.monotonic())
-        return Answer(request_id, AnswerState.UNKNOWN, detail="no result in time")
-
-    def _overload(self, request: Request) -> Answer | None:
-        """Return the refusal of a check that would start too late."""
-        now = time.monotonic()
-        left_s = request.deadline - self.clock.wall()
-        refusal = self.admission.offer(request.request_id, left_s, now)
-        if refusal is None:
-            return None
-        wait_s = self.admission.expected_wait(now)
-        return not_run(
-            request.request_id,
-            Reason.OVERLOAD,
-            f"{refusal}: {self.admission.n_waiting} checks wait, about {wait_s:.2f} s",
-        )
-
-    async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
-        request_id = request.request_id
-        entry = self.index.get(request_id)
-        if entry is None:
-            if not self.leading:
-                raise NotLeaderError("not leading", step="submit", peer=self.shard)
-            refused = self._refusal(request)
-            if refused is not None:
-                return refused
-            answer = await self._claim(request)
-            if answer is not None:
-                return answer
-            entry = self.index.get(request_id)
-        if entry is None:
-            raise NotLeaderError("claim was lost", step="claim", peer=self.shard)
-        if entry.shard != self.shard:
-            raise BoundElsewhereError(entry.shard)
-        if entry.live and not self.leading:
-            raise NotLeaderError("not leading", step="submit", peer=self.shard)
-        answer = await self.wait(request_id, wait_s)
-        return answer or Answer(request_id, AnswerState.ACCEPTED)
-
-    def _refusal(self, request: Request) -> Answer | None:
-        wall = self.clock.wall()
-        window_s = self.settings.dedupe_window_s
-        if request.kind is RequestKind.ORDER and request.issued_at < wall - window_s:
-            return not_run(
-                request.request_id,
-                Reason.EXPIRED,
-                f"issued more than {window_s:g} s ago",
-            )
-        return self.placer.refusal(request, wall)
-
-    async def _claim(self, request: Request) -> Answer | None:
-        """Bind the id to this shard; return an answer only if that failed."""
-        request_id = request.request_id
-        claim = Claim(request_id, self.shard, request.to_dict(), self.clock.wall())
-        try:
-            pending = await self._append(claim)
-        except UnavailableError as exc:
-            return not_run(request_id, Reason.OVERLOAD, exc.message)
-        error_s = self.settings.clock_error_s
-        losses = self.leases.n_losses if self.leases.all_held else None
-        until = min(request.deadline + error_s, self.clock.wall() + HOLD_WAIT_S)
-        while self.clock.wall() <= until:
-            if self.index.get(request_id) is not None:
-                return None
-            await self._wait_for_news(request_id, max(0.01, until - self.clock.wall()))
-        if self.index.get(request_id) is not None:
-            return None
-        if self.follower.withdraw(pending):
-            return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
-        if self.clock.wall() > request.deadline + error_s:
-            # The claim may stand in the log, but nobody starts the request after
-            # this. A leader that has held every worker since, or that has read
-            # the log to its end, knows that nobody has started it before.
-            if self.leases.all_held and losses == self.leases.n_losses:
-                return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
-            if await self.follower.catch_up():
-                if self.index.get(request_id) is not None:
-                    return None
-                return not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
-        return Answer(
-            request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
-        )
-
-    async def _wait_for_news(self, request_id: str, timeout_s: float) -> None:
-        waiter = self._waiters.setdefault(request_id, _Waiter())
-        waiter.n_users += 1
-        waiter.event.clear()
-        try:
-            async with curio.timeout_after(max(0.0, timeout_s)):
-                await waiter.event.wait()
-        except curio.TaskTimeout:
-            pass
-        finally:
-            waiter.n_users -= 1
-            if not waiter.n_users:
-                self._waiters.pop(request_id, None)
-
-    # Records
-
-    async def _append(self, record: Record) -> PendingRecord:
+    async def append(self, record: Record) -> PendingRecord:
+        """Queue a record for the log; see `Follower.append`."""
         return await self.follower.append(record_to_dict(record))
 
     def _done_record(self, request_id: str, answer: Answer) -> Done:
@@ -548,7 +349,6 @@
 
     @_follow.register
     async def _(self, record: Done, bound: Entry) -> None:
-        self._unrecorded.pop(record.request_id, None)
         await self.apply(RequestEnded(record.request_id))
 
     # Actions
@@ -559,7 +359,7 @@
 
     @_do.register
     async def _(self, action: RecordStart) -> None:
-        await self._append(
+        await self.append(
             Started(
                 action.request.request_id,
                 action.task_id,
@@ -592,17 +392,16 @@
         if request.kind in LOGGED_KINDS:
             if answer.state is AnswerState.NOT_RUN and not self.leases.any_held:
                 return  # another placer may have run it; its next placer decides
-            self._unrecorded[request.request_id] = (time.monotonic(), answer)
-            await self._append(self._done_record(request.request_id, answer))
+            self.submissions.unrecorded[request.request_id] = (
+                time.monotonic(),
+                answer,
+            )
+            await self.append(self._done_record(request.request_id, answer))
             return
         self.admission.withdrawn(request.request_id, time.monotonic())
-        self.answers[request.request_id] = answer
-        if len(self.answers) > MAX_CACHED_ANSWERS:
-            self.answers.popitem(last=False)
+        self.submissions.keep(request.request_id, answer)
         await self.apply(RequestEnded(request.request_id))
-        waiter = self._waiters.get(request.request_id)
-        if waiter is not None:
-            await waiter.event.set()
+        await self.submissions.waiters.wake([request.request_id])
 
     async def _start(self, action: StartTask) -> None:
         lease = self.leases.usable(action.worker_id, action.epoch)
@@ -671,10 +470,7 @@
             await curio.sleep(TICK_S)
             await self.apply(Tick())
             await self._keep_term()
-            for waiter in [
-                self._waiters[key] for key in self._unrecorded if key in self._waiters
-            ]:
-                await waiter.event.set()
+            await self.submissions.waiters.wake(list(self.submissions.unrecorded))
 
     async def _keep_term(self) -> None:
         """Announce the term, note when all workers were heard, and tidy up."""
@@ -682,7 +478,7 @@
             return
         if not self._lead_sent and self.leases.any_held:
             self._lead_sent = True
-            await self._append(Lead(self.shard, self.term.name))
+            await self.append(Lead(self.shard, self.term.name))
         heard = self.leases.roster()
         if heard is not None and not self.term.exclusive:
             self.term.exclusive = True
--- /dev/null
+++ b/cuminhill/submissions.py
@@ -0,0 +1,212 @@
+"""Takes requests at the leader of a shard and answers their callers."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .coordination.claims import Cancel, Claim
+from .errors import BoundElsewhereError, NotLeaderError, UnavailableError
+from .model import (
+    LOGGED_KINDS,
+    Answer,
+    AnswerState,
+    Reason,
+    Request,
+    RequestKind,
+    not_run,
+)
+from .scheduling.events import CancelRequested, RequestAccepted
+from .waiters import Waiters
+
+if TYPE_CHECKING:
+    from .shard import ShardDriver
+
+MAX_CACHED_ANSWERS = 20_000
+CHECK_WAIT_S = 5.0
+RECORD_WAIT_S = 0.5  # an answer is given unrecorded after this, if the log is down
+HOLD_WAIT_S = 30.0  # how long a request without deadline waits for the log
+
+
+@dataclass(eq=False)
+class Submissions:
+    """Requests and answers of one shard.
+
+    Attributes
+    ----------
+    answers : OrderedDict of str to Answer
+        Answers to checks, for repeats.
+    unrecorded : dict of str to (float, Answer)
+        Final answers of logged requests that were not read back yet, with the
+        monotonic time at which they were known.
+    """
+
+    _driver: ShardDriver
+    answers: OrderedDict[str, Answer] = field(default_factory=OrderedDict)
+    unrecorded: dict[str, tuple[float, Answer]] = field(default_factory=dict)
+    waiters: Waiters = field(default_factory=Waiters)
+
+    async def submit(self, request: Request, wait_s: float) -> Answer:
+        """Take a request and return its answer, or accepted after ``wait_s``.
+
+        Raises
+        ------
+        NotLeaderError
+            If this VM does not lead the shard; the request was not taken here.
+        BoundElsewhereError
+            If the id belongs to another shard.
+        """
+        if request.kind in LOGGED_KINDS:
+            return await self._submit_logged(request, wait_s)
+        return await self._submit_check(request)
+
+    async def wait(self, request_id: str, wait_s: float) -> Answer | None:
+        """Return the answer to a logged request, None if it is unknown here."""
+        give_up_at = time.monotonic() + wait_s
+        while True:
+            answer = self.known_answer(request_id)
+            if answer is None or answer.final:
+                return answer
+            left_s = give_up_at - time.monotonic()
+            if left_s <= 0:
+                return answer
+            await self.waiters.wait(request_id, min(left_s, RECORD_WAIT_S))
+
+    def known_answer(self, request_id: str) -> Answer | None:
+        """Return what can be said of a request now."""
+        entry = self._driver.index.get(request_id)
+        if entry is None:
+            return self.answers.get(request_id)
+        if entry.answer is not None:
+            return Answer.from_dict(entry.answer)
+        unrecorded = self.unrecorded.get(request_id)
+        if unrecorded and time.monotonic() - unrecorded[0] >= RECORD_WAIT_S:
+            return unrecorded[1]
+        return Answer(request_id, AnswerState.ACCEPTED)
+
+    async def cancel(self, request_id: str) -> None:
+        """Ask that a request be cancelled."""
+        if self._driver.index.get(request_id) is not None:
+            await self._driver.append(Cancel(request_id))
+        else:
+            await self._driver.apply(CancelRequested(request_id))
+
+    async def _submit_check(self, request: Request) -> Answer:
+        request_id = request.request_id
+        cached = self.answers.get(request_id)
+        if cached is not None:
+            return cached
+        if not self._driver.leading:
+            raise NotLeaderError("not leading", step="submit", peer=self._driver.shard)
+        if request_id not in self._driver.placer.requests:
+            refused = self._driver.placer.refusal(request, self._driver.clock.wall())
+            refused = refused or self._overload(request)
+            if refused is not None:
+                return refused
+            await self._driver.apply(RequestAccepted(request))
+        give_up_at = time.monotonic() + CHECK_WAIT_S
+        while time.monotonic() < give_up_at:
+            cached = self.answers.get(request_id)
+            if cached is not None:
+                return cached
+            state = self._driver.placer.requests.get(request_id)
+            if state is None or (not self._driver.leading and state.untouched):
+                raise NotLeaderError(
+                    "stepped down", step="submit", peer=self._driver.shard
+                )
+            await self.waiters.wait(request_id, give_up_at - time.monotonic())
+        return Answer(request_id, AnswerState.UNKNOWN, detail="no result in time")
+
+    def _overload(self, request: Request) -> Answer | None:
+        """Return the refusal of a check that would start too late."""
+        now = time.monotonic()
+        left_s = request.deadline - self._driver.clock.wall()
+        refusal = self._driver.admission.offer(request.request_id, left_s, now)
+        if refusal is None:
+            return None
+        wait_s = self._driver.admission.expected_wait(now)
+        n_waiting = self._driver.admission.n_waiting
+        detail = f"{refusal}: {n_waiting} checks wait, about {wait_s:.2f} s"
+        return not_run(request.request_id, Reason.OVERLOAD, detail)
+
+    async def _submit_logged(self, request: Request, wait_s: float) -> Answer:
+        request_id = request.request_id
+        entry = self._driver.index.get(request_id)
+        if entry is None:
+            if not self._driver.leading:
+                raise NotLeaderError(
+                    "not leading", step="submit", peer=self._driver.shard
+                )
+            refused = self._refusal(request)
+            if refused is not None:
+                return refused
+            answer = await self._claim(request)
+            if answer is not None:
+                return answer
+            entry = self._driver.index.get(request_id)
+        if entry is None:
+            raise NotLeaderError(
+                "claim was lost", step="claim", peer=self._driver.shard
+            )
+        if entry.shard != self._driver.shard:
+            raise BoundElsewhereError(entry.shard)
+        if entry.live and not self._driver.leading:
+            raise NotLeaderError("not leading", step="submit", peer=self._driver.shard)
+        answer = await self.wait(request_id, wait_s)
+        return answer or Answer(request_id, AnswerState.ACCEPTED)
+
+    def _refusal(self, request: Request) -> Answer | None:
+        wall = self._driver.clock.wall()
+        window_s = self._driver.settings.dedupe_window_s
+        if request.kind is RequestKind.ORDER and request.issued_at < wall - window_s:
+            return not_run(
+                request.request_id,
+                Reason.EXPIRED,
+                f"issued more than {window_s:g} s ago",
+            )
+        return self._driver.placer.refusal(request, wall)
+
+    async def _claim(self, request: Request) -> Answer | None:
+        """Bind the id to this shard; return an answer only if that failed."""
+        request_id = request.request_id
+        claim = Claim(
+            request_id, self._driver.shard, request.to_dict(), self._driver.clock.wall()
+        )
+        try:
+            pending = await self._driver.append(claim)
+        except UnavailableError as exc:
+            return not_run(request_id, Reason.OVERLOAD, exc.message)
+        error_s = self._driver.settings.clock_error_s
+        losses = self._driver.leases.n_losses if self._driver.leases.all_held else None
+        until = min(request.deadline + error_s, self._driver.clock.wall() + HOLD_WAIT_S)
+        while self._driver.clock.wall() <= until:
+            if self._driver.index.get(request_id) is not None:
+                return None
+            await self.waiters.wait(
+                request_id, max(0.01, until - self._driver.clock.wall())
+            )
+        if self._driver.index.get(request_id) is not None:
+            return None
+        if self._driver.follower.withdraw(pending):
+            return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+        if self._driver.clock.wall() > request.deadline + error_s:
+            # The claim may stand in the log, but nobody starts the request after
+            # this. A leader that has held every worker since, or that has read
+            # the log to its end, knows that nobody has started it before.
+            if self._driver.leases.all_held and losses == self._driver.leases.n_losses:
+                return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
+            if await self._driver.follower.catch_up():
+                if self._driver.index.get(request_id) is not None:
+                    return None
+                return not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
+        return Answer(
+            request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
+        )
+
+    def keep(self, request_id: str, answer: Answer) -> None:
+        """Keep the answer to a check for repeats."""
+        self.answers[request_id] = answer
+        if len(self.answers) > MAX_CACHED_ANSWERS:
+            self.answers.popitem(last=False)
