--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -199,7 +199,7 @@
         waiting=site.weights.waiting,
         packing=site.weights.packing,
         control_cost=site.weights.control_cost,
-        check_reserve=site.check_reserve.slots / site.workers.slots,
+        check_reserve=site.check_reserve.share,
     )
 
 
--- a/cuminhill/siteconfig.py
+++ b/cuminhill/siteconfig.py
@@ -80,9 +80,9 @@
 
 
 class CheckReserve(_Table):
-    """Slots of each worker that only checks may use."""
+    """Part of all slots that only checks may use, on the slowest workers."""
 
-    slots: Annotated[int, Field(ge=0, le=1_000_000)]
+    share: Share
 
 
 class Limits(_Table):
@@ -224,11 +224,9 @@
     weights = cfg.weights.model_dump()
     if not any(weights.values()):
         yield Problem(("weights",), weights, "at least one weight above 0")
-    if cfg.check_reserve.slots >= cfg.workers.slots:
+    if cfg.check_reserve.share >= 1:
         yield Problem(
-            ("check_reserve", "slots"),
-            cfg.check_reserve.slots,
-            f"less than workers.slots ({cfg.workers.slots})",
+            ("check_reserve", "share"), cfg.check_reserve.share, "less than 1"
         )
     if cfg.limits.max_queued_per_team > cfg.limits.max_queued_requests:
         yield Problem(
--- a/tests/test_siteconfig.py
+++ b/tests/test_siteconfig.py
@@ -34,9 +34,9 @@
         "at least one weight above 0",
     ),
     "reserve takes every slot": (
-        "[check_reserve]\nslots = 8",
-        "check_reserve.slots = 8",
-        "less than workers.slots (8)",
+        "[check_reserve]\nshare = 1.0",
+        "check_reserve.share = 1.0",
+        "less than 1",
     ),
     "unknown failure domain": (
         "[teams.default.shares]\nTaipei = 0.0",
