--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -80,6 +80,7 @@
 # see each other do not depose one another all the time.
 HOLD_OFF_S = 1.0
 HOLD_OFF_MAX_S = 30.0
+HOLD_OFF_RESET_S = 60.0  # a term that lasted longer did not end in such a contest
 
 
 @dataclass(eq=False)
@@ -116,6 +117,8 @@
     _tick_task: Any = None
     _site: SiteConfig | None = None
     _n_terms: int = 0
+    _n_short_terms: int = 0
+    _led_at: float = 0.0
     _lead_sent: bool = False
     _hold_off_until: float = 0.0
     _continuing: bool = False
@@ -171,6 +174,7 @@
         self.leases = self._make_leases()
         self.admission = make_admission()
         self._lead_sent = False
+        self._led_at = time.monotonic()
         logger.info("leading shard", shard=self.shard, term=self._n_terms)
         await self._apply_site()
         await self.resume()
@@ -226,12 +230,20 @@
             return
         self.term.take_lead(offset, record.by)
         if self.term.deposed:
-            self.n_deposed += 1
-            delay_s = min(HOLD_OFF_MAX_S, HOLD_OFF_S * 2.0 ** min(self.n_deposed, 5))
-            self._hold_off_until = time.monotonic() + delay_s
+            self._hold_off()
             logger.info("another placer leads", shard=self.shard, by=record.by)
             await self.step_down()
 
+    def _hold_off(self) -> None:
+        """Leave the shard to the other placer for longer each time in a row."""
+        now = time.monotonic()
+        if now - self._led_at > HOLD_OFF_RESET_S:
+            self._n_short_terms = 0
+        self.n_deposed += 1
+        self._n_short_terms += 1
+        delay_s = HOLD_OFF_S * 2.0 ** min(self._n_short_terms - 1, 10)
+        self._hold_off_until = now + min(HOLD_OFF_MAX_S, delay_s)
+
     async def apply(self, event: Event) -> None:
         """Hand an event to the placer and carry out its actions."""
         if self.leading and self.term.broken(time.monotonic()):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -15,6 +15,7 @@
 
 from cuminhill.coordination.lease import Held, LeaseArbiter
 from cuminhill.model import NO_RESOURCES, Resources
+from cuminhill.platform.worker import resources_to_dict
 from cuminhill.util.http import HttpRequest, HttpResponse
 
 MAX_FINISHED = 10000
@@ -189,7 +190,7 @@
             "seq": self.seq,
             "leaving": self.leaving,
             "dropped": self.dropped,
-            "capacity": _resources(self.capacity),
+            "capacity": resources_to_dict(self.capacity),
             "rack": self.rack,
             "failure_domain": self.failure_domain,
             "speed": self.speed,
@@ -197,7 +198,7 @@
                 {
                     "task_id": task.task_id,
                     "request_id": task.request_id,
-                    "need": _resources(task.need),
+                    "need": resources_to_dict(task.need),
                     "run_s": now - task.started_at,
                 }
                 for task in self.running.values()
@@ -320,7 +321,7 @@
                 "run": task.run,
                 "task_id": task.task_id,
                 "request_id": task.request_id,
-                "need": _resources(task.need),
+                "need": resources_to_dict(task.need),
                 "at": task.started_at,
                 "epoch": task.epoch,
                 "leaving": self.leaving,
@@ -336,7 +337,7 @@
     def _state(self) -> dict[str, Any]:
         return {
             "worker_id": self.worker_id,
-            "capacity": _resources(self.capacity),
+            "capacity": resources_to_dict(self.capacity),
             "epoch": self.arbiter.epoch,
             "holder": self.arbiter.holder,
             "running": sorted(item.task_id for item in self.running.values()),
@@ -344,13 +345,3 @@
             "violations": self.violations,
             "history": self.history,
         }
-
-
-def _resources(value: Resources) -> dict[str, float]:
-    return {
-        "cores": value.cores,
-        "memory_mb": value.memory_mb,
-        "accelerators": value.accelerators,
-        "slots": value.slots,
-        "connections": value.connections,
-    }
