--- a/checks/matrix.py
+++ b/checks/matrix.py
@@ -73,6 +73,8 @@
         violations = run.finish()
         cell.notes = [f"{v.promise} {v.subject}: {v.detail}" for v in violations]
         cell.outcome = "FAIL" if violations else "ok"
+        if not violations and not run.reached:
+            cell.outcome, cell.notes = "not run", ["the step was not reached"]
         if violations:
             _keep(cluster, cell, run.history.write)
     cell.seconds = time.monotonic() - started_at
--- a/checks/mutants.py
+++ b/checks/mutants.py
@@ -19,6 +19,8 @@
 
 NO_READ_BACK = (
     """
+from expression import Ok
+
 from cuminhill import submissions
 from cuminhill.coordination.claims import Claim, Entry
 from cuminhill.scheduling.events import RequestAccepted
@@ -32,6 +34,7 @@
     )
     await driver.append(record)
     await driver.apply(RequestAccepted(request))
+    return Ok(driver.index.get(request.request_id))
 
 submissions.Submissions._claim = claim_without_read_back
 """
--- a/checks/scenario.py
+++ b/checks/scenario.py
@@ -52,6 +52,7 @@
     paused: list[DaemonProcess] = field(default_factory=list)
     dead_workers: set[str] = field(default_factory=set)
     operators: Operators | None = None
+    reached: bool = True  # whether the step's gate held something
 
     def start_operators(self) -> None:
         """Let operators publish and read configurations until the end."""
--- a/checks/steps.py
+++ b/checks/steps.py
@@ -28,7 +28,7 @@
 def _hold_record(record_type: str, when: str = "before") -> Step:
     def hold(run: Scenario) -> None:
         run.gate("step", "log", method="POST", record_type=record_type, when=when)
-        run.wait_held("step", ["log"], HOLD_BOUND_S)
+        run.reached = run.wait_held("step", ["log"], HOLD_BOUND_S)
 
     return hold
 
@@ -37,7 +37,7 @@
     def hold(run: Scenario) -> None:
         for worker_id in run.workers():
             run.gate("step", worker_id, path=path, method="POST", text=text, when=when)
-        run.wait_held("step", run.workers(), HOLD_BOUND_S)
+        run.reached = run.wait_held("step", run.workers(), HOLD_BOUND_S)
 
     return hold
 
@@ -77,7 +77,7 @@
 def _drain(run: Scenario) -> None:
     """Keep the leader's drain in progress by holding its last records."""
     run.gate("step", "log", method="POST", record_type="done")
-    run.wait_held("step", ["log"], HOLD_BOUND_S)
+    run.reached = run.wait_held("step", ["log"], HOLD_BOUND_S)
     run.drain(run.leader())
 
 
@@ -91,7 +91,7 @@
     """Hold publications of racing operators on their way to the log."""
     run.start_operators()
     run.gate("step", "log", method="POST", record_type="publish")
-    run.wait_held("step", ["log"], HOLD_BOUND_S)
+    run.reached = run.wait_held("step", ["log"], HOLD_BOUND_S)
 
 
 def _apply(run: Scenario) -> None:
--- a/cuminhill/submissions.py
+++ b/cuminhill/submissions.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from expression import Error, Ok, Result
+
 from .coordination.claims import Cancel, Claim
 from .errors import BoundElsewhereError, NotLeaderError, UnavailableError
 from .model import (
@@ -22,6 +24,7 @@
 from .waiters import Waiters
 
 if TYPE_CHECKING:
+    from .coordination.claims import Entry
     from .shard import ShardDriver
 
 MAX_CACHED_ANSWERS = 20_000
@@ -142,14 +145,10 @@
             refused = self._refusal(request)
             if refused is not None:
                 return refused
-            answer = await self._claim(request)
-            if answer is not None:
-                return answer
-            entry = self._driver.index.get(request_id)
-        if entry is None:
-            raise NotLeaderError(
-                "claim was lost", step="claim", peer=self._driver.shard
-            )
+            claimed = await self._claim(request)
+            if claimed.is_error():
+                return claimed.error
+            entry = claimed.ok
         if entry.shard != self._driver.shard:
             raise BoundElsewhereError(entry.shard)
         if entry.live and not self._driver.leading:
@@ -168,45 +167,65 @@
             )
         return self._driver.placer.refusal(request, wall)
 
-    async def _claim(self, request: Request) -> Answer | None:
-        """Bind the id to this shard; return an answer only if that failed."""
+    async def _claim(self, request: Request) -> Result[Entry, Answer]:
+        """Bind the id to a shard: the entry that counts, or why there is none."""
+        driver = self._driver
         request_id = request.request_id
-        claim = Claim(
-            request_id, self._driver.shard, request.to_dict(), self._driver.clock.wall()
-        )
+        wall = driver.clock.wall()
+        losses = driver.leases.n_losses if driver.leases.all_held else None
         try:
-            pending = await self._driver.append(claim)
-        except UnavailableError as exc:
-            return not_run(request_id, Reason.OVERLOAD, exc.message)
-        error_s = self._driver.settings.clock_error_s
-        losses = self._driver.leases.n_losses if self._driver.leases.all_held else None
-        until = min(request.deadline + error_s, self._driver.clock.wall() + HOLD_WAIT_S)
-        while self._driver.clock.wall() <= until:
-            if self._driver.index.get(request_id) is not None:
-                return None
-            await self.waiters.wait(
-                request_id, max(0.01, until - self._driver.clock.wall())
+            pending = await driver.append(
+                Claim(request_id, driver.shard, request.to_dict(), wall)
             )
-        if self._driver.index.get(request_id) is not None:
-            return None
-        if self._driver.follower.withdraw(pending):
-            return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
-        if self._driver.clock.wall() > request.deadline + error_s:
-            # The claim may stand in the log, but nobody starts the request after
-            # this. A leader that has held every worker since, or that has read
-            # the log to its end, knows that nobody has started it before.
-            if self._driver.leases.all_held and losses == self._driver.leases.n_losses:
-                return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
-            if await self._driver.follower.catch_up():
-                if self._driver.index.get(request_id) is not None:
-                    return None
-                return not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
-        return Answer(
-            request_id, AnswerState.UNKNOWN, detail="the claim's outcome is unknown"
-        )
+        except UnavailableError as exc:
+            return Error(not_run(request_id, Reason.OVERLOAD, exc.message))
+        late = request.deadline + driver.settings.clock_error_s
+        entry = await self._wait_for_entry(request_id, min(late, wall + HOLD_WAIT_S))
+        if entry is not None:
+            return Ok(entry)
+        if driver.follower.withdraw(pending):
+            return Error(_log_unreachable(request_id))
+        return await self._judge_claim(request_id, late, losses)
+
+    async def _wait_for_entry(self, request_id: str, until: float) -> Entry | None:
+        """Return the entry of an id once it was folded, None if it is not in time."""
+        driver = self._driver
+        while (left_s := until - driver.clock.wall()) >= 0:
+            entry = driver.index.get(request_id)
+            if entry is not None:
+                return entry
+            await self.waiters.wait(request_id, max(0.01, left_s))
+        return driver.index.get(request_id)
+
+    async def _judge_claim(
+        self, request_id: str, late: float, losses: int | None
+    ) -> Result[Entry, Answer]:
+        """Answer for a claim that may have reached the log but was not read back.
+
+        Nobody starts the request after its deadline. A leader that has held every
+        worker since the claim, or that has read the log to its end, knows that
+        nobody has started it before.
+        """
+        driver = self._driver
+        if driver.clock.wall() > late:
+            if driver.leases.all_held and losses == driver.leases.n_losses:
+                return Error(_log_unreachable(request_id))
+            if await driver.follower.catch_up():
+                entry = driver.index.get(request_id)
+                if entry is not None:
+                    return Ok(entry)
+                return Error(
+                    not_run(request_id, Reason.UNAVAILABLE, "the claim was lost")
+                )
+        detail = "the claim's outcome is unknown"
+        return Error(Answer(request_id, AnswerState.UNKNOWN, detail=detail))
 
     def keep(self, request_id: str, answer: Answer) -> None:
         """Keep the answer to a check for repeats."""
         self.answers[request_id] = answer
         if len(self.answers) > MAX_CACHED_ANSWERS:
             self.answers.popitem(last=False)
+
+
+def _log_unreachable(request_id: str) -> Answer:
+    return not_run(request_id, Reason.UNAVAILABLE, "the log is unreachable")
