Let a void final answer end nothing

Ruled out: a lost record (claim, started and done all stood in the log) and the hold-off of leaders. Change: the placer is told of an end only if the index counts it; the same for a void cancellation, and for answers that wait for their record.

--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -272,7 +272,7 @@
             and bound.shard == self.shard
         ):
             await self._follow(record, bound)
-        if isinstance(record, Done):
+        if isinstance(record, Done) and not self._is_live(request_id):
             self.submissions.unrecorded.pop(request_id, None)
         await self.submissions.waiters.wake([request_id])
 
@@ -356,11 +356,13 @@
 
     @_follow.register
     async def _(self, record: Cancel, bound: Entry) -> None:
-        if bound.live:
+        if bound.live and bound.cancelled:
             await self.apply(CancelRequested(record.request_id))
 
     @_follow.register
     async def _(self, record: Done, bound: Entry) -> None:
+        if bound.live:
+            return  # void: another placer had started it, or it is of another claim
         await self.apply(RequestEnded(record.request_id))
 
     # Actions
--- /dev/null
+++ b/tests/test_shard.py
@@ -0,0 +1,51 @@
+"""The driver of a shard, without sockets."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from cuminhill.coordination.claims import Claim, Done, RequestIndex, Started
+from cuminhill.follower import Follower
+from cuminhill.model import Answer, AnswerState, Request, RequestKind, Resources
+from cuminhill.scheduling.events import RequestAccepted
+from cuminhill.settings import make_settings
+from cuminhill.shard import ShardDriver
+
+ADDRESSES = ("http_address", "rpc_address", "log_address", "vm_list_address")
+
+
+async def ignore(*args):
+    return None
+
+
+@pytest.fixture
+def driver():
+    """Leader of a shard that holds no worker and whose log answers nothing."""
+    values = {name: "127.0.0.1:1" for name in ADDRESSES}
+    settings = make_settings({"vm": "e0", "failure_domain": "Tainan", **values})
+    follower = Follower(None, "requests", ignore, ignore, ignore)
+    follower.caught_up = True
+    found = ShardDriver("Tainan/0", "e0@1", settings, follower, RequestIndex())
+    found.leading = True
+    return found
+
+
+def fold(driver, offset, record):
+    driver.index.apply(offset, record)
+    curio.run(driver.on_folded, record)
+
+
+def test_void_final_answer_does_not_end_a_request(driver):
+    """Guards against an order that is lost to a stale placer's "not run"."""
+    request = Request("id-1", RequestKind.ORDER, "team", Resources(cores=1.0))
+    fold(driver, 0, Claim("id-1", "Tainan/0", request.to_dict(), at=1.0))
+    curio.run(driver.apply, RequestAccepted(request))
+    assert "id-1" in driver.placer.requests
+    fold(driver, 1, Started("id-1", "id-1/0", "w0", 5, "life", "e1@1#1"))
+    answer = Answer("id-1", AnswerState.NOT_RUN).to_dict()
+    fold(driver, 2, Done("id-1", answer, 2.0, "Tainan/0", 0, seen=-1))
+    assert driver.index.get("id-1").live
+    assert "id-1" in driver.placer.requests
+    fold(driver, 3, Done("id-1", answer, 3.0, "Tainan/0", 0, seen=1))
+    assert "id-1" not in driver.placer.requests
