--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -4,7 +4,6 @@
 
 import random
 import time
-from dataclasses import asdict
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +18,7 @@
 from .coordination.membership import Member, MemberState, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
 from .coordination.recovery import from_snapshot, to_snapshot
+from .dumps import dump_state
 from .entry import Entry
 from .errors import CuminhillError, ProtocolError
 from .follower import Follower
@@ -31,7 +31,7 @@
 from .routing import make_router
 from .rpc import RpcServer, idl
 from .shard import ShardDriver
-from .util.http import HttpServer, byte_counts
+from .util.http import HttpServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -293,52 +293,7 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the whole state of the process in JSON-ready form."""
-        now = time.monotonic()
-        return {
-            "vm": self.settings.vm,
-            "failure_domain": self.settings.failure_domain,
-            "incarnation": str(self.incarnation),
-            "uptime_s": round(now - self.started_at, 3),
-            "draining": self.draining,
-            "not_ready_reason": self.not_ready_reason(),
-            "members": [
-                {
-                    "vm": member.vm,
-                    "state": self.membership.state(member.vm, now),
-                    "incarnation": str(member.incarnation),
-                    "shards": list(member.shards),
-                    "free_cores": member.free_cores,
-                    "log_offset": member.log_offset,
-                }
-                for member in self.membership.members()
-            ],
-            "log": {
-                "reachable": self.follower.reachable,
-                "next_offset": self.follower.next_offset,
-                "n_pending": self.follower.n_pending,
-                "n_appends": self.follower.n_appends,
-                "n_append_failures": self.follower.n_append_failures,
-                "n_read_failures": self.follower.n_read_failures,
-                "n_gaps": self.follower.n_gaps,
-                "n_replayed": self.follower.n_replayed,
-                "n_bad_records": self.n_bad_records,
-                "n_refreshes": self.journal.n_refreshes,
-                "n_bookmarks": self.journal.n_bookmarks,
-            },
-            "config": self.config.dump(),
-            "index": {
-                "n_entries": len(self.index.entries),
-                "n_lost_claims": self.index.n_lost_claims,
-                "n_void_starts": self.index.n_void_starts,
-            },
-            "shards": {name: item.dump() for name, item in self.drivers.items()},
-            "routing": self.router.dump(),
-            "http": asdict(self.http.counters)
-            | {"n_connections": self.http.n_connections, "n_busy": self.http.n_busy},
-            "rpc": asdict(self.rpc.counters),
-            "sent_received": {"rpc": self.peers.byte_counts(), "http": byte_counts()},
-            "answers": dict(self.entry.answers),
-        }
+        return dump_state(self)
 
     def _describe(self) -> dict[str, Any]:
         leading = [name for name, item in self.drivers.items() if item.serving]
