Give the operators of each run publication ids of their own

Cause: on one cluster later matrix cells repeated the publication ids of earlier ones and got their outcomes without an append; 6 cells of 'config publish' were not reached, and runs of the test's later parameters could have been.

--- a/checks/operators.py
+++ b/checks/operators.py
@@ -37,6 +37,9 @@
         Where publications and reads are recorded.
     seed : int
         Chooses entry VMs.
+    prefix : str
+        Begins the publication ids; must differ between runs on one cluster, since
+        a repeated id gets the outcome of its first publication.
     n_operators : int, default=2
         Operators at a time.
     """
@@ -44,6 +47,7 @@
     cluster: ProcessCluster
     history: History
     seed: int
+    prefix: str
     n_operators: int = 2
     _stopped: threading.Event = field(default_factory=threading.Event)
     _threads: list[threading.Thread] = field(default_factory=list)
@@ -85,7 +89,7 @@
         config["weights"]["waiting"] = 1.0 + STEP * (number + 10 * count + self.seed)
         digest = parse_config(config, "operator").digest()
         body = {
-            "publication_id": f"p{self.seed}-{number}-{count}",
+            "publication_id": f"{self.prefix}-{number}-{count}",
             "author": f"operator-{number}",
             "base_revision": now["revision"],
             "config": config,
--- a/checks/scenario.py
+++ b/checks/scenario.py
@@ -56,7 +56,9 @@
 
     def start_operators(self) -> None:
         """Let operators publish and read configurations until the end."""
-        self.operators = Operators(self.cluster, self.history, self.load.seed)
+        self.operators = Operators(
+            self.cluster, self.history, self.load.seed, self.load.prefix
+        )
         self.operators.start()
 
     def leader(self) -> DaemonProcess:
