Drop a dead re-export and a repeated exception from the daemon

Cause: the read-through found a name that nobody imports from application.py and an except clause that names a class beside its base. Change: both removed; behaviour as before.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -15,12 +15,12 @@
 from .configuration import STREAM as CONFIG_STREAM
 from .configuration import Configuration
 from .coordination.claims import Lead, RequestIndex, record_from_dict
-from .coordination.membership import Member, MemberState, make_membership
+from .coordination.membership import Member, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
 from .coordination.recovery import from_snapshot, to_snapshot
 from .dumps import dump_state
 from .entry import Entry
-from .errors import CuminhillError, ProtocolError
+from .errors import CuminhillError
 from .follower import Follower
 from .journal import Journal
 from .model import Answer
@@ -443,7 +443,7 @@
         while True:
             try:
                 self.vm_list = await listing.read()
-            except (CuminhillError, ProtocolError):
+            except CuminhillError:
                 await curio.sleep(LIST_INTERVAL_S)
                 continue
             self._take_entry_vms([item for item in self.vm_list if item.role == ENTRY])
@@ -499,6 +499,3 @@
 def make_application(settings: Settings) -> Application:
     """Return a daemon that has not been started."""
     return Application(settings)
-
-
-__all__ = ["Application", "MemberState", "make_application"]
