--- a/cuminhill/clock.py
+++ b/cuminhill/clock.py
@@ -36,3 +36,12 @@
     def wall(self) -> float:
         """Return seconds since the epoch."""
         return time.time() + self.wall_offset_s
+
+
+def boottime() -> float:
+    """Return seconds since boot, counting the time for which a VM was suspended.
+
+    Leases are judged by it: the monotonic clock stands still during a suspension, so
+    a lease that has lapsed would still look valid afterwards.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/cuminhill/cmd/node.py
@@ -0,0 +1,92 @@
+"""The daemon of an entry VM on the users' platform."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import curio
+import structlog
+
+from ..errors import SettingsError
+from ..logs import set_up_bounded_logging
+from ..platform.boot import (
+    PlatformSettings,
+    load_platform_settings,
+    make_front_servers,
+    make_node,
+)
+
+logger = structlog.get_logger(__name__)
+
+# Share of the time between SIGTERM and SIGKILL for which callers are still served:
+# the platform needs about 3 s to send new connections elsewhere.
+SERVE_SHARE = 0.62
+FINISH_SHARE = 0.2  # of that time, for requests still in progress after it
+
+
+async def serve(cfg: PlatformSettings) -> None:
+    """Run one node until it has drained."""
+    stop_asked, reload_asked = curio.UniversalEvent(), curio.UniversalEvent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop_asked.set())
+    signal.signal(signal.SIGHUP, lambda *_: reload_asked.set())
+    node = make_node(cfg)
+    front, ready = make_front_servers(cfg, node)
+    await node.start()
+    for server, address in ((front, cfg.front_address), (ready, cfg.ready_address)):
+        host, _, port = address.rpartition(":")
+        await server.start(host, int(port))
+    logger.info("started", front=cfg.front_address, store=cfg.store_address)
+    await curio.spawn(_note_reloads, reload_asked, daemon=True)
+    await stop_asked.wait()
+    stop_at = time.monotonic() + cfg.grace_s * SERVE_SHARE
+    logger.info("stop asked for", busy=front.n_busy, connections=front.n_connections)
+    front.announce_close()
+    await node.drain()
+    await curio.sleep(max(0.0, stop_at - time.monotonic()))
+    await front.close(cfg.grace_s * FINISH_SHARE)
+    logger.info("stopped", busy=front.n_busy)
+
+
+async def _note_reloads(reload_asked: Any) -> None:
+    """Log that the settings file has changed; no setting is read again."""
+    while True:
+        await reload_asked.wait()
+        reload_asked.clear()
+        logger.info("reload asked for", changed=[])
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    envvar="CUMINHILL_BOOT",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="TOML file with the settings of this process.",
+)
+@click.option("--check", is_flag=True, help="Validate the settings and exit.")
+def main(path: Path, check: bool) -> None:
+    """Run one entry VM's daemon on the users' platform; SIGTERM stops it gracefully.
+
+    Exit codes: 0 stopped after a drain, 2 wrong settings.
+    """
+    try:
+        cfg = load_platform_settings(path)
+    except SettingsError as exc:
+        click.echo(f"cuminhill-node: {exc.message}", err=True)
+        sys.exit(2)
+    if check:
+        click.echo(f"{path}: valid")
+        return
+    set_up_bounded_logging(cfg.vm)
+    curio.run(serve, cfg)
+
+
+if __name__ == "__main__":
+    main()
--- a/cuminhill/errors.py
+++ b/cuminhill/errors.py
@@ -84,3 +84,15 @@
     def __init__(self, shard: str) -> None:
         super().__init__(f"bound to {shard}", step="claim")
         self.shard = shard
+
+
+class FencedError(CuminhillError):
+    """A later term, epoch or token has been seen; the call took no effect."""
+
+
+class HistoryGoneError(CuminhillError):
+    """Records that were to be read are no longer kept."""
+
+
+class OtherLifeError(CuminhillError):
+    """Another life of the peer answered; the call took no effect."""
--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -37,6 +37,8 @@
     "cancel": idl.CancelCall,
     "explain": idl.ExplainCall,
     "snapshot": idl.SnapshotCall,
+    "append": idl.AppendCall,
+    "advise": idl.AdviseCall,
 }
 REPLY_TYPES = {name: idl.Reply for name in CALL_TYPES} | {"heartbeat": idl.Heartbeat}
 
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -43,6 +43,20 @@
     1: string stream
 }
 
+// An append to the journal for a VM that does not reach it; records are pairs of key
+// and value in JSON.
+struct AppendCall {
+    1: binary records
+    2: double wait_s
+}
+
+// A call for placement advice, made through the VM that is called.
+struct AdviseCall {
+    1: string step
+    2: list<string> workers
+    3: double wait_s
+}
+
 struct Reply {
     1: string status
     2: binary value
--- /dev/null
+++ b/cuminhill/jobs/book.py
@@ -0,0 +1,188 @@
+"""Folds the journal into what every entry VM knows about jobs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import orjson
+
+from .model import FINAL_JOB_STATES, JobState
+from .progress import Progress, decode_progress
+from .records import (
+    CANCEL,
+    JOB,
+    LEAD,
+    MEMBER,
+    NO_LEAD,
+    RUN,
+    JournalRecord,
+    Lead,
+    decode_job,
+    decode_lead,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """Newest records of one job.
+
+    Parameters
+    ----------
+    job, run : bytes
+        JSON forms of the job and of its progress; empty if not read yet.
+    state : JobState
+        State shown to callers.
+    queue : str
+        Name of the queue; empty until the job's own record has been read.
+    cancelled : bool
+        Whether a caller has cancelled it before it ended.
+    ended_at : float, seconds
+        When this VM saw it end; 0 while it has not.
+    """
+
+    job: bytes = b""
+    run: bytes = b""
+    state: JobState = JobState.PENDING
+    queue: str = ""
+    cancelled: bool = False
+    accepted_at: float = 0.0
+    ended_at: float = 0.0
+
+
+@dataclass(eq=False)
+class JobBook:
+    """All jobs that the journal knows.
+
+    Folding the same records in the same order gives the same book on each VM.
+    """
+
+    entries: dict[str, JobEntry] = field(default_factory=dict)
+    lead: Lead = NO_LEAD
+    members: dict[str, str] = field(default_factory=dict)
+    changed: set[str] = field(default_factory=set)
+    n_placer_records: int = 0
+    n_bad_records: int = 0
+
+    def fold(self, record: JournalRecord, now: float) -> None:
+        """Take one record in.
+
+        Parameters
+        ----------
+        record : JournalRecord
+            Next record of the journal.
+        now : float, seconds
+            Used to expire ended jobs.
+        """
+        try:
+            self._fold(record, now)
+        except (ValueError, KeyError, TypeError):
+            # Another writer's record; the state dump and a metric count it.
+            self.n_bad_records += 1
+
+    def _fold(self, record: JournalRecord, now: float) -> None:
+        key, value = record.key, record.value
+        if key == LEAD:
+            self._fold_lead(value)
+        elif key.startswith(MEMBER):
+            self._fold_member(key.removeprefix(MEMBER), value)
+        elif key.startswith(RUN):
+            self._fold_run(key.removeprefix(RUN), value, now)
+        elif key.startswith(JOB):
+            self._fold_job(key.removeprefix(JOB), value)
+        elif key.startswith(CANCEL):
+            self._fold_cancel(key.removeprefix(CANCEL), value, now)
+
+    def _fold_lead(self, value: bytes) -> None:
+        lead = decode_lead(value)
+        same = (lead.term, lead.nonce) == (self.lead.term, self.lead.nonce)
+        if lead.term > self.lead.term or same:
+            self.lead = lead
+            self.n_placer_records += 1
+
+    def _fold_member(self, vm: str, value: bytes) -> None:
+        if value:
+            self.members[vm] = orjson.loads(value)["address"]
+        else:
+            self.members.pop(vm, None)
+
+    def _fold_job(self, job_id: str, value: bytes) -> None:
+        if not value:
+            self.entries.pop(job_id, None)
+            return
+        entry = self.entries.setdefault(job_id, JobEntry())
+        if entry.job:
+            return  # a repeated submission
+        data = orjson.loads(value)
+        entry.queue, entry.accepted_at = data["queue"], data["accepted_at"]
+        if entry.state not in FINAL_JOB_STATES:
+            entry.job = value
+        self.changed.add(job_id)
+
+    def _fold_run(self, job_id: str, value: bytes, now: float) -> None:
+        self.n_placer_records += 1
+        if not value:
+            self.entries.pop(job_id, None)
+            return
+        entry = self.entries.setdefault(job_id, JobEntry())
+        state = JobState(orjson.loads(value)["state"])
+        entry.run = value
+        if not entry.cancelled:
+            entry.state = state
+        if state in FINAL_JOB_STATES:
+            self._end(entry, now)
+
+    def _fold_cancel(self, job_id: str, value: bytes, now: float) -> None:
+        entry = self.entries.get(job_id)
+        if entry is None:
+            if not value:
+                return
+            entry = self.entries[job_id] = JobEntry()
+        if not value or entry.state in {JobState.COMPLETED, JobState.FAILED}:
+            return
+        entry.cancelled, entry.state = True, JobState.CANCELLED
+        self.changed.add(job_id)
+
+    def _end(self, entry: JobEntry, now: float) -> None:
+        entry.ended_at = now
+        entry.job = entry.run = b""
+
+    def n_waiting(self, queue: str) -> int:
+        """Return the accepted jobs of a queue for which no task has started."""
+        return sum(
+            entry.state is JobState.PENDING and entry.queue == queue
+            for entry in self.entries.values()
+        )
+
+    def expired(self, now: float, keep_s: float) -> list[str]:
+        """Return the jobs that ended longer than ``keep_s`` ago."""
+        return [
+            job_id
+            for job_id, entry in self.entries.items()
+            if entry.ended_at and now - entry.ended_at > keep_s
+        ]
+
+    def load(self, job_id: str) -> Progress | None:
+        """Return the progress of a job that has not ended, None otherwise."""
+        entry = self.entries.get(job_id)
+        if entry is None or not entry.job:
+            return None
+        job = decode_job(job_id, entry.job)
+        progress = decode_progress(job, entry.run) if entry.run else Progress(job)
+        progress.cancelled = entry.cancelled
+        return progress
+
+    def live(self) -> Iterator[Progress]:
+        """Yield the progress of all jobs that have not ended."""
+        for job_id in list(self.entries):
+            progress = self.load(job_id)
+            if progress is not None:
+                yield progress
+
+    def take_changed(self) -> Iterable[str]:
+        """Return, and forget, the jobs that are new or newly cancelled."""
+        changed, self.changed = self.changed, set()
+        return changed
--- /dev/null
+++ b/cuminhill/jobs/journal.py
@@ -0,0 +1,374 @@
+"""Drivers of a keyed log: follows it, and appends to it in batches."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+import curio
+import structlog
+
+from ..clock import boottime
+from ..errors import (
+    CuminhillError,
+    FencedError,
+    HistoryGoneError,
+    ProtocolError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .records import JournalRecord
+
+logger = structlog.get_logger(__name__)
+
+# Bounds of the time-out of one append, in seconds. It follows the observed latency,
+# since a lost answer costs one time-out and a repeat is recognised by its number.
+MIN_APPEND_TIMEOUT_S = 0.12
+MAX_APPEND_TIMEOUT_S = 2.0
+APPEND_TIMEOUT_X = 6.0
+LATENCY_WEIGHT = 0.2  # of a new observation in the running mean
+RETRY_S = 0.1  # pause after a refused append or a failed read
+# Records that no call has carried after this time are given back to their caller,
+# who can still go elsewhere. A call normally takes 0.01 s.
+QUEUE_S = 0.25
+# Bounds of the time for an answer to a read, without the wait that was asked for.
+# It doubles with each silence, so that a slow log is not taken for a silent one.
+MIN_READ_TIMEOUT_S = 0.6
+MAX_READ_TIMEOUT_S = 2.4
+MAX_BATCH_BYTES = 1 << 20  # of one append; half of what one call may carry
+MAX_QUEUED_RECORDS = 20_000  # further appends are refused at once
+
+
+@dataclass(frozen=True, slots=True)
+class WriterToken:
+    """Identity of one append: who wrote it, in which epoch, as which one.
+
+    Within an epoch the numbers rise by one, and a repeated number is the same append.
+    An append of an epoch below the newest one of its writer has no effect.
+    """
+
+    writer: str
+    epoch: int
+    number: int
+
+
+class KeyedLog(Protocol):
+    """Log that keeps the newest record of each key."""
+
+    async def read(
+        self, offset: int, wait_s: float, timeout_s: float = 2.0
+    ) -> tuple[int, list[JournalRecord]]:
+        """Return the end and the records from an offset on."""
+
+    async def newest(self) -> tuple[int, list[JournalRecord]]:
+        """Return an offset to read on from and the newest record of each key."""
+
+    async def append(
+        self,
+        records: list[tuple[str, bytes]],
+        token: WriterToken | None = None,
+        *,
+        at: int | None = None,
+        timeout_s: float,
+    ) -> int:
+        """Append records, all or none, and return the offset of the first."""
+
+
+@dataclass(eq=False)
+class LogFollower:
+    """Reads a keyed log on and hands its records over in order.
+
+    Parameters
+    ----------
+    name : str
+        Name in log lines and dumps.
+    log : KeyedLog
+        What is read.
+    on_records : callable
+        Takes the list of records and whether they are a snapshot of all keys.
+    wait_s : float, seconds
+        How long a read waits for a record.
+    pause_s : float, seconds
+        Pause between reads; bounds the number of calls under load.
+    """
+
+    name: str
+    log: KeyedLog
+    on_records: Callable[[list[JournalRecord], bool], None]
+    wait_s: float
+    pause_s: float
+    offset: int = 0
+    synced: bool = False
+    read_at: float = 0.0
+    reachable: bool = True
+    timeout_s: float = MIN_READ_TIMEOUT_S
+    n_snapshots: int = 0
+    n_errors: int = 0
+
+    def age(self, now: float) -> float:
+        """Return how old the newest complete read is, in seconds."""
+        return now - self.read_at
+
+    async def run(self) -> None:
+        """Follow the log for ever."""
+        while True:
+            try:
+                if not self.synced:
+                    await self._load()
+                # While the log is away, a read that waits would notice its return late.
+                wait_s = self.wait_s if self.reachable else 0.0
+                await self.read(wait_s, self.timeout_s)
+            except HistoryGoneError as exc:
+                logger.info("history gone", log=self.name, error=str(exc))
+                self.synced = False
+                continue
+            except CuminhillError as exc:
+                self._failed(exc)
+                await curio.sleep(RETRY_S)
+                continue
+            self.timeout_s = MIN_READ_TIMEOUT_S
+            if not self.reachable:
+                self.reachable = True
+                logger.info("log reachable", log=self.name, offset=self.offset)
+            await curio.sleep(self.pause_s)
+
+    async def read(self, wait_s: float, timeout_s: float = 2.0) -> None:
+        """Read once and hand the new records over.
+
+        Raises
+        ------
+        CuminhillError
+            If the log gives no usable answer.
+        """
+        sent_at = boottime()
+        end, records = await self.log.read(self.offset, wait_s, timeout_s)
+        fresh = [record for record in records if record.offset >= self.offset]
+        if fresh:
+            self.offset = fresh[-1].offset + 1
+            self.on_records(fresh, False)
+        if self.offset >= end:
+            # A waiting read that returned nothing shows the state at its end.
+            self.read_at = max(self.read_at, sent_at)
+
+    async def catch_up(self, timeout_s: float) -> bool:
+        """Read up to the present end; return whether that worked."""
+        asked_at = boottime()
+        try:
+            async with curio.timeout_after(timeout_s):
+                while self.synced and self.read_at < asked_at:
+                    await self.read(0.0, timeout_s)
+        except (CuminhillError, curio.TaskTimeout) as exc:
+            self.n_errors += 1
+            logger.info("catch-up failed", log=self.name, error=str(exc))
+            return False
+        return self.synced
+
+    async def _load(self) -> None:
+        sent_at = boottime()
+        offset, records = await self.log.newest()
+        self.offset = offset
+        self.on_records(records, True)
+        self.n_snapshots += 1
+        self.synced = True
+        self.read_at = max(self.read_at, sent_at)
+        logger.info("snapshot read", log=self.name, offset=offset, records=len(records))
+
+    def _failed(self, exc: CuminhillError) -> None:
+        self.n_errors += 1
+        if isinstance(exc, UnknownOutcomeError):
+            self.timeout_s = min(MAX_READ_TIMEOUT_S, 2 * self.timeout_s)
+        if self.reachable:
+            self.reachable = False
+            logger.warning("log unreachable", log=self.name, error=str(exc))
+
+
+@dataclass(eq=False, slots=True)
+class _Item:
+    """Records of one caller of a writer."""
+
+    records: list[tuple[str, bytes]]
+    give_up_at: float
+    done: Any = field(default_factory=curio.Event)
+    taken: bool = False
+    error: CuminhillError | None = None
+
+
+@dataclass(eq=False)
+class LogWriter:
+    """Appends to a keyed log, one call in flight; what waits goes into the next.
+
+    Parameters
+    ----------
+    log : KeyedLog
+        What is written.
+    writer : str
+        Name under which the log recognises repeats and fences earlier epochs.
+    epoch : int
+        First epoch.
+    number : int
+        Number of the first append.
+    on_appended : callable or None
+        Called with the time at which a successful append was sent.
+    keeps_epoch : bool
+        Whether the epoch stands for a term, so that the writer ends rather than
+        taking a higher one.
+    """
+
+    log: KeyedLog
+    writer: str
+    epoch: int
+    number: int = 0
+    on_appended: Callable[[float], None] | None = None
+    keeps_epoch: bool = False
+    latency_s: float = 0.01
+    timeout_s: float = 0.3
+    failing_since: float = 0.0
+    n_appends: int = 0
+    n_unknown: int = 0
+    n_refused: int = 0
+    fenced: bool = False
+    _queue: list[_Item] = field(default_factory=list)
+    _n_queued: int = 0
+    _wake: Any = field(default_factory=curio.Event)
+
+    @property
+    def n_queued(self) -> int:
+        """Number of records that wait."""
+        return self._n_queued
+
+    async def append(self, records: list[tuple[str, bytes]], give_up_at: float) -> None:
+        """Append records and return once they are kept.
+
+        Parameters
+        ----------
+        give_up_at : float, seconds
+            Boot time after which the outcome is given up.
+
+        Raises
+        ------
+        UnavailableError
+            If the records were certainly not appended and never will be.
+        UnknownOutcomeError
+            If they may have been, or may be later.
+        FencedError
+            If a later epoch has taken over.
+        """
+        if self.fenced:
+            raise FencedError("a later epoch writes", step="append", peer=self.writer)
+        if self._n_queued + len(records) > MAX_QUEUED_RECORDS:
+            raise UnavailableError("queue is full", step="append", peer=self.writer)
+        item = _Item(records, give_up_at)
+        self._queue.append(item)
+        self._n_queued += len(records)
+        await self._wake.set()
+        async with curio.ignore_after(QUEUE_S):
+            await item.done.wait()
+        if not item.taken and not self.keeps_epoch:
+            self._queue.remove(item)
+            self._n_queued -= len(records)
+            raise UnavailableError("log is silent", step="append", peer=self.writer)
+        await item.done.wait()
+        if item.error is not None:
+            raise item.error
+
+    async def run(self) -> None:
+        """Append batches for ever, or until a later epoch takes over."""
+        while not self.fenced:
+            if not self._queue:
+                self._wake.clear()
+                await self._wake.wait()
+            batch = self._take()
+            error = await self._append_batch(batch)
+            for item in batch:
+                item.error = error
+                await item.done.set()
+        for item in self._queue:
+            item.error = FencedError("fenced", step="append", peer=self.writer)
+            await item.done.set()
+
+    def _take(self) -> list[_Item]:
+        batch: list[_Item] = []
+        n_bytes = 0
+        while self._queue and n_bytes < MAX_BATCH_BYTES:
+            item = self._queue.pop(0)
+            item.taken = True
+            self._n_queued -= len(item.records)
+            n_bytes += sum(len(key) + len(value) + 5 for key, value in item.records)
+            batch.append(item)
+        return batch
+
+    async def _append_batch(self, batch: list[_Item]) -> CuminhillError | None:
+        """Append until it succeeds or nobody waits any more."""
+        records = [record for item in batch for record in item.records]
+        give_up_at = max(item.give_up_at for item in batch)
+        token = WriterToken(self.writer, self.epoch, self.number)
+        begun_at = boottime()
+        unknown = False
+        error: CuminhillError
+        while True:
+            sent_at = boottime()
+            try:
+                await self.log.append(records, token, timeout_s=self.timeout_s)
+            except FencedError as exc:
+                self.fenced = True
+                logger.warning("writer fenced", writer=self.writer, error=str(exc))
+                return exc
+            except ProtocolError as exc:
+                # The log knows another number; a new epoch may start at any.
+                logger.warning(
+                    "append out of order", writer=self.writer, error=str(exc)
+                )
+                return self._give_up(exc, True)
+            except UnavailableError as exc:
+                self.n_refused += 1
+                error = exc
+                await curio.sleep(min(RETRY_S, max(0.0, give_up_at - boottime())))
+            except CuminhillError as exc:
+                self.n_unknown += 1
+                unknown = True
+                error = exc
+                self.timeout_s = min(MAX_APPEND_TIMEOUT_S, 2 * self.timeout_s)
+            else:
+                self._succeeded(sent_at)
+                return None
+            if not self.failing_since:
+                self.failing_since = boottime()
+                logger.warning("append failing", writer=self.writer, error=str(error))
+            if self.keeps_epoch:
+                continue
+            refused = not unknown and boottime() - begun_at > QUEUE_S
+            if refused or boottime() >= give_up_at:
+                return self._give_up(error, unknown)
+
+    def _succeeded(self, sent_at: float) -> None:
+        now = boottime()
+        self.latency_s += LATENCY_WEIGHT * (now - sent_at - self.latency_s)
+        self.timeout_s = min(
+            MAX_APPEND_TIMEOUT_S,
+            max(MIN_APPEND_TIMEOUT_S, APPEND_TIMEOUT_X * self.latency_s),
+        )
+        if self.failing_since:
+            logger.info(
+                "append succeeded again",
+                writer=self.writer,
+                after_s=round(now - self.failing_since, 2),
+            )
+            self.failing_since = 0.0
+        self.number += 1
+        self.n_appends += 1
+        if self.on_appended is not None:
+            self.on_appended(sent_at)
+
+    def _give_up(self, error: CuminhillError, unknown: bool) -> CuminhillError:
+        if not unknown:
+            return UnavailableError(error.message, step=error.step, peer=error.peer)
+        if self.keeps_epoch:
+            self.fenced = True
+        # The next append has a higher epoch, so that its number cannot be mistaken
+        # for a repeat of this one and this one cannot land after it.
+        self.epoch += 1
+        return UnknownOutcomeError(error.message, step=error.step, peer=error.peer)
--- /dev/null
+++ b/cuminhill/jobs/lead.py
@@ -0,0 +1,498 @@
+"""Drives the placer of one term: renewals, starts, stops, advice and the journal."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+import curio
+import structlog
+
+from ..clock import boottime
+from ..errors import CuminhillError, FencedError, OtherLifeError, UnavailableError
+from .advice import AdviceCall, Adviser, choose_adviser
+from .fleet import may_extend
+from .model import StartOrder, StartResult
+from .placer import Placement, Placer, StopOrder
+from .progress import encode_progress
+from .records import CANCEL, JOB, LEAD, RUN, Lead, encode_lead
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from .book import JobBook
+    from .fleet import Worker
+    from .journal import LogWriter
+    from .model import QueueTable, TaskKey, WorkerEntry, WorkerReport
+
+logger = structlog.get_logger(__name__)
+
+# Seconds that a renewal waits at the worker for an end.
+RENEW_WAIT_S = 1.0
+# Pause after a renewal that brought news, so that ends close together share a look.
+RENEW_PAUSE_S = 0.03
+RENEW_RETRY_S = 0.25  # pause after a renewal without an answer
+START_TIMEOUT_S = 0.6
+STOP_TIMEOUT_S = 0.6
+# Pause between decisions; bounds the number of journal appends.
+DECIDE_PAUSE_S = 0.015
+# Longest time without a decision; lapses and stalls are found then.
+TICK_S = 0.25
+# The placer writes at least so often, so that others see that it lives.
+LEAD_RENEWAL_S = 0.6
+# Calls for advice queued on one VM, in seconds of the service's time.
+MAX_ADVISER_QUEUE_S = 0.8
+ADVICE_SLACK_S = 1.5  # on top of the expected time of a call and its queue
+ADVISER_EXCLUDE_S = 1.0  # after a VM has not answered a call
+# Ended jobs are dropped from the journal after this time in addition to the time
+# for which the platform asks for them.
+FORGET_MARGIN_S = 30.0
+FORGET_EVERY_S = 5.0
+FORGET_BATCH = 500
+FOREVER = float("inf")  # a placer's appends are repeated until its term ends
+
+
+class WorkerCalls(Protocol):
+    """Calls to workers."""
+
+    async def renew(
+        self,
+        worker_id: str,
+        address: str,
+        fence: int,
+        *,
+        noted_ends: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+    ) -> WorkerReport:
+        """Extend the leases on a worker and return its lists of runs."""
+
+    async def start(
+        self, order: StartOrder, timeout_s: float
+    ) -> tuple[StartResult, int]:
+        """Start a run; return the outcome and the worker's clock."""
+
+    async def stop(
+        self,
+        worker_id: str,
+        address: str,
+        key: TaskKey,
+        run: int,
+        *,
+        fence: int,
+        timeout_s: float,
+    ) -> None:
+        """Ask a worker to stop a run."""
+
+
+@dataclass(eq=False)
+class Leadership:
+    """One term of this VM as the placer.
+
+    Parameters
+    ----------
+    lead : Lead
+        The claim that has won.
+    placer : Placer
+        State and decisions.
+    writer : LogWriter
+        Journal writer with the epoch of the term.
+    calls : WorkerCalls
+        Calls to workers.
+    ask : callable
+        Coroutine function that asks for advice through a VM.
+    keep_ended_s : float, seconds
+        How long ended jobs stay in the journal.
+    """
+
+    lead: Lead
+    placer: Placer
+    writer: LogWriter
+    calls: WorkerCalls
+    book: JobBook
+    ask: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    keep_ended_s: float
+    confirmed_at: float
+    ended: bool = False
+    advisers: dict[str, Adviser] = field(default_factory=dict)
+    _wake: Any = field(default_factory=curio.Event)
+    _tasks: list[Any] = field(default_factory=list)
+    _renewers: dict[str, Any] = field(default_factory=dict)
+    _senders: dict[str, curio.Queue] = field(default_factory=dict)
+    _written_at: float = 0.0
+    _forgot_at: float = 0.0
+
+    def note_appended(self, sent_at: float) -> None:
+        """Note that the journal has accepted a write of this term."""
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+        self._written_at = sent_at
+
+    def may_act(self) -> bool:
+        """Return whether leases may still be extended."""
+        held = may_extend(boottime(), self.confirmed_at, self.placer.times.hold_s)
+        return held and not self.ended and not self.writer.fenced
+
+    async def start(
+        self, table: QueueTable, entries: Iterable[WorkerEntry], members: Iterable[str]
+    ) -> None:
+        """Take all live jobs over and begin to place them."""
+        now = boottime()
+        self.placer.table = table
+        for entry in entries:
+            self.placer.list_worker(entry, now)
+        n_jobs = 0
+        self.book.take_changed()
+        for progress in self.book.live():
+            self.placer.add_job(progress, now)
+            n_jobs += 1
+        self.set_members(members)
+        logger.info(
+            "term begun",
+            term=self.lead.term,
+            jobs=n_jobs,
+            workers=len(self.placer.workers),
+            config=table.version,
+        )
+        self._tasks = [
+            await curio.spawn(self.writer.run, daemon=True),
+            await curio.spawn(self._place, daemon=True),
+            await curio.spawn(self._renew_lead, daemon=True),
+        ]
+        await self._spawn_renewers()
+
+    async def end(self, resign: bool = False) -> None:
+        """End the term; with ``resign``, tell the others so."""
+        if self.ended:
+            return
+        self.ended = True
+        logger.info("term ended", term=self.lead.term, resigned=resign)
+        if resign:
+            record = Lead(self.lead.term, self.lead.vm, self.lead.nonce, True)
+            try:
+                async with curio.timeout_after(LEAD_RENEWAL_S):
+                    await self.writer.append([(LEAD, encode_lead(record))], FOREVER)
+            except (CuminhillError, curio.TaskTimeout) as exc:
+                logger.info("resignation not written", error=str(exc))
+        for task in [*self._tasks, *self._renewers.values()]:
+            await task.cancel(blocking=False)
+
+    def set_members(self, vms: Iterable[str]) -> None:
+        """Set the VMs through which advice can be asked."""
+        for vm in vms:
+            self.advisers.setdefault(vm, Adviser(vm))
+
+    async def jobs_changed(self, job_ids: Iterable[str]) -> None:
+        """Take in jobs that are new or newly cancelled in the journal."""
+        now = boottime()
+        for job_id in job_ids:
+            known = self.placer.jobs.get(job_id)
+            entry = self.book.entries.get(job_id)
+            if known is not None:
+                if entry is not None and entry.cancelled and not known.cancelled:
+                    logger.info("job cancelled", job=job_id, state=known.state)
+                    self.placer.cancel_job(job_id, now)
+                continue
+            progress = self.book.load(job_id)
+            if progress is not None:
+                logger.info("job taken in", job=job_id, queue=progress.job.queue)
+                self.placer.add_job(progress, now)
+        await self._wake.set()
+
+    async def workers_changed(
+        self, entries: Iterable[WorkerEntry], gone: Iterable[str]
+    ) -> None:
+        """Take in changes of the registrations."""
+        now = boottime()
+        for entry in entries:
+            self.placer.list_worker(entry, now)
+        for worker_id in gone:
+            self.placer.unlist_worker(worker_id)
+        await self._spawn_renewers()
+        await self._wake.set()
+
+    async def _spawn_renewers(self) -> None:
+        for worker_id in self.placer.workers:
+            if worker_id not in self._renewers:
+                self._senders[worker_id] = curio.Queue()
+                self._renewers[worker_id] = await curio.spawn(
+                    self._renew_worker, worker_id, daemon=True
+                )
+                await curio.spawn(self._send_starts, worker_id, daemon=True)
+
+    # Renewals
+
+    async def _renew_worker(self, worker_id: str) -> None:
+        while not self.ended:
+            worker = self.placer.workers.get(worker_id)
+            if worker is None:
+                break
+            if not self.may_act():
+                await curio.sleep(RENEW_RETRY_S)
+                continue
+            if not await self._renew_once(worker):
+                await curio.sleep(RENEW_RETRY_S)
+        self._renewers.pop(worker_id, None)
+        queue = self._senders.pop(worker_id, None)
+        if queue is not None:
+            await queue.put(None)
+
+    async def _renew_once(self, worker: Worker) -> bool:
+        now = boottime()
+        fence = worker.fence
+        life = worker.entry.life
+        lease_until_ms = None
+        settled = worker.settled_fence >= fence
+        if worker.clock_ms:
+            lease_until_ms = worker.lease_end_ms(now, self.placer.times.lease.lease_s)
+            worker.note_lease(lease_until_ms)
+        wait_s = RENEW_WAIT_S if settled and worker.reachable else 0.0
+        try:
+            report = await self.calls.renew(
+                worker.worker_id,
+                worker.entry.address,
+                fence,
+                noted_ends=worker.noted_ends,
+                lease_until_ms=lease_until_ms,
+                wait_s=wait_s,
+            )
+        except FencedError as exc:
+            await self._fenced(worker, fence, exc)
+            return False
+        except OtherLifeError as exc:
+            logger.info("worker replaced", worker=worker.worker_id, error=str(exc))
+            self.placer.other_life(worker.worker_id, life, boottime())
+            await self._wake.set()
+            return False
+        except CuminhillError as exc:
+            if worker.reachable:
+                logger.info("renewal failed", worker=worker.worker_id, error=str(exc))
+            self.placer.unreachable(worker.worker_id, boottime())
+            return False
+        news = self.placer.report(worker.worker_id, fence, report, boottime())
+        if news:
+            await self._wake.set()
+            await curio.sleep(RENEW_PAUSE_S)
+        return True
+
+    async def _fenced(self, worker: Worker, fence: int, exc: FencedError) -> None:
+        """Find out whether another term has begun."""
+        if fence < worker.fence:
+            return  # a call with the newer token was faster
+        logger.info(
+            "worker fenced", worker=worker.worker_id, fence=fence, error=str(exc)
+        )
+        try:
+            await self._write_lead()
+        except CuminhillError as write_exc:
+            logger.info("term not confirmed", error=str(write_exc))
+            return
+        worker.bump_fence()
+
+    # Starts and stops
+
+    async def _send_starts(self, worker_id: str) -> None:
+        queue = self._senders[worker_id]
+        while not self.ended:
+            item = await queue.get()
+            if item is None:
+                return
+            if isinstance(item, StopOrder):
+                await self._send_stop(item)
+            else:
+                await self._send_start(item)
+
+    async def _send_start(self, placement: Placement) -> None:
+        now = boottime()
+        if not self.may_act():
+            return
+        slot = self.placer.sendable(placement, now)
+        if slot is None:
+            return
+        worker = self.placer.workers[placement.worker_id]
+        progress = self.placer.jobs[placement.key.job_id]
+        ticket = ""
+        step = f"{placement.key.job_id}.{placement.key.occurrence}.{placement.key.step}"
+        if step in self.placer.advice.steps:
+            advice = self.placer.advice.of(step)
+            ticket = advice.ticket(worker.worker_id, worker.entry.life, now)
+        order = StartOrder(
+            worker_id=worker.worker_id,
+            address=worker.entry.address,
+            key=placement.key,
+            run=placement.run,
+            payload=progress.job.payload,
+            lease_until_ms=worker.lease_end_ms(now, self.placer.times.lease.lease_s),
+            fence=worker.fence,
+            checkpoint=slot.checkpoint,
+            ticket=ticket,
+        )
+        slot.sent, slot.fence, slot.started_at = True, order.fence, now
+        worker.note_lease(order.lease_until_ms)
+        logger.info(
+            "start",
+            job=order.key.job_id,
+            task=tuple(order.key[1:]),
+            run=order.run,
+            worker=order.worker_id,
+            fence=order.fence,
+            config=self.placer.table.version,
+        )
+        result, clock_ms = await self.calls.start(order, START_TIMEOUT_S)
+        self.placer.start_answered(order, result, clock_ms, boottime())
+        if result is not StartResult.STARTED:
+            await self._wake.set()
+        if result is StartResult.UNKNOWN:
+            # The renewal in progress carries the older token; this one settles it.
+            await curio.spawn(self._renew_once, worker, daemon=True)
+
+    async def _send_stop(self, stop: StopOrder) -> None:
+        worker = self.placer.workers.get(stop.worker_id)
+        if worker is None or not self.may_act():
+            return
+        logger.info(
+            "stop",
+            job=stop.key.job_id,
+            task=tuple(stop.key[1:]),
+            run=stop.run,
+            worker=stop.worker_id,
+            why=stop.reason,
+        )
+        try:
+            await self.calls.stop(
+                stop.worker_id,
+                worker.entry.address,
+                stop.key,
+                stop.run,
+                fence=worker.fence,
+                timeout_s=STOP_TIMEOUT_S,
+            )
+        except CuminhillError as exc:
+            # It is repeated while the run is still listed.
+            logger.info("stop failed", worker=stop.worker_id, error=str(exc))
+
+    # Decisions
+
+    async def _place(self) -> None:
+        try:
+            while not self.ended and not self.writer.fenced:
+                await self._place_once()
+                await curio.sleep(DECIDE_PAUSE_S)
+                async with curio.ignore_after(TICK_S):
+                    await self._wake.wait()
+        except FencedError:
+            pass  # the writer has logged it
+        self.ended = True
+
+    async def _place_once(self) -> None:
+        self._wake.clear()
+        now = boottime()
+        self.placer.tick(now)
+        placements: list[Placement] = []
+        if self.may_act():
+            placements, calls = self.placer.decide(now, time.time())
+            for call in calls:
+                await self._ask_advice(call, now)
+        await self._journal()
+        for placement in placements:
+            await self._hand_out(placement.worker_id, placement)
+        for stop in self.placer.take_stops():
+            await self._hand_out(stop.worker_id, stop)
+
+    async def _hand_out(self, worker_id: str, item: Placement | StopOrder) -> None:
+        queue = self._senders.get(worker_id)
+        if queue is not None:
+            await queue.put(item)
+
+    async def _journal(self) -> None:
+        """Write the progress of changed jobs; then their ends may be acknowledged."""
+        dirty = self.placer.take_dirty()
+        seen = {
+            worker.worker_id: (worker.entry.life, worker.seen_ends)
+            for worker in self.placer.workers.values()
+            if worker.seen_ends > worker.noted_ends
+        }
+        if dirty:
+            records = [
+                (RUN + job_id, encode_progress(progress))
+                for job_id, progress in dirty.items()
+            ]
+            await self.writer.append(records, FOREVER)
+        for worker_id, (life, number) in seen.items():
+            worker = self.placer.workers.get(worker_id)
+            if worker is not None and worker.entry.life == life:
+                worker.noted_ends = max(worker.noted_ends, number)
+        if not dirty:
+            await self._forget_ended()
+
+    async def _forget_ended(self) -> None:
+        now = boottime()
+        if now - self._forgot_at < FORGET_EVERY_S:
+            return
+        self._forgot_at = now
+        expired = self.book.expired(now, self.keep_ended_s + FORGET_MARGIN_S)
+        records = [
+            (prefix + job_id, b"")
+            for job_id in expired[:FORGET_BATCH]
+            for prefix in (JOB, CANCEL, RUN)
+        ]
+        if records:
+            await self.writer.append(records, FOREVER)
+
+    async def _write_lead(self) -> None:
+        record = (LEAD, encode_lead(self.lead))
+        await self.writer.append([record], FOREVER)
+
+    async def _renew_lead(self) -> None:
+        while not self.ended:
+            await curio.sleep(LEAD_RENEWAL_S / 4)
+            if boottime() - self._written_at < LEAD_RENEWAL_S:
+                continue
+            try:
+                await self._write_lead()
+            except FencedError:
+                self.ended = True
+            except CuminhillError as exc:
+                logger.info("term not renewed", error=str(exc))
+
+    # Advice
+
+    async def _ask_advice(self, call: AdviceCall, now: float) -> None:
+        adviser = choose_adviser(
+            self.advisers.values(), now, call.cost_s, MAX_ADVISER_QUEUE_S
+        )
+        if adviser is None:
+            return
+        self.placer.advice.of(call.step).calling = True
+        await curio.spawn(self._ask_through, adviser, call, daemon=True)
+
+    async def _ask_through(self, adviser: Adviser, call: AdviceCall) -> None:
+        sent_at = boottime()
+        wait_s = max(0.0, adviser.busy_until - sent_at) + ADVICE_SLACK_S
+        advice = self.placer.advice.of(call.step)
+        try:
+            tickets = await self.ask(adviser.vm, call, wait_s)
+        except CuminhillError as exc:
+            now = boottime()
+            logger.info(
+                "advice failed", step=call.step, through=adviser.vm, error=str(exc)
+            )
+            if not isinstance(exc, UnavailableError) or exc.step == "connect":
+                adviser.excluded_until = now + ADVISER_EXCLUDE_S
+            adviser.busy_until = now
+            advice.failed(now)
+        else:
+            # Tickets count from their issue; the call took at least its own time.
+            now = boottime()
+            advice.answered(
+                call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
+            )
+            logger.info(
+                "advice",
+                step=call.step,
+                through=adviser.vm,
+                named=len(call.workers),
+                permitted=len(tickets),
+                took_ms=round((now - sent_at) * 1000),
+            )
+        await self._wake.set()
--- /dev/null
+++ b/cuminhill/jobs/node.py
@@ -0,0 +1,457 @@
+"""The daemon of an entry VM on a platform with a keyed log."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import curio
+import orjson
+import structlog
+
+from ..clock import boottime
+from ..errors import CuminhillError, FencedError, ProtocolError
+from ..rpc import RpcServer
+from .book import JobBook
+from .election import Election
+from .journal import KeyedLog, LogFollower, LogWriter, WriterToken
+from .lead import Leadership, WorkerCalls
+from .model import QueueTable, WorkerEntry
+from .peers import AdviceService, JobPeers
+from .placer import Placer, PlacerTimes
+from .records import LEAD, MEMBER, JournalRecord, Lead, encode_lead
+from .service import JobService
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+logger = structlog.get_logger(__name__)
+
+PLACER = "placer"  # name of the journal writer that all terms share
+# Seconds that reads of the journal wait for a record, and pause between them: the
+# placer needs new jobs at once, other VMs show states that may be 2 s old.
+FOLLOW_WAIT_S = 1.0
+FOLLOW_PAUSE_S = 0.25
+PLACER_PAUSE_S = 0.01
+REGISTRY_PAUSE_S = 0.3
+CONFIG_WAIT_S = 2.0
+CONFIG_PAUSE_S = 0.02
+ELECTION_TICK_S = 0.05
+CLAIM_TIMEOUT_S = 1.0
+CLAIM_PAUSE_S = 0.2  # after a claim that another append has overtaken
+# A VM whose newest read is older takes no new connections, if others can.
+READY_AGE_S = 2.5
+PROBE_S = 0.3  # pause between attempts to append while appends fail
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """What a node is told at its start.
+
+    Parameters
+    ----------
+    vm : str
+        Name of the VM.
+    rpc_address : str
+        ``"host:port"`` at which other VMs call this one.
+    times : PlacerTimes
+        Durations of the placer.
+    keep_ended_s : float, seconds
+        How long the state of ended jobs can be asked for.
+    """
+
+    vm: str
+    rpc_address: str
+    times: PlacerTimes
+    keep_ended_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Backends:
+    """Everything outside of the node.
+
+    Parameters
+    ----------
+    journal, config, registry : KeyedLog
+        Own journal, the operator's configuration and the workers' registrations.
+    calls : WorkerCalls
+        Calls to workers.
+    advice : AdviceService
+        Placement advice.
+    decode_table, decode_worker : callable
+        Decode the newest configuration and one registration; they raise
+        `ProtocolError`.
+    config_key : str
+        Key of the newest configuration.
+    """
+
+    journal: KeyedLog
+    config: KeyedLog
+    registry: KeyedLog
+    calls: WorkerCalls
+    advice: AdviceService
+    decode_table: Callable[[bytes], QueueTable]
+    decode_worker: Callable[[str, bytes], WorkerEntry]
+    config_key: str
+
+
+@dataclass(eq=False)
+class JobNode:
+    """One entry VM: follows the journal, serves callers, and may lead a term."""
+
+    options: NodeOptions
+    backends: Backends
+    rng: random.Random
+    book: JobBook = field(default_factory=JobBook)
+    table: QueueTable = field(default_factory=QueueTable)
+    workers: dict[str, WorkerEntry] = field(default_factory=dict)
+    leadership: Leadership | None = None
+    draining: bool = False
+    n_bad_registrations: int = 0
+    n_bad_configs: int = 0
+    _claim: Lead | None = None
+    _claim_number: int = 0
+    _inbox: Any = field(default_factory=curio.Event)
+    _gone: set[str] = field(default_factory=set)
+    _listed: dict[str, WorkerEntry] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        options, backends = self.options, self.backends
+        self.journal = LogFollower(
+            "journal",
+            backends.journal,
+            self._fold_journal,
+            FOLLOW_WAIT_S,
+            FOLLOW_PAUSE_S,
+        )
+        self.config = LogFollower(
+            "config", backends.config, self._fold_config, CONFIG_WAIT_S, CONFIG_PAUSE_S
+        )
+        self.registry = LogFollower(
+            "registry",
+            backends.registry,
+            self._fold_registry,
+            FOLLOW_WAIT_S,
+            REGISTRY_PAUSE_S,
+        )
+        nonce = f"{self.rng.getrandbits(48):012x}"
+        self.writer = LogWriter(
+            backends.journal, f"{options.vm}.{nonce}", 1, self.rng.randrange(1 << 20)
+        )
+        self.peers = JobPeers(options.vm, backends.advice, self.writer, self.rng)
+        self.service = JobService(
+            self.book, self.journal, self.writer, self.peers.append
+        )
+        self.election = Election(options.vm, self.book.lead, boottime())
+        self.rpc = RpcServer(self.peers.handlers())
+
+    async def start(self) -> None:
+        """Begin to follow the logs and to serve other VMs."""
+        host, _, port = self.options.rpc_address.rpartition(":")
+        await self.rpc.start(host, int(port))
+        for name, run in (
+            ("journal", self.journal.run),
+            ("config", self.config.run),
+            ("registry", self.registry.run),
+            ("writer", self.writer.run),
+            ("announce", self._announce),
+            ("elect", self._elect),
+            ("deliver", self._deliver),
+        ):
+            await curio.spawn(_supervise, name, run, daemon=True)
+
+    async def drain(self) -> None:
+        """Stop leading and report not ready; callers are still served."""
+        self.draining = True
+        logger.info("draining", leading=self.leadership is not None)
+        if self.leadership is not None:
+            await self.leadership.end(resign=True)
+
+    def is_ready(self) -> bool:
+        """Return whether new callers should be sent to this VM."""
+        if self.draining or not self.table.version or not self.journal.synced:
+            return False
+        return self.journal.age(boottime()) < READY_AGE_S
+
+    # Folds
+
+    def _fold_journal(self, records: list[JournalRecord], snapshot: bool) -> None:
+        now = boottime()
+        for record in records:
+            self.book.fold(record, now)
+        self.peers.members = self.book.members
+        self.election.observe(self.book.lead, self.book.n_placer_records, now)
+
+    def _fold_config(self, records: list[JournalRecord], snapshot: bool) -> None:
+        for record in records:
+            if record.key != self.backends.config_key or not record.value:
+                continue
+            try:
+                table = self.backends.decode_table(record.value)
+            except ProtocolError as exc:
+                self.n_bad_configs += 1
+                logger.warning("configuration unreadable", error=str(exc))
+                continue
+            if table.version <= self.table.version:
+                continue  # an older version read again
+            logger.info(
+                "configuration in force",
+                version=table.version,
+                before=self.table.version,
+                queues=len(table.queues),
+            )
+            self.table = table
+            if self.leadership is not None:
+                self.leadership.placer.table = table
+
+    def _fold_registry(self, records: list[JournalRecord], snapshot: bool) -> None:
+        seen = set()
+        for record in records:
+            seen.add(record.key)
+            if not record.value:
+                self._unlist(record.key)
+                continue
+            try:
+                entry = self.backends.decode_worker(record.key, record.value)
+            except ProtocolError as exc:
+                self.n_bad_registrations += 1
+                logger.info(
+                    "registration ignored", worker=record.key, error=str(exc)[:200]
+                )
+                continue
+            self.workers[record.key] = self._listed[record.key] = entry
+            self._gone.discard(record.key)
+        if snapshot:
+            for worker_id in self.workers.keys() - seen:
+                self._unlist(worker_id)
+
+    def _unlist(self, worker_id: str) -> None:
+        self.workers.pop(worker_id, None)
+        self._listed.pop(worker_id, None)
+        self._gone.add(worker_id)
+
+    async def _deliver(self) -> None:
+        """Hand what was folded to the leadership, if this VM leads."""
+        while True:
+            await curio.sleep(PLACER_PAUSE_S)
+            leadership = self.leadership
+            if leadership is None:
+                self._listed.clear()
+                self._gone.clear()
+                await curio.sleep(ELECTION_TICK_S)
+                continue
+            if self.book.changed:
+                await leadership.jobs_changed(self.book.take_changed())
+            if self._listed or self._gone:
+                listed, gone = list(self._listed.values()), set(self._gone)
+                self._listed.clear()
+                self._gone.clear()
+                await leadership.workers_changed(listed, gone)
+            leadership.set_members(self.book.members)
+
+    # Membership and election
+
+    async def _announce(self) -> None:
+        """Register this VM; repeat that while appends fail, to see when they succeed.
+
+        Callers' records go through other VMs meanwhile.
+        """
+        record = orjson.dumps({"address": self.options.rpc_address})
+        registered = False
+        while True:
+            if not registered or self.writer.failing_since:
+                try:
+                    await self.writer.append(
+                        [(MEMBER + self.options.vm, record)], boottime() + PROBE_S
+                    )
+                    registered = True
+                except CuminhillError as exc:
+                    logger.info("not registered", error=str(exc))
+            await curio.sleep(PROBE_S)
+
+    async def _elect(self) -> None:
+        while True:
+            await curio.sleep(ELECTION_TICK_S)
+            await self._end_if_over()
+            if self.leadership is not None or self.draining:
+                continue
+            if self._claim is not None and self.book.lead == self._claim:
+                await self._begin()
+                continue
+            ready = self.table.version and self.journal.synced and self.registry.synced
+            members = list(self.book.members)
+            now = boottime()
+            if ready and self.election.may_claim(members, now, self.journal.read_at):
+                await self._make_claim()
+
+    async def _make_claim(self) -> None:
+        """Append a claim if nothing has been written since the newest read."""
+        nonce = f"{self.rng.getrandbits(48):012x}"
+        claim = Lead(self.book.lead.term + 1, self.options.vm, nonce)
+        self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
+        token = WriterToken(PLACER, claim.term, self._claim_number)
+        silent_s = boottime() - self.election.seen_at
+        logger.info(
+            "claiming",
+            term=claim.term,
+            before=self.book.lead.vm,
+            silent_s=round(silent_s, 2),
+            offset=self.journal.offset,
+        )
+        try:
+            await self.backends.journal.append(
+                [(LEAD, encode_lead(claim))],
+                token,
+                at=self.journal.offset,
+                timeout_s=CLAIM_TIMEOUT_S,
+            )
+        except FencedError as exc:
+            logger.info("claim overtaken", term=claim.term, error=str(exc))
+            await self.journal.catch_up(CLAIM_TIMEOUT_S)
+            await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
+        except CuminhillError as exc:
+            # If it has landed after all, the journal will show it.
+            logger.info("claim without answer", term=claim.term, error=str(exc))
+            await self.journal.catch_up(CLAIM_TIMEOUT_S)
+        else:
+            await self.journal.catch_up(CLAIM_TIMEOUT_S)
+
+    async def _begin(self) -> None:
+        claim = self.book.lead
+        now = boottime()
+        writer = LogWriter(
+            self.backends.journal,
+            PLACER,
+            claim.term,
+            self._claim_number + 1,
+            keeps_epoch=True,
+        )
+        placer = Placer(claim.term, now, self.options.times)
+        leadership = Leadership(
+            claim,
+            placer,
+            writer,
+            self.backends.calls,
+            self.book,
+            self.peers.ask,
+            self.options.keep_ended_s,
+            confirmed_at=now,
+        )
+        writer.on_appended = leadership.note_appended
+        self.leadership = leadership
+        self.journal.pause_s = PLACER_PAUSE_S
+        await leadership.start(
+            self.table, list(self.workers.values()), list(self.book.members)
+        )
+
+    async def _end_if_over(self) -> None:
+        leadership = self.leadership
+        if leadership is None:
+            return
+        lead = self.book.lead
+        replaced = (lead.term, lead.nonce) != (
+            leadership.lead.term,
+            leadership.lead.nonce,
+        )
+        if replaced or leadership.ended or leadership.writer.fenced:
+            await leadership.end()
+            self.leadership = None
+            self._claim = None
+            self.journal.pause_s = FOLLOW_PAUSE_S
+
+    # Dump
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the node, JSON-ready."""
+        now = boottime()
+        states: dict[str, int] = {}
+        for entry in self.book.entries.values():
+            states[entry.state] = states.get(entry.state, 0) + 1
+        value: dict[str, Any] = {
+            "vm": self.options.vm,
+            "ready": self.is_ready(),
+            "draining": self.draining,
+            "wall": time.time(),
+            "config_version": self.table.version,
+            "jobs": states,
+            "lead": {
+                "term": self.book.lead.term,
+                "vm": self.book.lead.vm,
+                "resigned": self.book.lead.resigned,
+            },
+            "members": dict(self.book.members),
+            "workers": len(self.workers),
+            "callers": dict(self.service.counts),
+            "bad": {
+                "records": self.book.n_bad_records,
+                "registrations": self.n_bad_registrations,
+                "configs": self.n_bad_configs,
+            },
+            "logs": {
+                item.name: {
+                    "offset": item.offset,
+                    "age_s": round(item.age(now), 3),
+                    "n_errors": item.n_errors,
+                    "n_snapshots": item.n_snapshots,
+                }
+                for item in (self.journal, self.config, self.registry)
+            },
+            "writer": _dump_writer(self.writer),
+        }
+        if self.leadership is not None:
+            value["leading"] = _dump_leadership(self.leadership, now)
+        return value
+
+
+def _dump_writer(writer: LogWriter) -> dict[str, Any]:
+    return {
+        "n_appends": writer.n_appends,
+        "n_queued": writer.n_queued,
+        "n_refused": writer.n_refused,
+        "n_unknown": writer.n_unknown,
+        "latency_s": round(writer.latency_s, 4),
+        "timeout_s": round(writer.timeout_s, 3),
+    }
+
+
+def _dump_leadership(leadership: Leadership, now: float) -> dict[str, Any]:
+    placer = leadership.placer
+    return {
+        "term": placer.term,
+        "counts": dict(placer.counts),
+        "writer": _dump_writer(leadership.writer),
+        "confirmed_age_s": round(now - leadership.confirmed_at, 3),
+        "jobs": {
+            job_id: {"state": item.state, "n_assigned": item.n_assigned}
+            for job_id, item in placer.jobs.items()
+        },
+        "workers": {
+            worker.worker_id: {
+                "free_cores": round(worker.free.cores, 3),
+                "free_memory_mb": worker.free.memory_mb,
+                "n_slots": len(worker.slots),
+                "reachable": worker.reachable,
+                "listed": worker.listed,
+                "draining": worker.entry.draining,
+                "speed": round(worker.health.speed, 3),
+                "ejected": not worker.health.may_take(now),
+            }
+            for worker in placer.workers.values()
+        },
+    }
+
+
+async def _supervise(name: str, run: Callable[[], Any]) -> None:
+    """Run a task for ever; log it if it fails and begin it again."""
+    while True:
+        try:
+            await run()
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            logger.error("task failed", task=name, exc_info=exc)
+            await curio.sleep(ELECTION_TICK_S)
+        else:
+            return
--- /dev/null
+++ b/cuminhill/jobs/packing.py
@@ -0,0 +1,134 @@
+"""Chooses workers for the tasks of one step."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..model import Resources
+    from .fleet import Worker
+    from .model import Step
+
+# Weight of a worker's speed against how tightly the task fills it.
+SPEED_WEIGHT = 1.0
+FIT_WEIGHT = 0.3
+# Speed of a task away from the rack of its data, relative to one beside it.
+FAR_SPEED = 0.5
+# Runs that end within this time may use room that is kept for a blocked gang.
+SHORT_RUN_S = 1.5
+
+
+@dataclass(eq=False)
+class Offer:
+    """Workers that may take tasks of a step, and the room left on each.
+
+    Parameters
+    ----------
+    room : dict
+        Free room by worker while tasks are being placed.
+    n_taken : dict
+        Tasks of the step on each worker, where the step bounds them.
+    """
+
+    step: Step
+    workers: list[Worker]
+    room: dict[str, Resources]
+    n_taken: dict[str, int] = field(default_factory=dict)
+
+    def take(self, avoid: Iterable[str] = ()) -> Worker | None:
+        """Return the best worker for one more task, with its room taken."""
+        best, best_score = None, 0.0
+        for worker in self.workers:
+            if not self._has_room(worker):
+                continue
+            score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
+            if best is None or score > best_score:
+                best, best_score = worker, score
+        if best is not None:
+            name = best.worker_id
+            self.room[name] = self.room[name] - self.step.need
+            self.n_taken[name] = self.n_taken.get(name, 0) + 1
+        return best
+
+    def _has_room(self, worker: Worker) -> bool:
+        bound = self.step.max_per_worker
+        if bound and self.n_taken.get(worker.worker_id, 0) >= bound:
+            return False
+        return worker.fits(self.step.need, self.room[worker.worker_id])
+
+    def _score(self, worker: Worker) -> float:
+        """Prefer fast workers, then those that the task fills more."""
+        speed = worker.health.speed
+        if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
+            speed *= FAR_SPEED
+        room, capacity = self.room[worker.worker_id], worker.entry.capacity
+        used = 1.0 - room.cores / capacity.cores if capacity.cores else 0.0
+        return SPEED_WEIGHT * speed + FIT_WEIGHT * used
+
+
+def make_offer(
+    step: Step, workers: Iterable[Worker], n_taken: dict[str, int] | None = None
+) -> Offer:
+    """Return an offer of the present free room of some workers."""
+    chosen = [worker for worker in workers if worker.fits(step.need)]
+    room = {worker.worker_id: worker.free for worker in chosen}
+    return Offer(step, chosen, room, n_taken or {})
+
+
+def place_gang(offer: Offer) -> list[Worker] | None:
+    """Return a worker for each task of a gang, None if they do not all fit."""
+    if offer.step.same_rack:
+        for rack in sorted({worker.rack for worker in offer.workers}):
+            beside = [worker for worker in offer.workers if worker.rack == rack]
+            placed = _place_all(offer, beside)
+            if placed is not None:
+                return placed
+    return _place_all(offer, offer.workers)
+
+
+def _place_all(offer: Offer, workers: list[Worker]) -> list[Worker] | None:
+    room = {worker.worker_id: offer.room[worker.worker_id] for worker in workers}
+    part = Offer(offer.step, workers, room, dict(offer.n_taken))
+    placed = []
+    for _ in range(offer.step.n_tasks):
+        worker = part.take()
+        if worker is None:
+            return None
+        placed.append(worker)
+    return placed
+
+
+def reserve(step: Step, workers: Iterable[Worker], n_tasks: int) -> set[str]:
+    """Return workers to keep for a blocked step until it fits.
+
+    Takes the workers with the most free cores first, as many as the step needs if
+    they were empty.
+    """
+    kept: set[str] = set()
+    n_kept = 0
+    for worker in sorted(workers, key=lambda item: -item.free.cores):
+        if n_kept >= n_tasks:
+            break
+        n_fitting = _n_fitting(step.need, worker.entry.capacity)
+        if step.max_per_worker:
+            n_fitting = min(n_fitting, step.max_per_worker)
+        if n_fitting:
+            kept.add(worker.worker_id)
+            n_kept += n_fitting
+    return kept
+
+
+def _n_fitting(need: Resources, room: Resources) -> int:
+    counts = [
+        has // takes
+        for takes, has in (
+            (need.cores, room.cores),
+            (need.memory_mb, room.memory_mb),
+            (need.accelerators, room.accelerators),
+        )
+        if takes > 0
+    ]
+    return int(min(counts, default=1 << 20))
--- /dev/null
+++ b/cuminhill/jobs/peers.py
@@ -0,0 +1,157 @@
+"""Calls between entry VMs: appends and calls for advice on another's behalf."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Protocol
+
+import orjson
+
+from ..clock import boottime
+from ..errors import (
+    CuminhillError,
+    ProtocolError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ..rpc import RpcClient, idl
+
+if TYPE_CHECKING:
+    import random
+
+    from .advice import AdviceCall
+    from .journal import LogWriter
+
+# Another VM is tried after this time without an answer, in seconds.
+APPEND_CALL_S = 0.8
+REPLY_SLACK_S = 0.2  # for the way back
+OK, UNAVAILABLE, UNCERTAIN = "ok", "unavailable", "uncertain"
+
+
+class AdviceService(Protocol):
+    """Placement advice."""
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> list[tuple[str, str]]:
+        """Return the workers that may run a step and the ticket for each."""
+
+
+@dataclass(eq=False)
+class JobPeers:
+    """Calls other VMs, and serves their calls.
+
+    Parameters
+    ----------
+    vm : str
+        Name of this VM.
+    advice : AdviceService
+        Placement advice; its queue is separate for each VM.
+    writer : LogWriter
+        Appends to the journal.
+    """
+
+    vm: str
+    advice: AdviceService
+    writer: LogWriter
+    rng: random.Random
+    source_host: str = ""
+    members: dict[str, str] = field(default_factory=dict)
+    _clients: dict[str, RpcClient] = field(default_factory=dict)
+
+    def handlers(self) -> dict[str, Any]:
+        """Return the handlers of the RPC server."""
+        return {"append": self._serve_append, "advise": self._serve_advise}
+
+    def _client(self, vm: str) -> RpcClient:
+        address = self.members.get(vm, "")
+        if not address:
+            raise UnavailableError("no address", step="connect", peer=vm)
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address, self.source_host)
+        return client
+
+    async def ask(
+        self, vm: str, call: AdviceCall, wait_s: float
+    ) -> list[tuple[str, str]]:
+        """Ask for advice through a VM.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no usable answer.
+        """
+        if vm == self.vm:
+            return await self.advice.ask(call.step, list(call.workers), wait_s)
+        message = idl.AdviseCall(call.step, list(call.workers), wait_s)
+        reply = await self._call(vm, "advise", message, wait_s)
+        if reply.status != OK:
+            raise UnavailableError(str(reply.value), step="advise", peer=vm)
+        try:
+            return [(str(row[0]), str(row[1])) for row in orjson.loads(reply.value)]
+        except (ValueError, IndexError, TypeError) as exc:
+            raise ProtocolError(repr(exc), step="advise", peer=vm) from exc
+
+    async def append(self, records: list[tuple[str, bytes]], wait_s: float) -> None:
+        """Append to the journal through another VM.
+
+        Raises
+        ------
+        UnavailableError
+            If the records were certainly not appended.
+        UnknownOutcomeError
+            If they may have been.
+        """
+        give_up_at = boottime() + wait_s
+        others = [vm for vm in self.members if vm != self.vm]
+        self.rng.shuffle(others)
+        rows = orjson.dumps([[key, value.decode()] for key, value in records])
+        uncertain: CuminhillError | None = None
+        for vm in others:
+            left_s = min(APPEND_CALL_S, give_up_at - boottime())
+            if left_s <= 0:
+                break
+            try:
+                message = idl.AppendCall(rows, left_s)
+                reply = await self._call(vm, "append", message, left_s)
+            except (UnavailableError, ProtocolError):
+                continue
+            except UnknownOutcomeError as exc:
+                uncertain = exc
+                continue
+            if reply.status == OK:
+                return
+            if reply.status == UNCERTAIN:
+                uncertain = UnknownOutcomeError("uncertain", step="append", peer=vm)
+        if uncertain is not None:
+            raise uncertain
+        raise UnavailableError("no VM reaches the journal", step="append")
+
+    async def _call(self, vm: str, method: str, message: Any, wait_s: float) -> Any:
+        client = self._client(vm)
+        try:
+            return await client.call(method, message, timeout_s=wait_s + REPLY_SLACK_S)
+        except UnknownOutcomeError:
+            # The connection may have gone silent; the next call opens a new one.
+            await client.close()
+            raise
+
+    async def _serve_append(self, call: Any) -> Any:
+        records = [(key, value.encode()) for key, value in orjson.loads(call.records)]
+        if self.writer.failing_since:
+            return idl.Reply(UNAVAILABLE, b"the journal is not reachable")
+        try:
+            await self.writer.append(records, boottime() + call.wait_s)
+        except UnavailableError as exc:
+            return idl.Reply(UNAVAILABLE, str(exc).encode())
+        except CuminhillError as exc:
+            return idl.Reply(UNCERTAIN, str(exc).encode())
+        return idl.Reply(OK, b"")
+
+    async def _serve_advise(self, call: Any) -> Any:
+        try:
+            tickets = await self.advice.ask(call.step, call.workers, call.wait_s)
+        except CuminhillError as exc:
+            return idl.Reply(UNAVAILABLE, str(exc).encode())
+        return idl.Reply(OK, orjson.dumps(tickets))
--- /dev/null
+++ b/cuminhill/jobs/progress.py
@@ -0,0 +1,227 @@
+"""Progress of one job: which tasks are done, assigned and waiting."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from .model import Job, JobState, TaskKey
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .model import Step
+
+
+@dataclass(slots=True)
+class TaskState:
+    """State of one task.
+
+    Parameters
+    ----------
+    run : int
+        Highest run number used; run numbers rise by one.
+    n_failed : int
+        Runs that ended as failed.
+    worker : str
+        Worker on which the run may be present; empty if there is none.
+    life : int
+        Life of that worker.
+    checkpoint : str
+        Newest checkpoint; empty if there is none.
+    done : bool
+        Whether a run ended as done.
+    failed_run : int
+        Newest run that ended as failed.
+    failed_on : set of str
+        Workers on which runs failed; not kept in the journal.
+    """
+
+    run: int = 0
+    n_failed: int = 0
+    worker: str = ""
+    life: int = 0
+    checkpoint: str = ""
+    done: bool = False
+    failed_run: int = 0
+    failed_on: set[str] = field(default_factory=set)
+
+    def is_default(self) -> bool:
+        """Return whether nothing has happened to the task yet."""
+        return not (self.run or self.done)
+
+
+@dataclass(eq=False, slots=True)
+class StepRun:
+    """One step of one occurrence."""
+
+    job: Job
+    occurrence: int
+    number: int
+    tasks: list[TaskState]
+    n_done: int = 0
+    n_assigned: int = 0
+
+    @property
+    def step(self) -> Step:
+        """Definition of the step."""
+        return self.job.steps[self.number]
+
+    @property
+    def n_waiting(self) -> int:
+        """Tasks that are neither done nor assigned."""
+        return len(self.tasks) - self.n_done - self.n_assigned
+
+    @property
+    def name(self) -> str:
+        """Name of the step, unique among all jobs."""
+        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
+
+    def waiting(self) -> Iterator[int]:
+        """Yield the indexes of the tasks that wait."""
+        for index, task in enumerate(self.tasks):
+            if not task.done and not task.worker:
+                yield index
+
+    def key(self, index: int) -> TaskKey:
+        """Return the identity of a task."""
+        return TaskKey(self.job.job_id, self.occurrence, self.number, index)
+
+
+@dataclass(eq=False, slots=True)
+class Progress:
+    """State of a job as its placer keeps it.
+
+    The journal holds it as one record, written before a start is sent and before
+    the end of a run is acknowledged to its worker.
+    """
+
+    job: Job
+    state: JobState = JobState.PENDING
+    cancelled: bool = False
+    step_runs: dict[tuple[int, int], StepRun] = field(default_factory=dict)
+    finished: set[tuple[int, int]] = field(default_factory=set)
+    n_assigned: int = 0
+
+    def is_ready(self, occurrence: int, number: int, wall: float) -> bool:
+        """Return whether the tasks of a step may start."""
+        if (occurrence, number) in self.finished or self.job.due_at(occurrence) > wall:
+            return False
+        after = self.job.steps[number].after
+        return all((occurrence, earlier) in self.finished for earlier in after)
+
+    def ready_steps(self, wall: float) -> Iterator[StepRun]:
+        """Yield the steps that have tasks which may start now."""
+        for occurrence in range(self.job.n_occurrences):
+            if self.job.due_at(occurrence) > wall:
+                return
+            for number in range(len(self.job.steps)):
+                if not self.is_ready(occurrence, number, wall):
+                    continue
+                step_run = self.step_run(occurrence, number)
+                if step_run.n_waiting:
+                    yield step_run
+
+    def step_run(self, occurrence: int, number: int) -> StepRun:
+        """Return the state of a step, made if it is new."""
+        step_run = self.step_runs.get((occurrence, number))
+        if step_run is None:
+            tasks = [TaskState() for _ in range(self.job.steps[number].n_tasks)]
+            step_run = StepRun(self.job, occurrence, number, tasks)
+            self.step_runs[occurrence, number] = step_run
+        return step_run
+
+    def task(self, key: TaskKey) -> TaskState | None:
+        """Return the state of a task, None if its step is finished or unknown."""
+        step_run = self.step_runs.get((key.occurrence, key.step))
+        if step_run is None or not 0 <= key.task < len(step_run.tasks):
+            return None
+        return step_run.tasks[key.task]
+
+    def assign(self, key: TaskKey, worker: str, life: int, run: int) -> None:
+        """Note that a run may be present on a worker from now on."""
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        task.run, task.worker, task.life = run, worker, life
+        step_run.n_assigned += 1
+        self.n_assigned += 1
+        if self.state is JobState.PENDING:
+            self.state = JobState.RUNNING
+
+    def unassign(self, key: TaskKey) -> None:
+        """Note that the run of a task is certainly present nowhere."""
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        task.worker, task.life = "", 0
+        step_run.n_assigned -= 1
+        self.n_assigned -= 1
+
+    def finish_task(self, key: TaskKey) -> bool:
+        """Note that an unassigned task is done; return whether its step is."""
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        if task.done:
+            return False
+        task.done = True
+        step_run.n_done += 1
+        if step_run.n_done < len(step_run.tasks):
+            return False
+        self.finished.add((key.occurrence, key.step))
+        if len(self.finished) == self.job.n_occurrences * len(self.job.steps):
+            self.state = JobState.COMPLETED
+        return True
+
+    def assigned(self) -> Iterator[tuple[TaskKey, TaskState]]:
+        """Yield the tasks whose runs may be present on a worker."""
+        for step_run in self.step_runs.values():
+            if not step_run.n_assigned:
+                continue
+            for index, task in enumerate(step_run.tasks):
+                if task.worker:
+                    yield step_run.key(index), task
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the JSON form of a job's progress."""
+    if progress.state in {JobState.COMPLETED, JobState.FAILED}:
+        return orjson.dumps({"state": progress.state})
+    if progress.cancelled and not progress.n_assigned:
+        return orjson.dumps({"state": JobState.CANCELLED})
+    steps: list[list[Any]] = []
+    for (occurrence, number), step_run in progress.step_runs.items():
+        if (occurrence, number) in progress.finished and not step_run.n_assigned:
+            steps.append([occurrence, number])
+            continue
+        done = [index for index, task in enumerate(step_run.tasks) if task.done]
+        rows = [
+            [index, t.run, t.n_failed, t.worker, t.life, t.checkpoint, t.failed_run]
+            for index, t in enumerate(step_run.tasks)
+            if t.run and (not t.done or t.worker)
+        ]
+        if done or rows:
+            steps.append([occurrence, number, done, rows])
+    return orjson.dumps({"state": progress.state, "steps": steps})
+
+
+def decode_progress(job: Job, value: bytes) -> Progress:
+    """Return the progress of a job for its JSON form."""
+    data: dict[str, Any] = orjson.loads(value)
+    progress = Progress(job, JobState(data["state"]))
+    for occurrence, number, *rest in data.get("steps", ()):
+        step_run = progress.step_run(occurrence, number)
+        done, rows = rest or (range(len(step_run.tasks)), ())
+        for index in done:
+            step_run.tasks[index].done = True
+        step_run.n_done = len(done)
+        for index, run, n_failed, worker, life, checkpoint, failed_run in rows:
+            task = step_run.tasks[index]
+            task.run, task.n_failed, task.worker = run, n_failed, worker
+            task.life, task.checkpoint, task.failed_run = life, checkpoint, failed_run
+            if worker:
+                step_run.n_assigned += 1
+                progress.n_assigned += 1
+        if step_run.n_done == len(step_run.tasks):
+            progress.finished.add((occurrence, number))
+    return progress
--- /dev/null
+++ b/cuminhill/jobs/records.py
@@ -0,0 +1,144 @@
+"""Journal records of jobs and their JSON form.
+
+The journal keeps the newest record of each key, so each record holds the whole state
+that its key stands for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+from ..model import Resources
+from .model import Job, Step
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+JOB, RUN, CANCEL, LEAD, MEMBER = "job/", "run/", "cancel/", "lead", "vm/"
+
+
+@dataclass(frozen=True, slots=True)
+class JournalRecord:
+    """One record read from the journal.
+
+    Parameters
+    ----------
+    offset : int
+        Position in the journal; -1 for a record of a snapshot.
+    key : str
+        What the record describes.
+    value : bytes
+        JSON form; empty when the key is dropped.
+    """
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """Claim to be the placer.
+
+    Parameters
+    ----------
+    term : int
+        Number of the term; the first claim with the highest term holds.
+    vm : str
+        Claiming VM.
+    nonce : str
+        Distinguishes lives of the process and repeated claims.
+    resigned : bool
+        Whether the placer has given up, so that another may follow at once.
+    """
+
+    term: int
+    vm: str
+    nonce: str
+    resigned: bool = False
+
+
+NO_LEAD = Lead(0, "", "", resigned=True)
+
+
+def encode_lead(lead: Lead) -> bytes:
+    """Return the JSON form of a claim."""
+    return orjson.dumps(lead)
+
+
+def decode_lead(value: bytes) -> Lead:
+    """Return the claim for its JSON form."""
+    return Lead(**orjson.loads(value))
+
+
+def encode_job(job: Job) -> bytes:
+    """Return the JSON form of a job."""
+    return orjson.dumps(
+        {
+            "queue": job.queue,
+            "payload": job.payload,
+            "accepted_at": job.accepted_at,
+            "times": [job.n_times, job.first_due_at, job.period_s],
+            "steps": [_step_to_dict(step) for step in job.steps],
+        }
+    )
+
+
+def decode_job(job_id: str, value: bytes) -> Job:
+    """Return the job for its JSON form."""
+    data = orjson.loads(value)
+    n_times, first_due_at, period_s = data["times"]
+    return Job(
+        job_id,
+        data["queue"],
+        data["payload"],
+        tuple(_step_from_dict(item) for item in data["steps"]),
+        data["accepted_at"],
+        n_times,
+        first_due_at,
+        period_s,
+    )
+
+
+def _step_to_dict(step: Step) -> dict[str, Any]:
+    need = step.need
+    data: dict[str, Any] = {
+        "n": step.n_tasks,
+        "need": [need.cores, need.memory_mb, need.accelerators],
+        "time": step.run_time_s,
+    }
+    for name in _OPTIONAL:
+        value = getattr(step, name)
+        if value:
+            data[name] = value
+    return data
+
+
+_OPTIONAL = (
+    "after",
+    "checkpoints",
+    "gang",
+    "same_rack",
+    "required_label",
+    "near_rack",
+    "max_per_worker",
+    "speculative",
+    "long_running",
+    "may_miss",
+    "fills",
+)
+
+
+def _step_from_dict(data: Mapping[str, Any]) -> Step:
+    optional = {name: data[name] for name in _OPTIONAL if name in data}
+    optional["after"] = tuple(optional.get("after", ()))
+    need = task_need(*data["need"])
+    return Step(data["n"], need, data["time"], **optional)
+
+
+def task_need(cores: float, memory_mb: float, accelerators: float) -> Resources:
+    """Return what a task takes; tasks of jobs take no slots and connections."""
+    return Resources(cores, memory_mb, accelerators, 0.0, 0.0)
--- /dev/null
+++ b/cuminhill/jobs/service.py
@@ -0,0 +1,160 @@
+"""What an entry VM does for callers: takes jobs in, tells their state, cancels them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import structlog
+
+from ..clock import boottime
+from ..errors import CuminhillError, UnavailableError
+from .model import FINAL_JOB_STATES
+from .records import CANCEL, JOB, JournalRecord, encode_job
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .book import JobBook, JobEntry
+    from .journal import LogFollower, LogWriter
+    from .model import Job, JobState
+
+logger = structlog.get_logger(__name__)
+
+# Time after which a caller whose append has not been answered is told so, in seconds:
+# the same request at another VM then has most of the caller's time left.
+APPEND_S = 0.8
+# Time for which other VMs are asked to append while this one cannot, in seconds.
+ELSEWHERE_S = 0.6
+# Time that a look-up of an unknown job may take to read the journal on.
+CATCH_UP_S = 1.0
+# Bounds of the time after which a refused caller may come back, in seconds. Between
+# them it is as long as the outage has lasted, the best guess of how long it goes on.
+MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 1, 4
+
+
+class Outcome(StrEnum):
+    """Outcome of a call by a caller."""
+
+    OK = "ok"
+    UNKNOWN_JOB = "unknown_job"
+    # Certainly not done, and never will be.
+    NOT_DONE = "not_done"
+    # It may have been done; the same call may be repeated.
+    UNCERTAIN = "uncertain"
+
+
+@dataclass(eq=False)
+class JobService:
+    """Serves callers from the journal.
+
+    Parameters
+    ----------
+    book : JobBook
+        Folded journal.
+    follower : LogFollower
+        Reads the journal.
+    writer : LogWriter
+        Appends to the journal.
+    append_elsewhere : callable
+        Coroutine function that appends through another VM.
+    """
+
+    book: JobBook
+    follower: LogFollower
+    writer: LogWriter
+    append_elsewhere: Callable[[list[tuple[str, bytes]], float], Awaitable[None]]
+    counts: Counter[str] = field(default_factory=Counter)
+
+    async def submit(self, job: Job, wait_s: float) -> Outcome:
+        """Take a job in; it is kept once the outcome is `Outcome.OK`.
+
+        Parameters
+        ----------
+        wait_s : float, seconds
+            How long the caller waits.
+        """
+        if job.job_id in self.book.entries:
+            self.counts["repeated"] += 1
+            return Outcome.OK
+        outcome = await self._append(JOB + job.job_id, encode_job(job), wait_s)
+        self.counts[f"submit_{outcome}"] += 1
+        logger.info(
+            "submission",
+            job=job.job_id,
+            queue=job.queue,
+            steps=len(job.steps),
+            outcome=outcome,
+            journal_age_s=round(self.follower.age(boottime()), 2),
+        )
+        return outcome
+
+    async def cancel(self, job_id: str, wait_s: float) -> Outcome:
+        """Cancel a job unless it has ended."""
+        entry = await self._find(job_id)
+        if entry is None:
+            return self._unknown()
+        if entry.state in FINAL_JOB_STATES:
+            return Outcome.OK
+        outcome = await self._append(CANCEL + job_id, b"{}", wait_s)
+        self.counts[f"cancel_{outcome}"] += 1
+        logger.info("cancellation", job=job_id, outcome=outcome, state=entry.state)
+        return outcome
+
+    async def state(self, job_id: str) -> JobState | Outcome:
+        """Return the state of a job."""
+        entry = await self._find(job_id)
+        return self._unknown() if entry is None else entry.state
+
+    def n_waiting(self, queue: str) -> int:
+        """Return the accepted jobs of a queue for which no task has started."""
+        return self.book.n_waiting(queue)
+
+    async def _find(self, job_id: str) -> JobEntry | None:
+        entry = self.book.entries.get(job_id)
+        if entry is None:
+            asked_at = boottime()
+            await self.follower.catch_up(CATCH_UP_S)
+            entry = self.book.entries.get(job_id)
+            logger.info(
+                "look-up of an unknown job",
+                job=job_id,
+                found=entry is not None,
+                journal_age_s=round(self.follower.age(asked_at), 2),
+            )
+        return entry
+
+    def _unknown(self) -> Outcome:
+        """Return whether a job that is not in the book certainly does not exist."""
+        fresh = self.follower.synced and self.follower.age(boottime()) < CATCH_UP_S
+        return Outcome.UNKNOWN_JOB if fresh else Outcome.NOT_DONE
+
+    def retry_after_s(self) -> int:
+        """Return when a refused caller may come back, in whole seconds."""
+        if not self.writer.failing_since:
+            return MIN_RETRY_AFTER_S
+        lasted_s = boottime() - self.writer.failing_since
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, round(lasted_s)))
+
+    async def _append(self, key: str, value: bytes, wait_s: float) -> Outcome:
+        records = [(key, value)]
+        give_up_at = boottime() + min(wait_s, APPEND_S)
+        try:
+            if not self.writer.failing_since:
+                try:
+                    await self.writer.append(records, give_up_at)
+                except UnavailableError as exc:
+                    logger.info("append goes elsewhere", key=key, error=str(exc))
+                    await self.append_elsewhere(records, ELSEWHERE_S)
+            else:
+                await self.append_elsewhere(records, ELSEWHERE_S)
+        except UnavailableError as exc:
+            logger.warning("append refused", key=key, error=str(exc))
+            return Outcome.NOT_DONE
+        except CuminhillError as exc:
+            logger.warning("append uncertain", key=key, error=str(exc))
+            return Outcome.UNCERTAIN
+        self.book.fold(JournalRecord(-1, key, value), boottime())
+        return Outcome.OK
--- a/cuminhill/logs.py
+++ b/cuminhill/logs.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import os
 import sys
+import time
+from dataclasses import dataclass
 
 import structlog
 
+# Lines of one process in a second; beyond that lines are dropped and counted.
+MAX_LINES_PER_S = 600
+
 
 def set_up_logging(log_format: str, vm: str, log_level: str = "info") -> None:
     """Write log lines to standard error.
@@ -35,3 +41,97 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
     structlog.contextvars.bind_contextvars(process_vm=vm)
+
+
+@dataclass(eq=False)
+class BoundedOutput:
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Lines beyond the rate, and those that the pipe has no room for, are dropped; the
+    next line that gets through says how many.
+
+    Parameters
+    ----------
+    fd : int
+        File descriptor; it is made non-blocking.
+    max_lines_per_s : int
+        Bound on the volume under load.
+    """
+
+    fd: int
+    max_lines_per_s: int = MAX_LINES_PER_S
+    n_dropped: int = 0
+    n_written: int = 0
+    _window: int = 0
+    _n_in_window: int = 0
+    _n_reported: int = 0
+    _rest: bytes = b""
+
+    def __post_init__(self) -> None:
+        os.set_blocking(self.fd, False)
+
+    def write_line(self, line: str) -> None:
+        """Write one line or drop it."""
+        window = int(time.monotonic())
+        if window != self._window:
+            self._window, self._n_in_window = window, 0
+        self._n_in_window += 1
+        if self._n_in_window > self.max_lines_per_s or not self._flush():
+            self.n_dropped += 1
+            return
+        if self.n_dropped > self._n_reported:
+            n_new = self.n_dropped - self._n_reported
+            self._n_reported = self.n_dropped
+            line = f'{{"event": "log lines dropped", "count": {n_new}}}\n{line}'
+        self._rest = line.encode() + b"\n"
+        self._flush()
+        self.n_written += 1
+
+    def _flush(self) -> bool:
+        """Return whether the rest of the last line has been written."""
+        if not self._rest:
+            return True
+        try:
+            n_written = os.write(self.fd, self._rest)
+        except (BlockingIOError, BrokenPipeError):
+            return False
+        self._rest = self._rest[n_written:]
+        return not self._rest
+
+
+class _LineLogger:
+    """Logger of structlog that hands finished lines to an output."""
+
+    def __init__(self, output: BoundedOutput) -> None:
+        self._output = output
+
+    def msg(self, message: str) -> None:
+        """Write one line."""
+        self._output.write_line(message)
+
+    debug = info = warning = error = critical = exception = msg
+
+
+def set_up_bounded_logging(vm: str, log_level: str = "info") -> BoundedOutput:
+    """Write JSON lines to standard output, bounded in volume and never blocking.
+
+    Returns
+    -------
+    BoundedOutput
+        Counts what was written and dropped.
+    """
+    output = BoundedOutput(sys.stdout.fileno())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(log_level),
+        logger_factory=lambda *_: _LineLogger(output),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(process_vm=vm)
+    return output
--- /dev/null
+++ b/cuminhill/platform/boot.py
@@ -0,0 +1,108 @@
+"""Settings of a process on the users' platform, and the node built from them.
+
+``deploy/node.toml`` is the template that the platform fills in under these names.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from pydantic import BaseModel, ConfigDict
+
+from ..errors import SettingsError
+from ..jobs.fleet import LeaseTimes
+from ..jobs.node import Backends, JobNode, NodeOptions
+from ..jobs.placer import PlacerTimes
+from ..util.http import HttpLimits, HttpServer
+from ..util.tables import describe_problems, read_toml, validate_model
+from .front import Front
+from .store import CONFIG_TOPIC, JOURNAL_TOPIC, WORKERS_TOPIC, make_topic
+from .wire import decode_queue_table, decode_worker_entry
+from .workers import PlatformWorkers, make_advice
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+# Lease that renewals ask for, in seconds: it outlasts a change of the placer, which
+# takes 2 to 3 s, and a lost worker's tasks still move soon.
+LEASE_S = 5.0
+RPC_PORT, METRICS_PORT = 0, 1  # positions in the range of free ports
+MAX_FRONT_CONNECTIONS = 1000
+# Descriptors kept for connections to the store, workers and other VMs.
+OTHER_DESCRIPTORS = 400
+FRONT_IDLE_S = 120.0
+
+
+class PlatformSettings(BaseModel):
+    """Settings of one process, as the template names them."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    vm: str
+    failure_domain: str
+    host: str
+    front_address: str
+    ready_address: str
+    first_free_port: int
+    store_address: str
+    advice_address: str = ""
+    max_descriptors: int = 1024
+    max_lease_ms: float = 6000.0
+    stop_timeout_ms: float = 1000.0
+    keep_state_s: float = 120.0
+    grace_s: float = 6.0
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Return the settings of this process.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or a setting is wrong.
+    """
+    content = read_toml(path, "settings")
+    value, problems = validate_model(PlatformSettings, content)
+    if value is None:
+        lines = describe_problems(problems, [(str(path), content)])
+        raise SettingsError("; ".join(lines), step="settings", peer=str(path))
+    return value
+
+
+def make_node(cfg: PlatformSettings) -> JobNode:
+    """Return the node for some settings."""
+    rng = random.Random(f"{cfg.vm}.{time.time_ns()}")
+    backends = Backends(
+        journal=make_topic(JOURNAL_TOPIC, cfg.store_address, cfg.host),
+        config=make_topic(CONFIG_TOPIC, cfg.store_address, cfg.host),
+        registry=make_topic(WORKERS_TOPIC, cfg.store_address, cfg.host),
+        calls=PlatformWorkers(cfg.host),
+        advice=make_advice(cfg.advice_address or cfg.store_address, cfg.host),
+        decode_table=decode_queue_table,
+        decode_worker=decode_worker_entry,
+        config_key="config",
+    )
+    lease = LeaseTimes(
+        lease_s=min(LEASE_S, cfg.max_lease_ms / 1000),
+        max_lease_s=cfg.max_lease_ms / 1000,
+        stop_s=cfg.stop_timeout_ms / 1000,
+    )
+    options = NodeOptions(
+        vm=cfg.vm,
+        rpc_address=f"{cfg.host}:{cfg.first_free_port + RPC_PORT}",
+        times=PlacerTimes(lease),
+        keep_ended_s=cfg.keep_state_s,
+    )
+    return JobNode(options, backends, rng)
+
+
+def make_front_servers(
+    cfg: PlatformSettings, node: JobNode
+) -> tuple[HttpServer, HttpServer]:
+    """Return the servers for callers and for the platform's readiness question."""
+    front = Front(node, time.time)
+    most = max(50, min(MAX_FRONT_CONNECTIONS, cfg.max_descriptors - OTHER_DESCRIPTORS))
+    limits = HttpLimits(max_connections=most, idle_timeout_s=FRONT_IDLE_S)
+    return HttpServer(front.handle, limits), HttpServer(front.handle_ready)
--- /dev/null
+++ b/cuminhill/platform/front.py
@@ -0,0 +1,120 @@
+"""The platform's HTTP interface for callers, translated to `jobs.service`."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from ..errors import ValidationError
+from ..jobs.service import MIN_RETRY_AFTER_S, Outcome
+from ..util.http import HttpRequest, HttpResponse
+from .wire import decode_job_body
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..jobs.node import JobNode
+
+JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
+DEADLINE_HEADER = "x-cuminhill-deadline-ms"
+DEFAULT_DEADLINE_MS = 3000.0
+# Share of a caller's time that is used here; the rest is for the way back.
+DEADLINE_SHARE = 0.7
+READY_PATH = "/-/ready"
+
+
+@dataclass(eq=False)
+class Front:
+    """Handles the requests of callers.
+
+    Parameters
+    ----------
+    node : JobNode
+        What serves them.
+    wall : callable
+        Returns wall-clock seconds.
+    """
+
+    node: JobNode
+    wall: Callable[[], float]
+
+    async def handle(self, req: HttpRequest) -> HttpResponse:
+        """Answer a caller."""
+        if not self.node.table.version:
+            return _refused("no configuration yet")
+        host = req.headers.get("host", "").partition(":")[0]
+        queue = self.node.table.find(host, req.path)
+        if queue is None:
+            return _error(404, "no such queue")
+        job_id = req.path[len(queue.path_prefix) :]
+        if not job_id:
+            if req.method != "GET":
+                return _error(405, "GET asks for the length of a queue")
+            return HttpResponse(
+                200, {"waiting": self.node.service.n_waiting(queue.name)}
+            )
+        if JOB_ID.fullmatch(job_id) is None:
+            return _error(404 if req.method == "GET" else 400, "id: 16 hex digits")
+        if req.method == "POST":
+            return await self._submit(job_id, queue.name, req)
+        if req.method == "GET":
+            return await self._state(job_id)
+        if req.method == "DELETE":
+            return await self._cancel(job_id, req)
+        return _error(405, "POST, GET or DELETE")
+
+    async def _submit(self, job_id: str, queue: str, req: HttpRequest) -> HttpResponse:
+        try:
+            job = decode_job_body(job_id, queue, req.body, self.wall())
+        except ValidationError as exc:
+            self.node.service.counts["invalid"] += 1
+            return _error(400, exc.message)
+        outcome = await self.node.service.submit(job, _deadline_s(req))
+        return self._response(outcome)
+
+    async def _state(self, job_id: str) -> HttpResponse:
+        state = await self.node.service.state(job_id)
+        if isinstance(state, Outcome):
+            return self._response(state)
+        return HttpResponse(200, {"state": str(state)})
+
+    async def _cancel(self, job_id: str, req: HttpRequest) -> HttpResponse:
+        outcome = await self.node.service.cancel(job_id, _deadline_s(req))
+        return self._response(outcome)
+
+    async def handle_ready(self, req: HttpRequest) -> HttpResponse:
+        """Answer the platform's question whether to send new callers here."""
+        if req.path != READY_PATH:
+            return _error(404, "no such path")
+        ready = self.node.is_ready()
+        return HttpResponse(200 if ready else 503, {"ready": ready})
+
+    def _response(self, outcome: Outcome) -> HttpResponse:
+        if outcome is Outcome.OK:
+            return HttpResponse(200, {})
+        if outcome is Outcome.UNKNOWN_JOB:
+            return _error(410, "no such job")
+        if outcome is Outcome.UNCERTAIN:
+            return _error(504, "the journal has not answered; repeat the request")
+        return _refused(
+            "the journal cannot be reached; the request had no effect",
+            self.node.service.retry_after_s(),
+        )
+
+
+def _deadline_s(req: HttpRequest) -> float:
+    try:
+        deadline_ms = float(req.headers.get(DEADLINE_HEADER, DEFAULT_DEADLINE_MS))
+    except ValueError:
+        deadline_ms = DEFAULT_DEADLINE_MS
+    return deadline_ms / 1000 * DEADLINE_SHARE
+
+
+def _refused(message: str, after_s: int = MIN_RETRY_AFTER_S) -> HttpResponse:
+    headers = (("retry-after", str(after_s)),)
+    return HttpResponse(503, {"error": message}, headers=headers)
+
+
+def _error(status: int, message: str, **more: Any) -> HttpResponse:
+    return HttpResponse(status, {"error": message, **more})
--- /dev/null
+++ b/cuminhill/platform/store.py
@@ -0,0 +1,193 @@
+"""Client of the platform's metadata store, a log with keyed topics."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+from urllib.parse import urlencode
+
+from ..errors import (
+    FencedError,
+    HistoryGoneError,
+    ProtocolError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ..jobs.records import JournalRecord
+from ..util.http_client import make_http_client
+from .wire import decode_page, encode_keyed
+
+if TYPE_CHECKING:
+    from ..jobs.journal import WriterToken
+    from ..util.http_client import HttpClient
+
+JOURNAL_TOPIC = "keyed.cuminhill"
+CONFIG_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+READ_TIMEOUT_S = 2.0
+MAX_PAGE_KB = 1024  # of one read, from the platform's pages
+
+
+@dataclass(eq=False)
+class PlatformTopic:
+    """One keyed topic; implements `jobs.journal.KeyedLog`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the topic; partition 0 is used.
+    reader, writer : HttpClient
+        Kept apart, since a waiting read holds its connection.
+    """
+
+    name: str
+    reader: HttpClient
+    writer: HttpClient
+
+    async def read(
+        self, offset: int, wait_s: float, timeout_s: float = READ_TIMEOUT_S
+    ) -> tuple[int, list[JournalRecord]]:
+        """Return the end of the topic and the records from an offset on.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the records at the offset are no longer kept.
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If the store gives no usable answer.
+        """
+        query = {"topic": self.name, "part": 0, "from": offset, "max_kb": MAX_PAGE_KB}
+        if wait_s > 0:
+            query["wait_ms"] = int(wait_s * 1000)
+        status, body = await self.reader.request(
+            "GET",
+            f"/-/log-read?{urlencode(query)}",
+            timeout_s=timeout_s + wait_s,
+        )
+        if status == 410:
+            raise HistoryGoneError(
+                f"offset {offset} of {self.name}", step="read", peer=self.reader.peer
+            )
+        if status != 200:
+            raise UnavailableError(
+                f"status {status}", step="read", peer=self.reader.peer
+            )
+        raw = body if isinstance(body, bytes) else str(body).encode("latin-1")
+        end, first, records = decode_page(raw, offset, self.reader.peer)
+        if first > offset:
+            raise HistoryGoneError(
+                f"offset {offset} of {self.name}", step="read", peer=self.reader.peer
+            )
+        return end, records
+
+    async def newest(self) -> tuple[int, list[JournalRecord]]:
+        """Return an offset to read on from and the newest record of each key.
+
+        The records are in the order of their offsets; changes made while the pages
+        were read may be missing and follow from that offset on.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If the store gives no usable answer.
+        """
+        records: list[JournalRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = {"topic": self.name, "part": 0} | (
+                {"after": after} if after else {}
+            )
+            status, page = await self.reader.request(
+                "GET", f"/-/log-newest?{urlencode(query)}", timeout_s=READ_TIMEOUT_S
+            )
+            if status == 404:
+                return 0, []  # nobody has written to the topic yet
+            if status != 200:
+                raise UnavailableError(
+                    f"status {status}", step="newest", peer=self.reader.peer
+                )
+            try:
+                end = page["end"] if end is None else end
+                records.extend(_newest_record(item) for item in page["items"])
+                if not page.get("more"):
+                    break
+                after = page["items"][-1]["key"]
+            except (KeyError, IndexError, TypeError, binascii.Error) as exc:
+                raise ProtocolError(
+                    repr(exc), step="newest", peer=self.reader.peer
+                ) from exc
+        records.sort(key=lambda record: record.offset)
+        return end or 0, records
+
+    async def append(
+        self,
+        records: list[tuple[str, bytes]],
+        token: WriterToken | None = None,
+        *,
+        at: int | None = None,
+        timeout_s: float,
+    ) -> int:
+        """Append records, all or none, and return the offset of the first.
+
+        Parameters
+        ----------
+        token : WriterToken or None
+            Identifies a repeat of the same append and fences earlier writers.
+        at : int or None
+            Append only if the topic ends at this offset.
+
+        Raises
+        ------
+        FencedError
+            If a later epoch has written, or the topic does not end at ``at``.
+        ProtocolError
+            If the number of the append does not follow the last one.
+        UnavailableError
+            If the records were certainly not appended.
+        UnknownOutcomeError
+            If they may have been, or may be later.
+        """
+        query: dict[str, Any] = {"topic": self.name, "part": 0}
+        if token is not None:
+            query |= {
+                "producer": token.writer,
+                "epoch": token.epoch,
+                "seq": token.number,
+            }
+        if at is not None:
+            query["at"] = at
+        status, value = await self.writer.request(
+            "POST",
+            f"/-/log-append?{urlencode(query)}",
+            encode_keyed(records),
+            timeout_s=timeout_s,
+        )
+        if status == 200 and isinstance(value, dict):
+            return int(value.get("offset", 0))
+        if status == 409 and isinstance(value, dict) and value.get("reason") == "seq":
+            raise ProtocolError(f"{value}", step="append", peer=self.writer.peer)
+        if status in {409, 412}:
+            raise FencedError(f"{value}", step="append", peer=self.writer.peer)
+        if status in {400, 404, 413, 429, 503, 507}:
+            raise UnavailableError(
+                f"status {status}: {value}", step="append", peer=self.writer.peer
+            )
+        raise UnknownOutcomeError(
+            f"status {status}: {value}", step="append", peer=self.writer.peer
+        )
+
+
+def _newest_record(item: dict[str, Any]) -> JournalRecord:
+    value = base64.b64decode(item["value"])
+    return JournalRecord(int(item["offset"]), str(item["key"]), value)
+
+
+def make_topic(name: str, address: str, source_host: str = "") -> PlatformTopic:
+    """Return a client of one topic of the store at ``"host:port"``."""
+    reader = make_http_client(address, 2, 1.0, source_host=source_host)
+    writer = make_http_client(address, 2, 1.0, source_host=source_host)
+    return PlatformTopic(name, reader, writer)
--- /dev/null
+++ b/cuminhill/platform/wire.py
@@ -0,0 +1,337 @@
+"""Names and shapes of the users' platform, decoded into the product's types.
+
+Each model mirrors one message; a comment stands beside a field whose name on the wire
+misleads. Nothing outside this folder uses these names.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING, Annotated, Any
+
+import orjson
+import pydantic
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..errors import ProtocolError, ValidationError
+from ..jobs.model import (
+    AdviceTerms,
+    EndedTask,
+    EndKind,
+    Job,
+    Queue,
+    QueueTable,
+    RunningTask,
+    Step,
+    TaskKey,
+    WorkerEntry,
+    WorkerReport,
+)
+from ..jobs.records import JournalRecord, task_need
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+MS = 1000.0  # milliseconds in a second
+MILLICORES = 1000.0  # the platform's unit of processor capacity in a core
+MAX_SPEC_BYTES = 4000
+MAX_TASKS = 10_000  # of one step; bounds the memory that one body can claim
+MAX_STEPS = 200
+
+Count = Annotated[int, Field(ge=0, le=1 << 31)]
+Name = Annotated[str, Field(min_length=1, max_length=200)]
+
+
+class _Message(BaseModel):
+    """Message whose unknown fields are ignored and whose types are not coerced."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
+class _StepBody(_Message):
+    count: Annotated[int, Field(ge=1, le=MAX_TASKS)]
+    cpu: Count = 0  # thousandths of a core
+    mem_mb: Count = 0
+    gpu: Count = 0
+    est_runtime_ms: Annotated[float, Field(ge=0, le=1e10)] = 0.0
+    after: list[Count] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    affinity: str = ""  # rack of the input data
+    max_per_server: Count = 0
+    speculative: bool = False
+    long_running: bool = False
+    may_miss: Count = 0
+    fills: bool = False
+
+
+class _JobBody(_Message):
+    spec: Annotated[str, Field(max_length=MAX_SPEC_BYTES)]
+    # The steps of the job; the platform's pages speak of steps as well.
+    phases: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
+    times: Count = 0
+    first_run_ms: Annotated[float, Field(ge=0)] = 0.0
+    period_ms: Annotated[float, Field(ge=0)] = 0.0
+
+
+def decode_job_body(job_id: str, queue: str, body: bytes, wall: float) -> Job:
+    """Return the job that a caller submits.
+
+    Raises
+    ------
+    ValidationError
+        If a field is missing, of a wrong type or out of bounds, or a step depends
+        on itself or a later one; the message names the field.
+    """
+    try:
+        message = _JobBody.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        first = exc.errors()[0]
+        field = ".".join(str(part) for part in first["loc"])
+        raise ValidationError(f"{field}: {first['msg']}", step="decode") from exc
+    steps = []
+    for number, item in enumerate(message.phases):
+        if any(earlier >= number for earlier in item.after):
+            raise ValidationError(
+                f"phases.{number}.after: names a step that is not earlier",
+                step="decode",
+            )
+        steps.append(_step(item))
+    return Job(
+        job_id,
+        queue,
+        message.spec,
+        tuple(steps),
+        wall,
+        message.times,
+        message.first_run_ms / MS,
+        message.period_ms / MS,
+    )
+
+
+def _step(item: _StepBody) -> Step:
+    return Step(
+        n_tasks=item.count,
+        need=task_need(item.cpu / MILLICORES, float(item.mem_mb), float(item.gpu)),
+        run_time_s=item.est_runtime_ms / MS,
+        after=tuple(item.after),
+        checkpoints=item.checkpoints,
+        gang=item.gang,
+        same_rack=item.same_rack,
+        required_label=item.required_label,
+        near_rack=item.affinity,
+        max_per_worker=item.max_per_server,
+        speculative=item.speculative,
+        long_running=item.long_running,
+        may_miss=item.may_miss,
+        fills=item.fills,
+    )
+
+
+class _AdviceBody(_Message):
+    decide_ms: float
+    each_ms: float  # for each worker named in a call
+    valid_ms: float
+
+
+class _RouteBody(_Message):
+    name: Name
+    host: str
+    path_prefix: str
+    service: Name  # pool of the workers that run the queue's jobs
+    priority: int = 0
+    max_attempts: int = 0
+    stretch: float = 1.0
+    target_duration_ms: float = 0.0
+    advice: _AdviceBody | None = None
+
+
+class _LimitsBody(_Message):
+    max_body_bytes: int = 1 << 18
+
+
+class _ConfigBody(_Message):
+    version: int
+    routes: list[_RouteBody]
+    limits: _LimitsBody = _LimitsBody()
+
+
+def decode_queue_table(value: bytes) -> QueueTable:
+    """Return the queues of the operator's newest configuration.
+
+    Raises
+    ------
+    ProtocolError
+        If it cannot be read.
+    """
+    try:
+        message = _ConfigBody.model_validate_json(value)
+    except pydantic.ValidationError as exc:
+        raise ProtocolError(str(exc), step="config", peer="op/config") from exc
+    queues = {}
+    for route in message.routes:
+        terms = route.advice
+        queues[route.name] = Queue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            pool=route.service,
+            priority=route.priority,
+            max_attempts=max(1, route.max_attempts),
+            stretch=route.stretch,
+            target_s=route.target_duration_ms / MS,
+            advice=None
+            if terms is None
+            else AdviceTerms(
+                terms.decide_ms / MS, terms.each_ms / MS, terms.valid_ms / MS
+            ),
+        )
+    return QueueTable(message.version, queues, message.limits.max_body_bytes)
+
+
+class _CapacityBody(_Message):
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
+
+
+class _ServerBody(_Message):
+    service: Name
+    addr: Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$")]
+    zone: Name
+    state: Annotated[str, Field(pattern="^(ready|draining)$")]
+    capacity: _CapacityBody
+    labels: list[str] = []
+    born: int = 0
+    drain_remaining_ms: float = 0.0
+
+
+def decode_worker_entry(worker_id: str, value: bytes) -> WorkerEntry:
+    """Return the worker that a registration describes.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing or of another type; it then names no worker to use.
+    """
+    try:
+        message = _ServerBody.model_validate_json(value)
+    except pydantic.ValidationError as exc:
+        raise ProtocolError(str(exc), step="registry", peer=worker_id) from exc
+    room = message.capacity
+    return WorkerEntry(
+        worker_id=worker_id,
+        life=message.born,
+        pool=message.service,
+        address=message.addr,
+        failure_domain=message.zone,
+        labels=tuple(message.labels),
+        capacity=task_need(room.cpu / MILLICORES, float(room.mem_mb), float(room.gpu)),
+        draining=message.state == "draining",
+        drain_left_s=message.drain_remaining_ms / MS,
+    )
+
+
+def encode_task_name(key: TaskKey) -> str:
+    """Return the platform's name of a task."""
+    return f"{key.job_id}.{key.occurrence}.{key.step}.{key.task}"
+
+
+def decode_task_name(name: str) -> TaskKey:
+    """Return the task for the platform's name of it.
+
+    Raises
+    ------
+    ValueError
+        If it is not such a name.
+    """
+    job_id, occurrence, step, index = name.split(".")
+    return TaskKey(job_id, int(occurrence), int(step), int(index))
+
+
+def decode_report(value: Any, peer: str) -> WorkerReport:
+    """Return a worker's lists of runs.
+
+    Raises
+    ------
+    ProtocolError
+        If the body is of another shape.
+    """
+    try:
+        running = tuple(
+            RunningTask(decode_task_name(row[0]), int(row[1]), str(row[2]), row[3])
+            for row in value.get("running") or ()
+        )
+        ended = tuple(
+            EndedTask(
+                int(row[0]),
+                decode_task_name(row[1]),
+                int(row[2]),
+                EndKind(row[3]),
+                str(row[4]),
+            )
+            for row in value.get("ended") or ()
+        )
+        return WorkerReport(
+            int(value["clock_ms"]), int(value.get("born", 0)), running, ended
+        )
+    except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError(repr(exc), step="hold", peer=peer) from exc
+
+
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+
+
+def encode_keyed(records: Iterable[tuple[str, bytes]]) -> bytes:
+    """Return the body of an append to a topic that keeps the newest of each key."""
+    parts = []
+    for key, value in records:
+        name = key.encode()
+        parts += [_LENGTH.pack(1 + len(name) + len(value)), bytes([len(name)])]
+        parts += [name, value]
+    return b"".join(parts)
+
+
+def decode_page(
+    body: bytes, offset: int, peer: str
+) -> tuple[int, int, list[JournalRecord]]:
+    """Return end, first kept offset and keyed records of a page read from ``offset``.
+
+    Raises
+    ------
+    ProtocolError
+        If the bytes are not such a page.
+    """
+    try:
+        end, first = _BOUNDS.unpack_from(body)
+        pos = _BOUNDS.size
+        records = []
+        while pos < len(body):
+            (length,) = _LENGTH.unpack_from(body, pos)
+            pos += _LENGTH.size
+            content = body[pos : pos + length]
+            if len(content) < length:
+                break  # the page ends within a record; it is read again from there
+            pos += length
+            records.append(_keyed_record(offset, content))
+            offset += 1
+        return end, first, records
+    except (struct.error, IndexError) as exc:
+        raise ProtocolError(repr(exc), step="read", peer=peer) from exc
+
+
+def _keyed_record(offset: int, content: bytes) -> JournalRecord:
+    n_key = content[0] if content else 0
+    key = content[1 : 1 + n_key].decode("utf-8", "replace")
+    return JournalRecord(offset, key, content[1 + n_key :])
+
+
+def decode_json(value: bytes) -> Any:
+    """Return decoded JSON, None if it is not JSON."""
+    try:
+        return orjson.loads(value)
+    except orjson.JSONDecodeError:
+        return None
--- /dev/null
+++ b/cuminhill/platform/workers.py
@@ -0,0 +1,222 @@
+"""Calls to workers and to the placement advice of the users' platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from ..errors import (
+    FencedError,
+    OtherLifeError,
+    ProtocolError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from ..jobs.model import StartResult
+from ..util.http_client import make_http_client
+from .wire import decode_report, encode_task_name
+
+if TYPE_CHECKING:
+    from ..jobs.model import StartOrder, TaskKey, WorkerReport
+    from ..util.http_client import HttpClient
+
+# Idle connections kept to each worker: one for renewals, one for starts and stops.
+MAX_IDLE_PER_WORKER = 2
+CONNECT_TIMEOUT_S = 0.5
+REPLY_SLACK_S = 0.6  # on top of the wait that the worker is asked for
+LIFE_HEADER = "X-Cuminhill-Expect-Instance"
+
+_REFUSALS = {
+    "fence": StartResult.FENCED,
+    "old": StartResult.SUPERSEDED,
+    "late": StartResult.TOO_LATE,
+    "room": StartResult.NO_ROOM,
+    "ticket": StartResult.BAD_TICKET,
+}
+
+
+@dataclass(eq=False)
+class PlatformWorkers:
+    """Calls workers; implements `jobs.lead.WorkerCalls`."""
+
+    source_host: str = ""
+    _clients: dict[str, HttpClient] = field(default_factory=dict)
+
+    def _client(self, address: str) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = make_http_client(
+                address,
+                MAX_IDLE_PER_WORKER,
+                CONNECT_TIMEOUT_S,
+                source_host=self.source_host,
+            )
+        return client
+
+    async def renew(
+        self,
+        worker_id: str,
+        address: str,
+        fence: int,
+        *,
+        noted_ends: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+    ) -> WorkerReport:
+        """Extend the leases on a worker and return its lists of runs.
+
+        Parameters
+        ----------
+        noted_ends : int
+            The worker may forget ends up to this number.
+        lease_until_ms : int or None, milliseconds
+            Time on the worker's clock; None leaves the leases as they are.
+        wait_s : float, seconds
+            How long the answer may wait for an end.
+
+        Raises
+        ------
+        FencedError
+            If the worker has seen a higher token.
+        OtherLifeError
+            If another worker answers at the address.
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no usable answer.
+        """
+        body: dict[str, Any] = {"fence_token": fence, "ack_cursor": noted_ends}
+        if lease_until_ms is not None:
+            body["deadline_ms"] = lease_until_ms
+        if wait_s > 0:
+            body["wait_ms"] = int(wait_s * 1000)
+        status, value = await self._client(address).request(
+            "POST",
+            "/-/hold",
+            body,
+            timeout_s=wait_s + REPLY_SLACK_S,
+            headers=[(LIFE_HEADER, worker_id)],
+        )
+        if status == 200:
+            return decode_report(value, address)
+        if status == 409:
+            raise FencedError(f"{value}", step="hold", peer=worker_id)
+        if status == 421:
+            raise OtherLifeError("another worker", step="hold", peer=worker_id)
+        raise UnavailableError(f"status {status}", step="hold", peer=worker_id)
+
+    async def start(
+        self, order: StartOrder, timeout_s: float
+    ) -> tuple[StartResult, int]:
+        """Start a run; return the outcome and the worker's clock in milliseconds."""
+        body: dict[str, Any] = {
+            "task": encode_task_name(order.key),
+            "run": order.run,
+            "spec": order.payload,
+            "deadline_ms": order.lease_until_ms,
+            "fence_token": order.fence,
+        }
+        if order.checkpoint:
+            body["last_checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        try:
+            status, value = await self._client(order.address).request(
+                "POST",
+                "/-/run-start",
+                body,
+                timeout_s=timeout_s,
+                headers=[(LIFE_HEADER, order.worker_id)],
+            )
+        except UnavailableError:
+            return StartResult.UNHEALTHY, 0  # it was not sent
+        except UnknownOutcomeError:
+            return StartResult.UNKNOWN, 0
+        clock_ms = value.get("clock_ms", 0) if isinstance(value, dict) else 0
+        reason = value.get("reason", "") if isinstance(value, dict) else ""
+        return _start_result(status, reason), clock_ms
+
+    async def stop(
+        self,
+        worker_id: str,
+        address: str,
+        key: TaskKey,
+        run: int,
+        *,
+        fence: int,
+        timeout_s: float,
+    ) -> None:
+        """Ask a worker to stop a run; its end is listed later.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError
+            If the call may have had no effect; it can be repeated.
+        """
+        body = {"task": encode_task_name(key), "run": run, "fence_token": fence}
+        status, _ = await self._client(address).request(
+            "POST",
+            "/-/run-stop",
+            body,
+            timeout_s=timeout_s,
+            headers=[(LIFE_HEADER, worker_id)],
+        )
+        if status != 200:
+            raise UnavailableError(f"status {status}", step="stop", peer=worker_id)
+
+    async def forget(self, address: str) -> None:
+        """Close the connections to a worker that has gone."""
+        client = self._clients.pop(address, None)
+        if client is not None:
+            await client.close()
+
+
+def _start_result(status: int, reason: str) -> StartResult:
+    if status == 200:
+        return StartResult.STARTED
+    if status == 409:
+        return _REFUSALS.get(reason, StartResult.INVALID)
+    if status == 421:
+        return StartResult.OTHER_LIFE
+    if status in {429, 503}:
+        return StartResult.UNHEALTHY
+    return StartResult.INVALID if status == 400 else StartResult.UNKNOWN
+
+
+@dataclass(eq=False)
+class PlatformAdvice:
+    """Calls the placement advice; implements `jobs.advisers.AdviceService`."""
+
+    client: HttpClient
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> list[tuple[str, str]]:
+        """Return the workers that may run a step and the ticket for each.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no usable answer; the call can be repeated.
+        """
+        status, value = await self.client.request(
+            "POST",
+            "/-/advise",
+            {"step": step, "workers": workers},
+            timeout_s=timeout_s,
+        )
+        if status != 200:
+            raise UnavailableError(
+                f"status {status}", step="advise", peer=self.client.peer
+            )
+        try:
+            return [(str(row[0]), str(row[1])) for row in value["good"]]
+        except (KeyError, IndexError, TypeError) as exc:
+            raise ProtocolError(
+                repr(exc), step="advise", peer=self.client.peer
+            ) from exc
+
+
+def make_advice(address: str, source_host: str = "") -> PlatformAdvice:
+    """Return a client of the placement advice at ``"host:port"``."""
+    return PlatformAdvice(
+        make_http_client(address, 4, CONNECT_TIMEOUT_S, source_host=source_host)
+    )
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -299,7 +299,7 @@
             ) from exc
 
     async def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; the next call opens a new one."""
         if self._reader is not None:
             await self._reader.cancel()
 
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -59,12 +59,13 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """Status, JSON value or raw bytes, and content type."""
+    """Status, JSON value or raw bytes, content type and further headers."""
 
     status: int = 200
     value: Any = None
     raw: bytes | None = None
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
     def body(self) -> bytes:
         """Return the encoded body."""
@@ -172,6 +173,10 @@
         """Bind, listen and accept in the background; port 0 takes a free one."""
         await self.listener.start(host, port)
 
+    def announce_close(self) -> None:
+        """End each connection with its next response; new ones are still taken."""
+        self._closing = True
+
     async def close(self, grace_s: float = 10.0) -> None:
         """Stop accepting, let requests in progress finish, then close.
 
@@ -302,6 +307,7 @@
         headers = [
             ("content-type", response.content_type),
             ("content-length", str(len(body))),
+            *response.headers,
         ]
         if close:
             headers.append(("connection", "close"))
--- a/cuminhill/util/http_client.py
+++ b/cuminhill/util/http_client.py
@@ -6,7 +6,7 @@
 import select
 import time
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import curio
 import h11
@@ -15,6 +15,10 @@
 
 from ..errors import UnavailableError, UnknownOutcomeError
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+JSON_TYPE, RAW_TYPE = b"application/json", b"application/octet-stream"
 READ_SIZE = 65536  # bytes
 MAX_RESPONSE_BYTES = 64 << 20
 # Below the servers' idle time-out, so that reuse rarely races a close.
@@ -81,9 +85,15 @@
         return f"{self.host}:{self.port}"
 
     async def request(
-        self, method: str, path: str, value: Any = None, *, timeout_s: float = 5.0
+        self,
+        method: str,
+        path: str,
+        value: Any = None,
+        *,
+        timeout_s: float = 5.0,
+        headers: Sequence[tuple[str, str]] = (),
     ) -> tuple[int, Any]:
-        """Send a request with a JSON body and return status and decoded body.
+        """Send a request and return status and decoded body.
 
         Parameters
         ----------
@@ -92,16 +102,19 @@
         path : str
             Path with query.
         value : object, default=None
-            JSON value of the body; None sends no body.
+            JSON value of the body; bytes are sent as they are, None sends no body.
         timeout_s : float, seconds
             Bound on the whole exchange.
+        headers : sequence of (str, str)
+            Headers besides host, content type and content length.
 
         Returns
         -------
         status : int
             HTTP status.
         value : object
-            Decoded JSON body, or the text of a body of another type.
+            Decoded JSON body, the bytes of an ``application/octet-stream`` body, or
+            the text of a body of another type.
 
         Raises
         ------
@@ -114,7 +127,7 @@
         conn = await self._connect(timeout_s)
         try:
             async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
-                result = await self._exchange(conn, method, path, value)
+                result = await self._exchange(conn, method, path, value, headers)
         except curio.TaskTimeout as exc:
             await conn.sock.close()
             raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
@@ -160,11 +173,21 @@
         self._idle.append(conn)
 
     async def _exchange(
-        self, conn: _PooledConnection, method: str, path: str, value: Any
+        self,
+        conn: _PooledConnection,
+        method: str,
+        path: str,
+        value: Any,
+        headers: Sequence[tuple[str, str]],
     ) -> tuple[int, Any]:
-        body = b"" if value is None else orjson.dumps(value)
-        headers = [("host", self.peer), ("content-length", str(len(body)))]
-        head = h11.Request(method=method, target=path, headers=headers)
+        body, kind = _encode(value)
+        fields = [
+            ("host", self.peer),
+            ("content-length", str(len(body))),
+            *([("content-type", kind)] if kind else []),
+            *headers,
+        ]
+        head = h11.Request(method=method, target=path, headers=fields)
         data = conn.h11_conn.send(head) or b""
         if body:
             data += conn.h11_conn.send(h11.Data(data=body)) or b""
@@ -175,7 +198,7 @@
 
     async def _read_response(self, conn: _PooledConnection) -> tuple[int, Any]:
         status = 0
-        is_json = False
+        kind = b""
         body = bytearray()
         while True:
             event = conn.h11_conn.next_event()
@@ -186,17 +209,31 @@
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 kinds = [v for k, v in event.headers if k == b"content-type"]
-                is_json = b"application/json" in kinds
+                kind = kinds[0] if kinds else b""
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise _TooLargeError(f"response of over {len(body)} bytes")
             elif isinstance(event, h11.EndOfMessage):
-                return status, orjson.loads(body) if is_json else body.decode()
+                return status, _decode(kind, bytes(body))
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the response was complete")
 
 
+def _encode(value: Any) -> tuple[bytes, str]:
+    if value is None:
+        return b"", ""
+    if isinstance(value, bytes):
+        return value, RAW_TYPE.decode()
+    return orjson.dumps(value), JSON_TYPE.decode()
+
+
+def _decode(kind: bytes, body: bytes) -> Any:
+    if kind == JSON_TYPE:
+        return orjson.loads(body) if body else None
+    return body if kind == RAW_TYPE else body.decode()
+
+
 def source_address(host: str) -> tuple[str, int] | None:
     """Return the address to bind an outgoing connection to, None for any."""
     return (host, 0) if host else None
