--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -33,6 +33,10 @@
 # Pause after a renewal that brought news, so that ends close together share a look.
 RENEW_PAUSE_S = 0.03
 RENEW_RETRY_S = 0.25  # pause after a renewal without an answer
+# Longest pause while ends wait for the journal: a worker that lists ends answers a
+# renewal at once, so that renewals during an outage of the journal would not wait.
+NOTED_WAIT_S = 0.8
+NOTED_TICK_S = 0.02
 START_TIMEOUT_S = 0.6
 STOP_TIMEOUT_S = 0.6
 # Pause between decisions; bounds the number of journal appends.
@@ -273,6 +277,9 @@
         if news:
             await self._wake.set()
             await curio.sleep(RENEW_PAUSE_S)
+        give_up_at = boottime() + NOTED_WAIT_S
+        while worker.noted_ends < worker.seen_ends and boottime() < give_up_at:
+            await curio.sleep(NOTED_TICK_S)
         return True
 
     async def _fenced(self, worker: Worker, fence: int, exc: FencedError) -> None:
