Judge a gang as standing still only if none of its members moves

Cause: members on fast workers wait for the others at their share of the work, and were stopped as stalled after 2.5 s; the whole gang started again. Change: a gang stands still only as a whole; speeds are geometric means, since declared run times are off by factors.

--- a/cuminhill/jobs/health.py
+++ b/cuminhill/jobs/health.py
@@ -10,8 +10,10 @@
 # Seconds for which a worker is left out, doubled each time up to the bound.
 EJECT_S = 3.0
 MAX_EJECT_S = 24.0
-# Weight of a new observation in the running mean of the speed.
-SPEED_WEIGHT = 0.2
+# Least weight of a new observation in the running mean of the speed; the first ones
+# weigh more. Declared run times are off by factors, so the mean is geometric.
+SPEED_WEIGHT = 0.08
+PRIOR_OBSERVATIONS = 2  # how many runs the assumption of a speed of 1 is worth
 MIN_SPEED, MAX_SPEED = 0.1, 4.0
 
 
@@ -34,6 +36,7 @@
     n_ejections: int = 0
     ejected_until: float = 0.0
     last_failed_job: str = ""
+    n_runs: int = 0
 
     def may_take(self, now: float) -> bool:
         """Return whether runs may be placed on the worker."""
@@ -65,7 +68,9 @@
         if declared_s <= 0 or actual_s <= 0:
             return
         observed = min(MAX_SPEED, max(MIN_SPEED, declared_s / actual_s))
-        self.speed += SPEED_WEIGHT * (observed - self.speed)
+        self.n_runs += 1
+        weight = max(SPEED_WEIGHT, 1 / (PRIOR_OBSERVATIONS + self.n_runs))
+        self.speed *= (observed / self.speed) ** weight
 
 
 def make_worker_health() -> WorkerHealth:
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -199,7 +199,6 @@
                 continue
             progress = self.book.load(job_id)
             if progress is not None:
-                logger.info("job taken in", job=job_id, queue=progress.job.queue)
                 self.placer.add_job(progress, now)
         await self._wake.set()
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -16,7 +16,7 @@
 from .advice import AdviceBook, AdviceCall, make_advice_call
 from .fleet import LeaseTimes, Slot, Worker, first_fence
 from .model import EndKind, JobState, QueueTable, StartResult
-from .ordering import chain_s, order_key
+from .ordering import chain_s, objective_s, order_key
 from .packing import SHORT_RUN_S, make_offer, place_gang, reserve
 
 if TYPE_CHECKING:
@@ -50,6 +50,7 @@
 # so long, and longer for long tasks, whose shares move slowly.
 MIN_STALL_S = 2.5
 STALL_SHARE = 0.25
+ALL_DONE_PERCENT = 100  # a run that shows so much ends with its next report
 # A full page of ends may lack later ones, so it proves nothing by omission.
 MAX_LISTED_ENDS = 500
 # Waits before a worker that has refused a start for want of room is tried again.
@@ -119,8 +120,24 @@
 
     def add_job(self, progress: Progress, now: float) -> None:
         """Take a job over from the journal, or a new one in."""
-        job_id = progress.job.job_id
+        job = progress.job
+        job_id = job.job_id
         self.jobs[job_id] = progress
+        queue = self._queue(progress)
+        logger.info(
+            "job taken in",
+            job=job_id,
+            queue=job.queue,
+            term=self.term,
+            steps=[step.n_tasks for step in job.steps],
+            gang=[step.gang for step in job.steps],
+            cores=[step.need.cores for step in job.steps],
+            chain_s=round(chain_s(job), 2),
+            objective_s=round(objective_s(job, queue), 2) if queue else None,
+            accepted_at=round(job.accepted_at, 3),
+            assigned=progress.n_assigned,
+            config=self.table.version,
+        )
         for key, task in progress.assigned():
             worker = self.workers.get(task.worker)
             if worker is None or worker.entry.life != task.life:
@@ -570,11 +587,7 @@
             if slot.stopping_at:
                 self._stop(worker, slot, "repeated", now)
                 continue
-            stall_s = max(MIN_STALL_S, STALL_SHARE * slot.run_time_s)
-            if not slot.moved_at or now - slot.moved_at < stall_s:
-                continue
-            progress = self.jobs.get(slot.key.job_id)
-            if progress is None or progress.job.steps[slot.key.step].long_running:
+            if not self._stands_still(slot, now):
                 continue
             worker.health.failed(slot.key.job_id, now)
             logger.info(
@@ -588,6 +601,31 @@
             )
             self._stop(worker, slot, "stalled", now)
 
+    def _stands_still(self, slot: Slot, now: float) -> bool:
+        """Return whether a run makes no progress where it should.
+
+        A member of a gang that is ahead waits for the others, so a gang stands
+        still only if none of its members moves.
+        """
+        progress = self.jobs.get(slot.key.job_id)
+        if progress is None:
+            return False
+        step = progress.job.steps[slot.key.step]
+        stall_s = max(MIN_STALL_S, STALL_SHARE * slot.run_time_s)
+        if step.long_running or not slot.moved_at or now - slot.moved_at < stall_s:
+            return False
+        if not step.gang:
+            return slot.percent < ALL_DONE_PERCENT
+        step_run = progress.step_run(slot.key.occurrence, slot.key.step)
+        for index, task in enumerate(step_run.tasks):
+            worker = self.workers.get(task.worker)
+            member = (
+                worker.slots.get((step_run.key(index), task.run)) if worker else None
+            )
+            if member is None or now - (member.moved_at or now) < stall_s:
+                return False
+        return True
+
     def _give_up_unlisted(self, progress: Progress, now: float) -> None:
         """Give back runs on workers that have not been listed in this term."""
         if not progress.n_assigned:
