--- a/cuminhill/cmd/node.py
+++ b/cuminhill/cmd/node.py
@@ -47,7 +47,7 @@
     stop_at = time.monotonic() + cfg.grace_s * SERVE_SHARE
     logger.info("stop asked for", busy=front.n_busy, connections=front.n_connections)
     front.announce_close()
-    await node.drain()
+    await curio.spawn(node.drain, daemon=True)
     await curio.sleep(max(0.0, stop_at - time.monotonic()))
     await front.close(cfg.grace_s * FINISH_SHARE)
     logger.info("stopped", busy=front.n_busy)
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -105,6 +105,7 @@
     synced: bool = False
     read_at: float = 0.0
     reachable: bool = True
+    reachable_since: float = 0.0
     timeout_s: float = MIN_READ_TIMEOUT_S
     n_snapshots: int = 0
     n_errors: int = 0
@@ -132,7 +133,7 @@
                 continue
             self.timeout_s = MIN_READ_TIMEOUT_S
             if not self.reachable:
-                self.reachable = True
+                self.reachable, self.reachable_since = True, boottime()
                 logger.info("log reachable", log=self.name, offset=self.offset)
             await curio.sleep(self.pause_s)
 
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -45,6 +45,7 @@
 TICK_S = 0.25
 # The placer writes at least so often, so that others see that it lives.
 LEAD_RENEWAL_S = 0.6
+RESIGN_S = 0.6  # for writing a resignation
 # Calls for advice queued on one VM, in seconds of the service's time.
 MAX_ADVISER_QUEUE_S = 0.8
 ADVICE_SLACK_S = 1.5  # on top of the expected time of a call and its queue
@@ -165,22 +166,29 @@
         ]
         await self._spawn_renewers()
 
-    async def end(self, resign: bool = False) -> None:
-        """End the term; with ``resign``, tell the others so."""
-        if self.ended:
-            return
+    async def end(self) -> None:
+        """End the term."""
+        if not self.ended:
+            logger.info("term ended", term=self.lead.term)
         self.ended = True
-        logger.info("term ended", term=self.lead.term, resigned=resign)
-        if resign:
-            record = Lead(self.lead.term, self.lead.vm, self.lead.nonce, True)
-            try:
-                async with curio.timeout_after(LEAD_RENEWAL_S):
-                    await self.writer.append([(LEAD, encode_lead(record))], FOREVER)
-            except (CuminhillError, curio.TaskTimeout) as exc:
-                logger.info("resignation not written", error=str(exc))
         for task in [*self._tasks, *self._renewers.values()]:
             await task.cancel(blocking=False)
 
+    async def resign(self) -> bool:
+        """End the term and tell the others so; return whether that worked."""
+        if self.writer.failing_since:
+            return False
+        record = Lead(self.lead.term, self.lead.vm, self.lead.nonce, True)
+        try:
+            async with curio.timeout_after(RESIGN_S):
+                await self.writer.append([(LEAD, encode_lead(record))], FOREVER)
+        except (CuminhillError, curio.TaskTimeout) as exc:
+            logger.info("resignation not written", error=str(exc))
+            return False
+        logger.info("resigned", term=self.lead.term)
+        await self.end()
+        return True
+
     def set_members(self, vms: Iterable[str]) -> None:
         """Set the VMs through which advice can be asked."""
         for vm in vms:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -14,7 +14,7 @@
 from ..errors import CuminhillError, FencedError, ProtocolError
 from ..rpc import RpcServer
 from .book import JobBook
-from .election import Election
+from .election import Election, JournalView
 from .journal import KeyedLog, LogFollower, LogWriter, WriterToken
 from .lead import Leadership, WorkerCalls
 from .model import QueueTable, WorkerEntry
@@ -166,8 +166,11 @@
         """Stop leading and report not ready; callers are still served."""
         self.draining = True
         logger.info("draining", leading=self.leadership is not None)
-        if self.leadership is not None:
-            await self.leadership.end(resign=True)
+        while self.leadership is not None and not self.leadership.ended:
+            if await self.leadership.resign():
+                return
+            # Without the journal no other VM can follow, and leases must go on.
+            await curio.sleep(ELECTION_TICK_S)
 
     def is_ready(self) -> bool:
         """Return whether new callers should be sent to this VM."""
@@ -283,11 +286,20 @@
             ready = self.table.version and self.journal.synced and self.registry.synced
             members = list(self.book.members)
             now = boottime()
-            if ready and self.election.may_claim(members, now, self.journal.read_at):
+            view = JournalView(
+                self.journal.read_at,
+                self.journal.reachable_since,
+                self.writer.latency_s,
+            )
+            if ready and self.election.may_claim(members, now, view):
                 await self._make_claim()
 
     async def _make_claim(self) -> None:
-        """Append a claim if nothing has been written since the newest read."""
+        """Append a claim; of several with one term only the first is taken.
+
+        A claim is the first append of its term's epoch, so the log itself refuses
+        those that come later or belong to an earlier term.
+        """
         nonce = f"{self.rng.getrandbits(48):012x}"
         claim = Lead(self.book.lead.term + 1, self.options.vm, nonce)
         self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
@@ -302,12 +314,9 @@
         )
         try:
             await self.backends.journal.append(
-                [(LEAD, encode_lead(claim))],
-                token,
-                at=self.journal.offset,
-                timeout_s=CLAIM_TIMEOUT_S,
+                [(LEAD, encode_lead(claim))], token, timeout_s=CLAIM_TIMEOUT_S
             )
-        except FencedError as exc:
+        except (FencedError, ProtocolError) as exc:
             logger.info("claim overtaken", term=claim.term, error=str(exc))
             await self.journal.catch_up(CLAIM_TIMEOUT_S)
             await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
@@ -355,7 +364,7 @@
             leadership.lead.term,
             leadership.lead.nonce,
         )
-        if replaced or leadership.ended or leadership.writer.fenced:
+        if replaced or lead.resigned or leadership.ended or leadership.writer.fenced:
             await leadership.end()
             self.leadership = None
             self._claim = None
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -30,9 +30,9 @@
 ELSEWHERE_S = 0.6
 # Time that a look-up of an unknown job may take to read the journal on.
 CATCH_UP_S = 1.0
-# Bounds of the time after which a refused caller may come back, in seconds. Between
-# them it is as long as the outage has lasted, the best guess of how long it goes on.
-MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 1, 4
+# When a refused caller may come back, in seconds. Callers wait for a few seconds in
+# all, so that a longer pause would cost them their answer after a short outage.
+RETRY_AFTER_S = 1
 
 
 class Outcome(StrEnum):
@@ -131,13 +131,6 @@
         fresh = self.follower.synced and self.follower.age(boottime()) < CATCH_UP_S
         return Outcome.UNKNOWN_JOB if fresh else Outcome.NOT_DONE
 
-    def retry_after_s(self) -> int:
-        """Return when a refused caller may come back, in whole seconds."""
-        if not self.writer.failing_since:
-            return MIN_RETRY_AFTER_S
-        lasted_s = boottime() - self.writer.failing_since
-        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, round(lasted_s)))
-
     async def _append(self, key: str, value: bytes, wait_s: float) -> Outcome:
         records = [(key, value)]
         give_up_at = boottime() + min(wait_s, APPEND_S)
--- a/cuminhill/platform/front.py
+++ b/cuminhill/platform/front.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..errors import ValidationError
-from ..jobs.service import MIN_RETRY_AFTER_S, Outcome
+from ..jobs.service import RETRY_AFTER_S, Outcome
 from ..util.http import HttpRequest, HttpResponse
 from .wire import decode_job_body
 
@@ -97,10 +97,7 @@
             return _error(410, "no such job")
         if outcome is Outcome.UNCERTAIN:
             return _error(504, "the journal has not answered; repeat the request")
-        return _refused(
-            "the journal cannot be reached; the request had no effect",
-            self.node.service.retry_after_s(),
-        )
+        return _refused("the journal cannot be reached; the request had no effect")
 
 
 def _deadline_s(req: HttpRequest) -> float:
@@ -111,8 +108,8 @@
     return deadline_ms / 1000 * DEADLINE_SHARE
 
 
-def _refused(message: str, after_s: int = MIN_RETRY_AFTER_S) -> HttpResponse:
-    headers = (("retry-after", str(after_s)),)
+def _refused(message: str) -> HttpResponse:
+    headers = (("retry-after", str(RETRY_AFTER_S)),)
     return HttpResponse(503, {"error": message}, headers=headers)
 
 
