--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -329,7 +329,10 @@
             except FencedError as exc:
                 self.fenced = True
                 logger.warning("writer fenced", writer=self.writer, error=str(exc))
-                return exc
+                if not unknown:
+                    return exc
+                # An earlier attempt may have been kept before the later epoch began.
+                return UnknownOutcomeError(exc.message, step=exc.step, peer=exc.peer)
             except ProtocolError as exc:
                 # The log knows another number; a new epoch may start at any.
                 logger.warning(
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -394,8 +394,8 @@
                 await curio.sleep(DECIDE_PAUSE_S)
                 async with curio.ignore_after(TICK_S):
                     await self._wake.wait()
-        except FencedError:
-            pass  # the writer has logged it
+        except CuminhillError as exc:
+            logger.warning("term cannot go on", term=self.lead.term, error=str(exc))
         self.ended = True
 
     async def _place_once(self) -> None:
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -114,8 +114,13 @@
         Returns
         -------
         outcome : Outcome or None
-            None if the placer cannot be asked or cannot reach the journal; the
-            records may then be appended another way.
+            None if the placer cannot be asked or cannot reach the journal; it has
+            then not appended them and will not.
+
+        Raises
+        ------
+        UnknownOutcomeError
+            If the placer has not answered; it may have appended them.
         """
         if placer == self.vm:
             if self.placer_writer is None:
@@ -127,10 +132,13 @@
         try:
             message = idl.AppendCall(rows, wait_s)
             reply = await self._call(placer, "append", message, wait_s)
-        except CuminhillError as exc:
+        except (UnavailableError, ProtocolError) as exc:
             self._suspended_until = boottime() + SUSPEND_S
-            logger.info("placer does not answer", placer=placer, error=str(exc))
+            logger.info("placer cannot be asked", placer=placer, error=str(exc))
             return None
+        except UnknownOutcomeError:
+            self._suspended_until = boottime() + SUSPEND_S
+            raise
         return _OUTCOMES.get(reply.status)
 
     async def append(self, records: list[tuple[str, bytes]], wait_s: float) -> None:
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -9,7 +9,7 @@
 import structlog
 
 from ..clock import boottime
-from ..errors import CuminhillError, UnavailableError
+from ..errors import CuminhillError, UnavailableError, UnknownOutcomeError
 from .model import FINAL_JOB_STATES, Outcome
 from .records import CANCEL, JOB, JournalRecord, encode_job
 
@@ -133,9 +133,18 @@
         """
         records = [(key, value)]
         give_up_at = boottime() + min(wait_s, APPEND_S)
-        outcome = await self.append_by_placer(records, give_up_at - boottime())
+        uncertain = False
+        outcome = None
+        try:
+            outcome = await self.append_by_placer(records, give_up_at - boottime())
+        except UnknownOutcomeError as exc:
+            uncertain = True
+            logger.info("placer did not answer", key=key, error=str(exc))
         if outcome is None:
             outcome = await self._append_without_placer(records, give_up_at)
+            if uncertain and outcome is Outcome.NOT_DONE:
+                # The placer may have kept the record all the same.
+                outcome = Outcome.UNCERTAIN
         if outcome is Outcome.OK:
             self.book.fold(JournalRecord(-1, key, value), boottime())
         return outcome
--- /dev/null
+++ b/tests/jobs/test_service.py
@@ -0,0 +1,86 @@
+"""Tests of what callers are told."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from cuminhill.clock import boottime
+from cuminhill.errors import FencedError, UnavailableError, UnknownOutcomeError
+from cuminhill.jobs.book import JobBook
+from cuminhill.jobs.journal import LogFollower, LogWriter
+from cuminhill.jobs.model import Outcome
+from cuminhill.jobs.service import JobService
+from standins.job_platform import LogFaults, LogView, MemoryLog
+
+from .builders import make_job
+
+
+def answers(value):
+    async def append(records, wait_s):
+        if isinstance(value, Exception):
+            raise value
+        return value
+
+    return append
+
+
+UNKNOWN = UnknownOutcomeError("no answer", step="append")
+UNAVAILABLE = UnavailableError("not sent", step="append")
+
+
+@pytest.mark.parametrize(
+    ("by_placer", "here_is_down", "elsewhere", "expected"),
+    [
+        (Outcome.OK, True, UNAVAILABLE, Outcome.OK),
+        (Outcome.NOT_DONE, False, None, Outcome.NOT_DONE),
+        (Outcome.UNCERTAIN, False, None, Outcome.UNCERTAIN),
+        (None, False, UNAVAILABLE, Outcome.OK),
+        (None, True, None, Outcome.OK),
+        (None, True, UNAVAILABLE, Outcome.NOT_DONE),
+        (None, True, UNKNOWN, Outcome.UNCERTAIN),
+        (UNKNOWN, False, UNAVAILABLE, Outcome.OK),
+        (UNKNOWN, True, UNAVAILABLE, Outcome.UNCERTAIN),
+    ],
+)
+def test_a_refusal_is_given_only_where_nothing_can_have_been_kept(
+    by_placer, here_is_down, elsewhere, expected
+):
+    """Guards against "not accepted" for a job that another VM has kept.
+
+    Seen on days on which the placer lost power: REFUSED in five of seven days.
+    """
+
+    async def scenario():
+        log = LogView(MemoryLog(), LogFaults(down=here_is_down))
+        writer = LogWriter(log, "a", 1)
+        await curio.spawn(writer.run, daemon=True)
+        follower = LogFollower("t", log, lambda rows, _: None, 0.1, 0.1)
+        service = JobService(
+            JobBook(), follower, writer, answers(by_placer), answers(elsewhere)
+        )
+        assert await service.submit(make_job(), 2.0) is expected
+
+    curio.run(scenario)
+
+
+def test_a_fenced_writer_does_not_deny_what_it_may_have_kept():
+    """Guards against "not done" for an append that was kept before the next term."""
+
+    async def scenario():
+        log = MemoryLog()
+        faults = LogFaults(lost_share=1.0)
+        writer = LogWriter(LogView(log, faults), "placer", 1, keeps_epoch=True)
+        writer.timeout_s = 0.05
+        await curio.spawn(writer.run, daemon=True)
+        task = await curio.spawn(writer.append, [("k", b"x")], boottime() + 5)
+        while not log.records:
+            await curio.sleep(0.01)
+        log.writers["placer"] = (2, 0)
+        with pytest.raises(curio.TaskError) as caught:
+            await task.join()
+        assert isinstance(caught.value.__cause__, UnknownOutcomeError)
+        with pytest.raises(FencedError):
+            await writer.append([("l", b"x")], boottime() + 1)
+
+    curio.run(scenario)
