Load a term's jobs before anything is delivered to it; end a term whose task fails

Cause: while a new placer read the registry, its renewals had begun: ends of jobs not yet loaded were acknowledged, their runs stopped as unknown, and jobs that were loaded twice took their room twice. Change: the registry is read first, jobs are loaded in one go; a start that is not sent is given back; a failed task ends the term.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -139,7 +139,9 @@
         )
 
     def add(self, slot: Slot) -> None:
-        """Take room for a run."""
+        """Take room for a run that has none yet."""
+        if (slot.key, slot.run) in self.slots:
+            return
         self.slots[slot.key, slot.run] = slot
         self.free = self.free - slot.need
 
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -138,10 +138,10 @@
         held = may_extend(boottime(), self.confirmed_at, self.placer.times.hold_s)
         return held and not self.ended and not self.writer.fenced
 
-    async def start(
+    def load(
         self, table: QueueTable, entries: Iterable[WorkerEntry], members: Iterable[str]
     ) -> None:
-        """Take all live jobs over and begin to place them."""
+        """Take all workers and live jobs over from the journal."""
         now = boottime()
         self.placer.table = table
         for entry in entries:
@@ -159,13 +159,25 @@
             workers=len(self.placer.workers),
             config=table.version,
         )
-        self._tasks = [
-            await curio.spawn(self.writer.run, daemon=True),
-            await curio.spawn(self._place, daemon=True),
-            await curio.spawn(self._renew_lead, daemon=True),
-        ]
+
+    async def start(self) -> None:
+        """Begin to place."""
+        for name, run in (
+            ("writer", self.writer.run),
+            ("place", self._place),
+            ("renew lead", self._renew_lead),
+        ):
+            self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
         await self._spawn_renewers()
 
+    async def _guard(self, name: str, run: Callable[..., Any], *args: Any) -> None:
+        """Run a task of the term; if it fails, the term ends and another follows."""
+        try:
+            await run(*args)
+        except Exception as exc:
+            logger.error("task failed", task=name, term=self.lead.term, exc_info=exc)
+            self.ended = True
+
     async def end(self) -> None:
         """End the term."""
         if not self.ended:
@@ -227,9 +239,11 @@
             if worker_id not in self._renewers:
                 self._senders[worker_id] = curio.Queue()
                 self._renewers[worker_id] = await curio.spawn(
-                    self._renew_worker, worker_id, daemon=True
+                    self._guard, "renew", self._renew_worker, worker_id, daemon=True
+                )
+                await curio.spawn(
+                    self._guard, "send", self._send_starts, worker_id, daemon=True
                 )
-                await curio.spawn(self._send_starts, worker_id, daemon=True)
 
     # Renewals
 
@@ -321,6 +335,7 @@
     async def _send_start(self, placement: Placement) -> None:
         now = boottime()
         if not self.may_act():
+            self.placer.give_back(placement, "term not confirmed", now)
             return
         slot = self.placer.sendable(placement, now)
         if slot is None:
@@ -417,6 +432,8 @@
         queue = self._senders.get(worker_id)
         if queue is not None:
             await queue.put(item)
+        elif isinstance(item, Placement):
+            self.placer.give_back(item, "worker gone", boottime())
 
     async def _journal(self) -> None:
         """Write the progress of changed jobs; then their ends may be acknowledged."""
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -369,15 +369,18 @@
             confirmed_at=now,
         )
         writer.on_appended = leadership.note_appended
-        self.leadership = leadership
-        self.peers.placer_writer = writer
-        self.journal.pause_s = PLACER_PAUSE_S
-        self.registry.pause_s = PLACER_REGISTRY_PAUSE_S
         # A worker that drains must be known before anything starts there.
         await self.registry.catch_up(CLAIM_TIMEOUT_S)
-        await leadership.start(
+        self.journal.pause_s = PLACER_PAUSE_S
+        self.registry.pause_s = PLACER_REGISTRY_PAUSE_S
+        # Nothing may be delivered to the term before it has loaded all jobs: ends of
+        # jobs that it does not know yet would be taken note of and lost.
+        leadership.load(
             self.table, list(self.workers.values()), list(self.book.members)
         )
+        self.leadership = leadership
+        self.peers.placer_writer = writer
+        await leadership.start()
 
     async def _end_if_over(self) -> None:
         leadership = self.leadership
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -124,6 +124,8 @@
         """Take a job over from the journal, or a new one in."""
         job = progress.job
         job_id = job.job_id
+        if job_id in self.jobs:
+            return
         self.jobs[job_id] = progress
         queue = self._queue(progress)
         logger.info(
@@ -506,9 +508,9 @@
 
         One that may not is given back.
         """
-        worker = self.workers[placement.worker_id]
-        slot = worker.slots.get((placement.key, placement.run))
-        if slot is None or slot.sent:
+        worker = self.workers.get(placement.worker_id)
+        slot = worker.slots.get((placement.key, placement.run)) if worker else None
+        if worker is None or slot is None or slot.sent:
             return None
         progress = self.jobs.get(placement.key.job_id)
         wanted = progress is not None and not progress.cancelled
@@ -518,6 +520,13 @@
         self._lost(worker, slot, "not sent", now)
         return None
 
+    def give_back(self, placement: Placement, why: str, now: float) -> None:
+        """Give back a run whose start has not been sent."""
+        worker = self.workers.get(placement.worker_id)
+        slot = worker.slots.get((placement.key, placement.run)) if worker else None
+        if worker is not None and slot is not None and not slot.sent:
+            self._lost(worker, slot, why, now)
+
     def ticket(self, placement: Placement, now: float) -> str | None:
         """Return the ticket of a sendable start, empty if its queue needs none.
 
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -330,3 +330,54 @@
         assert not overlapping_runs(cluster.workers.history())
 
     curio.run(scenario)
+
+
+def test_a_new_placer_loads_all_jobs_before_it_hears_of_workers(cluster):
+    """Guards against ends that are acknowledged before their job is known.
+
+    A job whose end was lost in that way would run again, or never end.
+    """
+
+    async def scenario():
+        for worker in cluster.workers.workers.values():
+            worker.run_time_s = 0.8
+        for vm in "ab":
+            await cluster.start_node(vm)
+        await cluster.wait_for(cluster.leader)
+        leader = cluster.leader()
+        for job_id in job_ids(5):
+            await cluster.submit(leader, make_job(make_step(2), job_id=job_id))
+        await cluster.wait_for(lambda: len(cluster.workers.history()) == 10)
+        for view in cluster.views.values():
+            view[2].faults.delay_s = 0.3  # the registry is slow while the term begins
+        await leader.drain()
+        await cluster.wait_for(lambda: cluster.leader() not in {None, leader})
+        other = cluster.leader()
+        for job_id in job_ids(5):
+            await cluster.wait_for(
+                lambda job_id=job_id: cluster.state(other, job_id) is JobState.COMPLETED
+            )
+        assert len(cluster.workers.history()) == 10
+        for worker in other.leadership.placer.workers.values():
+            assert worker.free.cores == 16.0
+
+    curio.run(scenario)
+
+
+def test_a_failing_task_ends_the_term_and_another_begins(cluster):
+    """Guards against a placer that writes on but places nothing any more."""
+
+    async def scenario():
+        node = await cluster.start_node("a")
+        await cluster.wait_for(cluster.leader)
+        term = node.leadership
+        term.placer.tick = None  # the next decision raises
+        await cluster.wait_for(
+            lambda: node.leadership is not None and node.leadership is not term
+        )
+        await cluster.submit(node, make_job())
+        await cluster.wait_for(
+            lambda: cluster.state(node, make_job().job_id) is JobState.COMPLETED
+        )
+
+    curio.run(scenario)
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -442,3 +442,27 @@
     assert placer.ticket(placed[0], NOW + 2.0) == "t"
     assert placer.ticket(placed[0], NOW + 3.0) is None
     assert placer.workers["w1"].free.cores == 16.0
+
+
+def test_a_start_that_is_not_sent_is_given_back():
+    """Guards against room and a task that stay assigned to a start never sent."""
+    placer = make_placer(n_workers=1)
+    submit(placer, make_job())
+    placed, _ = placer.decide(NOW, WALL)
+    placer.give_back(placed[0], "term not confirmed", NOW)
+    assert placer.workers["w1"].free.cores == 16.0
+    again, _ = placer.decide(NOW, WALL)
+    assert [item.run for item in again] == [2]
+
+
+def test_a_job_that_is_delivered_twice_takes_its_room_once():
+    """Guards against room that is lost for good at a change of the placer."""
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job())
+    first.decide(NOW, WALL)
+    second = make_placer(n_workers=0, term=2)
+    second.list_worker(make_entry("w1"), NOW)
+    for _ in range(2):
+        copy = decode_progress(progress.job, encode_progress(progress))
+        second.add_job(copy, NOW)
+    assert second.workers["w1"].free.cores == 15.0
