--- a/cuminhill/cmd/node.py
+++ b/cuminhill/cmd/node.py
@@ -13,7 +13,8 @@
 import structlog
 
 from ..errors import SettingsError
-from ..logs import set_up_bounded_logging
+from ..jobs.nodemetrics import make_inspection_server
+from ..logs import BoundedOutput, set_up_bounded_logging
 from ..platform.boot import (
     PlatformSettings,
     load_platform_settings,
@@ -29,16 +30,22 @@
 FINISH_SHARE = 0.2  # of that time, for requests still in progress after it
 
 
-async def serve(cfg: PlatformSettings) -> None:
+async def serve(cfg: PlatformSettings, output: BoundedOutput) -> None:
     """Run one node until it has drained."""
     stop_asked, reload_asked = curio.UniversalEvent(), curio.UniversalEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop_asked.set())
     signal.signal(signal.SIGHUP, lambda *_: reload_asked.set())
     node = make_node(cfg)
+    node.log_output = output
     front, ready = make_front_servers(cfg, node)
+    inspection = make_inspection_server(node)
     await node.start()
-    for server, address in ((front, cfg.front_address), (ready, cfg.ready_address)):
+    for server, address in (
+        (front, cfg.front_address),
+        (ready, cfg.ready_address),
+        (inspection, cfg.inspection_address),
+    ):
         host, _, port = address.rpartition(":")
         await server.start(host, int(port))
     logger.info("started", front=cfg.front_address, store=cfg.store_address)
@@ -84,8 +91,7 @@
     if check:
         click.echo(f"{path}: valid")
         return
-    set_up_bounded_logging(cfg.vm)
-    curio.run(serve, cfg)
+    curio.run(serve, cfg, set_up_bounded_logging(cfg.vm))
 
 
 if __name__ == "__main__":
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -31,9 +31,9 @@
 MIN_APPEND_TIMEOUT_S = 0.45
 MAX_APPEND_TIMEOUT_S = 2.0
 APPEND_TIMEOUT_X = 6.0
-# Growth of the time-out after a silence. A slow log carries out every repeat as well,
-# so repeats in quick succession would fill its queue.
-TIMEOUT_GROWTH = 4.0
+# The first repeat has the same time-out, since a single answer may be lost; then it
+# doubles, since a slow log carries out every repeat as well.
+TIMEOUT_GROWTH = 2.0
 # A log whose appends have failed for so long counts as away; a slow one answers sooner.
 AWAY_S = 1.0
 LATENCY_WEIGHT = 0.2  # of a new observation in the running mean
@@ -321,6 +321,7 @@
         token = WriterToken(self.writer, self.epoch, self.number)
         begun_at = boottime()
         unknown = False
+        n_silences = 0
         error: CuminhillError
         while True:
             sent_at = boottime()
@@ -347,8 +348,10 @@
                 self.n_unknown += 1
                 unknown = True
                 error = exc
-                grown = TIMEOUT_GROWTH * self.timeout_s
-                self.timeout_s = min(MAX_APPEND_TIMEOUT_S, grown)
+                if n_silences:
+                    grown = TIMEOUT_GROWTH * self.timeout_s
+                    self.timeout_s = min(MAX_APPEND_TIMEOUT_S, grown)
+                n_silences += 1
             else:
                 self._succeeded(sent_at)
                 return None
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -13,14 +13,15 @@
 from ..errors import CuminhillError, FencedError, OtherLifeError, UnavailableError
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
-from .model import StartOrder, StartResult
+from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
-from .progress import encode_progress
+from .progress import Progress, encode_progress
 from .records import CANCEL, JOB, LEAD, RUN, Lead, encode_lead
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
+    from ..metrics import MetricSet
     from .book import JobBook
     from .fleet import Worker
     from .journal import LogWriter
@@ -109,6 +110,10 @@
         Coroutine function that asks for advice through a VM.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
+    metrics : MetricSet
+        Takes the times of jobs and of calls for advice.
+    confirmed_at : float, seconds
+        When the newest successful write of the term was sent.
     """
 
     lead: Lead
@@ -118,6 +123,7 @@
     book: JobBook
     ask: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
     keep_ended_s: float
+    metrics: MetricSet
     confirmed_at: float
     ended: bool = False
     advisers: dict[str, Adviser] = field(default_factory=dict)
@@ -357,6 +363,7 @@
             ticket=ticket,
         )
         slot.sent, slot.fence, slot.started_at = True, order.fence, now
+        self._observe_first_start(progress)
         worker.note_lease(order.lease_until_ms)
         logger.info(
             "start",
@@ -375,6 +382,21 @@
             # The renewal in progress carries the older token; this one settles it.
             await curio.spawn(self._renew_once, worker, daemon=True)
 
+    def _observe_first_start(self, progress: Progress) -> None:
+        job = progress.job
+        if progress.has_started or job.n_times:
+            return
+        progress.has_started = True
+        waited_s = max(0.0, time.time() - job.accepted_at)
+        self.metrics.observe("first_start_seconds", waited_s, queue=job.queue)
+
+    def _observe_ends(self, progresses: Iterable[Progress]) -> None:
+        for progress in progresses:
+            job = progress.job
+            if progress.state is JobState.COMPLETED and not job.n_times:
+                took_s = max(0.0, time.time() - job.accepted_at)
+                self.metrics.observe("completed_seconds", took_s, queue=job.queue)
+
     async def _send_stop(self, stop: StopOrder) -> None:
         worker = self.placer.workers.get(stop.worker_id)
         if worker is None or not self.may_act():
@@ -449,6 +471,7 @@
                 for job_id, progress in dirty.items()
             ]
             await self.writer.append(records, FOREVER)
+            self._observe_ends(dirty.values())
         for worker_id, (life, number) in seen.items():
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.life == life:
@@ -515,6 +538,7 @@
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
+            self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             advice.answered(
                 call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
             )
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -22,6 +23,7 @@
 from .journal import KeyedLog, LogFollower, LogWriter, WriterToken
 from .lead import Leadership, WorkerCalls
 from .model import Outcome, QueueTable, WorkerEntry
+from .nodemetrics import make_node_metrics
 from .peers import AdviceService, JobPeers
 from .placer import Placer, PlacerTimes
 from .records import LEAD, MEMBER, JournalRecord, Lead, encode_lead
@@ -31,6 +33,10 @@
     import random
     from collections.abc import Callable
 
+    from ..logs import BoundedOutput
+    from ..metrics import MetricSet
+    from .fleet import Worker
+
 logger = structlog.get_logger(__name__)
 
 PLACER = "placer"  # name of the journal writer that all terms share
@@ -115,6 +121,8 @@
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     leadership: Leadership | None = None
     draining: bool = False
+    metrics: MetricSet = field(default_factory=make_node_metrics)
+    log_output: BoundedOutput | None = None
     n_bad_registrations: int = 0
     n_bad_configs: int = 0
     _claim: Lead | None = None
@@ -153,6 +161,7 @@
             self.writer,
             self._append_by_placer,
             self.peers.append,
+            self.metrics,
         )
         self.election = Election(options.vm, self.book.lead, boottime())
         self.rpc = RpcServer(self.peers.handlers())
@@ -366,6 +375,7 @@
             self.book,
             self.peers.ask,
             self.options.keep_ended_s,
+            self.metrics,
             confirmed_at=now,
         )
         writer.on_appended = leadership.note_appended
@@ -435,10 +445,17 @@
                 }
                 for item in (self.journal, self.config, self.registry)
             },
-            "writer": _dump_writer(self.writer),
+            "is_leading": self.leadership is not None,
+            "writers": {"own": _dump_writer(self.writer)},
         }
+        if self.log_output is not None:
+            value["log_lines"] = {
+                "written": self.log_output.n_written,
+                "dropped": self.log_output.n_dropped,
+            }
         if self.leadership is not None:
             value["leading"] = _dump_leadership(self.leadership, now)
+            value["writers"]["placer"] = _dump_writer(self.leadership.writer)
         return value
 
 
@@ -458,7 +475,10 @@
     return {
         "term": placer.term,
         "counts": dict(placer.counts),
-        "writer": _dump_writer(leadership.writer),
+        "n_jobs": len(placer.jobs),
+        "worker_states": dict(
+            Counter(_worker_state(item, now) for item in placer.workers.values())
+        ),
         "confirmed_age_s": round(now - leadership.confirmed_at, 3),
         "jobs": {
             job_id: {"state": item.state, "n_assigned": item.n_assigned}
@@ -480,6 +500,14 @@
     }
 
 
+def _worker_state(worker: Worker, now: float) -> str:
+    if not worker.reachable:
+        return "unreachable"
+    if worker.entry.draining or not worker.listed:
+        return "leaving"
+    return "ready" if worker.health.may_take(now) else "ejected"
+
+
 async def _supervise(name: str, run: Callable[[], Any]) -> None:
     """Run a task for ever; log it if it fails and begin it again."""
     while True:
--- /dev/null
+++ b/cuminhill/jobs/nodemetrics.py
@@ -0,0 +1,159 @@
+"""Metrics of a node and the server that shows them, with the dump of its state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..metrics import CONTENT_TYPE, MetricSet
+from ..metrictable import COUNTER, GAUGE, HISTOGRAM, Metric
+from ..util.http import HttpRequest, HttpResponse, HttpServer
+
+if TYPE_CHECKING:
+    from .node import JobNode
+
+NODE_METRICS = (
+    Metric(
+        "callers_total",
+        COUNTER,
+        "Answers to callers by call and outcome.",
+        ("outcome",),
+        "callers.*",
+    ),
+    Metric(
+        "submit_seconds",
+        HISTOGRAM,
+        "Time from a submission to its answer, in seconds.",
+        ("outcome",),
+    ),
+    Metric("jobs", GAUGE, "Jobs in the journal by state.", ("state",), "jobs.*"),
+    Metric("node_ready", GAUGE, "Whether new callers should come.", (), "ready"),
+    Metric("node_draining", GAUGE, "Whether the node stops.", (), "draining"),
+    Metric("node_config_version", GAUGE, "Queue table in force.", (), "config_version"),
+    Metric("node_term", GAUGE, "Newest term in the journal.", (), "lead.term"),
+    Metric("node_leading", GAUGE, "1 on the placer.", (), "is_leading"),
+    Metric("known_workers", GAUGE, "Registered workers.", (), "workers"),
+    Metric(
+        "ignored_total",
+        COUNTER,
+        "Records, registrations and configurations that could not be read.",
+        ("kind",),
+        "bad.*",
+    ),
+    Metric(
+        "followed_age_seconds",
+        GAUGE,
+        "Age of the newest complete read of a log.",
+        ("log",),
+        "logs.*.age_s",
+    ),
+    Metric(
+        "followed_errors_total",
+        COUNTER,
+        "Failed reads of a log.",
+        ("log",),
+        "logs.*.n_errors",
+    ),
+    Metric(
+        "followed_snapshots_total",
+        COUNTER,
+        "Snapshots read of a log.",
+        ("log",),
+        "logs.*.n_snapshots",
+    ),
+    Metric(
+        "appends_total",
+        COUNTER,
+        "Successful appends by writer.",
+        ("writer",),
+        "writers.*.n_appends",
+    ),
+    Metric(
+        "appends_refused_total",
+        COUNTER,
+        "Appends that the log refused.",
+        ("writer",),
+        "writers.*.n_refused",
+    ),
+    Metric(
+        "appends_unknown_total",
+        COUNTER,
+        "Appends without an answer.",
+        ("writer",),
+        "writers.*.n_unknown",
+    ),
+    Metric(
+        "append_latency_seconds",
+        GAUGE,
+        "Running mean of the time of an append.",
+        ("writer",),
+        "writers.*.latency_s",
+    ),
+    Metric(
+        "records_queued",
+        GAUGE,
+        "Records that wait for an append.",
+        ("writer",),
+        "writers.*.n_queued",
+    ),
+    Metric(
+        "placer_events_total",
+        COUNTER,
+        "Placements, starts, ends, stops and lost runs of the term.",
+        ("event",),
+        "leading.counts.*",
+    ),
+    Metric("placer_jobs", GAUGE, "Live jobs of the placer.", (), "leading.n_jobs"),
+    Metric(
+        "placer_workers",
+        GAUGE,
+        "Workers of the placer by state.",
+        ("state",),
+        "leading.worker_states.*",
+    ),
+    Metric(
+        "first_start_seconds",
+        HISTOGRAM,
+        "Time from the acceptance of a job to its first start, in seconds.",
+        ("queue",),
+    ),
+    Metric(
+        "completed_seconds",
+        HISTOGRAM,
+        "Time from the acceptance of a job to its completion, in seconds.",
+        ("queue",),
+    ),
+    Metric(
+        "advice_seconds",
+        HISTOGRAM,
+        "Time of a call for advice, in seconds.",
+        ("through",),
+    ),
+    Metric(
+        "log_lines_dropped_total",
+        COUNTER,
+        "Log lines dropped.",
+        (),
+        "log_lines.dropped",
+    ),
+)
+
+
+def make_node_metrics() -> MetricSet:
+    """Return the metrics of a node, without values."""
+    return MetricSet(NODE_METRICS)
+
+
+def make_inspection_server(node: JobNode) -> HttpServer:
+    """Return a server of ``/metrics`` and ``/dump``."""
+
+    async def handle(req: HttpRequest) -> HttpResponse:
+        if req.path == "/dump":
+            return HttpResponse(200, node.dump())
+        if req.path == "/metrics":
+            node.metrics.fill(node.dump())
+            return HttpResponse(
+                200, raw=node.metrics.render(), content_type=CONTENT_TYPE
+            )
+        return HttpResponse(404, {"error": "/metrics or /dump"})
+
+    return HttpServer(handle)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -104,6 +104,7 @@
     step_runs: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     finished: set[tuple[int, int]] = field(default_factory=set)
     n_assigned: int = 0
+    has_started: bool = False
 
     def is_ready(self, occurrence: int, number: int, wall: float) -> bool:
         """Return whether the tasks of a step may start."""
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -11,11 +11,13 @@
 from ..clock import boottime
 from ..errors import CuminhillError, UnavailableError, UnknownOutcomeError
 from .model import FINAL_JOB_STATES, Outcome
+from .nodemetrics import make_node_metrics
 from .records import CANCEL, JOB, JournalRecord, encode_job
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ..metrics import MetricSet
     from .book import JobBook, JobEntry
     from .journal import LogFollower, LogWriter
     from .model import Job, JobState
@@ -59,6 +61,7 @@
         [list[tuple[str, bytes]], float], Awaitable[Outcome | None]
     ]
     append_elsewhere: Callable[[list[tuple[str, bytes]], float], Awaitable[None]]
+    metrics: MetricSet = field(default_factory=make_node_metrics)
     counts: Counter[str] = field(default_factory=Counter)
 
     async def submit(self, job: Job, wait_s: float) -> Outcome:
@@ -72,8 +75,10 @@
         if job.job_id in self.book.entries:
             self.counts["repeated"] += 1
             return Outcome.OK
+        asked_at = boottime()
         outcome = await self._append(JOB + job.job_id, encode_job(job), wait_s)
         self.counts[f"submit_{outcome}"] += 1
+        self.metrics.observe("submit_seconds", boottime() - asked_at, outcome=outcome)
         logger.info(
             "submission",
             job=job.job_id,
--- a/cuminhill/metrics.py
+++ b/cuminhill/metrics.py
@@ -17,7 +17,7 @@
 from .metrictable import HISTOGRAM, METRICS, Metric
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
 PREFIX = "cuminhill_"
 CONTENT_TYPE = TEXT_CONTENT_TYPE
@@ -26,15 +26,22 @@
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
-class Metrics:
-    """Registry of the metrics of one daemon."""
+class MetricSet:
+    """Registry of the metrics of one table.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    table : iterable of Metric
+        Declares every metric.
+    """
+
+    def __init__(self, table: Iterable[Metric]) -> None:
         self._registry = Registry()
         self._formatter = TextFormatter()
-        self._leaders: dict[str, str] = {}
-        self._metrics = {item.name: item for item in METRICS}
-        self._collectors = {item.name: self._register(item) for item in METRICS}
+        self._metrics = {item.name: item for item in table}
+        self._collectors = {
+            item.name: self._register(item) for item in self._metrics.values()
+        }
 
     def _register(self, metric: Metric) -> Any:
         name = PREFIX + metric.name
@@ -62,9 +69,9 @@
         Parameters
         ----------
         dump : dict
-            Result of ``Application.dump()``; what it lacks is left out.
+            State of a process, JSON-ready; what it lacks is left out.
         """
-        for metric in METRICS:
+        for metric in self._metrics.values():
             if not metric.source:
                 continue
             self._collectors[metric.name].values.clear()
@@ -73,10 +80,6 @@
                 if number is not None:
                     named = dict(zip(metric.labels, labels, strict=True))
                     self.set(metric.name, number, **named)
-        self._fill_answers(dump.get("answers", {}))
-        self._fill_members(dump.get("members", []))
-        self._fill_shards(dump.get("shards", {}))
-        self._fill_leaders(dump.get("routing", {}).get("leaders", {}))
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -90,6 +93,22 @@
         # The formatter writes label values as they are.
         return {key: str(labels[key]).translate(_ESCAPES) for key in expected}
 
+
+class Metrics(MetricSet):
+    """Registry of the metrics of one daemon."""
+
+    def __init__(self) -> None:
+        super().__init__(METRICS)
+        self._leaders: dict[str, str] = {}
+
+    def fill(self, dump: Mapping[str, Any]) -> None:
+        """Set the metrics whose values are in the dump of an `Application`."""
+        super().fill(dump)
+        self._fill_answers(dump.get("answers", {}))
+        self._fill_members(dump.get("members", []))
+        self._fill_shards(dump.get("shards", {}))
+        self._fill_leaders(dump.get("routing", {}).get("leaders", {}))
+
     def _fill_answers(self, answers: Mapping[str, int]) -> None:
         for key, count in answers.items():
             kind, _, outcome = key.partition(":")
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -28,7 +28,7 @@
 # Lease that renewals ask for, in seconds: it outlasts a change of the placer, which
 # takes 2 to 3 s, and a lost worker's tasks still move soon.
 LEASE_S = 5.0
-RPC_PORT, METRICS_PORT = 0, 1  # positions in the range of free ports
+RPC_PORT = 0  # position in the range of free ports
 MAX_FRONT_CONNECTIONS = 1000
 # Descriptors kept for connections to the store, workers and other VMs.
 OTHER_DESCRIPTORS = 400
@@ -46,6 +46,7 @@
     front_address: str
     ready_address: str
     first_free_port: int
+    inspection_address: str
     store_address: str
     advice_address: str = ""
     max_descriptors: int = 1024
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -11,7 +11,12 @@
 
 from cuminhill.clock import boottime
 from cuminhill.errors import FencedError, UnavailableError, UnknownOutcomeError
-from cuminhill.jobs.journal import QUEUE_S, LogFollower, LogWriter
+from cuminhill.jobs.journal import (
+    MIN_APPEND_TIMEOUT_S,
+    QUEUE_S,
+    LogFollower,
+    LogWriter,
+)
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
 
@@ -178,3 +183,22 @@
         assert boottime() - returned_at < 2.6
 
     curio.run(scenario)
+
+
+def test_one_lost_answer_costs_one_time_out():
+    """Guards against a placer that falls silent after two lost answers.
+
+    Seen in incident inc-7bb9: 1.8 s without a record, and two changes of the placer.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        writer = LogWriter(LogView(log, LogFaults(silent=True)), "a", 1)
+        await curio.spawn(writer.run, daemon=True)
+        task = await curio.spawn(writer.append, [("k", b"x")], boottime() + 1.2)
+        await curio.sleep(2.5 * MIN_APPEND_TIMEOUT_S)
+        assert writer.n_unknown == 2
+        with pytest.raises(curio.TaskError):
+            await task.join()
+
+    curio.run(scenario)
