Name workers with free room in calls for advice; keep tickets for what can fit

Cause: a pool of 350 workers: every step asked about the first 100 of them, so the rest stayed empty while gangs waited 30 s; a blocked gang renewed tickets of single workers. Change: a call names the workers with the most free room, enough for the step several times over; further workers are asked about when the permitted ones do not suffice; gangs renew only when they can fit. Workers that take starts are listed once a decision.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -52,6 +52,12 @@
         """Return whether a worker may run the step, with a ticket or without."""
         return worker_id in self.permitted
 
+    def fresh(self, now: float) -> bool:
+        """Return whether any ticket is still good."""
+        return any(
+            now <= until - TICKET_MARGIN_S for until in self.ticket_until.values()
+        )
+
     def drop_ticket(self, worker_id: str) -> None:
         """Forget a ticket that a worker has refused."""
         self.ticket_until.pop(worker_id, None)
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .fleet import ROOM_EPSILON
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -17,6 +19,16 @@
 FIT_WEIGHT = 0.3
 # Speed of a task away from the rack of its data, relative to one beside it.
 FAR_SPEED = 0.5
+# Workers that one call for advice may name, from the service's interface.
+MAX_ADVISED_WORKERS = 100
+# Least number of workers in a call about workers that are not known: each costs little
+# beside the fixed part of a call.
+MIN_ASKED_WORKERS = 24
+MIN_RENEWED_WORKERS = 4
+# Room that a call should cover, in multiples of what the step needs: of the permitted
+# workers, whose room others may take meanwhile, and of unknown ones, of which a third
+# or more are permitted.
+KNOWN_ROOM_X, UNKNOWN_ROOM_X = 1.5, 4.0
 # Runs that end within this time may use room that is kept for a blocked gang.
 SHORT_RUN_S = 1.5
 
@@ -121,6 +133,65 @@
     return kept if n_kept >= n_tasks else set()
 
 
+def room_for(step: Step, workers: Iterable[Worker]) -> int:
+    """Return how many tasks of a step fit on some workers now."""
+    total = 0
+    for worker in workers:
+        n_fitting = _n_fitting(step.need, worker.free)
+        total += min(n_fitting, step.max_per_worker or n_fitting)
+    return total
+
+
+def most_free(workers: Iterable[Worker]) -> list[Worker]:
+    """Return workers with the most free cores first, fast ones before slow ones."""
+    return sorted(workers, key=lambda item: -item.free.cores * item.health.speed)
+
+
+def choose_named(
+    step: Step,
+    wanted: int,
+    permitted: list[Worker],
+    unasked: list[Worker],
+    usable: list[Worker],
+) -> list[Worker]:
+    """Return the workers to name in a call for advice, none if it would not help.
+
+    Parameters
+    ----------
+    wanted : int
+        Tasks to place.
+    permitted : list of Worker
+        Workers with room that may run the step.
+    unasked : list of Worker
+        Workers about which nothing is known.
+    usable : list of Worker
+        Those of the permitted for which there are good tickets.
+    """
+    ready = most_free(permitted)
+    named = _covering(step, wanted * KNOWN_ROOM_X, ready, MIN_RENEWED_WORKERS)
+    if room_for(step, named) < wanted and unasked:
+        rest = wanted * UNKNOWN_ROOM_X
+        asked = _covering(step, rest, most_free(unasked), MIN_ASKED_WORKERS)
+        return (named + asked)[:MAX_ADVISED_WORKERS]
+    if len(named) <= len(usable) or (step.gang and room_for(step, named) < wanted):
+        return []
+    return named[:MAX_ADVISED_WORKERS]
+
+
+def _covering(
+    step: Step, room: float, workers: list[Worker], at_least: int = 0
+) -> list[Worker]:
+    """Return the first workers that together have room for so many tasks."""
+    chosen: list[Worker] = []
+    covered = 0
+    for worker in workers:
+        if covered >= room and len(chosen) >= at_least:
+            break
+        chosen.append(worker)
+        covered += room_for(step, [worker])
+    return chosen
+
+
 def _n_fitting(need: Resources, room: Resources) -> int:
     counts = [
         has // takes
@@ -131,4 +202,4 @@
         )
         if takes > 0
     ]
-    return int(min(counts, default=1 << 20))
+    return max(0, int(min(counts, default=1 << 20) + ROOM_EPSILON))
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -17,10 +17,18 @@
 from .fleet import LeaseTimes, Slot, Worker, first_fence
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import chain_s, objective_s, order_key
-from .packing import SHORT_RUN_S, make_offer, place_gang, reserve
+from .packing import (
+    SHORT_RUN_S,
+    choose_named,
+    make_offer,
+    most_free,
+    place_gang,
+    reserve,
+    room_for,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
 
     from ..model import Resources
     from .model import (
@@ -42,10 +50,8 @@
 MAX_RESERVATIONS = 2
 # Tasks of a step that is no gang for which room is kept: they start one by one.
 MAX_RESERVED_TASKS = 4
-# Workers named in a call that renews tickets; each makes the call longer.
+# Workers named in a call that only keeps tickets fresh while nothing fits.
 MAX_RENEWED_WORKERS = 8
-# Workers that one call for advice may name, from the service's interface.
-MAX_ADVISED_WORKERS = 100
 # A stop is repeated after this time if the run is still listed.
 STOP_REPEAT_S = 1.0
 # A run whose share of work done has not moved for this time stands still; at least
@@ -723,8 +729,9 @@
         calls: list[AdviceCall] = []
         self.reserved = set()
         n_reservations = 0
+        pools = self._open_workers(now)
         for step_run, queue in self.waiting_steps(wall):
-            workers = list(self._candidates(step_run, queue, now))
+            workers = self._candidates(step_run, pools.get(queue.pool, []))
             advised = self._advise(step_run, queue, workers, now, calls)
             placed = self._place(step_run, advised, now)
             placements.extend(placed)
@@ -738,21 +745,26 @@
                 n_reservations += 1
         return placements, calls
 
-    def _candidates(
-        self, step_run: StepRun, queue: Queue, now: float
-    ) -> Iterator[Worker]:
+    def _open_workers(self, now: float) -> dict[str, list[Worker]]:
+        """Return the workers that take starts now, by pool."""
+        pools: dict[str, list[Worker]] = {}
+        for worker in self.workers.values():
+            if worker.takes_starts() and worker.health.may_take(now):
+                pools.setdefault(worker.entry.pool, []).append(worker)
+        return pools
+
+    def _candidates(self, step_run: StepRun, pool: list[Worker]) -> list[Worker]:
+        """Return the workers of a pool that a step may run on, advice aside."""
         step = step_run.step
         short = step.run_time_s <= SHORT_RUN_S
-        for worker in self.workers.values():
-            if worker.entry.pool != queue.pool or not worker.takes_starts():
-                continue
-            if not worker.health.may_take(now):
-                continue
-            if step.required_label and step.required_label not in worker.entry.labels:
-                continue
-            if not short and worker.worker_id in self.reserved:
-                continue
-            yield worker
+        if not step.required_label and (short or not self.reserved):
+            return pool
+        return [
+            worker
+            for worker in pool
+            if (short or worker.worker_id not in self.reserved)
+            and (not step.required_label or step.required_label in worker.entry.labels)
+        ]
 
     def _advise(
         self,
@@ -762,37 +774,31 @@
         now: float,
         calls: list[AdviceCall],
     ) -> list[Worker]:
-        """Return the workers that may run the step; ask about those not known."""
+        """Return the workers that may run the step; ask where that is not enough."""
         if queue.advice is None:
             return workers
         advice = self.advice.of(step_run.name)
-        unasked = {
-            worker.worker_id: worker.entry.life
-            for worker in workers
-            if worker.worker_id not in advice.asked
-        }
         permitted = [item for item in workers if advice.permits(item.worker_id)]
         if advice.calling or now < advice.retry_at:
             return permitted
-        if unasked and (not permitted or len(unasked) * 2 > len(workers)):
-            named = dict(list(unasked.items())[:MAX_ADVISED_WORKERS])
-            calls.append(make_advice_call(step_run.name, named, queue.advice))
-            return permitted
-        fresh = [
-            worker
-            for worker in permitted
-            if advice.ticket(worker.worker_id, worker.entry.life, now)
+        step, wanted = step_run.step, step_run.n_waiting
+        fitting = [item for item in permitted if item.fits(step.need)]
+        usable = [
+            item
+            for item in fitting
+            if advice.ticket(item.worker_id, item.entry.life, now)
         ]
-        fitting = [item for item in permitted if item.fits(step_run.step.need)]
-        if any(worker in fresh for worker in fitting):
+        if room_for(step, usable) >= wanted:
             return permitted
-        stale = sorted(fitting or permitted, key=lambda item: -item.free.cores)
-        if stale and (fitting or not fresh):
-            named = {
-                worker.worker_id: worker.entry.life
-                for worker in stale[:MAX_RENEWED_WORKERS]
-            }
-            calls.append(make_advice_call(step_run.name, named, queue.advice))
+        unasked = [item for item in workers if item.worker_id not in advice.asked]
+        named = choose_named(step, wanted, fitting, unasked, usable)
+        if not named and permitted and not usable and not step.gang:
+            # Nothing fits now: a few fresh tickets let the next free room be used.
+            tickets = advice.fresh(now)
+            named = [] if tickets else most_free(permitted)[:MAX_RENEWED_WORKERS]
+        if named:
+            lives = {item.worker_id: item.entry.life for item in named}
+            calls.append(make_advice_call(step_run.name, lives, queue.advice))
         return permitted
 
     def _place(
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -13,7 +13,13 @@
 from cuminhill.jobs.fleet import Worker, first_fence
 from cuminhill.jobs.health import EJECT_S, N_FAILURES_TO_EJECT, make_worker_health
 from cuminhill.jobs.ordering import chain_s, objective_s, order_key
-from cuminhill.jobs.packing import make_offer, place_gang, reserve
+from cuminhill.jobs.packing import (
+    choose_named,
+    make_offer,
+    place_gang,
+    reserve,
+    room_for,
+)
 from cuminhill.jobs.progress import Progress
 
 from .builders import WALL, make_entry, make_job, make_queue, make_step
@@ -171,3 +177,28 @@
     assert choose_adviser(advisers, 0.0, 0.5, 0.8) is None
     advisers[0].excluded_until = 5.0
     assert choose_adviser(advisers, 2.0, 0.5, 0.8).vm == "b"
+
+
+def test_many_workers_calls_for_advice_follow_the_free_room():
+    """Guards against steps that all ask about the same workers of a large pool.
+
+    Seen on a pool of 350: the first 100 were named each time, and gangs waited for
+    30 s while most of the pool was free.
+    """
+    workers = [make_worker(f"w{number:03}") for number in range(350)]
+    for worker in workers[:120]:
+        worker.free = worker.free - worker.entry.capacity
+    step = make_step(20, cores=8.0, gang=True)
+    named = choose_named(step, 20, [], workers, [])
+    assert {item.worker_id for item in named} <= {
+        item.worker_id for item in workers[120:]
+    }
+    assert room_for(step, named) >= 4 * 20
+
+
+def test_blocked_gang_asks_for_tickets_only_when_it_can_fit():
+    """Guards against calls that renew tickets for a gang without room."""
+    workers = [make_worker("w1"), make_worker("w2")]
+    step = make_step(5, cores=8.0, gang=True)
+    assert choose_named(step, 5, workers, [], []) == []
+    assert choose_named(step, 4, workers, [], []) == workers
