--- a/cuminhill/cmd/cli.py
+++ b/cuminhill/cmd/cli.py
@@ -10,6 +10,7 @@
 from .operate import drain, dump, workers
 from .requests import cancel, explain, jobs, status, submit
 from .session import DEFAULT_ADDRESS, AddressType, Session
+from .trace import trace
 
 
 @click.group(epilog=EXIT_HELP)
@@ -52,5 +53,6 @@
     dump,
     config,
     completion,
+    trace,
 ):
     main.add_command(command)
--- /dev/null
+++ b/cuminhill/cmd/trace.py
@@ -0,0 +1,89 @@
+"""``cuminhill trace``: the story of one id from the log lines of all VMs."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Any
+
+import click
+import orjson
+
+from .exits import EXIT_HELP, CommandError, ExitCode
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+# Seconds without a line after which a gap is marked; a change of the placer takes
+# about as long.
+GAP_S = 1.5
+# Printed first or not at all, since every line has them.
+_COMMON = ("timestamp", "process_vm", "event", "level")
+_JSON = re.compile(r"\{.*\}")
+
+
+def parse_lines(lines: Iterable[str], wanted: str) -> Iterator[dict[str, Any]]:
+    """Yield the structured lines that mention an id.
+
+    Parameters
+    ----------
+    lines : iterable of str
+        Log lines; what stands before the JSON object of a line is ignored.
+    wanted : str
+        Id of a job, a worker or a VM.
+    """
+    for line in lines:
+        if wanted not in line:
+            continue
+        found = _JSON.search(line)
+        if found is None:
+            continue
+        try:
+            value = orjson.loads(found[0])
+        except orjson.JSONDecodeError:
+            continue
+        if isinstance(value, dict) and "event" in value and "timestamp" in value:
+            yield value
+
+
+def tell(rows: Iterable[dict[str, Any]]) -> Iterator[str]:
+    """Yield one readable line for each structured line, by time, with gaps marked."""
+    before = None
+    for row in sorted(rows, key=lambda item: str(item["timestamp"])):
+        at = _seconds(str(row["timestamp"]))
+        if before is not None and at - before > GAP_S:
+            yield f"  ... {at - before:.1f} s without a line"
+        before = at
+        rest = " ".join(
+            f"{key}={value}" for key, value in row.items() if key not in _COMMON
+        )
+        vm = row.get("process_vm", "?")
+        yield f"{row['timestamp']} {vm:<20} {row['event']}: {rest}"
+
+
+def _seconds(timestamp: str) -> float:
+    """Return the seconds of a day for an ISO time."""
+    hours, minutes, seconds = timestamp.partition("T")[2].rstrip("Z").split(":")
+    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+
+
+@click.command(epilog=EXIT_HELP)
+@click.argument("wanted", metavar="ID")
+@click.argument("files", nargs=-1, type=click.File("r", errors="replace"))
+def trace(wanted: str, files: tuple[Any, ...]) -> None:
+    """Print what the logs say about one job, worker or VM, in order.
+
+    Reads the given files, or standard input if there are none.
+
+    \b
+    Examples:
+      cuminhill trace b19e7e5ba2ffae91 vm1.log vm2.log
+      zcat logs/*.gz | cuminhill trace i-89e9d81f19
+    """
+    sources: list[Iterable[str]] = [*files]
+    if not sources:
+        sources = [click.get_text_stream("stdin", errors="replace")]
+    rows = [row for source in sources for row in parse_lines(source, wanted)]
+    for line in tell(rows):
+        click.echo(line)
+    if not rows:
+        raise CommandError(f"no line mentions {wanted}", ExitCode.NOT_FOUND)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -561,7 +561,7 @@
         slot = worker.slots.get((order.key, order.run))
         if result is not StartResult.STARTED:
             logger.info(
-                "start refused",
+                "start failed",
                 job=order.key.job_id,
                 task=tuple(order.key[1:]),
                 run=order.run,
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -76,7 +76,7 @@
             self.counts["repeated"] += 1
             return Outcome.OK
         asked_at = boottime()
-        outcome = await self._append(JOB + job.job_id, encode_job(job), wait_s)
+        outcome, way = await self._append(JOB + job.job_id, encode_job(job), wait_s)
         self.counts[f"submit_{outcome}"] += 1
         self.metrics.observe("submit_seconds", boottime() - asked_at, outcome=outcome)
         logger.info(
@@ -85,6 +85,7 @@
             queue=job.queue,
             steps=len(job.steps),
             outcome=outcome,
+            way=way,
             journal_age_s=round(self.follower.age(boottime()), 2),
         )
         return outcome
@@ -96,9 +97,11 @@
             return self._unknown()
         if entry.state in FINAL_JOB_STATES:
             return Outcome.OK
-        outcome = await self._append(CANCEL + job_id, b"{}", wait_s)
+        outcome, way = await self._append(CANCEL + job_id, b"{}", wait_s)
         self.counts[f"cancel_{outcome}"] += 1
-        logger.info("cancellation", job=job_id, outcome=outcome, state=entry.state)
+        logger.info(
+            "cancellation", job=job_id, outcome=outcome, way=way, state=entry.state
+        )
         return outcome
 
     async def state(self, job_id: str) -> JobState | Outcome:
@@ -129,36 +132,48 @@
         fresh = self.follower.synced and self.follower.age(boottime()) < CATCH_UP_S
         return Outcome.UNKNOWN_JOB if fresh else Outcome.NOT_DONE
 
-    async def _append(self, key: str, value: bytes, wait_s: float) -> Outcome:
+    async def _append(
+        self, key: str, value: bytes, wait_s: float
+    ) -> tuple[Outcome, str]:
         """Append one record, through the placer if there is one.
 
         The placer's appends carry the records of all VMs, so that a slow journal is
         not asked by each of them: what it has refused, or not answered, does not go
         another way. The record may be kept twice, which changes nothing.
+
+        Returns
+        -------
+        outcome : Outcome
+            Whether the record is kept.
+        way : str
+            Who gave the outcome: ``placer``, ``here``, ``elsewhere`` or ``nobody``.
         """
         records = [(key, value)]
         give_up_at = boottime() + min(wait_s, APPEND_S)
         uncertain = False
-        outcome = None
+        outcome, way = None, "placer"
         try:
             outcome = await self.append_by_placer(records, give_up_at - boottime())
         except UnknownOutcomeError as exc:
             uncertain = True
             logger.info("placer did not answer", key=key, error=str(exc))
         if outcome is None:
-            outcome = await self._append_without_placer(records, give_up_at)
+            outcome, way = await self._append_without_placer(records, give_up_at)
             if uncertain and outcome is Outcome.NOT_DONE:
                 # The placer may have kept the record all the same.
                 outcome = Outcome.UNCERTAIN
         if outcome is Outcome.OK:
             self.book.fold(JournalRecord(-1, key, value), boottime())
-        return outcome
+        return outcome, way
 
     async def _append_without_placer(
         self, records: list[tuple[str, bytes]], give_up_at: float
-    ) -> Outcome:
+    ) -> tuple[Outcome, str]:
         uncertain = False
-        for append in (self._append_here, self._append_there):
+        for way, append in (
+            ("here", self._append_here),
+            ("elsewhere", self._append_there),
+        ):
             left_s = give_up_at - boottime()
             if left_s <= 0:
                 break
@@ -170,8 +185,8 @@
                 uncertain = True
                 logger.info("append without answer", error=str(exc))
             else:
-                return Outcome.OK
-        return Outcome.UNCERTAIN if uncertain else Outcome.NOT_DONE
+                return Outcome.OK, way
+        return Outcome.UNCERTAIN if uncertain else Outcome.NOT_DONE, "nobody"
 
     async def _append_here(
         self, records: list[tuple[str, bytes]], left_s: float
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cuminhill.application import make_application
+from cuminhill.jobs.nodemetrics import NODE_METRICS
 from cuminhill.metrics import make_metrics
 from cuminhill.metrictable import HISTOGRAM, METRICS
 from cuminhill.settings import Settings
@@ -70,8 +71,8 @@
 
 def test_manual_names_only_metrics_that_exist():
     """Guards against an alert that can never fire."""
-    text = (Path(__file__).parent.parent / "docs" / "OPERATING.md").read_text()
-    names = {f"cuminhill_{item.name}" for item in METRICS}
+    text = (Path(__file__).parent.parent / "docs" / "OPERATIONS.md").read_text()
+    names = {f"cuminhill_{item.name}" for item in (*METRICS, *NODE_METRICS)}
     for name in re.findall(r"cuminhill_\w+", text):
         assert name.removesuffix("_bucket") in names
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -119,7 +119,7 @@
 
 def test_manual_has_the_table_as_it_is_printed():
     """Guards against a manual that describes older settings."""
-    assert markdown_table() in (DOCS / "OPERATING.md").read_text()
+    assert markdown_table() in (DOCS / "OPERATIONS.md").read_text()
 
 
 def test_printed_table_has_a_row_per_setting_in_order():
