--- a/cuminhill/cmd/trace.py
+++ b/cuminhill/cmd/trace.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from typing import TYPE_CHECKING, Any
 
 import click
@@ -81,7 +82,7 @@
     """
     sources: list[Iterable[str]] = [*files]
     if not sources:
-        sources = [click.get_text_stream("stdin", errors="replace")]
+        sources = [sys.stdin]
     rows = [row for source in sources for row in parse_lines(source, wanted)]
     for line in tell(rows):
         click.echo(line)
