--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PY := .venv/bin/python
 
-.PHONY: quickstart test lint matrix bench format
+.PHONY: quickstart test lint matrix platform bench format
 
 .venv/.installed: requirements.txt pyproject.toml
 	python3.11 -m venv .venv
@@ -26,5 +26,12 @@
 matrix: .venv/.installed
 	$(PY) -m checks.matrix
 
+platform:
+	@if [ -z "$(SITE)" ] || [ -z "$(BENCH)" ]; then \
+	  echo "usage: make platform SITE=path/of/site.toml BENCH=path/of/the/bench [DAY=quiet-1]"; \
+	else \
+	  $(BENCH) run $(SITE) $(or $(DAY),quiet-1) --why "make platform"; \
+	fi
+
 bench: .venv/.installed
 	$(PY) -m bench
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -202,7 +202,6 @@
     records: list[tuple[str, bytes]]
     give_up_at: float
     done: Any = field(default_factory=curio.Event)
-    taken: bool = False
     error: CuminhillError | None = None
 
 
@@ -241,6 +240,7 @@
     n_refused: int = 0
     fenced: bool = False
     _queue: list[_Item] = field(default_factory=list)
+    _batch: list[_Item] = field(default_factory=list)
     _n_queued: int = 0
     _wake: Any = field(default_factory=curio.Event)
 
@@ -280,7 +280,7 @@
         await self._wake.set()
         async with curio.ignore_after(max(QUEUE_S, QUEUE_X * self.latency_s)):
             await item.done.wait()
-        if not item.taken and give_up_at < math.inf:
+        if item in self._queue and give_up_at < math.inf:
             self._queue.remove(item)
             self._n_queued -= len(records)
             raise UnavailableError("log is silent", step="append", peer=self.writer)
@@ -294,21 +294,33 @@
             if not self._queue:
                 self._wake.clear()
                 await self._wake.wait()
-            batch = self._take()
+            batch = self._batch = self._take()
             error = await self._append_batch(batch)
+            self._batch = []
             for item in batch:
                 item.error = error
                 await item.done.set()
+        await self.close()
+
+    async def close(self) -> None:
+        """Refuse further appends; what no call has carried is given back."""
+        self.fenced = True
         for item in self._queue:
             item.error = FencedError("fenced", step="append", peer=self.writer)
             await item.done.set()
+        for item in self._batch:
+            if item.error is None and not item.done.is_set():
+                item.error = UnknownOutcomeError(
+                    "writer closed", step="append", peer=self.writer
+                )
+                await item.done.set()
+        self._queue, self._batch = [], []
 
     def _take(self) -> list[_Item]:
         batch: list[_Item] = []
         n_bytes = 0
         while self._queue and n_bytes < MAX_BATCH_BYTES:
             item = self._queue.pop(0)
-            item.taken = True
             self._n_queued -= len(item.records)
             n_bytes += sum(len(key) + len(value) + 5 for key, value in item.records)
             batch.append(item)
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -191,6 +191,8 @@
         self.ended = True
         for task in [*self._tasks, *self._renewers.values()]:
             await task.cancel(blocking=False)
+        # Callers' records that wait here go on by the VMs' own appends.
+        await self.writer.close()
 
     async def resign(self) -> bool:
         """End the term and tell the others so; return whether that worked."""
