Split the placer: decisions and the watch over runs apart

Cause: one module of 881 lines held events, decisions and time; the watch removed jobs while it went through them, which would have ended the term (cancelled jobs on a worker that never comes back). Change: decisions.py, watch.py, functions over the placer; behaviour as before but for that loop.

--- /dev/null
+++ b/cuminhill/jobs/decisions.py
@@ -0,0 +1,223 @@
+"""Decides which waiting tasks go to which workers, and what advice to ask for."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+from .advice import AdviceCall, make_advice_call
+from .fleet import Slot
+from .model import JobState
+from .ordering import order_key
+from .packing import (
+    SHORT_RUN_S,
+    choose_named,
+    make_offer,
+    most_free,
+    place_gang,
+    reserve,
+    room_for,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .fleet import Worker
+    from .model import Queue, TaskKey
+    from .placer import Placer
+    from .progress import Progress, StepRun
+
+# Steps looked at in one decision; the rest waits for the next.
+MAX_STEPS_PER_DECISION = 200
+# Blocked steps for which room is kept, so that wide steps are not starved.
+MAX_RESERVATIONS = 2
+# Tasks of a step that is no gang for which room is kept: they start one by one.
+MAX_RESERVED_TASKS = 4
+# Workers named in a call that only keeps tickets fresh while nothing fits.
+MAX_RENEWED_WORKERS = 8
+
+
+class Placement(NamedTuple):
+    """A run that has been assigned and is to be started once that is journaled."""
+
+    worker_id: str
+    key: TaskKey
+    run: int
+
+
+def waiting_steps(placer: Placer, wall: float) -> list[tuple[StepRun, Queue]]:
+    """Return the steps that have tasks to place, the most urgent first."""
+    rows = []
+    for progress in placer.jobs.values():
+        if progress.cancelled or progress.state is JobState.FAILED:
+            continue
+        queue = placer.queue_of(progress)
+        if queue is None:
+            continue
+        for step_run in progress.ready_steps(wall):
+            rows.append((order_key(step_run, queue, wall), step_run, queue))
+    rows.sort(key=lambda row: row[0])
+    return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
+
+
+def decide(
+    placer: Placer, now: float, wall: float
+) -> tuple[list[Placement], list[AdviceCall]]:
+    """Assign waiting tasks to workers.
+
+    Returns
+    -------
+    placements : list of Placement
+        Runs to start once the progress of their jobs has been journaled.
+    calls : list of AdviceCall
+        Calls for advice, the most urgent first.
+    """
+    placements: list[Placement] = []
+    calls: list[AdviceCall] = []
+    placer.reserved = set()
+    n_reservations = 0
+    pools = _open_workers(placer, now)
+    for step_run, queue in waiting_steps(placer, wall):
+        workers = _candidates(placer, step_run, pools.get(queue.pool, []))
+        advised, call = _advise(placer, step_run, queue, workers, now)
+        if call is not None:
+            calls.append(call)
+        placed = _place(placer, step_run, advised, now)
+        placements.extend(placed)
+        if placed or n_reservations >= MAX_RESERVATIONS or not advised:
+            continue
+        if step_run.step.gang or step_run.step.run_time_s > SHORT_RUN_S:
+            n_tasks = step_run.n_waiting
+            if not step_run.step.gang:
+                n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
+            placer.reserved |= reserve(step_run.step, advised, n_tasks)
+            n_reservations += 1
+    return placements, calls
+
+
+def _open_workers(placer: Placer, now: float) -> dict[str, list[Worker]]:
+    """Return the workers that take starts now, by pool."""
+    pools: dict[str, list[Worker]] = {}
+    for worker in placer.workers.values():
+        if worker.takes_starts() and worker.health.may_take(now):
+            pools.setdefault(worker.entry.pool, []).append(worker)
+    return pools
+
+
+def _candidates(placer: Placer, step_run: StepRun, pool: list[Worker]) -> list[Worker]:
+    """Return the workers of a pool that a step may run on, advice aside."""
+    step = step_run.step
+    short = step.run_time_s <= SHORT_RUN_S
+    if not step.required_label and (short or not placer.reserved):
+        return pool
+    return [
+        worker
+        for worker in pool
+        if (short or worker.worker_id not in placer.reserved)
+        and (not step.required_label or step.required_label in worker.entry.labels)
+    ]
+
+
+def _advise(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    now: float,
+) -> tuple[list[Worker], AdviceCall | None]:
+    """Return the workers that may run a step, and a call if they are not enough."""
+    if queue.advice is None:
+        return workers, None
+    advice = placer.advice.of(step_run.name)
+    permitted = [item for item in workers if advice.permits(item.worker_id)]
+    if advice.calling or now < advice.retry_at:
+        return permitted, None
+    step, wanted = step_run.step, step_run.n_waiting
+    fitting = [item for item in permitted if item.fits(step.need)]
+    usable = [
+        item for item in fitting if advice.ticket(item.worker_id, item.entry.life, now)
+    ]
+    if room_for(step, usable) >= wanted:
+        return permitted, None
+    unasked = [item for item in workers if item.worker_id not in advice.asked]
+    named = choose_named(step, wanted, fitting, unasked, usable)
+    if not named and permitted and not usable and not step.gang:
+        # Nothing fits now: a few fresh tickets let the next free room be used.
+        tickets = advice.fresh(now)
+        named = [] if tickets else most_free(permitted)[:MAX_RENEWED_WORKERS]
+    if not named:
+        return permitted, None
+    lives = {item.worker_id: item.entry.life for item in named}
+    return permitted, make_advice_call(step_run.name, lives, queue.advice)
+
+
+def _place(
+    placer: Placer, step_run: StepRun, workers: Iterable[Worker], now: float
+) -> list[Placement]:
+    progress = placer.jobs[step_run.job.job_id]
+    queue = placer.queue_of(progress)
+    if queue is not None and queue.advice is not None:
+        advice = placer.advice.of(step_run.name)
+        workers = [
+            worker
+            for worker in workers
+            if advice.ticket(worker.worker_id, worker.entry.life, now)
+        ]
+    offer = make_offer(step_run.step, workers, _n_taken(step_run))
+    if not offer.workers:
+        return []
+    if step_run.step.gang:
+        if step_run.n_assigned or step_run.n_done:
+            return []
+        chosen = place_gang(offer)
+        if chosen is None:
+            return []
+        run = max(task.run for task in step_run.tasks) + 1
+        checkpoint = max(task.checkpoint for task in step_run.tasks)
+        for task in step_run.tasks:
+            task.checkpoint = checkpoint
+        return [
+            _assign(placer, progress, step_run, index, worker, run=run, now=now)
+            for index, worker in enumerate(chosen)
+        ]
+    placed = []
+    for index in list(step_run.waiting()):
+        task = step_run.tasks[index]
+        worker = offer.take(task.failed_on)
+        if worker is None:
+            break
+        placed.append(
+            _assign(
+                placer, progress, step_run, index, worker, run=task.run + 1, now=now
+            )
+        )
+    return placed
+
+
+def _assign(
+    placer: Placer,
+    progress: Progress,
+    step_run: StepRun,
+    index: int,
+    worker: Worker,
+    *,
+    run: int,
+    now: float,
+) -> Placement:
+    key = step_run.key(index)
+    step = step_run.step
+    slot = Slot(key, run, step.need, step.run_time_s)
+    slot.started_at = now
+    slot.checkpoint = step_run.tasks[index].checkpoint
+    worker.add(slot)
+    progress.assign(key, worker.worker_id, worker.entry.life, run)
+    placer.mark(progress)
+    placer.counts["placements"] += 1
+    return Placement(worker.worker_id, key, run)
+
+
+def _n_taken(step_run: StepRun) -> dict[str, int]:
+    """Return the tasks of a step on each worker, if the step bounds them."""
+    if not step_run.step.max_per_worker:
+        return {}
+    return dict(Counter(task.worker for task in step_run.tasks if task.worker))
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -13,24 +13,16 @@
 
 import structlog
 
-from .advice import AdviceBook, AdviceCall, make_advice_call
+from .advice import AdviceBook
+from .decisions import Placement, decide
 from .fleet import LeaseTimes, Slot, Worker, first_fence
 from .model import EndKind, JobState, QueueTable, StartResult
-from .ordering import chain_s, objective_s, order_key
-from .packing import (
-    SHORT_RUN_S,
-    choose_named,
-    make_offer,
-    most_free,
-    place_gang,
-    reserve,
-    room_for,
-)
+from .ordering import chain_s, objective_s
+from .watch import watch
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from ..model import Resources
+    from .advice import AdviceCall
     from .model import (
         EndedTask,
         Queue,
@@ -40,25 +32,12 @@
         WorkerEntry,
         WorkerReport,
     )
-    from .progress import Progress, StepRun, TaskState
+    from .progress import Progress, TaskState
 
 logger = structlog.get_logger(__name__)
 
-# Steps looked at in one decision; the rest waits for the next.
-MAX_STEPS_PER_DECISION = 200
-# Blocked steps for which room is kept, so that wide steps are not starved.
-MAX_RESERVATIONS = 2
-# Tasks of a step that is no gang for which room is kept: they start one by one.
-MAX_RESERVED_TASKS = 4
-# Workers named in a call that only keeps tickets fresh while nothing fits.
-MAX_RENEWED_WORKERS = 8
 # A stop is repeated after this time if the run is still listed.
 STOP_REPEAT_S = 1.0
-# A run whose share of work done has not moved for this time stands still; at least
-# so long, and longer for long tasks, whose shares move slowly.
-MIN_STALL_S = 2.5
-STALL_SHARE = 0.25
-ALL_DONE_PERCENT = 100  # a run that shows so much ends with its next report
 # A full page of ends may lack later ones, so it proves nothing by omission.
 MAX_LISTED_ENDS = 500
 # Waits before a worker that has refused a start for want of room is tried again.
@@ -75,14 +54,6 @@
     reason: str
 
 
-class Placement(NamedTuple):
-    """A run that has been assigned and is to be started once that is journaled."""
-
-    worker_id: str
-    key: TaskKey
-    run: int
-
-
 @dataclass(frozen=True, slots=True)
 class PlacerTimes:
     """Durations of the placer, in seconds.
@@ -133,7 +104,7 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = progress
-        queue = self._queue(progress)
+        queue = self.queue_of(progress)
         logger.info(
             "job taken in",
             job=job_id,
@@ -170,13 +141,14 @@
         if progress is None:
             return
         progress.cancelled = True
-        self._stop_runs(progress, "cancelled", now)
-        self._mark(progress)
-        self._retire(progress)
+        self.stop_runs(progress, "cancelled", now)
+        self.mark(progress)
+        self.retire(progress)
 
-    def _stop_runs(
+    def stop_runs(
         self, progress: Progress, reason: str, now: float, step: int | None = None
     ) -> None:
+        """Stop or give back all runs of a job, or of one of its steps."""
         for key, task in list(progress.assigned()):
             if step is not None and key.step != step:
                 continue
@@ -187,21 +159,23 @@
             if not slot.sent:
                 worker.release(key, task.run)
                 progress.unassign(key)
-                self._mark(progress)
+                self.mark(progress)
             else:
-                self._stop(worker, slot, reason, now)
+                self.stop(worker, slot, reason, now)
 
-    def _stop(self, worker: Worker, slot: Slot, reason: str, now: float) -> None:
+    def stop(self, worker: Worker, slot: Slot, reason: str, now: float) -> None:
+        """Have a run stopped, unless that was asked for a moment ago."""
         if slot.stopping_at and now - slot.stopping_at < STOP_REPEAT_S:
             return
         slot.stopping_at = now
         self.counts[f"stops_{reason}"] += 1
         self._stops.append(StopOrder(worker.worker_id, slot.key, slot.run, reason))
 
-    def _mark(self, progress: Progress) -> None:
+    def mark(self, progress: Progress) -> None:
+        """Have the progress of a job journaled."""
         self._dirty[progress.job.job_id] = progress
 
-    def _retire(self, progress: Progress) -> None:
+    def retire(self, progress: Progress) -> None:
         """Forget a job of which nothing is left to do once it has been journaled."""
         ended = progress.state in {JobState.COMPLETED, JobState.FAILED}
         if progress.n_assigned or not (ended or progress.cancelled):
@@ -227,7 +201,7 @@
         worker = self.workers.get(entry.worker_id)
         if worker is None:
             lapse_at = self.begun_at + self.times.hold_s
-            lapse_at += self._longest_lease_s()
+            lapse_at += self.longest_lease_s()
             worker = Worker(entry, first_fence(self.term), lapse_at)
             self.workers[entry.worker_id] = worker
             for progress in self.jobs.values():
@@ -248,7 +222,8 @@
             worker.free = worker.free + change
         worker.entry, worker.listed = entry, True
 
-    def _longest_lease_s(self) -> float:
+    def longest_lease_s(self) -> float:
+        """Return by when a lease granted now has lapsed on any clock."""
         return self.times.lease.max_lease_s * 1.02 + 0.5
 
     def _begin_life(self, worker: Worker, entry: WorkerEntry) -> None:
@@ -275,7 +250,7 @@
             slots=len(worker.slots),
         )
         for slot in list(worker.slots.values()):
-            self._lost(worker, slot, "worker restarted", now)
+            self.lost(worker, slot, "worker restarted", now)
 
     def unreachable(self, worker_id: str, now: float) -> None:
         """Note that a renewal has got no answer."""
@@ -329,7 +304,7 @@
         worker.note_clock(report.clock_ms, now)
         if not worker.settled_fence:
             # From now on no earlier placer can extend leases here.
-            worker.lapse_at = now + self._longest_lease_s()
+            worker.lapse_at = now + self.longest_lease_s()
         worker.settled_fence = max(worker.settled_fence, fence)
         listed = {(row.key, row.run) for row in report.running}
         listed.update((row.key, row.run) for row in report.ended)
@@ -344,7 +319,7 @@
             return news
         for slot in worker.unlisted(fence, report.clock_ms):
             if (slot.key, slot.run) not in listed:
-                self._lost(worker, slot, "not listed", now)
+                self.lost(worker, slot, "not listed", now)
                 news = True
         return news
 
@@ -367,7 +342,7 @@
                 return
         worker.note_running(row, now, clock_ms)
         if not self._is_wanted(worker, row.key, row.run):
-            self._stop(worker, slot, "superseded", now)
+            self.stop(worker, slot, "superseded", now)
 
     def _is_wanted(self, worker: Worker, key: TaskKey, run: int) -> bool:
         progress = self.jobs.get(key.job_id)
@@ -407,14 +382,14 @@
         if progress.job.steps[end.key.step].checkpoints and checkpoint:
             task.checkpoint = checkpoint
         progress.unassign(end.key)
-        self._mark(progress)
+        self.mark(progress)
         if end.kind is EndKind.DONE:
             self._done(worker, progress, end.key, slot, now)
         elif end.kind is EndKind.FAILED:
             self._failed(worker, progress, end.key, end.run, now)
         elif progress.job.steps[end.key.step].gang:
-            self._stop_runs(progress, "gang", now, end.key.step)
-        self._retire(progress)
+            self.stop_runs(progress, "gang", now, end.key.step)
+        self.retire(progress)
 
     def _done(
         self,
@@ -461,7 +436,7 @@
                 worker=worker.worker_id,
                 until_s=round(worker.health.ejected_until - now, 1),
             )
-        queue = self._queue(progress)
+        queue = self.queue_of(progress)
         max_attempts = queue.max_attempts if queue is not None else 1
         if task.n_failed >= max_attempts and not step_run.step.long_running:
             progress.state = JobState.FAILED
@@ -472,11 +447,11 @@
                 n_failed=task.n_failed,
                 max_attempts=max_attempts,
             )
-            self._stop_runs(progress, "job failed", now)
+            self.stop_runs(progress, "job failed", now)
         elif step_run.step.gang:
-            self._stop_runs(progress, "gang", now, key.step)
+            self.stop_runs(progress, "gang", now, key.step)
 
-    def _lost(self, worker: Worker, slot: Slot, why: str, now: float) -> None:
+    def lost(self, worker: Worker, slot: Slot, why: str, now: float) -> None:
         """Give back a run that is certainly not present on its worker."""
         worker.release(slot.key, slot.run)
         progress = self.jobs.get(slot.key.job_id)
@@ -502,10 +477,19 @@
         if step.checkpoints and slot.checkpoint:
             task.checkpoint = slot.checkpoint
         progress.unassign(slot.key)
-        self._mark(progress)
+        self.mark(progress)
         if step.gang:
-            self._stop_runs(progress, "gang", now, slot.key.step)
-        self._retire(progress)
+            self.stop_runs(progress, "gang", now, slot.key.step)
+        self.retire(progress)
+
+    def queue_of(self, progress: Progress) -> Queue | None:
+        """Return the queue of a job; a dropped queue's last definition holds on."""
+        name = progress.job.queue
+        queue = self.table.queues.get(name)
+        if queue is not None:
+            self.last_queues[name] = queue
+            return queue
+        return self.last_queues.get(name)
 
     # Starts
 
@@ -523,7 +507,7 @@
         running = progress is not None and progress.state is JobState.RUNNING
         if wanted and running and worker.takes_starts():
             return slot
-        self._lost(worker, slot, "not sent", now)
+        self.lost(worker, slot, "not sent", now)
         return None
 
     def give_back(self, placement: Placement, why: str, now: float) -> None:
@@ -531,7 +515,7 @@
         worker = self.workers.get(placement.worker_id)
         slot = worker.slots.get((placement.key, placement.run)) if worker else None
         if worker is not None and slot is not None and not slot.sent:
-            self._lost(worker, slot, why, now)
+            self.lost(worker, slot, why, now)
 
     def ticket(self, placement: Placement, now: float) -> str | None:
         """Return the ticket of a sendable start, empty if its queue needs none.
@@ -540,14 +524,14 @@
         """
         worker = self.workers[placement.worker_id]
         key = placement.key
-        queue = self._queue(self.jobs[key.job_id])
+        queue = self.queue_of(self.jobs[key.job_id])
         if queue is None or queue.advice is None:
             return ""
         advice = self.advice.of(f"{key.job_id}.{key.occurrence}.{key.step}")
         ticket = advice.ticket(worker.worker_id, worker.entry.life, now)
         if ticket:
             return ticket
-        self._lost(worker, worker.slots[key, placement.run], "ticket lapsed", now)
+        self.lost(worker, worker.slots[key, placement.run], "ticket lapsed", now)
         return None
 
     def start_answered(
@@ -597,121 +581,16 @@
             worker.health.ejected_until = max(
                 worker.health.ejected_until, now + UNHEALTHY_BACKOFF_S
             )
-        self._lost(worker, slot, result, now)
+        self.lost(worker, slot, result, now)
 
     def _drop_ticket(self, order: StartOrder) -> None:
         key = order.key
         advice = self.advice.of(f"{key.job_id}.{key.occurrence}.{key.step}")
         advice.drop_ticket(order.worker_id)
 
-    # Time
-
     def tick(self, now: float) -> None:
         """Give up runs on lost workers; stop runs that stand still; repeat stops."""
-        for worker_id, worker in list(self.workers.items()):
-            if not worker.reachable and now > worker.lapse_at:
-                for slot in list(worker.slots.values()):
-                    self._lost(worker, slot, "lease lapsed", now)
-                if not worker.listed:
-                    del self.workers[worker_id]
-                continue
-            if worker.reachable:
-                self._watch_slots(worker, now)
-        for progress in self.jobs.values():
-            self._give_up_unlisted(progress, now)
-
-    def _watch_slots(self, worker: Worker, now: float) -> None:
-        for slot in list(worker.slots.values()):
-            if slot.stopping_at:
-                self._stop(worker, slot, "repeated", now)
-                continue
-            if not self._stands_still(slot, now):
-                continue
-            worker.health.failed(slot.key.job_id, now)
-            logger.info(
-                "run stalled",
-                job=slot.key.job_id,
-                task=tuple(slot.key[1:]),
-                run=slot.run,
-                worker=worker.worker_id,
-                percent=slot.percent,
-                still_s=round(now - slot.moved_at, 2),
-            )
-            self._stop(worker, slot, "stalled", now)
-
-    def _stands_still(self, slot: Slot, now: float) -> bool:
-        """Return whether a run makes no progress where it should.
-
-        A member of a gang that is ahead waits for the others, so a gang stands
-        still only if none of its members moves.
-        """
-        progress = self.jobs.get(slot.key.job_id)
-        if progress is None:
-            return False
-        step = progress.job.steps[slot.key.step]
-        stall_s = max(MIN_STALL_S, STALL_SHARE * slot.run_time_s)
-        if step.long_running or not slot.moved_at or now - slot.moved_at < stall_s:
-            return False
-        if not step.gang:
-            return slot.percent < ALL_DONE_PERCENT
-        step_run = progress.step_run(slot.key.occurrence, slot.key.step)
-        for index, task in enumerate(step_run.tasks):
-            worker = self.workers.get(task.worker)
-            member = (
-                worker.slots.get((step_run.key(index), task.run)) if worker else None
-            )
-            if member is None or now - (member.moved_at or now) < stall_s:
-                return False
-        return True
-
-    def _give_up_unlisted(self, progress: Progress, now: float) -> None:
-        """Give back runs on workers that have not been listed in this term."""
-        if not progress.n_assigned:
-            return
-        if now < self.begun_at + self.times.hold_s + self._longest_lease_s():
-            return
-        for key, task in list(progress.assigned()):
-            worker = self.workers.get(task.worker)
-            if worker is not None and (key, task.run) in worker.slots:
-                continue
-            logger.info(
-                "run lost",
-                job=key.job_id,
-                task=tuple(key[1:]),
-                run=task.run,
-                worker=task.worker,
-                why="worker not listed",
-            )
-            progress.unassign(key)
-            self._mark(progress)
-            if progress.job.steps[key.step].gang:
-                self._stop_runs(progress, "gang", now, key.step)
-        self._retire(progress)
-
-    # Decisions
-
-    def _queue(self, progress: Progress) -> Queue | None:
-        """Return the queue of a job; a dropped queue's last definition holds on."""
-        name = progress.job.queue
-        queue = self.table.queues.get(name)
-        if queue is not None:
-            self.last_queues[name] = queue
-            return queue
-        return self.last_queues.get(name)
-
-    def waiting_steps(self, wall: float) -> list[tuple[StepRun, Queue]]:
-        """Return the steps that have tasks to place, first come first placed."""
-        rows = []
-        for progress in self.jobs.values():
-            if progress.cancelled or progress.state is JobState.FAILED:
-                continue
-            queue = self._queue(progress)
-            if queue is None:
-                continue
-            for step_run in progress.ready_steps(wall):
-                rows.append((order_key(step_run, queue, wall), step_run, queue))
-        rows.sort(key=lambda row: row[0])
-        return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
+        watch(self, now)
 
     def decide(
         self, now: float, wall: float
@@ -725,151 +604,7 @@
         calls : list of AdviceCall
             Calls for advice, the most urgent first.
         """
-        placements: list[Placement] = []
-        calls: list[AdviceCall] = []
-        self.reserved = set()
-        n_reservations = 0
-        pools = self._open_workers(now)
-        for step_run, queue in self.waiting_steps(wall):
-            workers = self._candidates(step_run, pools.get(queue.pool, []))
-            advised = self._advise(step_run, queue, workers, now, calls)
-            placed = self._place(step_run, advised, now)
-            placements.extend(placed)
-            if placed or n_reservations >= MAX_RESERVATIONS or not advised:
-                continue
-            if step_run.step.gang or step_run.step.run_time_s > SHORT_RUN_S:
-                n_tasks = step_run.n_waiting
-                if not step_run.step.gang:
-                    n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-                self.reserved |= reserve(step_run.step, advised, n_tasks)
-                n_reservations += 1
-        return placements, calls
-
-    def _open_workers(self, now: float) -> dict[str, list[Worker]]:
-        """Return the workers that take starts now, by pool."""
-        pools: dict[str, list[Worker]] = {}
-        for worker in self.workers.values():
-            if worker.takes_starts() and worker.health.may_take(now):
-                pools.setdefault(worker.entry.pool, []).append(worker)
-        return pools
-
-    def _candidates(self, step_run: StepRun, pool: list[Worker]) -> list[Worker]:
-        """Return the workers of a pool that a step may run on, advice aside."""
-        step = step_run.step
-        short = step.run_time_s <= SHORT_RUN_S
-        if not step.required_label and (short or not self.reserved):
-            return pool
-        return [
-            worker
-            for worker in pool
-            if (short or worker.worker_id not in self.reserved)
-            and (not step.required_label or step.required_label in worker.entry.labels)
-        ]
-
-    def _advise(
-        self,
-        step_run: StepRun,
-        queue: Queue,
-        workers: list[Worker],
-        now: float,
-        calls: list[AdviceCall],
-    ) -> list[Worker]:
-        """Return the workers that may run the step; ask where that is not enough."""
-        if queue.advice is None:
-            return workers
-        advice = self.advice.of(step_run.name)
-        permitted = [item for item in workers if advice.permits(item.worker_id)]
-        if advice.calling or now < advice.retry_at:
-            return permitted
-        step, wanted = step_run.step, step_run.n_waiting
-        fitting = [item for item in permitted if item.fits(step.need)]
-        usable = [
-            item
-            for item in fitting
-            if advice.ticket(item.worker_id, item.entry.life, now)
-        ]
-        if room_for(step, usable) >= wanted:
-            return permitted
-        unasked = [item for item in workers if item.worker_id not in advice.asked]
-        named = choose_named(step, wanted, fitting, unasked, usable)
-        if not named and permitted and not usable and not step.gang:
-            # Nothing fits now: a few fresh tickets let the next free room be used.
-            tickets = advice.fresh(now)
-            named = [] if tickets else most_free(permitted)[:MAX_RENEWED_WORKERS]
-        if named:
-            lives = {item.worker_id: item.entry.life for item in named}
-            calls.append(make_advice_call(step_run.name, lives, queue.advice))
-        return permitted
-
-    def _place(
-        self, step_run: StepRun, workers: Iterable[Worker], now: float
-    ) -> list[Placement]:
-        progress = self.jobs[step_run.job.job_id]
-        queue = self._queue(progress)
-        if queue is not None and queue.advice is not None:
-            advice = self.advice.of(step_run.name)
-            workers = [
-                worker
-                for worker in workers
-                if advice.ticket(worker.worker_id, worker.entry.life, now)
-            ]
-        offer = make_offer(step_run.step, workers, _n_taken(step_run))
-        if not offer.workers:
-            return []
-        if step_run.step.gang:
-            if step_run.n_assigned or step_run.n_done:
-                return []
-            chosen = place_gang(offer)
-            if chosen is None:
-                return []
-            run = max(task.run for task in step_run.tasks) + 1
-            checkpoint = max(task.checkpoint for task in step_run.tasks)
-            for task in step_run.tasks:
-                task.checkpoint = checkpoint
-            return [
-                self._assign(progress, step_run, index, worker, run=run, now=now)
-                for index, worker in enumerate(chosen)
-            ]
-        placed = []
-        for index in list(step_run.waiting()):
-            task = step_run.tasks[index]
-            worker = offer.take(task.failed_on)
-            if worker is None:
-                break
-            placed.append(
-                self._assign(
-                    progress, step_run, index, worker, run=task.run + 1, now=now
-                )
-            )
-        return placed
-
-    def _assign(
-        self,
-        progress: Progress,
-        step_run: StepRun,
-        index: int,
-        worker: Worker,
-        *,
-        run: int,
-        now: float,
-    ) -> Placement:
-        key = step_run.key(index)
-        step = step_run.step
-        slot = Slot(key, run, step.need, step.run_time_s)
-        slot.started_at = now
-        slot.checkpoint = step_run.tasks[index].checkpoint
-        worker.add(slot)
-        progress.assign(key, worker.worker_id, worker.entry.life, run)
-        self._mark(progress)
-        self.counts["placements"] += 1
-        return Placement(worker.worker_id, key, run)
-
-
-def _n_taken(step_run: StepRun) -> dict[str, int]:
-    """Return the tasks of a step on each worker, if the step bounds them."""
-    if not step_run.step.max_per_worker:
-        return {}
-    return dict(Counter(task.worker for task in step_run.tasks if task.worker))
+        return decide(self, now, wall)
 
 
 def _difference(new: WorkerEntry, old: WorkerEntry) -> Resources | None:
--- /dev/null
+++ b/cuminhill/jobs/watch.py
@@ -0,0 +1,104 @@
+"""Watches runs: gives up those on lost workers and stops those that stand still."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+if TYPE_CHECKING:
+    from .fleet import Slot, Worker
+    from .placer import Placer
+    from .progress import Progress
+
+logger = structlog.get_logger(__name__)
+
+# A run whose share of work done has not moved for this time stands still; at least
+# so long, and longer for long tasks, whose shares move slowly.
+MIN_STALL_S = 2.5
+STALL_SHARE = 0.25
+ALL_DONE_PERCENT = 100  # a run that shows so much ends with its next report
+
+
+def watch(placer: Placer, now: float) -> None:
+    """Give up runs on lost workers; stop runs that stand still; repeat stops."""
+    for worker_id, worker in list(placer.workers.items()):
+        if not worker.reachable and now > worker.lapse_at:
+            for slot in list(worker.slots.values()):
+                placer.lost(worker, slot, "lease lapsed", now)
+            if not worker.listed:
+                del placer.workers[worker_id]
+            continue
+        if worker.reachable:
+            _watch_slots(placer, worker, now)
+    for progress in list(placer.jobs.values()):
+        _give_up_unlisted(placer, progress, now)
+
+
+def _watch_slots(placer: Placer, worker: Worker, now: float) -> None:
+    for slot in list(worker.slots.values()):
+        if slot.stopping_at:
+            placer.stop(worker, slot, "repeated", now)
+            continue
+        if not _stands_still(placer, slot, now):
+            continue
+        worker.health.failed(slot.key.job_id, now)
+        logger.info(
+            "run stalled",
+            job=slot.key.job_id,
+            task=tuple(slot.key[1:]),
+            run=slot.run,
+            worker=worker.worker_id,
+            percent=slot.percent,
+            still_s=round(now - slot.moved_at, 2),
+        )
+        placer.stop(worker, slot, "stalled", now)
+
+
+def _stands_still(placer: Placer, slot: Slot, now: float) -> bool:
+    """Return whether a run makes no progress where it should.
+
+    A member of a gang that is ahead waits for the others, so a gang stands
+    still only if none of its members moves.
+    """
+    progress = placer.jobs.get(slot.key.job_id)
+    if progress is None:
+        return False
+    step = progress.job.steps[slot.key.step]
+    stall_s = max(MIN_STALL_S, STALL_SHARE * slot.run_time_s)
+    if step.long_running or not slot.moved_at or now - slot.moved_at < stall_s:
+        return False
+    if not step.gang:
+        return slot.percent < ALL_DONE_PERCENT
+    step_run = progress.step_run(slot.key.occurrence, slot.key.step)
+    for index, task in enumerate(step_run.tasks):
+        worker = placer.workers.get(task.worker)
+        member = worker.slots.get((step_run.key(index), task.run)) if worker else None
+        if member is None or now - (member.moved_at or now) < stall_s:
+            return False
+    return True
+
+
+def _give_up_unlisted(placer: Placer, progress: Progress, now: float) -> None:
+    """Give back runs on workers that have not been listed in this term."""
+    if not progress.n_assigned:
+        return
+    if now < placer.begun_at + placer.times.hold_s + placer.longest_lease_s():
+        return
+    for key, task in list(progress.assigned()):
+        worker = placer.workers.get(task.worker)
+        if worker is not None and (key, task.run) in worker.slots:
+            continue
+        logger.info(
+            "run lost",
+            job=key.job_id,
+            task=tuple(key[1:]),
+            run=task.run,
+            worker=task.worker,
+            why="worker not listed",
+        )
+        progress.unassign(key)
+        placer.mark(progress)
+        if progress.job.steps[key.step].gang:
+            placer.stop_runs(progress, "gang", now, key.step)
+    placer.retire(progress)
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, StartOrder, StartResult
-from cuminhill.jobs.placer import MIN_STALL_S, STOP_REPEAT_S
+from cuminhill.jobs.placer import STOP_REPEAT_S
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
+from cuminhill.jobs.watch import MIN_STALL_S
 
 from .builders import (
     BEGUN_AT,
@@ -466,3 +467,19 @@
         copy = decode_progress(progress.job, encode_progress(progress))
         second.add_job(copy, NOW)
     assert second.workers["w1"].free.cores == 15.0
+
+
+def test_runs_on_workers_that_never_come_back_are_given_back():
+    """Guards against a cancelled job that waits for ever for a worker that has left."""
+    first = make_placer(n_workers=1)
+    jobs = [make_job(job_id=f"{number:016x}") for number in range(3)]
+    live = [submit(first, job) for job in jobs]
+    first.decide(NOW, WALL)
+    second = make_placer(n_workers=0, term=2)
+    for progress in live:
+        copy = decode_progress(progress.job, encode_progress(progress))
+        copy.cancelled = True
+        second.add_job(copy, NOW)
+    assert len(second.jobs) == 3
+    second.tick(NOW + second.times.hold_s + second.longest_lease_s() + 1)
+    assert second.jobs == {}
