--- a/cuminhill/cmd/node.py
+++ b/cuminhill/cmd/node.py
@@ -30,7 +30,7 @@
 FINISH_SHARE = 0.2  # of that time, for requests still in progress after it
 
 
-async def serve(cfg: PlatformSettings, output: BoundedOutput) -> None:
+async def serve(cfg: PlatformSettings, path: Path, output: BoundedOutput) -> None:
     """Run one node until it has drained."""
     stop_asked, reload_asked = curio.UniversalEvent(), curio.UniversalEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -49,7 +49,7 @@
         host, _, port = address.rpartition(":")
         await server.start(host, int(port))
     logger.info("started", front=cfg.front_address, store=cfg.store_address)
-    await curio.spawn(_note_reloads, reload_asked, daemon=True)
+    await curio.spawn(_note_reloads, reload_asked, cfg, path, daemon=True)
     await stop_asked.wait()
     stop_at = time.monotonic() + cfg.grace_s * SERVE_SHARE
     logger.info("stop asked for", busy=front.n_busy, connections=front.n_connections)
@@ -60,12 +60,19 @@
     logger.info("stopped", busy=front.n_busy)
 
 
-async def _note_reloads(reload_asked: Any) -> None:
-    """Log that the settings file has changed; no setting is read again."""
+async def _note_reloads(reload_asked: Any, cfg: PlatformSettings, path: Path) -> None:
+    """Log which settings a reload would change; they take effect at the next start."""
     while True:
         await reload_asked.wait()
         reload_asked.clear()
-        logger.info("reload asked for", changed=[])
+        try:
+            new = load_platform_settings(path)
+        except SettingsError as exc:
+            logger.warning("reload asked for, settings wrong", error=str(exc))
+            continue
+        before, after = cfg.model_dump(), new.model_dump()
+        changed = sorted(key for key in after if after[key] != before[key])
+        logger.info("reload asked for", changed=changed)
 
 
 @click.command()
@@ -91,7 +98,7 @@
     if check:
         click.echo(f"{path}: valid")
         return
-    curio.run(serve, cfg, set_up_bounded_logging(cfg.vm))
+    curio.run(serve, cfg, path, set_up_bounded_logging(cfg.vm))
 
 
 if __name__ == "__main__":
