Remove unused names; close connections to workers that have gone

Change: dead fields, a function and a setting go; the term forgets a worker's address when it drops the worker.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -38,7 +38,6 @@
     asked: dict[str, int] = field(default_factory=dict)
     calling: bool = False
     retry_at: float = 0.0
-    used_at: float = 0.0
 
     def ticket(self, worker_id: str, life: int, now: float) -> str:
         """Return a ticket that is still good for a start, or an empty string."""
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -32,13 +32,10 @@
         Lease that each renewal asks for.
     max_lease_s : float, seconds
         Longest lease that any worker grants.
-    stop_s : float, seconds
-        Longest time that a worker takes to stop a task.
     """
 
     lease_s: float = 5.0
     max_lease_s: float = 6.0
-    stop_s: float = 1.0
 
 
 @dataclass(eq=False, slots=True)
@@ -105,7 +102,6 @@
     clock_ms: int = 0
     clock_at: float = 0.0
     report_ms: int = 0
-    replaced: bool = False
 
     def __post_init__(self) -> None:
         self.free = self.entry.capacity
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -91,6 +91,9 @@
     ) -> None:
         """Ask a worker to stop a run."""
 
+    async def forget(self, address: str) -> None:
+        """Close the connections to a worker that has gone."""
+
 
 @dataclass(eq=False)
 class Leadership:
@@ -256,10 +259,13 @@
     # Renewals
 
     async def _renew_worker(self, worker_id: str) -> None:
+        address = ""
         while not self.ended:
             worker = self.placer.workers.get(worker_id)
             if worker is None:
+                await self.calls.forget(address)
                 break
+            address = worker.entry.address
             if not self.may_act():
                 await curio.sleep(RENEW_RETRY_S)
                 continue
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -48,10 +48,6 @@
     failed_run: int = 0
     failed_on: set[str] = field(default_factory=set)
 
-    def is_default(self) -> bool:
-        """Return whether nothing has happened to the task yet."""
-        return not (self.run or self.done)
-
 
 @dataclass(eq=False, slots=True)
 class StepRun:
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -51,7 +51,6 @@
     advice_address: str = ""
     max_descriptors: int = 1024
     max_lease_ms: float = 6000.0
-    stop_timeout_ms: float = 1000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
 
@@ -88,7 +87,6 @@
     lease = LeaseTimes(
         lease_s=min(LEASE_S, cfg.max_lease_ms / 1000),
         max_lease_s=cfg.max_lease_ms / 1000,
-        stop_s=cfg.stop_timeout_ms / 1000,
     )
     options = NodeOptions(
         vm=cfg.vm,
--- a/cuminhill/platform/store.py
+++ b/cuminhill/platform/store.py
@@ -26,7 +26,6 @@
 JOURNAL_TOPIC = "keyed.cuminhill"
 CONFIG_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
-STATUS_TOPIC = "keyed.status"
 READ_TIMEOUT_S = 2.0
 # For one page of the newest records, up to 1 MB: 1 s on a link of 10 Mbit/s that other
 # reads share.
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -9,7 +9,6 @@
 import struct
 from typing import TYPE_CHECKING, Annotated, Any
 
-import orjson
 import pydantic
 from pydantic import BaseModel, ConfigDict, Field
 
@@ -327,11 +326,3 @@
     n_key = content[0] if content else 0
     key = content[1 : 1 + n_key].decode("utf-8", "replace")
     return JournalRecord(offset, key, content[1 + n_key :])
-
-
-def decode_json(value: bytes) -> Any:
-    """Return decoded JSON, None if it is not JSON."""
-    try:
-        return orjson.loads(value)
-    except orjson.JSONDecodeError:
-        return None
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -366,6 +366,9 @@
         worker.check_fence(fence)
         worker.halt(key, run)
 
+    async def forget(self, address: str) -> None:
+        """Do nothing; calls in memory keep no connections."""
+
     def history(self) -> list[RunRecord]:
         """Return all runs on all workers."""
         return [item for worker in self.workers.values() for item in worker.history]
