--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -27,9 +27,17 @@
     Parameters
     ----------
     permitted : dict
-        Worker to its life when the ticket was given; tickets of another life are void.
-    asked : set of str
-        Workers that were named in an answered call, permitted or not.
+        Permitted workers and the newest ticket for each.
+    lives : dict
+        Life of each permitted worker at that ticket; it is void in another life.
+    ticket_until : dict
+        Time at which each ticket lapses, in seconds.
+    asked : dict
+        Workers that were named in an answered call, permitted or not, and their lives.
+    calling : bool
+        Whether a call is in progress.
+    retry_at : float, seconds
+        Time before which no call is made after a failed one.
     """
 
     permitted: dict[str, str] = field(default_factory=dict)
--- a/cuminhill/jobs/election.py
+++ b/cuminhill/jobs/election.py
@@ -22,6 +22,25 @@
 MAX_STAGGER_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class JournalView:
+    """How well a VM sees the journal.
+
+    Parameters
+    ----------
+    read_at : float, seconds
+        When the newest complete read was sent.
+    readable_since : float, seconds
+        When reads began to succeed after a failure; 0 if none has failed.
+    latency_s : float, seconds
+        Mean time of an append.
+    """
+
+    read_at: float
+    readable_since: float = 0.0
+    latency_s: float = 0.0
+
+
 @dataclass(eq=False)
 class Election:
     """View of one VM on who is the placer.
@@ -79,22 +98,3 @@
             return now >= claim_at
         seen_until = min(now, journal.read_at)
         return seen_until >= max(claim_at, journal.readable_since + RETURN_S)
-
-
-@dataclass(frozen=True, slots=True)
-class JournalView:
-    """How well a VM sees the journal.
-
-    Parameters
-    ----------
-    read_at : float, seconds
-        When the newest complete read was sent.
-    readable_since : float, seconds
-        When reads began to succeed after a failure; 0 if none has failed.
-    latency_s : float, seconds
-        Mean time of an append.
-    """
-
-    read_at: float
-    readable_since: float = 0.0
-    latency_s: float = 0.0
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -80,12 +80,24 @@
     ----------
     entry : WorkerEntry
         Newest registration.
-    listed : bool
-        Whether the registration is still there.
     fence : int
         Token that the next call carries.
+    lapse_at : float, seconds
+        Time from which no lease on the worker can still hold unless it is renewed.
+    listed : bool
+        Whether the registration is still there.
     settled_fence : int
         Token of the newest renewal that the worker has answered; 0 before any.
+    slots : dict
+        Runs that take room, by task and run number.
+    reachable : bool
+        Whether the newest renewal was answered.
+    seen_ends, noted_ends : int
+        Newest end that was taken in, and the newest that the journal has.
+    clock_ms, clock_at : int, float
+        Newest reading of the worker's clock, and when it was received.
+    report_ms : int, milliseconds
+        Worker's clock at its newest report; older ones are ignored.
     """
 
     entry: WorkerEntry
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -127,7 +127,6 @@
     n_bad_configs: int = 0
     _claim: Lead | None = None
     _claim_number: int = 0
-    _inbox: Any = field(default_factory=curio.Event)
     _gone: set[str] = field(default_factory=set)
     _listed: dict[str, WorkerEntry] = field(default_factory=dict)
 
