Let the fittest VM be the placer; refuse at once what the log refuses

Change: VMs register how well they can be the placer (processor and link from the settings, as far as one of 350 workers needs them); claims come in that order, a small VM waits at the first start, and a small placer resigns to a clearly fitter VM that has registered again within 2.5 s. A writer gives callers' records back as refused after 0.25 s of refusals if no attempt has gone without an answer; at most three other VMs are asked to append for one caller.

--- a/cuminhill/jobs/book.py
+++ b/cuminhill/jobs/book.py
@@ -18,8 +18,10 @@
     RUN,
     JournalRecord,
     Lead,
+    Member,
     decode_job,
     decode_lead,
+    decode_member,
 )
 
 if TYPE_CHECKING:
@@ -57,12 +59,21 @@
 class JobBook:
     """All jobs that the journal knows.
 
-    Folding the same records in the same order gives the same book on each VM.
+    Folding the same records in the same order gives the same book on each VM, but for
+    the times at which it was done.
+
+    Parameters
+    ----------
+    members : dict
+        Registered VMs.
+    heard_at : dict
+        When the newest registration of each VM was read, in seconds.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
     lead: Lead = NO_LEAD
-    members: dict[str, str] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    heard_at: dict[str, float] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     n_placer_records: int = 0
     n_bad_records: int = 0
@@ -88,7 +99,7 @@
         if key == LEAD:
             self._fold_lead(value)
         elif key.startswith(MEMBER):
-            self._fold_member(key.removeprefix(MEMBER), value)
+            self._fold_member(key.removeprefix(MEMBER), value, now)
         elif key.startswith(RUN):
             self._fold_run(key.removeprefix(RUN), value, now)
         elif key.startswith(JOB):
@@ -103,9 +114,10 @@
             self.lead = lead
             self.n_placer_records += 1
 
-    def _fold_member(self, vm: str, value: bytes) -> None:
+    def _fold_member(self, vm: str, value: bytes, now: float) -> None:
+        self.heard_at[vm] = now
         if value:
-            self.members[vm] = orjson.loads(value)["address"]
+            self.members[vm] = decode_member(value)
         else:
             self.members.pop(vm, None)
 
--- a/cuminhill/jobs/election.py
+++ b/cuminhill/jobs/election.py
@@ -8,7 +8,9 @@
 from ..util.hashing import rank
 
 if TYPE_CHECKING:
-    from .records import Lead
+    from collections.abc import Iterable, Mapping
+
+    from .records import Lead, Member
 
 # Seconds without a record of the placer after which another VM claims its place, and
 # multiple of the journal's latency that is added, so that a slow journal does not look
@@ -20,6 +22,18 @@
 # Seconds between the claims of VMs, so that the first one is seen by the others.
 STAGGER_S = 0.25
 MAX_STAGGER_S = 2.0
+# Longest additional wait of an unfit VM after a resignation and at the first start, in
+# seconds: the fit ones have registered by then.
+UNFIT_WAIT_S = 0.8
+# A placer hands over to a VM that is fitter by so much, once its term is old enough for
+# the change to pay, and not again for a while.
+HANDOVER_GAIN = 0.5
+MIN_TERM_S = 3.0
+HANDOVER_PAUSE_S = 20.0
+# A VM that is fitter than the placer registers again so often, which shows that it
+# lives and reaches the journal; one not heard for a while does not count. In seconds.
+OFFER_S = 1.0
+ALIVE_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,12 +65,15 @@
         Name of the VM.
     seen_at : float, seconds
         When the newest record of the placer was read.
+    fitness : float
+        How well this VM can be the placer, from 0 to 1.
     """
 
     vm: str
     lead: Lead
     seen_at: float
     n_records: int = 0
+    fitness: float = 1.0
 
     def observe(self, lead: Lead, n_records: int, now: float) -> None:
         """Note what has been folded so far.
@@ -70,24 +87,30 @@
             self.lead, self.n_records = lead, n_records
             self.seen_at = now
 
-    def claim_at(self, members: list[str], latency_s: float = 0.0) -> float:
+    def claim_at(self, members: Mapping[str, Member], latency_s: float = 0.0) -> float:
         """Return the time from which this VM may claim to be the placer.
 
-        VMs claim in an order that differs from term to term, so that a VM that
-        fails again and again does not always come first. A VM whose earlier life
-        was the placer does not wait: that life is over.
+        The fittest VMs come first. Equals claim in an order that differs from term to
+        term, so that a VM that fails again and again does not always come first. A VM
+        whose earlier life was the placer does not wait: that life is over.
         """
-        if self.lead.vm == self.vm and self.lead.term:
+        if self.lead.vm == self.vm and self.lead.term and not self.lead.resigned:
             return self.seen_at
-        others = [vm for vm in members if vm != self.lead.vm]
-        order = rank(str(self.lead.term), {*others, self.vm})
+        fitness = {
+            vm: member.fitness for vm, member in members.items() if vm != self.lead.vm
+        }
+        fitness[self.vm] = self.fitness
+        order = rank(str(self.lead.term), fitness)
+        order.sort(key=lambda vm: -fitness[vm])
         delay_s = min(MAX_STAGGER_S, order.index(self.vm) * STAGGER_S)
         silence_s = SILENCE_S + LATENCY_X * latency_s
         if self.lead.resigned:
-            silence_s = 0.0
+            silence_s = UNFIT_WAIT_S * (1 - self.fitness)
         return self.seen_at + silence_s + delay_s
 
-    def may_claim(self, members: list[str], now: float, journal: JournalView) -> bool:
+    def may_claim(
+        self, members: Mapping[str, Member], now: float, journal: JournalView
+    ) -> bool:
         """Return whether to claim now.
 
         Silence counts only as far as the journal has been read, and the placer has
@@ -98,3 +121,27 @@
             return now >= claim_at
         seen_until = min(now, journal.read_at)
         return seen_until >= max(claim_at, journal.readable_since + RETURN_S)
+
+    def is_fitter(self, members: Mapping[str, Member]) -> bool:
+        """Return whether this VM would be a clearly better placer than the present."""
+        lead = members.get(self.lead.vm)
+        if lead is None or self.lead.resigned:
+            return False
+        return self.fitness >= lead.fitness + HANDOVER_GAIN
+
+
+def fitter_member(
+    fitness: float, members: Mapping[str, Member], alive: Iterable[str]
+) -> str | None:
+    """Return a VM that would be a clearly better placer than one of some fitness.
+
+    Parameters
+    ----------
+    alive : iterable of str
+        VMs that have been heard lately.
+    """
+    known = [vm for vm in alive if vm in members]
+    best = max(known, key=lambda vm: members[vm].fitness, default=None)
+    if best is None or members[best].fitness < fitness + HANDOVER_GAIN:
+        return None
+    return best
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -224,6 +224,9 @@
     keeps_epoch : bool
         Whether the epoch stands for a term, so that the writer ends rather than
         taking a higher one.
+    refused_since : float, seconds
+        When the log began to refuse every append; 0 while it does not, or while an
+        append has no answer.
     """
 
     log: KeyedLog
@@ -239,6 +242,7 @@
     n_unknown: int = 0
     n_refused: int = 0
     fenced: bool = False
+    refused_since: float = 0.0
     _queue: list[_Item] = field(default_factory=list)
     _batch: list[_Item] = field(default_factory=list)
     _n_queued: int = 0
@@ -248,6 +252,10 @@
         """Return whether the log has not answered for a while."""
         return self.failing_since > 0 and boottime() - self.failing_since > AWAY_S
 
+    def is_refused(self) -> bool:
+        """Return whether the log has refused every append for a while."""
+        return self.refused_since > 0 and boottime() - self.refused_since > REFUSED_S
+
     @property
     def n_queued(self) -> int:
         """Number of records that wait."""
@@ -274,6 +282,8 @@
             raise FencedError("a later epoch writes", step="append", peer=self.writer)
         if self._n_queued + len(records) > MAX_QUEUED_RECORDS:
             raise UnavailableError("queue is full", step="append", peer=self.writer)
+        if give_up_at < math.inf and self._batch and self.is_refused():
+            raise UnavailableError("log refuses", step="append", peer=self.writer)
         item = _Item(records, give_up_at)
         self._queue.append(item)
         self._n_queued += len(records)
@@ -294,12 +304,12 @@
             if not self._queue:
                 self._wake.clear()
                 await self._wake.wait()
-            batch = self._batch = self._take()
-            error = await self._append_batch(batch)
-            self._batch = []
-            for item in batch:
+            self._batch = self._take()
+            error = await self._append_batch()
+            for item in self._batch:
                 item.error = error
                 await item.done.set()
+            self._batch = []
         await self.close()
 
     async def close(self) -> None:
@@ -326,55 +336,82 @@
             batch.append(item)
         return batch
 
-    async def _append_batch(self, batch: list[_Item]) -> CuminhillError | None:
-        """Append until it succeeds or nobody waits any more."""
-        records = [record for item in batch for record in item.records]
-        give_up_at = max(item.give_up_at for item in batch)
+    async def _append_batch(self) -> CuminhillError | None:
+        """Append the batch until it succeeds or nobody waits for it any more."""
         token = WriterToken(self.writer, self.epoch, self.number)
         begun_at = boottime()
-        unknown = False
-        n_silences = 0
-        error: CuminhillError
+        n_unknown = 0
         while True:
+            records = [record for item in self._batch for record in item.records]
             sent_at = boottime()
             try:
                 await self.log.append(records, token, timeout_s=self.timeout_s)
             except FencedError as exc:
-                self.fenced = True
-                logger.warning("writer fenced", writer=self.writer, error=str(exc))
-                if not unknown:
-                    return exc
-                # An earlier attempt may have been kept before the later epoch began.
-                return UnknownOutcomeError(exc.message, step=exc.step, peer=exc.peer)
+                return self._fenced(exc, n_unknown > 0)
             except ProtocolError as exc:
                 # The log knows another number; a new epoch may start at any.
                 logger.warning(
                     "append out of order", writer=self.writer, error=str(exc)
                 )
-                return self._give_up(exc, True)
+                return self._give_up(exc)
             except UnavailableError as exc:
+                self._note_failure(exc)
                 self.n_refused += 1
-                error = exc
-                await curio.sleep(min(RETRY_S, max(0.0, give_up_at - boottime())))
+                if not n_unknown:
+                    await self._refused(exc, sent_at, begun_at)
+                    if not self._batch:
+                        return None
+                error: CuminhillError = exc
+                await curio.sleep(RETRY_S)
             except CuminhillError as exc:
-                self.n_unknown += 1
-                unknown = True
+                self._note_failure(exc)
+                self._unanswered(n_unknown)
+                n_unknown += 1
                 error = exc
-                if n_silences:
-                    grown = TIMEOUT_GROWTH * self.timeout_s
-                    self.timeout_s = min(MAX_APPEND_TIMEOUT_S, grown)
-                n_silences += 1
             else:
                 self._succeeded(sent_at)
                 return None
-            if not self.failing_since:
-                self.failing_since = boottime()
-                logger.warning("append failing", writer=self.writer, error=str(error))
-            if self.keeps_epoch:
-                continue
-            refused = not unknown and boottime() - begun_at > REFUSED_S
-            if refused or boottime() >= give_up_at:
-                return self._give_up(error, unknown)
+            waits = any(item.give_up_at > boottime() for item in self._batch)
+            if n_unknown and not waits and not self.keeps_epoch:
+                return self._give_up(error)
+
+    def _fenced(self, error: FencedError, in_doubt: bool) -> CuminhillError:
+        self.fenced = True
+        logger.warning("writer fenced", writer=self.writer, error=str(error))
+        if not in_doubt:
+            return error
+        # An earlier attempt may have been kept before the later epoch began.
+        return UnknownOutcomeError(error.message, step=error.step, peer=error.peer)
+
+    async def _refused(
+        self, error: CuminhillError, sent_at: float, begun_at: float
+    ) -> None:
+        """Give back the records that callers wait for, once refused for a while.
+
+        Every attempt has been refused, so that the batch may go on without them.
+        """
+        self.refused_since = self.refused_since or sent_at
+        if boottime() - begun_at <= REFUSED_S:
+            return
+        refused = [item for item in self._batch if item.give_up_at < math.inf]
+        self._batch = [item for item in self._batch if item.give_up_at == math.inf]
+        for item in refused:
+            item.error = UnavailableError(
+                error.message, step=error.step, peer=error.peer
+            )
+            await item.done.set()
+
+    def _unanswered(self, n_before: int) -> None:
+        self.n_unknown += 1
+        self.refused_since = 0.0
+        if n_before:
+            grown = TIMEOUT_GROWTH * self.timeout_s
+            self.timeout_s = min(MAX_APPEND_TIMEOUT_S, grown)
+
+    def _note_failure(self, error: CuminhillError) -> None:
+        if not self.failing_since:
+            self.failing_since = boottime()
+            logger.warning("append failing", writer=self.writer, error=str(error))
 
     def _succeeded(self, sent_at: float) -> None:
         now = boottime()
@@ -390,14 +427,13 @@
                 after_s=round(now - self.failing_since, 2),
             )
             self.failing_since = 0.0
+        self.refused_since = 0.0
         self.number += 1
         self.n_appends += 1
         if self.on_appended is not None:
             self.on_appended(sent_at)
 
-    def _give_up(self, error: CuminhillError, unknown: bool) -> CuminhillError:
-        if not unknown:
-            return UnavailableError(error.message, step=error.step, peer=error.peer)
+    def _give_up(self, error: CuminhillError) -> CuminhillError:
         if self.keeps_epoch:
             self.fenced = True
         # The next append has a higher epoch, so that its number cannot be mistaken
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Any
 
 import curio
-import orjson
 import structlog
 
 from ..clock import boottime
@@ -19,14 +18,30 @@
 )
 from ..rpc import RpcServer
 from .book import JobBook
-from .election import Election, JournalView
+from .election import (
+    ALIVE_S,
+    HANDOVER_PAUSE_S,
+    MIN_TERM_S,
+    OFFER_S,
+    Election,
+    JournalView,
+    fitter_member,
+)
 from .journal import KeyedLog, LogFollower, LogWriter, WriterToken
 from .lead import Leadership, WorkerCalls
 from .model import Outcome, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
 from .peers import AdviceService, JobPeers
 from .placer import Placer, PlacerTimes
-from .records import LEAD, MEMBER, JournalRecord, Lead, encode_lead
+from .records import (
+    LEAD,
+    MEMBER,
+    JournalRecord,
+    Lead,
+    Member,
+    encode_lead,
+    encode_member,
+)
 from .service import JobService
 
 if TYPE_CHECKING:
@@ -72,12 +87,15 @@
         Durations of the placer.
     keep_ended_s : float, seconds
         How long the state of ended jobs can be asked for.
+    fitness : float
+        How well the VM can be the placer, from 0 to 1.
     """
 
     vm: str
     rpc_address: str
     times: PlacerTimes
     keep_ended_s: float
+    fitness: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +145,7 @@
     n_bad_configs: int = 0
     _claim: Lead | None = None
     _claim_number: int = 0
+    _may_hand_over_at: float = 0.0
     _gone: set[str] = field(default_factory=set)
     _listed: dict[str, WorkerEntry] = field(default_factory=dict)
 
@@ -162,7 +181,9 @@
             self.peers.append,
             self.metrics,
         )
-        self.election = Election(options.vm, self.book.lead, boottime())
+        self.election = Election(
+            options.vm, self.book.lead, boottime(), fitness=options.fitness
+        )
         self.rpc = RpcServer(self.peers.handlers())
 
     async def start(self) -> None:
@@ -287,12 +308,18 @@
     async def _announce(self) -> None:
         """Register this VM; repeat that while appends fail, to see when they succeed.
 
-        Callers' records go through other VMs meanwhile.
+        Callers' records go through other VMs meanwhile. A VM that is fitter than the
+        placer registers again to offer itself.
         """
-        record = orjson.dumps({"address": self.options.rpc_address})
+        member = Member(self.options.rpc_address, self.options.fitness)
+        record = encode_member(member)
         registered = False
+        offer_at = 0.0
         while True:
-            if not registered or self.writer.failing_since:
+            offers = not self.draining and self.election.is_fitter(self.book.members)
+            offers = offers and boottime() >= offer_at
+            if not registered or self.writer.failing_since or offers:
+                offer_at = boottime() + OFFER_S
                 try:
                     await self.writer.append(
                         [(MEMBER + self.options.vm, record)], boottime() + PROBE_S
@@ -306,22 +333,47 @@
         while True:
             await curio.sleep(ELECTION_TICK_S)
             await self._end_if_over()
-            if self.leadership is not None or self.draining:
+            if self.leadership is not None:
+                await self._hand_over_if_unfit(self.leadership)
+                continue
+            if self.draining:
                 continue
             if self._claim is not None and self.book.lead.nonce == self._claim.nonce:
                 await self._begin()
                 continue
             ready = self.table.version and self.journal.synced and self.registry.synced
-            members = list(self.book.members)
             now = boottime()
             view = JournalView(
                 self.journal.read_at,
                 self.journal.reachable_since,
                 max(self.writer.latency_s, self.book.lead.latency_s),
             )
-            if ready and self.election.may_claim(members, now, view):
+            if ready and self.election.may_claim(self.book.members, now, view):
                 await self._make_claim()
 
+    async def _hand_over_if_unfit(self, leadership: Leadership) -> None:
+        """Resign if a VM that is alive would be a clearly better placer."""
+        now = boottime()
+        term_s = now - leadership.placer.begun_at
+        if term_s < MIN_TERM_S or now < self._may_hand_over_at or self.draining:
+            return
+        heard_at = self.book.heard_at
+        alive = [vm for vm, at in heard_at.items() if now - at < ALIVE_S]
+        fitness = self.options.fitness
+        fitter = fitter_member(fitness, self.book.members, alive)
+        if fitter is None:
+            return
+        self._may_hand_over_at = now + HANDOVER_PAUSE_S
+        logger.info(
+            "handing over",
+            term=leadership.lead.term,
+            fitness=fitness,
+            fitter=fitter,
+            fitter_fitness=self.book.members[fitter].fitness,
+            term_s=round(term_s, 1),
+        )
+        await leadership.resign()
+
     async def _make_claim(self) -> None:
         """Append a claim; of several with one term only the first is taken.
 
@@ -427,7 +479,10 @@
                 "vm": self.book.lead.vm,
                 "resigned": self.book.lead.resigned,
             },
-            "members": dict(self.book.members),
+            "members": {
+                vm: {"address": member.address, "fitness": member.fitness}
+                for vm, member in self.book.members.items()
+            },
             "workers": len(self.workers),
             "callers": dict(self.service.counts),
             "bad": {
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -25,6 +25,7 @@
 
     from .advice import AdviceCall
     from .journal import LogWriter
+    from .records import Member
 
 logger = structlog.get_logger(__name__)
 
@@ -32,6 +33,11 @@
 SUSPEND_S = 0.7
 # Another VM is tried after this time without an answer, in seconds.
 APPEND_CALL_S = 0.8
+# Least time for another VM, in seconds: one whose appends are refused says so after
+# 0.25 s, and an answer that comes too late leaves the outcome open.
+MIN_APPEND_CALL_S = 0.4
+# VMs asked to append for one caller; a log that refuses so many refuses all.
+MAX_APPEND_CALLS = 3
 REPLY_SLACK_S = 0.2  # for the way back
 OK, UNAVAILABLE = str(Outcome.OK), "unavailable"
 _OUTCOMES = {str(outcome): outcome for outcome in Outcome}
@@ -67,7 +73,7 @@
     writer: LogWriter
     rng: random.Random
     source_host: str = ""
-    members: dict[str, str] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
     placer_writer: LogWriter | None = None
     _suspended_until: float = 0.0
     _clients: dict[str, RpcClient] = field(default_factory=dict)
@@ -77,9 +83,10 @@
         return {"append": self._serve_append, "advise": self._serve_advise}
 
     def _client(self, vm: str) -> RpcClient:
-        address = self.members.get(vm, "")
-        if not address:
+        member = self.members.get(vm)
+        if member is None:
             raise UnavailableError("no address", step="connect", peer=vm)
+        address = member.address
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = RpcClient(address, self.source_host)
@@ -156,9 +163,10 @@
         self.rng.shuffle(others)
         rows = orjson.dumps([[key, value.decode()] for key, value in records])
         uncertain: CuminhillError | None = None
+        n_refused = 0
         for vm in others:
             left_s = min(APPEND_CALL_S, give_up_at - boottime())
-            if left_s <= 0:
+            if left_s < MIN_APPEND_CALL_S or n_refused >= MAX_APPEND_CALLS:
                 break
             try:
                 message = idl.AppendCall(rows, left_s)
@@ -170,6 +178,7 @@
                 continue
             if reply.status == OK:
                 return
+            n_refused += 1
             if reply.status == Outcome.UNCERTAIN:
                 uncertain = UnknownOutcomeError("uncertain", step="append", peer=vm)
         if uncertain is not None:
@@ -203,7 +212,7 @@
     writer: LogWriter, records: list[tuple[str, bytes]], wait_s: float
 ) -> Outcome | None:
     """Append within a time; None if the writer does not reach the journal."""
-    if writer.is_away() or writer.fenced:
+    if writer.is_away() or writer.is_refused() or writer.fenced:
         return None
     try:
         async with curio.timeout_after(wait_s):
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -65,6 +65,23 @@
     latency_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A VM as it registered itself.
+
+    Parameters
+    ----------
+    address : str
+        ``"host:port"`` at which other VMs call it.
+    fitness : float
+        How well it can be the placer, from 0 to 1; 1 if neither its processor nor its
+        link would bind.
+    """
+
+    address: str
+    fitness: float = 1.0
+
+
 NO_LEAD = Lead(0, "", "", resigned=True)
 
 
@@ -78,6 +95,16 @@
     return Lead(**orjson.loads(value))
 
 
+def encode_member(member: Member) -> bytes:
+    """Return the JSON form of a registration."""
+    return orjson.dumps(member)
+
+
+def decode_member(value: bytes) -> Member:
+    """Return the registration for its JSON form."""
+    return Member(**orjson.loads(value))
+
+
 def encode_job(job: Job) -> bytes:
     """Return the JSON form of a job."""
     return orjson.dumps(
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -28,6 +28,10 @@
 # Lease that renewals ask for, in seconds: it outlasts a change of the placer, which
 # takes 2 to 3 s, and a lost worker's tasks still move soon.
 LEASE_S = 5.0
+# What a placer of 350 workers needs so that neither binds: it used 0.3 of a core on
+# average of a heavy day, and fell behind for good on a link of 10 Mbit/s.
+PLACER_CORES = 1.0
+PLACER_LINK_MBPS = 100.0
 RPC_PORT = 0  # position in the range of free ports
 MAX_FRONT_CONNECTIONS = 1000
 # Descriptors kept for connections to the store, workers and other VMs.
@@ -50,6 +54,9 @@
     store_address: str
     advice_address: str = ""
     max_descriptors: int = 1024
+    processor_share: float = 1.0
+    processor_speed: float = 1.0
+    link_mbps: float = 1000.0
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
@@ -71,6 +78,15 @@
     return value
 
 
+def placer_fitness(cfg: PlatformSettings) -> float:
+    """Return how well a VM can be the placer, from 0 to 1."""
+    cores = cfg.processor_share * cfg.processor_speed
+    fitness = min(1.0, cores / PLACER_CORES) * min(
+        1.0, cfg.link_mbps / PLACER_LINK_MBPS
+    )
+    return round(fitness, 1)
+
+
 def make_node(cfg: PlatformSettings) -> JobNode:
     """Return the node for some settings."""
     rng = random.Random(f"{cfg.vm}.{time.time_ns()}")
@@ -93,6 +109,7 @@
         rpc_address=f"{cfg.host}:{cfg.first_free_port + RPC_PORT}",
         times=PlacerTimes(lease),
         keep_ended_s=cfg.keep_state_s,
+        fitness=placer_fitness(cfg),
     )
     return JobNode(options, backends, rng)
 
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -75,7 +75,7 @@
             raise ProtocolError("not a life", step="registry", peer=worker_id)
         return make_entry(worker_id, life=int(value))
 
-    async def start_node(self, vm: str, seed: int = 1) -> JobNode:
+    async def start_node(self, vm: str, seed: int = 1, fitness: float = 1.0) -> JobNode:
         """Start a node."""
         views = [LogView(log) for log in (self.journal, self.config, self.registry)]
         self.views[vm] = views
@@ -87,7 +87,8 @@
             decode_worker=self._decode_worker,
             config_key="config",
         )
-        options = NodeOptions(vm, f"127.0.0.1:{free_port()}", PlacerTimes(), 120.0)
+        address = f"127.0.0.1:{free_port()}"
+        options = NodeOptions(vm, address, PlacerTimes(), 120.0, fitness)
         node = JobNode(options, backends, random.Random(f"{vm}.{seed}"))
         self.nodes[vm] = node
         await node.start()
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cuminhill.jobs.election import (
     RETURN_S,
     SILENCE_S,
+    STAGGER_S,
     Election,
     JournalView,
+    fitter_member,
 )
-from cuminhill.jobs.records import NO_LEAD, Lead
+from cuminhill.jobs.records import NO_LEAD, Lead, Member
 
-MEMBERS = ["a", "b", "c"]
+MEMBERS = {vm: Member(f"{vm}:1") for vm in "abc"}
 
 
 def make_election(vm="a", lead=None):
@@ -34,7 +38,7 @@
 
 def test_vms_claim_one_after_the_other():
     """Guards against claims of all VMs at the same moment."""
-    times = sorted(make_election(vm).claim_at(MEMBERS) for vm in MEMBERS[:2])
+    times = sorted(make_election(vm).claim_at(MEMBERS) for vm in "ab")
     assert times[0] >= 100.0 + SILENCE_S
     assert times[1] - times[0] > 0.1
 
@@ -77,3 +81,49 @@
 def test_the_first_claim_of_all_waits_for_nobody():
     """Guards against a first start that waits for a placer that never was."""
     assert claims_at(make_election(lead=NO_LEAD), 101.0)
+
+
+@pytest.mark.parametrize("term", range(1, 9))
+@pytest.mark.parametrize("resigned", [False, True])
+def test_the_fittest_vm_claims_first(term, resigned):
+    """Guards against a placer whose processor or link cannot carry the site.
+
+    Seen on sites with a few large VMs among many small ones: a placer with 0.4 of a
+    core and 10 Mbit/s fell behind for good, and 0.33 of what was owed was earned.
+    """
+    members = {"big": Member("b:1", 1.0)} | {
+        f"small{number}": Member("s:1", 0.1) for number in range(20)
+    }
+    lead = Lead(term, "gone", "n", resigned=resigned)
+    times = {
+        vm: Election(vm, lead, 100.0, fitness=member.fitness).claim_at(members)
+        for vm, member in members.items()
+    }
+    first = times.pop("big")
+    assert min(times.values()) >= first + STAGGER_S
+
+
+def test_a_small_vm_waits_for_large_ones_at_the_first_start():
+    """Guards against a small placer that nobody has told of larger VMs yet."""
+    small = Election("a", NO_LEAD, 100.0, fitness=0.0)
+    large = Election("b", NO_LEAD, 100.0, fitness=1.0)
+    assert small.claim_at({}) > large.claim_at({}) + 2 * STAGGER_S
+
+
+@pytest.mark.parametrize(
+    ("fitness", "alive", "expected"),
+    [
+        (0.1, ["big", "small"], "big"),
+        (0.1, ["small"], None),
+        (0.1, ["unknown"], None),
+        (0.1, [], None),
+        (0.6, ["big"], None),
+        (1.0, ["big"], None),
+    ],
+)
+def test_a_placer_hands_over_only_to_a_clearly_fitter_vm_that_is_alive(
+    fitness, alive, expected
+):
+    """Guards against changes of the placer that gain little or lead nowhere."""
+    members = {"big": Member("b:1", 1.0), "small": Member("s:1", 0.1)}
+    assert fitter_member(fitness, members, alive) == expected
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import curio
@@ -14,6 +15,7 @@
 from cuminhill.jobs.journal import (
     MIN_APPEND_TIMEOUT_S,
     QUEUE_S,
+    REFUSED_S,
     LogFollower,
     LogWriter,
 )
@@ -83,6 +85,52 @@
     curio.run(scenario)
 
 
+def test_callers_are_refused_while_the_placers_records_wait_for_the_log():
+    """Guards against "uncertain" from a log that has refused every attempt.
+
+    Seen on a day with a store that answers 503 for 5 s: 102 callers were told 504,
+    since their records shared a call with records that are repeated for ever.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        faults = LogFaults(down=True)
+        writer = await make_writer(log, faults, keeps_epoch=True)
+        own = await curio.spawn(writer.append, [("own", b"x")], math.inf)
+        asked_at = boottime()
+        for key in ("a", "b"):
+            with pytest.raises(UnavailableError):
+                async with curio.timeout_after(2.0):
+                    await writer.append([(key, b"x")], boottime() + 1.2)
+        assert boottime() - asked_at < REFUSED_S + 0.3
+        assert writer.is_refused()
+        faults.down = False
+        await own.join()
+        await writer.append([("c", b"x")], boottime() + 1)
+        assert keys(log) == ["own", "c"]
+
+    curio.run(scenario)
+
+
+def test_a_record_in_an_append_without_answer_is_never_said_to_be_refused():
+    """Guards against "not done" for what an earlier attempt has kept."""
+
+    async def scenario():
+        log = MemoryLog()
+        faults = LogFaults(lost_share=1.0)
+        writer = await make_writer(log, faults)
+        writer.timeout_s = 0.05
+        task = await curio.spawn(writer.append, [("a", b"x")], boottime() + 0.6)
+        while not log.records:
+            await curio.sleep(0.01)
+        faults.down = True
+        with pytest.raises(curio.TaskError) as caught:
+            await task.join()
+        assert isinstance(caught.value.__cause__, UnknownOutcomeError)
+
+    curio.run(scenario)
+
+
 def test_an_append_given_up_cannot_be_taken_for_a_later_one():
     """Guards against an answer to an earlier append with the same number."""
 
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -5,7 +5,7 @@
 import curio
 
 from cuminhill.clock import boottime
-from cuminhill.jobs.model import JobState, Outcome
+from cuminhill.jobs.model import AdviceTerms, JobState, Outcome
 from cuminhill.jobs.records import JOB, RUN
 from standins.job_platform import overlapping_runs
 
@@ -278,6 +278,38 @@
     curio.run(scenario)
 
 
+def test_a_small_placer_hands_over_to_a_larger_vm(cluster):
+    """Guards against a small placer that stays after the large VMs are back.
+
+    Seen on a site with links of 10 Mbit/s: one change of the placer to a small VM, and
+    most callers were served late or not at all for the rest of the day.
+    """
+
+    async def scenario():
+        terms = AdviceTerms(0.01, 0.001, 2.5)
+        cluster.publish(make_queue(advice=terms))
+        small = await cluster.start_node("small", fitness=0.1)
+        await cluster.wait_for(cluster.leader)
+        large = await cluster.start_node("large")
+        await cluster.wait_for(lambda: "large" in small.book.members)
+        for job_id in job_ids(200):
+            job = make_job(job_id=job_id)
+            assert await cluster.submit(small, job) is Outcome.OK
+            await curio.sleep(0.03)
+            if cluster.leader() is large:
+                break
+        await cluster.wait_for(lambda: cluster.leader() is large)
+        await cluster.wait_for(
+            lambda: all(
+                entry.state is JobState.COMPLETED
+                for entry in large.book.entries.values()
+            )
+        )
+        assert len(large.book.entries) > 0
+
+    curio.run(scenario)
+
+
 def test_a_draining_placer_leads_on_while_the_log_is_away(cluster):
     """Guards against leases that lapse since nobody can follow the placer."""
 
