Learn workers' speeds from whole steps; keep fast workers for urgent steps

Speeds were learned from declared times that are off by a factor of 2.5, and every step took the fastest.

--- a/cuminhill/jobs/book.py
+++ b/cuminhill/jobs/book.py
@@ -16,6 +16,7 @@
     MEMBER,
     NO_LEAD,
     RUN,
+    SPEEDS,
     JournalRecord,
     Lead,
     Member,
@@ -68,6 +69,8 @@
         Registered VMs.
     heard_at : dict
         When the newest registration of each VM was read, in seconds.
+    speeds : bytes
+        Speeds of the workers as a placer has learned them; empty if there are none.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
@@ -75,6 +78,7 @@
     members: dict[str, Member] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
+    speeds: bytes = b""
     n_placer_records: int = 0
     n_bad_records: int = 0
 
@@ -98,6 +102,9 @@
         key, value = record.key, record.value
         if key == LEAD:
             self._fold_lead(value)
+        elif key == SPEEDS:
+            self.speeds = value
+            self.n_placer_records += 1
         elif key.startswith(MEMBER):
             self._fold_member(key.removeprefix(MEMBER), value, now)
         elif key.startswith(RUN):
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -8,7 +8,7 @@
 from .advice import AdviceCall, make_advice_call
 from .fleet import Slot
 from .model import JobState
-from .ordering import order_key
+from .ordering import order_key, wanted_speed
 from .packing import (
     SHORT_RUN_S,
     choose_named,
@@ -79,10 +79,12 @@
     pools = _open_workers(placer, now)
     for step_run, queue in waiting_steps(placer, wall):
         workers = _candidates(placer, step_run, pools.get(queue.pool, []))
-        advised, call = _advise(placer, step_run, queue, workers, now)
+        factor = placer.speeds.factor(queue.name)
+        speed = wanted_speed(step_run, queue, wall, factor)
+        advised, call = _advise(placer, step_run, queue, workers, speed=speed, now=now)
         if call is not None:
             calls.append(call)
-        placed = _place(placer, step_run, advised, now)
+        placed = _place(placer, step_run, advised, speed, now)
         placements.extend(placed)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
@@ -123,6 +125,8 @@
     step_run: StepRun,
     queue: Queue,
     workers: list[Worker],
+    *,
+    speed: float,
     now: float,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that may run a step, and a call if they are not enough."""
@@ -140,7 +144,7 @@
     if room_for(step, usable) >= wanted:
         return permitted, None
     unasked = [item for item in workers if item.worker_id not in advice.asked]
-    named = choose_named(step, wanted, fitting, unasked, usable)
+    named = choose_named(step, wanted, fitting, unasked, usable, speed=speed)
     if not named and permitted and not usable and not step.gang:
         # Nothing fits now: a few fresh tickets let the next free room be used.
         tickets = advice.fresh(now)
@@ -152,7 +156,11 @@
 
 
 def _place(
-    placer: Placer, step_run: StepRun, workers: Iterable[Worker], now: float
+    placer: Placer,
+    step_run: StepRun,
+    workers: Iterable[Worker],
+    speed: float,
+    now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
     queue = placer.queue_of(progress)
@@ -163,7 +171,7 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.life, now)
         ]
-    offer = make_offer(step_run.step, workers, _n_taken(step_run))
+    offer = make_offer(step_run.step, workers, _n_taken(step_run), speed)
     if not offer.workers:
         return []
     if step_run.step.gang:
@@ -209,6 +217,7 @@
     slot = Slot(key, run, step.need, step.run_time_s)
     slot.started_at = now
     slot.checkpoint = step_run.tasks[index].checkpoint
+    slot.whole = not slot.checkpoint
     worker.add(slot)
     progress.assign(key, worker.worker_id, worker.entry.life, run)
     placer.mark(progress)
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -55,6 +55,9 @@
         Worker's clock at that answer; an older report may lack the run.
     stopping_at : float, seconds
         When a stop was asked for; 0 if none was.
+    whole : bool
+        Whether the time since `started_at` is that of the whole task: it has not been
+        resumed from a checkpoint, and was started in this term.
     """
 
     key: TaskKey
@@ -70,6 +73,7 @@
     percent: float = 0.0
     moved_at: float = 0.0
     checkpoint: str = ""
+    whole: bool = False
 
 
 @dataclass(eq=False)
--- a/cuminhill/jobs/health.py
+++ b/cuminhill/jobs/health.py
@@ -1,4 +1,4 @@
-"""Speed and failures of one worker, learned from the ends of runs."""
+"""Failures of one worker, learned from the ends of runs, and its present speed."""
 
 from __future__ import annotations
 
@@ -11,11 +11,6 @@
 # short, since two failures in a row also happen on good workers.
 EJECT_S = 1.5
 MAX_EJECT_S = 6.0
-# Least weight of a new observation in the running mean of the speed; the first ones
-# weigh more. Declared run times are off by factors, so the mean is geometric.
-SPEED_WEIGHT = 0.08
-PRIOR_OBSERVATIONS = 2  # how many runs the assumption of a speed of 1 is worth
-MIN_SPEED, MAX_SPEED = 0.1, 4.0
 
 
 @dataclass(eq=False, slots=True)
@@ -25,7 +20,7 @@
     Parameters
     ----------
     speed : float
-        Declared run time divided by actual run time; 1 for a worker as declared.
+        Nominal run time divided by actual run time, from `speeds.SpeedModel`.
     n_failures : int
         Failures and refusals since the last success.
     ejected_until : float, seconds
@@ -37,7 +32,6 @@
     n_ejections: int = 0
     ejected_until: float = 0.0
     last_failed_job: str = ""
-    n_runs: int = 0
 
     def may_take(self, now: float) -> bool:
         """Return whether runs may be placed on the worker."""
@@ -62,16 +56,10 @@
         # One more failure after the return ejects again.
         self.n_failures = N_FAILURES_TO_EJECT - 1
 
-    def succeeded(self, declared_s: float, actual_s: float) -> None:
+    def succeeded(self) -> None:
         """Note a run that ended as done."""
         self.n_failures = self.n_ejections = 0
         self.last_failed_job = ""
-        if declared_s <= 0 or actual_s <= 0:
-            return
-        observed = min(MAX_SPEED, max(MIN_SPEED, declared_s / actual_s))
-        self.n_runs += 1
-        weight = max(SPEED_WEIGHT, 1 / (PRIOR_OBSERVATIONS + self.n_runs))
-        self.speed *= (observed / self.speed) ** weight
 
 
 def make_worker_health() -> WorkerHealth:
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -16,7 +16,8 @@
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
-from .records import CANCEL, JOB, LEAD, RUN, Lead, encode_lead
+from .records import CANCEL, JOB, LEAD, RUN, SPEEDS, Lead, encode_lead
+from .speeds import encode_speeds, load_speeds
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -56,6 +57,8 @@
 FORGET_MARGIN_S = 30.0
 FORGET_EVERY_S = 5.0
 FORGET_BATCH = 500
+# Pause between records of the workers' speeds, in seconds: each VM reads them.
+SPEEDS_EVERY_S = 5.0
 FOREVER = float("inf")  # a placer's appends are repeated until its term ends
 
 
@@ -136,6 +139,7 @@
     _senders: dict[str, curio.Queue] = field(default_factory=dict)
     _written_at: float = 0.0
     _forgot_at: float = 0.0
+    _speeds_at: float = 0.0
 
     def note_appended(self, sent_at: float) -> None:
         """Note that the journal has accepted a write of this term."""
@@ -153,6 +157,7 @@
         """Take all workers and live jobs over from the journal."""
         now = boottime()
         self.placer.table = table
+        self._load_speeds()
         for entry in entries:
             self.placer.list_worker(entry, now)
         n_jobs = 0
@@ -169,6 +174,14 @@
             config=table.version,
         )
 
+    def _load_speeds(self) -> None:
+        if not self.book.speeds:
+            return
+        try:
+            load_speeds(self.placer.speeds, self.book.speeds)
+        except (AttributeError, TypeError, ValueError) as exc:
+            logger.warning("speeds unreadable; learned again", error=repr(exc))
+
     async def start(self) -> None:
         """Begin to place."""
         for name, run in (
@@ -487,9 +500,21 @@
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.life == life:
                 worker.noted_ends = max(worker.noted_ends, number)
+        await self._write_speeds()
         if not dirty:
             await self._forget_ended()
 
+    async def _write_speeds(self) -> None:
+        """Keep the learned speeds for the next placer."""
+        now = boottime()
+        if now - self._speeds_at < SPEEDS_EVERY_S or not self.placer.speeds.speeds:
+            return
+        self._speeds_at = now
+        gone = self.placer.speeds.speeds.keys() - self.placer.workers.keys()
+        self.placer.speeds.forget(gone)
+        value = encode_speeds(self.placer.speeds)
+        await self.writer.append([(SPEEDS, value)], FOREVER)
+
     async def _forget_ended(self) -> None:
         now = boottime()
         if now - self._forgot_at < FORGET_EVERY_S:
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -18,6 +18,12 @@
 LATE_SHARE = 0.15
 # Beyond this multiple of its objective a job's answer has lost its use for the caller.
 STALE_X = 3.0
+# Time of a job that no worker's speed shortens, in seconds: advice, journal, start, and
+# until the end is seen by whoever asks.
+OVERHEAD_S = 0.3
+# Declared run times are off by this factor often.
+DECLARED_MARGIN_X = 1.5
+MIN_WANTED_SPEED, MAX_WANTED_SPEED = 0.3, 4.0
 
 
 def chain_s(job: Job, first: int = 0, only: bool = False) -> float:
@@ -67,3 +73,26 @@
     if wall > latest_start + LATE_SHARE * objective:
         return 1, queue.priority, left_s, step_run.name
     return 0, 0 if queue.priority == 0 else 1, latest_start, step_run.name
+
+
+def wanted_speed(
+    step_run: StepRun, queue: Queue, wall: float, factor: float = 1.0
+) -> float:
+    """Return the speed of a worker on which a step that starts now ends in time.
+
+    A job that cannot be in time any more is to end while its answer is of use.
+
+    Parameters
+    ----------
+    factor : float
+        What the declared run times of the queue are to be multiplied by.
+    """
+    job = step_run.job
+    begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
+    left_s = factor * chain_s(job, step_run.number, only=True)
+    objective = factor * (objective_s(job, queue) - queue.target_s) + queue.target_s
+    for stale_x in (1.0, STALE_X):
+        until_s = begun_at + stale_x * objective - wall - OVERHEAD_S
+        if until_s * MAX_WANTED_SPEED > DECLARED_MARGIN_X * left_s:
+            return max(MIN_WANTED_SPEED, DECLARED_MARGIN_X * left_s / until_s)
+    return MIN_WANTED_SPEED
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .fleet import ROOM_EPSILON
+from .ordering import MAX_WANTED_SPEED
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -14,11 +16,17 @@
     from .fleet import Worker
     from .model import Step
 
-# Weight of a worker's speed against how tightly the task fills it.
-SPEED_WEIGHT = 1.0
+# Weight of a lack of speed against how tightly the task fills a worker, and cost of
+# speed that the task does not need but an urgent one might; both of the logarithm.
+SPEED_WEIGHT = 2.0
 FIT_WEIGHT = 0.3
+SPARE_WEIGHT = 0.15
 # Speed of a task away from the rack of its data, relative to one beside it.
 FAR_SPEED = 0.5
+# Power of a worker's suitability against the number of tasks that it holds, when the
+# workers of a call are chosen: a fast one counts as much as two slow ones.
+SUITABILITY_POWER = 2
+MIN_SUITABILITY = 0.05
 # Workers that one call for advice may name, from the service's interface.
 MAX_ADVISED_WORKERS = 100
 # Least number of workers in a call about workers that are not known: each costs little
@@ -43,12 +51,15 @@
         Free room by worker while tasks are being placed.
     n_taken : dict
         Tasks of the step on each worker, where the step bounds them.
+    speed : float
+        Speed at which the step ends in time.
     """
 
     step: Step
     workers: list[Worker]
     room: dict[str, Resources]
     n_taken: dict[str, int] = field(default_factory=dict)
+    speed: float = MAX_WANTED_SPEED
 
     def take(self, avoid: Iterable[str] = ()) -> Worker | None:
         """Return the best worker for one more task, with its room taken."""
@@ -72,22 +83,35 @@
         return worker.fits(self.step.need, self.room[worker.worker_id])
 
     def _score(self, worker: Worker) -> float:
-        """Prefer fast workers, then those that the task fills more."""
+        """Prefer workers that are fast enough, then those that the task fills more."""
         speed = worker.health.speed
         if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
             speed *= FAR_SPEED
         room, capacity = self.room[worker.worker_id], worker.entry.capacity
         used = 1.0 - room.cores / capacity.cores if capacity.cores else 0.0
-        return SPEED_WEIGHT * speed + FIT_WEIGHT * used
+        return suitability(speed, self.speed) + FIT_WEIGHT * used
+
+
+def suitability(speed: float, wanted: float) -> float:
+    """Return how well a worker's speed suits a step that wants some speed.
+
+    Pattern: urgent and patient work on unlike workers. Work that can wait leaves the
+    fast workers to work that is only in time there.
+    """
+    ratio = math.log(speed / wanted)
+    return 1.0 - SPEED_WEIGHT * max(0.0, -ratio) - SPARE_WEIGHT * max(0.0, ratio)
 
 
 def make_offer(
-    step: Step, workers: Iterable[Worker], n_taken: dict[str, int] | None = None
+    step: Step,
+    workers: Iterable[Worker],
+    n_taken: dict[str, int] | None = None,
+    speed: float = MAX_WANTED_SPEED,
 ) -> Offer:
     """Return an offer of the present free room of some workers."""
     chosen = [worker for worker in workers if worker.fits(step.need)]
     room = {worker.worker_id: worker.free for worker in chosen}
-    return Offer(step, chosen, room, n_taken or {})
+    return Offer(step, chosen, room, n_taken or {}, speed)
 
 
 def place_gang(offer: Offer) -> list[Worker] | None:
@@ -103,7 +127,7 @@
 
 def _place_all(offer: Offer, workers: list[Worker]) -> list[Worker] | None:
     room = {worker.worker_id: offer.room[worker.worker_id] for worker in workers}
-    part = Offer(offer.step, workers, room, dict(offer.n_taken))
+    part = Offer(offer.step, workers, room, dict(offer.n_taken), offer.speed)
     placed = []
     for _ in range(offer.step.n_tasks):
         worker = part.take()
@@ -147,12 +171,27 @@
     return sorted(workers, key=lambda item: -item.free.cores * item.health.speed)
 
 
+def most_suitable(
+    step: Step, wanted: int, workers: Iterable[Worker], speed: float
+) -> list[Worker]:
+    """Return workers by how many of some tasks they hold, and how well they suit."""
+
+    def value(worker: Worker) -> float:
+        n_held = min(room_for(step, [worker]), wanted)
+        suits = max(MIN_SUITABILITY, suitability(worker.health.speed, speed))
+        return n_held * suits**SUITABILITY_POWER
+
+    return sorted(workers, key=lambda worker: -value(worker))
+
+
 def choose_named(
     step: Step,
     wanted: int,
     permitted: list[Worker],
     unasked: list[Worker],
     usable: list[Worker],
+    *,
+    speed: float = MAX_WANTED_SPEED,
 ) -> list[Worker]:
     """Return the workers to name in a call for advice, none if it would not help.
 
@@ -166,12 +205,15 @@
         Workers about which nothing is known.
     usable : list of Worker
         Those of the permitted for which there are good tickets.
+    speed : float
+        Speed at which the step ends in time.
     """
-    ready = most_free(permitted)
+    ready = most_suitable(step, wanted, permitted, speed)
     named = _covering(step, wanted * KNOWN_ROOM_X, ready, MIN_RENEWED_WORKERS)
     if room_for(step, named) < wanted and unasked:
         rest = wanted * UNKNOWN_ROOM_X
-        asked = _covering(step, rest, most_free(unasked), MIN_ASKED_WORKERS)
+        suitable = most_suitable(step, wanted, unasked, speed)
+        asked = _covering(step, rest, suitable, MIN_ASKED_WORKERS)
         return (named + asked)[:MAX_ADVISED_WORKERS]
     if len(named) <= len(usable) or (step.gang and room_for(step, named) < wanted):
         return []
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -18,6 +18,7 @@
 from .fleet import LeaseTimes, Slot, Worker, first_fence
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import chain_s, objective_s
+from .speeds import SpeedModel
 from .watch import watch
 
 if TYPE_CHECKING:
@@ -90,6 +91,7 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     advice: AdviceBook = field(default_factory=AdviceBook)
     counts: Counter[str] = field(default_factory=Counter)
+    speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: set[str] = field(default_factory=set)
     last_queues: dict[str, Queue] = field(default_factory=dict)
     _dirty: dict[str, Progress] = field(default_factory=dict)
@@ -203,7 +205,19 @@
             lapse_at = self.begun_at + self.times.hold_s
             lapse_at += self.longest_lease_s()
             worker = Worker(entry, first_fence(self.term), lapse_at)
+            worker.health.speed = self.speeds.speed(entry.worker_id, entry.life)
             self.workers[entry.worker_id] = worker
+            logger.info(
+                "worker listed",
+                worker=entry.worker_id,
+                life=entry.life,
+                cores=entry.capacity.cores,
+                memory_mb=entry.capacity.memory_mb,
+                failure_domain=entry.failure_domain,
+                labels=entry.labels,
+                draining=entry.draining,
+                speed=round(worker.health.speed, 2),
+            )
             for progress in self.jobs.values():
                 for key, task in progress.assigned():
                     if task.worker == entry.worker_id and task.life == entry.life:
@@ -234,6 +248,7 @@
         worker.settled_fence = 0
         worker.reachable = False
         worker.lapse_at = 0.0
+        worker.health.speed = self.speeds.speed(worker.worker_id, entry.life)
 
     def unlist_worker(self, worker_id: str) -> None:
         """Note that a registration has gone."""
@@ -402,19 +417,41 @@
         step = progress.job.steps[key.step]
         if step.long_running:
             return  # it is restarted
-        if slot is not None:
-            worker.health.succeeded(slot.run_time_s, now - slot.started_at)
-        if not step.gang:
-            progress.finish_task(key)
-        else:
+        worker.health.succeeded()
+        if step.gang:
             step_run = progress.step_run(key.occurrence, key.step)
             for index, task in enumerate(step_run.tasks):
                 if task.worker:
                     progress.unassign(step_run.key(index))
                 progress.finish_task(step_run.key(index))
+        else:
+            self._learn_speeds(worker, progress, key, slot, now)
         if progress.state is JobState.COMPLETED:
             logger.info("job completed", job=key.job_id, term=self.term)
 
+    def _learn_speeds(
+        self,
+        worker: Worker,
+        progress: Progress,
+        key: TaskKey,
+        slot: Slot | None,
+        now: float,
+    ) -> None:
+        """Finish a task that is no gang's; learn from its step once that is done."""
+        step = progress.job.steps[key.step]
+        name = progress.step_run(key.occurrence, key.step).name
+        if slot is not None and slot.whole:
+            actual_s = now - slot.started_at
+            self.speeds.observe(worker.worker_id, worker.entry.life, name, actual_s)
+        if not progress.finish_task(key):
+            return
+        queue = progress.job.queue
+        for worker_id in self.speeds.step_done(name, queue, step.run_time_s):
+            known = self.workers.get(worker_id)
+            if known is not None:
+                life = known.entry.life
+                known.health.speed = self.speeds.speed(worker_id, life)
+
     def _failed(
         self, worker: Worker, progress: Progress, key: TaskKey, run: int, now: float
     ) -> None:
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -18,6 +18,7 @@
     from collections.abc import Mapping
 
 JOB, RUN, CANCEL, LEAD, MEMBER = "job/", "run/", "cancel/", "lead", "vm/"
+SPEEDS = "speeds"  # of all workers, from the placer
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import curio
+import pytest
 
 from cuminhill.clock import boottime
 from cuminhill.jobs.model import AdviceTerms, JobState, Outcome
-from cuminhill.jobs.records import JOB, RUN
+from cuminhill.jobs.records import JOB, RUN, SPEEDS
 from standins.job_platform import overlapping_runs
 
 from .builders import make_job, make_queue, make_step
@@ -310,6 +311,26 @@
     curio.run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b'{"w0": [1, 0.5, 0.05]}', 1.65), (b'{"w0": 1}', 1.0), (b"\x00", 1.0)],
+)
+def test_a_placer_takes_over_the_speeds_that_it_can_read(cluster, value, expected):
+    """Guards against learning speeds anew, and a term that a bad record ends."""
+
+    async def scenario():
+        cluster.journal.keep([(SPEEDS, value)])
+        node = await cluster.start_node("a")
+        await cluster.wait_for(cluster.leader)
+        placer = node.leadership.placer
+        await cluster.wait_for(lambda: "w0" in placer.workers)
+        speed = placer.workers["w0"].health.speed
+        assert speed == pytest.approx(expected, rel=0.01)
+        assert await cluster.submit(node, make_job()) is Outcome.OK
+
+    curio.run(scenario)
+
+
 def test_a_draining_placer_leads_on_while_the_log_is_away(cluster):
     """Guards against leases that lapse since nobody can follow the placer."""
 
--- /dev/null
+++ b/tests/jobs/test_speeds.py
@@ -0,0 +1,119 @@
+"""Tests of learned speeds under rough estimates and unlike workers."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+
+from cuminhill.jobs.speeds import SpeedModel, encode_speeds, load_speeds
+
+# Run-time multiples of unlike workers, and how rough declared times and tasks are.
+SPEEDS = [1.8, 0.83, 0.83, 0.83] * 10
+TASK_SPREAD = 0.2
+
+
+def end_step(model, step, declared_s, ends):
+    """Let tasks of one step end; the ends are pairs of worker and time."""
+    for worker_id, actual_s in sorted(ends, key=lambda end: end[1]):
+        model.observe(worker_id, 1, step, actual_s)
+    return model.step_done(step, "q", declared_s)
+
+
+def learn(model, rng, n_steps, *, declared_spread):
+    """Let steps of some tasks each end on random workers."""
+    for number in range(n_steps):
+        length_s = rng.lognormvariate(0.0, 0.5)
+        declared_s = length_s * rng.lognormvariate(0.0, declared_spread)
+        ends = [
+            (
+                f"w{worker}",
+                length_s * rng.lognormvariate(0.0, TASK_SPREAD) / SPEEDS[worker],
+            )
+            for worker in rng.sample(range(len(SPEEDS)), 4)
+        ]
+        end_step(model, f"step{number}", declared_s, ends)
+
+
+def n_in_order(model):
+    """Return how many of the fast workers rank among the fastest."""
+    n_fast = sum(speed > 1 for speed in SPEEDS)
+    names = [f"w{worker}" for worker in range(len(SPEEDS))]
+    names.sort(key=lambda name: -model.speed(name, 1))
+    return sum(SPEEDS[int(name[1:])] > 1 for name in names[:n_fast])
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_unlike_workers_are_told_apart_though_declared_times_say_little(seed):
+    """Guards against speeds that only echo wrong estimates.
+
+    Declared times are off by a factor of 2.5, fast and slow workers differ by 2.2.
+    """
+    model = SpeedModel()
+    learn(model, random.Random(seed), 120, declared_spread=0.9)
+    assert n_in_order(model) >= 9
+    assert model.declared["q"].var > 0.4
+
+
+def test_speeds_are_on_the_scale_of_declared_times():
+    """Guards against speeds that are right among each other only."""
+    model = SpeedModel()
+    learn(model, random.Random(1), 400, declared_spread=0.2)
+    for worker, speed in enumerate(SPEEDS):
+        assert model.speed(f"w{worker}", 1) == pytest.approx(speed, rel=0.35)
+
+
+def test_speed_is_learned_from_noisy_estimates():
+    """Guards against a speed that one wrong estimate throws off."""
+    model = SpeedModel()
+    for number in range(60):
+        factor = (0.5, 1.0, 2.0)[number % 3]
+        ends = [("w", 1.0), ("x", 1.7), ("y", 1.7)]
+        assert end_step(model, f"s{number}", 1.7 * factor, ends) == ["w", "x", "y"]
+    ratio = model.speed("w", 1) / model.speed("x", 1)
+    assert ratio == pytest.approx(1.7, rel=0.15)
+
+
+def test_a_worker_that_turns_slow_is_noticed_within_a_few_ends():
+    """Guards against a mean that remembers a worker's good days for too long."""
+    model = SpeedModel()
+    learn(model, random.Random(2), 100, declared_spread=0.2)
+    before = model.speed("w0", 1)
+    for number in range(6):
+        others = [(f"w{worker}", 1 / SPEEDS[worker]) for worker in (1, 2, 4)]
+        ends = [("w0", 4 / SPEEDS[0]), *others]
+        end_step(model, f"late{number}", 1.0, ends)
+    assert model.speed("w0", 1) < before / 2
+
+
+def test_a_new_life_of_a_worker_is_unknown():
+    """Guards against the speed of another machine at the same id."""
+    model = SpeedModel()
+    learn(model, random.Random(3), 50, declared_spread=0.2)
+    assert model.speed("w0", 2) == 1.0
+
+
+def test_the_next_placer_takes_the_speeds_over():
+    """Guards against learning all speeds again after each change of the placer."""
+    model, after = SpeedModel(), SpeedModel()
+    learn(model, random.Random(4), 100, declared_spread=0.5)
+    load_speeds(after, encode_speeds(model))
+    for worker in range(len(SPEEDS)):
+        before = model.speed(f"w{worker}", 1)
+        assert math.isclose(after.speed(f"w{worker}", 1), before, rel_tol=0.02)
+
+
+@pytest.mark.parametrize("value", [b"[]", b'{"w": 1}', b"x", b'{"w": [1, "a", 2]}'])
+def test_speeds_that_cannot_be_read_are_refused(value):
+    """Guards against a record of another writer that ends a term."""
+    with pytest.raises((ValueError, TypeError, AttributeError)):
+        load_speeds(SpeedModel(), value)
+
+
+def test_lengths_are_bounded():
+    """Guards against memory that grows with each step that ever ran."""
+    model = SpeedModel()
+    for number in range(5000):
+        model.observe("w", 1, f"s{number}", 1.0)
+    assert len(model.ends) <= 2000
