--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -233,6 +233,9 @@
         now = boottime()
         for record in records:
             self.book.fold(record, now)
+        if snapshot:
+            # Its records may be old: they do not show that a VM is alive.
+            self.book.heard_at.clear()
         self.peers.members = self.book.members
         self.election.observe(self.book.lead, self.book.n_placer_records, now)
 
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -7,7 +7,7 @@
 
 from cuminhill.clock import boottime
 from cuminhill.jobs.model import AdviceTerms, JobState, Outcome
-from cuminhill.jobs.records import JOB, RUN, SPEEDS
+from cuminhill.jobs.records import JOB, MEMBER, RUN, SPEEDS, Member, encode_member
 from standins.job_platform import overlapping_runs
 
 from .builders import make_job, make_queue, make_step
@@ -311,6 +311,22 @@
     curio.run(scenario)
 
 
+def test_a_registration_in_a_snapshot_does_not_show_that_a_vm_is_alive(cluster):
+    """Guards against a placer that resigns for a VM that died long ago."""
+
+    async def scenario():
+        member = Member("127.0.0.1:1", 1.0)
+        cluster.journal.keep([(MEMBER + "dead", encode_member(member))])
+        small = await cluster.start_node("small", fitness=0.1)
+        await cluster.wait_for(cluster.leader)
+        assert "dead" in small.book.members
+        assert "dead" not in small.book.heard_at
+        cluster.journal.keep([(MEMBER + "alive", encode_member(member))])
+        await cluster.wait_for(lambda: "alive" in small.book.heard_at)
+
+    curio.run(scenario)
+
+
 @pytest.mark.parametrize(
     ("value", "expected"),
     [(b'{"w0": [1, 0.5, 0.05]}', 1.65), (b'{"w0": 1}', 1.0), (b"\x00", 1.0)],
