--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -16,11 +16,11 @@
     from .fleet import Worker
     from .model import Step
 
-# Weight of a lack of speed against how tightly the task fills a worker, and cost of
-# speed that the task does not need but an urgent one might; both of the logarithm.
-SPEED_WEIGHT = 2.0
+# Weights in the choice of a worker, relative to each other: a lack of speed and speed
+# that the task does not need but an urgent one might (both by the logarithm), and how
+# tightly the task fills the worker. A lack of speed by a fifth outweighs any fit.
+SPEED_WEIGHT, SPARE_WEIGHT = 2.0, 0.15
 FIT_WEIGHT = 0.3
-SPARE_WEIGHT = 0.15
 # Speed of a task away from the rack of its data, relative to one beside it.
 FAR_SPEED = 0.5
 # Power of a worker's suitability against the number of tasks that it holds, when the
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -36,7 +36,8 @@
 # Least time for another VM, in seconds: one whose appends are refused says so after
 # 0.25 s, and an answer that comes too late leaves the outcome open.
 MIN_APPEND_CALL_S = 0.4
-# VMs asked to append for one caller; a log that refuses so many refuses all.
+# VMs asked to append for one caller; more would only add load while the log refuses
+# all of them.
 MAX_APPEND_CALLS = 3
 REPLY_SLACK_S = 0.2  # for the way back
 OK, UNAVAILABLE = str(Outcome.OK), "unavailable"
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -425,11 +425,11 @@
                     progress.unassign(step_run.key(index))
                 progress.finish_task(step_run.key(index))
         else:
-            self._learn_speeds(worker, progress, key, slot, now)
+            self._finish(worker, progress, key, slot, now)
         if progress.state is JobState.COMPLETED:
             logger.info("job completed", job=key.job_id, term=self.term)
 
-    def _learn_speeds(
+    def _finish(
         self,
         worker: Worker,
         progress: Progress,
@@ -437,7 +437,7 @@
         slot: Slot | None,
         now: float,
     ) -> None:
-        """Finish a task that is no gang's; learn from its step once that is done."""
+        """Finish a task that is not part of a gang; learn from a finished step."""
         step = progress.job.steps[key.step]
         name = progress.step_run(key.occurrence, key.step).name
         if slot is not None and slot.whole:
