Ask further workers for spread tasks; serve urgent steps sooner

Change: workers at a step's bound are no candidates. Expected run times by a regression for each queue; speeds by kind of worker; late checks before patient work; a third of the VMs takes no dear calls for advice; advice for the next step is asked ahead; room on fast workers is kept for urgent queues.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -18,6 +18,10 @@
 TICKET_MARGIN_S = 0.25
 # Failed calls are repeated after this time.
 RETRY_S = 0.2
+# Calls that take longer leave this share of the VMs to shorter ones: an urgent step
+# would wait behind them for longer than its own call takes.
+LONG_CALL_S = 0.2
+SHORT_CALL_SHARE = 1 / 3
 
 
 @dataclass(eq=False, slots=True)
@@ -165,13 +169,15 @@
     """Return the VM whose calls end first, None if all are too busy.
 
     The service serves the calls of one VM in turn, so calls are spread over VMs.
+
+    Pattern: cheap calls of urgent steps beside dear calls of patient ones. A third of
+    the VMs takes no dear calls, so that a cheap one never waits for a dear one.
     """
-    best = None
-    for adviser in advisers:
-        if now < adviser.excluded_until or adviser.busy_until - now > max_wait_s:
-            continue
-        if best is None or max(now, adviser.busy_until) < max(now, best.busy_until):
-            best = adviser
-    if best is not None:
-        best.busy_until = max(now, best.busy_until) + cost_s
+    able = [adviser for adviser in advisers if now >= adviser.excluded_until]
+    if cost_s > LONG_CALL_S:
+        able = able[int(SHORT_CALL_SHARE * len(able)) :]
+    best = min(able, key=lambda item: max(now, item.busy_until), default=None)
+    if best is None or best.busy_until - now > max_wait_s:
+        return None
+    best.busy_until = max(now, best.busy_until) + cost_s
     return best
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .advice import AdviceCall, make_advice_call
-from .fleet import Slot
+from .headroom import Headroom, KeptRoom, keep_room
 from .model import JobState
 from .ordering import order_key, wanted_speed
 from .packing import (
@@ -35,6 +35,10 @@
 MAX_RESERVED_TASKS = 4
 # Workers named in a call that only keeps tickets fresh while nothing fits.
 MAX_RENEWED_WORKERS = 8
+# Steps for which advice is asked ahead of need in one decision.
+MAX_AHEAD = 20
+# Share of the life of a ticket that may pass before its step is expected to be ready.
+AHEAD_SHARE = 0.5
 
 
 class Placement(NamedTuple):
@@ -45,8 +49,13 @@
     run: int
 
 
-def waiting_steps(placer: Placer, wall: float) -> list[tuple[StepRun, Queue]]:
-    """Return the steps that have tasks to place, the most urgent first."""
+def waiting_steps(
+    placer: Placer, wall: float
+) -> list[tuple[StepRun, Queue, list[float]]]:
+    """Return the steps that have tasks to place, the most urgent first.
+
+    With each step come its queue and the expected run times of its job's steps.
+    """
     rows = []
     for progress in placer.jobs.values():
         if progress.cancelled or progress.state is JobState.FAILED:
@@ -54,8 +63,10 @@
         queue = placer.queue_of(progress)
         if queue is None:
             continue
+        run_times = placer.run_times(progress)
         for step_run in progress.ready_steps(wall):
-            rows.append((order_key(step_run, queue, wall), step_run, queue))
+            key = order_key(step_run, queue, wall, run_times)
+            rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
     return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
 
@@ -77,26 +88,87 @@
     placer.reserved = set()
     n_reservations = 0
     pools = _open_workers(placer, now)
-    for step_run, queue in waiting_steps(placer, wall):
-        workers = _candidates(placer, step_run, pools.get(queue.pool, []))
-        factor = placer.speeds.factor(queue.name)
-        speed = wanted_speed(step_run, queue, wall, factor)
+    kept = _kept_room(placer, pools, now)
+    for step_run, queue, run_times in waiting_steps(placer, wall):
+        short = run_times[step_run.number] <= SHORT_RUN_S
+        workers = _candidates(placer, step_run, pools.get(queue.pool, []), short)
+        speed = wanted_speed(step_run, queue, wall, run_times)
         advised, call = _advise(placer, step_run, queue, workers, speed=speed, now=now)
         if call is not None:
             calls.append(call)
-        placed = _place(placer, step_run, advised, speed, now)
+        placed = _place(
+            placer, step_run, advised, speed, now=now, kept=kept.get(queue.name)
+        )
         placements.extend(placed)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
-        if step_run.step.gang or step_run.step.run_time_s > SHORT_RUN_S:
+        if step_run.step.gang or not short:
             n_tasks = step_run.n_waiting
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
             placer.reserved |= reserve(step_run.step, advised, n_tasks)
             n_reservations += 1
+    calls.extend(_ask_ahead(placer, pools, now, wall))
     return placements, calls
 
 
+def _ask_ahead(
+    placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
+) -> list[AdviceCall]:
+    """Return calls for steps that become ready while their tickets are still good.
+
+    Pattern: urgent jobs of several short steps. A call that is made once a step is
+    ready is time in which nothing of the job runs.
+    """
+    calls: list[AdviceCall] = []
+    for progress in placer.jobs.values():
+        queue = placer.queue_of(progress)
+        if queue is None or queue.advice is None or not progress.n_assigned:
+            continue
+        pool = pools.get(queue.pool)
+        if len(progress.job.steps) < 2 or progress.cancelled or not pool:
+            continue
+        run_times = placer.run_times(progress)
+        for occurrence, number in list(progress.upcoming_steps(wall)):
+            advice = placer.advice.of(progress.step_run(occurrence, number).name)
+            if advice.calling or advice.asked or now < advice.retry_at:
+                continue
+            step_run = progress.step_run(occurrence, number)
+            left_s = _time_left(placer, step_run, run_times, now)
+            if left_s > AHEAD_SHARE * queue.advice.valid_s:
+                continue
+            speed = wanted_speed(step_run, queue, wall, run_times)
+            step = step_run.step
+            able = _candidates(placer, step_run, pool, short=True)
+            named = choose_named(step, step.n_tasks, [], able, [], speed=speed)
+            lives = {item.worker_id: item.entry.life for item in named}
+            if lives:
+                calls.append(make_advice_call(step_run.name, lives, queue.advice))
+            if len(calls) >= MAX_AHEAD:
+                return calls
+    return calls
+
+
+def _time_left(
+    placer: Placer, step_run: StepRun, run_times: list[float], now: float
+) -> float:
+    """Return the expected time until the steps before one are done, in seconds."""
+    progress = placer.jobs[step_run.job.job_id]
+    left_s = 0.0
+    for number in step_run.step.after:
+        if (step_run.occurrence, number) in progress.finished:
+            continue
+        earlier = progress.step_run(step_run.occurrence, number)
+        for index, task in enumerate(earlier.tasks):
+            worker = placer.workers.get(task.worker)
+            slot = worker.slots.get((earlier.key(index), task.run)) if worker else None
+            if worker is None or slot is None:
+                continue
+            whole_s = run_times[number] / worker.health.speed
+            left_s = max(left_s, whole_s - (now - slot.started_at))
+    return left_s
+
+
 def _open_workers(placer: Placer, now: float) -> dict[str, list[Worker]]:
     """Return the workers that take starts now, by pool."""
     pools: dict[str, list[Worker]] = {}
@@ -106,18 +178,46 @@
     return pools
 
 
-def _candidates(placer: Placer, step_run: StepRun, pool: list[Worker]) -> list[Worker]:
-    """Return the workers of a pool that a step may run on, advice aside."""
+def _kept_room(
+    placer: Placer, pools: dict[str, list[Worker]], now: float
+) -> dict[str, KeptRoom]:
+    """Return what the steps of each patient queue may take, by queue.
+
+    Only pools that urgent and patient queues share keep room.
+    """
+    urgent: dict[str, bool] = {}
+    for queue in placer.table.queues.values():
+        urgent[queue.pool] = urgent.get(queue.pool, False) or queue.priority == 0
+    by_pool = {
+        pool: keep_room(placer.headroom.setdefault(pool, Headroom()), workers, now)
+        for pool, workers in pools.items()
+        if urgent.get(pool)
+    }
+    return {
+        queue.name: by_pool[queue.pool]
+        for queue in placer.table.queues.values()
+        if queue.priority > 0 and queue.pool in by_pool
+    }
+
+
+def _candidates(
+    placer: Placer, step_run: StepRun, pool: list[Worker], short: bool
+) -> list[Worker]:
+    """Return the workers of a pool that a step may run on, advice aside.
+
+    Short runs may use room that is kept for a blocked step. A worker that holds as many
+    tasks of the step as it may is none.
+    """
     step = step_run.step
-    short = step.run_time_s <= SHORT_RUN_S
-    if not step.required_label and (short or not placer.reserved):
-        return pool
-    return [
-        worker
-        for worker in pool
-        if (short or worker.worker_id not in placer.reserved)
-        and (not step.required_label or step.required_label in worker.entry.labels)
-    ]
+    if not short and placer.reserved:
+        pool = [worker for worker in pool if worker.worker_id not in placer.reserved]
+    if step.required_label:
+        label = step.required_label
+        pool = [worker for worker in pool if label in worker.entry.labels]
+    if step.max_per_worker:
+        taken, bound = _n_taken(step_run), step.max_per_worker
+        pool = [worker for worker in pool if taken.get(worker.worker_id, 0) < bound]
+    return pool
 
 
 def _advise(
@@ -160,7 +260,9 @@
     step_run: StepRun,
     workers: Iterable[Worker],
     speed: float,
+    *,
     now: float,
+    kept: KeptRoom | None,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
     queue = placer.queue_of(progress)
@@ -171,7 +273,9 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.life, now)
         ]
-    offer = make_offer(step_run.step, workers, _n_taken(step_run), speed)
+    if kept is not None and step_run.step.gang and not kept.busy:
+        kept = None
+    offer = make_offer(step_run.step, workers, _n_taken(step_run), speed, kept)
     if not offer.workers:
         return []
     if step_run.step.gang:
@@ -213,8 +317,7 @@
     now: float,
 ) -> Placement:
     key = step_run.key(index)
-    step = step_run.step
-    slot = Slot(key, run, step.need, step.run_time_s)
+    slot = placer.make_slot(progress, key, run)
     slot.started_at = now
     slot.checkpoint = step_run.tasks[index].checkpoint
     slot.whole = not slot.checkpoint
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -55,6 +55,8 @@
         Worker's clock at that answer; an older report may lack the run.
     stopping_at : float, seconds
         When a stop was asked for; 0 if none was.
+    urgent : bool
+        Whether its queue comes before all others.
     whole : bool
         Whether the time since `started_at` is that of the whole task: it has not been
         resumed from a checkpoint, and was started in this term.
@@ -74,6 +76,7 @@
     moved_at: float = 0.0
     checkpoint: str = ""
     whole: bool = False
+    urgent: bool = False
 
 
 @dataclass(eq=False)
@@ -96,6 +99,8 @@
         Runs that take room, by task and run number.
     reachable : bool
         Whether the newest renewal was answered.
+    urgent_cores : float
+        Cores that runs of urgent queues take.
     seen_ends, noted_ends : int
         Newest end that was taken in, and the newest that the journal has.
     clock_ms, clock_at : int, float
@@ -111,6 +116,7 @@
     settled_fence: int = 0
     slots: dict[tuple[TaskKey, int], Slot] = field(default_factory=dict)
     free: Resources = NO_RESOURCES
+    urgent_cores: float = 0.0
     health: WorkerHealth = field(default_factory=make_worker_health)
     reachable: bool = False
     seen_ends: int = 0
@@ -132,6 +138,11 @@
         """Label of the worker's rack; labels other than the kind name the rack."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    @property
+    def kind(self) -> str:
+        """Label of the worker's kind; empty if only the rack is named."""
+        return self.entry.labels[0] if len(self.entry.labels) > 1 else ""
+
     def takes_starts(self) -> bool:
         """Return whether new runs may be placed here."""
         return (
@@ -156,12 +167,16 @@
             return
         self.slots[slot.key, slot.run] = slot
         self.free = self.free - slot.need
+        if slot.urgent:
+            self.urgent_cores += slot.need.cores
 
     def release(self, key: TaskKey, run: int) -> Slot | None:
         """Give the room of a run back; return its slot if it had one."""
         slot = self.slots.pop((key, run), None)
         if slot is not None:
             self.free = self.free + slot.need
+            if slot.urgent:
+                self.urgent_cores -= slot.need.cores
         return slot
 
     def note_clock(self, clock_ms: int, now: float) -> None:
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -179,7 +179,7 @@
             return
         try:
             load_speeds(self.placer.speeds, self.book.speeds)
-        except (AttributeError, TypeError, ValueError) as exc:
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
             logger.warning("speeds unreadable; learned again", error=repr(exc))
 
     async def start(self) -> None:
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -2,7 +2,8 @@
 
 Pattern: mixed urgency under overload. Earliest latest-start first serves most jobs in
 time while all of them can be; a job that can no longer meet its objective would only
-make others late as well, so it goes behind those that still can.
+make others late as well, so it goes behind those of its urgency that still can. Urgent
+work goes before the rest also when it is late: it is short, and its callers wait.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from .model import Job, Queue
     from .progress import StepRun
 
@@ -26,8 +29,13 @@
 MIN_WANTED_SPEED, MAX_WANTED_SPEED = 0.3, 4.0
 
 
-def chain_s(job: Job, first: int = 0, only: bool = False) -> float:
-    """Return the longest chain of declared run times, in seconds.
+def chain_s(
+    job: Job,
+    first: int = 0,
+    only: bool = False,
+    run_times: Sequence[float] | None = None,
+) -> float:
+    """Return the longest chain of run times, in seconds.
 
     Parameters
     ----------
@@ -35,7 +43,11 @@
         Step at which the chain starts if ``only`` is set.
     only : bool, default=False
         Count only chains that start at ``first``.
+    run_times : sequence of float, seconds, or None
+        Expected run time of each step; the declared ones if it is None.
     """
+    if run_times is None:
+        run_times = [step.run_time_s for step in job.steps]
     n_steps = len(job.steps)
     longest = [0.0] * n_steps
     for number in range(n_steps - 1, -1, -1):
@@ -44,17 +56,22 @@
             for later in range(number + 1, n_steps)
             if number in job.steps[later].after
         ]
-        longest[number] = job.steps[number].run_time_s + max(behind, default=0.0)
+        longest[number] = run_times[number] + max(behind, default=0.0)
     return longest[first] if only else max(longest)
 
 
-def objective_s(job: Job, queue: Queue) -> float:
+def objective_s(
+    job: Job, queue: Queue, run_times: Sequence[float] | None = None
+) -> float:
     """Return the time after acceptance within which a job should be done."""
-    return queue.stretch * chain_s(job) + queue.target_s
+    return queue.stretch * chain_s(job, run_times=run_times) + queue.target_s
 
 
 def order_key(
-    step_run: StepRun, queue: Queue, wall: float
+    step_run: StepRun,
+    queue: Queue,
+    wall: float,
+    run_times: Sequence[float] | None = None,
 ) -> tuple[int, int, float, str]:
     """Return the key by which waiting steps are sorted; lower goes first.
 
@@ -62,35 +79,36 @@
     ----------
     wall : float, seconds
         Present wall-clock time.
+    run_times : sequence of float, seconds, or None
+        Expected run time of each step of the job.
     """
     job = step_run.job
     begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
-    objective = objective_s(job, queue)
-    left_s = chain_s(job, step_run.number, only=True)
+    objective = objective_s(job, queue, run_times)
+    left_s = chain_s(job, step_run.number, only=True, run_times=run_times)
     latest_start = begun_at + objective - left_s
     if wall > begun_at + STALE_X * objective - left_s:
-        return 2, queue.priority, begun_at, step_run.name
+        return 4, queue.priority, begun_at, step_run.name
+    rank = 0 if queue.priority == 0 else 2
     if wall > latest_start + LATE_SHARE * objective:
-        return 1, queue.priority, left_s, step_run.name
-    return 0, 0 if queue.priority == 0 else 1, latest_start, step_run.name
+        return rank + 1, queue.priority, left_s, step_run.name
+    return rank, 0, latest_start, step_run.name
 
 
 def wanted_speed(
-    step_run: StepRun, queue: Queue, wall: float, factor: float = 1.0
+    step_run: StepRun,
+    queue: Queue,
+    wall: float,
+    run_times: Sequence[float] | None = None,
 ) -> float:
     """Return the speed of a worker on which a step that starts now ends in time.
 
     A job that cannot be in time any more is to end while its answer is of use.
-
-    Parameters
-    ----------
-    factor : float
-        What the declared run times of the queue are to be multiplied by.
     """
     job = step_run.job
     begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
-    left_s = factor * chain_s(job, step_run.number, only=True)
-    objective = factor * (objective_s(job, queue) - queue.target_s) + queue.target_s
+    left_s = chain_s(job, step_run.number, only=True, run_times=run_times)
+    objective = objective_s(job, queue, run_times)
     for stale_x in (1.0, STALE_X):
         until_s = begun_at + stale_x * objective - wall - OVERHEAD_S
         if until_s * MAX_WANTED_SPEED > DECLARED_MARGIN_X * left_s:
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from .fleet import ROOM_EPSILON
+from .headroom import KeptRoom
 from .ordering import MAX_WANTED_SPEED
 
 if TYPE_CHECKING:
@@ -53,6 +54,8 @@
         Tasks of the step on each worker, where the step bounds them.
     speed : float
         Speed at which the step ends in time.
+    kept : KeptRoom
+        Room that is kept for urgent work.
     """
 
     step: Step
@@ -60,6 +63,7 @@
     room: dict[str, Resources]
     n_taken: dict[str, int] = field(default_factory=dict)
     speed: float = MAX_WANTED_SPEED
+    kept: KeptRoom = field(default_factory=KeptRoom)
 
     def take(self, avoid: Iterable[str] = ()) -> Worker | None:
         """Return the best worker for one more task, with its room taken."""
@@ -74,12 +78,15 @@
             name = best.worker_id
             self.room[name] = self.room[name] - self.step.need
             self.n_taken[name] = self.n_taken.get(name, 0) + 1
+            self.kept.take(name, self.step.need.cores)
         return best
 
     def _has_room(self, worker: Worker) -> bool:
         bound = self.step.max_per_worker
         if bound and self.n_taken.get(worker.worker_id, 0) >= bound:
             return False
+        if not self.kept.allows(worker.worker_id, self.step.need.cores):
+            return False
         return worker.fits(self.step.need, self.room[worker.worker_id])
 
     def _score(self, worker: Worker) -> float:
@@ -107,11 +114,12 @@
     workers: Iterable[Worker],
     n_taken: dict[str, int] | None = None,
     speed: float = MAX_WANTED_SPEED,
+    kept: KeptRoom | None = None,
 ) -> Offer:
     """Return an offer of the present free room of some workers."""
     chosen = [worker for worker in workers if worker.fits(step.need)]
     room = {worker.worker_id: worker.free for worker in chosen}
-    return Offer(step, chosen, room, n_taken or {}, speed)
+    return Offer(step, chosen, room, n_taken or {}, speed, kept or KeptRoom())
 
 
 def place_gang(offer: Offer) -> list[Worker] | None:
@@ -127,13 +135,15 @@
 
 def _place_all(offer: Offer, workers: list[Worker]) -> list[Worker] | None:
     room = {worker.worker_id: offer.room[worker.worker_id] for worker in workers}
-    part = Offer(offer.step, workers, room, dict(offer.n_taken), offer.speed)
+    kept = replace(offer.kept)
+    part = Offer(offer.step, workers, room, dict(offer.n_taken), offer.speed, kept)
     placed = []
     for _ in range(offer.step.n_tasks):
         worker = part.take()
         if worker is None:
             return None
         placed.append(worker)
+    offer.kept.cores = kept.cores
     return placed
 
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from ..model import Resources
     from .advice import AdviceCall
+    from .headroom import Headroom
     from .model import (
         EndedTask,
         Queue,
@@ -93,6 +94,7 @@
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: set[str] = field(default_factory=set)
+    headroom: dict[str, Headroom] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
@@ -116,7 +118,9 @@
             gang=[step.gang for step in job.steps],
             cores=[step.need.cores for step in job.steps],
             chain_s=round(chain_s(job), 2),
-            objective_s=round(objective_s(job, queue), 2) if queue else None,
+            objective_s=round(objective_s(job, queue, self.run_times(progress)), 2)
+            if queue
+            else None,
             accepted_at=round(job.accepted_at, 3),
             assigned=progress.n_assigned,
             config=self.table.version,
@@ -132,11 +136,18 @@
     def _adopt(
         self, worker: Worker, progress: Progress, key: TaskKey, task: TaskState
     ) -> None:
-        step = progress.job.steps[key.step]
-        slot = Slot(key, task.run, step.need, step.run_time_s, sent=True)
-        slot.started_at, slot.checkpoint = self.begun_at, task.checkpoint
+        slot = self.make_slot(progress, key, task.run)
+        slot.sent, slot.started_at = True, self.begun_at
+        slot.checkpoint = task.checkpoint
         worker.add(slot)
 
+    def make_slot(self, progress: Progress, key: TaskKey, run: int) -> Slot:
+        """Return the room that a run of a task takes."""
+        step = progress.job.steps[key.step]
+        queue = self.queue_of(progress)
+        urgent = queue is not None and queue.priority == 0
+        return Slot(key, run, step.need, step.run_time_s, urgent=urgent)
+
     def cancel_job(self, job_id: str, now: float) -> None:
         """Stop the runs of a job that its caller has cancelled."""
         progress = self.jobs.get(job_id)
@@ -205,7 +216,7 @@
             lapse_at = self.begun_at + self.times.hold_s
             lapse_at += self.longest_lease_s()
             worker = Worker(entry, first_fence(self.term), lapse_at)
-            worker.health.speed = self.speeds.speed(entry.worker_id, entry.life)
+            self._look_up_speed(worker)
             self.workers[entry.worker_id] = worker
             logger.info(
                 "worker listed",
@@ -248,7 +259,20 @@
         worker.settled_fence = 0
         worker.reachable = False
         worker.lapse_at = 0.0
-        worker.health.speed = self.speeds.speed(worker.worker_id, entry.life)
+        self._look_up_speed(worker)
+
+    def _look_up_speed(self, worker: Worker) -> None:
+        worker.health.speed = self.speeds.speed(
+            worker.worker_id, worker.entry.life, worker.kind
+        )
+
+    def run_times(self, progress: Progress) -> list[float]:
+        """Return the expected run time of each step of a job, in seconds."""
+        queue = progress.job.queue
+        return [
+            self.speeds.run_time_s(queue, step.run_time_s)
+            for step in progress.job.steps
+        ]
 
     def unlist_worker(self, worker_id: str) -> None:
         """Note that a registration has gone."""
@@ -345,9 +369,8 @@
         if slot is None:
             progress = self.jobs.get(row.key.job_id)
             if progress is not None and row.key.step < len(progress.job.steps):
-                step = progress.job.steps[row.key.step]
-                slot = Slot(row.key, row.run, step.need, step.run_time_s, sent=True)
-                slot.started_at = now
+                slot = self.make_slot(progress, row.key, row.run)
+                slot.sent, slot.started_at = True, now
                 worker.add(slot)
             else:
                 # The room of a run of an unknown job cannot be known; it is stopped.
@@ -442,15 +465,14 @@
         name = progress.step_run(key.occurrence, key.step).name
         if slot is not None and slot.whole:
             actual_s = now - slot.started_at
-            self.speeds.observe(worker.worker_id, worker.entry.life, name, actual_s)
+            life = worker.entry.life
+            self.speeds.observe(worker.worker_id, life, name, actual_s, worker.kind)
         if not progress.finish_task(key):
             return
         queue = progress.job.queue
-        for worker_id in self.speeds.step_done(name, queue, step.run_time_s):
-            known = self.workers.get(worker_id)
-            if known is not None:
-                life = known.entry.life
-                known.health.speed = self.speeds.speed(worker_id, life)
+        if self.speeds.step_done(name, queue, step.run_time_s):
+            for known in self.workers.values():
+                self._look_up_speed(known)
 
     def _failed(
         self, worker: Worker, progress: Progress, key: TaskKey, run: int, now: float
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -121,6 +121,24 @@
                 if step_run.n_waiting:
                     yield step_run
 
+    def upcoming_steps(self, wall: float) -> Iterator[tuple[int, int]]:
+        """Yield the steps that wait only for tasks which have been assigned."""
+        for occurrence in range(self.job.n_occurrences):
+            if self.job.due_at(occurrence) > wall:
+                return
+            for number, step in enumerate(self.job.steps):
+                before = [
+                    (occurrence, earlier)
+                    for earlier in step.after
+                    if (occurrence, earlier) not in self.finished
+                ]
+                if before and all(self._is_under_way(*item) for item in before):
+                    yield occurrence, number
+
+    def _is_under_way(self, occurrence: int, number: int) -> bool:
+        step_run = self.step_runs.get((occurrence, number))
+        return step_run is not None and not step_run.n_waiting
+
     def step_run(self, occurrence: int, number: int) -> StepRun:
         """Return the state of a step, made if it is new."""
         step_run = self.step_runs.get((occurrence, number))
--- a/cuminhill/jobs/speeds.py
+++ b/cuminhill/jobs/speeds.py
@@ -4,6 +4,8 @@
 nearly the same length, so a step's ends on different workers compare these workers
 whatever the step's declared time is worth. A step is looked at once all its tasks are
 done: the first ends come from fast workers, and alone would say that the step is short.
+Workers of one kind often have one speed, so each end also says something about workers
+that have run nothing yet.
 
 Every quantity is a logarithm with a variance.
 """
@@ -12,10 +14,12 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import orjson
 
+from .runtimes import MIN_DECLARED_S, RunTimes
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -24,12 +28,12 @@
 PRIOR_SPEED_VAR = 0.2
 # A worker may turn slow at any time, so that the newest ends keep some weight.
 MIN_SPEED_VAR = 0.02
+# Spread of the workers of one kind around the kind's mean. It is learned, from the
+# assumption that a kind says nothing.
+MIN_KIND_SPREAD = 0.01
+KIND_SPREAD_WEIGHT = 0.05  # of one end in the running spread
 # Tasks of one step differ by a tenth to a third in length, and ends are seen late.
 TASK_VAR = 0.1
-# Declared times before anything is known about a queue: off by a factor of 1.6.
-PRIOR_DECLARED_VAR = 0.25
-# Weight of a step in the running mean and variance of its queue's declared times.
-DECLARED_WEIGHT = 0.05
 # Bounds of what one end may say, as a factor; a stalled run says nothing about speed.
 MAX_FACTOR = 8.0
 # Steps whose ends are remembered; the oldest is dropped.
@@ -50,6 +54,57 @@
         self.var *= 1 - gain
 
 
+@dataclass(slots=True)
+class Evidence:
+    """What a worker's own ends say of its speed; the variance is infinite before any.
+
+    Parameters
+    ----------
+    life : int
+        Life of the worker that the ends belong to.
+    kind : str
+        Kind of the worker; empty if it names none.
+    """
+
+    life: int
+    kind: str
+    mean: float = 0.0
+    var: float = math.inf
+
+    def update(self, observed: float, var: float) -> None:
+        """Take in an observation with its own variance."""
+        gain = 1.0 if math.isinf(self.var) else self.var / (self.var + var)
+        self.mean += gain * (observed - self.mean)
+        self.var = 1 / (1 / self.var + 1 / var)
+        self.var = max(MIN_SPEED_VAR, self.var)
+
+
+@dataclass(slots=True)
+class Kind:
+    """Mean speed of the workers of one kind, and their spread around it."""
+
+    speed: Estimate = field(default_factory=lambda: Estimate(0.0, PRIOR_SPEED_VAR))
+    spread: float = PRIOR_SPEED_VAR
+
+    def observe(self, observed: float, var: float) -> None:
+        """Take in what one end says of its worker's speed."""
+        off = observed - self.speed.mean
+        excess = max(0.0, off * off - var - self.speed.var)
+        self.spread += KIND_SPREAD_WEIGHT * (excess - self.spread)
+        self.spread = max(MIN_KIND_SPREAD, self.spread)
+        self.speed.update(observed, var + self.spread)
+        self.speed.var = max(MIN_SPEED_VAR / 10, self.speed.var)
+
+
+class End(NamedTuple):
+    """End of a run that was done."""
+
+    worker_id: str
+    life: int
+    kind: str
+    actual_s: float
+
+
 @dataclass(eq=False)
 class SpeedModel:
     """What is known about the speeds of workers.
@@ -57,31 +112,44 @@
     Parameters
     ----------
     speeds : dict
-        Life and logarithm of the speed of each worker.
+        What each worker's own ends say.
+    kinds : dict
+        What is known about each kind of worker.
     ends : dict
-        Workers, their lives and run times of the ends of each step that is not done.
-    declared : dict
-        Mean and variance of the logarithm of actual to declared run times, at a speed
-        of 1, of each queue.
+        Ends of each step that is not done.
+    run_times : dict
+        Actual against declared run times, at a speed of 1, of each queue.
     """
 
-    speeds: dict[str, tuple[int, Estimate]] = field(default_factory=dict)
-    ends: dict[str, list[tuple[str, int, float]]] = field(default_factory=dict)
-    declared: dict[str, Estimate] = field(default_factory=dict)
+    speeds: dict[str, Evidence] = field(default_factory=dict)
+    kinds: dict[str, Kind] = field(default_factory=dict)
+    ends: dict[str, list[End]] = field(default_factory=dict)
+    run_times: dict[str, RunTimes] = field(default_factory=dict)
 
-    def speed(self, worker_id: str, life: int) -> float:
+    def speed(self, worker_id: str, life: int, kind: str = "") -> float:
         """Return the speed of a worker; 1 if nothing is known about it."""
-        known_life, estimate = self.speeds.get(worker_id, (0, None))
-        if estimate is None or known_life != life:
-            return 1.0
-        return math.exp(estimate.mean)
-
-    def factor(self, queue: str) -> float:
-        """Return what the declared run times of a queue are to be multiplied by."""
-        declared = self.declared.get(queue)
-        return 1.0 if declared is None else math.exp(declared.mean)
-
-    def observe(self, worker_id: str, life: int, step: str, actual_s: float) -> None:
+        return math.exp(self._posterior(worker_id, life, kind).mean)
+
+    def _posterior(self, worker_id: str, life: int, kind: str) -> Estimate:
+        of_kind = self.kinds.get(kind) if kind else None
+        if of_kind is None:
+            posterior = Estimate(0.0, PRIOR_SPEED_VAR)
+        else:
+            var = of_kind.speed.var + of_kind.spread
+            posterior = Estimate(of_kind.speed.mean, var)
+        known = self.speeds.get(worker_id)
+        if known is not None and known.life == life and not math.isinf(known.var):
+            posterior.update(known.mean, known.var)
+        return posterior
+
+    def run_time_s(self, queue: str, declared_s: float) -> float:
+        """Return the expected run time of a step at a speed of 1, in seconds."""
+        known = self.run_times.get(queue)
+        return declared_s if known is None else known.estimate_s(declared_s)
+
+    def observe(
+        self, worker_id: str, life: int, step: str, actual_s: float, kind: str = ""
+    ) -> None:
         """Take in the end of a run that was done.
 
         Parameters
@@ -90,10 +158,12 @@
             Name of the step, unique among all jobs.
         actual_s : float, seconds
             Time of the whole run.
+        kind : str
+            Kind of the worker; empty if it names none.
         """
         if actual_s <= 0:
             return
-        self.ends.setdefault(step, []).append((worker_id, life, actual_s))
+        self.ends.setdefault(step, []).append(End(worker_id, life, kind, actual_s))
         if len(self.ends) > MAX_STEPS:
             del self.ends[next(iter(self.ends))]
 
@@ -102,44 +172,37 @@
         ends = self.ends.pop(step, [])
         if not ends or declared_s <= 0:
             return []
-        declared = self.declared.setdefault(queue, Estimate(0.0, PRIOR_DECLARED_VAR))
-        expected = math.log(declared_s) + declared.mean
+        run_times = self.run_times.setdefault(queue, RunTimes())
+        declared = math.log(max(MIN_DECLARED_S, declared_s))
+        expected, error_var = run_times.estimate(declared), run_times.error_var
         bound = math.log(MAX_FACTOR)
         rows = []
-        for worker_id, life, actual_s in ends:
-            off = max(-bound, min(bound, math.log(actual_s) - expected))
-            rows.append((self._estimate(worker_id, life), expected + off))
+        for end in ends:
+            off = max(-bound, min(bound, math.log(end.actual_s) - expected))
+            speed = self._posterior(end.worker_id, end.life, end.kind)
+            rows.append((speed, expected + off))
         # Precision and weighted sum of what each end says of the step's length.
         weights = [1 / (speed.var + TASK_VAR) for speed, _ in rows]
-        precision = 1 / declared.var + sum(weights)
-        weighted = expected / declared.var + sum(
+        precision = 1 / error_var + sum(weights)
+        weighted = expected / error_var + sum(
             weight * (actual + speed.mean)
             for weight, (speed, actual) in zip(weights, rows, strict=True)
         )
-        observed = []
-        for weight, (speed, actual) in zip(weights, rows, strict=True):
+        for weight, (speed, actual), end in zip(weights, rows, ends, strict=True):
             # An end says nothing about its own worker's part in the length.
             rest = precision - weight
             length = (weighted - weight * (actual + speed.mean)) / rest
-            observed.append((speed, length - actual, 1 / rest + TASK_VAR))
-        for speed, value, var in observed:
-            speed.update(value, var)
-            speed.var = max(MIN_SPEED_VAR, speed.var)
-        self._learn_declared(declared, weighted / precision - expected)
-        return [worker_id for worker_id, _, _ in ends]
-
-    def _estimate(self, worker_id: str, life: int) -> Estimate:
-        known_life, speed = self.speeds.get(worker_id, (0, None))
-        if speed is None or known_life != life:
-            speed = Estimate(0.0, PRIOR_SPEED_VAR)
-            self.speeds[worker_id] = (life, speed)
-        return speed
-
-    @staticmethod
-    def _learn_declared(declared: Estimate, error: float) -> None:
-        declared.mean += DECLARED_WEIGHT * error
-        declared.var += DECLARED_WEIGHT * (error * error - declared.var)
-        declared.var = max(MIN_SPEED_VAR, declared.var)
+            self._learn(end, length - actual, 1 / rest + TASK_VAR)
+        run_times.observe(declared, weighted / precision)
+        return [end.worker_id for end in ends]
+
+    def _learn(self, end: End, observed: float, var: float) -> None:
+        known = self.speeds.get(end.worker_id)
+        if known is None or known.life != end.life:
+            known = self.speeds[end.worker_id] = Evidence(end.life, end.kind)
+        known.update(observed, var)
+        if end.kind:
+            self.kinds.setdefault(end.kind, Kind()).observe(observed, var)
 
     def forget(self, worker_ids: Iterable[str]) -> None:
         """Drop workers that have gone."""
@@ -148,22 +211,38 @@
 
 
 def encode_speeds(model: SpeedModel) -> bytes:
-    """Return the JSON form of the speeds, for the next placer."""
-    rows = {
-        worker_id: [life, round(estimate.mean, 2), round(estimate.var, 2)]
-        for worker_id, (life, estimate) in model.speeds.items()
+    """Return the JSON form of what was learned, for the next placer."""
+    workers = {
+        worker_id: [item.life, item.kind, round(item.mean, 2), round(item.var, 2)]
+        for worker_id, item in model.speeds.items()
+    }
+    kinds = {
+        name: [round(value, 3) for value in (kind.speed.mean, kind.speed.var)]
+        + [round(kind.spread, 3)]
+        for name, kind in model.kinds.items()
+    }
+    queues = {
+        name: [round(getattr(item, part), 3) for part in RunTimes.__slots__]
+        for name, item in model.run_times.items()
     }
-    return orjson.dumps(rows)
+    return orjson.dumps({"workers": workers, "kinds": kinds, "queues": queues})
 
 
 def load_speeds(model: SpeedModel, value: bytes) -> None:
-    """Take the speeds of an earlier placer over.
+    """Take over what an earlier placer has learned.
 
     Raises
     ------
-    ValueError, TypeError
-        If it is not their JSON form.
+    ValueError, TypeError, KeyError
+        If it is not the JSON form of that.
     """
-    for worker_id, (life, mean, var) in orjson.loads(value).items():
-        estimate = Estimate(float(mean), max(MIN_SPEED_VAR, float(var)))
-        model.speeds[worker_id] = (int(life), estimate)
+    data = orjson.loads(value)
+    for worker_id, (life, kind, mean, var) in data["workers"].items():
+        known_var = max(MIN_SPEED_VAR, float(var))
+        evidence = Evidence(int(life), str(kind), float(mean), known_var)
+        model.speeds[worker_id] = evidence
+    for name, (mean, var, spread) in data["kinds"].items():
+        speed = Estimate(float(mean), max(MIN_SPEED_VAR / 10, float(var)))
+        model.kinds[name] = Kind(speed, max(MIN_KIND_SPREAD, float(spread)))
+    for name, parts in data["queues"].items():
+        model.run_times[name] = RunTimes(*(float(part) for part in parts))
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -72,6 +72,31 @@
     assert keys == sorted(keys)
 
 
+def test_overload_a_late_check_goes_before_long_work_that_is_in_time():
+    """Guards against callers who wait behind work whose callers do not.
+
+    Pattern: mixed urgency under overload. A check that was declared as far too short
+    looks late from the start; its caller waits for it all the same.
+    """
+    urgent = make_queue("u", priority=0, stretch=1.5, target_s=0.25)
+    later = make_queue("l", priority=2, stretch=2.2)
+    late = first_step(make_job(make_step(run_time_s=0.5), accepted_at=WALL - 1))
+    long = first_step(make_job(make_step(run_time_s=6.0), accepted_at=WALL))
+    stale = first_step(make_job(make_step(run_time_s=0.5), accepted_at=WALL - 60))
+    keys = [order_key(late, urgent, WALL), order_key(long, later, WALL)]
+    assert [*keys, order_key(stale, urgent, WALL)] == sorted(
+        [*keys, order_key(stale, urgent, WALL)]
+    )
+
+
+def test_expected_run_times_replace_declared_ones():
+    """Guards against urgent work on slow workers since it was declared as short."""
+    check = first_step(make_job(make_step(run_time_s=0.1)))
+    queue = make_queue(stretch=1.5, target_s=0.25)
+    assert objective_s(check.job, queue, [1.0]) == 1.75
+    assert wanted_speed(check, queue, WALL, [1.0]) > 1.0
+
+
 # Packing
 
 
@@ -209,6 +234,20 @@
     assert choose_adviser(advisers, 2.0, 0.5, 0.8).vm == "b"
 
 
+def test_dear_calls_leave_vms_to_the_cheap_calls_of_urgent_steps():
+    """Guards against checks that wait for the advice of long work.
+
+    Pattern: cheap calls of urgent steps beside dear calls of patient ones. Seen on
+    okrnik: half a second before the first start of a check whose slack is 0.25 s.
+    """
+    advisers = [Adviser(f"vm{number}") for number in range(9)]
+    while choose_adviser(advisers, 0.0, 0.6, 0.8) is not None:
+        pass
+    for _ in range(3):
+        assert choose_adviser(advisers, 0.0, 0.05, 0.8).busy_until <= 0.05
+    assert choose_adviser([Adviser("only")], 0.0, 0.6, 0.8) is not None
+
+
 def test_many_workers_calls_for_advice_follow_the_free_room():
     """Guards against steps that all ask about the same workers of a large pool.
 
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -348,6 +348,47 @@
     assert calls == []
 
 
+def test_spread_tasks_ask_about_further_workers_once_the_known_ones_are_taken():
+    """Guards against a task that never runs since its step may not use a worker twice.
+
+    Seen as LOST on okrnik-grid-grown: the only permitted worker with room held another
+    task of the step, and no other worker was asked about.
+    """
+    terms = AdviceTerms(0.1, 0.01, 2.5)
+    placer = make_placer(make_queue(advice=terms), n_workers=40)
+    submit(placer, make_job(make_step(2, max_per_worker=1)))
+    _, calls = placer.decide(NOW, WALL)
+    assert len(calls[0].workers) < 40
+    first = next(iter(calls[0].workers))
+    advice = placer.advice.of(calls[0].step)
+    advice.answered(calls[0].workers, [(first, "t")], NOW, terms.valid_s)
+    placed, _ = placer.decide(NOW, WALL)
+    assert [item.worker_id for item in placed] == [first]
+    _, calls = placer.decide(NOW, WALL)
+    assert calls and not set(calls[0].workers) & advice.asked.keys()
+
+
+def test_advice_for_the_next_step_is_asked_while_the_one_before_runs():
+    """Guards against a call during which nothing of an urgent job runs.
+
+    Pattern: urgent jobs of several short steps.
+    """
+    terms = AdviceTerms(0.05, 0.001, 2.5)
+    placer = make_placer(make_queue(advice=terms), n_workers=3)
+    short, long = make_step(1, run_time_s=0.8), make_step(1, run_time_s=9.0)
+    behind = make_step(1, after=(0,))
+    submit(placer, make_job(short, behind, job_id="a" * 16))
+    submit(placer, make_job(long, behind, job_id="b" * 16))
+    _, calls = placer.decide(NOW, WALL)
+    assert {call.step for call in calls} == {"a" * 16 + ".0.0", "b" * 16 + ".0.0"}
+    for call in calls:
+        advice = placer.advice.of(call.step)
+        advice.answered(call.workers, [("w1", "t")], NOW, terms.valid_s)
+    send(placer, placer.decide(NOW, WALL)[0])
+    _, calls = placer.decide(NOW, WALL)
+    assert [call.step for call in calls] == ["a" * 16 + ".0.1"]
+
+
 def test_a_lapsed_ticket_is_renewed_for_permitted_workers_only():
     """Guards against starts with an old ticket, and against asking about all again."""
     terms = AdviceTerms(0.1, 0.01, 2.5)
