Keep a late resignation from hiding a newer term

That VM's appends are not fenced by terms, so that the record became the newest under the key of the claims; all VMs that started after the final kill claimed term 4, which the log had seen, and were refused for ever. Change: a resignation through another VM has a key of its own and counts for its term only. The task for starts is given its queue. Measured: the tests of the late resignation and of the unseen claim pass; that of the unseen claim needs a name that did not exist and was not run on the code before.

--- a/cuminhill/jobs/book.py
+++ b/cuminhill/jobs/book.py
@@ -15,6 +15,7 @@
     LEAD,
     MEMBER,
     NO_LEAD,
+    RESIGNED,
     RUN,
     SPEEDS,
     JournalRecord,
@@ -102,6 +103,8 @@
         key, value = record.key, record.value
         if key == LEAD:
             self._fold_lead(value)
+        elif key == RESIGNED:
+            self._fold_resignation(value)
         elif key == SPEEDS:
             self.speeds = value
             self.n_placer_records += 1
@@ -121,6 +124,11 @@
             self.lead = lead
             self.n_placer_records += 1
 
+    def _fold_resignation(self, value: bytes) -> None:
+        lead = decode_lead(value)
+        if (lead.term, lead.nonce) == (self.lead.term, self.lead.nonce):
+            self.lead = lead
+
     def _fold_member(self, vm: str, value: bytes, now: float) -> None:
         self.heard_at[vm] = now
         if value:
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -16,7 +16,7 @@
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
-from .records import CANCEL, JOB, LEAD, RUN, SPEEDS, Lead, encode_lead
+from .records import CANCEL, JOB, LEAD, RESIGNED, RUN, SPEEDS, Lead, encode_lead
 from .speeds import encode_speeds, load_speeds
 
 if TYPE_CHECKING:
@@ -245,7 +245,7 @@
             return False
         record = Lead(self.lead.term, self.lead.vm, self.lead.nonce, True)
         try:
-            await append([(LEAD, encode_lead(record))], RESIGN_S)
+            await append([(RESIGNED, encode_lead(record))], RESIGN_S)
         except CuminhillError as exc:
             logger.info("resignation not written", error=str(exc))
             return False
@@ -289,12 +289,12 @@
     async def _spawn_renewers(self) -> None:
         for worker_id in self.placer.workers:
             if worker_id not in self._renewers:
-                self._senders[worker_id] = curio.Queue()
+                queue = self._senders[worker_id] = curio.Queue()
                 self._renewers[worker_id] = await curio.spawn(
                     self._guard, "renew", self._renew_worker, worker_id, daemon=True
                 )
                 await curio.spawn(
-                    self._guard, "send", self._send_starts, worker_id, daemon=True
+                    self._guard, "send", self._send_starts, queue, daemon=True
                 )
 
     # Renewals
@@ -376,8 +376,7 @@
 
     # Starts and stops
 
-    async def _send_starts(self, worker_id: str) -> None:
-        queue = self._senders[worker_id]
+    async def _send_starts(self, queue: curio.Queue) -> None:
         while not self.ended:
             item = await queue.get()
             if item is None:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -148,6 +148,7 @@
     n_bad_configs: int = 0
     _claim: Lead | None = None
     _claim_number: int = 0
+    _refused_term: int = 0
     _may_hand_over_at: float = 0.0
     _may_ask_others_at: float = 0.0
     _gone: set[str] = field(default_factory=set)
@@ -404,7 +405,8 @@
         those that come later or belong to an earlier term.
         """
         nonce = f"{self.rng.getrandbits(48):012x}"
-        claim = Lead(self.book.lead.term + 1, self.options.vm, nonce)
+        term = max(self.book.lead.term, self._refused_term) + 1
+        claim = Lead(term, self.options.vm, nonce)
         self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
         token = WriterToken(PLACER, claim.term, self._claim_number)
         silent_s = boottime() - self.election.seen_at
@@ -421,7 +423,10 @@
             )
         except (FencedError, ProtocolError) as exc:
             logger.info("claim overtaken", term=claim.term, error=str(exc))
-            await self.journal.catch_up(CLAIM_TIMEOUT_S)
+            caught_up = await self.journal.catch_up(CLAIM_TIMEOUT_S)
+            if caught_up and self.book.lead.term < claim.term:
+                # The term was used, but its claim is not to be seen any more.
+                self._refused_term = claim.term
             await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
         except CuminhillError as exc:
             # If it has landed after all, the journal will show it.
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -19,6 +19,9 @@
 
 JOB, RUN, CANCEL, LEAD, MEMBER = "job/", "run/", "cancel/", "lead", "vm/"
 SPEEDS = "speeds"  # of all workers, from the placer
+# A resignation that another VM writes. It has a key of its own: that VM's appends are
+# not fenced by terms, so that a late one would hide a newer claim under `LEAD`.
+RESIGNED = "resigned"
 
 
 @dataclass(frozen=True, slots=True)
