--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -322,8 +322,7 @@
             await self.log.append(records, token, timeout_s=self.timeout_s)
             return
         answer = _Answer()
-        if self._caller is None:
-            self._caller = await curio.spawn(self._call, daemon=True)
+        await self.start_caller()
         await self._to_call.put((records, token, answer))
         sent_at = boottime()
         while not answer.done.is_set():
@@ -337,6 +336,15 @@
         if answer.error is not None:
             raise answer.error
 
+    async def start_caller(self) -> None:
+        """Start the task that makes the calls, unless it runs.
+
+        It is started with the writer: a task that is spawned while the kernel shuts
+        down makes the shutdown fail.
+        """
+        if self._caller is None:
+            self._caller = await curio.spawn(self._call, daemon=True)
+
     async def _call(self) -> None:
         """Make calls one after the other, until one is given up."""
         while True:
--- a/cuminhill/jobs/lead.py
+++ b/cuminhill/jobs/lead.py
@@ -186,6 +186,7 @@
 
     async def start(self) -> None:
         """Begin to place."""
+        await self.writer.start_caller()
         for name, run in (
             ("writer", self.writer.run),
             ("place", self._place),
--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -86,11 +86,18 @@
         read_sent_at, read_s = self._answered
         return read_s if read_sent_at > sent_at else None
 
-    async def run(self) -> None:
-        """Follow the log for ever."""
+    async def start_probers(self) -> None:
+        """Start the tasks that send the reads beside those of `run`.
+
+        They are started before they are needed: a task that is spawned while the kernel
+        shuts down makes the shutdown fail.
+        """
         while self._n_probers < N_PROBERS:
             self._n_probers += 1
             await curio.spawn(self._probe_on_demand, daemon=True)
+
+    async def run(self) -> None:
+        """Follow the log for ever."""
         while True:
             try:
                 if not self.synced:
@@ -184,7 +191,8 @@
     async def ask(self) -> None:
         """Have a read sent beside those under way, unless that was done just now."""
         now = boottime()
-        if now - self._asked_at >= PROBE_EVERY_S and self._to_probe.empty():
+        due = now - self._asked_at >= PROBE_EVERY_S
+        if self._n_probers and due and self._to_probe.empty():
             self._asked_at = now
             await self._to_probe.put(PROBE_TIMEOUT_S)
 
@@ -196,6 +204,8 @@
         """Ask until the log answers; then read on."""
         begun_at = boottime()
         while self.answered_after(begun_at) is None:
+            if not self._n_probers:
+                await self.probe(PROBE_TIMEOUT_S)
             await self.ask()
             await curio.sleep(PROBE_TICK_S)
         return await self.read(0.0, self._timeout_s())
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -200,6 +200,9 @@
         """Begin to follow the logs and to serve other VMs."""
         host, _, port = self.options.rpc_address.rpartition(":")
         await self.rpc.start(host, int(port))
+        for follower in (self.journal, self.config, self.registry):
+            await follower.start_probers()
+        await self.writer.start_caller()
         for name, run in (
             ("journal", self.journal.run),
             ("config", self.config.run),
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -276,6 +276,7 @@
 
 async def make_follower(view):
     follower = LogFollower("t", view, lambda rows, _: None, 0.5, 0.25)
+    await follower.start_probers()
     await curio.spawn(follower.run, daemon=True)
     while not follower.synced:
         await curio.sleep(0.01)
