Choose workers by the chance that a job is late

`required_speed` fell to its least value as soon as a job looked late by its declared time, so the fuller slow worker won; objectives were counted from the fast workers, although callers count them from the mean of the pool; and a step that took long left its job's objective as declared. Change: `lateness.py` gives the chance that a job ends in time on a worker of some speed; speeds are relative to the pool's mean pace; steps that are done count with their observed length; the longest of a step's tasks is expected, not the mean. Work of lower priority pays for speed, urgent work prefers it. A declared time of zero no longer divides by zero.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -8,7 +8,7 @@
 from .advice import AdviceCall, make_advice_call
 from .headroom import Headroom, HeadroomLimit, headroom_limit
 from .model import JobState
-from .ordering import order_key, required_speed
+from .ordering import order_key
 from .packing import (
     SHORT_RUN_S,
     by_free_cores,
@@ -23,6 +23,7 @@
     from collections.abc import Iterable
 
     from .fleet import Worker
+    from .lateness import Outlook
     from .model import Queue, TaskKey
     from .placer import Placer
     from .progress import Progress, StepRun
@@ -66,8 +67,8 @@
         queue = placer.queue_of(progress)
         if queue is None:
             continue
-        run_times = placer.run_times(progress)
         for step_run in progress.ready_steps(wall):
+            run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
@@ -95,12 +96,19 @@
     for step_run, queue, run_times in waiting_steps(placer, wall):
         short = run_times[step_run.number] <= SHORT_RUN_S
         workers = _eligible_workers(placer, step_run, pools.get(queue.pool, []), short)
-        speed = required_speed(step_run, queue, wall, run_times)
-        advised, call = _advise(placer, step_run, queue, workers, speed=speed, now=now)
+        outlook = placer.outlook(step_run, queue, wall, run_times)
+        advised, call = _advise(
+            placer, step_run, queue, workers, outlook=outlook, now=now
+        )
         if call is not None:
             calls.append(call)
         placed = _place(
-            placer, step_run, advised, speed, now=now, core_limit=limits.get(queue.name)
+            placer,
+            step_run,
+            advised,
+            outlook,
+            now=now,
+            core_limit=limits.get(queue.name),
         )
         placements.extend(placed)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
@@ -131,8 +139,8 @@
         pool = pools.get(queue.pool)
         if len(progress.job.steps) < 2 or progress.cancelled or not pool:
             continue
-        run_times = placer.run_times(progress)
         for occurrence, number in list(progress.upcoming_steps(wall)):
+            run_times = placer.run_times(progress, occurrence)
             advice = placer.advice.for_step(progress.step_run(occurrence, number).name)
             if advice.calling or advice.asked or now < advice.retry_at:
                 continue
@@ -140,10 +148,12 @@
             left_s = _time_left_s(placer, step_run, run_times, now)
             if left_s > PREFETCH_FRACTION * queue.advice.valid_s:
                 continue
-            speed = required_speed(step_run, queue, wall, run_times)
+            outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
             eligible = _eligible_workers(placer, step_run, pool, short=True)
-            named = choose_advised(step, step.n_tasks, [], eligible, [], speed=speed)
+            named = choose_advised(
+                step, step.n_tasks, [], eligible, [], outlook=outlook
+            )
             incarnations = {item.worker_id: item.entry.incarnation for item in named}
             if incarnations:
                 calls.append(
@@ -231,7 +241,7 @@
     queue: Queue,
     workers: list[Worker],
     *,
-    speed: float,
+    outlook: Outlook,
     now: float,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that advice permits, and a call if they are not enough."""
@@ -251,7 +261,9 @@
     if n_fitting_tasks(step, with_ticket) >= n_wanted:
         return permitted, None
     unasked = [item for item in workers if item.worker_id not in advice.asked]
-    named = choose_advised(step, n_wanted, fitting, unasked, with_ticket, speed=speed)
+    named = choose_advised(
+        step, n_wanted, fitting, unasked, with_ticket, outlook=outlook
+    )
     if not named and permitted and not with_ticket and not step.gang:
         # No task fits now. With a few valid tickets at hand, a task can start as soon
         # as capacity becomes free.
@@ -267,7 +279,7 @@
     placer: Placer,
     step_run: StepRun,
     workers: Iterable[Worker],
-    speed: float,
+    outlook: Outlook,
     *,
     now: float,
     core_limit: HeadroomLimit | None,
@@ -284,7 +296,7 @@
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
     candidates = make_candidates(
-        step_run.step, workers, _n_by_worker(step_run), speed, core_limit
+        step_run.step, workers, _n_by_worker(step_run), outlook, core_limit
     )
     if not candidates.workers:
         return []
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -179,6 +179,7 @@
         self._load_speeds()
         for entry in entries:
             self.placer.register_worker(entry, now)
+        self.placer.look_up_speeds()
         n_jobs = 0
         self.job_index.pop_changed()
         for progress in self.job_index.live():
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -1,4 +1,4 @@
-"""Order of waiting steps: objectives, latest start times and required speeds.
+"""Order of waiting steps: objectives and latest start times.
 
 While all jobs can meet their objectives, starting the step with the earliest latest
 start time first lets most of them do so. Under overload, a job that can no longer meet
@@ -22,12 +22,6 @@
 LATE_FRACTION = 0.15
 # After this multiple of its objective, the result of a job is of no use to its caller.
 STALE_FACTOR = 3.0
-# Part of a job's time that does not depend on worker speed: advice, journal write,
-# start call, and the time until the caller sees the end.
-OVERHEAD_S = 0.3
-# Declared run times are often off by this factor.
-DECLARED_MARGIN_FACTOR = 1.5
-MIN_REQUIRED_SPEED, MAX_REQUIRED_SPEED = 0.3, 4.0
 
 
 def critical_path_s(
@@ -94,25 +88,3 @@
     if wall > latest_start + LATE_FRACTION * objective:
         return rank + 1, queue.priority, left_s, step_run.name
     return rank, 0, latest_start, step_run.name
-
-
-def required_speed(
-    step_run: StepRun,
-    queue: Queue,
-    wall: float,
-    run_times: Sequence[float] | None = None,
-) -> float:
-    """Return the worker speed at which a step that starts now ends in time.
-
-    If the job can no longer meet its objective, the speed is chosen such that it ends
-    while its result is still of use.
-    """
-    job = step_run.job
-    begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
-    left_s = critical_path_s(job, step_run.number, first_only=True, run_times=run_times)
-    objective = objective_s(job, queue, run_times)
-    for factor in (1.0, STALE_FACTOR):
-        until_s = begun_at + factor * objective - wall - OVERHEAD_S
-        if until_s * MAX_REQUIRED_SPEED > DECLARED_MARGIN_FACTOR * left_s:
-            return max(MIN_REQUIRED_SPEED, DECLARED_MARGIN_FACTOR * left_s / until_s)
-    return MIN_REQUIRED_SPEED
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -8,20 +8,18 @@
 
 from .fleet import CAPACITY_EPSILON
 from .headroom import HeadroomLimit
-from .ordering import MAX_REQUIRED_SPEED
+from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from ..model import Resources
     from .fleet import Worker
+    from .lateness import Outlook
     from .model import Step
 
-# Weights in the score of a worker: speed below the required one, speed above it that an
-# urgent task might need (both as logarithms of the ratio), and how full the worker is.
-# A speed a fifth too low outweighs any fit.
-DEFICIT_WEIGHT, EXCESS_WEIGHT = 2.0, 0.15
-FIT_WEIGHT = 0.3
+# Weight of how full a worker is in its score; a result in time weighs 1.
+FIT_WEIGHT = 0.05
 # Speed of a task outside the rack of its input data, relative to one inside it.
 REMOTE_SPEED_FACTOR = 0.5
 # Workers for a call are ranked by the number of tasks that fit on them times their
@@ -52,8 +50,8 @@
         Free capacity of each worker, reduced as tasks are placed.
     n_by_worker : dict
         Number of the step's tasks on each worker, if the step limits it.
-    speed : float
-        Speed at which the step ends in time.
+    outlook : Outlook
+        Chance that the job ends in time.
     core_limit : HeadroomLimit
         Cores that the step may use on fast workers.
     """
@@ -62,7 +60,7 @@
     workers: list[Worker]
     free_by_worker: dict[str, Resources]
     n_by_worker: dict[str, int] = field(default_factory=dict)
-    speed: float = MAX_REQUIRED_SPEED
+    outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
 
     def pick(self, avoid: Iterable[str] = ()) -> Worker | None:
@@ -93,30 +91,29 @@
         return worker.fits(self.step.need, self.free_by_worker[worker.worker_id])
 
     def _score(self, worker: Worker) -> float:
-        """Return a score that prefers fast enough workers, then fuller ones."""
+        """Return a score that prefers workers on which the job is in time."""
         speed = worker.health.speed
         if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
             speed *= REMOTE_SPEED_FACTOR
         free, capacity = self.free_by_worker[worker.worker_id], worker.entry.capacity
         used = 1.0 - free.cores / capacity.cores if capacity.cores else 0.0
-        return suitability(speed, self.speed) + FIT_WEIGHT * used
+        return suitability(speed, self.outlook) + FIT_WEIGHT * used
 
 
-def suitability(speed: float, required: float) -> float:
-    """Return how well a worker's speed suits a step that requires some speed.
+def suitability(speed: float, outlook: Outlook) -> float:
+    """Return how well a worker's speed suits a job with some outlook.
 
     On workers of different speeds, work that can wait leaves the fast workers to
     urgent work that ends in time only there.
     """
-    ratio = math.log(speed / required)
-    return 1.0 - DEFICIT_WEIGHT * max(0.0, -ratio) - EXCESS_WEIGHT * max(0.0, ratio)
+    return outlook.worth(speed) - outlook.speed_price * math.log(speed)
 
 
 def make_candidates(
     step: Step,
     workers: Iterable[Worker],
     n_by_worker: dict[str, int] | None = None,
-    speed: float = MAX_REQUIRED_SPEED,
+    outlook: Outlook = NO_OBJECTIVE,
     core_limit: HeadroomLimit | None = None,
 ) -> Candidates:
     """Return the workers on which a task of a step fits now."""
@@ -127,7 +124,7 @@
         chosen,
         free_by_worker,
         n_by_worker or {},
-        speed,
+        outlook,
         core_limit or HeadroomLimit(),
     )
 
@@ -154,7 +151,7 @@
         workers,
         free_by_worker,
         dict(candidates.n_by_worker),
-        candidates.speed,
+        candidates.outlook,
         core_limit,
     )
     placed = []
@@ -202,13 +199,13 @@
 
 
 def by_suitability(
-    step: Step, n_wanted: int, workers: Iterable[Worker], speed: float
+    step: Step, n_wanted: int, workers: Iterable[Worker], outlook: Outlook
 ) -> list[Worker]:
     """Return workers sorted by how many tasks fit on them and how well they suit."""
 
     def value(worker: Worker) -> float:
         n_held = min(n_fitting_tasks(step, [worker]), n_wanted)
-        suits = max(MIN_SUITABILITY, suitability(worker.health.speed, speed))
+        suits = max(MIN_SUITABILITY, suitability(worker.health.speed, outlook))
         return n_held * suits**SUITABILITY_EXPONENT
 
     return sorted(workers, key=lambda worker: -value(worker))
@@ -221,7 +218,7 @@
     unasked: list[Worker],
     with_ticket: list[Worker],
     *,
-    speed: float = MAX_REQUIRED_SPEED,
+    outlook: Outlook = NO_OBJECTIVE,
 ) -> list[Worker]:
     """Return the workers to name in a call for advice; empty if it would not help.
 
@@ -235,14 +232,14 @@
         Workers that no call for the step has named yet.
     with_ticket : list of Worker
         Permitted workers with a valid ticket.
-    speed : float
-        Speed at which the step ends in time.
+    outlook : Outlook
+        Chance that the job ends in time.
     """
-    ranked = by_suitability(step, n_wanted, permitted, speed)
+    ranked = by_suitability(step, n_wanted, permitted, outlook)
     named = _covering(step, n_wanted * PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS)
     if n_fitting_tasks(step, named) < n_wanted and unasked:
         rest = n_wanted * UNASKED_FACTOR
-        suitable = by_suitability(step, n_wanted, unasked, speed)
+        suitable = by_suitability(step, n_wanted, unasked, outlook)
         asked = _covering(step, rest, suitable, MIN_ASKED_WORKERS)
         return (named + asked)[:MAX_ADVISED_WORKERS]
     if len(named) <= len(with_ticket) or (
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -17,6 +17,7 @@
 from .advice import AdviceTable
 from .decisions import Placement, decide
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
+from .lateness import make_outlook
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
@@ -26,6 +27,7 @@
     from ..model import Resources
     from .advice import AdviceCall
     from .headroom import Headroom
+    from .lateness import Outlook
     from .model import (
         EndedTask,
         Queue,
@@ -35,7 +37,7 @@
         WorkerEntry,
         WorkerReport,
     )
-    from .progress import Progress, TaskState
+    from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
 
@@ -89,6 +91,9 @@
         Workers reserved for blocked steps in the newest decision.
     headroom : dict
         Headroom for urgent work, by pool.
+    mean_pace : dict
+        Mean time that a worker takes for a second of work at a speed of 1, by pool. It
+        is divided out of speeds and run times, so that 1 is the pool's mean pace.
     last_queues : dict
         Newest definition of each queue, also of queues that were since removed.
     """
@@ -104,6 +109,7 @@
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: set[str] = field(default_factory=set)
     headroom: dict[str, Headroom] = field(default_factory=dict)
+    mean_pace: dict[str, float] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
@@ -276,18 +282,55 @@
         self._look_up_speed(worker)
 
     def _look_up_speed(self, worker: Worker) -> None:
-        worker.health.speed = self.speeds.speed(
+        speed = self.speeds.speed(
             worker.worker_id, worker.entry.incarnation, worker.kind
         )
+        worker.health.speed = speed * self.mean_pace.get(worker.entry.pool, 1.0)
+
+    def look_up_speeds(self) -> None:
+        """Update the speeds of all workers, relative to the mean of their pool."""
+        paces: dict[str, list[float]] = {}
+        for worker in self.workers.values():
+            if worker.registered:
+                speed = self.speeds.speed(
+                    worker.worker_id, worker.entry.incarnation, worker.kind
+                )
+                paces.setdefault(worker.entry.pool, []).append(1.0 / speed)
+        for pool, values in paces.items():
+            self.mean_pace[pool] = sum(values) / len(values)
+        for worker in self.workers.values():
+            self._look_up_speed(worker)
+
+    def run_times(self, progress: Progress, occurrence: int = 0) -> list[float]:
+        """Return the run time of each step of a job, in seconds.
 
-    def run_times(self, progress: Progress) -> list[float]:
-        """Return the expected run time of each step of a job, in seconds."""
-        queue = progress.job.queue
+        It is that on a worker of the mean pace of the pool, from which callers count
+        their objectives: as observed for the steps that are done, as expected for the
+        others.
+        """
+        name = progress.job.queue
+        queue = self.queue_of(progress)
+        pace = self.mean_pace.get(queue.pool, 1.0) if queue is not None else 1.0
         return [
-            self.speeds.run_time_s(queue, step.run_time_s)
-            for step in progress.job.steps
+            pace
+            * progress.lengths.get(
+                (occurrence, number), self.speeds.run_time_s(name, step.run_time_s)
+            )
+            for number, step in enumerate(progress.job.steps)
         ]
 
+    def outlook(
+        self, step_run: StepRun, queue: Queue, wall: float, run_times: list[float]
+    ) -> Outlook:
+        """Return the outlook of a job if one of its steps starts now."""
+        return make_outlook(
+            step_run,
+            queue,
+            wall,
+            run_times,
+            self.speeds.error_var(queue.name),
+        )
+
     def deregister_worker(self, worker_id: str) -> None:
         """Process the removal of a registration."""
         worker = self.workers.get(worker_id)
@@ -491,10 +534,10 @@
             )
         if not progress.finish_task(key):
             return
-        queue = progress.job.queue
-        if self.speeds.step_done(name, queue, step.run_time_s):
-            for known in self.workers.values():
-                self._look_up_speed(known)
+        length_s = self.speeds.step_done(name, progress.job.queue, step.run_time_s)
+        if length_s is not None:
+            progress.lengths[key.occurrence, key.step] = length_s
+            self.look_up_speeds()
 
     def _handle_failure(
         self, worker: Worker, progress: Progress, key: TaskKey, run: int, now: float
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -92,6 +92,12 @@
 
     The journal holds it as one record, written before a start is sent and before
     the end of a run is acknowledged to its worker.
+
+    Parameters
+    ----------
+    lengths : dict
+        Observed length of steps that are done, in seconds at a speed of 1; not kept
+        in the journal.
     """
 
     job: Job
@@ -99,6 +105,7 @@
     cancelled: bool = False
     step_runs: dict[tuple[int, int], StepRun] = field(default_factory=dict)
     finished: set[tuple[int, int]] = field(default_factory=set)
+    lengths: dict[tuple[int, int], float] = field(default_factory=dict)
     n_assigned: int = 0
     has_started: bool = False
 
--- a/cuminhill/jobs/speeds.py
+++ b/cuminhill/jobs/speeds.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from .runtimes import MIN_DECLARED_S, RunTimes
+from .runtimes import MIN_DECLARED_S, PRIOR_ERROR_VAR, RunTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -155,6 +155,11 @@
         known = self.run_times.get(queue)
         return declared_s if known is None else known.estimate_s(declared_s)
 
+    def error_var(self, queue: str) -> float:
+        """Return the variance of the error of a queue's expected run times."""
+        known = self.run_times.get(queue)
+        return PRIOR_ERROR_VAR if known is None else known.error_var
+
     def observe(
         self,
         worker_id: str,
@@ -182,11 +187,17 @@
         if len(self.ends) > MAX_STEPS:
             del self.ends[next(iter(self.ends))]
 
-    def step_done(self, step: str, queue: str, declared_s: float) -> list[str]:
-        """Update the estimates from all ends of a step; return the workers updated."""
+    def step_done(self, step: str, queue: str, declared_s: float) -> float | None:
+        """Update the estimates from all ends of a step.
+
+        Returns
+        -------
+        length_s : float or None, seconds
+            Run time of the step's tasks at a speed of 1; None if nothing is known.
+        """
         ends = self.ends.pop(step, [])
         if not ends or declared_s <= 0:
-            return []
+            return None
         run_times = self.run_times.setdefault(queue, RunTimes())
         declared = math.log(max(MIN_DECLARED_S, declared_s))
         expected, error_var = run_times.estimate(declared), run_times.error_var
@@ -210,7 +221,7 @@
             length = (weighted - weight * (actual + speed.mean)) / rest
             self._learn(end, length - actual, 1 / rest + TASK_VAR)
         run_times.observe(declared, weighted / precision)
-        return [end.worker_id for end in ends]
+        return math.exp(weighted / precision)
 
     def _learn(self, end: RunEnd, observed: float, var: float) -> None:
         known = self.speeds.get(end.worker_id)
