Wait for the lease that placers ask for, not the longest one

Ruled out: counting from the newest record of the old placer, since a caller's record that it appends also confirms its term and does not show who wrote it. Change: `LeaseTimes.lapse_s` from the lease that is asked for, the drift and the margin; `max_lease_s` is gone.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -30,13 +30,15 @@
     Parameters
     ----------
     lease_s : float, seconds
-        Lease requested by each renewal.
-    max_lease_s : float, seconds
-        Longest lease that any worker grants.
+        Lease requested by each renewal and each start, at most what workers grant.
     """
 
     lease_s: float = 5.0
-    max_lease_s: float = 6.0
+
+    @property
+    def lapse_s(self) -> float:
+        """Time after which a lease granted now has lapsed on any worker's clock."""
+        return self.lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
 
 
 @dataclass(eq=False, slots=True)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -229,7 +229,7 @@
         worker = self.workers.get(entry.worker_id)
         if worker is None:
             lapse_at = self.begun_at + self.times.max_unconfirmed_s
-            lapse_at += self.longest_lease_s()
+            lapse_at += self.times.lease.lapse_s
             worker = Worker(entry, first_fencing_token(self.term), lapse_at)
             self._look_up_speed(worker)
             self.workers[entry.worker_id] = worker
@@ -267,10 +267,6 @@
             worker.free = worker.free + change
         worker.entry, worker.registered = entry, True
 
-    def longest_lease_s(self) -> float:
-        """Return the time after which a lease granted now has lapsed on any clock."""
-        return self.times.lease.max_lease_s * 1.02 + 0.5
-
     def _begin_incarnation(self, worker: Worker, entry: WorkerEntry) -> None:
         worker.entry, worker.registered = entry, True
         worker.free = entry.capacity
@@ -405,7 +401,7 @@
         if not worker.confirmed_token:
             # The worker now rejects the older tokens of earlier placers, so they can
             # no longer extend leases on it.
-            worker.lapse_at = now + self.longest_lease_s()
+            worker.lapse_at = now + self.times.lease.lapse_s
         worker.confirmed_token = max(worker.confirmed_token, fencing_token)
         listed = {(row.key, row.run) for row in report.running}
         listed.update((row.key, row.run) for row in report.ended)
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -87,10 +87,8 @@
     """Release runs whose worker has not registered in this term, after its lease."""
     if not progress.n_assigned:
         return
-    if (
-        now
-        < placer.begun_at + placer.times.max_unconfirmed_s + placer.longest_lease_s()
-    ):
+    times = placer.times
+    if now < placer.begun_at + times.max_unconfirmed_s + times.lease.lapse_s:
         return
     for key, task in list(progress.assigned()):
         worker = placer.workers.get(task.worker)
