--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -22,6 +22,9 @@
 # call of an urgent step would wait behind them for longer than it takes itself.
 LONG_CALL_S = 0.2
 SHORT_CALL_FRACTION = 1 / 3
+# Time for which a VM that has not answered takes no calls, doubled for each further
+# failure: a call into a partition costs its step the whole time-out.
+EXCLUDE_S, MAX_EXCLUDE_S = 1.0, 4.0
 
 
 @dataclass(eq=False, slots=True)
@@ -168,11 +171,30 @@
         When the service is expected to have answered all calls of the VM.
     excluded_until : float, seconds
         Time until which no call is made through the VM.
+    n_failures : int
+        Exclusions since the last answer.
     """
 
     vm: str
     busy_until: float = 0.0
     excluded_until: float = 0.0
+    n_failures: int = 0
+
+    def record_answer(self) -> None:
+        """Record that the VM has answered a call."""
+        self.n_failures = 0
+
+    def record_failure(self, now: float) -> None:
+        """Exclude the VM, each time for longer.
+
+        Calls that fail while it is excluded were sent earlier and do not count.
+        """
+        if now < self.excluded_until:
+            return
+        delay_s = min(MAX_EXCLUDE_S, EXCLUDE_S * 2**self.n_failures)
+        self.excluded_until = now + delay_s
+        self.n_failures += 1
+        self.busy_until = now
 
 
 def choose_adviser(
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -14,7 +14,6 @@
     CuminhillError,
     FencedError,
     OtherIncarnationError,
-    UnavailableError,
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
@@ -67,8 +66,7 @@
 ISOLATED_AFTER_S = 0.3
 # Most calls for advice queued on one VM, as their total service time.
 MAX_ADVISER_QUEUE_S = 0.8
-ADVICE_SLACK_S = 1.5  # added to the expected time of a call and its queue
-ADVISER_EXCLUDE_S = 1.0  # after a VM has not answered a call
+ADVICE_SLACK_S = 0.6  # added to the expected time of a call and its queue
 # Ended jobs are deleted from the journal after this time in addition to the time for
 # which the platform can query them.
 EXPIRY_MARGIN_S = 30.0
@@ -154,6 +152,8 @@
     _tasks: list[Any] = field(default_factory=list)
     _renewers: dict[str, Any] = field(default_factory=dict)
     _send_queues: dict[str, curio.Queue] = field(default_factory=dict)
+    _to_journal: Any = field(default_factory=curio.Event)
+    _unjournaled: list[Placement] = field(default_factory=list)
     _written_at: float = 0.0
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
@@ -208,6 +208,7 @@
         for name, run in (
             ("writer", self.writer.run),
             ("place", self._place),
+            ("journal", self._journal),
             ("renew term", self._renew_term),
         ):
             self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
@@ -515,32 +516,45 @@
     # Decisions
 
     async def _place(self) -> None:
-        try:
-            while not self.ended and not self.writer.fenced:
-                await self._place_once()
-                await curio.sleep(DECIDE_PAUSE_S)
-                async with curio.ignore_after(TICK_S):
-                    await self._wake.wait()
-        except CuminhillError as exc:
-            logger.warning(
-                "term cannot go on", term=self.leader_record.term, error=str(exc)
-            )
+        while not self.ended and not self.writer.fenced:
+            await self._place_once()
+            await curio.sleep(DECIDE_PAUSE_S)
+            async with curio.ignore_after(TICK_S):
+                await self._wake.wait()
         self.ended = True
 
     async def _place_once(self) -> None:
+        """Decide once; the placements are sent when they are journaled.
+
+        Decisions do not wait for the journal: on a slow one, a job needs several of
+        them before its tasks can start, and each would take one or two appends.
+        """
         self._wake.clear()
         now = boottime()
         self.placer.tick(now)
-        placements: list[Placement] = []
-        if self.may_act():
+        # Placements made while nothing can be journaled would hold capacity and tickets
+        # until they lapse.
+        if self.may_act() and not self.writer.failing_since:
             placements, calls = self.placer.decide(now, time.time())
+            self._unjournaled.extend(placements)
             for call in calls:
                 await self._schedule_advice(call, now)
-        await self._journal_progress()
-        for placement in placements:
-            await self._enqueue(placement.worker_id, placement)
         for stop in self.placer.take_stops():
             await self._enqueue(stop.worker_id, stop)
+        await self._to_journal.set()
+
+    async def _journal(self) -> None:
+        """Write the progress of changed jobs; then send starts and acknowledge ends."""
+        try:
+            while not self.ended:
+                await self._to_journal.wait()
+                self._to_journal.clear()
+                await self._journal_progress()
+        except CuminhillError as exc:
+            logger.warning(
+                "term cannot go on", term=self.leader_record.term, error=str(exc)
+            )
+            self.ended = True
 
     async def _enqueue(self, worker_id: str, item: Placement | StopOrder) -> None:
         queue = self._send_queues.get(worker_id)
@@ -550,8 +564,8 @@
             self.placer.release_unsent(item, "worker gone", boottime())
 
     async def _journal_progress(self) -> None:
-        """Write the progress of changed jobs, then acknowledge their ends."""
         dirty = self.placer.take_dirty()
+        placements, self._unjournaled = self._unjournaled, []
         seen = {
             worker.worker_id: (worker.entry.incarnation, worker.last_seen_end)
             for worker in self.placer.workers.values()
@@ -574,6 +588,8 @@
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
                 worker.last_acked_end = max(worker.last_acked_end, number)
+        for placement in placements:
+            await self._enqueue(placement.worker_id, placement)
         await self._write_speeds()
         if not dirty:
             await self._expire_ended()
@@ -646,13 +662,12 @@
             logger.info(
                 "advice failed", step=call.step, through=adviser.vm, error=str(exc)
             )
-            if not isinstance(exc, UnavailableError) or exc.step == "connect":
-                adviser.excluded_until = now + ADVISER_EXCLUDE_S
-            adviser.busy_until = now
+            adviser.record_failure(now)
             advice.record_failure(now)
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
+            adviser.record_answer()
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             advice.store_answer(
                 call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -114,6 +114,8 @@
         """
         if vm == self.vm:
             return await self.advice.ask(call.step, list(call.workers), wait_s)
+        # A VM that is cut off is found by a ping sooner than by the call.
+        await self._ensure_responsive(vm)
         message = idl.AdviseCall(call.step, list(call.workers), wait_s)
         reply = await self._call(vm, "advise", message, wait_s)
         if reply.status != STATUS_OK:
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -8,6 +8,7 @@
 from cuminhill.clock import boottime
 from cuminhill.jobs.model import AdviceTerms, JobState, Outcome
 from cuminhill.jobs.node import PLACER_WRITER
+from cuminhill.jobs.progress import Progress
 from cuminhill.jobs.records import (
     JOB_PREFIX,
     LEADER_KEY,
@@ -566,3 +567,39 @@
         assert node.leadership.leader_record.term == 5
 
     curio.run(scenario)
+
+
+def test_decisions_go_on_while_the_journal_is_slow(cluster):
+    """Guards against jobs that wait for the appends of the jobs before them.
+
+    With appends of 0.7 s each decision waited for one or two of them, and a job needs
+    a decision for its advice and another one for its starts.
+    """
+
+    async def scenario():
+        node = await cluster.start_node("a")
+        await cluster.wait_for(cluster.leader)
+        leadership = node.leadership
+        placer = leadership.placer
+        await cluster.wait_for(
+            lambda: sum(item.accepts_starts() for item in placer.workers.values()) == 3
+        )
+        append, journaled = leadership.writer.append, curio.Event()
+
+        async def append_late(records, give_up_at):
+            await journaled.wait()
+            await append(records, give_up_at)
+
+        leadership.writer.append = append_late
+        jobs = [make_job(job_id=job_id) for job_id in job_ids(2)]
+        for number, job in enumerate(jobs, 1):
+            cluster.needs[job.payload] = job.steps[0].need
+            placer.add_job(Progress(job), boottime())
+            await leadership._wake.set()
+            await cluster.wait_for(lambda n=number: placer.counts["placements"] == n)
+        # No start may be sent before it is in the journal.
+        assert placer.counts["starts_started"] == 0
+        await journaled.set()
+        await cluster.wait_for(lambda: placer.counts["starts_started"] == 2)
+
+    curio.run(scenario)
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from cuminhill.jobs.advice import (
+    EXCLUDE_S,
+    MAX_EXCLUDE_S,
     TICKET_MARGIN_S,
     Adviser,
     StepAdvice,
@@ -219,3 +221,24 @@
     step = make_step(5, cores=8.0, gang=True)
     assert choose_advised(step, 5, workers, [], []) == []
     assert choose_advised(step, 4, workers, [], []) == workers
+
+
+def test_a_cut_failure_domain_takes_no_calls_for_advice():
+    """Guards against calls for advice that are lost one after the other.
+
+    A VM that did not answer looked idle and so was asked again at once; with a failure
+    domain cut off, checks waited for 1.5 s and more.
+    """
+    cut, alive = Adviser("cut"), Adviser("alive")
+    for _ in range(5):  # calls that were in flight together
+        cut.record_failure(10.0)
+    alive.busy_until = 10.3
+    assert choose_adviser([cut, alive], 10.1, 0.1, 0.8) is alive
+    assert cut.excluded_until == 10.0 + EXCLUDE_S
+    cut.record_failure(11.5)
+    cut.record_failure(14.0)
+    cut.record_failure(18.5)
+    assert cut.excluded_until == 18.5 + MAX_EXCLUDE_S
+    cut.record_answer()
+    cut.record_failure(30.0)
+    assert cut.excluded_until == 30.0 + EXCLUDE_S
