Give known outcomes at a resignation and no older revision after a restart

A placer that resigned closed its writer with an append in flight, and the callers of that append were told "uncertain". Change: a resignation rejects what is queued and waits for the append in flight; the term is not ended by the election meanwhile. A revision comes into force once the stream has been read to its end; `GET /v1/config` shows that one. test_rpc.py: the connection stands before the call with 20 ms starts, which was the test's own set-up; its check is unchanged.

--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -27,7 +27,7 @@
     from collections.abc import Awaitable, Callable
 
     from .clock import Clock
-    from .coordination.configstream import ConfigState, Outcome
+    from .coordination.configstream import ConfigState, Outcome, Revision
     from .platform.log import Log
 
 logger = structlog.get_logger(__name__)
@@ -49,6 +49,9 @@
         Wall clock for the times in records.
     on_change : callable
         Coroutine function called with each configuration that comes into force.
+    in_force : Revision or None
+        Revision of `site`. While the stream is read again after a start, it is not
+        that of the newest record read, which may be older than one shown before.
     """
 
     log: Log
@@ -56,6 +59,7 @@
     on_change: Callable[[SiteConfig], Awaitable[None]]
     state: ConfigState = field(default_factory=make_config_state)
     site: SiteConfig | None = None
+    in_force: Revision | None = None
     applied_at: float = 0.0
     n_bad_records: int = 0
 
@@ -67,7 +71,7 @@
     @property
     def revision(self) -> int:
         """Revision in force, 0 for none."""
-        return self.state.in_force.revision
+        return self.in_force.revision if self.in_force is not None else 0
 
     async def publish(
         self, publication_id: str, author: str, base: int, config: dict[str, Any]
@@ -143,7 +147,7 @@
         """Return the state in JSON-ready form."""
         return {
             "revision": self.revision,
-            "author": self.state.in_force.author,
+            "author": self.in_force.author if self.in_force is not None else "",
             "digest": self.site.digest() if self.site else "",
             "judging": self.state.in_sync,
             "next_offset": self.state.next_offset,
@@ -160,14 +164,16 @@
         except (KeyError, TypeError):
             self.n_bad_records += 1
             return
-        if self.state.apply(offset, record) is not None:
+        changed = self.state.apply(offset, record) is not None
+        if changed and self.follower.caught_up:
             await self._apply()
 
     async def _on_gap(self, start: int) -> None:
         self.state.skip_to(start)
 
     async def _on_caught_up(self) -> None:
-        return
+        if self.state.in_force.revision > self.revision:
+            await self._apply()
 
     async def _apply(self) -> None:
         revision = self.state.in_force
@@ -178,7 +184,7 @@
             self.n_bad_records += 1
             logger.warning("configuration not understood", error=str(exc))
             return
-        self.applied_at = self.clock.wall()
+        self.in_force, self.applied_at = revision, self.clock.wall()
         logger.info(
             "configuration in force", revision=revision.revision, author=revision.author
         )
--- a/cuminhill/httpapi.py
+++ b/cuminhill/httpapi.py
@@ -148,9 +148,9 @@
 
     def _config(self) -> HttpResponse:
         config = self.app.config
-        if config.site is None:
+        revision = config.in_force
+        if config.site is None or revision is None:
             return HttpResponse(404, {"error": "no configuration yet", "step": "read"})
-        revision = config.state.in_force
         return HttpResponse(
             200,
             {
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -39,6 +39,7 @@
 UNAVAILABLE_AFTER_S = 0.3
 # Interval at which an outstanding append is checked.
 ANSWER_POLL_S = 0.05
+FINISH_POLL_S = 0.005
 # An outstanding append is abandoned after this time if the log answers reads; on a
 # slow log after this multiple of a read's time, since appends also wait in its queue.
 # A retry is deduplicated by its number, so abandoning it too early costs one call.
@@ -264,22 +265,36 @@
             self._batch = []
         await self.close()
 
+    async def finish(self, timeout_s: float) -> None:
+        """Reject further appends and those still queued; await the one in flight.
+
+        Closing the writer at once would leave the outcome of that one unknown.
+        """
+        await self._reject_queued()
+        give_up_at = boottime() + timeout_s
+        while self._batch and boottime() < give_up_at:
+            await curio.sleep(FINISH_POLL_S)
+
     async def close(self) -> None:
         """Reject further appends and those still queued."""
-        self.fenced = True
         if self._caller is not None:
             await self._caller.cancel(blocking=False)
             self._caller = None
-        for item in self._queue:
-            item.error = FencedError("fenced", step="append", peer=self.writer)
-            await item.done.set()
+        await self._reject_queued()
         for item in self._batch:
             if item.error is None and not item.done.is_set():
                 item.error = UnknownOutcomeError(
                     "writer closed", step="append", peer=self.writer
                 )
                 await item.done.set()
-        self._queue, self._batch = [], []
+        self._batch = []
+
+    async def _reject_queued(self) -> None:
+        self.fenced = True
+        queued, self._queue = self._queue, []
+        for item in queued:
+            item.error = FencedError("fenced", step="append", peer=self.writer)
+            await item.done.set()
 
     def _next_batch(self) -> list[_PendingAppend]:
         batch: list[_PendingAppend] = []
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -135,6 +135,8 @@
         Records the times of jobs and of calls for advice.
     confirmed_at : float, seconds
         When the newest successful append of the term was sent.
+    resigning : bool
+        Whether a resignation is being written; the term ends with it.
     """
 
     leader_record: LeaderRecord
@@ -147,6 +149,7 @@
     metrics: MetricSet
     confirmed_at: float
     ended: bool = False
+    resigning: bool = False
     advisers: dict[str, Adviser] = field(default_factory=dict)
     _wake: Any = field(default_factory=curio.Event)
     _tasks: list[Any] = field(default_factory=list)
@@ -244,14 +247,18 @@
             self.leader_record.nonce,
             True,
         )
+        self.resigning = True
         try:
             async with curio.timeout_after(RESIGN_TIMEOUT_S):
                 await self.writer.append(
                     [(LEADER_KEY, encode_leader_record(record))], NO_DEADLINE
                 )
+            await self.writer.finish(RESIGN_TIMEOUT_S)
         except (CuminhillError, curio.TaskTimeout) as exc:
             logger.info("resignation not written", error=str(exc))
             return False
+        finally:
+            self.resigning = False
         logger.info("resigned", term=self.leader_record.term)
         await self.end()
         return True
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -495,7 +495,7 @@
 
     async def _end_term_if_over(self) -> None:
         leadership = self.leadership
-        if leadership is None:
+        if leadership is None or leadership.resigning:
             return
         leader = self.job_index.leader_record
         replaced = (leader.term, leader.nonce) != (
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -378,3 +378,29 @@
         assert keys(log) == ["b"]
 
     curio.run(scenario)
+
+
+def test_an_append_in_flight_at_a_resignation_has_a_known_outcome():
+    """Guards against callers who are told "uncertain" because the placer resigned.
+
+    The writer was closed with an append in flight, whose outcome was then unknown.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        writer = await make_writer(log, LogFaults(delay_s=0.1))
+        in_flight = await curio.spawn(writer.append, [("a", b"x")], boottime() + 2)
+        await curio.sleep(0.03)
+        queued = await curio.spawn(writer.append, [("b", b"x")], boottime() + 2)
+        await curio.sleep(0.03)
+        await writer.finish(1.0)
+        await writer.close()
+        await in_flight.join()
+        with pytest.raises(curio.TaskError) as error:
+            await queued.join()
+        assert isinstance(error.value.__cause__, FencedError)
+        with pytest.raises(FencedError):
+            await writer.append([("c", b"x")], boottime() + 2)
+        assert keys(log) == ["a"]
+
+    curio.run(scenario)
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -344,6 +344,9 @@
         await listener.start(HOST, 0)
         client = RpcClient(f"{HOST}:{listener.port}", limits=LIMITS)
         waiting = await curio.spawn(lookup, client, "r", 30.0)
+        # The time-out below is for the write: it must not run out while connecting.
+        while client._stream is None:
+            await curio.sleep(0.01)
         while not waiting.terminated:
             with pytest.raises(UnknownOutcomeError):
                 await lookup(client, "x" * 99_000, 0.02)
