Add cuminhill report: where late jobs lost their time

Change: `jobreport.py` folds the log lines of all VMs, fits worker speeds within steps, counts objectives from the pool's mean pace and attributes each late job's time to the placer, advice, room, a repeated run, a slow worker or the caller; `cuminhill report` prints it by queue and window, as text or JSON. "job taken in" has the queue's stretch and target. Dropped lines and lines that cannot be read are named. No plot is made yet.

--- a/cuminhill/cmd/cli.py
+++ b/cuminhill/cmd/cli.py
@@ -8,6 +8,7 @@
 from .config import config
 from .exits import EXIT_HELP
 from .operate import drain, dump, workers
+from .report import report
 from .requests import cancel, explain, jobs, status, submit
 from .session import DEFAULT_ADDRESS, AddressType, Session
 from .trace import trace
@@ -54,5 +55,6 @@
     config,
     completion,
     trace,
+    report,
 ):
     main.add_command(command)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -136,6 +136,8 @@
             objective_s=round(objective_s(job, queue, self.run_times(progress)), 2)
             if queue
             else None,
+            stretch=queue.stretch if queue else None,
+            target_s=queue.target_s if queue else None,
             accepted_at=round(job.accepted_at, 3),
             assigned=progress.n_assigned,
             config=self.table.version,
