Ask VMs that have answered for advice first after a failure

Change: for 2 s after a failed call, VMs without an answer since shortly before it come last; a failed call is repeated after 0.05 s, since it goes through another VM.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -16,8 +17,8 @@
 
 # A ticket is not used if it lapses within this time, so that the start arrives in time.
 TICKET_MARGIN_S = 0.25
-# Delay before a failed call is repeated.
-RETRY_S = 0.2
+# Delay before a failed call is repeated, through another VM.
+RETRY_S = 0.05
 # Calls longer than LONG_CALL_S leave this fraction of the VMs to shorter calls: the
 # call of an urgent step would wait behind them for longer than it takes itself.
 LONG_CALL_S = 0.2
@@ -25,6 +26,8 @@
 # Time for which a VM that has not answered takes no calls, doubled for each further
 # failure: a call into a partition costs its step the whole time-out.
 EXCLUDE_S, MAX_EXCLUDE_S = 1.0, 4.0
+# Time after the failure of a call for which VMs without a recent answer come last.
+SUSPECT_S = 2.0
 
 
 @dataclass(eq=False, slots=True)
@@ -173,22 +176,28 @@
         Time until which no call is made through the VM.
     n_failures : int
         Exclusions since the last answer.
+    answered_at, failed_at : float, seconds
+        When the VM last answered a call, and when a call through it last failed.
     """
 
     vm: str
     busy_until: float = 0.0
     excluded_until: float = 0.0
     n_failures: int = 0
+    answered_at: float = 0.0
+    failed_at: float = -math.inf
 
-    def record_answer(self) -> None:
+    def record_answer(self, now: float) -> None:
         """Record that the VM has answered a call."""
         self.n_failures = 0
+        self.answered_at = now
 
     def record_failure(self, now: float) -> None:
         """Exclude the VM, each time for longer.
 
         Calls that fail while it is excluded were sent earlier and do not count.
         """
+        self.failed_at = now
         if now < self.excluded_until:
             return
         delay_s = min(MAX_EXCLUDE_S, EXCLUDE_S * 2**self.n_failures)
@@ -206,9 +215,16 @@
     over the VMs. A third of the VMs get no long calls, such as those of large
     lower-priority steps, so that the short call of an urgent step never waits for one.
     """
-    able = [adviser for adviser in advisers if now >= adviser.excluded_until]
+    known = list(advisers)
+    able = [adviser for adviser in known if now >= adviser.excluded_until]
     if cost_s > LONG_CALL_S:
         able = able[int(SHORT_CALL_FRACTION * len(able)) :]
+    # VMs fail together when their failure domain is cut off, so after a failure those
+    # that have answered since are asked first.
+    failed_at = max((item.failed_at for item in known), default=-math.inf)
+    if now - failed_at < SUSPECT_S:
+        proven = [item for item in able if item.answered_at > failed_at - SUSPECT_S / 2]
+        able = [item for item in proven if item.busy_until - now <= max_wait_s] or able
     best = min(able, key=lambda item: max(now, item.busy_until), default=None)
     if best is None or best.busy_until - now > max_wait_s:
         return None
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -674,7 +674,7 @@
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
-            adviser.record_answer()
+            adviser.record_answer(now)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             advice.store_answer(
                 call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -5,6 +5,7 @@
 from cuminhill.jobs.advice import (
     EXCLUDE_S,
     MAX_EXCLUDE_S,
+    SUSPECT_S,
     TICKET_MARGIN_S,
     Adviser,
     StepAdvice,
@@ -239,6 +240,25 @@
     cut.record_failure(14.0)
     cut.record_failure(18.5)
     assert cut.excluded_until == 18.5 + MAX_EXCLUDE_S
-    cut.record_answer()
+    cut.record_answer(29.0)
     cut.record_failure(30.0)
     assert cut.excluded_until == 30.0 + EXCLUDE_S
+
+
+def test_vms_that_answer_are_asked_first_after_a_failure():
+    """Guards against trying all VMs of a cut failure domain in turn.
+
+    They fail together, and each call that is sent to one of them is lost time.
+    """
+    first, second, alive = Adviser("first"), Adviser("second"), Adviser("alive")
+    for adviser in (first, second, alive):
+        adviser.record_answer(10.0)
+    alive.record_answer(13.4)
+    alive.busy_until = 14.3
+    first.record_failure(14.0)
+    assert choose_adviser([first, second, alive], 14.1, 0.05, 0.8) is alive
+    alive.busy_until = 15.5  # too busy
+    assert choose_adviser([first, second, alive], 14.1, 0.05, 0.8) is second
+    second.busy_until = alive.busy_until = 0.0
+    later = 14.0 + SUSPECT_S
+    assert choose_adviser([first, second, alive], later, 0.05, 0.8) in (first, second)
