Compute the suitability of a speed once for each call and step

Cause: the chance of being late is two logarithms and two error functions, and each task of a step computed it again for each worker; so did each call for advice. Ruled out: the time itself is not asserted; behaviour changes only by the rounding of a speed to .01 in the choice of whom to name in a call. Change: a step keeps the suitability of each worker, a call that of each speed; workers without room are not judged. The two resignations share their record.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -237,21 +237,21 @@
         # Callers' records queued here are then appended by their VMs.
         await self.writer.close()
 
+    def _resignation(self) -> bytes:
+        record = self.leader_record
+        return encode_leader_record(
+            LeaderRecord(record.term, record.vm, record.nonce, resigned=True)
+        )
+
     async def resign(self) -> bool:
         """Write a resignation and end the term; return whether it was written."""
         if self.writer.failing_since:
             return False
-        record = LeaderRecord(
-            self.leader_record.term,
-            self.leader_record.vm,
-            self.leader_record.nonce,
-            True,
-        )
         self.resigning = True
         try:
             async with curio.timeout_after(RESIGN_TIMEOUT_S):
                 await self.writer.append(
-                    [(LEADER_KEY, encode_leader_record(record))], NO_DEADLINE
+                    [(LEADER_KEY, self._resignation())], NO_DEADLINE
                 )
             await self.writer.finish(RESIGN_TIMEOUT_S)
         except (CuminhillError, curio.TaskTimeout) as exc:
@@ -279,16 +279,8 @@
         failing_since = self.writer.failing_since
         if not failing_since or boottime() - failing_since < ISOLATED_AFTER_S:
             return False
-        record = LeaderRecord(
-            self.leader_record.term,
-            self.leader_record.vm,
-            self.leader_record.nonce,
-            True,
-        )
         try:
-            await append(
-                [(RESIGNATION_KEY, encode_leader_record(record))], RESIGN_TIMEOUT_S
-            )
+            await append([(RESIGNATION_KEY, self._resignation())], RESIGN_TIMEOUT_S)
         except CuminhillError as exc:
             logger.info("resignation not written", error=str(exc))
             return False
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -62,6 +62,7 @@
     n_by_worker: dict[str, int] = field(default_factory=dict)
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
+    _suitability: dict[str, float] = field(default_factory=dict)
 
     def pick(self, avoid: Iterable[str] = ()) -> Worker | None:
         """Return the best worker for one more task and reserve its capacity there.
@@ -92,12 +93,16 @@
 
     def _score(self, worker: Worker) -> float:
         """Return a score that prefers workers on which the job is in time."""
-        speed = worker.health.speed
-        if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
-            speed *= REMOTE_SPEED_FACTOR
+        suits = self._suitability.get(worker.worker_id)
+        if suits is None:
+            speed = worker.health.speed
+            if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
+                speed *= REMOTE_SPEED_FACTOR
+            suits = suitability(speed, self.outlook)
+            self._suitability[worker.worker_id] = suits
         free, capacity = self.free_by_worker[worker.worker_id], worker.entry.capacity
         used = 1.0 - free.cores / capacity.cores if capacity.cores else 0.0
-        return suitability(speed, self.outlook) + FIT_WEIGHT * used
+        return suits + FIT_WEIGHT * used
 
 
 def suitability(speed: float, outlook: Outlook) -> float:
@@ -202,10 +207,18 @@
     step: Step, n_wanted: int, workers: Iterable[Worker], outlook: Outlook
 ) -> list[Worker]:
     """Return workers sorted by how many tasks fit on them and how well they suit."""
+    # Workers of one kind have nearly the same speed, so few values are computed.
+    suits_by_speed: dict[float, float] = {}
 
     def value(worker: Worker) -> float:
         n_held = min(n_fitting_tasks(step, [worker]), n_wanted)
-        suits = max(MIN_SUITABILITY, suitability(worker.health.speed, outlook))
+        if not n_held:
+            return 0.0
+        speed = round(worker.health.speed, 2) or worker.health.speed
+        suits = suits_by_speed.get(speed)
+        if suits is None:
+            suits = max(MIN_SUITABILITY, suitability(speed, outlook))
+            suits_by_speed[speed] = suits
         return n_held * suits**SUITABILITY_EXPONENT
 
     return sorted(workers, key=lambda worker: -value(worker))
