Log what tells a crash of a worker from other losses of runs

Change: a closed connection is an error of its own; the placer keeps when it last heard of a worker and when a run was first seen; the log lines say both, and worker_crashes is counted. A worker whose address answers for another incarnation is dropped at the next tick instead of being polled until its lease would have lapsed, which repeated the line every 0.25 s. Connections are kept if another worker uses the address.

--- a/cuminhill/errors.py
+++ b/cuminhill/errors.py
@@ -47,6 +47,10 @@
     """The call failed after it was sent; it may have taken effect."""
 
 
+class ConnectionClosedError(UnknownOutcomeError):
+    """The peer closed the connection before it answered."""
+
+
 class StaleEpochError(CuminhillError):
     """A worker refused a call because its lease epoch is out of date."""
 
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -58,6 +58,8 @@
         Whether the worker has reported the run or acknowledged its start.
     confirmed_ms : int, milliseconds
         Worker's clock at that answer; an older report may not list the run.
+    present_at : float, seconds
+        When an answer of the worker first showed that the run is present; 0 before.
     stopping_at : float, seconds
         When a stop was requested; 0 if none was.
     percent : float
@@ -80,6 +82,7 @@
     confirmed: bool = False
     confirmed_ms: int = 0
     started_at: float = 0.0
+    present_at: float = 0.0
     stopping_at: float = 0.0
     percent: float = 0.0
     progressed_at: float = 0.0
@@ -112,6 +115,9 @@
         Whether the newest renewal was answered.
     urgent_cores : float
         Cores held by runs of urgent queues.
+    heard_at : float, seconds
+        Latest time at which the worker is known to have been alive: that of its newest
+        answer, or that at which it closed a connection.
     last_seen_end, last_acked_end : int
         Number of the newest end processed, and of the newest one in the journal.
     clock_ms, clock_at : int, float
@@ -130,6 +136,7 @@
     urgent_cores: float = 0.0
     health: WorkerHealth = field(default_factory=make_worker_health)
     reachable: bool = False
+    heard_at: float = 0.0
     last_seen_end: int = 0
     last_acked_end: int = 0
     clock_ms: int = 0
@@ -230,6 +237,7 @@
         """Update a run from its row in a report."""
         slot = self.slots[row.key, row.run]
         slot.confirmed, slot.confirmed_ms = True, clock_ms
+        slot.present_at = slot.present_at or now
         slot.checkpoint = row.checkpoint or slot.checkpoint
         if row.percent > slot.percent or not slot.progressed_at:
             slot.percent, slot.progressed_at = row.percent, now
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -11,6 +11,7 @@
 
 from ..clock import boottime
 from ..errors import (
+    ConnectionClosedError,
     CuminhillError,
     FencedError,
     OtherIncarnationError,
@@ -339,7 +340,7 @@
         while not self.ended:
             worker = self.placer.workers.get(worker_id)
             if worker is None:
-                await self.calls.disconnect(address)
+                await self._disconnect(address)
                 break
             address = worker.entry.address
             if not self.may_act():
@@ -352,6 +353,12 @@
         if queue is not None:
             await queue.put(None)
 
+    async def _disconnect(self, address: str) -> None:
+        """Close the connections to an address unless another worker uses it."""
+        in_use = {item.entry.address for item in self.placer.workers.values()}
+        if address not in in_use:
+            await self.calls.disconnect(address)
+
     async def _renew_once(self, worker: Worker) -> bool:
         now = boottime()
         fencing_token = worker.fencing_token
@@ -384,7 +391,8 @@
         except CuminhillError as exc:
             if worker.reachable:
                 logger.info("renewal failed", worker=worker.worker_id, error=str(exc))
-            self.placer.worker_unreachable(worker.worker_id, boottime())
+            closed = isinstance(exc, ConnectionClosedError)
+            self.placer.worker_unreachable(worker.worker_id, boottime(), closed=closed)
             return False
         changed = self.placer.process_report(
             worker.worker_id, fencing_token, report, boottime()
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -344,18 +344,35 @@
             worker=worker.worker_id,
             life=worker.entry.incarnation,
             slots=len(worker.slots),
+            draining=worker.entry.draining,
+            silent_s=round(now - worker.heard_at, 3) if worker.heard_at else None,
+            free_cores=round(worker.free.cores, 3),
+            free_memory_mb=round(worker.free.memory_mb, 1),
         )
+        if not worker.entry.draining:
+            self.counts["worker_crashes"] += 1
         for slot in list(worker.slots.values()):
             self.run_lost(worker, slot, "worker restarted", now)
 
-    def worker_unreachable(self, worker_id: str, now: float) -> None:
-        """Process a renewal that was not answered."""
+    def worker_unreachable(
+        self, worker_id: str, now: float, *, closed: bool = False
+    ) -> None:
+        """Process a renewal that was not answered.
+
+        Parameters
+        ----------
+        closed : bool, default=False
+            Whether the worker closed the connection, so that it was alive until now.
+        """
         worker = self.workers.get(worker_id)
         if worker is not None and worker.reachable:
             worker.reachable = False
+            if closed:
+                worker.heard_at = now
             logger.info(
                 "worker unreachable",
                 worker=worker_id,
+                closed=closed,
                 slots=len(worker.slots),
                 lapse_in_s=round(worker.lapse_at - now, 2),
             )
@@ -366,7 +383,9 @@
         if worker is None or worker.entry.incarnation != incarnation:
             return
         self._end_incarnation(worker, now)
-        worker.registered = False
+        # Nothing of it is left, so it is dropped at the next tick.
+        worker.registered = worker.reachable = False
+        worker.lapse_at = 0.0
 
     def process_report(
         self, worker_id: str, fencing_token: int, report: WorkerReport, now: float
@@ -399,6 +418,7 @@
                 ended=len(report.ended),
             )
         worker.report_ms = report.clock_ms
+        worker.heard_at = now
         worker.update_clock(report.clock_ms, now)
         if not worker.confirmed_token:
             # The worker now rejects the older tokens of earlier placers, so they can
@@ -591,6 +611,10 @@
             why=why,
             fence=slot.fencing_token,
             current=current,
+            sent=slot.sent,
+            ran_s=round(worker.heard_at - slot.present_at, 3)
+            if slot.present_at
+            else None,
         )
         self.counts["runs_lost"] += 1
         if progress is None or task is None or not current:
@@ -680,6 +704,8 @@
         if result is StartResult.STARTED:
             slot.confirmed = True
             slot.confirmed_ms = max(slot.confirmed_ms, clock_ms)
+            slot.present_at = slot.present_at or now
+            worker.heard_at = now
             return
         if result is StartResult.UNKNOWN:
             # The report for a renewal with a higher token shows whether the call took
--- a/cuminhill/util/http_client.py
+++ b/cuminhill/util/http_client.py
@@ -13,7 +13,7 @@
 import orjson
 from curio import socket
 
-from ..errors import UnavailableError, UnknownOutcomeError
+from ..errors import ConnectionClosedError, UnavailableError, UnknownOutcomeError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -121,9 +121,11 @@
         ------
         UnavailableError
             If the request was certainly not sent.
+        ConnectionClosedError
+            If the server closed the connection after sending began.
         UnknownOutcomeError
-            If the connection failed or the time ran out after sending began, or the
-            response cannot be decoded.
+            If the connection failed in another way or the time ran out after sending
+            began, or the response cannot be decoded.
         """
         give_up_at = time.monotonic() + timeout_s
         conn = await self._connect(timeout_s)
@@ -133,6 +135,9 @@
         except curio.TaskTimeout as exc:
             await conn.sock.close()
             raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
+        except ConnectionError as exc:
+            await conn.sock.close()
+            raise ConnectionClosedError(repr(exc), step="http", peer=self.peer) from exc
         except (OSError, h11.ProtocolError, ValueError) as exc:
             # ValueError: an undecodable body leaves the outcome unknown as well.
             await conn.sock.close()
@@ -207,6 +212,8 @@
             if event is h11.NEED_DATA:
                 data = await conn.sock.recv(READ_SIZE)
                 _CLIENT_TRAFFIC.n_received_bytes += len(data)
+                if not data and not status:
+                    raise ConnectionResetError("closed before the response")
                 conn.h11_conn.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
