--- a/tests/jobs/builders.py
+++ b/tests/jobs/builders.py
@@ -128,6 +128,7 @@
         slot = placer.sendable_slot(placement, now)
         assert slot is not None
         slot.sent, slot.confirmed = True, True
+        slot.started_at = slot.present_at = now
         slot.fencing_token = placer.workers[placement.worker_id].fencing_token
         slot.confirmed_ms = int(now * 1000)
 
