Give up tasks that crash the workers that start them

What callers saw: one task took down a worker every four seconds for as long as its job lived.

Cause: a run that is lost with its worker counted for nothing, so its task was placed again at once and without a limit. Only ends that a worker reports counted, and a crashed worker reports none.

Change: a crash, the end of an incarnation without notice, is counted against the runs that had not survived their start; earlier suspects count alone. A suspect starts on a worker without another one, and nothing starts beside it until it has survived. A task is given up after two crashes of which it was the only suspect, or four in all, and its job fails.

A crash that shows only after the lease has lapsed still counts.

Why it works: the next crash of a suspect has one suspect, so a task that crashes each worker is given up after two or three crashes, whichever placer sees them.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -293,6 +293,7 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.incarnation, now)
         ]
+    workers = [worker for worker in workers if not worker.suspect_starts(now)]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
     candidates = make_candidates(
@@ -317,7 +318,10 @@
     placed = []
     for index in list(step_run.waiting()):
         task = step_run.tasks[index]
-        worker = candidates.pick(task.failed_on)
+        suspect = task.n_crashes > 0
+        worker = candidates.pick(task.failed_on, suspect=suspect)
+        if worker is None and suspect:
+            continue  # the others may use workers that it may not
         if worker is None:
             break
         placed.append(
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -20,6 +20,8 @@
 # Low bits of a fencing token, which count its increments within a term; the bits above
 # hold the term.
 TOKEN_COUNTER_BITS = 20
+# A run that its worker has carried for this long has survived its start.
+PROBATION_S = 0.5
 CAPACITY_EPSILON = 1e-6  # tolerance for rounding, in cores or megabytes
 
 
@@ -58,8 +60,9 @@
         Whether the worker has reported the run or acknowledged its start.
     confirmed_ms : int, milliseconds
         Worker's clock at that answer; an older report may not list the run.
-    present_at : float, seconds
-        When an answer of the worker first showed that the run is present; 0 before.
+    present_at, present_ms : float, int
+        When an answer of the worker first showed that the run is present, in seconds,
+        and the worker's clock in that answer, in milliseconds; 0 before.
     stopping_at : float, seconds
         When a stop was requested; 0 if none was.
     percent : float
@@ -71,6 +74,8 @@
     full_run : bool
         Whether the time since `started_at` covers the whole task: the run was not
         resumed from a checkpoint, and it was started in this term.
+    suspect : bool
+        Whether the task may have crashed a worker before.
     """
 
     key: TaskKey
@@ -83,12 +88,25 @@
     confirmed_ms: int = 0
     started_at: float = 0.0
     present_at: float = 0.0
+    present_ms: int = 0
     stopping_at: float = 0.0
     percent: float = 0.0
     progressed_at: float = 0.0
     checkpoint: str = ""
     full_run: bool = False
     urgent: bool = False
+    suspect: bool = False
+
+    def mark_present(self, clock_ms: int, now: float) -> None:
+        """Note an answer that shows that the run is present."""
+        self.confirmed = True
+        self.confirmed_ms = max(self.confirmed_ms, clock_ms)
+        if not self.present_at:
+            self.present_at, self.present_ms = now, clock_ms
+
+    def on_probation(self, now: float) -> bool:
+        """Return whether the run may not have survived its start yet."""
+        return not self.present_at or now - self.present_at < PROBATION_S
 
 
 @dataclass(eq=False)
@@ -115,9 +133,13 @@
         Whether the newest renewal was answered.
     urgent_cores : float
         Cores held by runs of urgent queues.
+    n_suspects : int
+        Runs of tasks that may have crashed a worker before.
     heard_at : float, seconds
         Latest time at which the worker is known to have been alive: that of its newest
         answer, or that at which it closed a connection.
+    silent_at : float, seconds
+        When it last stopped answering; 0 before.
     last_seen_end, last_acked_end : int
         Number of the newest end processed, and of the newest one in the journal.
     clock_ms, clock_at : int, float
@@ -134,9 +156,11 @@
     slots: dict[tuple[TaskKey, int], Slot] = field(default_factory=dict)
     free: Resources = NO_RESOURCES
     urgent_cores: float = 0.0
+    n_suspects: int = 0
     health: WorkerHealth = field(default_factory=make_worker_health)
     reachable: bool = False
     heard_at: float = 0.0
+    silent_at: float = 0.0
     last_seen_end: int = 0
     last_acked_end: int = 0
     clock_ms: int = 0
@@ -185,6 +209,7 @@
             return
         self.slots[slot.key, slot.run] = slot
         self.free = self.free - slot.need
+        self.n_suspects += slot.suspect
         if slot.urgent:
             self.urgent_cores += slot.need.cores
 
@@ -193,10 +218,22 @@
         slot = self.slots.pop((key, run), None)
         if slot is not None:
             self.free = self.free + slot.need
+            self.n_suspects -= slot.suspect
             if slot.urgent:
                 self.urgent_cores -= slot.need.cores
         return slot
 
+    def suspect_starts(self, now: float) -> bool:
+        """Return whether a task that may have crashed a worker is starting here."""
+        return self.n_suspects > 0 and any(
+            slot.suspect and slot.on_probation(now) for slot in self.slots.values()
+        )
+
+    def clear_suspect(self, slot: Slot) -> None:
+        """Note that the task of a run is no longer suspected."""
+        self.n_suspects -= slot.suspect
+        slot.suspect = False
+
     def update_clock(self, clock_ms: int, now: float) -> None:
         """Store the reading of the worker's clock in an answer received at ``now``."""
         if clock_ms >= self.clock_ms:
@@ -236,8 +273,7 @@
     def update_run(self, row: RunningTask, now: float, clock_ms: int) -> None:
         """Update a run from its row in a report."""
         slot = self.slots[row.key, row.run]
-        slot.confirmed, slot.confirmed_ms = True, clock_ms
-        slot.present_at = slot.present_at or now
+        slot.mark_present(clock_ms, now)
         slot.checkpoint = row.checkpoint or slot.checkpoint
         if row.percent > slot.percent or not slot.progressed_at:
             slot.percent, slot.progressed_at = row.percent, now
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -34,6 +34,7 @@
 from .nodemetrics import make_node_metrics
 from .peers import AdviceService, JobPeers
 from .placer import Placer, PlacerTimes
+from .progress import crash_rows
 from .records import (
     LEADER_KEY,
     MEMBER_PREFIX,
@@ -585,7 +586,11 @@
         ),
         "confirmed_age_s": round(now - leadership.confirmed_at, 3),
         "jobs": {
-            job_id: {"state": item.state, "n_assigned": item.n_assigned}
+            job_id: {
+                "state": item.state,
+                "n_assigned": item.n_assigned,
+                "crashes": crash_rows(item),
+            }
             for job_id, item in placer.jobs.items()
         },
         "workers": {
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -26,6 +26,9 @@
 # suitability to this power: a fast worker counts as much as two slow ones.
 SUITABILITY_EXPONENT = 2
 MIN_SUITABILITY = 0.05
+# Price in the score of a worker for each run that would be lost if a task that may have
+# crashed a worker crashes this one as well.
+EXPOSURE_PRICE = 0.05
 # Most workers that one call for advice may name (interface of the advice service).
 MAX_ADVISED_WORKERS = 100
 # Least number of workers that have not been asked about, and of permitted ones, in a
@@ -63,17 +66,28 @@
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
     _suitability: dict[str, float] = field(default_factory=dict)
+    _suspects_on: set[str] = field(default_factory=set)
 
-    def pick(self, avoid: Iterable[str] = ()) -> Worker | None:
+    def pick(
+        self, avoid: Iterable[str] = (), *, suspect: bool = False
+    ) -> Worker | None:
         """Return the best worker for one more task and reserve its capacity there.
 
-        Workers in ``avoid`` are chosen only if no other worker scores nearly as well.
+        Parameters
+        ----------
+        avoid : iterable of str
+            Workers to choose only if no other worker scores nearly as well.
+        suspect : bool, default=False
+            Whether the task may have crashed a worker. It gets one that runs little,
+            and no further task is placed there beside it.
         """
         best, best_score = None, 0.0
         for worker in self.workers:
-            if not self._fits(worker):
+            if worker.worker_id in self._suspects_on or not self._fits(worker):
                 continue
             score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
+            if suspect:
+                score -= EXPOSURE_PRICE * len(worker.slots)
             if best is None or score > best_score:
                 best, best_score = worker, score
         if best is not None:
@@ -81,6 +95,8 @@
             self.free_by_worker[name] = self.free_by_worker[name] - self.step.need
             self.n_by_worker[name] = self.n_by_worker.get(name, 0) + 1
             self.core_limit.use_cores(name, self.step.need.cores)
+            if suspect:
+                self._suspects_on.add(name)
         return best
 
     def _fits(self, worker: Worker) -> bool:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -8,13 +8,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
 from .advice import AdviceTable
+from .crashes import clear_survivor, give_up, record_crash, record_registration
 from .decisions import Placement, decide
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
 from .lateness import make_outlook
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from ..model import Resources
     from .advice import AdviceCall
+    from .crashes import Evidence
     from .headroom import Headroom
     from .lateness import Outlook
     from .model import (
@@ -49,6 +51,7 @@
 # Delay before the next start on a worker that refused one for lack of capacity.
 CAPACITY_BACKOFF_S = 0.3
 UNHEALTHY_BACKOFF_S = 0.5
+MAX_SILENT_TIMES = 1000  # more than stop answering within a restart
 
 
 class StopOrder(NamedTuple):
@@ -96,6 +99,10 @@
         is divided out of speeds and run times, so that 1 is the pool's mean pace.
     last_queues : dict
         Newest definition of each queue, also of queues that were since removed.
+    lapsed : dict
+        Runs of workers whose leases have lapsed, by address.
+    silent_times : deque of float, seconds
+        When workers stopped answering, the newest last.
     """
 
     term: int
@@ -111,6 +118,10 @@
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
+    lapsed: dict[str, Evidence] = field(default_factory=dict)
+    silent_times: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_SILENT_TIMES)
+    )
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -163,7 +174,11 @@
         step = progress.job.steps[key.step]
         queue = self.queue_of(progress)
         urgent = queue is not None and queue.priority == 0
-        return Slot(key, run, step.need, step.run_time_s, urgent=urgent)
+        task = progress.task(key)
+        suspect = task is not None and task.n_crashes > 0
+        return Slot(
+            key, run, step.need, step.run_time_s, urgent=urgent, suspect=suspect
+        )
 
     def cancel_job(self, job_id: str, now: float) -> None:
         """Stop the runs of a job that its caller has cancelled."""
@@ -228,6 +243,7 @@
 
     def register_worker(self, entry: WorkerEntry, now: float) -> None:
         """Process a new or changed registration."""
+        record_registration(self, entry, now)
         worker = self.workers.get(entry.worker_id)
         if worker is None:
             lapse_at = self.begun_at + self.times.max_unconfirmed_s
@@ -349,10 +365,12 @@
             free_cores=round(worker.free.cores, 3),
             free_memory_mb=round(worker.free.memory_mb, 1),
         )
-        if not worker.entry.draining:
-            self.counts["worker_crashes"] += 1
+        seen = worker.slots or worker.confirmed_token
+        crashed = seen and not worker.entry.draining
+        given_up = record_crash(self, worker) if crashed else []
         for slot in list(worker.slots.values()):
             self.run_lost(worker, slot, "worker restarted", now)
+        give_up(self, given_up, now)
 
     def worker_unreachable(
         self, worker_id: str, now: float, *, closed: bool = False
@@ -367,6 +385,8 @@
         worker = self.workers.get(worker_id)
         if worker is not None and worker.reachable:
             worker.reachable = False
+            worker.silent_at = now
+            self.silent_times.append(now)
             if closed:
                 worker.heard_at = now
             logger.info(
@@ -410,6 +430,7 @@
         changed = not worker.reachable or fencing_token > worker.confirmed_token
         if not worker.reachable:
             worker.reachable = True
+            self.lapsed.pop(worker.entry.address, None)
             logger.info(
                 "worker reachable",
                 worker=worker_id,
@@ -460,6 +481,8 @@
                 )
                 return
         worker.update_run(row, now, clock_ms)
+        if slot.suspect:
+            clear_survivor(self, worker, slot, clock_ms)
         if not self._is_current_run(worker, row.key, row.run):
             self.stop(worker, slot, "superseded", now)
 
@@ -581,18 +604,32 @@
         queue = self.queue_of(progress)
         max_attempts = queue.max_attempts if queue is not None else 1
         if task.n_failed >= max_attempts and not step_run.step.long_running:
-            progress.state = JobState.FAILED
-            logger.info(
-                "job failed",
-                job=key.job_id,
-                task=tuple(key[1:]),
-                n_failed=task.n_failed,
-                max_attempts=max_attempts,
-            )
-            self.stop_runs(progress, "job failed", now)
+            self.fail_job(progress, key, task, now, max_attempts=max_attempts)
         elif step_run.step.gang:
             self.stop_runs(progress, "gang", now, key.step)
 
+    def fail_job(
+        self,
+        progress: Progress,
+        key: TaskKey,
+        task: TaskState,
+        now: float,
+        **limits: int,
+    ) -> None:
+        """End a job as failed for one of its tasks, and stop its runs."""
+        progress.state = JobState.FAILED
+        self.mark_dirty(progress)
+        logger.info(
+            "job failed",
+            job=key.job_id,
+            task=tuple(key[1:]),
+            n_failed=task.n_failed,
+            n_crashes=task.n_crashes,
+            n_blamed=task.n_blamed,
+            **limits,
+        )
+        self.stop_runs(progress, "job failed", now)
+
     def run_lost(self, worker: Worker, slot: Slot, why: str, now: float) -> None:
         """Release a run that is certainly not present on its worker."""
         worker.release(slot.key, slot.run)
@@ -702,9 +739,7 @@
         if slot is None or slot.fencing_token != order.fencing_token:
             return
         if result is StartResult.STARTED:
-            slot.confirmed = True
-            slot.confirmed_ms = max(slot.confirmed_ms, clock_ms)
-            slot.present_at = slot.present_at or now
+            slot.mark_present(clock_ms, now)
             worker.heard_at = now
             return
         if result is StartResult.UNKNOWN:
@@ -716,6 +751,8 @@
         if slot.confirmed:
             return  # a report listed the run in the meantime
         if result is StartResult.OTHER_INCARNATION:
+            # The call had no effect, so the run can't have ended the incarnation.
+            self.run_lost(worker, slot, result, now)
             self.other_incarnation(order.worker_id, worker.entry.incarnation, now)
             return
         if result is StartResult.BAD_TICKET:
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -37,6 +37,10 @@
         Number of the newest run that ended as failed.
     failed_on : set of str
         Workers on which runs failed; not kept in the journal.
+    n_crashes : int
+        Crashes of workers that the task may have caused.
+    n_blamed : int
+        Crashes at its start of which nothing else was suspected, since a run survived.
     """
 
     run: int = 0
@@ -47,6 +51,8 @@
     done: bool = False
     failed_run: int = 0
     failed_on: set[str] = field(default_factory=set)
+    n_crashes: int = 0
+    n_blamed: int = 0
 
 
 @dataclass(eq=False, slots=True)
@@ -237,9 +243,27 @@
             rows.append(row)
         if done or rows:
             steps.append([occurrence, number, done, rows])
-    return orjson.dumps(
-        {"state": progress.state, "workers": list(workers), "steps": steps}
-    )
+    data = {"state": progress.state, "workers": list(workers), "steps": steps}
+    crashes = crash_rows(progress)
+    if crashes:
+        data["crashes"] = crashes  # a key of its own: older builds ignore it
+    return orjson.dumps(data)
+
+
+def crash_rows(progress: Progress) -> list[list[int]]:
+    """Return the tasks that may have crashed workers.
+
+    Returns
+    -------
+    rows : list of [occurrence, step, task, n_crashes, n_blamed]
+        One row for each task that is not done.
+    """
+    return [
+        [*step_run.key(index)[1:], task.n_crashes, task.n_blamed]
+        for step_run in progress.step_runs.values()
+        for index, task in enumerate(step_run.tasks)
+        if task.n_crashes and not task.done
+    ]
 
 
 def decode_progress(job: Job, value: bytes) -> Progress:
@@ -264,4 +288,7 @@
                 progress.n_assigned += 1
         if step_run.n_done == len(step_run.tasks):
             progress.finished.add((occurrence, number))
+    for occurrence, number, index, n_crashes, n_blamed in data.get("crashes", ()):
+        task = progress.step_run(occurrence, number).tasks[index]
+        task.n_crashes, task.n_blamed = n_crashes, n_blamed
     return progress
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from .crashes import record_lapse
+
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
     from .placer import Placer
@@ -24,6 +26,7 @@
     """Release runs on lost workers, stop stalled runs and repeat stops."""
     for worker_id, worker in list(placer.workers.items()):
         if not worker.reachable and now > worker.lapse_at:
+            record_lapse(placer, worker)
             for slot in list(worker.slots.values()):
                 placer.run_lost(worker, slot, "lease lapsed", now)
             if not worker.registered:
--- a/tests/jobs/builders.py
+++ b/tests/jobs/builders.py
@@ -127,10 +127,9 @@
     for placement in placements:
         slot = placer.sendable_slot(placement, now)
         assert slot is not None
-        slot.sent, slot.confirmed = True, True
-        slot.started_at = slot.present_at = now
+        slot.sent, slot.started_at = True, now
         slot.fencing_token = placer.workers[placement.worker_id].fencing_token
-        slot.confirmed_ms = int(now * 1000)
+        slot.mark_present(int(now * 1000), now)
 
 
 def submit(placer: Placer, job: Job, now: float = BEGUN_AT) -> Progress:
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -2,16 +2,33 @@
 
 from __future__ import annotations
 
-from cuminhill.jobs.model import JobState
+import random
+from dataclasses import dataclass, field
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhill.jobs.crashes import CLEAR_S, MAX_BLAMED, MAX_CRASHES
+from cuminhill.jobs.fleet import PROBATION_S
+from cuminhill.jobs.model import EndKind, JobState, StartOrder, StartResult
+from cuminhill.jobs.placer import Placer
+from cuminhill.jobs.progress import crash_rows, decode_progress, encode_progress
 
 from .builders import (
     BEGUN_AT,
     WALL,
     answer_renewal,
+    ended_row,
     make_entry,
     make_job,
     make_placer,
+    make_queue,
+    make_step,
+    make_table,
     mark_started,
+    running_row,
     submit,
 )
 
@@ -22,29 +39,61 @@
 MAX_STARTS = 5  # three crashes and two more starts
 
 
-def crash_worker(placer, worker_id, at):
+def crash_worker(placer, worker_id, at, *, closed=True):
     """Crash a worker, and have a process with another id start at its address."""
     worker = placer.workers[worker_id]
-    placer.worker_unreachable(worker_id, at, closed=True)
+    placer.worker_unreachable(worker_id, at, closed=closed)
     placer.other_incarnation(worker_id, worker.entry.incarnation, at + RESTART_S)
     placer.tick(at + RESTART_S)
 
 
-def add_worker(placer, worker_id, at):
+def add_worker(placer, worker_id, at, **more):
     """Register a worker that has answered its first renewal."""
-    placer.register_worker(make_entry(worker_id, incarnation=int(at * 1000)), at)
-    answer_renewal(placer, worker_id, at, incarnation=int(at * 1000))
+    incarnation = int(at * 1000)
+    placer.register_worker(make_entry(worker_id, incarnation=incarnation, **more), at)
+    answer_renewal(placer, worker_id, at, incarnation=incarnation)
+
+
+def start_all(placer, now):
+    """Start all placements of one decision; return them."""
+    placements, _ = placer.decide(now, WALL)
+    mark_started(placer, placements, now)
+    return placements
+
+
+def survive(placer, placements, since):
+    """Have the workers list runs that have survived their start."""
+    now = since + 2 * PROBATION_S
+    for worker_id in {item.worker_id for item in placements}:
+        rows = [running_row(item) for item in placements if item.worker_id == worker_id]
+        answer_renewal(placer, worker_id, now, running=tuple(rows))
+    return now
+
+
+def follow(placer, term=2):
+    """Return the placer of the next term, which knows what is in the journal."""
+    following = Placer(term, BEGUN_AT)
+    following.table = placer.table
+    for worker in placer.workers.values():
+        following.register_worker(worker.entry, BEGUN_AT)
+    for progress in placer.jobs.values():
+        copy = decode_progress(progress.job, encode_progress(progress))
+        following.add_job(copy, BEGUN_AT)
+    return following
+
+
+@pytest.fixture
+def placer():
+    """Return a placer with six workers."""
+    return make_placer(n_workers=6)
 
 
 # Guards against one task that takes down worker after worker without end (rule BUDGET).
-def test_a_task_that_crashes_each_worker_is_given_up():
-    placer = make_placer(n_workers=6)
+def test_a_task_that_crashes_each_worker_is_given_up(placer):
     progress = submit(placer, make_job())
     now, n_starts = NOW, 0
     while progress.state is not JobState.FAILED and n_starts <= MAX_STARTS:
-        placements, _ = placer.decide(now, WALL)
-        for placement in placements:
-            mark_started(placer, [placement], now)
+        for placement in start_all(placer, now):
             n_starts += 1
             crash_worker(placer, placement.worker_id, now + CRASH_AFTER_S)
             add_worker(placer, f"n{n_starts}", now + RESTART_S)
@@ -52,3 +101,313 @@
     assert progress.state is JobState.FAILED
     assert 2 <= n_starts <= 3
     assert not placer.jobs
+
+
+# Guards against an endless retry of a task that crashes its workers late in its run.
+def test_a_task_that_crashes_workers_late_is_given_up_too(placer):
+    progress = submit(placer, make_job())
+    now, n_starts = NOW, 0
+    while progress.state is not JobState.FAILED and n_starts <= MAX_STARTS:
+        placements = start_all(placer, now)
+        n_starts += len(placements)
+        now = survive(placer, placements, now)
+        for placement in placements:
+            crash_worker(placer, placement.worker_id, now)
+            add_worker(placer, f"n{n_starts}", now + RESTART_S)
+        now += RESTART_S + 0.5
+    assert n_starts == MAX_CRASHES
+
+
+# Guards against failed jobs whose tasks only happened to run on a worker that crashed.
+def test_tasks_that_have_survived_their_start_are_not_suspected(placer):
+    innocent = submit(placer, make_job(make_step(12, cores=8.0)))
+    placements = start_all(placer, NOW)
+    now = survive(placer, placements, NOW)
+    for placement in placements[:1]:
+        answer_renewal(
+            placer, placement.worker_id, now, ended=(ended_row(placement, 1),)
+        )
+    deadly = submit(placer, make_job(make_step(cores=1.0), job_id="d" * 16))
+    (start,) = start_all(placer, now)
+    crash_worker(placer, start.worker_id, now + CRASH_AFTER_S)
+    assert crash_rows(deadly) == [[0, 0, 0, 1, 1]]
+    assert crash_rows(innocent) == []
+
+
+# Guards against counts that begin anew with each placer, so that no limit is reached.
+def test_crashes_are_counted_across_changes_of_the_placer(placer):
+    progress = submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    second = follow(placer)
+    for worker_id in second.workers:
+        answer_renewal(second, worker_id, NOW + 4)
+    (start,) = start_all(second, NOW + 4)
+    crash_worker(second, start.worker_id, NOW + 4 + CRASH_AFTER_S)
+    assert second.jobs == {}
+    assert progress.state is JobState.RUNNING  # the copy of the first term
+
+
+# Guards against jobs of a roll-back: an older build reads the records of this one.
+def test_the_rows_of_a_record_stay_as_older_builds_read_them(placer):
+    progress = submit(placer, make_job(make_step(2)))
+    (start, _) = start_all(placer, NOW)
+    crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    data = orjson.loads(encode_progress(progress))
+    rows = [row for _, _, _, step_rows in data["steps"] for row in step_rows]
+    assert rows
+    assert {len(row) for row in rows} == {3}
+
+
+# Guards against failed jobs after a cut: a silent worker is no crashed one.
+def test_a_lapsed_lease_alone_is_no_crash(placer):
+    progress = submit(placer, make_job())
+    now = NOW
+    for _ in range(MAX_CRASHES + 1):
+        (start,) = start_all(placer, now)
+        placer.worker_unreachable(start.worker_id, now + CRASH_AFTER_S)
+        now += placer.times.lease.lapse_s + 10
+        placer.tick(now)
+        answer_renewal(placer, start.worker_id, now)
+    assert progress.state is JobState.RUNNING
+    assert crash_rows(progress) == []
+
+
+# Guards against a task without limit whose workers are away for longer than a lease.
+def test_a_crash_counts_when_it_shows_only_after_the_lease(placer):
+    progress = submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    address = placer.workers[start.worker_id].entry.address
+    placer.worker_unreachable(start.worker_id, NOW + CRASH_AFTER_S, closed=True)
+    placer.deregister_worker(start.worker_id)
+    now = NOW + placer.times.lease.lapse_s + 10
+    placer.tick(now)
+    assert crash_rows(progress) == []
+    placer.register_worker(make_entry("n1", incarnation=2, address=address), now)
+    assert crash_rows(progress) == [[0, 0, 0, 1, 1]]
+
+
+# Guards against blame for a planned exit of a worker.
+def test_the_end_of_a_draining_worker_is_no_crash(placer):
+    progress = submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    placer.register_worker(make_entry(start.worker_id, draining=True), NOW)
+    crash_worker(placer, start.worker_id, NOW + 0.1)
+    assert crash_rows(progress) == []
+
+
+# Guards against blame for a start that never took effect: the crash came before it.
+def test_a_start_answered_by_the_next_incarnation_is_not_suspected(placer):
+    progress = submit(placer, make_job())
+    (placement,), _ = placer.decide(NOW, WALL)
+    slot = placer.sendable_slot(placement, NOW)
+    slot.sent = True
+    slot.fencing_token = placer.workers[placement.worker_id].fencing_token
+    order = StartOrder(
+        placement.worker_id, "", placement.key, 1, "", 0, slot.fencing_token
+    )
+    placer.handle_start_result(order, StartResult.OTHER_INCARNATION, 0, NOW + 0.1)
+    assert crash_rows(progress) == []
+    assert progress.n_assigned == 0
+
+
+# Guards against blame by a placer that does not know how long a run had been present.
+def test_runs_of_an_earlier_term_are_suspected_but_not_blamed(placer):
+    submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    second = follow(placer)
+    crash_worker(second, start.worker_id, NOW + 0.1)
+    (progress,) = second.jobs.values()
+    assert crash_rows(progress) == [[0, 0, 0, 1, 0]]
+
+
+# Guards against blame for a cause outside the tasks, such as a rack without power.
+def test_workers_that_crash_together_blame_no_task(placer):
+    jobs = [
+        submit(placer, make_job(make_step(cores=16.0), job_id=f"{number:016x}"))
+        for number in range(3)
+    ]
+    starts = start_all(placer, NOW)
+    for start in starts:
+        placer.worker_unreachable(start.worker_id, NOW + CRASH_AFTER_S, closed=True)
+    for start in starts:
+        crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    assert [crash_rows(progress) for progress in jobs] == [[[0, 0, 0, 1, 0]]] * 3
+
+
+# Guards against a crash that takes other suspects along, which leaves the cause open.
+def test_suspects_start_apart_and_nothing_starts_beside_them(placer):
+    submit(placer, make_job(make_step(3, cores=1.0)))
+    starts = start_all(placer, NOW)
+    assert len({item.worker_id for item in starts}) == 1
+    crash_worker(placer, starts[0].worker_id, NOW + CRASH_AFTER_S)
+    now = NOW + 4
+    again = start_all(placer, now)
+    assert len({item.worker_id for item in again}) == 3
+    submit(placer, make_job(make_step(32, cores=1.0), job_id="b" * 16))
+    beside = start_all(placer, now)
+    assert not {item.worker_id for item in again} & {item.worker_id for item in beside}
+    later = survive(placer, again, now)
+    submit(placer, make_job(make_step(40, cores=1.0), job_id="c" * 16))
+    assert {item.worker_id for item in again} & {
+        item.worker_id for item in start_all(placer, later)
+    }
+
+
+# Guards against workers lost for nothing: the next crash should have few victims.
+def test_a_suspect_starts_on_a_worker_that_runs_little(placer):
+    submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    submit(placer, make_job(make_step(64, cores=1.0), job_id="b" * 16))
+    start_all(placer, NOW)
+    crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    least = min(placer.workers.values(), key=lambda worker: len(worker.slots))
+    again, _ = placer.decide(NOW + 4, WALL)
+    suspects = [item for item in again if item.key.job_id == start.key.job_id]
+    assert [item.worker_id for item in suspects] == [least.worker_id]
+
+
+# Guards against blame that a task keeps although it has run well elsewhere since.
+def test_a_run_that_survives_clears_its_task(placer):
+    progress = submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    (again,) = start_all(placer, NOW + 4)
+    survive(placer, [again], NOW + 4)
+    assert crash_rows(progress) == [[0, 0, 0, 1, 0]]
+    answer_renewal(
+        placer, again.worker_id, NOW + 4 + CLEAR_S, running=(running_row(again),)
+    )
+    assert crash_rows(progress) == []
+    assert placer.workers[again.worker_id].n_suspects == 0
+
+
+# Guards against a gang that crashes workers without end, each member counted apart.
+def test_the_members_of_a_gang_count_as_one(placer):
+    progress = submit(placer, make_job(make_step(4, cores=12.0, gang=True)))
+    now = NOW
+    for number in range(MAX_BLAMED):
+        starts = start_all(placer, now)
+        assert len(starts) == 4
+        crash_worker(placer, starts[number].worker_id, now + CRASH_AFTER_S)
+        add_worker(placer, f"n{number}", now + RESTART_S)
+        for item in starts:
+            if item.worker_id in placer.workers:
+                end = ended_row(item, number + 1, EndKind.BROKEN)
+                answer_renewal(placer, item.worker_id, now + 3, ended=(end,))
+        now += 4
+    assert progress.state is JobState.FAILED
+
+
+# Guards against a lasting task that crashes workers for as long as its job exists.
+def test_a_lasting_task_that_crashes_each_worker_is_given_up(placer):
+    progress = submit(placer, make_job(make_step(long_running=True)))
+    for number in range(MAX_BLAMED):
+        now = NOW + 4 * number
+        (start,) = start_all(placer, now)
+        crash_worker(placer, start.worker_id, now + CRASH_AFTER_S)
+    assert progress.state is JobState.FAILED
+
+
+@dataclass
+class Play:
+    """Play of jobs on workers, some tasks of which crash each worker.
+
+    Parameters
+    ----------
+    n_starts : dict
+        Starts of each task.
+    crash_fraction : float
+        Fraction of the workers that crash by themselves in each round.
+    """
+
+    rng: random.Random
+    crash_fraction: float
+    placer: Placer = field(default_factory=lambda: make_placer(n_workers=8))
+    deadly: set = field(default_factory=set)
+    n_starts: dict = field(default_factory=dict)
+    n_workers: int = 0
+    term: int = 1
+    now: float = NOW
+
+    def round(self):
+        """Start what can start, crash workers and end the runs that survive."""
+        crashed, present = set(), []
+        for placement in start_all(self.placer, self.now):
+            self.n_starts[placement.key] = self.n_starts.get(placement.key, 0) + 1
+            present.append(placement)
+            if placement.key in self.deadly:
+                crashed.add(placement.worker_id)
+        self.placer.take_dirty()
+        others = sorted(self.placer.workers.keys() - crashed)
+        n_crashes = int(self.crash_fraction * len(others))
+        crashed |= set(self.rng.sample(others, n_crashes))
+        for worker_id in sorted(crashed):
+            crash_worker(self.placer, worker_id, self.now + CRASH_AFTER_S)
+            self.n_workers += 1
+            add_worker(self.placer, f"n{self.n_workers}", self.now + RESTART_S)
+        survivors = [item for item in present if item.worker_id not in crashed]
+        self.now = max(self.now + RESTART_S, survive(self.placer, survivors, self.now))
+        for placement in survivors:
+            worker = self.placer.workers[placement.worker_id]
+            end = ended_row(placement, worker.last_seen_end + 1)
+            answer_renewal(
+                self.placer,
+                placement.worker_id,
+                self.now,
+                ended=(end,),
+                incarnation=worker.entry.incarnation,
+            )
+        self.now += 1.0
+
+    def change_placer(self):
+        """Replace the placer by one that knows what is in the journal."""
+        self.term += 1
+        self.placer = follow(self.placer, self.term)
+        for worker in self.placer.workers.values():
+            answer_renewal(
+                self.placer,
+                worker.worker_id,
+                self.now,
+                incarnation=worker.entry.incarnation,
+            )
+
+
+# Guards against a limit that holds only for one deadly task, one worker or one placer.
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 1 << 30),
+    n_deadly=st.integers(0, 4),
+    changes=st.sets(st.integers(1, 8), max_size=3),
+    crash_fraction=st.sampled_from([0.0, 0.25]),
+)
+def test_deadly_tasks_are_bounded_and_all_other_jobs_complete(
+    seed, n_deadly, changes, crash_fraction
+):
+    rng = random.Random(seed)
+    play = Play(rng, crash_fraction)
+    play.placer.table = make_table(make_queue())
+    jobs = []
+    for number in range(12):
+        job = make_job(
+            make_step(rng.randint(1, 4), cores=rng.choice([1.0, 2.0, 4.0])),
+            job_id=f"{number:016x}",
+        )
+        jobs.append(submit(play.placer, job))
+        if number < n_deadly:
+            play.deadly.add(next(iter(jobs[-1].ready_steps(WALL))).key(0))
+    states = {progress.job.job_id: progress for progress in jobs}
+    for number in range(20):
+        play.round()
+        if number in changes:
+            play.change_placer()
+        states.update(play.placer.jobs)
+    assert all(play.n_starts[key] <= MAX_STARTS for key in play.deadly)
+    if crash_fraction:
+        return  # a task may be the only suspect of two crashes by chance
+    deadly_jobs = {key.job_id for key in play.deadly}
+    for job_id, progress in states.items():
+        if job_id in deadly_jobs:
+            assert progress.state is JobState.FAILED
+        else:
+            assert progress.state is JobState.COMPLETED
