Do not send a start once its worker's capacity has shrunk

Cause: a start is checked against the capacity when it is decided.

Change: a start is released when the worker holds more than its capacity at the time of sending. Runs that have started keep their capacity until their end is reported; nothing is started until they fit again.

The test failed before: the second start was sent with 12 of 8 cores held.

--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from ..model import NO_RESOURCES
 from .advice import AdviceTable
 from .crashes import clear_survivor, give_up, record_crash, record_registration
 from .decisions import Placement, decide
@@ -688,9 +689,11 @@
         progress = self.jobs.get(placement.key.job_id)
         wanted = progress is not None and not progress.cancelled
         running = progress is not None and progress.state is JobState.RUNNING
-        if wanted and running and worker.accepts_starts():
+        # The capacity may have shrunk while the start was journaled.
+        fits = worker.fits(NO_RESOURCES)
+        if wanted and running and fits and worker.accepts_starts():
             return slot
-        self.run_lost(worker, slot, "not sent", now)
+        self.run_lost(worker, slot, "not sent" if fits else "no room", now)
         return None
 
     def release_unsent(self, placement: Placement, why: str, now: float) -> None:
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -579,3 +579,18 @@
     times = second.times
     second.tick(NOW + times.max_unconfirmed_s + times.lease.lapse_s + 1)
     assert second.jobs == {}
+
+
+# Guards against a start beyond a capacity that shrank while the start was journaled.
+def test_a_start_is_not_sent_once_the_capacity_has_shrunk():
+    placer = make_placer(n_workers=1)
+    progress = submit(placer, make_job(make_step(2, cores=6.0)))
+    first, second = placer.decide(NOW, WALL)[0]
+    mark_started(placer, [first])
+    placer.register_worker(make_entry("w1", cores=8.0), NOW + 0.1)
+    assert placer.sendable_slot(second, NOW + 0.1) is None
+    assert progress.n_assigned == 1
+    assert placer.decide(NOW + 0.1, WALL)[0] == []
+    placer.register_worker(make_entry("w1", cores=16.0), NOW + 0.2)
+    (again,) = placer.decide(NOW + 0.2, WALL)[0]
+    assert placer.sendable_slot(again, NOW + 0.2) is not None
