Start nothing beside a run of an unknown job until it has ended

Cause: a run whose job the placer does not know, such as a member of a gang that ended under the term before, uses capacity that nobody counts.

Change: a worker whose newest report lists such a run accepts no starts.

The test failed before: one task was placed beside the unknown run.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -135,6 +135,8 @@
         Cores held by runs of urgent queues.
     n_suspects : int
         Runs of tasks that may have crashed a worker before.
+    has_unknown_runs : bool
+        Whether the newest report lists a run of a job that is not known.
     heard_at : float, seconds
         Latest time at which the worker is known to have been alive: that of its newest
         answer, or that at which it closed a connection.
@@ -159,6 +161,7 @@
     n_suspects: int = 0
     health: WorkerHealth = field(default_factory=make_worker_health)
     reachable: bool = False
+    has_unknown_runs: bool = False
     heard_at: float = 0.0
     silent_at: float = 0.0
     last_seen_end: int = 0
@@ -191,6 +194,7 @@
             self.registered
             and self.reachable
             and not self.entry.draining
+            and not self.has_unknown_runs
             and self.confirmed_token > 0
         )
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -454,6 +454,7 @@
                 worker.last_seen_end = end.number
                 self._handle_end(worker, end, now)
                 changed = True
+        worker.has_unknown_runs = False
         for row in report.running:
             self._handle_running(worker, row, report.clock_ms, now)
         if len(report.ended) >= MAX_LISTED_ENDS:
@@ -476,7 +477,8 @@
                 worker.add(slot)
             else:
                 # The capacity that a run of an unknown job uses is unknown as well, so
-                # the run is stopped.
+                # the run is stopped, and nothing is started before it has ended.
+                worker.has_unknown_runs = True
                 self._stops.append(
                     StopOrder(worker.worker_id, row.key, row.run, "unknown")
                 )
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -4,7 +4,7 @@
 
 from cuminhill.jobs.fleet import CLOCK_DRIFT
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, StartOrder, StartResult
-from cuminhill.jobs.placer import STOP_REPEAT_S
+from cuminhill.jobs.placer import STOP_REPEAT_S, Placement
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
 from cuminhill.jobs.watch import MIN_STALL_S
 
@@ -594,3 +594,14 @@
     placer.register_worker(make_entry("w1", cores=16.0), NOW + 0.2)
     (again,) = placer.decide(NOW + 0.2, WALL)[0]
     assert placer.sendable_slot(again, NOW + 0.2) is not None
+
+
+# Guards against starts beside a run of an unknown job, whose capacity is unknown too.
+def test_nothing_starts_beside_an_unknown_run_until_it_has_ended():
+    placer = make_placer(n_workers=1)
+    stray = running_row(Placement("w1", task_key(job_id="f" * 16), 1))
+    answer_renewal(placer, "w1", NOW, running=(stray,))
+    submit(placer, make_job())
+    assert placer.decide(NOW, WALL)[0] == []
+    answer_renewal(placer, "w1", NOW + 0.1)
+    assert len(placer.decide(NOW + 0.1, WALL)[0]) == 1
