Limit the crashes that a task of a request may cause

What callers would see: a batch task, a service or a check of the project's own interface that crashes its worker was started again on the next one at once, without a limit, and checks already when their worker stopped answering.

Cause: results that a worker reports are counted (n_tries), tasks that are lost with their worker are not.

Ruled out: orders, which never start twice; calls to other VMs and to the advice service, whose retries are limited by budgets, breakers and exclusions.

A check is restarted once before it is known what became of its worker, then waits. The counts are in memory, so the limit holds for each term of a placer.

The tests failed before: the tasks start six times and have no answer. They pass now with two starts and the answer failed.

--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..model import Answer, Request, RequestKind, Resources
+from .crashes import record_lost
 from .dispatch import call_start, place_queued
 from .events import (
     Action,
@@ -38,6 +39,10 @@
 if TYPE_CHECKING:
     from .state import RequestState, WorkerState
 
+# Restarts of a check on another worker before the tasks of its first one have certainly
+# stopped.
+MAX_EARLY_RESTARTS = 1
+
 
 class Placer:
     """Decides which worker of a shard runs which task.
@@ -149,6 +154,7 @@
             "n_placed": self.n_placed,
             "n_queued": self._shard.n_queued,
             "n_preempted": self._shard.n_preempted,
+            "n_worker_crashes": self._shard.n_crashes,
             "requests": sorted(self.requests),
             "strays": dict(self._shard.unexpected_tasks),
             "n_orphans": len(self._shard.orphans.by_task),
@@ -272,12 +278,19 @@
     @_on.register
     def _(self, event: WorkerUnreachable, now: float, wall: float) -> None:
         shard = self._shard
+        worker = self.workers.get(event.worker_id)
+        if worker is not None:
+            record_lost(shard, worker)
         shard.pause_worker(event.worker_id)
         for task in list(shard.tasks_on.get(event.worker_id, {}).values()):
             # A check is idempotent and urgent, so it is restarted without waiting
             # for the task lease to lapse. It still counts against the old worker
-            # until that worker reports.
+            # until that worker reports. It is restarted so once only: it may be what
+            # crashes the workers.
             if task.phase in OCCUPYING and task.owner.kind is RequestKind.CHECK:
+                if task.n_early_restarts >= MAX_EARLY_RESTARTS:
+                    continue
+                task.n_early_restarts += 1
                 task.ran = max(task.ran, Ran.MAYBE)
                 shard.requeue(task, now)
 
@@ -285,6 +298,7 @@
     def _(self, event: WorkerStopped, now: float, wall: float) -> None:
         worker = self.workers.get(event.worker_id)
         if worker is not None:
+            record_lost(self._shard, worker)
             drop_worker(self._shard, worker, now)
         self._accept_deferred(now)
 
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -5,14 +5,16 @@
 from typing import TYPE_CHECKING
 
 from ..model import RequestKind
+from ..platform.worker import TaskResult
+from .crashes import STAGGER_S, count_crash, is_given_up, record_lost
 from .events import FenceWorker
 from .overuse import monitor_usage
 from .state import OCCUPYING, Phase, Ran, WorkerState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
-    from ..platform.worker import LeaseReply, TaskReport, TaskResult
+    from ..platform.worker import LeaseReply, TaskReport
     from .events import RosterComplete, WorkerReported
     from .shardstate import ShardState
     from .state import TaskState
@@ -42,13 +44,21 @@
     if worker is not None and _is_outdated(worker, event):
         return
     if worker is not None and worker.incarnation != reply.incarnation:
-        drop_worker(shard, worker, now)
+        record_lost(shard, worker)
+        suspects = count_crash(shard, worker.worker_id, reply.incarnation)
+        drop_worker(shard, worker, now, suspects)
         del shard.stopped_at[event.worker_id]  # this reply is newer
         worker = None
     if worker is not None and reply.epoch < worker.epoch:
         return
+    if worker is not None:
+        shard.lost.pop(worker.worker_id, None)  # it was only silent
     is_new = worker is None
     if worker is None:
+        late = count_crash(shard, event.worker_id, reply.incarnation)
+        for task in late.values():
+            if task.phase is Phase.QUEUED and is_given_up(task):
+                _end_given_up(shard, task, now)
         worker = WorkerState(
             event.worker_id,
             reply.capacity,
@@ -87,8 +97,20 @@
     return event.reply.seq < worker.listed_seq
 
 
-def drop_worker(shard: ShardState, worker: WorkerState, now: float) -> None:
-    """Remove a worker whose tasks have certainly stopped."""
+def drop_worker(
+    shard: ShardState,
+    worker: WorkerState,
+    now: float,
+    suspects: Mapping[str, TaskState] | None = None,
+) -> None:
+    """Remove a worker whose tasks have certainly stopped.
+
+    Parameters
+    ----------
+    suspects : mapping of str to TaskState, optional
+        Tasks that may have crashed it, in the order in which they start again.
+    """
+    order = {task_id: number for number, task_id in enumerate(suspects or {})}
     worker_id = worker.worker_id
     tasks = list(shard.tasks_on.get(worker_id, {}).values())
     shard.free_capacity.remove_worker(worker_id)
@@ -109,7 +131,18 @@
             shard.end_with_unknown_outcome(task, now)
             continue
         task.ran = max(task.ran, _ran_when_lost(task))
-        _requeue_absent(shard, task, now)
+        if task.task_id in order and is_given_up(task):
+            _end_given_up(shard, task, now)
+            continue
+        delay_s = STAGGER_S * order.get(task.task_id, 0)
+        _requeue_absent(shard, task, now, delay_s)
+
+
+def _end_given_up(shard: ShardState, task: TaskState, now: float) -> None:
+    detail = f"the task crashed {task.n_crashes} workers"
+    result = TaskResult(task.task_id, task.request_id, False, detail, None, 0.0)
+    task.ran = Ran.YES
+    shard.end(task, result, now)
 
 
 def complete_roster(shard: ShardState, event: RosterComplete, now: float) -> None:
--- a/cuminhill/scheduling/shardstate.py
+++ b/cuminhill/scheduling/shardstate.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from ..platform.worker import TaskResult
+    from .crashes import LostTasks
     from .events import Action
     from .gangs import GangReservation
 
@@ -44,6 +45,8 @@
     stopped_at : dict of str to float, seconds
         When the tasks of each lost worker were declared stopped, so that a late
         reply does not readmit the worker.
+    lost : dict of str to LostTasks
+        Tasks on workers that no longer answer, by worker.
     """
 
     shard_name: str
@@ -62,6 +65,8 @@
     n_queued: int = 0
     n_preempted: int = 0
     n_overuse_steps: int = 0
+    n_crashes: int = 0
+    lost: dict[str, LostTasks] = field(default_factory=dict)
     reservation: GangReservation | None = None
     gangs_due_at: float = 0.0
     next_gang: int = 0
--- a/cuminhill/scheduling/state.py
+++ b/cuminhill/scheduling/state.py
@@ -82,6 +82,11 @@
         Rack on which it is counted.
     start_number : int
         Number of its current start call.
+    n_crashes, n_blamed : int
+        Crashes of workers that it may have caused, and those at its start of which
+        nothing else was suspected.
+    n_early_restarts : int
+        Restarts of a check before it was known what happened to its worker.
     """
 
     task_id: str
@@ -106,6 +111,9 @@
     placed_because: str = ""
     rack: str = ""
     start_number: int = 0
+    n_crashes: int = 0
+    n_blamed: int = 0
+    n_early_restarts: int = 0
 
     @property
     def request_id(self) -> str:
