Leave out a job whose records cannot be read instead of failing the term

What callers would see: no job of the site is placed. A record of a job or of its progress that passes the fold but not the decoding, for instance of another build, made the load of each new term fail, on every VM in turn.

Found by looking for what operators of similar systems report: one malformed message that takes a process down.

Change: such a job is counted, logged and not placed. It is not started anew, since it may have run.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import orjson
+import structlog
 
 from .model import FINAL_JOB_STATES, JobState
 from .progress import Progress, decode_progress
@@ -29,6 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+logger = structlog.get_logger(__name__)
+
 
 @dataclass(slots=True)
 class JobEntry:
@@ -202,12 +205,21 @@
         ]
 
     def load(self, job_id: str) -> Progress | None:
-        """Return the progress of a job that has not ended, None otherwise."""
+        """Return the progress of a job that has not ended, None otherwise.
+
+        A job whose records cannot be read is left out: it must not start anew, since
+        it may have run, and it must not keep the other jobs from being placed.
+        """
         entry = self.entries.get(job_id)
         if entry is None or not entry.job:
             return None
-        job = decode_job(job_id, entry.job)
-        progress = decode_progress(job, entry.run) if entry.run else Progress(job)
+        try:
+            job = decode_job(job_id, entry.job)
+            progress = decode_progress(job, entry.run) if entry.run else Progress(job)
+        except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
+            self.n_bad_records += 1
+            logger.error("job unreadable; not placed", job=job_id, error=repr(exc))
+            return None
         progress.cancelled = entry.cancelled
         return progress
 
--- a/tests/jobs/test_findings.py
+++ b/tests/jobs/test_findings.py
@@ -8,10 +8,10 @@
 from cuminhill.clock import boottime
 from cuminhill.jobs.fleet import may_extend
 from cuminhill.jobs.jobindex import JobIndex
-from cuminhill.jobs.model import EndKind, StartOrder, StartResult
+from cuminhill.jobs.model import EndKind, JobState, StartOrder, StartResult
 from cuminhill.jobs.placer import PlacerTimes
 from cuminhill.jobs.progress import decode_progress, encode_progress
-from cuminhill.jobs.records import JournalRecord
+from cuminhill.jobs.records import JournalRecord, encode_job
 from cuminhill.platform.wire import decode_report
 
 from .builders import (
@@ -192,3 +192,31 @@
         index.fold(JournalRecord(0, key, b"[1"), NOW)
         index.fold(JournalRecord(0, key, b"7"), NOW)
     assert index.n_bad_records >= 8
+
+
+# Guards against one unreadable job that keeps each VM from being the placer.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b'{"state":"running","steps":7}',
+        b'{"state":"running","workers":[["",0]],"steps":[[0,0,[],[[5,1,0]]]]}',
+        b'{"state":"running","crashes":[[0,0,9,1,1]]}',
+        b'{"state":"running","crashes":[[0,0]]}',
+    ],
+)
+def test_an_unreadable_job_does_not_keep_the_others_from_being_placed(cluster, value):
+    async def main():
+        bad, good = make_job(job_id="b" * 16), make_job(job_id="a" * 16)
+        cluster.journal.append_records(
+            [(f"job/{bad.job_id}", encode_job(bad)), (f"run/{bad.job_id}", value)]
+        )
+        node = await cluster.start_node("vm1")
+        await cluster.wait_for(lambda: cluster.leader() is not None)
+        await cluster.submit(node, good)
+        await cluster.wait_for(
+            lambda: cluster.state(node, good.job_id) is JobState.COMPLETED
+        )
+        assert node.job_index.n_bad_records
+        assert {run.key.job_id for run in cluster.workers.history()} == {good.job_id}
+
+    curio.run(main)
