Give a task up at its second crash if it was the only candidate there

Cause: a task that crashes each worker took down three workers as a rule, since the first crash mostly has several suspects and two crashes with one suspect were asked for.

Ruled out: giving up at the second crash of any kind; with a candidate that starts beside a suspect, the wrong one would be given up.

Change: a task that has been suspected at a start before is given up at the next crash in which it is the only candidate, not only the only suspect. A suspect avoids workers on which something is starting, which would leave the cause open.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -2,13 +2,14 @@
 
 A crash is the end of a worker's incarnation without notice. It reports no ends of
 runs, so the runs that were present are all that is known about its cause. A task that
-crashes its worker does so as a rule when it starts: the suspects are the runs that had
-not survived their start, or all runs if each had. Of these, tasks that were suspects
-before count alone. The members of a gang count as one.
-
-A suspect starts again on a worker on which no other suspect is starting, and nothing
-else is started there until it has survived its start, so that the next crash has one
-suspect only and few victims. A task that was the only suspect twice is given up.
+crashes its worker does so as a rule when it starts: the candidates are the runs that
+had not survived their start, or all runs if each had. Of these, the tasks that have
+been suspected most are the suspects. The members of a gang count as one.
+
+A suspect starts again on a worker on which no other suspect is starting, if possible
+one on which nothing is starting, and nothing else is started there until it has
+survived, so that the next crash has one candidate only and few victims. A task that is
+the only candidate of its second crash is given up.
 """
 
 from __future__ import annotations
@@ -31,11 +32,11 @@
 
 logger = structlog.get_logger(__name__)
 
-# Crashes at the start of a task, with no other suspect, after which it is given up. One
-# may be a coincidence on a day on which many workers crash.
-MAX_BLAMED = 2
-# Crashes with any suspects after which a task is given up: one that crashes its workers
-# late is never the only suspect if others keep running beside it.
+# Crashes at the start of a task after which it is given up, if it was the only
+# candidate of the last. One may be a coincidence on a day on which many workers crash.
+MAX_START_CRASHES = 2
+# Crashes with any candidates after which a task is given up: one that crashes its
+# workers late is never the only candidate if others keep running beside it.
 MAX_CRASHES = 4
 # A run that its worker has carried for this long clears its task.
 CLEAR_S = 30.0
@@ -59,8 +60,8 @@
         return max(task.n_crashes for task in self.tasks)
 
     @property
-    def n_blamed(self) -> int:
-        return max(task.n_blamed for task in self.tasks)
+    def n_start_crashes(self) -> int:
+        return max(task.n_start_crashes for task in self.tasks)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,20 +74,20 @@
         The worker.
     incarnation : int
         Its incarnation that carried the runs.
-    suspects : list
+    candidates : list
         Tasks that had not survived their start. If each had, all tasks, unless several
         workers stopped answering together.
     n_starting, n_present : int
         Number of runs that had not survived their start, and of all runs.
     is_conclusive : bool
-        Whether a single suspect is to blame. It is not if all runs had survived their
+        Whether a single candidate is to blame. It is not if all runs had survived their
         start, if a run of an earlier term was not seen in this one, or if several
         workers stopped answering together.
     """
 
     worker_id: str
     incarnation: int
-    suspects: list[_Suspect]
+    candidates: list[_Suspect]
     n_starting: int
     n_present: int
     is_conclusive: bool
@@ -149,8 +150,8 @@
     task = progress.task(slot.key) if progress is not None else None
     if ran_s < PROBATION_S or progress is None or task is None:
         return
-    if task.n_blamed:
-        task.n_blamed = 0
+    if task.n_start_crashes:
+        task.n_start_crashes = 0
         placer.mark_dirty(progress)
     if ran_s >= CLEAR_S:
         task.n_crashes = 0
@@ -163,11 +164,11 @@
     starting = [slot for slot in sent if slot.on_probation(worker.heard_at)]
     all_seen = all(slot.present_at or slot.fencing_token for slot in starting)
     alone = _n_together(placer, worker) <= MAX_TOGETHER
-    candidates = starting or sent if alone else starting
+    slots = starting or sent if alone else starting
     return Evidence(
         worker.worker_id,
         worker.entry.incarnation,
-        _suspects(placer, worker, candidates),
+        _candidates(placer, worker, slots),
         len(starting),
         len(sent),
         bool(starting) and all_seen and alone,
@@ -180,9 +181,11 @@
     return sum(abs(other - at) < TOGETHER_S for other in placer.silent_times) - 1
 
 
-def _suspects(placer: Placer, worker: Worker, slots: Iterable[Slot]) -> list[_Suspect]:
+def _candidates(
+    placer: Placer, worker: Worker, slots: Iterable[Slot]
+) -> list[_Suspect]:
     """Return the tasks of the current runs among some slots, each gang once."""
-    suspects: dict[tuple[object, ...], _Suspect] = {}
+    candidates: dict[tuple[object, ...], _Suspect] = {}
     for slot in slots:
         key = slot.key
         progress = placer.jobs.get(key.job_id)
@@ -193,22 +196,22 @@
             continue
         if progress.job.steps[key.step].gang:
             step_run = progress.step_run(key.occurrence, key.step)
-            suspects[key[:3]] = _Suspect(progress, key, step_run.tasks)
+            candidates[key[:3]] = _Suspect(progress, key, step_run.tasks)
         else:
-            suspects[key] = _Suspect(progress, key, [task])
-    return list(suspects.values())
+            candidates[key] = _Suspect(progress, key, [task])
+    return list(candidates.values())
 
 
 def _count(placer: Placer, evidence: Evidence) -> list[_Suspect]:
     """Count a crash; return the tasks that have caused too many."""
-    live = [item for item in evidence.suspects if _is_live(placer, item, evidence)]
+    live = [item for item in evidence.candidates if _is_live(placer, item, evidence)]
     n_crashes = max((item.n_crashes for item in live), default=0)
     suspects = [item for item in live if item.n_crashes == n_crashes]
-    blamed = evidence.is_conclusive and len(suspects) == 1
+    blamed = evidence.is_conclusive and len(evidence.candidates) == 1
     for suspect in suspects:
-        n_blamed = suspect.n_blamed + blamed
+        n_start_crashes = suspect.n_start_crashes + bool(evidence.n_starting)
         for task in suspect.tasks:
-            task.n_crashes, task.n_blamed = n_crashes + 1, n_blamed
+            task.n_crashes, task.n_start_crashes = n_crashes + 1, n_start_crashes
         placer.mark_dirty(suspect.progress)
     placer.counts["worker_crashes"] += 1
     logger.info(
@@ -217,14 +220,15 @@
         life=evidence.incarnation,
         suspects=[(item.key.job_id, *item.key[1:]) for item in suspects],
         crashes=n_crashes + bool(suspects),
-        blamed=blamed,
+        blamed=blamed and bool(suspects),
         starting=evidence.n_starting,
         present=evidence.n_present,
     )
     return [
         item
         for item in suspects
-        if item.n_blamed >= MAX_BLAMED or item.n_crashes >= MAX_CRASHES
+        if (blamed and item.n_start_crashes >= MAX_START_CRASHES)
+        or item.n_crashes >= MAX_CRASHES
     ]
 
 
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -319,7 +319,7 @@
     for index in list(step_run.waiting()):
         task = step_run.tasks[index]
         suspect = task.n_crashes > 0
-        worker = candidates.pick(task.failed_on, suspect=suspect)
+        worker = candidates.pick(task.failed_on, suspect=suspect, now=now)
         if worker is None and suspect:
             continue  # the others may use workers that it may not
         if worker is None:
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -233,6 +233,10 @@
             slot.suspect and slot.on_probation(now) for slot in self.slots.values()
         )
 
+    def has_starting(self, now: float) -> bool:
+        """Return whether a run here may not have survived its start yet."""
+        return any(slot.on_probation(now) for slot in self.slots.values())
+
     def clear_suspect(self, slot: Slot) -> None:
         """Note that the task of a run is no longer suspected."""
         self.n_suspects -= slot.suspect
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -29,6 +29,8 @@
 # Price in the score of a worker for each run that would be lost if a task that may have
 # crashed a worker crashes this one as well.
 EXPOSURE_PRICE = 0.05
+# The same if another run is starting there, which would leave the cause open.
+STARTING_PRICE = 1.0
 # Most workers that one call for advice may name (interface of the advice service).
 MAX_ADVISED_WORKERS = 100
 # Least number of workers that have not been asked about, and of permitted ones, in a
@@ -69,7 +71,7 @@
     _suspects_on: set[str] = field(default_factory=set)
 
     def pick(
-        self, avoid: Iterable[str] = (), *, suspect: bool = False
+        self, avoid: Iterable[str] = (), *, suspect: bool = False, now: float = 0.0
     ) -> Worker | None:
         """Return the best worker for one more task and reserve its capacity there.
 
@@ -80,6 +82,8 @@
         suspect : bool, default=False
             Whether the task may have crashed a worker. It gets one that runs little,
             and no further task is placed there beside it.
+        now : float, seconds
+            Monotonic time; used for a suspect only.
         """
         best, best_score = None, 0.0
         for worker in self.workers:
@@ -88,6 +92,7 @@
             score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
             if suspect:
                 score -= EXPOSURE_PRICE * len(worker.slots)
+                score -= STARTING_PRICE * worker.has_starting(now)
             if best is None or score > best_score:
                 best, best_score = worker, score
         if best is not None:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -628,7 +628,7 @@
             task=tuple(key[1:]),
             n_failed=task.n_failed,
             n_crashes=task.n_crashes,
-            n_blamed=task.n_blamed,
+            n_start_crashes=task.n_start_crashes,
             **limits,
         )
         self.stop_runs(progress, "job failed", now)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -39,8 +39,8 @@
         Workers on which runs failed; not kept in the journal.
     n_crashes : int
         Crashes of workers that the task may have caused.
-    n_blamed : int
-        Crashes at its start of which nothing else was suspected, since a run survived.
+    n_start_crashes : int
+        Those at its start, since a run last survived it.
     """
 
     run: int = 0
@@ -52,7 +52,7 @@
     failed_run: int = 0
     failed_on: set[str] = field(default_factory=set)
     n_crashes: int = 0
-    n_blamed: int = 0
+    n_start_crashes: int = 0
 
 
 @dataclass(eq=False, slots=True)
@@ -255,11 +255,11 @@
 
     Returns
     -------
-    rows : list of [occurrence, step, task, n_crashes, n_blamed]
+    rows : list of [occurrence, step, task, n_crashes, n_start_crashes]
         One row for each task that is not done.
     """
     return [
-        [*step_run.key(index)[1:], task.n_crashes, task.n_blamed]
+        [*step_run.key(index)[1:], task.n_crashes, task.n_start_crashes]
         for step_run in progress.step_runs.values()
         for index, task in enumerate(step_run.tasks)
         if task.n_crashes and not task.done
@@ -288,7 +288,7 @@
                 progress.n_assigned += 1
         if step_run.n_done == len(step_run.tasks):
             progress.finished.add((occurrence, number))
-    for occurrence, number, index, n_crashes, n_blamed in data.get("crashes", ()):
+    for occurrence, number, index, *counts in data.get("crashes", ()):
         task = progress.step_run(occurrence, number).tasks[index]
-        task.n_crashes, task.n_blamed = n_crashes, n_blamed
+        task.n_crashes, task.n_start_crashes = counts
     return progress
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cuminhill.jobs.crashes import CLEAR_S, MAX_BLAMED, MAX_CRASHES
+from cuminhill.jobs.crashes import CLEAR_S, MAX_CRASHES, MAX_START_CRASHES
 from cuminhill.jobs.fleet import PROBATION_S
 from cuminhill.jobs.model import EndKind, JobState, StartOrder, StartResult
 from cuminhill.jobs.placer import Placer
@@ -99,7 +99,7 @@
             add_worker(placer, f"n{n_starts}", now + RESTART_S)
         now += RESTART_S + 0.5
     assert progress.state is JobState.FAILED
-    assert 2 <= n_starts <= 3
+    assert n_starts == 2
     assert not placer.jobs
 
 
@@ -214,11 +214,16 @@
 # Guards against blame by a placer that does not know how long a run had been present.
 def test_runs_of_an_earlier_term_are_suspected_but_not_blamed(placer):
     submit(placer, make_job())
-    (start,) = start_all(placer, NOW)
-    second = follow(placer)
-    crash_worker(second, start.worker_id, NOW + 0.1)
-    (progress,) = second.jobs.values()
-    assert crash_rows(progress) == [[0, 0, 0, 1, 0]]
+    for number in range(MAX_START_CRASHES):
+        now = NOW + 4 * number
+        (start,) = start_all(placer, now)
+        placer = follow(placer, term=number + 2)
+        crash_worker(placer, start.worker_id, now + 0.1)
+        for worker_id in placer.workers:
+            answer_renewal(placer, worker_id, now + 4)
+    (progress,) = placer.jobs.values()
+    assert progress.state is JobState.RUNNING
+    assert crash_rows(progress) == [[0, 0, 0, MAX_START_CRASHES, MAX_START_CRASHES]]
 
 
 # Guards against blame for a cause outside the tasks, such as a rack without power.
@@ -227,12 +232,16 @@
         submit(placer, make_job(make_step(cores=16.0), job_id=f"{number:016x}"))
         for number in range(3)
     ]
-    starts = start_all(placer, NOW)
-    for start in starts:
-        placer.worker_unreachable(start.worker_id, NOW + CRASH_AFTER_S, closed=True)
-    for start in starts:
-        crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
-    assert [crash_rows(progress) for progress in jobs] == [[[0, 0, 0, 1, 0]]] * 3
+    for number in range(MAX_START_CRASHES):
+        now = NOW + 4 * number
+        starts = start_all(placer, now)
+        assert len(starts) == 3
+        for start in starts:
+            placer.worker_unreachable(start.worker_id, now + CRASH_AFTER_S, closed=True)
+        for start in starts:
+            crash_worker(placer, start.worker_id, now + CRASH_AFTER_S)
+            add_worker(placer, f"{start.worker_id}n{number}", now + RESTART_S)
+    assert [progress.state for progress in jobs] == [JobState.RUNNING] * 3
 
 
 # Guards against a crash that takes other suspects along, which leaves the cause open.
@@ -254,6 +263,21 @@
     }
 
 
+# Guards against blame for the crash of a task that starts beside a suspect.
+def test_a_crash_with_two_candidates_gives_up_no_task(placer):
+    progress = submit(placer, make_job())
+    (start,) = start_all(placer, NOW)
+    placer.worker_unreachable(start.worker_id, NOW + CRASH_AFTER_S, closed=True)
+    submit(placer, make_job(make_step(5, cores=14.0), job_id="b" * 16))
+    beside = start_all(placer, NOW + RESTART_S)
+    assert len({item.worker_id for item in beside}) == 5
+    crash_worker(placer, start.worker_id, NOW + CRASH_AFTER_S)
+    (again,) = start_all(placer, NOW + RESTART_S + 0.1)
+    crash_worker(placer, again.worker_id, NOW + RESTART_S + 0.2)
+    assert progress.state is JobState.RUNNING
+    assert crash_rows(progress) == [[0, 0, 0, 2, 2]]
+
+
 # Guards against workers lost for nothing: the next crash should have few victims.
 def test_a_suspect_starts_on_a_worker_that_runs_little(placer):
     submit(placer, make_job())
@@ -286,7 +310,7 @@
 def test_the_members_of_a_gang_count_as_one(placer):
     progress = submit(placer, make_job(make_step(4, cores=12.0, gang=True)))
     now = NOW
-    for number in range(MAX_BLAMED):
+    for number in range(MAX_START_CRASHES):
         starts = start_all(placer, now)
         assert len(starts) == 4
         crash_worker(placer, starts[number].worker_id, now + CRASH_AFTER_S)
@@ -302,7 +326,7 @@
 # Guards against a lasting task that crashes workers for as long as its job exists.
 def test_a_lasting_task_that_crashes_each_worker_is_given_up(placer):
     progress = submit(placer, make_job(make_step(long_running=True)))
-    for number in range(MAX_BLAMED):
+    for number in range(MAX_START_CRASHES):
         now = NOW + 4 * number
         (start,) = start_all(placer, now)
         crash_worker(placer, start.worker_id, now + CRASH_AFTER_S)
