Submit checks for certain in the test of a log outage

Cause: the six callers of the load choose what they do at random, and all of them can wait for held orders while the log is down. Then no check was submitted in the 4 s, as seen once, and the test failed without a fault of the daemon. This is by reading; the run that failed left no trace.

Change: the test submits two checks itself, to two failure domains, and keeps its assertions. It can only find more: an unanswered check fails it still.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -84,6 +84,13 @@
     with scenario(cluster, "log", SEED) as run:
         cluster.set_faults("log", down=True)
         since = time.monotonic()
+        # The callers may all wait for orders, so two checks are submitted for certain.
+        rng = random.Random(SEED)
+        for number, vm in enumerate(("tainan-e0", "chiayi-e0")):
+            spec = run.load.make_spec(
+                "check", f"{run.load.prefix}-outage-{number}", rng
+            )
+            run.load.submit_later(spec, vm, wait_s=3.0)
         time.sleep(4.0)
         until = time.monotonic()
         assert run.finish() == []
