Check for starting suspects by a counter first

Cause: reading the change showed a method call for each worker and step of a decision, and a look-up for each worker and task, where nearly always nobody is suspected.

Change: the counter of suspects is checked before; behaviour stays.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -293,7 +293,12 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.incarnation, now)
         ]
-    workers = [worker for worker in workers if not worker.suspect_starts(now)]
+    # The counter is checked first, since this runs for each worker and step.
+    workers = [
+        worker
+        for worker in workers
+        if not (worker.n_suspects and worker.suspect_starts(now))
+    ]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
     candidates = make_candidates(
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -229,7 +229,7 @@
 
     def suspect_starts(self, now: float) -> bool:
         """Return whether a task that may have crashed a worker is starting here."""
-        return self.n_suspects > 0 and any(
+        return any(
             slot.suspect and slot.on_probation(now) for slot in self.slots.values()
         )
 
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -87,7 +87,9 @@
         """
         best, best_score = None, 0.0
         for worker in self.workers:
-            if worker.worker_id in self._suspects_on or not self._fits(worker):
+            if self._suspects_on and worker.worker_id in self._suspects_on:
+                continue
+            if not self._fits(worker):
                 continue
             score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
             if suspect:
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -17,6 +17,12 @@
     return harness.report(worker_id, incarnation=f"i{number}", epoch=number + 1)
 
 
+def n_crashes(harness):
+    """Return the crashes counted against each task."""
+    tasks = harness.placer._shard.tasks
+    return {task_id: task.n_crashes for task_id, task in tasks.items()}
+
+
 @pytest.fixture
 def workers(harness):
     """Register six workers."""
@@ -67,8 +73,7 @@
     assert deadly.worker_id == start.worker_id
     workers.running(deadly)
     restart(workers, start.worker_id, 1)
-    tasks = {key: task.n_crashes for key, task in workers.placer._shard.tasks.items()}
-    assert tasks == {start.task_id: 0, deadly.task_id: 1}
+    assert n_crashes(workers) == {start.task_id: 0, deadly.task_id: 1}
 
 
 # Guards against a crash with several suspects, which would leave the cause open again.
@@ -129,5 +134,4 @@
     assert deadly.worker_id == start.worker_id
     workers.running(deadly)
     restart(workers, start.worker_id, 1)
-    tasks = {key: task.n_crashes for key, task in workers.placer._shard.tasks.items()}
-    assert tasks == {start.task_id: 0, deadly.task_id: 1}
+    assert n_crashes(workers) == {start.task_id: 0, deadly.task_id: 1}
