Test that the client tells a closed connection from a missing answer

The time of a crash is known to the millisecond where the connection of a renewal is closed, and only to the last answer otherwise; nothing tested the difference.

--- a/tests/util/test_http.py
+++ b/tests/util/test_http.py
@@ -9,7 +9,11 @@
 import pytest
 from curio import socket
 
-from cuminhill.errors import UnavailableError, UnknownOutcomeError
+from cuminhill.errors import (
+    ConnectionClosedError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from cuminhill.util import http_client
 from cuminhill.util.http import HttpLimits, HttpResponse, HttpServer, make_http_client
 
@@ -319,6 +323,28 @@
         http_client.MAX_RESPONSE_BYTES = kept
 
 
+# Guards against a crash that is taken for silence, so that its time is not known.
+def test_client_tells_a_closed_connection_from_a_missing_answer():
+    async def main():
+        async def serve(sock, _):
+            data = await sock.recv(1000)
+            if b"/silent" in data:
+                await curio.sleep(5)
+
+        listener = curio.tcp_server_socket(HOST, 0)
+        port = listener.getsockname()[1]
+        server = await curio.spawn(curio.network.run_server, listener, serve)
+        client = make_http_client(f"{HOST}:{port}")
+        with pytest.raises(ConnectionClosedError):
+            await client.request("GET", "/closed")
+        with pytest.raises(UnknownOutcomeError) as caught:
+            await client.request("GET", "/silent", timeout_s=0.2)
+        assert not isinstance(caught.value, ConnectionClosedError)
+        await server.cancel()
+
+    curio.run(main)
+
+
 @with_server()
 async def test_client_does_not_reuse_a_connection_that_the_server_closed(server):
     """Guards against avoidable unknown outcomes after a server's idle timeout."""
