Blame suspects that crash together if they are few

Three workers within 0.1 s counted as one outside cause, so nobody was blamed and the tasks went on to their fourth crash.

Ruled out: not counting workers with a starting suspect at all.

Change: workers on which a suspect was starting count only if more than 15% of all workers stop answering together; others count as before, more than two. The test of workers that crash together now has workers without a suspect among them, which is what tells the two cases apart, and one with suspects on all workers joins it; the new test of suspects in step failed before.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -41,9 +41,11 @@
 # A run that its worker has carried for this long clears its task.
 CLEAR_S = 30.0
 # Workers that stop answering within this time of each other may have one cause, such as
-# a rack without power; with this many others, no single task is to blame.
+# a rack without power. If more than this number without a starting suspect do, or more
+# than this fraction of all workers, no single task is to blame.
 TOGETHER_S = 0.1
-MAX_TOGETHER = 1
+MAX_TOGETHER = 2
+MAX_TOGETHER_FRACTION = 0.15
 # Workers remembered after their leases have lapsed; beyond it, the oldest is dropped.
 MAX_LAPSED = 1000
 
@@ -163,7 +165,7 @@
     sent = [slot for slot in worker.slots.values() if slot.sent]
     starting = [slot for slot in sent if slot.on_probation(worker.heard_at)]
     all_seen = all(slot.present_at or slot.fencing_token for slot in starting)
-    alone = _n_together(placer, worker) <= MAX_TOGETHER
+    alone = not _is_one_of_many(placer, worker)
     slots = starting or sent if alone else starting
     return Evidence(
         worker.worker_id,
@@ -175,10 +177,21 @@
     )
 
 
-def _n_together(placer: Placer, worker: Worker) -> int:
-    """Return the number of other workers that stopped answering at the same time."""
+def _is_one_of_many(placer: Placer, worker: Worker) -> bool:
+    """Return whether so many workers stopped answering that no task is to blame.
+
+    Suspects of crashes at about the same time start again at about the same time, so a
+    few workers with a starting suspect each may crash together.
+    """
     at = worker.silent_at
-    return sum(abs(other - at) < TOGETHER_S for other in placer.silent_times) - 1
+    together = [
+        has_suspect
+        for other, has_suspect in placer.silent_times
+        if abs(other - at) < TOGETHER_S
+    ]
+    n_unexplained = len(together) - sum(together)
+    limit = max(MAX_TOGETHER, MAX_TOGETHER_FRACTION * len(placer.workers))
+    return n_unexplained > MAX_TOGETHER or len(together) > limit
 
 
 def _candidates(
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -102,8 +102,9 @@
         Newest definition of each queue, also of queues that were since removed.
     lapsed : dict
         Runs of workers whose leases have lapsed, by address.
-    silent_times : deque of float, seconds
-        When workers stopped answering, the newest last.
+    silent_times : deque of (float, bool)
+        When workers stopped answering, in seconds, and whether a suspect was starting
+        there; the newest last.
     """
 
     term: int
@@ -120,7 +121,7 @@
     mean_pace: dict[str, float] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
     lapsed: dict[str, Evidence] = field(default_factory=dict)
-    silent_times: deque[float] = field(
+    silent_times: deque[tuple[float, bool]] = field(
         default_factory=lambda: deque(maxlen=MAX_SILENT_TIMES)
     )
     _dirty: dict[str, Progress] = field(default_factory=dict)
@@ -387,7 +388,7 @@
         if worker is not None and worker.reachable:
             worker.reachable = False
             worker.silent_at = now
-            self.silent_times.append(now)
+            self.silent_times.append((now, worker.suspect_starts(now)))
             if closed:
                 worker.heard_at = now
             logger.info(
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -47,6 +47,18 @@
     placer.tick(at + RESTART_S)
 
 
+def crash_together(placer, worker_ids, at):
+    """Crash some workers at once; as many others take their place."""
+    for worker_id in worker_ids:
+        placer.worker_unreachable(worker_id, at, closed=True)
+    for worker_id in worker_ids:
+        incarnation = placer.workers[worker_id].entry.incarnation
+        placer.other_incarnation(worker_id, incarnation, at + RESTART_S)
+    placer.tick(at + RESTART_S)
+    for worker_id in worker_ids:
+        add_worker(placer, f"{worker_id}n", at + RESTART_S)
+
+
 def add_worker(placer, worker_id, at, **more):
     """Register a worker that has answered its first renewal."""
     incarnation = int(at * 1000)
@@ -226,6 +238,17 @@
     assert crash_rows(progress) == [[0, 0, 0, MAX_START_CRASHES, MAX_START_CRASHES]]
 
 
+# Guards against blame on a day on which many workers crash, each with a suspect.
+def test_suspects_on_many_workers_that_crash_together_are_not_to_blame(placer):
+    for number in range(6):
+        submit(placer, make_job(make_step(cores=16.0), job_id=f"{number:016x}"))
+    for number in range(MAX_START_CRASHES):
+        now = NOW + 4 * number
+        starts = start_all(placer, now)
+        crash_together(placer, [item.worker_id for item in starts], now + CRASH_AFTER_S)
+    assert {item.state for item in placer.jobs.values()} == {JobState.RUNNING}
+
+
 # Guards against blame for a cause outside the tasks, such as a rack without power.
 def test_workers_that_crash_together_blame_no_task(placer):
     jobs = [
@@ -234,13 +257,8 @@
     ]
     for number in range(MAX_START_CRASHES):
         now = NOW + 4 * number
-        starts = start_all(placer, now)
-        assert len(starts) == 3
-        for start in starts:
-            placer.worker_unreachable(start.worker_id, now + CRASH_AFTER_S, closed=True)
-        for start in starts:
-            crash_worker(placer, start.worker_id, now + CRASH_AFTER_S)
-            add_worker(placer, f"{start.worker_id}n{number}", now + RESTART_S)
+        assert len(start_all(placer, now)) == 3
+        crash_together(placer, list(placer.workers), now + CRASH_AFTER_S)
     assert [progress.state for progress in jobs] == [JobState.RUNNING] * 3
 
 
@@ -263,6 +281,20 @@
     }
 
 
+# Guards against crashes without blame because several deadly tasks start in step.
+def test_suspects_that_crash_together_are_each_to_blame():
+    placer = make_placer(n_workers=24)
+    jobs = [
+        submit(placer, make_job(make_step(cores=16.0), job_id=f"{number:016x}"))
+        for number in range(3)
+    ]
+    for number in range(MAX_START_CRASHES):
+        now = NOW + 4 * number
+        starts = start_all(placer, now)
+        crash_together(placer, [item.worker_id for item in starts], now + CRASH_AFTER_S)
+    assert [progress.state for progress in jobs] == [JobState.FAILED] * 3
+
+
 # Guards against blame for the crash of a task that starts beside a suspect.
 def test_a_crash_with_two_candidates_gives_up_no_task(placer):
     progress = submit(placer, make_job())
