--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -281,7 +281,7 @@
     }
 
 
-# Guards against crashes without blame because several deadly tasks start in step.
+# Guards against crashes without blame because several deadly tasks start together.
 def test_suspects_that_crash_together_are_each_to_blame():
     placer = make_placer(n_workers=24)
     jobs = [
