--- a/cuminhill/scheduling/crashes.py
+++ b/cuminhill/scheduling/crashes.py
@@ -1,9 +1,11 @@
 """Limits how many crashes of workers a task of a request may cause.
 
-The rules are those of `cuminhill.jobs.crashes`, for tasks whose workers report lists
-under capacity leases. Suspects are not placed apart but started one after the other, so
-that the next crash has one suspect only. Orders never start a second time and need no
-limit. The counts are kept in memory: the limit holds for each term of a placer.
+Candidates and suspects are those of `cuminhill.jobs.crashes`, for tasks whose workers
+report lists under capacity leases. Suspects are not placed apart but started one after
+the other. A task is given up after two crashes at its start of which it was the only
+suspect, or four in all. Workers that crash together count like others. Orders never
+start a second time and need no limit. The counts are kept in memory: the limit holds
+for each term of a placer.
 """
 
 from __future__ import annotations
