Log what a new placer waits for and measure how long lasting tasks stand still

Callers saw long-running tasks stand still after a change of the placer. The recorded logs say when a run was given up, not until when the new term waited and why, and no metric shows the interruption, so "the end of the leases is not known" can't be told from "not placed for lack of room or advice".

Change: "run not adopted" for each run on a worker that the term does not know, with the time that it waits; the number of them in "term begun"; waited_s in "run lost"; a histogram away_seconds by queue. No decision changes. Measured: tests/jobs and tests/test_metrics.py pass.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -195,6 +195,7 @@
             term=self.leader_record.term,
             jobs=n_jobs,
             workers=len(self.placer.workers),
+            not_adopted=self.placer.counts["runs_not_adopted"],
             config=table.version,
         )
 
@@ -474,7 +475,9 @@
         )
         result, clock_ms = await self.calls.start(order, START_TIMEOUT_S)
         self.placer.handle_start_result(order, result, clock_ms, boottime())
-        if result is not StartResult.STARTED:
+        if result is StartResult.STARTED:
+            self._observe_return(progress, order.key)
+        else:
             await self._wake.set()
         if result is StartResult.UNKNOWN:
             # The renewal in flight has the older token; this one resolves the outcome.
@@ -488,6 +491,15 @@
         waited_s = max(0.0, time.time() - job.accepted_at)
         self.metrics.observe("first_start_seconds", waited_s, queue=job.queue)
 
+    def _observe_return(self, progress: Progress, key: TaskKey) -> None:
+        task = progress.task(key)
+        if task is None or not task.away_since:
+            return
+        if progress.job.steps[key.step].long_running:
+            away_s = boottime() - task.away_since
+            self.metrics.observe("away_seconds", away_s, queue=progress.job.queue)
+        task.away_since = 0.0
+
     def _observe_ends(self, progresses: Iterable[Progress]) -> None:
         for progress in progresses:
             job = progress.job
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -122,6 +122,13 @@
         "Time from the acceptance of a job to its completion, in seconds.",
         ("queue",),
     ),
+    Metric(
+        "away_seconds",
+        HISTOGRAM,
+        "Time between the end of a run of a long-running task and its next start, in "
+        "seconds.",
+        ("queue",),
+    ),
     Metric(
         "advice_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -158,6 +158,7 @@
         for key, task in progress.assigned():
             worker = self.workers.get(task.worker)
             if worker is None or worker.entry.incarnation != task.incarnation:
+                self._note_not_adopted(key, task, worker, now)
                 continue
             self._adopt(worker, progress, key, task)
         if progress.cancelled:
@@ -171,6 +172,26 @@
         slot.checkpoint = task.checkpoint
         worker.add(slot)
 
+    def _note_not_adopted(
+        self, key: TaskKey, task: TaskState, worker: Worker | None, now: float
+    ) -> None:
+        self.counts["runs_not_adopted"] += 1
+        logger.info(
+            "run not adopted",
+            job=key.job_id,
+            task=tuple(key[1:]),
+            run=task.run,
+            worker=task.worker,
+            life=task.incarnation,
+            registered_life=worker.entry.incarnation if worker else None,
+            wait_s=round(self.unknown_lapse_at() - now, 2),
+        )
+
+    def unknown_lapse_at(self) -> float:
+        """Return when the leases on a worker that this term has not reached lapse."""
+        times = self.times
+        return self.begun_at + times.max_unconfirmed_s + times.lease.lapse_s
+
     def make_slot(self, progress: Progress, key: TaskKey, run: int) -> Slot:
         """Return the slot for a run of a task."""
         step = progress.job.steps[key.step]
@@ -248,9 +269,9 @@
         record_registration(self, entry, now)
         worker = self.workers.get(entry.worker_id)
         if worker is None:
-            lapse_at = self.begun_at + self.times.max_unconfirmed_s
-            lapse_at += self.times.lease.lapse_s
-            worker = Worker(entry, first_fencing_token(self.term), lapse_at)
+            worker = Worker(
+                entry, first_fencing_token(self.term), self.unknown_lapse_at()
+            )
             self._look_up_speed(worker)
             self.workers[entry.worker_id] = worker
             logger.info(
@@ -528,6 +549,7 @@
         if progress.job.steps[end.key.step].checkpoints and checkpoint:
             task.checkpoint = checkpoint
         progress.unassign(end.key)
+        task.away_since = now
         self.mark_dirty(progress)
         if end.kind is EndKind.DONE:
             self._handle_done(worker, progress, end.key, slot, now)
@@ -664,6 +686,7 @@
         if step.checkpoints and slot.checkpoint:
             task.checkpoint = slot.checkpoint
         progress.unassign(slot.key)
+        task.away_since = now if worker.reachable else worker.silent_at or now
         self.mark_dirty(progress)
         if step.gang:
             self.stop_runs(progress, "gang", now, slot.key.step)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -41,6 +41,9 @@
         Crashes of workers that the task may have caused.
     n_start_crashes : int
         Those at its start, since a run last survived it.
+    away_since : float, seconds
+        When the last run ended, or its worker stopped answering; 0 while the task runs
+        and before its first run. Not kept in the journal.
     """
 
     run: int = 0
@@ -53,6 +56,7 @@
     failed_on: set[str] = field(default_factory=set)
     n_crashes: int = 0
     n_start_crashes: int = 0
+    away_since: float = 0.0
 
 
 @dataclass(eq=False, slots=True)
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -90,8 +90,7 @@
     """Release runs whose worker has not registered in this term, after its lease."""
     if not progress.n_assigned:
         return
-    times = placer.times
-    if now < placer.begun_at + times.max_unconfirmed_s + times.lease.lapse_s:
+    if now < placer.unknown_lapse_at():
         return
     for key, task in list(progress.assigned()):
         worker = placer.workers.get(task.worker)
@@ -104,8 +103,10 @@
             run=task.run,
             worker=task.worker,
             why="worker not registered",
+            waited_s=round(now - placer.begun_at, 2),
         )
         progress.unassign(key)
+        task.away_since = placer.begun_at
         placer.mark_dirty(progress)
         if progress.job.steps[key.step].gang:
             placer.stop_runs(progress, "gang", now, key.step)
--- a/cuminhill/metrics.py
+++ b/cuminhill/metrics.py
@@ -22,7 +22,21 @@
 PREFIX = "cuminhill_"
 CONTENT_TYPE = TEXT_CONTENT_TYPE
 # 1.7 s is the time limit within which urgent work has to start.
-WAIT_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 5.0, 15.0, 60.0]
+WAIT_BUCKETS_S = [
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    1.7,
+    5.0,
+    10.0,
+    15.0,
+    60.0,
+]
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -191,6 +191,19 @@
     assert [(item.worker_id, item.run) for item in placed] == [("w2", 2)]
 
 
+# Guards against a new term that waits for an unknown worker without a trace in the logs.
+def test_a_run_on_an_unknown_worker_is_counted_and_dated_from_the_begin_of_the_term():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    first.decide(NOW, WALL)
+    second = make_placer(n_workers=0, term=2)
+    copy = decode_progress(progress.job, encode_progress(progress))
+    second.add_job(copy, NOW)
+    assert second.counts["runs_not_adopted"] == 1
+    second.tick(second.unknown_lapse_at())
+    assert copy.step_run(0, 0).tasks[0].away_since == second.begun_at
+
+
 def test_a_run_that_the_first_renewal_does_not_list_is_placed_again_at_once():
     """Guards against waiting for a lease if the token proves that nothing runs."""
     first = make_placer(n_workers=1)
