--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -53,6 +53,7 @@
     tasks: dict[str, object] = field(default_factory=dict)
     needs: dict[str, Resources] = field(default_factory=dict)
     tables: list = field(default_factory=lambda: [make_table(make_queue())])
+    times: PlacerTimes = field(default_factory=PlacerTimes)
 
     def add_worker(
         self, worker_id: str, incarnation: int = 1, **more: float
@@ -90,7 +91,7 @@
             config_key="config",
         )
         address = f"127.0.0.1:{free_port()}"
-        options = NodeOptions(vm, address, PlacerTimes(), 120.0, fitness)
+        options = NodeOptions(vm, address, self.times, 120.0, fitness)
         node = JobNode(options, backends, random.Random(f"{vm}.{seed}"))
         self.nodes[vm] = node
         await node.start()
--- /dev/null
+++ b/tests/jobs/test_handover.py
@@ -0,0 +1,51 @@
+"""Tests of tasks that outlive several terms of the placer."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.jobs.placer import PlacerTimes
+
+from .builders import make_job, make_step
+
+# Leases that lapse within two of the intervals between changes of the placer.
+TIMES = PlacerTimes(lease=LeaseTimes(lease_s=2.0), max_unconfirmed_s=4.0)
+CHANGE_INTERVAL_S = 1.0
+N_CHANGES = 4
+
+
+# Guards against a wait for the leases of a lost worker that each new placer begins
+# anew: long-running tasks stood still while the placer kept changing, and 9 s more.
+@pytest.mark.parametrize("leaves", [True, False], ids=["leaves", "crashes"])
+def test_changes_of_the_placer_do_not_prolong_the_wait_for_a_lost_worker(
+    cluster, leaves
+):
+    cluster.times = TIMES
+
+    async def scenario():
+        for number in range(N_CHANGES + 1):
+            await cluster.start_node(f"vm{number}")
+        await cluster.wait_for(cluster.leader)
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        job = make_job(make_step(long_running=True))
+        await cluster.submit(cluster.leader(), job)
+        await cluster.wait_for(cluster.workers.history)
+        (run,) = cluster.workers.history()
+        await curio.sleep(CHANGE_INTERVAL_S)
+        del cluster.workers.workers[run.worker_id]
+        if leaves:
+            cluster.registry.append_records([(run.worker_id, b"")])
+        for _ in range(N_CHANGES):
+            await curio.sleep(CHANGE_INTERVAL_S)
+            node = cluster.leader()
+            await node.drain()
+            await cluster.wait_for(
+                lambda node=node: cluster.leader() not in {None, node}
+            )
+        runs = [item for item in cluster.workers.history() if item.run == 2]
+        assert runs, "the task stood still during all changes of the placer"
+
+    curio.run(scenario)
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -191,7 +191,7 @@
     assert [(item.worker_id, item.run) for item in placed] == [("w2", 2)]
 
 
-# Guards against a new term that waits for an unknown worker without a trace in the logs.
+# Guards against a new term that waits for an unknown worker without saying so.
 def test_a_run_on_an_unknown_worker_is_counted_and_dated_from_the_begin_of_the_term():
     first = make_placer(n_workers=1)
     progress = submit(first, make_job(make_step(long_running=True)))
