Ask the process of the previous term whether it has ended

Callers saw long-running tasks stand still for 9 s if their worker ended at about the time at which the placer was stopped, before it had noticed.

Ruled out: a promise in the resignation (its record may be stored after the placer has given up waiting for it), and conclusions from the name of the VM (a replacement may bear the same name at another address).

Change: each term writes its address with its ends of leases, and the next one asks the process at that address, which either has ended the term or is a later one; it also gives up a claim of the term that it has not begun. The record holds how long placers before that may still extend leases, so a short term does not hide them. A renewal after a start without an answer extends no lease once the term is over.

--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -40,6 +40,7 @@
     "ping": idl.PingCall,
     "append": idl.AppendCall,
     "advise": idl.AdviseCall,
+    "term_ended": idl.TermCall,
 }
 REPLY_TYPES = {name: idl.Reply for name in CALL_TYPES} | {"heartbeat": idl.Heartbeat}
 
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -61,6 +61,11 @@
     3: double wait_s
 }
 
+// Asks whether the process that is called extends no lease for a term, and never will.
+struct TermCall {
+    1: i64 term
+}
+
 struct Reply {
     1: string status
     2: binary value
--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -8,6 +8,7 @@
 import orjson
 import structlog
 
+from .leasebounds import NO_INHERITED_LEASES, InheritedLeases, inherit_leases
 from .model import FINAL_JOB_STATES, JobState
 from .progress import Progress, decode_progress
 from .records import (
@@ -115,7 +116,7 @@
         """
         try:
             self._fold(record, now)
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, OverflowError):
             # Not in our format; counted in the state dump and in a metric.
             self.n_bad_records += 1
 
@@ -209,24 +210,15 @@
         entry.ended_at = now
         entry.job = entry.run = b""
 
-    def lease_bounds(self) -> dict[tuple[str, int], float]:
-        """Return when leases have lapsed that the previous placer did not extend.
+    def inherited_leases(self) -> InheritedLeases:
+        """Return what the previous term has left about leases, for a term of this VM.
 
         Only a record of the previous term counts: a term that wrote none may have
         extended any lease.
-
-        Returns
-        -------
-        bounds : dict of (str, int) to float
-            Time by worker and incarnation, in seconds, counted from when the record
-            was read, which is later than when it was written.
         """
         if not self.leases.term or self.leases.term != self.previous_leader.term:
-            return {}
-        return {
-            (bound.worker_id, bound.incarnation): self.leases_read_at + bound.left_s
-            for bound in self.leases.bounds
-        }
+            return NO_INHERITED_LEASES
+        return inherit_leases(self.leases, self.leases_read_at)
 
     def n_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue without a started task."""
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -18,7 +18,13 @@
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
-from .leasebounds import make_lease_record, release_leases, withhold_leases
+from .leasebounds import (
+    end_predecessor,
+    longest_lapse_at,
+    make_lease_record,
+    release_leases,
+    withhold_leases,
+)
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -66,6 +72,7 @@
 # The placer writes at least at this interval, so that others see that it is alive.
 TERM_RENEWAL_S = 0.6
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
+ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
 # Most calls for advice queued on one VM, as their total service time.
@@ -133,6 +140,11 @@
         Calls to workers.
     ask_advice : callable
         Coroutine function that requests advice through a VM.
+    address : str
+        ``"host:port"`` at which other VMs call this process.
+    ask_term_ended : callable
+        Coroutine function that asks the process at an address whether it extends no
+        lease for a term and never will.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
     metrics : MetricSet
@@ -149,6 +161,8 @@
     calls: WorkerCalls
     job_index: JobIndex
     ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    address: str
+    ask_term_ended: Callable[[str, int], Awaitable[bool]]
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
@@ -163,6 +177,8 @@
     _unjournaled: list[Placement] = field(default_factory=list)
     # Workers in the newest lease record of the term; None before the first.
     _listed: set[tuple[str, int]] | None = None
+    # Whether that record takes into account that the previous term has ended.
+    _told_ended: bool = False
     _written_at: float = 0.0
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
@@ -185,7 +201,7 @@
         """Load all registered workers and all jobs that have not ended."""
         now = boottime()
         self.placer.table = table
-        self.placer.inherited = self.job_index.lease_bounds()
+        self.placer.inherited = self.job_index.inherited_leases()
         self._load_speeds()
         for entry in entries:
             self.placer.register_worker(entry, now)
@@ -221,10 +237,38 @@
             ("place", self._place),
             ("journal", self._journal),
             ("renew term", self._renew_term),
+            ("ask predecessor", self._ask_predecessor),
         ):
             self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
         await self._spawn_renewers()
 
+    async def _ask_predecessor(self) -> None:
+        """Ask the process of the previous term until it has ended that term.
+
+        Only whatever process has its address can answer; then that process has either
+        ended the term or is a later one.
+        """
+        inherited = self.placer.inherited
+        if not inherited.term:
+            return
+        give_up_at = longest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
+        while not self.ended and boottime() < give_up_at:
+            try:
+                ended = await self.ask_term_ended(inherited.address, inherited.term)
+            except CuminhillError:
+                ended = False  # the longest lease counts until it answers
+            if ended:
+                now = boottime()
+                end_predecessor(self.placer, now)
+                logger.info(
+                    "predecessor ended",
+                    term=inherited.term,
+                    address=inherited.address,
+                    after_s=round(now - self.placer.begun_at, 2),
+                )
+                return
+            await curio.sleep(ASK_INTERVAL_S)
+
     async def _guard(self, name: str, run: Callable[..., Any], *args: Any) -> None:
         """Run a task of the term; a failure ends the term, and another one follows."""
         try:
@@ -372,7 +416,7 @@
         incarnation = worker.entry.incarnation
         lease_until_ms = None
         settled = worker.confirmed_token >= fencing_token
-        if worker.may_extend_leases():
+        if worker.may_extend_leases() and self.may_act():
             lease_until_ms = worker.lease_end_ms(now, self.placer.times.lease.lease_s)
             worker.record_lease(lease_until_ms)
         wait_s = RENEW_WAIT_S if settled and worker.reachable else 0.0
@@ -606,12 +650,13 @@
                     (JOB_PREFIX + job_id, b""),
                     (CANCEL_PREFIX + job_id, b""),
                 ]
-        if bounds.keys() != self._listed:
-            lease_record = make_lease_record(self.placer.term, bounds, now)
+        predecessor_ended = self.placer.predecessor_ended_at <= now
+        if (bounds.keys(), predecessor_ended) != (self._listed, self._told_ended):
+            lease_record = make_lease_record(self.placer, self.address, bounds, now)
             records.append((LEASES_KEY, encode_lease_record(lease_record)))
         if records:
             await self.writer.append(records, NO_DEADLINE)
-            self._listed = set(bounds)
+            self._listed, self._told_ended = set(bounds), predecessor_ended
             self._observe_ends(dirty.values())
         release_leases(self.placer, self._listed or set())
         for worker_id, (incarnation, number) in seen.items():
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from .records import LeaseBound, LeaseRecord
@@ -21,6 +22,68 @@
 LIST_AFTER_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class InheritedLeases:
+    """What the previous term has left in the journal about leases.
+
+    Parameters
+    ----------
+    term : int
+        The previous term; 0 if it has left nothing.
+    address : str
+        ``"host:port"`` at which its process is called by other VMs.
+    earlier_lapse_at : float, seconds
+        When all leases have lapsed that terms before it can have granted on workers
+        that it had not reached.
+    bounds : dict of (str, int) to float
+        When the leases have lapsed that it did not extend, in seconds, by worker and
+        incarnation.
+    """
+
+    term: int = 0
+    address: str = ""
+    earlier_lapse_at: float = math.inf
+    bounds: dict[tuple[str, int], float] = field(default_factory=dict)
+
+
+NO_INHERITED_LEASES = InheritedLeases()
+
+
+def inherit_leases(record: LeaseRecord, read_at: float) -> InheritedLeases:
+    """Return the ends of leases in a record of the previous term.
+
+    Parameters
+    ----------
+    read_at : float, seconds
+        When the record was read. Its times count from then, later than they were
+        written.
+    """
+    return InheritedLeases(
+        record.term,
+        record.address,
+        read_at + record.earlier_left_s,
+        {
+            (bound.worker_id, bound.incarnation): read_at + bound.left_s
+            for bound in record.bounds
+        },
+    )
+
+
+def longest_lapse_at(placer: Placer) -> float:
+    """Return when all leases have lapsed that earlier terms can have granted.
+
+    The previous placer extends leases for a while without the journal, unless it is
+    known to have ended. Those before it may do so still if its term was short.
+    """
+    times = placer.times
+    lapse_s = times.lease.lapse_s
+    latest = placer.begun_at + times.max_unconfirmed_s + lapse_s
+    known = max(
+        placer.predecessor_ended_at + lapse_s, placer.inherited.earlier_lapse_at
+    )
+    return min(latest, known)
+
+
 def lapse_at(placer: Placer, life: tuple[str, int]) -> float:
     """Return when the leases on a worker that this term has not reached have lapsed.
 
@@ -35,7 +98,16 @@
         As the previous term knew it, or else by the longest lease that it can have
         granted.
     """
-    return min(placer.inherited.get(life, math.inf), placer.unknown_lapse_at())
+    bound = placer.inherited.bounds.get(life)
+    return longest_lapse_at(placer) if bound is None else bound
+
+
+def end_predecessor(placer: Placer, now: float) -> None:
+    """Note that the previous term extends no lease from now on."""
+    placer.predecessor_ended_at = min(placer.predecessor_ended_at, now)
+    for worker in placer.workers.values():
+        if not worker.confirmed_token and not worker.reachable:
+            worker.lapse_at = min(worker.lapse_at, lapse_at(placer, worker.life))
 
 
 def withhold_leases(placer: Placer, now: float) -> dict[tuple[str, int], float]:
@@ -54,7 +126,7 @@
         if worker.reachable or not worker.slots:
             continue
         silent_s = now - max(worker.silent_at, placer.begun_at)
-        known = worker.withheld or worker.life in placer.inherited
+        known = worker.withheld or worker.life in placer.inherited.bounds
         if known or silent_s >= LIST_AFTER_S:
             worker.withheld = True
             bounds[worker.life] = worker.lapse_at
@@ -75,11 +147,21 @@
 
 
 def make_lease_record(
-    term: int, bounds: dict[tuple[str, int], float], now: float
+    placer: Placer, address: str, bounds: dict[tuple[str, int], float], now: float
 ) -> LeaseRecord:
-    """Return the record of some ends of leases, to be encoded and written at once."""
+    """Return the record of some ends of leases, to be encoded and written at once.
+
+    Parameters
+    ----------
+    address : str
+        ``"host:port"`` at which other VMs call this process.
+    bounds : dict of (str, int) to float
+        As returned by `withhold_leases`.
+    """
     return LeaseRecord(
-        term,
+        placer.term,
+        address,
+        max(0.0, longest_lapse_at(placer) - now),
         tuple(
             LeaseBound(worker_id, incarnation, max(0.0, at - now))
             for (worker_id, incarnation), at in sorted(bounds.items())
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -183,7 +183,9 @@
             reader=self.journal,
             checks_first=True,
         )
-        self.peers = JobPeers(options.vm, backends.advice, self.writer, self.rng)
+        self.peers = JobPeers(
+            options.vm, backends.advice, self.writer, self.rng, self._end_term
+        )
         self.service = JobService(
             self.job_index,
             self.journal,
@@ -457,6 +459,18 @@
         else:
             await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
+    def _end_term(self, term: int) -> bool:
+        """Return whether this process extends no lease for a term and never will.
+
+        A later placer asks, so a claim of the term that was not begun is abandoned.
+        """
+        leadership = self.leadership
+        if leadership is not None and leadership.leader_record.term <= term:
+            return leadership.ended
+        if self._claim is not None and self._claim.term <= term:
+            self._claim = None
+        return True
+
     async def _begin_term(self) -> None:
         claim = self.job_index.leader_record
         now = boottime()
@@ -476,6 +490,8 @@
             self.backends.calls,
             self.job_index,
             self.peers.ask_advice,
+            self.options.rpc_address,
+            self._ask_term_ended,
             self.options.keep_ended_s,
             self.metrics,
             confirmed_at=now,
@@ -483,6 +499,8 @@
         writer.on_appended = leadership.note_appended
         # A draining worker must be known before any task is started on it.
         await self.registry.catch_up(CLAIM_TIMEOUT_S)
+        if self._claim is None:
+            return  # a later term has begun
         self.journal.pause_s = PLACER_PAUSE_S
         self.registry.pause_s = PLACER_REGISTRY_PAUSE_S
         # Nothing may be delivered to the term before it has loaded all jobs: ends of
@@ -494,6 +512,11 @@
         self.peers.placer_writer = writer
         await leadership.start()
 
+    async def _ask_term_ended(self, address: str, term: int) -> bool:
+        if address == self.options.rpc_address:
+            return self._end_term(term)
+        return await self.peers.ask_term_ended(address, term)
+
     async def _end_term_if_over(self) -> None:
         leadership = self.leadership
         if leadership is None or leadership.resigning:
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from .advice import AdviceCall
     from .journal import LogWriter
@@ -71,12 +72,16 @@
         Appends to the journal.
     placer_writer : LogWriter or None
         Writer of this VM's term while it is the placer.
+    end_term : callable
+        Takes the number of a term and returns whether this process extends no lease
+        for it and never will.
     """
 
     vm: str
     advice: AdviceService
     writer: LogWriter
     rng: random.Random
+    end_term: Callable[[int], bool]
     source_host: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     placer_writer: LogWriter | None = None
@@ -90,13 +95,16 @@
             "ping": self._serve_ping,
             "append": self._serve_append,
             "advise": self._serve_advise,
+            "term_ended": self._serve_term_ended,
         }
 
     def _client(self, vm: str) -> RpcClient:
         member = self.members.get(vm)
         if member is None:
             raise UnavailableError("no address", step="connect", peer=vm)
-        address = member.address
+        return self._client_at(member.address)
+
+    def _client_at(self, address: str) -> RpcClient:
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = RpcClient(address, self.source_host)
@@ -125,6 +133,24 @@
         except (ValueError, IndexError, TypeError) as exc:
             raise ProtocolError(repr(exc), step="advise", peer=vm) from exc
 
+    async def ask_term_ended(self, address: str, term: int) -> bool:
+        """Return whether the process at an address has ended a term for good.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no usable answer; one of an earlier version knows no such call.
+        """
+        client = self._client_at(address)
+        try:
+            reply = await client.call(
+                "term_ended", idl.TermCall(term), timeout_s=PING_TIMEOUT_S
+            )
+        except UnknownOutcomeError:
+            await client.close()
+            raise
+        return bool(reply.status == STATUS_OK)
+
     async def append_by_placer(
         self, placer: str, records: list[tuple[str, bytes]], wait_s: float
     ) -> Outcome | None:
@@ -231,6 +257,10 @@
     async def _serve_ping(self, _call: Any) -> Any:
         return idl.Reply(STATUS_OK, b"")
 
+    async def _serve_term_ended(self, call: Any) -> Any:
+        ended = self.end_term(call.term)
+        return idl.Reply(STATUS_OK if ended else STATUS_UNAVAILABLE, b"")
+
     async def _serve_append(self, call: Any) -> Any:
         records = [(key, value.encode()) for key, value in orjson.loads(call.records)]
         writer = self.placer_writer or self.writer
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, NamedTuple
@@ -20,7 +21,7 @@
 from .decisions import Placement, decide
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
 from .lateness import make_outlook
-from .leasebounds import lapse_at
+from .leasebounds import NO_INHERITED_LEASES, lapse_at
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
@@ -32,6 +33,7 @@
     from .crashes import Evidence
     from .headroom import Headroom
     from .lateness import Outlook
+    from .leasebounds import InheritedLeases
     from .model import (
         EndedTask,
         Queue,
@@ -101,9 +103,11 @@
         is divided out of speeds and run times, so that 1 is the pool's mean pace.
     last_queues : dict
         Newest definition of each queue, also of queues that were since removed.
-    inherited : dict
-        When the leases have lapsed that the previous term did not extend, by worker and
-        incarnation.
+    inherited : InheritedLeases
+        What the previous term has left in the journal about leases.
+    predecessor_ended_at : float, seconds
+        When it was known that the previous term extends no lease any more; infinite
+        before.
     not_adopted : dict
         Tasks whose runs may be present on a worker that is not known, by key.
     lapsed : dict
@@ -126,7 +130,8 @@
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
-    inherited: dict[tuple[str, int], float] = field(default_factory=dict)
+    inherited: InheritedLeases = NO_INHERITED_LEASES
+    predecessor_ended_at: float = math.inf
     not_adopted: dict[TaskKey, TaskState] = field(default_factory=dict)
     lapsed: dict[str, Evidence] = field(default_factory=dict)
     silent_times: deque[tuple[float, bool]] = field(
@@ -206,11 +211,6 @@
             wait_s=round(lapse_at(self, (task.worker, task.incarnation)) - now, 2),
         )
 
-    def unknown_lapse_at(self) -> float:
-        """Return when all leases that the previous term can have granted lapse."""
-        times = self.times
-        return self.begun_at + times.max_unconfirmed_s + times.lease.lapse_s
-
     def make_slot(self, progress: Progress, key: TaskKey, run: int) -> Slot:
         """Return the slot for a run of a task."""
         step = progress.job.steps[key.step]
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -125,11 +125,18 @@
     ----------
     term : int
         The term that wrote the record.
+    address : str
+        ``"host:port"`` at which other VMs call the placer.
+    earlier_left_s : float, seconds
+        Time from the encoding of the record until all leases have lapsed that terms
+        before this one can have granted on workers that it has not reached.
     bounds : tuple of LeaseBound
         The workers that carry runs and that the term does not reach.
     """
 
     term: int
+    address: str = ""
+    earlier_left_s: float = 0.0
     bounds: tuple[LeaseBound, ...] = ()
 
 
@@ -159,11 +166,21 @@
 
 def encode_lease_record(record: LeaseRecord) -> bytes:
     """Return the JSON form of the ends of leases."""
-    rows = [
-        [bound.worker_id, bound.incarnation, math.ceil(bound.left_s * 1000)]
-        for bound in record.bounds
-    ]
-    return orjson.dumps({"term": record.term, "left_ms": rows})
+    return orjson.dumps(
+        {
+            "term": record.term,
+            "address": record.address,
+            "earlier_left_ms": _to_ms(record.earlier_left_s),
+            "left_ms": [
+                [bound.worker_id, bound.incarnation, _to_ms(bound.left_s)]
+                for bound in record.bounds
+            ],
+        }
+    )
+
+
+def _to_ms(left_s: float) -> int:
+    return max(0, math.ceil(left_s * 1000))
 
 
 def decode_lease_record(value: bytes) -> LeaseRecord:
@@ -171,12 +188,14 @@
 
     Raises
     ------
-    ValueError, TypeError, KeyError
+    ValueError, TypeError, KeyError, OverflowError
         If the record is malformed.
     """
     data = orjson.loads(value)
     return LeaseRecord(
         int(data["term"]),
+        str(data["address"]),
+        max(0, int(data["earlier_left_ms"])) / 1000,
         tuple(
             LeaseBound(str(worker_id), int(incarnation), max(0, int(left_ms)) / 1000)
             for worker_id, incarnation, left_ms in data["left_ms"]
