Write the ends of leases anew while they are open, and with a resignation

Cause: a record says how much time is left, counted from when it is read, and it was written only when its workers changed. A VM that has just started reads a record of several seconds ago as if it were new.

Change: `LeaseJournal` makes a record at least every 0.5 s while a lease may still run, and one with each resignation. Whether leases may be extended again depends on the newest record made, so a resignation of unknown outcome holds them back until a later record is stored. The hypothesis test uses the class.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -18,13 +18,7 @@
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
-from .leasebounds import (
-    end_predecessor,
-    longest_lapse_at,
-    make_lease_record,
-    release_leases,
-    withhold_leases,
-)
+from .leasebounds import LeaseJournal, end_predecessor, longest_lapse_at
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -168,6 +162,7 @@
     confirmed_at: float
     ended: bool = False
     resigning: bool = False
+    lease_journal: LeaseJournal = field(init=False)
     advisers: dict[str, Adviser] = field(default_factory=dict)
     _wake: Any = field(default_factory=curio.Event)
     _tasks: list[Any] = field(default_factory=list)
@@ -175,14 +170,13 @@
     _send_queues: dict[str, curio.Queue] = field(default_factory=dict)
     _to_journal: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
-    # Workers in the newest lease record of the term; None before the first.
-    _listed: set[tuple[str, int]] | None = None
-    # Whether that record takes into account that the previous term has ended.
-    _told_ended: bool = False
     _written_at: float = 0.0
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.lease_journal = LeaseJournal(self.placer, self.address)
+
     def note_appended(self, sent_at: float) -> None:
         """Handle a successful append of this term."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
@@ -300,11 +294,14 @@
         if self.writer.failing_since:
             return False
         self.resigning = True
+        lease_record = self.lease_journal.prepare_resignation(boottime())
+        records = [
+            (LEASES_KEY, encode_lease_record(lease_record)),
+            (LEADER_KEY, self._resignation()),
+        ]
         try:
             async with curio.timeout_after(RESIGN_TIMEOUT_S):
-                await self.writer.append(
-                    [(LEADER_KEY, self._resignation())], NO_DEADLINE
-                )
+                await self.writer.append(records, NO_DEADLINE)
             await self.writer.finish(RESIGN_TIMEOUT_S)
         except (CuminhillError, curio.TaskTimeout) as exc:
             logger.info("resignation not written", error=str(exc))
@@ -632,8 +629,7 @@
 
     async def _journal_progress(self) -> None:
         dirty = self.placer.take_dirty()
-        now = boottime()
-        bounds = withhold_leases(self.placer, now)
+        lease_record = self.lease_journal.prepare(boottime())
         placements, self._unjournaled = self._unjournaled, []
         seen = {
             worker.worker_id: (worker.entry.incarnation, worker.last_seen_end)
@@ -650,15 +646,12 @@
                     (JOB_PREFIX + job_id, b""),
                     (CANCEL_PREFIX + job_id, b""),
                 ]
-        predecessor_ended = self.placer.predecessor_ended_at <= now
-        if (bounds.keys(), predecessor_ended) != (self._listed, self._told_ended):
-            lease_record = make_lease_record(self.placer, self.address, bounds, now)
+        if lease_record is not None:
             records.append((LEASES_KEY, encode_lease_record(lease_record)))
         if records:
             await self.writer.append(records, NO_DEADLINE)
-            self._listed, self._told_ended = set(bounds), predecessor_ended
             self._observe_ends(dirty.values())
-        release_leases(self.placer, self._listed or set())
+        self.lease_journal.note_stored()
         for worker_id, (incarnation, number) in seen.items():
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -20,6 +20,9 @@
 # A worker that does not answer is listed after this time; most of those whose
 # connections were only reset answer sooner.
 LIST_AFTER_S = 0.3
+# While a lease may still run, its record is written anew at this interval: for a VM
+# that has just started, the times in it count from when it reads it.
+REWRITE_INTERVAL_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,11 +113,85 @@
             worker.lapse_at = min(worker.lapse_at, lapse_at(placer, worker.life))
 
 
+@dataclass(eq=False)
+class LeaseJournal:
+    """Makes the lease records of one term and enforces what they say.
+
+    Parameters
+    ----------
+    placer : Placer
+        State of the term.
+    address : str
+        ``"host:port"`` at which other VMs call this process.
+    """
+
+    placer: Placer
+    address: str
+    _listed: set[tuple[str, int]] = field(default_factory=set)
+    # What the newest record made and the newest one stored say, without their times.
+    _made: tuple[object, ...] | None = None
+    _stored: tuple[object, ...] | None = None
+    _made_at: float = -math.inf
+    _n_made: int = 0
+    _n_prepared: int = 0
+
+    def prepare(self, now: float) -> LeaseRecord | None:
+        """Return the record to store next, None if the newest one still holds.
+
+        From now on leases on the workers that are not reached are not extended.
+        """
+        placer = self.placer
+        bounds = withhold_leases(placer, now)
+        earlier_over = longest_lapse_at(placer) <= now
+        news = (set(bounds), placer.predecessor_ended_at <= now, earlier_over)
+        is_open = bool(bounds) or not earlier_over
+        if news == self._stored and not (
+            is_open and now - self._made_at >= REWRITE_INTERVAL_S
+        ):
+            self._n_prepared = self._n_made
+            return None
+        record = self._make(bounds, now)
+        self._made, self._n_prepared = news, self._n_made
+        return record
+
+    def prepare_resignation(self, now: float) -> LeaseRecord:
+        """Return the record to store together with a resignation."""
+        record = self._make(withhold_leases(self.placer, now), now)
+        # It may be stored at any time from now on, so only a later one ends it.
+        self._stored = None
+        return record
+
+    def _make(self, bounds: dict[tuple[str, int], float], now: float) -> LeaseRecord:
+        self._n_made += 1
+        self._made_at, self._listed = now, set(bounds)
+        return LeaseRecord(
+            self.placer.term,
+            self.address,
+            max(0.0, longest_lapse_at(self.placer) - now),
+            tuple(
+                LeaseBound(worker_id, incarnation, max(0.0, at - now))
+                for (worker_id, incarnation), at in sorted(bounds.items())
+            ),
+        )
+
+    def note_stored(self) -> None:
+        """Allow that leases are extended on workers that the journal does not list.
+
+        Called when the record that `prepare` has returned is stored, or at once if it
+        returned none.
+        """
+        if self._n_prepared != self._n_made:
+            return
+        self._stored = self._made
+        for worker in self.placer.workers.values():
+            if worker.withheld and worker.life not in self._listed:
+                worker.withheld = False
+
+
 def withhold_leases(placer: Placer, now: float) -> dict[tuple[str, int], float]:
     """Return the workers with runs that are not reached, and when their leases lapse.
 
-    From now on their leases are not extended, until `release_leases` is called after a
-    record without them was stored.
+    Their leases are not extended from now on.
     """
     bounds = {
         (task.worker, task.incarnation): lapse_at(
@@ -131,39 +208,3 @@
             worker.withheld = True
             bounds[worker.life] = worker.lapse_at
     return bounds
-
-
-def release_leases(placer: Placer, listed: set[tuple[str, int]]) -> None:
-    """Allow that leases are extended on all workers that the stored record leaves out.
-
-    Parameters
-    ----------
-    listed : set of (str, int)
-        The workers in that record, with their incarnations.
-    """
-    for worker in placer.workers.values():
-        if worker.withheld and worker.life not in listed:
-            worker.withheld = False
-
-
-def make_lease_record(
-    placer: Placer, address: str, bounds: dict[tuple[str, int], float], now: float
-) -> LeaseRecord:
-    """Return the record of some ends of leases, to be encoded and written at once.
-
-    Parameters
-    ----------
-    address : str
-        ``"host:port"`` at which other VMs call this process.
-    bounds : dict of (str, int) to float
-        As returned by `withhold_leases`.
-    """
-    return LeaseRecord(
-        placer.term,
-        address,
-        max(0.0, longest_lapse_at(placer) - now),
-        tuple(
-            LeaseBound(worker_id, incarnation, max(0.0, at - now))
-            for (worker_id, incarnation), at in sorted(bounds.items())
-        ),
-    )
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -19,6 +19,31 @@
 NOTICED_S, UNNOTICED_S = 2.0, 0.2
 
 
+async def lose_worker_of_task(cluster, leaves: bool) -> None:
+    """Start a task that lasts and end its worker; if it leaves, deregister it too."""
+    await cluster.wait_for(cluster.leader)
+    for worker in cluster.workers.workers.values():
+        worker.hang = True  # the task lasts
+    await cluster.submit(cluster.leader(), make_job(make_step(long_running=True)))
+    await cluster.wait_for(cluster.workers.history)
+    (run,) = cluster.workers.history()
+    await curio.sleep(2 * CHANGE_INTERVAL_S)
+    del cluster.workers.workers[run.worker_id]
+    if leaves:
+        cluster.registry.append_records([(run.worker_id, b"")])
+
+
+async def change_placer(cluster) -> None:
+    """Stop the placer and wait for the next one."""
+    node = cluster.leader()
+    await node.drain()
+    await cluster.wait_for(lambda: cluster.leader() not in {None, node})
+
+
+def has_second_run(cluster) -> bool:
+    return any(item.run == 2 for item in cluster.workers.history())
+
+
 # Guards against a wait for the leases of a lost worker that each new placer begins
 # anew: long-running tasks stood still while the placer kept changing, and 9 s more.
 @pytest.mark.parametrize("before_s", [NOTICED_S, UNNOTICED_S], ids=["noticed", "new"])
@@ -31,27 +56,33 @@
     async def scenario():
         for number in range(N_CHANGES + 1):
             await cluster.start_node(f"vm{number}")
-        await cluster.wait_for(cluster.leader)
-        for worker in cluster.workers.workers.values():
-            worker.hang = True  # the task lasts
-        job = make_job(make_step(long_running=True))
-        await cluster.submit(cluster.leader(), job)
-        await cluster.wait_for(cluster.workers.history)
-        (run,) = cluster.workers.history()
-        await curio.sleep(2 * CHANGE_INTERVAL_S)
-        del cluster.workers.workers[run.worker_id]
-        if leaves:
-            cluster.registry.append_records([(run.worker_id, b"")])
+        await lose_worker_of_task(cluster, leaves)
         await curio.sleep(before_s)
         for _ in range(N_CHANGES):
-            node = cluster.leader()
-            await node.drain()
-            await cluster.wait_for(
-                lambda node=node: cluster.leader() not in {None, node}
-            )
+            await change_placer(cluster)
+            await curio.sleep(CHANGE_INTERVAL_S)
+        assert has_second_run(cluster), "the task stood still during all changes"
+
+    curio.run(scenario)
+
+
+# Guards against a VM that takes the ends of leases in the journal for new because it
+# reads them for the first time after its own start.
+def test_a_vm_that_has_just_started_does_not_prolong_the_wait_for_a_lost_worker(
+    cluster,
+):
+    cluster.times = PlacerTimes(lease=LeaseTimes(lease_s=4.0), max_unconfirmed_s=2.0)
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await lose_worker_of_task(cluster, leaves=True)
+        await curio.sleep(NOTICED_S)
+        for number in range(1, N_CHANGES + 1):
+            node = await cluster.start_node(f"vm{number}")
+            await cluster.wait_for(node.is_ready)
+            await change_placer(cluster)
             await curio.sleep(CHANGE_INTERVAL_S)
-        runs = [item for item in cluster.workers.history() if item.run == 2]
-        assert runs, "the task stood still during all changes of the placer"
+        assert has_second_run(cluster), "the task stood still during all changes"
 
     curio.run(scenario)
 
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -18,16 +18,16 @@
 from cuminhill.jobs.leasebounds import (
     LIST_AFTER_S,
     NO_INHERITED_LEASES,
+    REWRITE_INTERVAL_S,
     InheritedLeases,
+    LeaseJournal,
     end_predecessor,
     lapse_at,
     longest_lapse_at,
-    make_lease_record,
-    release_leases,
     withhold_leases,
 )
 from cuminhill.jobs.placer import Placer
-from cuminhill.jobs.progress import decode_progress, encode_progress
+from cuminhill.jobs.progress import TaskState, decode_progress, encode_progress
 from cuminhill.jobs.records import (
     LEADER_KEY,
     LEASES_KEY,
@@ -54,6 +54,7 @@
     mark_started,
     running_row,
     submit,
+    task_key,
 )
 
 NOW = BEGUN_AT
@@ -196,16 +197,18 @@
     mark_started(placer, runs)
     lose_worker(placer, NOW)
     worker = placer.workers["w1"]
-    assert withhold_leases(placer, NOW + LIST_AFTER_S / 2) == {}
-    listed = withhold_leases(placer, NOW + 2 * LIST_AFTER_S)
+    journal = LeaseJournal(placer, ADDRESS)
+    assert journal.prepare(NOW + LIST_AFTER_S / 2).bounds == ()
+    journal.note_stored()
+    assert journal.prepare(NOW + 2 * LIST_AFTER_S).bounds
+    journal.note_stored()
     answer_renewal(placer, "w1", NOW + 1, running=(running_row(runs[0]),))
     assert worker.reachable
     assert not worker.may_extend_leases()
     assert not worker.accepts_starts()
-    release_leases(placer, set(listed))
+    assert journal.prepare(NOW + 1).bounds == ()
     assert not worker.may_extend_leases()
-    assert withhold_leases(placer, NOW + 1) == {}
-    release_leases(placer, set())
+    journal.note_stored()
     assert worker.may_extend_leases()
     assert worker.accepts_starts()
 
@@ -214,13 +217,64 @@
 def test_the_record_holds_the_time_left_when_it_is_made():
     placer = Placer(3, NOW)
     bounds = {LIFE: NOW + 2.5, ("w0", 4): NOW - 1}
-    record = make_lease_record(placer, ADDRESS, bounds, NOW)
+    placer.inherited = InheritedLeases(2, ADDRESS, NOW, bounds)
+    for worker_id, incarnation in bounds:
+        task = TaskState(1, worker=worker_id, incarnation=incarnation)
+        placer.not_adopted[task_key(len(placer.not_adopted))] = task
+    record = LeaseJournal(placer, ADDRESS).prepare(NOW)
     left_s = pytest.approx(longest_lapse_at(placer) - NOW)
     rows = (LeaseBound("w0", 4, 0.0), LeaseBound(*LIFE, 2.5))
     assert record == LeaseRecord(3, ADDRESS, left_s, rows)
     assert decode_lease_record(encode_lease_record(record)).bounds == rows
 
 
+# Guards against records that a VM takes for new when it reads them after its start,
+# and against writing them for ever.
+def test_a_record_is_made_anew_only_while_a_lease_may_run():
+    placer = make_placer(n_workers=1)
+    journal = LeaseJournal(placer, ADDRESS)
+    over = longest_lapse_at(placer)
+    assert journal.prepare(over).earlier_left_s == 0
+    journal.note_stored()
+    assert journal.prepare(over + 60) is None
+    submit(placer, make_job())
+    mark_started(placer, placer.decide(over, WALL)[0], over)
+    lapse = lose_worker(placer, over + 60)
+    left = []
+    for step in range(4):
+        now = over + 61 + step * REWRITE_INTERVAL_S
+        record = journal.prepare(now)
+        journal.note_stored()
+        left.append(record.bounds[0].left_s)
+        assert journal.prepare(now) is None
+    expected = [lapse - over - 61 - step * REWRITE_INTERVAL_S for step in range(4)]
+    assert left == pytest.approx(expected)
+    placer.tick(lapse + 0.1)
+    assert journal.prepare(lapse + 0.1).bounds == ()
+    journal.note_stored()
+    assert journal.prepare(lapse + 60) is None
+
+
+# Guards against leases that are extended although the record of a resignation whose
+# outcome is unknown says that they lapse.
+def test_only_a_record_after_that_of_a_resignation_allows_to_extend_leases():
+    placer = make_placer(n_workers=1)
+    submit(placer, make_job())
+    mark_started(placer, placer.decide(NOW, WALL)[0])
+    journal = LeaseJournal(placer, ADDRESS)
+    journal.prepare(NOW)
+    lose_worker(placer, NOW)
+    listed = journal.prepare_resignation(NOW + 1).bounds
+    assert [bound.worker_id for bound in listed] == ["w1"]
+    placer.workers["w1"].reachable = True
+    journal.note_stored()
+    assert not placer.workers["w1"].may_extend_leases()
+    assert journal.prepare(NOW + 1).bounds == ()
+    assert not placer.workers["w1"].may_extend_leases()
+    journal.note_stored()
+    assert placer.workers["w1"].may_extend_leases()
+
+
 class _SimWorker:
     """Worker process behind links that may be cut, with leases on its own clock."""
 
@@ -272,7 +326,7 @@
         placer.inherited = self.index.inherited_leases()
         for worker_id in self.sims:
             placer.register_worker(make_entry(worker_id), self.now)
-        self.written: tuple | None = None
+        self.lease_journal = LeaseJournal(placer, ADDRESS)
 
     def _renew(self, placer: Placer) -> None:
         for worker_id, sim in self.sims.items():
@@ -295,17 +349,15 @@
             placer.process_report(worker_id, worker.fencing_token, report, self.now)
 
     def _write(self, placer: Placer) -> None:
-        bounds = withhold_leases(placer, self.now)
         if not self.store_up:
+            withhold_leases(placer, self.now)
             return
+        record = self.lease_journal.prepare(self.now)
         placements = placer.decide(self.now, WALL)[0]
-        news = set(bounds), placer.predecessor_ended_at <= self.now
-        if news != self.written:
-            record = make_lease_record(placer, ADDRESS, bounds, self.now)
+        if record is not None:
             value = encode_lease_record(record)
             self.index.fold(JournalRecord(0, LEASES_KEY, value), self.now)
-            self.written = news
-        release_leases(placer, set(bounds))
+        self.lease_journal.note_stored()
         for job_id, progress in placer.take_dirty().items():
             self.journal[job_id] = encode_progress(progress)
         for run in placements:
