Count a term as confirmed from its claim, not from its begin

A VM that reads its own claim late, after a pause for instance, extended leases for 4 s from then, although a later placer could have begun and could have counted the leases as lapsed: a task could have run twice.

Cause: confirmed_at was set when the term began; the newest write that shows the term to be in force is its claim.

Measured: test_a_term_is_confirmed_from_the_time_at_which_it_was_claimed failed before and passes.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -149,6 +149,7 @@
     n_bad_configs: int = 0
     _claim: LeaderRecord | None = None
     _claim_number: int = 0
+    _claimed_at: float = 0.0
     _used_term: int = 0
     _may_hand_over_at: float = 0.0
     _next_resign_at: float = 0.0
@@ -430,6 +431,7 @@
         term = max(self.job_index.leader_record.term, self._used_term) + 1
         claim = LeaderRecord(term, self.options.vm, nonce)
         self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
+        self._claimed_at = boottime()
         token = WriterToken(PLACER_WRITER, claim.term, self._claim_number)
         silent_s = boottime() - self.election.newest_record_at
         logger.info(
@@ -494,7 +496,8 @@
             self._ask_term_ended,
             self.options.keep_ended_s,
             self.metrics,
-            confirmed_at=now,
+            # The newest write of the term: the claim may have been read much later.
+            confirmed_at=self._claimed_at,
         )
         writer.on_appended = leadership.note_appended
         # A draining worker must be known before any task is started on it.
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -5,7 +5,10 @@
 import curio
 import pytest
 
+from cuminhill.clock import boottime
 from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.jobs.leadership import Leadership
+from cuminhill.jobs.node import JobNode
 from cuminhill.jobs.placer import PlacerTimes
 from cuminhill.jobs.records import LEADER_KEY, LeaderRecord, encode_leader_record
 
@@ -110,6 +113,34 @@
     curio.run(scenario)
 
 
+# Guards against leases that a VM extends although its claim is old, as after a pause
+# between the claim and the begin of the term: a later placer may have begun meanwhile.
+def test_a_term_is_confirmed_from_the_time_at_which_it_was_claimed(
+    cluster, monkeypatch
+):
+    claimed_at, confirmed_at = [], []
+    start, make_claim = Leadership.start, JobNode._make_claim
+
+    async def claim_slowly(node):
+        claimed_at.append(boottime())
+        await make_claim(node)
+        await curio.sleep(0.3)
+
+    async def note_start(leadership):
+        confirmed_at.append(leadership.confirmed_at)
+        await start(leadership)
+
+    monkeypatch.setattr(JobNode, "_make_claim", claim_slowly)
+    monkeypatch.setattr(Leadership, "start", note_start)
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await cluster.wait_for(lambda: confirmed_at)
+        assert confirmed_at[0] < claimed_at[0] + 0.3
+
+    curio.run(scenario)
+
+
 # Guards against a VM that never leads again after an odd question of another one.
 def test_a_question_about_a_term_of_the_future_has_no_effect(cluster):
     async def scenario():
