Release the runs of an earlier incarnation of a worker at once in a new term

Cause: a run whose worker is registered with a later incarnation was treated like one whose worker is not registered at all. A later incarnation knows nothing of the earlier one, so the run is certainly gone.

--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -330,6 +330,9 @@
         worker.lapse_at = 0.0
         self._look_up_speed(worker)
         self._adopt_waiting(worker)
+        if worker.slots:
+            # An earlier term has read of this incarnation first.
+            worker.lapse_at = lapse_at(self, worker.life)
 
     def _look_up_speed(self, worker: Worker) -> None:
         speed = self.speeds.speed(
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -86,7 +86,10 @@
 
 
 def _release_not_adopted(placer: Placer, now: float) -> None:
-    """Release runs whose worker has not registered in this term, after its lease."""
+    """Release runs whose worker has not registered in this term, after its lease.
+
+    A run on an earlier incarnation of a registered worker is released at once.
+    """
     for key, task in list(placer.not_adopted.items()):
         progress = placer.jobs.get(key.job_id)
         worker = placer.workers.get(task.worker)
@@ -94,7 +97,9 @@
         if progress is None or adopted or not task.worker:
             del placer.not_adopted[key]
             continue
-        if now < lapse_at(placer, (task.worker, task.incarnation)):
+        restarted = worker is not None and worker.entry.incarnation > task.incarnation
+        lapsed = now >= lapse_at(placer, (task.worker, task.incarnation))
+        if not restarted and not lapsed:
             continue
         del placer.not_adopted[key]
         logger.info(
@@ -103,7 +108,7 @@
             task=tuple(key[1:]),
             run=task.run,
             worker=task.worker,
-            why="worker not registered",
+            why="worker restarted" if restarted else "worker not registered",
             waited_s=round(now - placer.begun_at, 2),
         )
         progress.unassign(key)
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cuminhill.jobs.fleet import CLOCK_DRIFT
 from cuminhill.jobs.leasebounds import longest_lapse_at
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, StartOrder, StartResult
@@ -205,6 +207,45 @@
     assert copy.step_run(0, 0).tasks[0].away_since == second.begun_at
 
 
+# Guards against a wait for the leases of a worker that is known to have restarted.
+@pytest.mark.parametrize("registered_first", [True, False])
+def test_a_run_on_an_earlier_incarnation_is_placed_again_at_once(registered_first):
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    first.decide(NOW, WALL)
+    copy = decode_progress(progress.job, encode_progress(progress))
+    second = make_placer(n_workers=0, term=2)
+    if not registered_first:
+        second.add_job(copy, NOW)
+        second.tick(NOW)
+        assert copy.n_assigned == 1
+    second.register_worker(make_entry("w1", incarnation=2), NOW)
+    if registered_first:
+        second.add_job(copy, NOW)
+    answer_renewal(second, "w1", incarnation=2)
+    second.tick(NOW)
+    (run,) = second.decide(NOW, WALL)[0]
+    assert (run.worker_id, run.run) == ("w1", 2)
+
+
+# Guards against a second run beside one on an incarnation that was not read yet.
+def test_a_run_on_a_later_incarnation_is_left_until_it_is_known():
+    first = make_placer(n_workers=0)
+    first.register_worker(make_entry("w1", incarnation=2), NOW)
+    answer_renewal(first, "w1", incarnation=2)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    first.decide(NOW, WALL)
+    copy = decode_progress(progress.job, encode_progress(progress))
+    second = make_placer(n_workers=1, term=2)
+    second.add_job(copy, NOW)
+    second.tick(NOW)
+    assert second.decide(NOW, WALL)[0] == []
+    second.register_worker(make_entry("w1", incarnation=2), NOW)
+    second.tick(NOW)
+    assert copy.n_assigned == 1
+    assert len(second.workers["w1"].slots) == 1
+
+
 def test_a_run_that_the_first_renewal_does_not_list_is_placed_again_at_once():
     """Guards against waiting for a lease if the token proves that nothing runs."""
     first = make_placer(n_workers=1)
