Count a cluster as ready once its lasting leaders are known

Cause: chiayi-e0 started 0.8 s after chiayi-e1 and took Chiayi/0 over from it after the cluster had counted as ready. Answers to checks are kept in the placer's memory only, which the design allows, so the repeat of check-1 ran again. Ruled out: a fault of the product; the daemons' log lines show the change of the leader between the two submissions. Change: wait_ready of the process cluster waits until the first-ranked daemon of each failure domain leads, and until every running daemon knows this incarnation of all others to be alive.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from cuminhill.coordination.ownership import leader_of
+
 from .cluster import first_publication
 
 if TYPE_CHECKING:
@@ -84,6 +86,21 @@
     raise TimeoutError(f"{check} was not true within {timeout_s} s")
 
 
+def _leads(dump: dict[str, Any], shard: str) -> bool:
+    """Return whether a daemon leads a shard and has heard all of its workers."""
+    state = dump["shards"][shard]
+    return bool(state["leading"] and state["placer"]["roster_complete"])
+
+
+def _alive_members(dump: dict[str, Any]) -> dict[str, str]:
+    """Return the incarnation of each VM that a daemon considers alive."""
+    return {
+        item["vm"]: item["incarnation"]
+        for item in dump["members"]
+        if item["state"] == "alive"
+    }
+
+
 @dataclass(eq=False)
 class DaemonProcess:
     """One daemon in a process of its own."""
@@ -200,25 +217,31 @@
         return daemon
 
     def wait_ready(self, timeout_s: float = 15.0) -> None:
-        """Wait until each shard has a leader and every daemon knows all leaders."""
+        """Wait until every shard has its lasting leader and every daemon knows it.
+
+        A leader that does not rank first among the running daemons of its failure
+        domain is replaced as soon as the first-ranked one joins, and answers to checks
+        do not survive that.
+        """
         wait_until(self._settled, timeout_s)
 
     def _settled(self) -> bool:
-        domains = {
-            item.failure_domain for item in self.daemons.values() if item.running
-        }
-        leaders = {domain: self.leader(domain) for domain in domains}
-        expected = {
-            f"{domain}/0": daemon.vm
-            for domain, daemon in leaders.items()
-            if daemon is not None
-        }
-        if len(expected) < len(domains):
-            return False
+        running = [item for item in self.daemons.values() if item.running]
+        dumps = {daemon.vm: daemon.dump() for daemon in running}
+        incarnations = {vm: dump["incarnation"] for vm, dump in dumps.items()}
+        expected: dict[str, str] = {}
+        for domain in {item.failure_domain for item in running}:
+            shard = f"{domain}/0"
+            vms = [item.vm for item in running if item.failure_domain == domain]
+            leader = leader_of(shard, vms)
+            assert leader is not None
+            if not _leads(dumps[leader], shard):
+                return False
+            expected[shard] = leader
         return all(
-            daemon.dump()["routing"]["leaders"] == expected
-            for daemon in self.daemons.values()
-            if daemon.running
+            incarnations.items() <= _alive_members(dump).items()
+            and dump["routing"]["leaders"] == expected
+            for dump in dumps.values()
         )
 
     def leader(self, failure_domain: str) -> DaemonProcess | None:
@@ -226,8 +249,7 @@
         for daemon in self.daemons.values():
             if daemon.failure_domain != failure_domain or not daemon.running:
                 continue
-            shard = daemon.dump()["shards"][f"{failure_domain}/0"]
-            if shard["leading"] and shard["placer"]["roster_complete"]:
+            if _leads(daemon.dump(), f"{failure_domain}/0"):
                 return daemon
         return None
 
