Wait for the claim in the provocation of the lease check's mutant

Cause: the gate on the leader's reads also holds a read that ended without records, every 2 s and for either stream. The leader was then paused before its claim was in the log, so that no successor could run the batch ("nothing runs"). Ruled out: a successor that is slow; the claim is missing. Change: the gate is on the stream of requests, and the leader is paused once its claim is in the log. After the pause the test waits until the leader has read the claim, and then as long as before; the check is the same.

--- a/tests/checks/test_mutants.py
+++ b/tests/checks/test_mutants.py
@@ -8,10 +8,17 @@
 import pytest
 
 from checks import mutants
+from checks.collect import read_log
 from checks.scenario import scenario
-from standins.processes import DAEMON_ENTRY, call, process_cluster
+from standins.processes import (
+    DAEMON_ENTRY,
+    call,
+    process_cluster,
+    wait_until,
+)
 
 SEED = 3
+PROVOCATION_BOUND_S = 20.0  # time for a step of a provocation on a busy machine
 
 
 def judge(directory, entry, act):
@@ -39,13 +46,22 @@
 
 
 def wait_running(run):
-    for _ in range(200):
+    """Wait until a task runs, and return its worker."""
+
+    def running():
         states = run.cluster.worker_states()
-        running = [name for name, state in states.items() if state["running"]]
-        if running:
-            return running[0]
-        time.sleep(0.02)
-    raise AssertionError("nothing runs")
+        return [name for name, state in states.items() if state["running"]]
+
+    return wait_until(running, PROVOCATION_BOUND_S)[0]
+
+
+def claims(run, request_id):
+    """Return the offsets of the claims of an id in the log."""
+    return [
+        offset
+        for offset, record in read_log(run.cluster, "requests")
+        if record.get("type") == "claim" and record["request_id"] == request_id
+    ]
 
 
 def resume_a_stale_leader(run):
@@ -54,9 +70,18 @@
         run.set_worker(worker_id, fencing=False)
     leader = run.leader()
     spec = make_spec(run, "batch", "mutant-b", n_tasks=2, run_time_s=8.0)
-    run.gate("reads", "log", method="GET", peer=leader.host, when="after")
+    run.gate(
+        "reads",
+        "log",
+        method="GET",
+        path="/streams/requests",
+        peer=leader.host,
+        when="after",
+    )
     run.load.submit_later(spec, leader.vm, wait_s=1.0)
-    assert run.wait_held("reads", ["log"], 5.0)
+    # The gate also holds a read without records, so the claim itself is waited for.
+    offset = wait_until(lambda: claims(run, "mutant-b"), PROVOCATION_BOUND_S)[0]
+    assert run.wait_held("reads", ["log"], PROVOCATION_BOUND_S)
     run.pause(leader)
     run.cluster.set_faults("log", release="reads")
     wait_running(run)
@@ -64,6 +89,9 @@
     for worker_id in run.workers():
         run.gate("renewals", worker_id, path="/lease", peer=leader.host)
     run.resume()
+    wait_until(
+        lambda: leader.dump()["log"]["next_offset"] > offset, PROVOCATION_BOUND_S
+    )
     time.sleep(1.0)
 
 
