Make two submissions of the read-back mutant's provocation overlap

Cause: nothing made sure that both domains claimed the id before either had read the other's claim. One append of 50 ms was the whole window, so a caller that came later got the redirect and the mutant ran nothing twice. Change: the log holds each daemon's claims and the workers hold the starts until both domains have sent a claim. The regular daemon has to pass the same provocation, in which both claims are in the log; the check is the same.

--- a/tests/checks/test_mutants.py
+++ b/tests/checks/test_mutants.py
@@ -12,6 +12,7 @@
 from checks.scenario import scenario
 from standins.processes import (
     DAEMON_ENTRY,
+    SERVICES,
     call,
     process_cluster,
     wait_until,
@@ -96,10 +97,31 @@
 
 
 def submit_in_two_domains(run):
-    """Submit one batch through two failure domains at the same time."""
+    """Submit one batch through two failure domains before either claim is in the log.
+
+    The claims and the starts of tasks are held until both domains have sent a claim.
+    """
     spec = make_spec(run, "batch", "mutant-b", n_tasks=2, run_time_s=1.0)
+    daemons = run.cluster.daemons.values()
+    for daemon in daemons:
+        run.gate(f"claim of {daemon.vm}", "log", record_type="claim", peer=daemon.host)
+    workers = [name for name in run.cluster.addresses if name not in SERVICES]
+    for worker_id in workers:
+        run.gate("starts", worker_id, path="/tasks", text="run_time_s")
     for vm in ("tainan-e0", "chiayi-e0"):
         run.load.submit_later(spec, vm, wait_s=3.0)
+
+    def both_sent():
+        return {
+            daemon.failure_domain
+            for daemon in daemons
+            if run.cluster.n_held("log", f"claim of {daemon.vm}")
+        } == {"Tainan", "Chiayi"}
+
+    wait_until(both_sent, PROVOCATION_BOUND_S)
+    run.cluster.set_faults("log", release="*")
+    for worker_id in workers:
+        run.cluster.set_faults(worker_id, release="starts")
     time.sleep(2.0)
 
 
