Give failed and cancelled answers once they are recorded

Cause: an answer that is not in the log was given after 0.5 s in any state. If the log hangs and the leader is then paused or killed, its successor tries failed tasks again and has no results of the stopped tasks of a cancelled request; its own answer differs and is the one recorded (P3, "cancelled" after an earlier answer with a failed task). Ruled out: answers "done"; the workers keep the results of tasks that succeeded until the answer is recorded, and the successor counts them. Change: "failed" and "cancelled" are "accepted" to callers until they are read back from the log.

--- a/cuminhill/submissions.py
+++ b/cuminhill/submissions.py
@@ -30,6 +30,9 @@
 MAX_CACHED_ANSWERS = 20_000
 CHECK_WAIT_S = 5.0
 RECORD_WAIT_S = 0.5  # an unrecorded answer is returned after this
+# A successor may answer differently until these are recorded: it tries failed tasks
+# again, and it has no results of the tasks that were stopped.
+RECORDED_STATES = frozenset({AnswerState.FAILED, AnswerState.CANCELLED})
 CLAIM_WAIT_S = 30.0  # how long a request without deadline waits for its claim
 
 
@@ -86,7 +89,9 @@
             return Answer.from_dict(entry.answer)
         unrecorded = self.unrecorded.get(request_id)
         if unrecorded and time.monotonic() - unrecorded[0] >= RECORD_WAIT_S:
-            return unrecorded[1]
+            answer = unrecorded[1]
+            if answer.state not in RECORDED_STATES:
+                return answer
         return Answer(request_id, AnswerState.ACCEPTED)
 
     async def cancel(self, request_id: str) -> None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -213,3 +213,28 @@
         time.sleep(1.0)
         assert run.finish() == []
         assert [item for item in run.history.runs if item.request_id == spec.request_id]
+
+
+def test_cancellation_answered_before_its_record_is_not_contradicted(cluster):
+    """Guards against an answer that a successor replaces by another one (P3).
+
+    The leader stops the tasks of a cancelled batch, and its record of the answer never
+    reaches the log. Its successor has no results of the stopped tasks.
+    """
+    with scenario(cluster, "unrecorded", SEED, n_callers=0) as run:
+        leader = run.leader()
+        spec = run.load.make_spec("batch", "unrecorded-b", random.Random(SEED))
+        spec.body |= {"run_time_s": 5.0}
+        run.load.specs.append(spec)
+        run.load.submit_later(spec, leader.vm, wait_s=2.5)
+        wait_until(lambda: n_runs(cluster, "unrecorded-b") == spec.n_tasks, 10.0)
+        run.gate("log", "log", record_type="done", peer=leader.host)
+        run.load.cancel(spec, leader.vm)
+        assert run.wait_held("log", ["log"], 10.0)
+        # The answer used to be given without its record after half a second.
+        wait_until(lambda: run.load.calls[0].answered_at is not None, 10.0)
+        cluster.block(["log"], [leader.vm])
+        run.kill(leader)
+        cluster.set_faults("log", release="log")  # the held append has no effect
+        assert run.finish() == []
+    assert {item.state for item in run.history.answers()} >= {"cancelled"}
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import curio
 import pytest
 
@@ -53,3 +55,24 @@
     assert "id-1" in driver.placer.requests
     fold(driver, 3, Done("id-1", answer, 3.0, "Tainan/0", 0, seen=1))
     assert "id-1" not in driver.placer.requests
+
+
+@pytest.mark.parametrize(
+    ("state", "known"),
+    [("done", "done"), ("failed", "accepted"), ("cancelled", "accepted")],
+)
+def test_an_answer_that_a_successor_may_change_waits_for_its_record(
+    driver, state, known
+):
+    """Guards against two different final answers to one request (P3).
+
+    Before the answer is in the log, a successor may run failed tasks again and has no
+    results of stopped ones. Results of tasks that succeeded are kept by the workers.
+    """
+    request = Request("id-1", RequestKind.BATCH, "team", Resources(cores=1.0))
+    fold(driver, 0, Claim("id-1", "Tainan/0", request.to_dict(), at=1.0))
+    answer = Answer("id-1", AnswerState(state))
+    driver.submissions.unrecorded["id-1"] = (time.monotonic() - 60.0, answer)
+    assert driver.submissions.known_answer("id-1").state == known
+    fold(driver, 1, Done("id-1", answer.to_dict(), 2.0, "Tainan/0", 0))
+    assert driver.submissions.known_answer("id-1").state == state
