Ignore registrations with values that no worker can have

Cause: decode_worker_entry bounded neither born, the port, the octets of the address, the time of a drain nor the labels, and did not check the id. An entry with an empty octet was registered; connecting to it raised UnicodeError in the renewals, which ended the term, and each term after it.

Ruled out: pydantic's parser raises no RecursionError at 100,000 brackets, nor an error of its own for numbers of 5,000 digits; both become ProtocolError.

Change: bounds for each number and length, a check of the address and of the id; an error of any type skips only its record. One log line of bounded length for each id, until it has a usable entry or none.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -75,6 +75,9 @@
 PROBE_INTERVAL_S = 0.5  # between attempts to append while appends fail
 # Interval between an isolated placer's attempts to resign through other VMs.
 RESIGN_RETRY_S = 0.25
+MAX_LOGGED_CHARS = 120  # of a text from another writer
+# Ids whose unusable registration has been logged; beyond it, they are logged again.
+MAX_IGNORED_IDS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +157,7 @@
     _next_resign_at: float = 0.0
     _deregistered: set[str] = field(default_factory=set)
     _registered: dict[str, WorkerEntry] = field(default_factory=dict)
+    _ignored_ids: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         options, backends = self.options, self.backends
@@ -291,22 +295,45 @@
                 continue
             try:
                 entry = self.backends.decode_worker(record.key, record.value)
-            except ProtocolError as exc:
-                self.n_bad_registrations += 1
-                logger.info(
-                    "registration ignored", worker=record.key, error=str(exc)[:200]
-                )
+            except Exception as exc:
+                # Of any type: one entry must not keep the others from being read.
+                self._ignore_registration(record.key, exc)
                 continue
             self.workers[record.key] = self._registered[record.key] = entry
             self._deregistered.discard(record.key)
+            self._ignored_ids.discard(record.key)
         if snapshot:
             for worker_id in self.workers.keys() - seen:
                 self._deregister(worker_id)
 
+    def _ignore_registration(self, worker_id: str, exc: Exception) -> None:
+        """Count an unusable registration; start nothing more on a worker of its id.
+
+        The worker is kept as draining, since the entry may be of another writer and
+        the runs there go on: their leases are renewed, also by a new placer.
+        """
+        self.n_bad_registrations += 1
+        known = self.workers.get(worker_id)
+        if known is not None and not known.draining:
+            drained = replace(known, draining=True)
+            self.workers[worker_id] = self._registered[worker_id] = drained
+        if worker_id in self._ignored_ids:
+            return
+        if len(self._ignored_ids) >= MAX_IGNORED_IDS:
+            self._ignored_ids.clear()
+        self._ignored_ids.add(worker_id)
+        logger.warning(
+            "registration ignored",
+            worker=ascii(worker_id)[:MAX_LOGGED_CHARS],
+            known=known is not None,
+            error=ascii(exc)[:MAX_LOGGED_CHARS],
+        )
+
     def _deregister(self, worker_id: str) -> None:
         self.workers.pop(worker_id, None)
         self._registered.pop(worker_id, None)
         self._deregistered.add(worker_id)
+        self._ignored_ids.discard(worker_id)
 
     async def _deliver(self) -> None:
         """Pass folded changes to the leadership if this VM is the placer."""
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
+import re
 import struct
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from ..errors import ProtocolError, ValidationError
 from ..jobs.model import (
@@ -28,6 +30,7 @@
     WorkerReport,
 )
 from ..jobs.records import JournalRecord, task_need
+from ..util.addresses import check_address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,11 +40,31 @@
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
 MAX_STEPS = 200
+MAX_ERROR_CHARS = 200  # of an error message about a message
+MAX_BORN_MS = 4_102_444_800_000  # the year 2100
+MAX_DRAIN_MS = 1e10
+# Capacity of one worker, far above any machine.
+MAX_WORKER_MILLICORES = 1 << 24
+MAX_WORKER_MEMORY_MB = 1 << 28
+MAX_WORKER_GPUS = 1 << 12
+MAX_LABELS = 32
+# An id is sent in a header of each call, so it has no spaces and control characters.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 Count = Annotated[int, Field(ge=0, le=1 << 31)]
 Name = Annotated[str, Field(min_length=1, max_length=200)]
 
 
+def _check_worker_address(value: str) -> str:
+    host = ipaddress.IPv4Address(check_address(value).rpartition(":")[0])
+    if host.is_unspecified or host.is_multicast:
+        raise ValueError("address of one machine")
+    return value
+
+
+WorkerAddress = Annotated[str, AfterValidator(_check_worker_address)]
+
+
 class _Message(BaseModel):
     """Base of the messages: ignores unknown fields, coerces no types."""
 
@@ -76,6 +99,13 @@
     period_ms: Annotated[float, Field(ge=0)] = 0.0
 
 
+def _first_problem(exc: pydantic.ValidationError) -> str:
+    """Return the first wrong field and what is wrong, on one line."""
+    first = exc.errors(include_url=False, include_input=False)[0]
+    field = ".".join(str(part) for part in first["loc"])
+    return f"{field}: {first['msg']}"[:MAX_ERROR_CHARS]
+
+
 def decode_job_body(job_id: str, queue: str, body: bytes, wall: float) -> Job:
     """Decode the body of a job submission.
 
@@ -88,9 +118,7 @@
     try:
         message = _JobBody.model_validate_json(body)
     except pydantic.ValidationError as exc:
-        first = exc.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        raise ValidationError(f"{field}: {first['msg']}", step="decode") from exc
+        raise ValidationError(_first_problem(exc), step="decode") from exc
     steps = []
     for number, item in enumerate(message.phases):
         if any(earlier >= number for earlier in item.after):
@@ -196,20 +224,20 @@
 
 
 class _CapacityBody(_Message):
-    cpu: Count
-    mem_mb: Count
-    gpu: Count = 0
+    cpu: Annotated[int, Field(ge=0, le=MAX_WORKER_MILLICORES)]
+    mem_mb: Annotated[int, Field(ge=0, le=MAX_WORKER_MEMORY_MB)]
+    gpu: Annotated[int, Field(ge=0, le=MAX_WORKER_GPUS)] = 0
 
 
 class _ServerBody(_Message):
     service: Name
-    addr: Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$")]
+    addr: WorkerAddress
     zone: Name
-    state: Annotated[str, Field(pattern="^(ready|draining)$")]
+    state: Literal["ready", "draining"]
     capacity: _CapacityBody
-    labels: list[str] = []
-    born: int = 0
-    drain_remaining_ms: float = 0.0
+    labels: Annotated[list[Name], Field(max_length=MAX_LABELS)] = []
+    born: Annotated[int, Field(ge=1, le=MAX_BORN_MS)]
+    drain_remaining_ms: Annotated[float, Field(ge=0, le=MAX_DRAIN_MS)] = 0.0
 
 
 def decode_worker_entry(worker_id: str, value: bytes) -> WorkerEntry:
@@ -218,12 +246,17 @@
     Raises
     ------
     ProtocolError
-        If a field is missing or malformed; the registration must then be ignored.
+        If the id or a field is missing, malformed or out of range; the registration
+        then names no worker that can be used.
     """
+    if WORKER_ID.fullmatch(worker_id) is None:
+        raise ProtocolError("malformed id", step="registry", peer=repr(worker_id))
     try:
         message = _ServerBody.model_validate_json(value)
     except pydantic.ValidationError as exc:
-        raise ProtocolError(str(exc), step="registry", peer=worker_id) from exc
+        raise ProtocolError(
+            _first_problem(exc), step="registry", peer=worker_id
+        ) from exc
     capacity = message.capacity
     return WorkerEntry(
         worker_id=worker_id,
--- a/cuminhill/settings.py
+++ b/cuminhill/settings.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from dataclasses import asdict, dataclass, field, replace
 from functools import cache
 from typing import TYPE_CHECKING, Annotated, Any, Literal, get_args
@@ -16,6 +15,7 @@
 from .errors import SettingsError
 from .frames import RpcLimits
 from .siteconfig import lease_problems
+from .util.addresses import check_address
 from .util.http import HttpLimits
 from .util.tables import Problem, describe_problems, read_toml, validate_model
 
@@ -29,18 +29,6 @@
 _LEASE = LeaseTerms()
 
 
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-        valid = port.isdecimal() and 0 < int(port) < 1 << 16
-    except ValueError:
-        valid = False
-    if not valid:
-        raise ValueError("IPv4 address and port as 'a.b.c.d:port'")
-    return value
-
-
 @dataclass(frozen=True, slots=True)
 class ValueType:
     """Type of a setting: its annotation for validation and its documented name."""
@@ -49,7 +37,7 @@
     doc_name: str
 
 
-Address = Annotated[str, AfterValidator(_check_address)]
+Address = Annotated[str, AfterValidator(check_address)]
 NAME = ValueType(
     Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")], "name"
 )
