Turn impossible addresses, bodies and responses into errors of the clients

Cause: connecting to a host with an empty or long label raised UnicodeError, a body with an integer beyond 64 bits TypeError, and printing a response nested 1,000 levels deep RecursionError. None is an error that callers of the clients handle: a renewal ended the term, and a call for advice left its step waiting for an answer for good. A port above 65535 did not fail: the resolver takes it modulo 65536, so that the call went to another process.

Ruled out: orjson itself refuses more than 1,024 levels, NaN and 1e400, and reads integers beyond 64 bits as floats.

Change: load_json decodes JSON of other processes with a bounded depth and raises ProtocolError only; both clients check the port and report what certainly was not sent as UnavailableError.

--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -20,6 +20,7 @@
     encode,
     idl,
 )
+from .util.addresses import BAD_ADDRESS_ERRORS, check_port
 from .util.http_client import source_address
 from .util.listener import Connection, Listener
 
@@ -340,7 +341,7 @@
                     await self._discard(self._stream)
                 if self._stream is None:
                     await self._connect()
-        except (OSError, curio.TaskTimeout) as exc:
+        except (OSError, *BAD_ADDRESS_ERRORS, curio.TaskTimeout) as exc:
             raise UnavailableError(
                 repr(exc), step="connect", peer=self.address
             ) from exc
@@ -351,7 +352,7 @@
     async def _connect(self) -> None:
         host, _, port = self.address.rpartition(":")
         self._sock = await curio.open_connection(
-            host, int(port), source_addr=source_address(self.source_host)
+            host, check_port(int(port)), source_addr=source_address(self.source_host)
         )
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock.setsockopt(
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -15,6 +15,7 @@
 
 from ..errors import ProtocolError
 from .http_client import HttpClient, byte_counts, make_http_client
+from .json_input import load_json
 from .listener import Connection, Listener, ListenerCounters
 
 if TYPE_CHECKING:
@@ -50,10 +51,12 @@
             If the body is not valid JSON.
         """
         try:
-            return orjson.loads(self.body)
-        except orjson.JSONDecodeError as exc:
+            return load_json(self.body, step="decode", peer=self.peer)
+        except ProtocolError as exc:
             raise ProtocolError(
-                f"body is not valid JSON: {exc}", step="decode", peer=self.peer
+                f"body is not valid JSON: {exc.message}",
+                step=exc.step,
+                peer=self.peer,
             ) from exc
 
 
--- a/cuminhill/util/http_client.py
+++ b/cuminhill/util/http_client.py
@@ -13,7 +13,14 @@
 import orjson
 from curio import socket
 
-from ..errors import ConnectionClosedError, UnavailableError, UnknownOutcomeError
+from ..errors import (
+    ConnectionClosedError,
+    ProtocolError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
+from .addresses import BAD_ADDRESS_ERRORS, check_port
+from .json_input import load_json
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -120,7 +127,8 @@
         Raises
         ------
         UnavailableError
-            If the request was certainly not sent.
+            If the request was certainly not sent, also because the address or the body
+            is impossible.
         ConnectionClosedError
             If the server closed the connection after sending began.
         UnknownOutcomeError
@@ -128,18 +136,22 @@
             began, or the response cannot be decoded.
         """
         give_up_at = time.monotonic() + timeout_s
+        try:
+            content = _encode(value)
+        except TypeError as exc:  # such as an integer beyond 64 bits
+            raise UnavailableError(repr(exc), step="encode", peer=self.peer) from exc
         conn = await self._connect(timeout_s)
         try:
             async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
-                result = await self._exchange(conn, method, path, value, headers)
+                result = await self._exchange(conn, method, path, content, headers)
         except curio.TaskTimeout as exc:
             await conn.sock.close()
             raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
         except ConnectionError as exc:
             await conn.sock.close()
             raise ConnectionClosedError(repr(exc), step="http", peer=self.peer) from exc
-        except (OSError, h11.ProtocolError, ValueError) as exc:
-            # ValueError: an undecodable body leaves the outcome unknown as well.
+        except (OSError, h11.ProtocolError, ProtocolError, ValueError) as exc:
+            # An undecodable body leaves the outcome unknown as well.
             await conn.sock.close()
             raise UnknownOutcomeError(repr(exc), step="http", peer=self.peer) from exc
         except BaseException:
@@ -163,9 +175,11 @@
         try:
             async with curio.timeout_after(min(timeout_s, self.connect_timeout_s)):
                 sock = await curio.open_connection(
-                    self.host, self.port, source_addr=source_address(self.source_host)
+                    self.host,
+                    check_port(self.port),
+                    source_addr=source_address(self.source_host),
                 )
-        except (OSError, curio.TaskTimeout) as exc:
+        except (OSError, *BAD_ADDRESS_ERRORS, curio.TaskTimeout) as exc:
             raise UnavailableError(repr(exc), step="connect", peer=self.peer) from exc
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return _PooledConnection(sock, h11.Connection(h11.CLIENT), time.monotonic())
@@ -184,10 +198,10 @@
         conn: _PooledConnection,
         method: str,
         path: str,
-        value: Any,
+        content: tuple[bytes, str],
         headers: Sequence[tuple[str, str]],
     ) -> tuple[int, Any]:
-        body, content_type = _encode(value)
+        body, content_type = content
         all_headers = [
             ("host", self.peer),
             ("content-length", str(len(body))),
@@ -239,7 +253,7 @@
 
 def _decode(content_type: bytes, body: bytes) -> Any:
     if content_type == JSON_TYPE:
-        return orjson.loads(body) if body else None
+        return load_json(body, step="http") if body else None
     return body if content_type == RAW_TYPE else body.decode()
 
 
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -353,3 +353,13 @@
         assert "connection lost" in str(waiting.exception)
 
     curio.run(main)
+
+
+# Guards against a call that fails with an error that its caller does not handle: for
+# advice, its step was then never asked for again.
+@pytest.mark.parametrize(
+    "address", ["", "nowhere", "127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:x", "..:1"]
+)
+def test_impossible_address_is_an_unavailable_peer(address):
+    with pytest.raises(UnavailableError):
+        curio.run(lookup, RpcClient(address), "any")
--- a/tests/util/test_http.py
+++ b/tests/util/test_http.py
@@ -53,6 +53,8 @@
                 return HttpResponse(200, raw=b"x" * 30_000_000)
             case "/garbage":
                 return HttpResponse(200, raw=b"{")
+            case "/deep":
+                return HttpResponse(200, raw=b"[" * 1000 + b"]" * 1000)
             case "/close":
                 return None
         return HttpResponse(200, {"ok": True})
@@ -354,3 +356,46 @@
         await curio.sleep(0.05)
     assert (await client.request("POST", "/json", [1])) == (200, [1])
     await client.close()
+
+
+BAD_ADDRESSES = [
+    "127.0.0.1:65536",
+    "127.0.0.1:99999",
+    f"127.0.0.1:{'1' * 4000}",
+    "127..0.1:80",
+    "...:80",
+    f"{'x' * 300}:80",
+]
+
+
+# Guards against a term of the placer that ends because the address of one worker is
+# impossible: connecting to it raised UnicodeError.
+@pytest.mark.parametrize("address", BAD_ADDRESSES)
+def test_impossible_address_is_an_unavailable_peer(address):
+    client = make_http_client(address)
+    with pytest.raises(UnavailableError):
+        curio.run(client.request, "GET", "/")
+
+
+@with_server()
+async def test_body_that_cannot_be_encoded_is_not_sent(server):
+    """Guards against a term that ends because one number is beyond 64 bits."""
+    client = make_http_client(f"{HOST}:{server.port}")
+    with pytest.raises(UnavailableError):
+        await client.request("POST", "/json", {"deadline_ms": 1 << 64})
+    assert not server.n_connections
+
+
+@with_server()
+async def test_deeply_nested_response_leaves_the_outcome_unknown(server):
+    """Guards against a response that raises RecursionError where it is printed."""
+    with pytest.raises(UnknownOutcomeError):
+        await get(server, "/deep")
+
+
+@with_server()
+async def test_port_out_of_range_reaches_no_other_process(server):
+    """Guards against calls to another process: 65536 was added to its port."""
+    client = make_http_client(f"{HOST}:{server.port + 65536}")
+    with pytest.raises(UnavailableError):
+        await client.request("GET", "/ok")
