Check the estimates of an earlier placer before they are used

Cause: a new placer loaded the record "speeds" with any numbers. A logarithm of 1e6 overflows in math.exp as the term begins, and a variance that is written as 0.0, which 636 steps with equal declared times lead to, divides by zero. Either ended each new term. An error half-way left half of the estimates.

Ruled out: NaN and 1e400, which orjson refused.

Change: the record is read by a model with bounds, all or none; a variance of 0 stands for the slope of the prior. Malformed estimates raise ProtocolError; the test that accepted four other types of error now accepts only that one.

Measured: the new tests of odd speeds and of equal declared times failed before (the latter with ZeroDivisionError); tests/jobs/test_speeds.py passes.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -204,8 +204,8 @@
             return
         try:
             load_speeds(self.placer.speeds, self.job_index.speeds)
-        except (AttributeError, KeyError, TypeError, ValueError) as exc:
-            logger.warning("speeds unreadable; estimating them anew", error=repr(exc))
+        except CuminhillError as exc:
+            logger.warning("speeds unreadable; estimating them anew", error=str(exc))
 
     async def start(self) -> None:
         """Start the tasks of the term."""
--- a/cuminhill/jobs/runtimes.py
+++ b/cuminhill/jobs/runtimes.py
@@ -50,7 +50,13 @@
 
     @property
     def slope(self) -> float:
-        """Slope of the regression: the weight of a declared time against the mean."""
+        """Slope of the regression: the weight of a declared time against the mean.
+
+        If all declared times were the same, their variance vanishes, and the slope is
+        that of the prior.
+        """
+        if self.var <= 0:
+            return 1.0
         return min(1.0, max(0.0, self.cov / self.var))
 
     def estimate(self, declared: float) -> float:
--- a/cuminhill/jobs/speeds.py
+++ b/cuminhill/jobs/speeds.py
@@ -14,11 +14,19 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Annotated, NamedTuple
 
 import orjson
+from pydantic import Field
 
-from .runtimes import MIN_DECLARED_S, PRIOR_ERROR_VAR, RunTimes
+from ..util.validation import MAX_INTEGER, Message, validate_json
+from .runtimes import (
+    MAX_WEIGHT,
+    MIN_DECLARED_S,
+    MIN_ERROR_VAR,
+    PRIOR_ERROR_VAR,
+    RunTimes,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,6 +48,9 @@
 MAX_DEVIATION_FACTOR = 8.0
 # Unfinished steps whose ends are kept; beyond it, the oldest step is dropped.
 MAX_STEPS = 2000
+# Bound of the logarithms that are read from the journal; the exponential of a larger
+# one has no use, or overflows.
+MAX_LOG = 50.0
 
 
 @dataclass(slots=True)
@@ -260,21 +271,35 @@
     return orjson.dumps({"workers": workers, "kinds": kinds, "queues": queues})
 
 
+_LogSpeed = Annotated[float, Field(ge=-MAX_LOG, le=MAX_LOG)]
+_Var = Annotated[float, Field(ge=0, le=MAX_LOG * MAX_LOG)]
+_Incarnation = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+_Weight = Annotated[float, Field(ge=0, le=MAX_WEIGHT)]
+_Cov = Annotated[float, Field(ge=-MAX_LOG * MAX_LOG, le=MAX_LOG * MAX_LOG)]
+
+
+class _SpeedsBody(Message):
+    workers: dict[str, tuple[_Incarnation, str, _LogSpeed, _Var]]
+    kinds: dict[str, tuple[_LogSpeed, _Var, _Var]]
+    queues: dict[str, tuple[_Weight, _LogSpeed, _LogSpeed, _Var, _Cov, _Var]]
+
+
 def load_speeds(model: SpeedModel, value: bytes) -> None:
-    """Load the estimates of an earlier placer.
+    """Load the estimates of an earlier placer, all or none.
 
     Raises
     ------
-    ValueError, TypeError, KeyError
-        If the value is not in the format of `encode_speeds`.
+    ProtocolError
+        If the value is not in the format of `encode_speeds`, or a number is out of
+        range.
     """
-    data = orjson.loads(value)
-    for worker_id, (incarnation, kind, mean, var) in data["workers"].items():
-        known_var = max(MIN_SPEED_VAR, float(var))
-        evidence = Evidence(int(incarnation), str(kind), float(mean), known_var)
-        model.speeds[worker_id] = evidence
-    for name, (mean, var, spread) in data["kinds"].items():
-        speed = Estimate(float(mean), max(MIN_SPEED_VAR / 10, float(var)))
-        model.kinds[name] = Kind(speed, max(MIN_KIND_SPREAD, float(spread)))
-    for name, parts in data["queues"].items():
-        model.run_times[name] = RunTimes(*(float(part) for part in parts))
+    body = validate_json(_SpeedsBody, value, step="speeds")
+    for worker_id, (incarnation, kind, mean, var) in body.workers.items():
+        known_var = max(MIN_SPEED_VAR, var)
+        model.speeds[worker_id] = Evidence(incarnation, kind, mean, known_var)
+    for name, (mean, var, spread) in body.kinds.items():
+        speed = Estimate(mean, max(MIN_SPEED_VAR / 10, var))
+        model.kinds[name] = Kind(speed, max(MIN_KIND_SPREAD, spread))
+    for name, parts in body.queues.items():
+        run_times = model.run_times[name] = RunTimes(*parts)
+        run_times.error_var = max(MIN_ERROR_VAR, run_times.error_var)
--- a/tests/jobs/test_speeds.py
+++ b/tests/jobs/test_speeds.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 
 import pytest
 
+from cuminhill.errors import ProtocolError
+from cuminhill.jobs.runtimes import RunTimes
 from cuminhill.jobs.speeds import SpeedModel, encode_speeds, load_speeds
 
 # True speed of each worker, and the spread of task lengths within a step.
@@ -109,7 +112,7 @@
 @pytest.mark.parametrize("value", [b"[]", b'{"w": 1}', b"x", b'{"w": [1, "a", 2]}'])
 def test_unreadable_speeds_are_rejected(value):
     """Guards against a malformed record that ends a term."""
-    with pytest.raises((ValueError, TypeError, AttributeError, KeyError)):
+    with pytest.raises(ProtocolError):
         load_speeds(SpeedModel(), value)
 
 
@@ -151,3 +154,57 @@
     for number in range(5000):
         model.observe("w", 1, f"s{number}", 1.0)
     assert len(model.ends) <= 2000
+
+
+ODD_SPEEDS = [
+    {"workers": {"w0": [1, "a", 1e6, 0.1]}},
+    {"workers": {"w0": [1, "a", 0.1, -1.0]}},
+    {"workers": {"w0": [1 << 64, "a", 0.1, 0.1]}},
+    {"workers": {"w0": [1, "a", "fast", 0.1]}},
+    {"workers": {"w0": [1, "a"]}},
+    {"workers": [[]]},
+    {"kinds": {"a": [1e6, 0.1, 0.1]}},
+    {"kinds": {"a": ["NaN", 0.1, 0.1]}},
+    {"queues": {"q": [5.0, 1e6, 0.0, 0.1, 0.1, 0.1]}},
+    {"queues": {"q": [5.0, 0.0, 0.0, -0.1, 0.1, 0.1]}},
+    {"queues": {"q": [1e300, 0.0, 0.0, 0.1, 0.1, 0.1]}},
+    {"queues": {"q": 7}},
+    {"queues": 7},
+]
+ODD_VALUES = [
+    b"",
+    b"7",
+    b"[" * 100_000 + b"]" * 100_000,
+    b'{"workers":' + b"[" * 1000 + b"]" * 1000 + b',"kinds":{},"queues":{}}',
+    b'{"workers":{},"kinds":{"a":[NaN,0.1,0.1]},"queues":{}}',
+    *[
+        json.dumps({"workers": {}, "kinds": {}, "queues": {}} | fields).encode()
+        for fields in ODD_SPEEDS
+    ],
+]
+
+
+# Guards against estimates from the journal that overflow, or divide by zero, in each
+# decision of each new placer.
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_odd_speeds_are_not_loaded(value):
+    model = SpeedModel()
+    with pytest.raises(ProtocolError):
+        load_speeds(model, value)
+    assert not (model.speeds or model.kinds or model.run_times)
+
+
+def test_equal_declared_times_do_not_stop_the_next_placer():
+    """Guards against a division by the variance, which is written as 0.0.
+
+    Each new placer failed at its first decision.
+    """
+    model = SpeedModel()
+    run_times = model.run_times["q"] = RunTimes()
+    for _ in range(3000):
+        run_times.observe(math.log(2.0), math.log(3.0))
+    loaded = SpeedModel()
+    load_speeds(loaded, encode_speeds(model))
+    assert loaded.run_times["q"].var == 0.0
+    assert loaded.run_time_s("q", 2.0) == pytest.approx(3.0, rel=0.1)
+    assert math.isfinite(loaded.run_time_s("q", 5.0))
