--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import orjson
 import structlog
 
+from ..errors import ProtocolError
 from .model import FINAL_JOB_STATES, JobState
-from .progress import Progress, decode_progress
+from .progress import Progress, decode_job_state, decode_progress
 from .records import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -22,6 +22,7 @@
     JournalRecord,
     LeaderRecord,
     Member,
+    check_job_id,
     decode_job,
     decode_leader_record,
     decode_member,
@@ -32,6 +33,8 @@
 
 logger = structlog.get_logger(__name__)
 
+MAX_LOGGED_CHARS = 120  # of a text from another writer
+
 
 @dataclass(slots=True)
 class JobEntry:
@@ -102,9 +105,15 @@
         """
         try:
             self._fold(record, now)
-        except (ValueError, KeyError, TypeError):
-            # Not in our format; counted in the state dump and in a metric.
+        except Exception as exc:
+            # Not in our format. Of any type: a record of another writer must not keep
+            # the others from being read.
             self.n_bad_records += 1
+            logger.warning(
+                "record ignored",
+                key=ascii(record.key)[:MAX_LOGGED_CHARS],
+                error=ascii(exc)[:MAX_LOGGED_CHARS],
+            )
 
     def _fold(self, record: JournalRecord, now: float) -> None:
         key, value = record.key, record.value
@@ -143,31 +152,39 @@
             self.leader_record = record
 
     def _fold_member(self, vm: str, value: bytes, now: float) -> None:
-        self.heard_at[vm] = now
         if value:
             self.members[vm] = decode_member(value)
         else:
             self.members.pop(vm, None)
+        self.heard_at[vm] = now
 
     def _fold_job(self, job_id: str, value: bytes) -> None:
         if not value:
             return  # the job has ended; its state stays until its run record is deleted
-        entry = self.entries.setdefault(job_id, JobEntry())
-        if entry.job:
+        entry = self.entries.get(job_id)
+        if entry is not None and entry.job:
             return  # a repeated submission
-        data = orjson.loads(value)
-        entry.queue, entry.accepted_at = data["queue"], data["accepted_at"]
+        job = decode_job(check_job_id(job_id), value)
+        entry = self.entries.setdefault(job_id, JobEntry())
+        entry.queue, entry.accepted_at = job.queue, job.accepted_at
         if entry.state not in FINAL_JOB_STATES:
             entry.job = value
         self.changed.add(job_id)
 
     def _fold_run(self, job_id: str, value: bytes, now: float) -> None:
+        check_job_id(job_id)
+        try:
+            state = decode_job_state(value) if value else None
+        except ProtocolError:
+            entry = self.entries.get(job_id)
+            if entry is not None and entry.job and not entry.run:
+                entry.run = value  # keeps `load` from starting the job anew
+            raise
         self.n_placer_records += 1
-        if not value:
+        if state is None:
             self.entries.pop(job_id, None)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
-        state = JobState(orjson.loads(value)["state"])
         entry.run = value
         if not entry.cancelled:
             entry.state = state
@@ -179,7 +196,7 @@
         if entry is None:
             if not value:
                 return
-            entry = self.entries[job_id] = JobEntry()
+            entry = self.entries[check_job_id(job_id)] = JobEntry()
         if not value or entry.state in {JobState.COMPLETED, JobState.FAILED}:
             return
         entry.cancelled, entry.state = True, JobState.CANCELLED
@@ -216,9 +233,13 @@
         try:
             job = decode_job(job_id, entry.job)
             progress = decode_progress(job, entry.run) if entry.run else Progress(job)
-        except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
+        except Exception as exc:
             self.n_bad_records += 1
-            logger.error("job unreadable; not placed", job=job_id, error=repr(exc))
+            logger.error(
+                "job unreadable; not placed",
+                job=job_id,
+                error=ascii(exc)[:MAX_LOGGED_CHARS],
+            )
             return None
         progress.cancelled = entry.cancelled
         return progress
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import orjson
+from pydantic import Field
 
+from ..errors import ProtocolError
+from ..util.json_input import load_json
+from ..util.validation import MAX_COUNT, MAX_INTEGER, Message, validate_json
 from .model import Job, JobState, TaskKey
 
 if TYPE_CHECKING:
@@ -270,21 +274,72 @@
     ]
 
 
+_Number = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+_Incarnation = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
+# Task, run and index of its worker; with failures, the failed runs and a checkpoint.
+# Task, run and index of its worker; with failures, the failed runs and a checkpoint.
+_Row = Annotated[
+    tuple[_Number, _Number, _Number]
+    | tuple[_Number, _Number, _Number, _Number, _Number, str],
+    Field(union_mode="left_to_right"),
+]
+# Occurrence and step; unless all is done, the tasks that are done and the others.
+_StepRow = Annotated[
+    tuple[_Number, _Number]
+    | tuple[_Number, _Number, tuple[_Number, ...], tuple[_Row, ...]],
+    Field(union_mode="left_to_right"),
+]
+
+
+class _ProgressBody(Message):
+    state: Annotated[JobState, Field(strict=False)]
+    workers: tuple[tuple[str, _Incarnation], ...] = ()
+    steps: tuple[_StepRow, ...] = ()
+    crashes: tuple[tuple[_Number, _Number, _Number, _Number, _Number], ...] = ()
+
+
+def decode_job_state(value: bytes) -> JobState:
+    """Return the state of a job for the JSON form of its progress.
+
+    Every VM reads each record, so the rest of it is not checked.
+
+    Raises
+    ------
+    ProtocolError
+        If it has no valid state.
+    """
+    data = load_json(value, step="progress")
+    try:
+        return JobState(data["state"])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError(f"state: {exc}", step="progress") from exc
+
+
 def decode_progress(job: Job, value: bytes) -> Progress:
-    """Return the progress of a job for its JSON form."""
-    data: dict[str, Any] = orjson.loads(value)
-    progress = Progress(job, JobState(data["state"]))
-    workers = data.get("workers", ())
-    for occurrence, number, *rest in data.get("steps", ()):
+    """Return the progress of a job for its JSON form.
+
+    Raises
+    ------
+    ProtocolError, IndexError
+        If a field is missing, malformed or out of range, or names an unknown step,
+        task or worker.
+    """
+    data = validate_json(_ProgressBody, value, step="progress", peer=job.job_id)
+    progress = Progress(job, data.state)
+    step_rows: tuple[Any, ...] = data.steps
+    for occurrence, number, *rest in step_rows:
+        _check_unseen(progress, occurrence, number)
         step_run = progress.step_run(occurrence, number)
         done, rows = rest or (range(len(step_run.tasks)), ())
         for index in done:
             step_run.tasks[index].done = True
-        step_run.n_done = len(done)
+        step_run.n_done = sum(task.done for task in step_run.tasks)
         for index, run, where, *failures in rows:
             task = step_run.tasks[index]
+            if task.run:
+                raise ProtocolError("task listed twice", step="progress")
             task.run = run
-            task.worker, task.incarnation = workers[where]
+            task.worker, task.incarnation = data.workers[where]
             if failures:
                 task.n_failed, task.failed_run, task.checkpoint = failures
             if task.worker:
@@ -292,7 +347,14 @@
                 progress.n_assigned += 1
         if step_run.n_done == len(step_run.tasks):
             progress.finished.add((occurrence, number))
-    for occurrence, number, index, *counts in data.get("crashes", ()):
+    for occurrence, number, index, *counts in data.crashes:
         task = progress.step_run(occurrence, number).tasks[index]
         task.n_crashes, task.n_start_crashes = counts
     return progress
+
+
+def _check_unseen(progress: Progress, occurrence: int, number: int) -> None:
+    if occurrence >= progress.job.n_occurrences:
+        raise ProtocolError("unknown occurrence", step="progress")
+    if (occurrence, number) in progress.step_runs:
+        raise ProtocolError("step listed twice", step="progress")
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -6,17 +6,19 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Annotated, Any
 
 import orjson
+from pydantic import AfterValidator, Field
 
+from ..errors import ProtocolError
 from ..model import Resources
+from ..util.addresses import check_address
+from ..util.validation import Count, Message, Name, validate_json
 from .model import Job, Step
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
 JOB_PREFIX, RUN_PREFIX, CANCEL_PREFIX, LEADER_KEY, MEMBER_PREFIX = (
     "job/",
     "run/",
@@ -29,6 +31,14 @@
 # not fenced by terms, so a late one would overwrite a newer claim under `LEADER_KEY`.
 RESIGNATION_KEY = "resigned"
 
+MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
+MAX_STEPS = 200
+# A fencing token is the term shifted by 20 bits and must fit into 63 bits.
+MAX_TERM = 1 << 40
+MAX_LATENCY_S = 60.0  # beyond it, a claim would delay the next election without end
+MAX_LOGGED_ID = 40  # characters of an id in an error
+MAX_TIME_S = 1e11  # of times and durations; the year 5138
+
 
 @dataclass(frozen=True, slots=True)
 class JournalRecord:
@@ -100,9 +110,23 @@
     return orjson.dumps(record)
 
 
+class _LeaderBody(Message):
+    term: Annotated[int, Field(ge=1, le=MAX_TERM)]
+    vm: Name
+    nonce: Name
+    resigned: bool = False
+    latency_s: Annotated[float, Field(ge=0, le=MAX_LATENCY_S)] = 0.0
+
+
 def decode_leader_record(value: bytes) -> LeaderRecord:
-    """Return the claim for its JSON form."""
-    return LeaderRecord(**orjson.loads(value))
+    """Return the claim for its JSON form.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing, malformed or out of range.
+    """
+    return LeaderRecord(**dict(validate_json(_LeaderBody, value, step="claim")))
 
 
 def encode_member(member: Member) -> bytes:
@@ -110,9 +134,20 @@
     return orjson.dumps(member)
 
 
+class _MemberBody(Message):
+    address: Annotated[str, AfterValidator(check_address)]
+    fitness: Annotated[float, Field(ge=0, le=1)] = 1.0
+
+
 def decode_member(value: bytes) -> Member:
-    """Return the registration for its JSON form."""
-    return Member(**orjson.loads(value))
+    """Return the registration for its JSON form.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing, malformed or out of range.
+    """
+    return Member(**dict(validate_json(_MemberBody, value, step="member")))
 
 
 def encode_job(job: Job) -> bytes:
@@ -128,19 +163,74 @@
     )
 
 
+_JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
+_Amount = Annotated[float, Field(ge=0, le=1 << 31)]
+_Time = Annotated[float, Field(ge=-MAX_TIME_S, le=MAX_TIME_S)]
+_Duration = Annotated[float, Field(ge=0, le=MAX_TIME_S)]
+
+
+class _StepBody(Message):
+    n: Annotated[int, Field(ge=1, le=MAX_TASKS)]
+    need: tuple[_Amount, _Amount, _Amount]
+    time: _Duration
+    after: tuple[Count, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    near_rack: str = ""
+    max_per_worker: Count = 0
+    speculative: bool = False
+    long_running: bool = False
+    may_miss: Count = 0
+    fills: bool = False
+
+
+class _JobBody(Message):
+    queue: Name
+    payload: str
+    accepted_at: _Time
+    times: tuple[Count, _Time, _Duration]
+    steps: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
+
+
+def check_job_id(job_id: str) -> str:
+    """Return a job's id unchanged if it is valid.
+
+    An id with a dot would make the name of its tasks unreadable, and with it each
+    report of a worker that runs one.
+
+    Raises
+    ------
+    ProtocolError
+        If it is malformed.
+    """
+    if _JOB_ID.fullmatch(job_id) is None:
+        raise ProtocolError("malformed job id", step="job")
+    return job_id
+
+
 def decode_job(job_id: str, value: bytes) -> Job:
-    """Return the job for its JSON form."""
-    data = orjson.loads(value)
-    n_times, first_due_at, period_s = data["times"]
+    """Return the job for its JSON form.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing, malformed or out of range.
+    """
+    body = validate_json(_JobBody, value, step="job", peer=job_id[:MAX_LOGGED_ID])
+    steps = []
+    for number, item in enumerate(body.steps):
+        if any(earlier >= number for earlier in item.after):
+            raise ProtocolError(
+                f"steps.{number}.after: not earlier",
+                step="job",
+                peer=job_id[:MAX_LOGGED_ID],
+            )
+        optional = {name: getattr(item, name) for name in _OPTIONAL}
+        steps.append(Step(item.n, task_need(*item.need), item.time, **optional))
     return Job(
-        job_id,
-        data["queue"],
-        data["payload"],
-        tuple(_step_from_dict(item) for item in data["steps"]),
-        data["accepted_at"],
-        n_times,
-        first_due_at,
-        period_s,
+        job_id, body.queue, body.payload, tuple(steps), body.accepted_at, *body.times
     )
 
 
@@ -173,13 +263,6 @@
 )
 
 
-def _step_from_dict(data: Mapping[str, Any]) -> Step:
-    optional = {name: data[name] for name in _OPTIONAL if name in data}
-    optional["after"] = tuple(optional.get("after", ()))
-    need = task_need(*data["need"])
-    return Step(data["n"], need, data["time"], **optional)
-
-
 def task_need(cores: float, memory_mb: float, accelerators: float) -> Resources:
     """Return the resources of a task; tasks of jobs use no slots and connections."""
     return Resources(cores, memory_mb, accelerators, 0.0, 0.0)
