Bound the numbers of configurations and of jobs' times

Cause: JSON numbers such as 1e400 were read as infinite. A job with first_run_ms of 1e400 was accepted and stored with null, which no reader takes.

Change: bounds for all of these; such a job is answered with 400. An error of any type leaves the configuration in force. One odd route still makes its whole configuration unreadable: the operator writes it in one piece, and a table without that route would refuse its callers.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -270,9 +270,12 @@
                 continue
             try:
                 table = self.backends.decode_table(record.value)
-            except ProtocolError as exc:
+            except Exception as exc:
+                # Of any type: the configuration in force stays, and the next counts.
                 self.n_bad_configs += 1
-                logger.warning("configuration unreadable", error=str(exc))
+                logger.warning(
+                    "configuration unreadable", error=ascii(exc)[:MAX_LOGGED_CHARS]
+                )
                 continue
             if table.version <= self.table.version:
                 continue  # an older version was read again
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, Field
 
 from ..errors import ProtocolError, ValidationError
 from ..jobs.model import (
@@ -29,8 +29,16 @@
     WorkerEntry,
     WorkerReport,
 )
-from ..jobs.records import JournalRecord, task_need
+from ..jobs.records import MAX_STEPS, MAX_TASKS, MAX_TIME_S, JournalRecord, task_need
 from ..util.addresses import check_address
+from ..util.validation import (
+    MAX_INTEGER,
+    Count,
+    Message,
+    Name,
+    first_problem,
+    validate_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -38,11 +46,9 @@
 MS_PER_S = 1000.0
 MILLICORES_PER_CORE = 1000.0  # the platform counts processors in millicores
 MAX_SPEC_BYTES = 4000
-MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
-MAX_STEPS = 200
-MAX_ERROR_CHARS = 200  # of an error message about a message
 MAX_BORN_MS = 4_102_444_800_000  # the year 2100
 MAX_DRAIN_MS = 1e10
+MAX_STRETCH = 1e6
 # Capacity of one worker, far above any machine.
 MAX_WORKER_MILLICORES = 1 << 24
 MAX_WORKER_MEMORY_MB = 1 << 28
@@ -51,9 +57,6 @@
 # An id is sent in a header of each call, so it has no spaces and control characters.
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 
-Count = Annotated[int, Field(ge=0, le=1 << 31)]
-Name = Annotated[str, Field(min_length=1, max_length=200)]
-
 
 def _check_worker_address(value: str) -> str:
     host = ipaddress.IPv4Address(check_address(value).rpartition(":")[0])
@@ -65,19 +68,17 @@
 WorkerAddress = Annotated[str, AfterValidator(_check_worker_address)]
 
 
-class _Message(BaseModel):
-    """Base of the messages: ignores unknown fields, coerces no types."""
-
-    model_config = ConfigDict(extra="ignore", strict=True)
+_Duration = Annotated[float, Field(ge=0, le=MAX_TIME_S * MS_PER_S)]
+_Number = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 
 
-class _StepBody(_Message):
+class _StepBody(Message):
     count: Annotated[int, Field(ge=1, le=MAX_TASKS)]
     cpu: Count = 0  # millicores
     mem_mb: Count = 0
     gpu: Count = 0
     est_runtime_ms: Annotated[float, Field(ge=0, le=1e10)] = 0.0
-    after: list[Count] = []
+    after: tuple[Count, ...] = ()
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -90,20 +91,14 @@
     fills: bool = False
 
 
-class _JobBody(_Message):
+class _JobBody(Message):
     spec: Annotated[str, Field(max_length=MAX_SPEC_BYTES)]
     # Steps of the job; the platform's documentation calls them steps as well.
     phases: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
     times: Count = 0
-    first_run_ms: Annotated[float, Field(ge=0)] = 0.0
-    period_ms: Annotated[float, Field(ge=0)] = 0.0
-
-
-def _first_problem(exc: pydantic.ValidationError) -> str:
-    """Return the first wrong field and what is wrong, on one line."""
-    first = exc.errors(include_url=False, include_input=False)[0]
-    field = ".".join(str(part) for part in first["loc"])
-    return f"{field}: {first['msg']}"[:MAX_ERROR_CHARS]
+    # The journal reads back what is within these bounds.
+    first_run_ms: _Duration = 0.0
+    period_ms: _Duration = 0.0
 
 
 def decode_job_body(job_id: str, queue: str, body: bytes, wall: float) -> Job:
@@ -118,7 +113,7 @@
     try:
         message = _JobBody.model_validate_json(body)
     except pydantic.ValidationError as exc:
-        raise ValidationError(_first_problem(exc), step="decode") from exc
+        raise ValidationError(first_problem(exc), step="decode") from exc
     steps = []
     for number, item in enumerate(message.phases):
         if any(earlier >= number for earlier in item.after):
@@ -146,7 +141,7 @@
             item.cpu / MILLICORES_PER_CORE, float(item.mem_mb), float(item.gpu)
         ),
         run_time_s=item.est_runtime_ms / MS_PER_S,
-        after=tuple(item.after),
+        after=item.after,
         checkpoints=item.checkpoints,
         gang=item.gang,
         same_rack=item.same_rack,
@@ -160,30 +155,30 @@
     )
 
 
-class _AdviceBody(_Message):
-    decide_ms: float
-    each_ms: float  # per worker named in a call
-    valid_ms: float
+class _AdviceBody(Message):
+    decide_ms: _Duration
+    each_ms: _Duration  # per worker named in a call
+    valid_ms: _Duration
 
 
-class _RouteBody(_Message):
+class _RouteBody(Message):
     name: Name
     host: str
     path_prefix: str
     service: Name  # worker pool that runs the queue's jobs
-    priority: int = 0
-    max_attempts: int = 0
-    stretch: float = 1.0
-    target_duration_ms: float = 0.0
+    priority: _Number = 0
+    max_attempts: _Number = 0
+    stretch: Annotated[float, Field(ge=0, le=MAX_STRETCH)] = 1.0
+    target_duration_ms: _Duration = 0.0
     advice: _AdviceBody | None = None
 
 
-class _LimitsBody(_Message):
-    max_body_bytes: int = 1 << 18
+class _LimitsBody(Message):
+    max_body_bytes: Annotated[int, Field(ge=1, le=MAX_INTEGER)] = 1 << 18
 
 
-class _ConfigBody(_Message):
-    version: int
+class _ConfigBody(Message):
+    version: _Number
     routes: list[_RouteBody]
     limits: _LimitsBody = _LimitsBody()
 
@@ -196,10 +191,7 @@
     ProtocolError
         If the configuration is malformed.
     """
-    try:
-        message = _ConfigBody.model_validate_json(value)
-    except pydantic.ValidationError as exc:
-        raise ProtocolError(str(exc), step="config", peer="op/config") from exc
+    message = validate_json(_ConfigBody, value, step="config", peer="op/config")
     queues = {}
     for route in message.routes:
         advice = route.advice
@@ -223,19 +215,19 @@
     return QueueTable(message.version, queues, message.limits.max_body_bytes)
 
 
-class _CapacityBody(_Message):
+class _CapacityBody(Message):
     cpu: Annotated[int, Field(ge=0, le=MAX_WORKER_MILLICORES)]
     mem_mb: Annotated[int, Field(ge=0, le=MAX_WORKER_MEMORY_MB)]
     gpu: Annotated[int, Field(ge=0, le=MAX_WORKER_GPUS)] = 0
 
 
-class _ServerBody(_Message):
+class _ServerBody(Message):
     service: Name
     addr: WorkerAddress
     zone: Name
     state: Literal["ready", "draining"]
     capacity: _CapacityBody
-    labels: Annotated[list[Name], Field(max_length=MAX_LABELS)] = []
+    labels: Annotated[tuple[Name, ...], Field(max_length=MAX_LABELS)] = ()
     born: Annotated[int, Field(ge=1, le=MAX_BORN_MS)]
     drain_remaining_ms: Annotated[float, Field(ge=0, le=MAX_DRAIN_MS)] = 0.0
 
@@ -251,12 +243,7 @@
     """
     if WORKER_ID.fullmatch(worker_id) is None:
         raise ProtocolError("malformed id", step="registry", peer=repr(worker_id))
-    try:
-        message = _ServerBody.model_validate_json(value)
-    except pydantic.ValidationError as exc:
-        raise ProtocolError(
-            _first_problem(exc), step="registry", peer=worker_id
-        ) from exc
+    message = validate_json(_ServerBody, value, step="registry", peer=worker_id)
     capacity = message.capacity
     return WorkerEntry(
         worker_id=worker_id,
@@ -264,7 +251,7 @@
         pool=message.service,
         address=message.addr,
         failure_domain=message.zone,
-        labels=tuple(message.labels),
+        labels=message.labels,
         capacity=task_need(
             capacity.cpu / MILLICORES_PER_CORE,
             float(capacity.mem_mb),
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -25,7 +25,7 @@
     encode_member,
 )
 
-from .builders import JOB_ID, WALL, make_job, make_step
+from .builders import JOB_ID, WALL, make_job, make_queue, make_step
 
 NOW = 1.0
 DEEP = {
@@ -239,6 +239,29 @@
     curio.run(main)
 
 
+# Guards against an error in one configuration that ends the follower of them.
+@pytest.mark.parametrize("error", [RecursionError, OverflowError, ValueError])
+def test_odd_configuration_leaves_the_one_in_force(cluster, error):
+    decode = cluster._decode_table
+
+    def fail_once(value):
+        if value == b"odd":
+            raise error
+        return decode(value)
+
+    async def main():
+        cluster._decode_table = fail_once
+        node = await cluster.start_node("vm1")
+        await cluster.wait_for(lambda: node.table.version)
+        cluster.config.append_records([("config", b"odd")])
+        await cluster.wait_for(lambda: node.n_bad_configs)
+        assert node.table.queues
+        cluster.publish(make_queue("other"))
+        await cluster.wait_for(lambda: "other" in node.table.queues)
+
+    curio.run(main)
+
+
 def test_next_term_of_the_highest_claim_has_a_valid_token():
     """Guards against a fencing token beyond 64 bits, which no call can carry."""
     index = JobIndex()
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import struct
 
 import orjson
@@ -197,3 +198,57 @@
     )
     _, _, read = decode_page(body[:-2], 0, "store")
     assert [row.key for row in read] == ["a"]
+
+
+# Guards against a job that is accepted and stored with a time that its reader refuses,
+# or that ends each term: JSON has no infinity, so it was stored as null.
+@pytest.mark.parametrize("field", ["first_run_ms", "period_ms"])
+@pytest.mark.parametrize(
+    "number", [b"1e400", b"Infinity", b"NaN", b"1e300", b"9" * 5000]
+)
+def test_a_time_without_end_is_refused(field, number):
+    body = orjson.dumps(BODY | {field: 1}).replace(b":1}", b":" + number + b"}")
+    with pytest.raises(ValidationError) as caught:
+        decode_job_body(JOB_ID, "q", body, 0.0)
+    assert len(caught.value.message) < 300
+
+
+ROUTE = {"name": "r", "host": "h", "path_prefix": "/a/", "service": "s"}
+ADVICE = {"decide_ms": 1, "each_ms": 1, "valid_ms": 1}
+ODD_CONFIGS = {
+    "100000 levels": b"[" * 100_000 + b"]" * 100_000,
+    "1000 levels in a field": b'{"version":7,"routes":' + b"[" * 1000 + b"]" * 1000,
+    "bytes": b"\xff\xfe",
+    "version over 64 bits": {"version": 1 << 64},
+    "version of 62 bits": {"version": 1 << 62},
+    "version negative": {"version": -1},
+    "version a text": {"version": "7"},
+    "routes a number": {"routes": 7},
+    "name empty": {"routes": [ROUTE | {"name": ""}]},
+    "priority over 64 bits": {"routes": [ROUTE | {"priority": 1 << 64}]},
+    "attempts over 64 bits": {"routes": [ROUTE | {"max_attempts": 1 << 64}]},
+    "stretch infinite": {"routes": [ROUTE | {"stretch": float("inf")}]},
+    "stretch NaN": {"routes": [ROUTE | {"stretch": float("nan")}]},
+    "stretch negative": {"routes": [ROUTE | {"stretch": -1.0}]},
+    "target infinite": {"routes": [ROUTE | {"target_duration_ms": float("inf")}]},
+    "target too large": {"routes": [ROUTE | {"target_duration_ms": 1e300}]},
+    "advice without end": {
+        "routes": [ROUTE | {"advice": ADVICE | {"decide_ms": float("inf")}}]
+    },
+    "advice NaN": {"routes": [ROUTE | {"advice": ADVICE | {"each_ms": float("nan")}}]},
+    "advice negative": {"routes": [ROUTE | {"advice": ADVICE | {"valid_ms": -1}}]},
+    "body limit zero": {"limits": {"max_body_bytes": 0}},
+    "body limit over 64 bits": {"limits": {"max_body_bytes": 1 << 64}},
+}
+
+
+# Guards against a configuration with a number that stops each decision: advice without
+# end kept every VM busy for good, and NaN compares as neither late nor in time.
+@pytest.mark.parametrize("change", ODD_CONFIGS.values(), ids=ODD_CONFIGS.keys())
+def test_an_odd_configuration_raises_a_protocol_error(change):
+    value = change
+    if isinstance(change, dict):
+        value = json.dumps({"version": 7, "routes": [ROUTE]} | change).encode()
+    with pytest.raises(ProtocolError) as caught:
+        decode_queue_table(value)
+    assert len(str(caught.value)) < 300
