Check the numbers and the form of workers' and the advice's answers

Cause: decode_report took any number for the clock, the incarnation and the run, and a checkpoint of any size. A clock of 1e300 made the next lease a number that no call can carry; a huge incarnation ended the worker's current one, so that its runs were started again; a run of "7" or 1e300 hid a run; a checkpoint of some MB made the job's record too large to be written. An unhashable reason in the answer to a start, or a clock that is a text, ended the task that sends calls, and with it the term.

Ruled out: NaN and infinite numbers do not pass the parser of the HTTP client; a malformed share of work was handled before.

Change: whole numbers within bounds or ProtocolError, which counts as no answer; an odd checkpoint counts as none, an odd clock of a start as not named; odd rows of advice are left out one by one.

--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -32,10 +32,12 @@
 from ..jobs.records import MAX_STEPS, MAX_TASKS, MAX_TIME_S, JournalRecord, task_need
 from ..util.addresses import check_address
 from ..util.validation import (
+    MAX_COUNT,
     MAX_INTEGER,
     Count,
     Message,
     Name,
+    brief,
     first_problem,
     validate_json,
 )
@@ -55,6 +57,12 @@
 MAX_WORKER_GPUS = 1 << 12
 MAX_LABELS = 32
 # An id is sent in a header of each call, so it has no spaces and control characters.
+MAX_CHECKPOINT_CHARS = 4096
+MAX_TICKET_CHARS = 4096
+MAX_LOGGED_NAME = 80  # characters of a name in an error
+_TASK_NAME = re.compile(
+    r"([0-9A-Za-z_-]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})"
+)
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
@@ -275,10 +283,47 @@
     ValueError
         If the name is malformed.
     """
-    job_id, occurrence, step, index = name.split(".")
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        raise ValueError(f"task name {name[:MAX_LOGGED_NAME]!r}")
+    job_id, occurrence, step, index = match.groups()
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
+def _decode_integer(value: Any, high: int, low: int = 0) -> int:
+    """Return a whole number that a peer has sent.
+
+    Raises
+    ------
+    ValueError
+        If it is of another type or out of range.
+    """
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{type(value).__name__} instead of a whole number")
+    if not low <= value <= high:
+        raise ValueError("number out of range")
+    return value
+
+
+def decode_clock(value: Any) -> int:
+    """Return the worker's clock in an answer, 0 if it names none that can be used."""
+    try:
+        return _decode_integer(value["clock_ms"], MAX_INTEGER)
+    except (KeyError, TypeError, ValueError):
+        return 0
+
+
+def _decode_checkpoint(value: Any) -> str:
+    """Return a checkpoint; empty, as for none, if it is malformed or too long.
+
+    It is written with the progress of its job, whose record must stay small.
+    """
+    usable = isinstance(value, str) and len(value) <= MAX_CHECKPOINT_CHARS
+    return value if usable else ""
+
+
 def _decode_percent(row: list[Any]) -> float:
     """Return the progress of a run in percent; 0 if it is missing or malformed.
 
@@ -288,7 +333,7 @@
     percent = row[3] if len(row) > 3 else None
     if isinstance(percent, bool) or not isinstance(percent, int | float):
         return 0.0
-    return 0.0 if math.isnan(percent) else min(100.0, max(0.0, float(percent)))
+    return 0.0 if math.isnan(percent) else float(min(100, max(0, percent)))
 
 
 def decode_report(value: Any, peer: str) -> WorkerReport:
@@ -302,25 +347,52 @@
     try:
         running = tuple(
             RunningTask(
-                decode_task_name(row[0]), int(row[1]), str(row[2]), _decode_percent(row)
+                decode_task_name(row[0]),
+                _decode_integer(row[1], MAX_COUNT),
+                _decode_checkpoint(row[2]),
+                _decode_percent(row),
             )
             for row in value.get("running") or ()
         )
         ended = tuple(
             EndedTask(
-                int(row[0]),
+                _decode_integer(row[0], MAX_INTEGER),
                 decode_task_name(row[1]),
-                int(row[2]),
+                _decode_integer(row[2], MAX_COUNT),
                 EndKind(row[3]),
-                str(row[4]),
+                _decode_checkpoint(row[4]),
             )
             for row in value.get("ended") or ()
         )
-        return WorkerReport(
-            int(value["clock_ms"]), int(value.get("born", 0)), running, ended
-        )
+        clock_ms = _decode_integer(value["clock_ms"], MAX_INTEGER)
+        incarnation = _decode_integer(value.get("born", 0), MAX_BORN_MS)
     except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
-        raise ProtocolError(repr(exc), step="hold", peer=peer) from exc
+        raise ProtocolError(brief(exc), step="hold", peer=peer) from exc
+    return WorkerReport(clock_ms, incarnation, running, ended)
+
+
+def decode_tickets(rows: Any, peer: str) -> list[tuple[str, str]]:
+    """Decode rows of a permitted worker and its ticket; malformed ones are left out.
+
+    Raises
+    ------
+    ProtocolError
+        If the value is not a list.
+    """
+    if not isinstance(rows, list):
+        raise ProtocolError("no list of tickets", step="advise", peer=peer)
+    return [(row[0], row[1]) for row in rows if _is_ticket(row)]
+
+
+def _is_ticket(row: Any) -> bool:
+    if not isinstance(row, list) or len(row) < 2:
+        return False
+    worker_id, ticket = row[:2]
+    return (
+        isinstance(worker_id, str)
+        and isinstance(ticket, str)
+        and 0 < len(ticket) <= MAX_TICKET_CHARS
+    )
 
 
 _LENGTH = struct.Struct(">I")
--- a/cuminhill/platform/workerclient.py
+++ b/cuminhill/platform/workerclient.py
@@ -8,13 +8,13 @@
 from ..errors import (
     FencedError,
     OtherIncarnationError,
-    ProtocolError,
     UnavailableError,
     UnknownOutcomeError,
 )
 from ..jobs.model import StartResult
 from ..util.http_client import make_http_client
-from .wire import decode_report, encode_task_name
+from ..util.validation import brief
+from .wire import decode_clock, decode_report, decode_tickets, encode_task_name
 
 if TYPE_CHECKING:
     from ..jobs.model import StartOrder, TaskKey, WorkerReport
@@ -101,7 +101,7 @@
         if status == 200:
             return decode_report(value, address)
         if status == 409:
-            raise FencedError(f"{value}", step="hold", peer=worker_id)
+            raise FencedError(brief(value), step="hold", peer=worker_id)
         if status == 421:
             raise OtherIncarnationError(
                 "another worker at the address", step="hold", peer=worker_id
@@ -135,9 +135,8 @@
             return StartResult.UNHEALTHY, 0  # the call was not sent
         except UnknownOutcomeError:
             return StartResult.UNKNOWN, 0
-        clock_ms = value.get("clock_ms", 0) if isinstance(value, dict) else 0
-        reason = value.get("reason", "") if isinstance(value, dict) else ""
-        return _start_result(status, reason), clock_ms
+        reason = value.get("reason") if isinstance(value, dict) else None
+        return _start_result(status, str(reason)), decode_clock(value)
 
     async def stop(
         self,
@@ -212,12 +211,8 @@
             raise UnavailableError(
                 f"status {status}", step="advise", peer=self.client.peer
             )
-        try:
-            return [(str(row[0]), str(row[1])) for row in value["good"]]
-        except (KeyError, IndexError, TypeError) as exc:
-            raise ProtocolError(
-                repr(exc), step="advise", peer=self.client.peer
-            ) from exc
+        rows = value.get("good") if isinstance(value, dict) else None
+        return decode_tickets(rows, self.client.peer)
 
 
 def make_advice_client(address: str, source_host: str = "") -> PlatformAdviceClient:
--- a/cuminhill/util/validation.py
+++ b/cuminhill/util/validation.py
@@ -25,6 +25,11 @@
     model_config = ConfigDict(extra="ignore", strict=True, allow_inf_nan=False)
 
 
+def brief(value: object) -> str:
+    """Return a printable form of bounded length, for errors and log lines."""
+    return ascii(value)[:MAX_ERROR_CHARS]
+
+
 Model = TypeVar("Model", bound=Message)
 
 
--- /dev/null
+++ b/tests/platform/test_odd_answers.py
@@ -0,0 +1,168 @@
+"""Tests of answers of workers, of the advice and of the store that cannot be used."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from cuminhill.errors import ProtocolError
+from cuminhill.jobs.model import StartOrder, StartResult, TaskKey
+from cuminhill.platform.wire import MAX_CHECKPOINT_CHARS, decode_report
+from cuminhill.platform.workerclient import PlatformAdviceClient, PlatformWorkerClient
+from cuminhill.util.json_input import MAX_DEPTH
+from cuminhill.util.validation import MAX_INTEGER
+
+TASK = "5c0e7a21d94b36f8.0.1.17"
+ORDER = StartOrder(
+    "w", "127.0.0.1:1", TaskKey("5c0e7a21d94b36f8", 0, 1, 17), 1, "", 0, 0
+)
+
+
+def nested():
+    """Return a value of the greatest depth that the clients let through."""
+    value = []
+    for _ in range(MAX_DEPTH - 5):
+        value = [value]
+    return value
+
+
+ODD_NUMBERS = {
+    "negative": -1,
+    "over 53 bits": MAX_INTEGER + 1,
+    "of 300 digits": 10**300,
+    "1e300": 1e300,
+    "a fraction": 0.5,
+    "infinite": float("inf"),
+    "NaN": float("nan"),
+    "a text": "7",
+    "true": True,
+    "null": None,
+    "nested": nested(),
+}
+
+
+class OddClient:
+    """HTTP client that returns one answer."""
+
+    peer = "odd"
+
+    def __init__(self, status, value):
+        self.answer = status, value
+
+    async def request(self, *args, **more):
+        return self.answer
+
+
+def odd_worker(status, value):
+    calls = PlatformWorkerClient()
+    calls._clients[ORDER.address] = OddClient(status, value)
+    return calls
+
+
+# Guards against a number in a report that no call can carry, that hides all later
+# reports of the worker, or that names another run: the renewal must count as failed.
+@pytest.mark.parametrize("number", ODD_NUMBERS.values(), ids=ODD_NUMBERS.keys())
+@pytest.mark.parametrize("place", ["clock", "born", "run", "end", "ended run"])
+def test_report_with_an_odd_number_raises_a_protocol_error(place, number):
+    def at(name, value):
+        return number if place == name else value
+
+    body = {
+        "clock_ms": at("clock", 5),
+        "born": at("born", 1),
+        "running": [[TASK, at("run", 1), "", 5]],
+        "ended": [[at("end", 1), TASK, at("ended run", 1), "done", ""]],
+    }
+    with pytest.raises(ProtocolError) as caught:
+        decode_report(body, "w")
+    assert len(str(caught.value)) < 300
+
+
+# Guards against a report of another form that ends the task which renews the leases.
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        b"\xff",
+        "text",
+        [],
+        7,
+        nested(),
+        {},
+        {"clock_ms": 1, "running": 7},
+        {"clock_ms": 1, "running": [7]},
+        {"clock_ms": 1, "running": [[]]},
+        {"clock_ms": 1, "running": nested()},
+        {"clock_ms": 1, "running": {"a": 1}},
+        {"clock_ms": 1, "running": [[nested(), 1, "", 1]]},
+        *[
+            {"clock_ms": 1, "running": [[name, 1, "", 1]]}
+            for name in (
+                "",
+                "a.b",
+                "a.0.-1.0",
+                "a.0.0. 1",
+                "a.0.0.1_0",
+                "a.0.0.٣",
+                "a.b.0.0.0",
+            )
+        ],
+        {"clock_ms": 1, "ended": [[1, TASK, 1, "exploded", ""]]},
+        {"clock_ms": 1, "ended": [[1, TASK, 1, nested(), ""]]},
+    ],
+)
+def test_report_of_another_form_raises_a_protocol_error(value):
+    calls = odd_worker(200, value)
+    with pytest.raises(ProtocolError) as caught:
+        curio.run(renew, calls)
+    assert len(str(caught.value)) < 300
+
+
+async def renew(calls):
+    return await calls.renew(
+        "w", ORDER.address, 1, last_acked_end=0, lease_until_ms=None, wait_s=0.0
+    )
+
+
+# Guards against a checkpoint that makes the record of its job too large to be written.
+@pytest.mark.parametrize("saved", [7, None, nested(), "x" * (MAX_CHECKPOINT_CHARS + 1)])
+def test_odd_checkpoint_counts_as_none(saved):
+    body = {
+        "clock_ms": 1,
+        "running": [[TASK, 1, saved, 5]],
+        "ended": [[1, TASK, 1, "done", saved]],
+    }
+    report = decode_report(body, "w")
+    assert (report.running[0].checkpoint, report.ended[0].checkpoint) == ("", "")
+
+
+# Guards against an answer to a start that ends the task which sends calls, and with it
+# the term.
+@pytest.mark.parametrize("clock", [-1, MAX_INTEGER + 1, 1e300, "7", None, [], nested()])
+@pytest.mark.parametrize("status", [200, 409])
+def test_start_with_an_odd_clock_keeps_its_result(status, clock):
+    calls = odd_worker(status, {"clock_ms": clock, "reason": "room"})
+    expected = StartResult.STARTED if status == 200 else StartResult.NO_ROOM
+    assert curio.run(calls.start, ORDER, 1.0) == (expected, 0)
+
+
+@pytest.mark.parametrize("reason", [7, None, [], {}, nested(), "x" * 100_000])
+def test_start_that_is_refused_for_an_odd_reason_is_invalid(reason):
+    """Guards against an unhashable reason that ends the term."""
+    calls = odd_worker(409, {"clock_ms": 5, "reason": reason})
+    assert curio.run(calls.start, ORDER, 1.0) == (StartResult.INVALID, 5)
+
+
+@pytest.mark.parametrize("value", [None, 7, [], "text", nested(), {"good": 7}, {}])
+def test_advice_of_another_form_raises_a_protocol_error(value):
+    """Guards against a step that is never asked for again."""
+    with pytest.raises(ProtocolError):
+        curio.run(PlatformAdviceClient(OddClient(200, value)).ask, "s", ["w"], 1.0)
+
+
+def test_odd_tickets_are_left_out():
+    """Guards against one odd row of advice that hides the others."""
+    rows = [["w", "t"], 7, [], ["w"], ["w", 7], [7, "t"], ["w", ""], nested(), "ab"]
+    rows.append(["w", "x" * 1_000_000])
+    client = PlatformAdviceClient(OddClient(200, {"good": rows}))
+    assert curio.run(client.ask, "s", ["w"], 1.0) == [("w", "t")]
