Survive malformed records and pages of the store

Cause: an offset that is no number raised ValueError in PlatformTopic.newest and TypeError in the follower, which ended and began anew at once; a page that names the same last key, or whose next record is longer than the page, was read again and again without a pause; a record whose key was cut off counted as the removal of another key; an append with an odd offset in its answer ended the task that makes calls. The store lets records have 256 KB and a read asks for 128 KB.

Change: a record that cannot be read has a value that no decoder takes; pages are checked and raise ProtocolError, after which the follower pauses; a record that does not fit into a page is read with a larger one. Text is encoded again as it was decoded.

--- a/cuminhill/platform/store.py
+++ b/cuminhill/platform/store.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
@@ -15,12 +13,18 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from ..jobs.records import JournalRecord
 from ..util.http_client import make_http_client
-from .wire import decode_page, encode_keyed_records
+from ..util.validation import MAX_INTEGER, brief
+from .wire import (
+    decode_integer,
+    decode_newest_records,
+    decode_page,
+    encode_keyed_records,
+)
 
 if TYPE_CHECKING:
     from ..jobs.journal import WriterToken
+    from ..jobs.records import JournalRecord
     from ..util.http_client import HttpClient
 
 JOURNAL_TOPIC = "keyed.cuminhill"
@@ -33,6 +37,7 @@
 # Limit of one read. A page must arrive within the shortest timeout of a read, 0.6 s, on
 # a link of 10 Mbit/s shared with other traffic; pages of 1 MB always timed out there.
 MAX_PAGE_KB = 128
+LARGE_PAGE_KB = 1024  # for a record that does not fit into such a page
 
 
 @dataclass(eq=False)
@@ -63,7 +68,22 @@
         UnavailableError, UnknownOutcomeError, ProtocolError
             If there is no valid reply.
         """
-        query = {"topic": self.name, "part": 0, "from": offset, "max_kb": MAX_PAGE_KB}
+        end, records = await self._read_page(offset, wait_s, timeout_s, MAX_PAGE_KB)
+        if not records and end > offset:
+            # The next record is larger than a page, or the page is malformed.
+            end, records = await self._read_page(
+                offset, 0.0, NEWEST_PAGE_TIMEOUT_S, LARGE_PAGE_KB
+            )
+        if not records and end > offset:
+            raise ProtocolError(
+                "page without a record", step="read", peer=self.reader.peer
+            )
+        return end, records
+
+    async def _read_page(
+        self, offset: int, wait_s: float, timeout_s: float, max_kb: int
+    ) -> tuple[int, list[JournalRecord]]:
+        query = {"topic": self.name, "part": 0, "from": offset, "max_kb": max_kb}
         if wait_s > 0:
             query["wait_ms"] = int(wait_s * 1000)
         status, body = await self.reader.request(
@@ -79,7 +99,9 @@
             raise UnavailableError(
                 f"status {status}", step="read", peer=self.reader.peer
             )
-        raw = body if isinstance(body, bytes) else str(body).encode("latin-1")
+        raw = body.encode() if isinstance(body, str) else body
+        if not isinstance(raw, bytes):
+            raise ProtocolError("no raw data", step="read", peer=self.reader.peer)
         end, first, records = decode_page(raw, offset, self.reader.peer)
         if first > offset:
             raise HistoryGoneError(
@@ -117,15 +139,20 @@
                     f"status {status}", step="newest", peer=self.reader.peer
                 )
             try:
-                end = page["end"] if end is None else end
-                records.extend(_decode_newest_record(item) for item in page["items"])
+                if end is None:
+                    end = decode_integer(page["end"], MAX_INTEGER)
+                records.extend(decode_newest_records(page["items"]))
                 if not page.get("more"):
                     break
-                after = page["items"][-1]["key"]
-            except (KeyError, IndexError, TypeError, binascii.Error) as exc:
+                before, after = after, str(page["items"][-1]["key"])
+            except (AttributeError, LookupError, TypeError, ValueError) as exc:
                 raise ProtocolError(
-                    repr(exc), step="newest", peer=self.reader.peer
+                    brief(exc), step="newest", peer=self.reader.peer
                 ) from exc
+            if after == before:
+                raise ProtocolError(
+                    "pages do not advance", step="newest", peer=self.reader.peer
+                )
         records.sort(key=lambda record: record.offset)
         return end or 0, records
 
@@ -174,23 +201,16 @@
             timeout_s=timeout_s,
         )
         if status == 200 and isinstance(value, dict):
-            return int(value.get("offset", 0))
+            offset = value.get("offset")
+            return offset if isinstance(offset, int) else 0
+        answer = f"status {status}: {brief(value)}"
         if status == 409 and isinstance(value, dict) and value.get("reason") == "seq":
-            raise ProtocolError(f"{value}", step="append", peer=self.writer.peer)
+            raise ProtocolError(answer, step="append", peer=self.writer.peer)
         if status in {409, 412}:
-            raise FencedError(f"{value}", step="append", peer=self.writer.peer)
+            raise FencedError(answer, step="append", peer=self.writer.peer)
         if status in {400, 404, 413, 429, 503, 507}:
-            raise UnavailableError(
-                f"status {status}: {value}", step="append", peer=self.writer.peer
-            )
-        raise UnknownOutcomeError(
-            f"status {status}: {value}", step="append", peer=self.writer.peer
-        )
-
-
-def _decode_newest_record(item: dict[str, Any]) -> JournalRecord:
-    value = base64.b64decode(item["value"])
-    return JournalRecord(int(item["offset"]), str(item["key"]), value)
+            raise UnavailableError(answer, step="append", peer=self.writer.peer)
+        raise UnknownOutcomeError(answer, step="append", peer=self.writer.peer)
 
 
 def make_topic(name: str, address: str, source_host: str = "") -> PlatformTopic:
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import ipaddress
 import math
 import re
@@ -290,7 +291,7 @@
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
-def _decode_integer(value: Any, high: int, low: int = 0) -> int:
+def decode_integer(value: Any, high: int, low: int = 0) -> int:
     """Return a whole number that a peer has sent.
 
     Raises
@@ -310,7 +311,7 @@
 def decode_clock(value: Any) -> int:
     """Return the worker's clock in an answer, 0 if it names none that can be used."""
     try:
-        return _decode_integer(value["clock_ms"], MAX_INTEGER)
+        return decode_integer(value["clock_ms"], MAX_INTEGER)
     except (KeyError, TypeError, ValueError):
         return 0
 
@@ -348,7 +349,7 @@
         running = tuple(
             RunningTask(
                 decode_task_name(row[0]),
-                _decode_integer(row[1], MAX_COUNT),
+                decode_integer(row[1], MAX_COUNT),
                 _decode_checkpoint(row[2]),
                 _decode_percent(row),
             )
@@ -356,16 +357,16 @@
         )
         ended = tuple(
             EndedTask(
-                _decode_integer(row[0], MAX_INTEGER),
+                decode_integer(row[0], MAX_INTEGER),
                 decode_task_name(row[1]),
-                _decode_integer(row[2], MAX_COUNT),
+                decode_integer(row[2], MAX_COUNT),
                 EndKind(row[3]),
                 _decode_checkpoint(row[4]),
             )
             for row in value.get("ended") or ()
         )
-        clock_ms = _decode_integer(value["clock_ms"], MAX_INTEGER)
-        incarnation = _decode_integer(value.get("born", 0), MAX_BORN_MS)
+        clock_ms = decode_integer(value["clock_ms"], MAX_INTEGER)
+        incarnation = decode_integer(value.get("born", 0), MAX_BORN_MS)
     except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
         raise ProtocolError(brief(exc), step="hold", peer=peer) from exc
     return WorkerReport(clock_ms, incarnation, running, ended)
@@ -395,6 +396,7 @@
     )
 
 
+UNREADABLE = b"\xff"  # value of a record whose own could not be read; not JSON
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 
@@ -438,6 +440,41 @@
 
 
 def _decode_keyed_record(offset: int, content: bytes) -> JournalRecord:
+    """Return a record; one without a complete key has none and the value `UNREADABLE`.
+
+    Cut off, the key could be that of another record, which would count as deleted.
+    """
     n_key = content[0] if content else 0
+    if len(content) < 1 + n_key:
+        return JournalRecord(offset, "", UNREADABLE)
     key = content[1 : 1 + n_key].decode("utf-8", "replace")
     return JournalRecord(offset, key, content[1 + n_key :])
+
+
+def decode_newest_records(items: Any) -> list[JournalRecord]:
+    """Decode the newest records of a topic.
+
+    A record with a malformed field has the value `UNREADABLE`, so that whoever knows
+    its key can tell it from one that is deleted. One without a key is left out.
+
+    Raises
+    ------
+    TypeError
+        If the value is not a list.
+    """
+    if not isinstance(items, list):
+        raise TypeError("no list of records")
+    return [
+        _decode_newest_record(item)
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get("key"), str)
+    ]
+
+
+def _decode_newest_record(item: dict[str, Any]) -> JournalRecord:
+    try:
+        offset = decode_integer(item.get("offset"), MAX_INTEGER)
+        value = base64.b64decode(item["value"])
+    except (KeyError, TypeError, ValueError):
+        return JournalRecord(0, item["key"], UNREADABLE)
+    return JournalRecord(offset, item["key"], value)
--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import base64
+import struct
+
 import curio
 import pytest
 
 from cuminhill.errors import ProtocolError
 from cuminhill.jobs.model import StartOrder, StartResult, TaskKey
-from cuminhill.platform.wire import MAX_CHECKPOINT_CHARS, decode_report
+from cuminhill.platform.store import MAX_PAGE_KB, PlatformTopic
+from cuminhill.platform.wire import (
+    MAX_CHECKPOINT_CHARS,
+    UNREADABLE,
+    decode_report,
+    decode_worker_entry,
+)
 from cuminhill.platform.workerclient import PlatformAdviceClient, PlatformWorkerClient
 from cuminhill.util.json_input import MAX_DEPTH
 from cuminhill.util.validation import MAX_INTEGER
@@ -166,3 +175,143 @@
     rows.append(["w", "x" * 1_000_000])
     client = PlatformAdviceClient(OddClient(200, {"good": rows}))
     assert curio.run(client.ask, "s", ["w"], 1.0) == [("w", "t")]
+
+
+class OddStore:
+    """HTTP client of a store whose answers are given by path and number of the call."""
+
+    peer = "store"
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.paths = []
+
+    async def request(self, method, path, *args, **more):
+        self.paths.append(path)
+        return 200, self.answers[min(len(self.paths), len(self.answers)) - 1]
+
+
+def make_topic(*answers):
+    client = OddStore(*answers)
+    return PlatformTopic("keyed.t", client, client)
+
+
+def item(key, value=b"{}", offset=1):
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "offset": offset}
+
+
+# Guards against one malformed record of a snapshot that keeps a VM from reading it, or
+# that counts as the removal of its key.
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"value": "x"},
+        {"value": None},
+        {"value": 7},
+        {"value": nested()},
+        {"value": "ä"},
+        {"offset": "x"},
+        {"offset": -1},
+        {"offset": 1e300},
+        {"offset": None},
+        {"offset": nested()},
+    ],
+)
+def test_malformed_record_of_a_snapshot_is_unreadable(change):
+    page = {"items": [item("a"), item("b") | change, item("c")], "end": 9}
+    end, records = curio.run(make_topic(page).newest)
+    found = {record.key: record.value for record in records}
+    assert (end, found) == (9, {"a": b"{}", "b": UNREADABLE, "c": b"{}"})
+    with pytest.raises(ProtocolError):
+        decode_worker_entry("b", found["b"])
+
+
+@pytest.mark.parametrize("odd", [7, None, [], {}, {"key": 7}, {"key": nested()}])
+def test_record_without_a_key_is_left_out(odd):
+    """Guards against one malformed record that keeps a VM from reading a snapshot."""
+    page = {"items": [item("a"), odd, item("c")], "end": 9}
+    _, records = curio.run(make_topic(page).newest)
+    assert [record.key for record in records] == ["a", "c"]
+
+
+# Guards against an answer that ends the follower of a log, or that it repeats without
+# end. A ProtocolError makes it pause and try again.
+@pytest.mark.parametrize(
+    "page",
+    [
+        None,
+        7,
+        [],
+        "text",
+        b"\xff",
+        nested(),
+        {},
+        {"items": [], "end": "x"},
+        {"items": [], "end": -1},
+        {"items": [], "end": None},
+        {"items": [], "end": 1e300},
+        {"items": 7, "end": 1},
+        {"items": nested()[0], "end": nested()},
+        {"items": [], "end": 1, "more": True},
+        {"items": [item("a")], "end": 1, "more": True},
+    ],
+)
+def test_snapshot_of_another_form_raises_a_protocol_error(page):
+    topic = make_topic(page)
+    with pytest.raises(ProtocolError) as caught:
+        curio.run(topic.newest)
+    assert len(str(caught.value)) < 300
+    assert len(topic.reader.paths) <= 2
+
+
+@pytest.mark.parametrize("body", [None, 7, [], {}, b"", b"1234", "ä" * 7, nested()])
+def test_page_of_another_form_raises_a_protocol_error(body):
+    """Guards against an answer that ends the follower of a log."""
+    with pytest.raises(ProtocolError):
+        curio.run(make_topic(body).read, 0, 0.0)
+
+
+def page_of(*contents, end=None):
+    body = struct.pack(">QQ", len(contents) if end is None else end, 0)
+    return body + b"".join(struct.pack(">I", len(item)) + item for item in contents)
+
+
+def test_record_with_a_cut_key_hides_no_other():
+    """Guards against a malformed record that counts as the removal of another key."""
+    body = page_of(b"\x01a{}", b"\x05w", b"", b"\x01c{}")
+    _, records = curio.run(make_topic(body).read, 0, 0.0)
+    assert [(row.offset, row.key) for row in records] == [
+        (0, "a"),
+        (1, ""),
+        (2, ""),
+        (3, "c"),
+    ]
+
+
+def test_record_larger_than_a_page_does_not_stall_the_reader():
+    """Guards against a follower that reads the same page again and again."""
+    full = page_of(b"\x01a" + b"x" * 200_000, b"\x01b{}")
+    topic = make_topic(full[: MAX_PAGE_KB * 1024], full)
+    _, records = curio.run(topic.read, 0, 0.0)
+    assert [record.key for record in records] == ["a", "b"]
+
+
+def test_page_without_a_record_is_not_read_without_pause():
+    """Guards against a length beyond the page that keeps the reader busy."""
+    body = page_of(end=5) + b"\xff\xff\xff\xff"
+    topic = make_topic(body)
+    with pytest.raises(ProtocolError):
+        curio.run(topic.read, 0, 0.0)
+    assert len(topic.reader.paths) == 2
+
+
+@pytest.mark.parametrize("offset", [None, "x", [], 1e300, nested()])
+def test_append_with_an_odd_offset_is_stored(offset):
+    """Guards against an acknowledged append that ends the task which makes calls."""
+    topic = make_topic({"offset": offset, "end": 1})
+    assert curio.run(append, topic) == 0
+
+
+async def append(topic):
+    return await topic.append([("a", b"1")], timeout_s=1.0)
