Check records and waits that another VM sends

Cause: an append on behalf of another VM was queued with whatever it held. A key of 256 bytes, or one that is a number, raised ValueError or TypeError in the task that makes the calls of the writer, and a record beyond 256 KB is refused by the store: the records of others in the same append failed with it, in the placer's writer for good. A wait of NaN or -1 went into the kernel's timeouts. An answer with advice nested 1,000 levels deep raised RecursionError in a task of its own, after which the step was never asked for again.

Ruled out: frames.py and rpc.py: lengths, nesting and types of thrift messages are checked before they are decoded, and a handler's error is its caller's only.

Change: such a call is answered with an error and queues nothing; advice of another form is a ProtocolError.

--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -18,6 +18,7 @@
     UnknownOutcomeError,
 )
 from ..rpc import RpcClient, idl
+from ..util.json_input import load_json
 from .model import Outcome
 
 if TYPE_CHECKING:
@@ -44,6 +45,9 @@
 # sent to it: after a call into a partition it is unknown whether they were stored.
 CONTACT_VALID_S = 0.25
 PING_TIMEOUT_S = 0.4
+MAX_WAIT_S = 60.0  # that another VM may ask for
+MAX_KEY_BYTES = 255  # the length of a key is one byte
+MAX_RECORD_BYTES = 250_000  # the log takes records of 256 KB
 STATUS_OK, STATUS_UNAVAILABLE = str(Outcome.OK), "unavailable"
 _OUTCOMES = {str(outcome): outcome for outcome in Outcome}
 
@@ -120,10 +124,7 @@
         reply = await self._call(vm, "advise", message, wait_s)
         if reply.status != STATUS_OK:
             raise UnavailableError(str(reply.value), step="advise", peer=vm)
-        try:
-            return [(str(row[0]), str(row[1])) for row in orjson.loads(reply.value)]
-        except (ValueError, IndexError, TypeError) as exc:
-            raise ProtocolError(repr(exc), step="advise", peer=vm) from exc
+        return _decode_pairs(reply.value, "advise", vm)
 
     async def append_by_placer(
         self, placer: str, records: list[tuple[str, bytes]], wait_s: float
@@ -232,12 +233,14 @@
         return idl.Reply(STATUS_OK, b"")
 
     async def _serve_append(self, call: Any) -> Any:
-        records = [(key, value.encode()) for key, value in orjson.loads(call.records)]
+        _check_wait(call.wait_s)
+        records = _decode_records(call.records)
         writer = self.placer_writer or self.writer
         outcome = await _append_within(writer, records, call.wait_s)
         return idl.Reply(STATUS_UNAVAILABLE if outcome is None else str(outcome), b"")
 
     async def _serve_advise(self, call: Any) -> Any:
+        _check_wait(call.wait_s)
         try:
             tickets = await self.advice.ask(call.step, call.workers, call.wait_s)
         except CuminhillError as exc:
@@ -245,6 +248,58 @@
         return idl.Reply(STATUS_OK, orjson.dumps(tickets))
 
 
+def _decode_pairs(data: bytes, step: str, peer: str = "") -> list[tuple[str, str]]:
+    """Decode a list of pairs of texts.
+
+    Raises
+    ------
+    ProtocolError
+        If the data has another form.
+    """
+    rows = load_json(data, step=step, peer=peer)
+    if not isinstance(rows, list) or not all(_is_pair(row) for row in rows):
+        raise ProtocolError("no list of pairs of texts", step=step, peer=peer)
+    return [(first, second) for first, second in rows]
+
+
+def _is_pair(row: Any) -> bool:
+    return (
+        isinstance(row, list)
+        and len(row) == 2
+        and all(isinstance(item, str) for item in row)
+    )
+
+
+def _decode_records(data: bytes) -> list[tuple[str, bytes]]:
+    """Decode records to be appended on behalf of another VM.
+
+    They share an append with records of others, which would fail with them.
+
+    Raises
+    ------
+    ProtocolError
+        If the log would not take one of them.
+    """
+    records = [(key, value.encode()) for key, value in _decode_pairs(data, "append")]
+    for key, value in records:
+        n_key = len(key.encode())
+        if not 0 < n_key <= MAX_KEY_BYTES or n_key + len(value) > MAX_RECORD_BYTES:
+            raise ProtocolError("record out of bounds", step="append")
+    return records
+
+
+def _check_wait(wait_s: float) -> None:
+    """Check how long a caller wants to wait.
+
+    Raises
+    ------
+    ProtocolError
+        If it is negative, too long or NaN, which would break the order of timeouts.
+    """
+    if not 0 <= wait_s <= MAX_WAIT_S:
+        raise ProtocolError("wait out of range", step="wait")
+
+
 async def _append_within(
     writer: LogWriter, records: list[tuple[str, bytes]], wait_s: float
 ) -> Outcome | None:
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -6,13 +6,16 @@
 import socket
 
 import curio
+import orjson
 import pytest
 
 from cuminhill.clock import boottime
-from cuminhill.errors import UnavailableError
+from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from cuminhill.jobs.advice import AdviceCall
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.peers import JobPeers
+from cuminhill.jobs.peers import STATUS_OK, JobPeers
 from cuminhill.jobs.records import Member
+from cuminhill.rpc import RpcClient, RpcServer, idl
 from standins.job_platform import LogView, MemoryAdvice, MemoryLog
 
 RECORDS = [("job/a", b"{}")]
@@ -64,3 +67,84 @@
             await peers.append(RECORDS, 0.6)
 
     curio.run(scenario)
+
+
+def row(key="job/a", value="{}"):
+    return orjson.dumps([[key, value]])
+
+
+ODD_APPENDS = {
+    "nothing": b"",
+    "open brackets": b"[" * 100_000,
+    "1000 levels": b"[" * 1000 + b"]" * 1000,
+    "a number": b"7",
+    "an object": b'{"a":"b"}',
+    "a text": b'["ab"]',
+    "three parts": b'[["a","b","c"]]',
+    "a key that is a number": b'[[7,"b"]]',
+    "a value that is null": b'[["a",null]]',
+    "no key": row(key=""),
+    "a key of 256 bytes": row(key="x" * 256),
+    "a key of 200 letters of 2 bytes": row(key="ä" * 200),
+    "a record of 300 KB": row(value="x" * 300_000),
+}
+
+
+async def serve(peers, method, message):
+    """Call a VM that serves the handlers, and check that it still serves others."""
+    server = RpcServer(peers.handlers())
+    await server.start("127.0.0.1", 0)
+    await curio.spawn(peers.writer.run, daemon=True)
+    client = RpcClient(f"127.0.0.1:{server.port}")
+    try:
+        with pytest.raises(UnknownOutcomeError):
+            await client.call(method, message, timeout_s=1.0)
+        sound = idl.AppendCall(row("job/b"), 1.0)
+        reply = await client.call("append", sound, timeout_s=1.0)
+        assert reply.status == STATUS_OK
+    finally:
+        await client.close()
+        await server.close()
+
+
+# Guards against a message of another VM that makes the append of everybody else's
+# records fail, in the term of a placer for good.
+@pytest.mark.parametrize("records", ODD_APPENDS.values(), ids=ODD_APPENDS.keys())
+def test_odd_records_of_another_vm_stop_no_other_append(records):
+    peers = make_peers("127.0.0.1:1")
+    curio.run(serve, peers, "append", idl.AppendCall(records, 1.0))
+    assert [item.key for item in peers.writer.log.log.records] == ["job/b"]
+
+
+@pytest.mark.parametrize("method", ["append", "advise"])
+@pytest.mark.parametrize("wait_s", [-1.0, 1e300, float("inf"), float("nan")])
+def test_odd_wait_of_another_vm_is_refused(method, wait_s):
+    """Guards against timeouts in an order that the kernel cannot keep."""
+    peers = make_peers("127.0.0.1:1")
+    message = (
+        idl.AppendCall(row(), wait_s)
+        if method == "append"
+        else idl.AdviseCall("s", ["w"], wait_s)
+    )
+    curio.run(serve, peers, method, message)
+
+
+# Guards against an answer to a request for advice that raises an error which the placer
+# does not handle; its step was then never asked for again.
+@pytest.mark.parametrize("value", [*ODD_APPENDS.values()][:9])
+def test_odd_advice_of_another_vm_raises_a_protocol_error(value):
+    async def advise(_):
+        return idl.Reply(STATUS_OK, value)
+
+    async def main():
+        server = RpcServer({"advise": advise, "ping": peers._serve_ping})
+        await server.start("127.0.0.1", 0)
+        peers.members = {"b": Member(f"127.0.0.1:{server.port}")}
+        try:
+            with pytest.raises(ProtocolError):
+                await peers.ask_advice("b", AdviceCall("s", {"w": 1}, 0.1, 1.0), 1.0)
+        finally:
+            await server.close()
+
+    peers = make_peers("")
+    curio.run(main)
