Limit the labels that a job asks for

Cause: required_label and affinity could fill the body, so that the job's record came close to the 256 KB that the store takes, and larger than a read. No worker has a label of more than 200 characters.

Change: such a job is answered with 400.

Measured: the two new cases of test_wire.py failed before (accepted); 56 pass.

--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -57,6 +57,7 @@
 MAX_WORKER_MEMORY_MB = 1 << 28
 MAX_WORKER_GPUS = 1 << 12
 MAX_LABELS = 32
+MAX_LABEL_CHARS = 200  # of a worker; a job that asks for a longer one never runs
 # An id is sent in a header of each call, so it has no spaces and control characters.
 MAX_CHECKPOINT_CHARS = 4096
 MAX_TICKET_CHARS = 4096
@@ -77,6 +78,7 @@
 WorkerAddress = Annotated[str, AfterValidator(_check_worker_address)]
 
 
+Label = Annotated[str, Field(max_length=MAX_LABEL_CHARS)]
 _Duration = Annotated[float, Field(ge=0, le=MAX_TIME_S * MS_PER_S)]
 _Number = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 
@@ -91,8 +93,8 @@
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
-    required_label: str = ""
-    affinity: str = ""  # rack of the input data
+    required_label: Label = ""
+    affinity: Label = ""  # rack of the input data
     max_per_server: Count = 0
     speculative: bool = False
     long_running: bool = False
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -58,6 +58,11 @@
         ({"phases": [{"count": 1, "mem_mb": "much"}]}, "phases.0.mem_mb"),
         ({"phases": [{"count": 1, "after": [0]}]}, "phases.0.after"),
         ({"phases": [{"count": 1}, {"count": 1, "after": [5]}]}, "phases.1.after"),
+        ({"phases": [{"count": 1, "affinity": "r" * 201}]}, "phases.0.affinity"),
+        (
+            {"phases": [{"count": 1, "required_label": "x" * 250_000}]},
+            "phases.0.required_label",
+        ),
         ({"times": -1}, "times"),
     ],
 )
