--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import base64
+import ipaddress
 import math
+import re
 import struct
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, Field
 
 from ..errors import ProtocolError, ValidationError
 from ..jobs.model import (
@@ -27,7 +30,18 @@
     WorkerEntry,
     WorkerReport,
 )
-from ..jobs.records import JournalRecord, task_need
+from ..jobs.records import MAX_STEPS, MAX_TASKS, MAX_TIME_S, JournalRecord, task_need
+from ..util.addresses import check_address
+from ..util.validation import (
+    MAX_COUNT,
+    MAX_INTEGER,
+    Count,
+    Message,
+    Name,
+    brief,
+    first_problem,
+    validate_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -35,31 +49,52 @@
 MS_PER_S = 1000.0
 MILLICORES_PER_CORE = 1000.0  # the platform counts processors in millicores
 MAX_SPEC_BYTES = 4000
-MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
-MAX_STEPS = 200
+MAX_BORN_MS = 4_102_444_800_000  # the year 2100
+MAX_DRAIN_MS = 1e10
+MAX_STRETCH = 1e6
+# Capacity of one worker, far above any machine.
+MAX_WORKER_MILLICORES = 1 << 24
+MAX_WORKER_MEMORY_MB = 1 << 28
+MAX_WORKER_GPUS = 1 << 12
+MAX_LABELS = 32
+MAX_LABEL_CHARS = 200  # of a worker; a job that asks for a longer one never runs
+# An id is sent in a header of each call, so it has no spaces and control characters.
+MAX_CHECKPOINT_CHARS = 4096
+MAX_TICKET_CHARS = 4096
+MAX_LOGGED_NAME = 80  # characters of a name in an error
+_TASK_NAME = re.compile(
+    r"([0-9A-Za-z_-]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})"
+)
+WORKER_ID = re.compile(r"[!-~]{1,200}")
+
 
-Count = Annotated[int, Field(ge=0, le=1 << 31)]
-Name = Annotated[str, Field(min_length=1, max_length=200)]
+def _check_worker_address(value: str) -> str:
+    host = ipaddress.IPv4Address(check_address(value).rpartition(":")[0])
+    if host.is_unspecified or host.is_multicast:
+        raise ValueError("address of one machine")
+    return value
 
 
-class _Message(BaseModel):
-    """Base of the messages: ignores unknown fields, coerces no types."""
+WorkerAddress = Annotated[str, AfterValidator(_check_worker_address)]
 
-    model_config = ConfigDict(extra="ignore", strict=True)
 
+Label = Annotated[str, Field(max_length=MAX_LABEL_CHARS)]
+_Duration = Annotated[float, Field(ge=0, le=MAX_TIME_S * MS_PER_S)]
+_Number = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 
-class _StepBody(_Message):
+
+class _StepBody(Message):
     count: Annotated[int, Field(ge=1, le=MAX_TASKS)]
     cpu: Count = 0  # millicores
     mem_mb: Count = 0
     gpu: Count = 0
     est_runtime_ms: Annotated[float, Field(ge=0, le=1e10)] = 0.0
-    after: list[Count] = []
+    after: tuple[Count, ...] = ()
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
-    required_label: str = ""
-    affinity: str = ""  # rack of the input data
+    required_label: Label = ""
+    affinity: Label = ""  # rack of the input data
     max_per_server: Count = 0
     speculative: bool = False
     long_running: bool = False
@@ -67,13 +102,14 @@
     fills: bool = False
 
 
-class _JobBody(_Message):
+class _JobBody(Message):
     spec: Annotated[str, Field(max_length=MAX_SPEC_BYTES)]
     # Steps of the job; the platform's documentation calls them steps as well.
     phases: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
     times: Count = 0
-    first_run_ms: Annotated[float, Field(ge=0)] = 0.0
-    period_ms: Annotated[float, Field(ge=0)] = 0.0
+    # The journal reads back what is within these bounds.
+    first_run_ms: _Duration = 0.0
+    period_ms: _Duration = 0.0
 
 
 def decode_job_body(job_id: str, queue: str, body: bytes, wall: float) -> Job:
@@ -88,9 +124,7 @@
     try:
         message = _JobBody.model_validate_json(body)
     except pydantic.ValidationError as exc:
-        first = exc.errors()[0]
-        field = ".".join(str(part) for part in first["loc"])
-        raise ValidationError(f"{field}: {first['msg']}", step="decode") from exc
+        raise ValidationError(first_problem(exc), step="decode") from exc
     steps = []
     for number, item in enumerate(message.phases):
         if any(earlier >= number for earlier in item.after):
@@ -118,7 +152,7 @@
             item.cpu / MILLICORES_PER_CORE, float(item.mem_mb), float(item.gpu)
         ),
         run_time_s=item.est_runtime_ms / MS_PER_S,
-        after=tuple(item.after),
+        after=item.after,
         checkpoints=item.checkpoints,
         gang=item.gang,
         same_rack=item.same_rack,
@@ -132,30 +166,30 @@
     )
 
 
-class _AdviceBody(_Message):
-    decide_ms: float
-    each_ms: float  # per worker named in a call
-    valid_ms: float
+class _AdviceBody(Message):
+    decide_ms: _Duration
+    each_ms: _Duration  # per worker named in a call
+    valid_ms: _Duration
 
 
-class _RouteBody(_Message):
+class _RouteBody(Message):
     name: Name
     host: str
     path_prefix: str
     service: Name  # worker pool that runs the queue's jobs
-    priority: int = 0
-    max_attempts: int = 0
-    stretch: float = 1.0
-    target_duration_ms: float = 0.0
+    priority: _Number = 0
+    max_attempts: _Number = 0
+    stretch: Annotated[float, Field(ge=0, le=MAX_STRETCH)] = 1.0
+    target_duration_ms: _Duration = 0.0
     advice: _AdviceBody | None = None
 
 
-class _LimitsBody(_Message):
-    max_body_bytes: int = 1 << 18
+class _LimitsBody(Message):
+    max_body_bytes: Annotated[int, Field(ge=1, le=MAX_INTEGER)] = 1 << 18
 
 
-class _ConfigBody(_Message):
-    version: int
+class _ConfigBody(Message):
+    version: _Number
     routes: list[_RouteBody]
     limits: _LimitsBody = _LimitsBody()
 
@@ -168,10 +202,7 @@
     ProtocolError
         If the configuration is malformed.
     """
-    try:
-        message = _ConfigBody.model_validate_json(value)
-    except pydantic.ValidationError as exc:
-        raise ProtocolError(str(exc), step="config", peer="op/config") from exc
+    message = validate_json(_ConfigBody, value, step="config", peer="op/config")
     queues = {}
     for route in message.routes:
         advice = route.advice
@@ -195,21 +226,21 @@
     return QueueTable(message.version, queues, message.limits.max_body_bytes)
 
 
-class _CapacityBody(_Message):
-    cpu: Count
-    mem_mb: Count
-    gpu: Count = 0
+class _CapacityBody(Message):
+    cpu: Annotated[int, Field(ge=0, le=MAX_WORKER_MILLICORES)]
+    mem_mb: Annotated[int, Field(ge=0, le=MAX_WORKER_MEMORY_MB)]
+    gpu: Annotated[int, Field(ge=0, le=MAX_WORKER_GPUS)] = 0
 
 
-class _ServerBody(_Message):
+class _ServerBody(Message):
     service: Name
-    addr: Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$")]
+    addr: WorkerAddress
     zone: Name
-    state: Annotated[str, Field(pattern="^(ready|draining)$")]
+    state: Literal["ready", "draining"]
     capacity: _CapacityBody
-    labels: list[str] = []
-    born: int = 0
-    drain_remaining_ms: float = 0.0
+    labels: Annotated[tuple[Name, ...], Field(max_length=MAX_LABELS)] = ()
+    born: Annotated[int, Field(ge=1, le=MAX_BORN_MS)]
+    drain_remaining_ms: Annotated[float, Field(ge=0, le=MAX_DRAIN_MS)] = 0.0
 
 
 def decode_worker_entry(worker_id: str, value: bytes) -> WorkerEntry:
@@ -218,12 +249,12 @@
     Raises
     ------
     ProtocolError
-        If a field is missing or malformed; the registration must then be ignored.
+        If the id or a field is missing, malformed or out of range; the registration
+        then names no worker that can be used.
     """
-    try:
-        message = _ServerBody.model_validate_json(value)
-    except pydantic.ValidationError as exc:
-        raise ProtocolError(str(exc), step="registry", peer=worker_id) from exc
+    if WORKER_ID.fullmatch(worker_id) is None:
+        raise ProtocolError("malformed id", step="registry", peer=repr(worker_id))
+    message = validate_json(_ServerBody, value, step="registry", peer=worker_id)
     capacity = message.capacity
     return WorkerEntry(
         worker_id=worker_id,
@@ -231,7 +262,7 @@
         pool=message.service,
         address=message.addr,
         failure_domain=message.zone,
-        labels=tuple(message.labels),
+        labels=message.labels,
         capacity=task_need(
             capacity.cpu / MILLICORES_PER_CORE,
             float(capacity.mem_mb),
@@ -255,10 +286,47 @@
     ValueError
         If the name is malformed.
     """
-    job_id, occurrence, step, index = name.split(".")
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        raise ValueError(f"task name {name[:MAX_LOGGED_NAME]!r}")
+    job_id, occurrence, step, index = match.groups()
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
+def decode_integer(value: Any, high: int, low: int = 0) -> int:
+    """Return a whole number that a peer has sent.
+
+    Raises
+    ------
+    ValueError
+        If it is of another type or out of range.
+    """
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{type(value).__name__} instead of a whole number")
+    if not low <= value <= high:
+        raise ValueError("number out of range")
+    return value
+
+
+def decode_clock(value: Any) -> int:
+    """Return the worker's clock in an answer, 0 if it names none that can be used."""
+    try:
+        return decode_integer(value["clock_ms"], MAX_INTEGER)
+    except (KeyError, TypeError, ValueError):
+        return 0
+
+
+def _decode_checkpoint(value: Any) -> str:
+    """Return a checkpoint; empty, as for none, if it is malformed or too long.
+
+    It is written with the progress of its job, whose record must stay small.
+    """
+    usable = isinstance(value, str) and len(value) <= MAX_CHECKPOINT_CHARS
+    return value if usable else ""
+
+
 def _decode_percent(row: list[Any]) -> float:
     """Return the progress of a run in percent; 0 if it is missing or malformed.
 
@@ -268,7 +336,7 @@
     percent = row[3] if len(row) > 3 else None
     if isinstance(percent, bool) or not isinstance(percent, int | float):
         return 0.0
-    return 0.0 if math.isnan(percent) else min(100.0, max(0.0, float(percent)))
+    return 0.0 if math.isnan(percent) else float(min(100, max(0, percent)))
 
 
 def decode_report(value: Any, peer: str) -> WorkerReport:
@@ -282,27 +350,55 @@
     try:
         running = tuple(
             RunningTask(
-                decode_task_name(row[0]), int(row[1]), str(row[2]), _decode_percent(row)
+                decode_task_name(row[0]),
+                decode_integer(row[1], MAX_COUNT),
+                _decode_checkpoint(row[2]),
+                _decode_percent(row),
             )
             for row in value.get("running") or ()
         )
         ended = tuple(
             EndedTask(
-                int(row[0]),
+                decode_integer(row[0], MAX_INTEGER),
                 decode_task_name(row[1]),
-                int(row[2]),
+                decode_integer(row[2], MAX_COUNT),
                 EndKind(row[3]),
-                str(row[4]),
+                _decode_checkpoint(row[4]),
             )
             for row in value.get("ended") or ()
         )
-        return WorkerReport(
-            int(value["clock_ms"]), int(value.get("born", 0)), running, ended
-        )
+        clock_ms = decode_integer(value["clock_ms"], MAX_INTEGER)
+        incarnation = decode_integer(value.get("born", 0), MAX_BORN_MS)
     except (AttributeError, IndexError, KeyError, TypeError, ValueError) as exc:
-        raise ProtocolError(repr(exc), step="hold", peer=peer) from exc
+        raise ProtocolError(brief(exc), step="hold", peer=peer) from exc
+    return WorkerReport(clock_ms, incarnation, running, ended)
+
 
+def decode_tickets(rows: Any, peer: str) -> list[tuple[str, str]]:
+    """Decode rows of a permitted worker and its ticket; malformed ones are left out.
 
+    Raises
+    ------
+    ProtocolError
+        If the value is not a list.
+    """
+    if not isinstance(rows, list):
+        raise ProtocolError("no list of tickets", step="advise", peer=peer)
+    return [(row[0], row[1]) for row in rows if _is_ticket(row)]
+
+
+def _is_ticket(row: Any) -> bool:
+    if not isinstance(row, list) or len(row) < 2:
+        return False
+    worker_id, ticket = row[:2]
+    return (
+        isinstance(worker_id, str)
+        and isinstance(ticket, str)
+        and 0 < len(ticket) <= MAX_TICKET_CHARS
+    )
+
+
+UNREADABLE = b"\xff"  # value of a record whose own could not be read; not JSON
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 
@@ -346,6 +442,41 @@
 
 
 def _decode_keyed_record(offset: int, content: bytes) -> JournalRecord:
+    """Return a record; one without a complete key has none and the value `UNREADABLE`.
+
+    Cut off, the key could be that of another record, which would count as deleted.
+    """
     n_key = content[0] if content else 0
+    if len(content) < 1 + n_key:
+        return JournalRecord(offset, "", UNREADABLE)
     key = content[1 : 1 + n_key].decode("utf-8", "replace")
     return JournalRecord(offset, key, content[1 + n_key :])
+
+
+def decode_newest_records(items: Any) -> list[JournalRecord]:
+    """Decode the newest records of a topic.
+
+    A record with a malformed field has the value `UNREADABLE`, so that whoever knows
+    its key can tell it from one that is deleted. One without a key is left out.
+
+    Raises
+    ------
+    TypeError
+        If the value is not a list.
+    """
+    if not isinstance(items, list):
+        raise TypeError("no list of records")
+    return [
+        _decode_newest_record(item)
+        for item in items
+        if isinstance(item, dict) and isinstance(item.get("key"), str)
+    ]
+
+
+def _decode_newest_record(item: dict[str, Any]) -> JournalRecord:
+    try:
+        offset = decode_integer(item.get("offset"), MAX_INTEGER)
+        value = base64.b64decode(item["value"])
+    except (KeyError, TypeError, ValueError):
+        return JournalRecord(0, item["key"], UNREADABLE)
+    return JournalRecord(offset, item["key"], value)
