Move the tasks of the worker that leaves first before others

Cause: of several leaving workers with tasks of one step, the tasks moved in the order of the workers' registrations.

Change: a VM notes when it first read the notice of a worker. Steps and tasks move in the order of the times until which their workers stay for certain. A later record of the same notice does not prolong that.

--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -18,8 +18,8 @@
     headroom_limits,
     step_candidates,
 )
-from .lateness import NO_OBJECTIVE
 from .model import JobState
+from .packing import SHORT_RUN_S
 
 if TYPE_CHECKING:
     from ..model import Resources
@@ -68,7 +68,7 @@
     slot: Slot
 
 
-def evacuate(placer: Placer, now: float) -> list[AdviceCall]:
+def evacuate(placer: Placer, now: float, wall: float) -> list[AdviceCall]:
     """Stop tasks on leaving workers for which there is a place elsewhere.
 
     Returns
@@ -98,6 +98,7 @@
             pool=pools.get(queue.pool, []),
             core_limit=limits.get(queue.name),
             now=now,
+            wall=wall,
         )
         if call is not None:
             calls.append(call)
@@ -124,7 +125,9 @@
             if step_run is not None:
                 row = steps.setdefault(step_run.name, (step_run, []))
                 row[1].append(Leaving(worker, slot))
-    return list(steps.values())
+    for _, leaving in steps.values():
+        leaving.sort(key=lambda item: item.worker.entry.stays_until)
+    return sorted(steps.values(), key=lambda row: row[1][0].worker.entry.stays_until)
 
 
 def _movable(placer: Placer, worker: Worker, slot: Slot) -> StepRun | None:
@@ -153,15 +156,19 @@
     pool: list[Worker],
     core_limit: HeadroomLimit | None,
     now: float,
+    wall: float,
 ) -> AdviceCall | None:
     """Move tasks of one step; return a call for advice if it lacks places."""
-    workers = eligible_workers(placer, step_run, pool, short=False)
+    run_times = placer.run_times(placer.jobs[step_run.job.job_id], step_run.occurrence)
+    short = run_times[step_run.number] <= SHORT_RUN_S
+    outlook = placer.outlook(step_run, queue, wall, run_times)
+    workers = eligible_workers(placer, step_run, pool, short)
     advised, call = advise(
         placer,
         step_run,
         queue,
         workers,
-        outlook=NO_OBJECTIVE,
+        outlook=outlook,
         now=now,
         n_wanted=len(leaving),
         valid_at=now + MOVE_S,
@@ -170,7 +177,7 @@
         placer,
         step_run,
         advised,
-        NO_OBJECTIVE,
+        outlook,
         now=now,
         core_limit=core_limit,
         valid_at=now + MOVE_S,
--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -244,6 +244,8 @@
         Whether it accepts no new runs because it is about to leave.
     drain_left_s : float, seconds
         Least time for which a draining worker stays.
+    drain_read_at : float, seconds
+        When this VM first read that time, on the monotonic clock.
     """
 
     worker_id: str
@@ -255,6 +257,12 @@
     capacity: Resources
     draining: bool = False
     drain_left_s: float = 0.0
+    drain_read_at: float = 0.0
+
+    @property
+    def stays_until(self) -> float:
+        """Time before which a draining worker does not exit."""
+        return self.drain_read_at + self.drain_left_s
 
 
 class EndKind(StrEnum):
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -297,6 +297,8 @@
                     "registration ignored", worker=record.key, error=str(exc)[:200]
                 )
                 continue
+            if entry.draining:
+                entry = _date_notice(entry, self.workers.get(record.key), boottime())
             self.workers[record.key] = self._registered[record.key] = entry
             self._deregistered.discard(record.key)
         if snapshot:
@@ -609,6 +611,21 @@
     }
 
 
+def _date_notice(
+    entry: WorkerEntry, earlier: WorkerEntry | None, now: float
+) -> WorkerEntry:
+    """Return the registration of a draining worker, dated by its first notice."""
+    read_at = now
+    if (
+        earlier is not None
+        and earlier.draining
+        and (earlier.incarnation, earlier.drain_left_s)
+        == (entry.incarnation, entry.drain_left_s)
+    ):
+        read_at = earlier.drain_read_at
+    return replace(entry, drain_read_at=read_at)
+
+
 def _worker_state(worker: Worker, now: float) -> str:
     if not worker.reachable:
         return "unreachable"
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -824,7 +824,7 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now)
+        return placements, calls + evacuate(self, now, wall)
 
 
 def _difference(new: WorkerEntry, old: WorkerEntry) -> Resources | None:
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -50,7 +50,8 @@
     """Have a worker say that it leaves."""
     entry = placer.workers[worker_id].entry
     placer.register_worker(
-        replace(entry, draining=True, drain_left_s=left_s, **more), now
+        replace(entry, draining=True, drain_left_s=left_s, drain_read_at=now, **more),
+        now,
     )
 
 
@@ -168,6 +169,18 @@
     assert len(evacuated(placer, NOW + 0.3)) == min(n_moved, 4 - n_moved)
 
 
+# Guards against a scarce place for a task whose worker stays longer than another.
+def test_the_tasks_of_the_worker_that_leaves_first_move_first():
+    placer = make_placer(n_workers=2)
+    runs = place(placer, make_step(2, cores=9.0, long_running=True))
+    assert [run.worker_id for run in runs] == ["w1", "w2"]
+    placer.register_worker(make_entry("w3"), NOW)
+    answer_renewal(placer, "w3")
+    drain(placer, "w1", NOW, left_s=4.0)
+    drain(placer, "w2", NOW, left_s=2.0)
+    assert evacuated(placer) == [("w2", runs[1].key, runs[1].run)]
+
+
 # Guards against two tasks that are stopped for the same free place.
 def test_a_place_is_promised_to_one_task_only():
     placer = make_placer(n_workers=1)
@@ -195,6 +208,23 @@
     assert again.key == run.key
 
 
+# Guards against a stay that each further record of the same notice prolongs.
+def test_a_notice_counts_from_its_first_record(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(lambda: "w1" in node.workers)
+        cluster.drain_worker("w0")
+        await cluster.wait_for(lambda: node.workers["w0"].draining)
+        first = node.workers["w0"].stays_until
+        cluster.drain_worker("w0")
+        cluster.drain_worker("w1")
+        await cluster.wait_for(lambda: node.workers["w1"].draining)
+        assert node.workers["w0"].stays_until == first
+        assert node.workers["w1"].stays_until > first
+
+    curio.run(scenario)
+
+
 # Guards against a gang of which some members are stopped, and against moves of tasks
 # that end by themselves.
 @pytest.mark.parametrize("step", [{"gang": True}, {"gang": True, "long_running": True}])
