--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -595,6 +595,7 @@
             }
             for job_id, item in placer.jobs.items()
         },
+        "moving": [[*key, move.target] for key, move in placer.moves.items()],
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cuminhill.errors import UnknownOutcomeError
 from cuminhill.jobs.evacuation import HOLD_S, MOVE_S
 from cuminhill.jobs.fleet import LeaseTimes
 from cuminhill.jobs.model import (
@@ -299,6 +300,38 @@
     curio.run(scenario)
 
 
+# Guards against a move that is given up, or that nobody sees, when its stop gets lost.
+def test_a_lost_stop_is_repeated_and_the_dump_shows_the_move(cluster):
+    n_lost = 0
+
+    async def lose(worker_id, *args, **more):
+        nonlocal n_lost
+        n_lost += 1
+        cluster.workers.stop = deliver
+        raise UnknownOutcomeError("lost", step="worker", peer=worker_id)
+
+    deliver = cluster.workers.stop
+    cluster.workers.stop = lose
+
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        await cluster.submit(node, make_job(make_step(long_running=True)))
+        await cluster.wait_for(cluster.workers.history)
+        (first,) = cluster.workers.history()
+        cluster.drain_worker(first.worker_id)
+        await cluster.wait_for(lambda: n_lost)
+        ((*key, target),) = node.dump()["leading"]["moving"]
+        assert tuple(key) == first.key
+        assert target != first.worker_id
+        await cluster.wait_for(lambda: len(cluster.workers.history()) > 1)
+        assert not node.dump()["leading"]["moving"]
+
+    curio.run(scenario)
+
+
 @dataclass
 class ModelWorker:
     """What a worker runs in truth.
