--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -18,6 +18,7 @@
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
+from .leasebounds import LeaseJournal, end_predecessor, longest_lapse_at
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -25,11 +26,13 @@
     CANCEL_PREFIX,
     JOB_PREFIX,
     LEADER_KEY,
+    LEASES_KEY,
     RESIGNATION_KEY,
     RUN_PREFIX,
     SPEEDS_KEY,
     LeaderRecord,
     encode_leader_record,
+    encode_lease_record,
 )
 from .speeds import encode_speeds, load_speeds
 
@@ -63,6 +66,7 @@
 # The placer writes at least at this interval, so that others see that it is alive.
 TERM_RENEWAL_S = 0.6
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
+ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
 # Most calls for advice queued on one VM, as their total service time.
@@ -130,6 +134,11 @@
         Calls to workers.
     ask_advice : callable
         Coroutine function that requests advice through a VM.
+    address : str
+        ``"host:port"`` at which other VMs call this process.
+    ask_term_ended : callable
+        Coroutine function that asks the process at an address whether it extends no
+        lease for a term and never will.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
     metrics : MetricSet
@@ -146,11 +155,14 @@
     calls: WorkerCalls
     job_index: JobIndex
     ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    address: str
+    ask_term_ended: Callable[[str, int], Awaitable[bool]]
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
     ended: bool = False
     resigning: bool = False
+    lease_journal: LeaseJournal = field(init=False)
     advisers: dict[str, Adviser] = field(default_factory=dict)
     _wake: Any = field(default_factory=curio.Event)
     _tasks: list[Any] = field(default_factory=list)
@@ -162,6 +174,9 @@
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
 
+    def __post_init__(self) -> None:
+        self.lease_journal = LeaseJournal(self.placer, self.address)
+
     def note_appended(self, sent_at: float) -> None:
         """Handle a successful append of this term."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
@@ -180,6 +195,7 @@
         """Load all registered workers and all jobs that have not ended."""
         now = boottime()
         self.placer.table = table
+        self.placer.inherited = self.job_index.inherited_leases()
         self._load_speeds()
         for entry in entries:
             self.placer.register_worker(entry, now)
@@ -215,10 +231,38 @@
             ("place", self._place),
             ("journal", self._journal),
             ("renew term", self._renew_term),
+            ("ask predecessor", self._ask_predecessor),
         ):
             self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
         await self._spawn_renewers()
 
+    async def _ask_predecessor(self) -> None:
+        """Ask the process of the previous term until it has ended that term.
+
+        Only whatever process has its address can answer; then that process has either
+        ended the term or is a later one.
+        """
+        inherited = self.placer.inherited
+        if not inherited.term:
+            return
+        give_up_at = longest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
+        while not self.ended and boottime() < give_up_at:
+            try:
+                ended = await self.ask_term_ended(inherited.address, inherited.term)
+            except CuminhillError:
+                ended = False  # the longest lease counts until it answers
+            if ended:
+                now = boottime()
+                end_predecessor(self.placer, now)
+                logger.info(
+                    "predecessor ended",
+                    term=inherited.term,
+                    address=inherited.address,
+                    after_s=round(now - self.placer.begun_at, 2),
+                )
+                return
+            await curio.sleep(ASK_INTERVAL_S)
+
     async def _guard(self, name: str, run: Callable[..., Any], *args: Any) -> None:
         """Run a task of the term; a failure ends the term, and another one follows."""
         try:
@@ -250,11 +294,14 @@
         if self.writer.failing_since:
             return False
         self.resigning = True
+        lease_record = self.lease_journal.prepare_resignation(boottime())
+        records = [
+            (LEASES_KEY, encode_lease_record(lease_record)),
+            (LEADER_KEY, self._resignation()),
+        ]
         try:
             async with curio.timeout_after(RESIGN_TIMEOUT_S):
-                await self.writer.append(
-                    [(LEADER_KEY, self._resignation())], NO_DEADLINE
-                )
+                await self.writer.append(records, NO_DEADLINE)
             await self.writer.finish(RESIGN_TIMEOUT_S)
         except (CuminhillError, curio.TaskTimeout) as exc:
             logger.info("resignation not written", error=str(exc))
@@ -366,9 +413,7 @@
         incarnation = worker.entry.incarnation
         lease_until_ms = None
         settled = worker.confirmed_token >= fencing_token
-        # A renewal without an answer may have arrived, so a renewal to an unresponsive
-        # worker extends no lease; otherwise it would never be certain that they lapsed.
-        if worker.clock_ms and worker.reachable:
+        if worker.may_extend_leases() and self.may_act():
             lease_until_ms = worker.lease_end_ms(now, self.placer.times.lease.lease_s)
             worker.record_lease(lease_until_ms)
         wait_s = RENEW_WAIT_S if settled and worker.reachable else 0.0
@@ -584,25 +629,29 @@
 
     async def _journal_progress(self) -> None:
         dirty = self.placer.take_dirty()
+        lease_record = self.lease_journal.prepare(boottime())
         placements, self._unjournaled = self._unjournaled, []
         seen = {
             worker.worker_id: (worker.entry.incarnation, worker.last_seen_end)
             for worker in self.placer.workers.values()
             if worker.last_seen_end > worker.last_acked_end
         }
-        if dirty:
-            records = []
-            for job_id, progress in dirty.items():
-                records.append((RUN_PREFIX + job_id, encode_progress(progress)))
-                if progress.is_over():
-                    # Only its state is queried from now on; a starting VM reads all
-                    # records, possibly over a slow link.
-                    records += [
-                        (JOB_PREFIX + job_id, b""),
-                        (CANCEL_PREFIX + job_id, b""),
-                    ]
+        records = []
+        for job_id, progress in dirty.items():
+            records.append((RUN_PREFIX + job_id, encode_progress(progress)))
+            if progress.is_over():
+                # Only its state is queried from now on; a starting VM reads all
+                # records, possibly over a slow link.
+                records += [
+                    (JOB_PREFIX + job_id, b""),
+                    (CANCEL_PREFIX + job_id, b""),
+                ]
+        if lease_record is not None:
+            records.append((LEASES_KEY, encode_lease_record(lease_record)))
+        if records:
             await self.writer.append(records, NO_DEADLINE)
             self._observe_ends(dirty.values())
+        self.lease_journal.note_stored()
         for worker_id, (incarnation, number) in seen.items():
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
@@ -610,7 +659,7 @@
         for placement in placements:
             await self._enqueue(placement.worker_id, placement)
         await self._write_speeds()
-        if not dirty:
+        if not records:
             await self._expire_ended()
 
     async def _write_speeds(self) -> None:
--- /dev/null
+++ b/cuminhill/jobs/leasebounds.py
@@ -0,0 +1,210 @@
+"""Ends of leases on workers that a placer does not reach, handed on from term to term.
+
+A placer stops extending the leases on a worker that does not answer, so it knows when
+they have lapsed. It keeps that time in the journal, for a new term would otherwise
+have to assume that its predecessor went on extending them, and each change of the
+placer would begin the wait for them anew.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .records import LeaseBound, LeaseRecord
+
+if TYPE_CHECKING:
+    from .placer import Placer
+
+# A worker that does not answer is listed after this time; most of those whose
+# connections were only reset answer sooner.
+LIST_AFTER_S = 0.3
+# While a lease may still run, its record is written anew at this interval: for a VM
+# that has just started, the times in it count from when it reads it.
+REWRITE_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class InheritedLeases:
+    """What the previous term has left in the journal about leases.
+
+    Parameters
+    ----------
+    term : int
+        The previous term; 0 if it has left nothing.
+    address : str
+        ``"host:port"`` at which its process is called by other VMs.
+    earlier_lapse_at : float, seconds
+        When all leases have lapsed that terms before it can have granted on workers
+        that it had not reached.
+    bounds : dict of (str, int) to float
+        When the leases have lapsed that it did not extend, in seconds, by worker and
+        incarnation.
+    """
+
+    term: int = 0
+    address: str = ""
+    earlier_lapse_at: float = math.inf
+    bounds: dict[tuple[str, int], float] = field(default_factory=dict)
+
+
+NO_INHERITED_LEASES = InheritedLeases()
+
+
+def inherit_leases(record: LeaseRecord, read_at: float) -> InheritedLeases:
+    """Return the ends of leases in a record of the previous term.
+
+    Parameters
+    ----------
+    read_at : float, seconds
+        When the record was read. Its times count from then, later than they were
+        written.
+    """
+    return InheritedLeases(
+        record.term,
+        record.address,
+        read_at + record.earlier_left_s,
+        {
+            (bound.worker_id, bound.incarnation): read_at + bound.left_s
+            for bound in record.bounds
+        },
+    )
+
+
+def longest_lapse_at(placer: Placer) -> float:
+    """Return when all leases have lapsed that earlier terms can have granted.
+
+    The previous placer extends leases for a while without the journal, unless it is
+    known to have ended. Those before it may do so still if its term was short.
+    """
+    times = placer.times
+    lapse_s = times.lease.lapse_s
+    latest = placer.begun_at + times.max_unconfirmed_s + lapse_s
+    known = max(
+        placer.predecessor_ended_at + lapse_s, placer.inherited.earlier_lapse_at
+    )
+    return min(latest, known)
+
+
+def lapse_at(placer: Placer, life: tuple[str, int]) -> float:
+    """Return when the leases on a worker that this term has not reached have lapsed.
+
+    Parameters
+    ----------
+    life : (str, int)
+        Identity and incarnation of the worker.
+
+    Returns
+    -------
+    lapse_at : float, seconds
+        As the previous term knew it, or else by the longest lease that it can have
+        granted.
+    """
+    bound = placer.inherited.bounds.get(life)
+    return longest_lapse_at(placer) if bound is None else bound
+
+
+def end_predecessor(placer: Placer, now: float) -> None:
+    """Note that the previous term extends no lease from now on."""
+    placer.predecessor_ended_at = min(placer.predecessor_ended_at, now)
+    for worker in placer.workers.values():
+        if not worker.confirmed_token and not worker.reachable:
+            worker.lapse_at = min(worker.lapse_at, lapse_at(placer, worker.life))
+
+
+@dataclass(eq=False)
+class LeaseJournal:
+    """Makes the lease records of one term and enforces what they say.
+
+    Parameters
+    ----------
+    placer : Placer
+        State of the term.
+    address : str
+        ``"host:port"`` at which other VMs call this process.
+    """
+
+    placer: Placer
+    address: str
+    _listed: set[tuple[str, int]] = field(default_factory=set)
+    # What the newest record made and the newest one stored say, without their times.
+    _made: tuple[object, ...] | None = None
+    _stored: tuple[object, ...] | None = None
+    _made_at: float = -math.inf
+    _n_made: int = 0
+    _n_prepared: int = 0
+
+    def prepare(self, now: float) -> LeaseRecord | None:
+        """Return the record to store next, None if the newest one still holds.
+
+        From now on leases on the workers that are not reached are not extended.
+        """
+        placer = self.placer
+        bounds = withhold_leases(placer, now)
+        earlier_over = longest_lapse_at(placer) <= now
+        news = (set(bounds), placer.predecessor_ended_at <= now, earlier_over)
+        is_open = bool(bounds) or not earlier_over
+        if news == self._stored and not (
+            is_open and now - self._made_at >= REWRITE_INTERVAL_S
+        ):
+            self._n_prepared = self._n_made
+            return None
+        record = self._make(bounds, now)
+        self._made, self._n_prepared = news, self._n_made
+        return record
+
+    def prepare_resignation(self, now: float) -> LeaseRecord:
+        """Return the record to store together with a resignation."""
+        record = self._make(withhold_leases(self.placer, now), now)
+        # It may be stored at any time from now on, so only a later one ends it.
+        self._stored = None
+        return record
+
+    def _make(self, bounds: dict[tuple[str, int], float], now: float) -> LeaseRecord:
+        self._n_made += 1
+        self._made_at, self._listed = now, set(bounds)
+        return LeaseRecord(
+            self.placer.term,
+            self.address,
+            max(0.0, longest_lapse_at(self.placer) - now),
+            tuple(
+                LeaseBound(worker_id, incarnation, max(0.0, at - now))
+                for (worker_id, incarnation), at in sorted(bounds.items())
+            ),
+        )
+
+    def note_stored(self) -> None:
+        """Allow that leases are extended on workers that the journal does not list.
+
+        Called when the record that `prepare` has returned is stored, or at once if it
+        returned none.
+        """
+        if self._n_prepared != self._n_made:
+            return
+        self._stored = self._made
+        for worker in self.placer.workers.values():
+            if worker.withheld and worker.life not in self._listed:
+                worker.withheld = False
+
+
+def withhold_leases(placer: Placer, now: float) -> dict[tuple[str, int], float]:
+    """Return the workers with runs that are not reached, and when their leases lapse.
+
+    Their leases are not extended from now on.
+    """
+    bounds = {
+        (task.worker, task.incarnation): lapse_at(
+            placer, (task.worker, task.incarnation)
+        )
+        for task in placer.not_adopted.values()
+    }
+    for worker in placer.workers.values():
+        if worker.reachable or not worker.slots:
+            continue
+        silent_s = now - max(worker.silent_at, placer.begun_at)
+        known = worker.withheld or worker.life in placer.inherited.bounds
+        if known or silent_s >= LIST_AFTER_S:
+            worker.withheld = True
+            bounds[worker.life] = worker.lapse_at
+    return bounds
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -25,6 +26,9 @@
     "vm/",
 )
 SPEEDS_KEY = "speeds"  # of all workers, written by the placer
+# Ends of the leases that the placer no longer extends. Not a part of its claim, since
+# earlier builds read claims strictly.
+LEASES_KEY = "leases"
 # A resignation written through another VM. It has its own key: that VM's appends are
 # not fenced by terms, so a late one would overwrite a newer claim under `LEADER_KEY`.
 RESIGNATION_KEY = "resigned"
@@ -92,6 +96,51 @@
     fitness: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseBound:
+    """Worker whose leases a placer does not extend.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker.
+    incarnation : int
+        Its incarnation that holds the leases.
+    left_s : float, seconds
+        Time from the encoding of the record until all leases have lapsed.
+    """
+
+    worker_id: str
+    incarnation: int
+    left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """All workers whose leases the placer of a term does not extend.
+
+    A term extends no lease on a listed worker until a record without it is stored.
+
+    Parameters
+    ----------
+    term : int
+        The term that wrote the record.
+    address : str
+        ``"host:port"`` at which other VMs call the placer.
+    earlier_left_s : float, seconds
+        Time from the encoding of the record until all leases have lapsed that terms
+        before this one can have granted on workers that it has not reached.
+    bounds : tuple of LeaseBound
+        The workers that carry runs and that the term does not reach.
+    """
+
+    term: int
+    address: str = ""
+    earlier_left_s: float = 0.0
+    bounds: tuple[LeaseBound, ...] = ()
+
+
+NO_LEASES = LeaseRecord(0)
 NO_LEADER = LeaderRecord(0, "", "", resigned=True)
 
 
@@ -115,6 +164,45 @@
     return Member(**orjson.loads(value))
 
 
+def encode_lease_record(record: LeaseRecord) -> bytes:
+    """Return the JSON form of the ends of leases."""
+    return orjson.dumps(
+        {
+            "term": record.term,
+            "address": record.address,
+            "earlier_left_ms": _to_ms(record.earlier_left_s),
+            "left_ms": [
+                [bound.worker_id, bound.incarnation, _to_ms(bound.left_s)]
+                for bound in record.bounds
+            ],
+        }
+    )
+
+
+def _to_ms(left_s: float) -> int:
+    return max(0, math.ceil(left_s * 1000))
+
+
+def decode_lease_record(value: bytes) -> LeaseRecord:
+    """Return the ends of leases for their JSON form.
+
+    Raises
+    ------
+    ValueError, TypeError, KeyError, OverflowError
+        If the record is malformed.
+    """
+    data = orjson.loads(value)
+    return LeaseRecord(
+        int(data["term"]),
+        str(data["address"]),
+        max(0, int(data["earlier_left_ms"])) / 1000,
+        tuple(
+            LeaseBound(str(worker_id), int(incarnation), max(0, int(left_ms)) / 1000)
+            for worker_id, incarnation, left_ms in data["left_ms"]
+        ),
+    )
+
+
 def encode_job(job: Job) -> bytes:
     """Return the JSON form of a job."""
     return orjson.dumps(
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -7,11 +7,11 @@
 import structlog
 
 from .crashes import record_lapse
+from .leasebounds import lapse_at
 
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
     from .placer import Placer
-    from .progress import Progress
 
 logger = structlog.get_logger(__name__)
 
@@ -34,8 +34,7 @@
             continue
         if worker.reachable:
             _watch_slots(placer, worker, now)
-    for progress in list(placer.jobs.values()):
-        _release_unregistered(placer, progress, now)
+    _release_not_adopted(placer, now)
 
 
 def _watch_slots(placer: Placer, worker: Worker, now: float) -> None:
@@ -86,23 +85,30 @@
     return True
 
 
-def _release_unregistered(placer: Placer, progress: Progress, now: float) -> None:
-    """Release runs whose worker has not registered in this term, after its lease."""
-    if not progress.n_assigned:
-        return
-    if now < placer.unknown_lapse_at():
-        return
-    for key, task in list(progress.assigned()):
+def _release_not_adopted(placer: Placer, now: float) -> None:
+    """Release runs whose worker has not registered in this term, after its lease.
+
+    A run on an earlier incarnation of a registered worker is released at once.
+    """
+    for key, task in list(placer.not_adopted.items()):
+        progress = placer.jobs.get(key.job_id)
         worker = placer.workers.get(task.worker)
-        if worker is not None and (key, task.run) in worker.slots:
+        adopted = worker is not None and (key, task.run) in worker.slots
+        if progress is None or adopted or not task.worker:
+            del placer.not_adopted[key]
+            continue
+        restarted = worker is not None and worker.entry.incarnation > task.incarnation
+        lapsed = now >= lapse_at(placer, (task.worker, task.incarnation))
+        if not restarted and not lapsed:
             continue
+        del placer.not_adopted[key]
         logger.info(
             "run lost",
             job=key.job_id,
             task=tuple(key[1:]),
             run=task.run,
             worker=task.worker,
-            why="worker not registered",
+            why="worker restarted" if restarted else "worker not registered",
             waited_s=round(now - placer.begun_at, 2),
         )
         progress.unassign(key)
@@ -110,4 +116,4 @@
         placer.mark_dirty(progress)
         if progress.job.steps[key.step].gang:
             placer.stop_runs(progress, "gang", now, key.step)
-    placer.retire(progress)
+        placer.retire(progress)
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -5,47 +5,147 @@
 import curio
 import pytest
 
+from cuminhill.clock import boottime
 from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.jobs.leadership import Leadership
+from cuminhill.jobs.node import JobNode
 from cuminhill.jobs.placer import PlacerTimes
+from cuminhill.jobs.records import LEADER_KEY, LeaderRecord, encode_leader_record
 
 from .builders import make_job, make_step
 
 # Leases that lapse within two of the intervals between changes of the placer.
-TIMES = PlacerTimes(lease=LeaseTimes(lease_s=2.0), max_unconfirmed_s=4.0)
+TIMES = PlacerTimes(lease=LeaseTimes(lease_s=2.0), max_unconfirmed_s=2.0)
 CHANGE_INTERVAL_S = 1.0
 N_CHANGES = 4
+# A renewal in flight hides the end of its worker for up to one second.
+NOTICED_S, UNNOTICED_S = 2.0, 0.2
+
+
+async def lose_worker_of_task(cluster, leaves: bool) -> None:
+    """Start a task that lasts and end its worker; if it leaves, deregister it too."""
+    await cluster.wait_for(cluster.leader)
+    for worker in cluster.workers.workers.values():
+        worker.hang = True  # the task lasts
+    await cluster.submit(cluster.leader(), make_job(make_step(long_running=True)))
+    await cluster.wait_for(cluster.workers.history)
+    (run,) = cluster.workers.history()
+    await curio.sleep(2 * CHANGE_INTERVAL_S)
+    del cluster.workers.workers[run.worker_id]
+    if leaves:
+        cluster.registry.append_records([(run.worker_id, b"")])
+
+
+async def change_placer(cluster) -> None:
+    """Stop the placer and wait for the next one."""
+    node = cluster.leader()
+    await node.drain()
+    await cluster.wait_for(lambda: cluster.leader() not in {None, node})
+
+
+def has_second_run(cluster) -> bool:
+    return any(item.run == 2 for item in cluster.workers.history())
 
 
 # Guards against a wait for the leases of a lost worker that each new placer begins
 # anew: long-running tasks stood still while the placer kept changing, and 9 s more.
+@pytest.mark.parametrize("before_s", [NOTICED_S, UNNOTICED_S], ids=["noticed", "new"])
 @pytest.mark.parametrize("leaves", [True, False], ids=["leaves", "crashes"])
 def test_changes_of_the_placer_do_not_prolong_the_wait_for_a_lost_worker(
-    cluster, leaves
+    cluster, leaves, before_s
 ):
     cluster.times = TIMES
 
     async def scenario():
         for number in range(N_CHANGES + 1):
             await cluster.start_node(f"vm{number}")
-        await cluster.wait_for(cluster.leader)
-        for worker in cluster.workers.workers.values():
-            worker.hang = True  # the task lasts
-        job = make_job(make_step(long_running=True))
-        await cluster.submit(cluster.leader(), job)
-        await cluster.wait_for(cluster.workers.history)
-        (run,) = cluster.workers.history()
-        await curio.sleep(CHANGE_INTERVAL_S)
-        del cluster.workers.workers[run.worker_id]
-        if leaves:
-            cluster.registry.append_records([(run.worker_id, b"")])
+        await lose_worker_of_task(cluster, leaves)
+        await curio.sleep(before_s)
         for _ in range(N_CHANGES):
+            await change_placer(cluster)
             await curio.sleep(CHANGE_INTERVAL_S)
-            node = cluster.leader()
-            await node.drain()
-            await cluster.wait_for(
-                lambda node=node: cluster.leader() not in {None, node}
-            )
-        runs = [item for item in cluster.workers.history() if item.run == 2]
-        assert runs, "the task stood still during all changes of the placer"
+        assert has_second_run(cluster), "the task stood still during all changes"
+
+    curio.run(scenario)
+
+
+# Guards against a VM that takes the ends of leases in the journal for new because it
+# reads them for the first time after its own start.
+def test_a_vm_that_has_just_started_does_not_prolong_the_wait_for_a_lost_worker(
+    cluster,
+):
+    cluster.times = PlacerTimes(lease=LeaseTimes(lease_s=4.0), max_unconfirmed_s=2.0)
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await lose_worker_of_task(cluster, leaves=True)
+        await curio.sleep(NOTICED_S)
+        for number in range(1, N_CHANGES + 1):
+            node = await cluster.start_node(f"vm{number}")
+            await cluster.wait_for(node.is_ready)
+            await change_placer(cluster)
+            await curio.sleep(CHANGE_INTERVAL_S)
+        assert has_second_run(cluster), "the task stood still during all changes"
+
+    curio.run(scenario)
+
+
+# Guards against a bound on leases that a process breaks later, by a claim that it had
+# made before it was asked.
+def test_a_process_that_is_asked_about_a_term_does_not_begin_it_afterwards(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        term = node.leadership.leader_record.term
+        assert not await node.peers.ask_term_ended(node.options.rpc_address, term)
+        assert await node.peers.ask_term_ended(node.options.rpc_address, term - 1)
+        await node.drain()
+        await cluster.wait_for(lambda: node.leadership is None)
+        claim = node._claim = LeaderRecord(term + 1, "vm0", "late")
+        assert await node.peers.ask_term_ended(node.options.rpc_address, claim.term)
+        cluster.journal.append_records([(LEADER_KEY, encode_leader_record(claim))])
+        await cluster.wait_for(lambda: node.job_index.leader_record == claim)
+        node.draining = False
+        await curio.sleep(0.3)
+        begun = node.leadership and node.leadership.leader_record.term
+        assert begun != claim.term
+
+    curio.run(scenario)
+
+
+# Guards against leases that a VM extends although its claim is old, as after a pause
+# between the claim and the begin of the term: a later placer may have begun meanwhile.
+def test_a_term_is_confirmed_from_the_time_at_which_it_was_claimed(
+    cluster, monkeypatch
+):
+    claimed_at, confirmed_at = [], []
+    start, make_claim = Leadership.start, JobNode._make_claim
+
+    async def claim_slowly(node):
+        claimed_at.append(boottime())
+        await make_claim(node)
+        await curio.sleep(0.3)
+
+    async def note_start(leadership):
+        confirmed_at.append(leadership.confirmed_at)
+        await start(leadership)
+
+    monkeypatch.setattr(JobNode, "_make_claim", claim_slowly)
+    monkeypatch.setattr(Leadership, "start", note_start)
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await cluster.wait_for(lambda: confirmed_at)
+        assert confirmed_at[0] < claimed_at[0] + 0.3
+
+    curio.run(scenario)
+
+
+# Guards against a VM that never leads again after an odd question of another one.
+def test_a_question_about_a_term_of_the_future_has_no_effect(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        assert await node.peers.ask_term_ended(node.options.rpc_address, 1 << 62)
+        await cluster.wait_for(cluster.leader)
 
     curio.run(scenario)
--- /dev/null
+++ b/tests/jobs/test_leasebounds.py
@@ -0,0 +1,447 @@
+"""Tests of the ends of leases that one term hands to the next."""
+
+from __future__ import annotations
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from cuminhill.jobs.fleet import CLOCK_DRIFT
+from cuminhill.jobs.jobindex import JobIndex
+from cuminhill.jobs.leasebounds import (
+    LIST_AFTER_S,
+    NO_INHERITED_LEASES,
+    REWRITE_INTERVAL_S,
+    InheritedLeases,
+    LeaseJournal,
+    end_predecessor,
+    lapse_at,
+    longest_lapse_at,
+    withhold_leases,
+)
+from cuminhill.jobs.placer import Placer
+from cuminhill.jobs.progress import TaskState, decode_progress, encode_progress
+from cuminhill.jobs.records import (
+    LEADER_KEY,
+    LEASES_KEY,
+    JournalRecord,
+    LeaderRecord,
+    LeaseBound,
+    LeaseRecord,
+    decode_lease_record,
+    encode_leader_record,
+    encode_lease_record,
+)
+
+from .builders import (
+    BEGUN_AT,
+    WALL,
+    answer_renewal,
+    make_entry,
+    make_job,
+    make_placer,
+    make_queue,
+    make_report,
+    make_step,
+    make_table,
+    mark_started,
+    running_row,
+    submit,
+    task_key,
+)
+
+NOW = BEGUN_AT
+LIFE = ("w1", 1)
+ADDRESS = "127.0.0.1:1"
+STEP_S = 0.25
+
+
+def fold_claim(index: JobIndex, term: int, now: float, offset: int = 0) -> None:
+    record = LeaderRecord(term, f"vm{term}", f"n{term}")
+    index.fold(JournalRecord(offset, LEADER_KEY, encode_leader_record(record)), now)
+
+
+def fold_leases(index: JobIndex, term: int, left_s: float, now: float) -> None:
+    record = LeaseRecord(term, ADDRESS, 2.0, (LeaseBound(*LIFE, left_s),))
+    index.fold(JournalRecord(0, LEASES_KEY, encode_lease_record(record)), now)
+
+
+def lose_worker(placer: Placer, now: float) -> float:
+    """Have w1 run a task and stop answering; return when its leases have lapsed."""
+    worker = placer.workers["w1"]
+    worker.record_lease(worker.lease_end_ms(now, placer.times.lease.lease_s))
+    placer.worker_unreachable("w1", now, closed=True)
+    return worker.lapse_at
+
+
+def next_term(before: Placer, now: float, bounds: dict) -> Placer:
+    """Return the placer of the next term with the jobs of an earlier one."""
+    placer = Placer(before.term + 1, now)
+    placer.table = before.table
+    placer.inherited = InheritedLeases(before.term, ADDRESS, now, bounds)
+    placer.register_worker(make_entry("w2"), now)
+    for progress in before.jobs.values():
+        copy = decode_progress(progress.job, encode_progress(progress))
+        placer.add_job(copy, now)
+    answer_renewal(placer, "w2", now)
+    return placer
+
+
+# Guards against bounds of a term that another term followed, which may have extended
+# the leases since, without a record of its own.
+def test_only_the_record_of_the_previous_term_counts():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW + 1)
+    fold_claim(index, 2, NOW + 2)
+    expected = InheritedLeases(1, ADDRESS, NOW + 3, {LIFE: NOW + 4})
+    assert index.inherited_leases() == expected
+    fold_claim(index, 3, NOW + 3)
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+    fold_leases(index, 3, 1.0, NOW + 3)
+    fold_claim(index, 4, NOW + 3.5)
+    expected = InheritedLeases(3, ADDRESS, NOW + 5, {LIFE: NOW + 4})
+    assert index.inherited_leases() == expected
+
+
+# Guards against trust in a record after claims that a snapshot has left out.
+def test_claims_of_a_snapshot_do_not_show_which_term_came_before():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW)
+    fold_claim(index, 3, NOW + 1, offset=-1)
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
+# Guards against a record of another writer that stops a VM or gives a false bound.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"[1",
+        b"7",
+        b'{"term":1}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[["w1",1]]}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[["w1",1,"soon"]]}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[["w1",1,1e999]]}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":null,"left_ms":[]}',
+        b"[" * 100_000,
+    ],
+)
+def test_an_odd_lease_record_is_counted_and_ignored(value):
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    index.fold(JournalRecord(1, LEASES_KEY, value), NOW)
+    fold_claim(index, 2, NOW)
+    assert index.n_bad_records == 1
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
+# Guards against a wait that begins anew with each term, for a worker that has left.
+def test_a_task_starts_when_the_leases_have_lapsed_whatever_the_number_of_terms():
+    placer = make_placer(n_workers=1)
+    submit(placer, make_job(make_step(long_running=True)))
+    mark_started(placer, placer.decide(NOW, WALL)[0])
+    lapse = lose_worker(placer, NOW)
+    for number in range(4):
+        now = NOW + 1 + number
+        bounds = withhold_leases(placer, now)
+        assert bounds == {LIFE: pytest.approx(lapse, abs=0.01)}
+        placer = next_term(placer, now, bounds)
+        placer.tick(now)
+        assert placer.decide(now, WALL)[0] == []
+    placer.tick(lapse + 0.1)
+    (run,) = placer.decide(lapse + 0.1, WALL)[0]
+    assert (run.worker_id, run.run) == ("w2", 2)
+
+
+# Guards against a wait for a predecessor that has ended, and against a wait that ends
+# while a placer before it may still extend leases.
+@pytest.mark.parametrize("earlier_s", [0.0, 8.0])
+def test_the_longest_lease_counts_from_the_end_of_all_earlier_terms(earlier_s):
+    placer = Placer(3, NOW)
+    times = placer.times
+    latest = NOW + times.max_unconfirmed_s + times.lease.lapse_s
+    assert longest_lapse_at(placer) == latest
+    placer.inherited = InheritedLeases(2, ADDRESS, NOW + earlier_s, {})
+    placer.register_worker(make_entry("w1"), NOW)
+    assert placer.workers["w1"].lapse_at == latest
+    end_predecessor(placer, NOW + 0.5)
+    expected = NOW + max(0.5 + times.lease.lapse_s, earlier_s)
+    assert longest_lapse_at(placer) == expected
+    assert lapse_at(placer, ("w9", 1)) == expected
+    assert placer.workers["w1"].lapse_at == expected
+
+
+# Guards against a shorter wait for a worker that has answered this term meanwhile.
+def test_the_end_of_the_predecessor_changes_nothing_for_a_worker_that_has_answered():
+    placer = make_placer(n_workers=1)
+    placer.inherited = InheritedLeases(1, ADDRESS, NOW, {})
+    lapse = lose_worker(placer, NOW + 3)
+    end_predecessor(placer, NOW + 3)
+    assert placer.workers["w1"].lapse_at == lapse
+
+
+# Guards against leases that are extended although the journal says that they lapse.
+def test_a_listed_worker_is_used_again_once_a_record_without_it_is_stored():
+    placer = make_placer(n_workers=1)
+    submit(placer, make_job(make_step(1, long_running=True)))
+    runs = placer.decide(NOW, WALL)[0]
+    mark_started(placer, runs)
+    lose_worker(placer, NOW)
+    worker = placer.workers["w1"]
+    journal = LeaseJournal(placer, ADDRESS)
+    assert journal.prepare(NOW + LIST_AFTER_S / 2).bounds == ()
+    journal.note_stored()
+    assert journal.prepare(NOW + 2 * LIST_AFTER_S).bounds
+    journal.note_stored()
+    answer_renewal(placer, "w1", NOW + 1, running=(running_row(runs[0]),))
+    assert worker.reachable
+    assert not worker.may_extend_leases()
+    assert not worker.accepts_starts()
+    assert journal.prepare(NOW + 1).bounds == ()
+    assert not worker.may_extend_leases()
+    journal.note_stored()
+    assert worker.may_extend_leases()
+    assert worker.accepts_starts()
+
+
+# Guards against a bound that counts from the wrong moment.
+def test_the_record_holds_the_time_left_when_it_is_made():
+    placer = Placer(3, NOW)
+    bounds = {LIFE: NOW + 2.5, ("w0", 4): NOW - 1}
+    placer.inherited = InheritedLeases(2, ADDRESS, NOW, bounds)
+    for worker_id, incarnation in bounds:
+        task = TaskState(1, worker=worker_id, incarnation=incarnation)
+        placer.not_adopted[task_key(len(placer.not_adopted))] = task
+    record = LeaseJournal(placer, ADDRESS).prepare(NOW)
+    left_s = pytest.approx(longest_lapse_at(placer) - NOW)
+    rows = (LeaseBound("w0", 4, 0.0), LeaseBound(*LIFE, 2.5))
+    assert record == LeaseRecord(3, ADDRESS, left_s, rows)
+    assert decode_lease_record(encode_lease_record(record)).bounds == rows
+
+
+# Guards against records that a VM takes for new when it reads them after its start,
+# and against writing them for ever.
+def test_a_record_is_made_anew_only_while_a_lease_may_run():
+    placer = make_placer(n_workers=1)
+    journal = LeaseJournal(placer, ADDRESS)
+    over = longest_lapse_at(placer)
+    assert journal.prepare(over).earlier_left_s == 0
+    journal.note_stored()
+    assert journal.prepare(over + 60) is None
+    submit(placer, make_job())
+    mark_started(placer, placer.decide(over, WALL)[0], over)
+    lapse = lose_worker(placer, over + 60)
+    left = []
+    for step in range(4):
+        now = over + 61 + step * REWRITE_INTERVAL_S
+        record = journal.prepare(now)
+        journal.note_stored()
+        left.append(record.bounds[0].left_s)
+        assert journal.prepare(now) is None
+    expected = [lapse - over - 61 - step * REWRITE_INTERVAL_S for step in range(4)]
+    assert left == pytest.approx(expected)
+    placer.tick(lapse + 0.1)
+    assert journal.prepare(lapse + 0.1).bounds == ()
+    journal.note_stored()
+    assert journal.prepare(lapse + 60) is None
+
+
+# Guards against leases that are extended although the record of a resignation whose
+# outcome is unknown says that they lapse.
+def test_only_a_record_after_that_of_a_resignation_allows_to_extend_leases():
+    placer = make_placer(n_workers=1)
+    submit(placer, make_job())
+    mark_started(placer, placer.decide(NOW, WALL)[0])
+    journal = LeaseJournal(placer, ADDRESS)
+    journal.prepare(NOW)
+    lose_worker(placer, NOW)
+    listed = journal.prepare_resignation(NOW + 1).bounds
+    assert [bound.worker_id for bound in listed] == ["w1"]
+    placer.workers["w1"].reachable = True
+    journal.note_stored()
+    assert not placer.workers["w1"].may_extend_leases()
+    assert journal.prepare(NOW + 1).bounds == ()
+    assert not placer.workers["w1"].may_extend_leases()
+    journal.note_stored()
+    assert placer.workers["w1"].may_extend_leases()
+
+
+class _SimWorker:
+    """Worker process behind links that may be cut, with leases on its own clock."""
+
+    def __init__(self, clock_rate: float) -> None:
+        self.clock_rate = clock_rate
+        self.up = True
+        self.cut = False
+        self.runs: dict = {}
+        self.lease_until = 0.0
+        self.fencing_token = 0
+
+    def clock(self, now: float) -> float:
+        return NOW + (now - NOW) * self.clock_rate
+
+    def alive_runs(self, now: float) -> dict:
+        if not self.up or self.clock(now) > self.lease_until:
+            self.runs = {}
+        return self.runs
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Workers that crash or are cut off while placers follow one another.
+
+    Guards against two runs of a task at a time, and against a wait that is longer than
+    the longest lease which the newest term cannot exclude.
+    """
+
+    @initialize()
+    def begin(self) -> None:
+        self.now = NOW
+        rates = [1.0 - CLOCK_DRIFT, 1.0, 1.0 - CLOCK_DRIFT]
+        self.sims = {f"w{i + 1}": _SimWorker(rate) for i, rate in enumerate(rates)}
+        self.store_up = True
+        self.index = JobIndex()
+        self.journal: dict = {}
+        self.placer = Placer(1, NOW)
+        self.isolated: list[tuple[Placer, float]] = []
+        self.predecessor_answers = False
+        fold_claim(self.index, 1, NOW)
+        self._begin_term(self.placer)
+        job = make_job(make_step(2, cores=10.0, long_running=True))
+        submit(self.placer, job)
+        self.job = job
+        self._renew(self.placer)
+        self._write(self.placer)
+
+    def _begin_term(self, placer: Placer) -> None:
+        placer.table = make_table(make_queue())
+        placer.inherited = self.index.inherited_leases()
+        for worker_id in self.sims:
+            placer.register_worker(make_entry(worker_id), self.now)
+        self.lease_journal = LeaseJournal(placer, ADDRESS)
+
+    def _renew(self, placer: Placer) -> None:
+        for worker_id, sim in self.sims.items():
+            worker = placer.workers[worker_id]
+            until = None
+            if worker.may_extend_leases():
+                lease_s = placer.times.lease.lease_s
+                until = worker.lease_end_ms(self.now, lease_s)
+                worker.record_lease(until)
+            fenced = worker.fencing_token < sim.fencing_token
+            if not sim.up or sim.cut or fenced:
+                placer.worker_unreachable(worker_id, self.now)
+                continue
+            sim.alive_runs(self.now)
+            sim.fencing_token = worker.fencing_token
+            if until is not None:
+                sim.lease_until = max(sim.lease_until, until / 1000)
+            rows = tuple(running_row(run) for run in sim.runs.values())
+            report = make_report(sim.clock(self.now), running=rows)
+            placer.process_report(worker_id, worker.fencing_token, report, self.now)
+
+    def _write(self, placer: Placer) -> None:
+        if not self.store_up:
+            withhold_leases(placer, self.now)
+            return
+        record = self.lease_journal.prepare(self.now)
+        placements = placer.decide(self.now, WALL)[0]
+        if record is not None:
+            value = encode_lease_record(record)
+            self.index.fold(JournalRecord(0, LEASES_KEY, value), self.now)
+        self.lease_journal.note_stored()
+        for job_id, progress in placer.take_dirty().items():
+            self.journal[job_id] = encode_progress(progress)
+        for run in placements:
+            slot = placer.sendable_slot(run, self.now)
+            worker, sim = placer.workers[run.worker_id], self.sims[run.worker_id]
+            if slot is None:
+                continue
+            slot.sent, slot.fencing_token = True, worker.fencing_token
+            until = worker.lease_end_ms(self.now, placer.times.lease.lease_s)
+            worker.record_lease(until)
+            if not sim.up or sim.cut or worker.fencing_token < sim.fencing_token:
+                worker.bump_fencing_token()
+                continue
+            sim.alive_runs(self.now)
+            sim.lease_until = max(sim.lease_until, until / 1000)
+            sim.runs[run.key] = run
+            slot.mark_present(int(sim.clock(self.now) * 1000), self.now)
+        placer.take_stops()
+
+    def _play(self, duration_s: float) -> None:
+        for _ in range(int(duration_s / STEP_S)):
+            self.now += STEP_S
+            for earlier, until in self.isolated:
+                if self.now < until:
+                    self._renew(earlier)
+            if self.predecessor_answers and self.placer.inherited.term:
+                end_predecessor(self.placer, self.now)
+            self._renew(self.placer)
+            self.placer.tick(self.now)
+            self._write(self.placer)
+            self.no_task_runs_twice()
+
+    @rule(
+        cut=st.sampled_from([(), ("w1",), ("w2",), ("w1", "w3")]),
+        store_up=st.sampled_from([True, True, False]),
+        change=st.sampled_from(["", "", "ended", "killed", "isolated"]),
+        duration_s=st.sampled_from([0.5, 1.0, 4.0]),
+    )
+    def play(self, cut, store_up, change, duration_s):
+        if change:
+            self._change_placer(change)
+        for worker_id, sim in self.sims.items():
+            sim.cut = worker_id in cut
+        self.store_up = store_up
+        self._play(duration_s)
+
+    @precondition(lambda self: sum(sim.up for sim in self.sims.values()) > 2)
+    @rule(worker_id=st.sampled_from(["w1", "w2", "w3"]))
+    def crash(self, worker_id):
+        self.sims[worker_id].up = False
+
+    def _change_placer(self, change: str) -> None:
+        """Begin a term; an isolated placer goes on renewing without the journal."""
+        before = self.placer
+        if change == "isolated":
+            until = self.now + before.times.max_unconfirmed_s
+            self.isolated.append((before, until))
+        self.predecessor_answers = change == "ended"
+        self.placer = Placer(before.term + 1, self.now)
+        fold_claim(self.index, self.placer.term, self.now)
+        self._begin_term(self.placer)
+        value = self.journal[self.job.job_id]
+        self.placer.add_job(decode_progress(self.job, value), self.now)
+
+    @invariant()
+    def no_task_runs_twice(self):
+        if not hasattr(self, "sims"):
+            return
+        keys = [key for sim in self.sims.values() for key in sim.alive_runs(self.now)]
+        assert len(keys) == len(set(keys))
+
+    def teardown(self):
+        """Check that both tasks run within the longest wait and two retries."""
+        if not hasattr(self, "sims"):
+            return
+        self.store_up = True
+        for sim in self.sims.values():
+            sim.cut = False
+        times = self.placer.times
+        wait_s = times.max_unconfirmed_s + times.lease.lapse_s + 2 * LIST_AFTER_S
+        self._play(wait_s + 2.0)
+        n_running = sum(len(sim.alive_runs(self.now)) for sim in self.sims.values())
+        assert n_running == 2
+
+
+TestLeases = LeaseMachine.TestCase
+TestLeases.settings = settings(max_examples=150, stateful_step_count=15, deadline=None)
