--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -305,6 +305,8 @@
                 # Of any type: one entry must not keep the others from being read.
                 self._ignore_registration(record.key, exc)
                 continue
+            if entry.draining:
+                entry = _date_notice(entry, self.workers.get(record.key), boottime())
             self.workers[record.key] = self._registered[record.key] = entry
             self._deregistered.discard(record.key)
             self._ignored_ids.discard(record.key)
@@ -649,6 +651,7 @@
             }
             for job_id, item in placer.jobs.items()
         },
+        "moving": [[*key, move.target] for key, move in placer.moves.items()],
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
@@ -665,6 +668,21 @@
     }
 
 
+def _date_notice(
+    entry: WorkerEntry, earlier: WorkerEntry | None, now: float
+) -> WorkerEntry:
+    """Return the registration of a draining worker, dated by its first notice."""
+    read_at = now
+    if (
+        earlier is not None
+        and earlier.draining
+        and (earlier.incarnation, earlier.drain_left_s)
+        == (entry.incarnation, entry.drain_left_s)
+    ):
+        read_at = earlier.drain_read_at
+    return replace(entry, drain_read_at=read_at)
+
+
 def _worker_state(worker: Worker, now: float) -> str:
     if not worker.reachable:
         return "unreachable"
