Hold back a listed worker that registers after its record was made

A worker of which a new term knows the runs but not the registration is listed in the lease record. When it registered, its leases were extended although the record said that they lapse, so a further term could have started its tasks a second time.

Cause: only workers that were known and unreachable when the record was made were held back. Change: the placer keeps the workers in the newest record made, and a worker that registers is held back if it is among them.

--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -127,7 +127,6 @@
 
     placer: Placer
     address: str
-    _listed: set[tuple[str, int]] = field(default_factory=set)
     # What the newest record made and the newest one stored say, without their times.
     _made: tuple[object, ...] | None = None
     _stored: tuple[object, ...] | None = None
@@ -163,7 +162,7 @@
 
     def _make(self, bounds: dict[tuple[str, int], float], now: float) -> LeaseRecord:
         self._n_made += 1
-        self._made_at, self._listed = now, set(bounds)
+        self._made_at, self.placer.listed = now, set(bounds)
         return LeaseRecord(
             self.placer.term,
             self.address,
@@ -184,7 +183,7 @@
             return
         self._stored = self._made
         for worker in self.placer.workers.values():
-            if worker.withheld and worker.life not in self._listed:
+            if worker.withheld and worker.life not in self.placer.listed:
                 worker.withheld = False
 
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -111,6 +111,8 @@
         before.
     not_adopted : dict
         Tasks whose runs may be present on a worker that is not known, by key.
+    listed : set of (str, int)
+        Workers in the newest lease record that was made, with their incarnations.
     lapsed : dict
         Runs of workers whose leases have lapsed, by address.
     moves : dict
@@ -136,6 +138,7 @@
     inherited: InheritedLeases = NO_INHERITED_LEASES
     predecessor_ended_at: float = math.inf
     not_adopted: dict[TaskKey, TaskState] = field(default_factory=dict)
+    listed: set[tuple[str, int]] = field(default_factory=set)
     lapsed: dict[str, Evidence] = field(default_factory=dict)
     moves: dict[TaskKey, Move] = field(default_factory=dict)
     silent_times: deque[tuple[float, bool]] = field(
@@ -190,6 +193,7 @@
             progress = self.jobs.get(key.job_id)
             if progress is not None:
                 self._adopt(worker, progress, key, task)
+                worker.withheld = worker.life in self.listed
 
     def _adopt(
         self, worker: Worker, progress: Progress, key: TaskKey, task: TaskState
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -213,6 +213,25 @@
     assert worker.accepts_starts()
 
 
+# Guards against leases that are extended on a worker that the journal lists: its runs
+# were listed before it had registered in this term.
+def test_a_listed_worker_that_registers_later_gets_no_lease_before_the_next_record():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    runs = first.decide(NOW, WALL)[0]
+    mark_started(first, runs)
+    second = Placer(2, NOW)
+    second.table = make_table(make_queue())
+    second.add_job(decode_progress(progress.job, encode_progress(progress)), NOW)
+    journal = LeaseJournal(second, ADDRESS)
+    assert [row.worker_id for row in journal.prepare(NOW).bounds] == ["w1"]
+    journal.note_stored()
+    second.register_worker(make_entry("w1"), NOW + 1)
+    answer_renewal(second, "w1", NOW + 1, running=(running_row(runs[0]),))
+    assert not second.workers["w1"].may_extend_leases()
+    assert not second.workers["w1"].accepts_starts()
+
+
 # Guards against a bound that counts from the wrong moment.
 def test_the_record_holds_the_time_left_when_it_is_made():
     placer = Placer(3, NOW)
