Put no peer's revision in force while the stream is replayed

Ruled out: a revision that goes back without a restart; ConfigState replaces the revision in force by higher ones only. Measured: test_a_peer_that_lags_puts_no_older_revision_in_force_during_the_replay failed before and passes now.

--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -124,11 +124,17 @@
         return None if bookmark is None else config_record_to_dict(bookmark)
 
     async def adopt(self, value: dict[str, Any]) -> None:
-        """Load a peer's snapshot, for use while the log is unreachable."""
+        """Load a peer's snapshot, for use while the log is unreachable.
+
+        While the log is read to its end after a start, nothing comes into force: the
+        peer may lag behind what this VM has shown before.
+        """
         record = config_record_from_dict(value)
         if not isinstance(record, ConfigBookmark):
             raise TypeError("not a snapshot")
-        if self.state.adopt(record) is not None:
+        self.state.adopt(record)
+        is_replaying = self.follower.reachable and not self.follower.caught_up
+        if self.state.in_force.revision > self.revision and not is_replaying:
             await self._apply()
         self.follower.next_offset = max(
             self.follower.next_offset, self.state.next_offset
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,7 +8,12 @@
 
 from cuminhill.clock import SystemClock
 from cuminhill.configuration import Configuration
-from cuminhill.coordination.configstream import Publication, config_record_to_dict
+from cuminhill.coordination.configstream import (
+    ConfigBookmark,
+    Publication,
+    Revision,
+    config_record_to_dict,
+)
 from cuminhill.platform.log import LogPage
 from cuminhill.siteconfig import load_config
 
@@ -46,3 +51,30 @@
         assert shown == sorted(shown)
 
     curio.run(scenario)
+
+
+def test_a_peer_that_lags_puts_no_older_revision_in_force_during_the_replay():
+    """Guards against a configuration that goes back after a restart.
+
+    A daemon that was started again loaded the snapshot of the first peer that it heard,
+    while it was still reading the stream in which a newer revision follows.
+    """
+
+    async def ignore(_site):
+        return None
+
+    async def scenario():
+        config = load_config(OVERLAY).to_dict()
+        configuration = Configuration(None, SystemClock(), ignore)
+        snapshot = config_record_to_dict(
+            ConfigBookmark(1, 1.0, (Revision(2, "p1", "op", 1.0),), config, 2.0)
+        )
+        configuration.follower.reachable = True
+        await configuration.adopt(snapshot)
+        assert (configuration.site, configuration.revision) == (None, 0)
+        # Without the log, the peer's revision is the newest that can be known.
+        configuration.follower.reachable = False
+        await configuration.adopt(snapshot)
+        assert configuration.revision == 2
+
+    curio.run(scenario)
