End a stopped daemon with exit code 0 although tasks start others

A likely one, by reading curio: it cancels the tasks that are left, one after the other, and ends with an AssertionError if one of them starts another before its turn. The daemon's calls to peers, its replies and its starts do start tasks. Change: the daemon goes on cancelling until no task is left. checks.upgrade keeps the logs of a run with violations in out/upgrade. cuminhill.cmd.node still uses curio.run.

--- a/checks/upgrade.py
+++ b/checks/upgrade.py
@@ -9,6 +9,7 @@
 
 import json
 import random
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -31,6 +32,7 @@
     from .promises import Violation
     from .scenario import Scenario
 
+OUT = Path("out/upgrade")  # logs of the last run with violations
 WORKERS = {"Tainan": 4, "Chiayi": 3}
 DAEMONS = {"Tainan": 3, "Chiayi": 2}
 VIEWS = (["workers"], ["jobs"], ["dump"], ["config", "show"], ["config", "history"])
@@ -189,6 +191,8 @@
             ]
             for vm in cluster.daemons
         }
+        if violations:
+            shutil.copytree(directory, OUT, dirs_exist_ok=True)
     for text in differences:
         print(f"different keys: {text}")
     counts = Counter(item.promise for item in violations)
--- a/cuminhill/cmd/daemon.py
+++ b/cuminhill/cmd/daemon.py
@@ -14,6 +14,7 @@
 from ..errors import SettingsError
 from ..logs import set_up_logging
 from ..settings import Settings, load_settings
+from ..util.kernel import run_to_end
 
 
 async def serve(settings: Settings) -> None:
@@ -62,4 +63,4 @@
         click.echo(f"{path}: valid")
         return
     set_up_logging(settings.log_format, settings.vm, settings.log_level)
-    curio.run(serve, settings)
+    run_to_end(serve, settings)
