Write a claim or progress often enough for builds that know no lease records

In a rolling upgrade, VMs of the earlier build deposed a live placer after 1.4 s.

Cause: lease records, written each 0.5 s while a lease is open, counted as signs of life, and the earlier build does not count them; nor does any build count the callers' records that the placer appends for others. Change: the claim is written again 0.6 s after the last claim or progress, not after the last append of any kind.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -170,7 +170,9 @@
     _send_queues: dict[str, curio.Queue] = field(default_factory=dict)
     _to_journal: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
-    _written_at: float = 0.0
+    # When a record was sent by which others see that the placer is alive: progress of
+    # jobs or its claim. Earlier builds do not count records of leases.
+    _shown_at: float = 0.0
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
 
@@ -180,7 +182,6 @@
     def note_appended(self, sent_at: float) -> None:
         """Handle a successful append of this term."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
-        self._written_at = sent_at
 
     def may_act(self) -> bool:
         """Return whether the term is confirmed, so that leases may be extended."""
@@ -649,7 +650,10 @@
         if lease_record is not None:
             records.append((LEASES_KEY, encode_lease_record(lease_record)))
         if records:
+            sent_at = boottime()
             await self.writer.append(records, NO_DEADLINE)
+            if dirty:
+                self._shown_at = sent_at
             self._observe_ends(dirty.values())
         self.lease_journal.note_stored()
         for worker_id, (incarnation, number) in seen.items():
@@ -692,14 +696,16 @@
 
     async def _write_leader_record(self) -> None:
         record = replace(self.leader_record, latency_s=round(self.writer.latency_s, 4))
+        sent_at = boottime()
         await self.writer.append(
             [(LEADER_KEY, encode_leader_record(record))], NO_DEADLINE
         )
+        self._shown_at = sent_at
 
     async def _renew_term(self) -> None:
         while not self.ended:
             await curio.sleep(TERM_RENEWAL_S / 4)
-            if boottime() - self._written_at < TERM_RENEWAL_S:
+            if boottime() - self._shown_at < TERM_RENEWAL_S:
                 continue
             try:
                 await self._write_leader_record()
