Skip odd records at the project's own interfaces instead of stopping there

Cause: the tasks that read the log and the list of VMs run unsupervised, so any error but a CuminhillError ended them for good. A page or a list of another form raised KeyError or TypeError; a record whose fields have other types failed half-way in the fold, after which the next one looked like one after a gap and the index was cleared. One entry of the list without an address hid all VMs. An answer of a worker without its fields raised KeyError in the renewals.

Ruled out: frames and thrift messages (checked before), bodies of callers' requests (tests/util/test_http.py), members of a heartbeat beyond their types.

Change: records are checked against the types that their classes declare; the follower skips and counts a record whose fold fails; answers of another form are ProtocolError, or UnknownOutcomeError after a start or an append; an odd entry of the list is left out.

--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -155,7 +155,7 @@
             "n_lost": self.state.n_lost,
             "n_gaps": self.state.n_gaps,
             "n_ignored_bookmarks": self.state.n_ignored_bookmarks,
-            "n_bad_records": self.n_bad_records,
+            "n_bad_records": self.n_bad_records + self.follower.n_failed_records,
         }
 
     async def _on_record(self, offset: int, value: dict[str, Any]) -> None:
--- a/cuminhill/coordination/configstream.py
+++ b/cuminhill/coordination/configstream.py
@@ -11,6 +11,8 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from .fieldcheck import check_fields
+
 MAX_HISTORY = 64
 MAX_OUTCOMES = 1024
 MAX_UNRESOLVED = 4096
@@ -101,14 +103,17 @@
     KeyError, TypeError
         If the mapping is not a record.
     """
+    if not isinstance(data, dict):
+        raise TypeError("not a mapping")
     fields = dict(data)
     if "history" in fields:
         fields["history"] = tuple(Revision(**item) for item in fields["history"])
         if not fields["history"]:
             raise TypeError("a bookmark without a revision")
+        for item in fields["history"]:
+            check_fields(item)
     record: ConfigRecord = _TYPES[fields.pop("type")](**fields)
-    if not isinstance(record.config, dict):
-        raise TypeError("config is not a mapping")
+    check_fields(record)
     return record
 
 
--- a/cuminhill/coordination/records.py
+++ b/cuminhill/coordination/records.py
@@ -5,6 +5,8 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
+from .fieldcheck import check_fields
+
 
 @dataclass(frozen=True, slots=True)
 class Claim:
@@ -166,7 +168,16 @@
     Raises
     ------
     KeyError, TypeError
-        If the mapping is not a record.
+        If the value is not a record, or a field is of another type.
     """
+    if not isinstance(data, dict):
+        raise TypeError("not a mapping")
     fields = dict(data)
-    return _TYPES[fields.pop("type")](**fields)
+    record: Record = _TYPES[fields.pop("type")](**fields)
+    check_fields(record)
+    if isinstance(record, Refresh):
+        for task_id, offset in record.started_offsets.items():
+            if not isinstance(offset, int):
+                raise TypeError("offset of a start is not a number")
+            check_fields(Started(**record.started[task_id]))
+    return record
--- a/cuminhill/dumps.py
+++ b/cuminhill/dumps.py
@@ -42,7 +42,7 @@
             "n_read_failures": app.follower.n_read_failures,
             "n_gaps": app.follower.n_gaps,
             "n_replayed": app.follower.n_replayed,
-            "n_bad_records": app.n_bad_records,
+            "n_bad_records": app.n_bad_records + app.follower.n_failed_records,
             "n_refreshes": app.log_retention.n_refreshes,
             "n_bookmarks": app.log_retention.n_bookmarks,
         },
--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -11,6 +11,7 @@
 import structlog
 
 from .errors import CuminhillError, UnavailableError
+from .util.validation import brief
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -84,6 +85,7 @@
     n_append_failures: int = 0
     n_read_failures: int = 0
     n_gaps: int = 0
+    n_failed_records: int = 0
     read_ok_at: float = float("-inf")
     complete_as_of: float = float("-inf")
     reachable: bool = False
@@ -185,7 +187,17 @@
                 continue
             self.next_offset = offset + 1
             self.n_replayed += not self.caught_up
-            await self.on_record(offset, value)
+            try:
+                await self.on_record(offset, value)
+            except Exception as exc:
+                # Of any type: one record must not end the task that reads the others.
+                self.n_failed_records += 1
+                logger.error(
+                    "record skipped",
+                    stream=self.stream,
+                    offset=offset,
+                    error=brief(exc),
+                )
         if not self.caught_up and self.next_offset >= page.end:
             self.caught_up = True
             await self.on_caught_up()
--- a/cuminhill/platform/log.py
+++ b/cuminhill/platform/log.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..errors import UnavailableError
+from ..errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from ..util.http import make_http_client
+from ..util.validation import brief
 
 if TYPE_CHECKING:
     from ..util.http import HttpClient
@@ -76,9 +77,16 @@
         )
         if status != 200:
             raise UnavailableError(
-                f"status {status}: {value}", step="append", peer=self._client.peer
+                f"status {status}: {brief(value)}",
+                step="append",
+                peer=self._client.peer,
             )
-        return int(value["first_offset"])
+        try:
+            return int(value["first_offset"])
+        except (LookupError, TypeError, ValueError) as exc:
+            raise UnknownOutcomeError(
+                brief(exc), step="append", peer=self._client.peer
+            ) from exc
 
     async def read(
         self, stream: str, offset: int, *, limit: int = 1000, wait_s: float = 0.0
@@ -87,8 +95,9 @@
 
         Raises
         ------
-        UnavailableError, UnknownOutcomeError
-            If the service cannot be reached or rejects the read.
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If the service cannot be reached, rejects the read or answers in another
+            form.
         """
         path = f"/streams/{stream}?from={offset}&limit={limit}&wait_s={wait_s}"
         status, value = await self._client.request(
@@ -96,10 +105,15 @@
         )
         if status != 200:
             raise UnavailableError(
-                f"status {status}: {value}", step="read", peer=self._client.peer
+                f"status {status}: {brief(value)}", step="read", peer=self._client.peer
             )
-        records = [(int(item[0]), item[1]) for item in value["records"]]
-        return LogPage(value["start"], value["end"], records)
+        try:
+            records = [(int(item[0]), item[1]) for item in value["records"]]
+            return LogPage(int(value["start"]), int(value["end"]), records)
+        except (LookupError, TypeError, ValueError) as exc:
+            raise ProtocolError(
+                brief(exc), step="read", peer=self._client.peer
+            ) from exc
 
 
 def make_log(address: str, source_host: str = "") -> HttpLog:
--- a/cuminhill/platform/vmlist.py
+++ b/cuminhill/platform/vmlist.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
-from ..errors import UnavailableError
+import structlog
+
+from ..errors import ProtocolError, UnavailableError
+from ..util.addresses import check_address
 from ..util.http import make_http_client
+from ..util.validation import brief
 
 if TYPE_CHECKING:
     from ..util.http import HttpClient
 
+logger = structlog.get_logger(__name__)
+
 READ_TIMEOUT_S = 2.0
 ENTRY = "entry"
 WORKER = "worker"
@@ -59,7 +65,7 @@
 
         Raises
         ------
-        UnavailableError, UnknownOutcomeError
+        UnavailableError, UnknownOutcomeError, ProtocolError
             If the list cannot be read.
         """
         status, value = await self._client.request(
@@ -69,16 +75,28 @@
             raise UnavailableError(
                 f"status {status}", step="vm list", peer=self._client.peer
             )
-        return [
-            VmEntry(
-                vm=item["vm"],
-                role=item["role"],
-                address=item["address"],
-                failure_domain=item["failure_domain"],
-                leaving=item.get("state") == "leaving",
-            )
-            for item in value["vms"]
-        ]
+        try:
+            entries = [_decode_entry(item) for item in value["vms"]]
+        except (LookupError, TypeError) as exc:
+            raise ProtocolError(
+                brief(exc), step="vm list", peer=self._client.peer
+            ) from exc
+        return [entry for entry in entries if entry is not None]
+
+
+def _decode_entry(item: Any) -> VmEntry | None:
+    """Return an entry of the list; None if it names no VM that can be used."""
+    try:
+        texts = [item[name] for name in ("vm", "role", "address", "failure_domain")]
+        if not all(isinstance(text, str) and text for text in texts):
+            raise TypeError("a field is no text")
+        vm, role, address, failure_domain = texts
+        check_address(address)
+        leaving = item.get("state") == "leaving"
+    except (AttributeError, LookupError, TypeError, ValueError) as exc:
+        logger.warning("entry of the VM list ignored", error=brief(exc))
+        return None
+    return VmEntry(vm, role, address, failure_domain, leaving)
 
 
 def make_vm_listing(address: str, source_host: str = "") -> HttpVmListing:
--- a/cuminhill/platform/worker.py
+++ b/cuminhill/platform/worker.py
@@ -5,14 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ..coordination.fieldcheck import check_fields
 from ..errors import (
     LeaseHeldError,
     ProtocolError,
     StaleEpochError,
     UnavailableError,
+    UnknownOutcomeError,
 )
 from ..model import Resources
 from ..util.http import make_http_client
+from ..util.validation import brief
 
 if TYPE_CHECKING:
     from ..model import Request
@@ -184,9 +187,8 @@
             timeout_s=timeout_s,
         )
         if status == 409:
-            raise LeaseHeldError(
-                value["holder"], value["remaining_s"], peer=self._client.peer
-            )
+            holder, remaining_s = _holder(value, self._client.peer)
+            raise LeaseHeldError(holder, remaining_s, peer=self._client.peer)
         self._expect(status, {200}, value, "lease")
         return _lease_reply(value, self._client.peer)
 
@@ -241,7 +243,14 @@
                 "fencing token rejected", step="start", peer=self._client.peer
             )
         self._expect(status, {200, 202}, value, "start")
-        return _task_result(value) if status == 200 else None
+        if status != 200:
+            return None
+        try:
+            return _task_result(value)
+        except (AttributeError, KeyError, TypeError) as exc:
+            raise UnknownOutcomeError(
+                brief(exc), step="start", peer=self._client.peer
+            ) from exc
 
     async def control(
         self, task_id: str, verb: str, epoch: int, *, timeout_s: float
@@ -259,7 +268,7 @@
     def _expect(self, status: int, wanted: set[int], value: Any, step: str) -> None:
         if status not in wanted:
             raise UnavailableError(
-                f"status {status}: {value}", step=step, peer=self._client.peer
+                f"status {status}: {brief(value)}", step=step, peer=self._client.peer
             )
 
 
@@ -274,8 +283,16 @@
     }
 
 
+def _holder(value: Any, peer: str) -> tuple[str, float]:
+    """Return who holds a lease that was refused, and for how long."""
+    try:
+        return str(value["holder"]), float(value["remaining_s"])
+    except (KeyError, TypeError, ValueError) as exc:
+        raise ProtocolError(brief(exc), step="lease", peer=peer) from exc
+
+
 def _task_result(value: dict[str, Any]) -> TaskResult:
-    return TaskResult(
+    result = TaskResult(
         value["task_id"],
         value["request_id"],
         value["ok"],
@@ -285,35 +302,45 @@
         value.get("remaining_s"),
         value["seq"],
     )
+    check_fields(result)
+    return result
+
+
+def _resources(value: dict[str, float]) -> Resources:
+    resources = Resources(**value)
+    check_fields(resources)
+    return resources
+
+
+def _task_report(item: dict[str, Any]) -> TaskReport:
+    report = TaskReport(
+        item["task_id"], item["request_id"], _resources(item["need"]), item["run_s"]
+    )
+    check_fields(report)
+    return report
 
 
 def _lease_reply(value: dict[str, Any], peer: str) -> LeaseReply:
     try:
-        return LeaseReply(
+        reply = LeaseReply(
             epoch=value["epoch"],
             incarnation=value["incarnation"],
             seq=value["seq"],
             leaving=value["leaving"],
-            capacity=Resources(**value["capacity"]),
+            capacity=_resources(value["capacity"]),
             rack=value["rack"],
             failure_domain=value["failure_domain"],
             speed=value["speed"],
-            tasks=tuple(
-                TaskReport(
-                    item["task_id"],
-                    item["request_id"],
-                    Resources(**item["need"]),
-                    item["run_s"],
-                )
-                for item in value["tasks"]
-            ),
+            tasks=tuple(_task_report(item) for item in value["tasks"]),
             finished=tuple(_task_result(item) for item in value["finished"]),
             usage_cores=value["usage"]["cores"],
             usage_memory_mb=value["usage"]["memory_mb"],
             dropped=value.get("dropped", False),
         )
-    except (KeyError, TypeError) as exc:
-        raise ProtocolError(repr(exc), step="lease", peer=peer) from exc
+        check_fields(reply)
+    except (AttributeError, KeyError, TypeError) as exc:
+        raise ProtocolError(brief(exc), step="lease", peer=peer) from exc
+    return reply
 
 
 def make_worker(address: str, source_host: str = "") -> HttpWorker:
