Cache the check of workers' addresses; record what odd records can stop

Each VM decodes each worker's registration about once a second.

A test shows that a worker whose reports cannot be read stops only itself.

--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 import ipaddress
 import math
 import re
@@ -57,6 +58,7 @@
 MAX_WORKER_MEMORY_MB = 1 << 28
 MAX_WORKER_GPUS = 1 << 12
 MAX_LABELS = 32
+MAX_CACHED_ADDRESSES = 4096
 MAX_LABEL_CHARS = 200  # of a worker; a job that asks for a longer one never runs
 # An id is sent in a header of each call, so it has no spaces and control characters.
 MAX_CHECKPOINT_CHARS = 4096
@@ -68,6 +70,8 @@
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
+# Each worker repeats its registration about every second.
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _check_worker_address(value: str) -> str:
     host = ipaddress.IPv4Address(check_address(value).rpartition(":")[0])
     if host.is_unspecified or host.is_multicast:
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cuminhill.errors import ProtocolError
 from cuminhill.jobs.fleet import first_fencing_token
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.model import JobState
@@ -262,6 +263,31 @@
     curio.run(main)
 
 
+def test_worker_whose_reports_cannot_be_read_stops_only_itself(cluster):
+    """Guards against a report of another form that ends the term."""
+    renew = cluster.workers.renew
+
+    async def renew_unless_odd(worker_id, *args, **more):
+        if worker_id == "w0":
+            raise ProtocolError("clock_ms", step="hold", peer=worker_id)
+        return await renew(worker_id, *args, **more)
+
+    async def main():
+        cluster.workers.renew = renew_unless_odd
+        node = await cluster.start_node("vm1")
+        await cluster.wait_for(cluster.leader)
+        term = node.leadership.leader_record.term
+        job = make_job(make_step(6, cores=4.0))
+        await cluster.submit(node, job)
+        await cluster.wait_for(
+            lambda: cluster.state(node, job.job_id) is JobState.COMPLETED
+        )
+        assert node.leadership.leader_record.term == term
+        assert {run.worker_id for run in cluster.workers.history()} <= {"w1", "w2"}
+
+    curio.run(main)
+
+
 def test_next_term_of_the_highest_claim_has_a_valid_token():
     """Guards against a fencing token beyond 64 bits, which no call can carry."""
     index = JobIndex()
