Bound the occurrences of a job and the deadline of a caller

Cause: the placer goes through all occurrences that are due in each decision, so a job with times of 2^31 and no period kept it busy without end; the progress of a job lists each step that is done, in a record of at most 256 KB. A deadline of "nan" went into the timeouts of the kernel, one of "inf" never ended.

--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -33,6 +33,9 @@
 
 MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
 MAX_STEPS = 200
+# Of one job, over all occurrences. Each one that is done is listed in the progress of
+# the job, a record of at most 256 KB.
+MAX_STEP_RUNS = 10_000
 # A fencing token is the term shifted by 20 bits and must fit into 63 bits.
 MAX_TERM = 1 << 40
 MAX_LATENCY_S = 60.0  # beyond it, a claim would delay the next election without end
@@ -219,6 +222,9 @@
         If a field is missing, malformed or out of range.
     """
     body = validate_json(_JobBody, value, step="job", peer=job_id[:MAX_LOGGED_ID])
+    n_times = body.times[0]
+    if max(1, n_times) * len(body.steps) > MAX_STEP_RUNS:
+        raise ProtocolError("times: too many", step="job", peer=job_id[:MAX_LOGGED_ID])
     steps = []
     for number, item in enumerate(body.steps):
         if any(earlier >= number for earlier in item.after):
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -20,6 +20,7 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
 DEADLINE_HEADER = "x-cuminhill-deadline-ms"
 DEFAULT_DEADLINE_MS = 3000.0
+MAX_DEADLINE_MS = 3_600_000.0
 # Fraction of a caller's deadline that the service may use; the rest is left for the
 # response to reach the caller.
 DEADLINE_FRACTION = 0.7
@@ -113,6 +114,8 @@
         deadline_ms = float(req.headers.get(DEADLINE_HEADER, DEFAULT_DEADLINE_MS))
     except ValueError:
         deadline_ms = DEFAULT_DEADLINE_MS
+    if not 0 <= deadline_ms <= MAX_DEADLINE_MS:  # also if it is no number
+        deadline_ms = DEFAULT_DEADLINE_MS
     return deadline_ms / 1000 * DEADLINE_FRACTION
 
 
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -31,7 +31,14 @@
     WorkerEntry,
     WorkerReport,
 )
-from ..jobs.records import MAX_STEPS, MAX_TASKS, MAX_TIME_S, JournalRecord, task_need
+from ..jobs.records import (
+    MAX_STEP_RUNS,
+    MAX_STEPS,
+    MAX_TASKS,
+    MAX_TIME_S,
+    JournalRecord,
+    task_need,
+)
 from ..util.addresses import check_address
 from ..util.validation import (
     MAX_COUNT,
@@ -129,6 +136,10 @@
         message = _JobBody.model_validate_json(body)
     except pydantic.ValidationError as exc:
         raise ValidationError(first_problem(exc), step="decode") from exc
+    if max(1, message.times) * len(message.phases) > MAX_STEP_RUNS:
+        raise ValidationError(
+            f"times: over {MAX_STEP_RUNS} runs of steps", step="decode"
+        )
     steps = []
     for number, item in enumerate(message.phases):
         if any(earlier >= number for earlier in item.after):
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -105,6 +105,7 @@
     {"accepted_at": 1e300},
     {"times": [1, None, 0.0]},
     {"times": [1 << 64, 0.0, 0.0]},
+    {"times": [1 << 31, 0.0, 0.0]},
     {"times": [1, 0.0, -1.0]},
     {"steps": []},
     {"steps": 7},
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -10,7 +10,12 @@
 
 from cuminhill.jobs.model import JobState
 from cuminhill.jobs.records import task_need
-from cuminhill.platform.jobapi import JobApi
+from cuminhill.platform.jobapi import (
+    DEADLINE_FRACTION,
+    DEFAULT_DEADLINE_MS,
+    JobApi,
+    _deadline_s,
+)
 from cuminhill.util.http import HttpRequest
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -140,3 +145,22 @@
         assert (await api.handle(request("GET", "/n/"))).status == 200
 
     curio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    "deadline", ["nan", "inf", "-inf", "-1", "1e400", "9" * 5000, "[" * 100, ""]
+)
+def test_an_odd_deadline_counts_as_none(cluster, deadline):
+    """Guards against a wait of NaN, or without end, in the timeouts of all callers."""
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        cluster.needs["payload"] = make_need()
+        odd = {"x_cuminhill_deadline_ms": deadline}
+        response = await api.handle(request("POST", f"/q/{JOB_ID}", BODY, **odd))
+        assert response.status == 200
+
+    assert _deadline_s(request("GET", "/", x_cuminhill_deadline_ms=deadline)) == (
+        DEFAULT_DEADLINE_MS / 1000 * DEADLINE_FRACTION
+    )
+    curio.run(scenario)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -64,6 +64,9 @@
             "phases.0.required_label",
         ),
         ({"times": -1}, "times"),
+        ({"times": 1 << 31}, "times"),
+        ({"times": 1 << 63}, "times"),
+        ({"times": 5001}, "times"),
     ],
 )
 def test_a_wrong_body_is_refused_with_the_name_of_the_field(change, field):
