--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -277,7 +277,6 @@
 _Number = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 _Incarnation = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 # Task, run and index of its worker; with failures, the failed runs and a checkpoint.
-# Task, run and index of its worker; with failures, the failed runs and a checkpoint.
 _Row = Annotated[
     tuple[_Number, _Number, _Number]
     | tuple[_Number, _Number, _Number, _Number, _Number, str],
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -65,15 +65,15 @@
 MAX_WORKER_MEMORY_MB = 1 << 28
 MAX_WORKER_GPUS = 1 << 12
 MAX_LABELS = 32
-MAX_CACHED_ADDRESSES = 4096
+MAX_CACHED_ADDRESSES = 4096  # of workers
 MAX_LABEL_CHARS = 200  # of a worker; a job that asks for a longer one never runs
-# An id is sent in a header of each call, so it has no spaces and control characters.
 MAX_CHECKPOINT_CHARS = 4096
 MAX_TICKET_CHARS = 4096
 MAX_LOGGED_NAME = 80  # characters of a name in an error
 _TASK_NAME = re.compile(
     r"([0-9A-Za-z_-]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})"
 )
+# An id is sent in a header of each call, so it has no spaces and control characters.
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
