--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 import ipaddress
 import math
 import re
@@ -30,7 +31,14 @@
     WorkerEntry,
     WorkerReport,
 )
-from ..jobs.records import MAX_STEPS, MAX_TASKS, MAX_TIME_S, JournalRecord, task_need
+from ..jobs.records import (
+    MAX_STEP_RUNS,
+    MAX_STEPS,
+    MAX_TASKS,
+    MAX_TIME_S,
+    JournalRecord,
+    task_need,
+)
 from ..util.addresses import check_address
 from ..util.validation import (
     MAX_COUNT,
@@ -57,17 +65,20 @@
 MAX_WORKER_MEMORY_MB = 1 << 28
 MAX_WORKER_GPUS = 1 << 12
 MAX_LABELS = 32
+MAX_CACHED_ADDRESSES = 4096  # of workers
 MAX_LABEL_CHARS = 200  # of a worker; a job that asks for a longer one never runs
-# An id is sent in a header of each call, so it has no spaces and control characters.
 MAX_CHECKPOINT_CHARS = 4096
 MAX_TICKET_CHARS = 4096
 MAX_LOGGED_NAME = 80  # characters of a name in an error
 _TASK_NAME = re.compile(
     r"([0-9A-Za-z_-]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})"
 )
+# An id is sent in a header of each call, so it has no spaces and control characters.
 WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
+# Each worker repeats its registration about every second.
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _check_worker_address(value: str) -> str:
     host = ipaddress.IPv4Address(check_address(value).rpartition(":")[0])
     if host.is_unspecified or host.is_multicast:
@@ -125,6 +136,10 @@
         message = _JobBody.model_validate_json(body)
     except pydantic.ValidationError as exc:
         raise ValidationError(first_problem(exc), step="decode") from exc
+    if max(1, message.times) * len(message.phases) > MAX_STEP_RUNS:
+        raise ValidationError(
+            f"times: over {MAX_STEP_RUNS} runs of steps", step="decode"
+        )
     steps = []
     for number, item in enumerate(message.phases):
         if any(earlier >= number for earlier in item.after):
