Take over the lease record of exactly the term before

The review's simpler rule: a record counts if its term is one below that of the claim. If a term was skipped, the longest lease counts as without a record.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -79,8 +79,6 @@
     ----------
     leader_record : LeaderRecord
         Newest claim that has won.
-    previous_leader : LeaderRecord
-        The claim before it; `NO_LEADER` if the claims were not read one by one.
     leases : LeaseRecord
         Newest ends of leases that a placer does not extend.
     leases_read_at : float, seconds
@@ -97,7 +95,6 @@
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
     leader_record: LeaderRecord = NO_LEADER
-    previous_leader: LeaderRecord = NO_LEADER
     leases: LeaseRecord = NO_LEASES
     leases_read_at: float = 0.0
     members: dict[str, Member] = field(default_factory=dict)
@@ -107,9 +104,7 @@
     n_placer_records: int = 0
     n_bad_records: int = 0
 
-    def fold(
-        self, record: JournalRecord, now: float, *, in_snapshot: bool = False
-    ) -> None:
+    def fold(self, record: JournalRecord, now: float) -> None:
         """Apply one record.
 
         Parameters
@@ -118,14 +113,9 @@
             Next record of the journal.
         now : float, seconds
             Used to expire ended jobs.
-        in_snapshot : bool
-            Whether records before it may have been left out.
         """
         try:
-            if record.key == LEADER_KEY:
-                self._fold_leader_record(record.value, in_snapshot=in_snapshot)
-            else:
-                self._fold(record, now)
+            self._fold(record, now)
         except Exception as exc:
             # Not in our format. Of any type: a record of another writer must not keep
             # the others from being read.
@@ -138,7 +128,9 @@
 
     def _fold(self, record: JournalRecord, now: float) -> None:
         key, value = record.key, record.value
-        if key == RESIGNATION_KEY:
+        if key == LEADER_KEY:
+            self._fold_leader_record(value)
+        elif key == RESIGNATION_KEY:
             self._fold_resignation(value)
         elif key == LEASES_KEY:
             self.leases, self.leases_read_at = decode_lease_record(value), now
@@ -155,17 +147,13 @@
         elif key.startswith(CANCEL_PREFIX):
             self._fold_cancel(key.removeprefix(CANCEL_PREFIX), value, now)
 
-    def _fold_leader_record(self, value: bytes, *, in_snapshot: bool) -> None:
+    def _fold_leader_record(self, value: bytes) -> None:
         record = decode_leader_record(value)
         same = (record.term, record.nonce) == (
             self.leader_record.term,
             self.leader_record.nonce,
         )
         if record.term > self.leader_record.term or same:
-            if not same:
-                # A snapshot may skip claims.
-                before = NO_LEADER if in_snapshot else self.leader_record
-                self.previous_leader = before
             self.leader_record = record
             self.n_placer_records += 1
 
@@ -233,12 +221,12 @@
         entry.job = entry.run = b""
 
     def inherited_leases(self) -> InheritedLeases:
-        """Return what the previous term has left about leases, for a term of this VM.
+        """Return what the term before the newest has left about leases.
 
-        Only a record of the previous term counts: a term that wrote none may have
+        Only a record of that term counts: one in between that wrote none may have
         extended any lease.
         """
-        if not self.leases.term or self.leases.term != self.previous_leader.term:
+        if not self.leases.term or self.leases.term != self.leader_record.term - 1:
             return NO_INHERITED_LEASES
         return inherit_leases(self.leases, self.leases_read_at)
 
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -258,7 +258,7 @@
     def _fold_journal(self, records: list[JournalRecord], snapshot: bool) -> None:
         now = boottime()
         for record in records:
-            self.job_index.fold(record, now, in_snapshot=snapshot)
+            self.job_index.fold(record, now)
         if snapshot:
             # Its records may be old, so they do not show that a VM is alive.
             self.job_index.heard_at.clear()
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -63,10 +63,9 @@
 STEP_S = 0.25
 
 
-def fold_claim(index: JobIndex, term: int, now: float, **more: bool) -> None:
+def fold_claim(index: JobIndex, term: int, now: float) -> None:
     record = LeaderRecord(term, f"vm{term}", f"n{term}")
-    journal_record = JournalRecord(0, LEADER_KEY, encode_leader_record(record))
-    index.fold(journal_record, now, **more)
+    index.fold(JournalRecord(0, LEADER_KEY, encode_leader_record(record)), now)
 
 
 def fold_leases(index: JobIndex, term: int, left_s: float, now: float) -> None:
@@ -112,12 +111,13 @@
     assert index.inherited_leases() == expected
 
 
-# Guards against trust in a record after claims that a snapshot has left out.
-def test_claims_of_a_snapshot_do_not_show_which_term_came_before():
+# Guards against trust in a record after claims that were not read, since a snapshot
+# has left them out.
+def test_a_record_does_not_count_after_a_claim_that_was_not_read():
     index = JobIndex()
     fold_claim(index, 1, NOW)
     fold_leases(index, 1, 3.0, NOW)
-    fold_claim(index, 3, NOW + 1, in_snapshot=True)
+    fold_claim(index, 3, NOW + 1)
     assert index.inherited_leases() == NO_INHERITED_LEASES
 
 
