Ask for advice on lost runs before their leases have lapsed

Cause: advice was asked for only once a run was given up, although the end of its lease is known seconds before. Measured: test_advice_for_tasks_of_a_lost_worker_is_at_hand_when_its_leases_have_lapsed failed before and passes.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -7,6 +7,7 @@
 
 from .advice import AdviceCall, make_advice_call
 from .headroom import Headroom, HeadroomLimit, headroom_limit
+from .leasebounds import lapse_at
 from .model import JobState
 from .ordering import order_key
 from .packing import (
@@ -132,10 +133,71 @@
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
             placer.reserved |= reserve(step_run.step, advised, n_tasks)
             n_reservations += 1
+    calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
     return placements, calls
 
 
+def _advise_lost_runs(
+    placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
+) -> list[AdviceCall]:
+    """Return calls for steps whose runs on lost workers will be given up soon.
+
+    The end of their leases is known, so the tickets can be at hand by then.
+    """
+    calls: list[AdviceCall] = []
+    for step_run, (n_runs, lapse) in _lost_steps(placer).items():
+        queue = placer.queue_of(placer.jobs[step_run.job.job_id])
+        if queue is None or queue.advice is None or step_run.n_waiting:
+            continue  # the decision on waiting tasks has made its own call
+        if lapse - now > PREFETCH_FRACTION * queue.advice.valid_s:
+            continue
+        run_times = placer.run_times(
+            placer.jobs[step_run.job.job_id], step_run.occurrence
+        )
+        pool = pools.get(queue.pool, [])
+        _, call = advise(
+            placer,
+            step_run,
+            queue,
+            eligible_workers(placer, step_run, pool, short=True),
+            outlook=placer.outlook(step_run, queue, wall, run_times),
+            now=now,
+            n_wanted=n_runs,
+            valid_at=max(now, lapse),
+        )
+        if call is not None:
+            calls.append(call)
+        if len(calls) >= MAX_PREFETCHED_STEPS:
+            break
+    return calls
+
+
+def _lost_steps(placer: Placer) -> dict[StepRun, tuple[int, float]]:
+    """Return the steps with runs on workers that are not reached.
+
+    Each step comes with the number of these runs and when the first is given up.
+    """
+    lost = [
+        (key, lapse_at(placer, (task.worker, task.incarnation)))
+        for key, task in placer.not_adopted.items()
+    ]
+    for worker in placer.workers.values():
+        if not worker.reachable:
+            lost.extend((slot.key, worker.lapse_at) for slot in worker.slots.values())
+    steps: dict[StepRun, tuple[int, float]] = {}
+    for key, lapse in lost:
+        progress = placer.jobs.get(key.job_id)
+        if progress is None or progress.cancelled or progress.task(key) is None:
+            continue
+        if progress.state is not JobState.RUNNING:
+            continue
+        step_run = progress.step_run(key.occurrence, key.step)
+        n_runs, first = steps.get(step_run, (0, lapse))
+        steps[step_run] = (n_runs + 1, min(first, lapse))
+    return steps
+
+
 def _prefetch_advice(
     placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
 ) -> list[AdviceCall]:
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -514,6 +514,32 @@
     assert calls and not set(calls[0].workers) & advice.asked.keys()
 
 
+# Guards against tasks of lost workers that wait for advice, about a second, after the
+# leases that they had to wait for have lapsed.
+def test_advice_for_tasks_of_a_lost_worker_is_at_hand_when_its_leases_have_lapsed():
+    terms = AdviceTerms(0.5, 0.02, 2.5)
+    placer = make_placer(make_queue(advice=terms), n_workers=2)
+    submit(placer, make_job(make_step(1, long_running=True)))
+    (call,) = placer.decide(NOW, WALL)[1]
+    advice = placer.advice.for_step(call.step)
+    advice.store_answer(call.workers, [("w1", "t"), ("w2", "t")], NOW, terms.valid_s)
+    (run,) = placer.decide(NOW, WALL)[0]
+    mark_started(placer, [run])
+    worker = placer.workers[run.worker_id]
+    worker.record_lease(worker.lease_end_ms(NOW, placer.times.lease.lease_s))
+    placer.worker_unreachable(run.worker_id, NOW)
+    assert placer.decide(NOW + 3, WALL) == ([], [])
+    ahead = worker.lapse_at - 1.0
+    (call,) = placer.decide(ahead, WALL)[1]
+    (other,) = {"w1", "w2"} - {run.worker_id}
+    advice.store_answer(call.workers, [(other, "t2")], ahead, terms.valid_s)
+    assert placer.decide(ahead, WALL) == ([], [])
+    late = worker.lapse_at + 0.1
+    placer.tick(late)
+    ((again,), calls) = placer.decide(late, WALL)
+    assert (again.worker_id, again.run, calls) == (other, 2, [])
+
+
 def test_advice_for_the_next_step_is_prefetched():
     """Guards against idle time of urgent jobs with several short steps.
 
