--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -203,6 +203,7 @@
             self.registered
             and self.reachable
             and not self.entry.draining
+            and not self.entry.suspended
             and not self.withheld
             and not self.has_unknown_runs
             and self.confirmed_token > 0
--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -246,6 +246,8 @@
         Least time for which a draining worker stays.
     drain_read_at : float, seconds
         When this VM first read that time, on the monotonic clock.
+    suspended : bool
+        Whether a later registration cannot be used, so that nothing is started there.
     """
 
     worker_id: str
@@ -258,6 +260,7 @@
     draining: bool = False
     drain_left_s: float = 0.0
     drain_read_at: float = 0.0
+    suspended: bool = False
 
     @property
     def stays_until(self) -> float:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -317,14 +317,14 @@
     def _ignore_registration(self, worker_id: str, exc: Exception) -> None:
         """Count an unusable registration; start nothing more on a worker of its id.
 
-        The worker is kept as draining, since the entry may be of another writer and
+        The last usable entry is kept, since the other one may be of another writer and
         the runs there go on: their leases are renewed, also by a new placer.
         """
         self.n_bad_registrations += 1
         known = self.workers.get(worker_id)
-        if known is not None and not known.draining:
-            drained = replace(known, draining=True)
-            self.workers[worker_id] = self._registered[worker_id] = drained
+        if known is not None and not known.suspended:
+            suspended = replace(known, suspended=True)
+            self.workers[worker_id] = self._registered[worker_id] = suspended
         if worker_id in self._ignored_ids:
             return
         if len(self._ignored_ids) >= MAX_IGNORED_IDS:
@@ -686,6 +686,8 @@
 def _worker_state(worker: Worker, now: float) -> str:
     if not worker.reachable:
         return "unreachable"
+    if worker.entry.suspended:
+        return "suspended"
     if worker.entry.draining or not worker.registered:
         return "leaving"
     return "ready" if worker.health.accepts_runs(now) else "ejected"
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -226,6 +226,17 @@
     curio.run(scenario)
 
 
+# Guards against tasks that are stopped on a sound worker because another writer has
+# overwritten its registration.
+def test_tasks_stay_on_a_suspended_worker():
+    placer = make_placer()
+    (run,) = place(placer, make_step(long_running=True))
+    entry = placer.workers[run.worker_id].entry
+    placer.register_worker(replace(entry, suspended=True), NOW)
+    assert evacuated(placer) == []
+    assert not placer.workers[run.worker_id].accepts_starts()
+
+
 # Guards against a gang of which some members are stopped, and against moves of tasks
 # that end by themselves.
 @pytest.mark.parametrize("step", [{"gang": True}, {"gang": True, "long_running": True}])
