List a worker that has answered this term only after a silence, bound all waits

Found by the review. A worker whose lease an earlier term had listed was listed again on each short silence for the whole of the next term, and got no lease and no start until two appends were stored. A record that a VM reads late could give a bound that is longer than any lease which can have been granted. Change: the earlier listing counts until the worker has answered; the longest lease bounds every wait; a late registration is held back by the record alone, whether or not a run is adopted.

--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -101,8 +101,7 @@
         As the previous term knew it, or else by the longest lease that it can have
         granted.
     """
-    bound = placer.inherited.bounds.get(life)
-    return longest_lapse_at(placer) if bound is None else bound
+    return min(placer.inherited.bounds.get(life, math.inf), longest_lapse_at(placer))
 
 
 def end_predecessor(placer: Placer, now: float) -> None:
@@ -137,7 +136,8 @@
     def prepare(self, now: float) -> LeaseRecord | None:
         """Return the record to store next, None if the newest one still holds.
 
-        From now on leases on the workers that are not reached are not extended.
+        From now on leases on the workers that are not reached are not extended. The
+        record has to be queued before the next one is made.
         """
         placer = self.placer
         bounds = withhold_leases(placer, now)
@@ -197,12 +197,14 @@
             placer, (task.worker, task.incarnation)
         )
         for task in placer.not_adopted.values()
+        if task.worker
     }
     for worker in placer.workers.values():
         if worker.reachable or not worker.slots:
             continue
         silent_s = now - max(worker.silent_at, placer.begun_at)
-        known = worker.withheld or worker.life in placer.inherited.bounds
+        inherited = worker.life in placer.inherited.bounds
+        known = worker.withheld or (inherited and not worker.confirmed_token)
         if known or silent_s >= LIST_AFTER_S:
             worker.withheld = True
             bounds[worker.life] = worker.lapse_at
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -193,7 +193,6 @@
             progress = self.jobs.get(key.job_id)
             if progress is not None:
                 self._adopt(worker, progress, key, task)
-                worker.withheld = worker.life in self.listed
 
     def _adopt(
         self, worker: Worker, progress: Progress, key: TaskKey, task: TaskState
@@ -298,6 +297,7 @@
         if worker is None:
             life = (entry.worker_id, entry.incarnation)
             worker = Worker(entry, first_fencing_token(self.term), lapse_at(self, life))
+            worker.withheld = life in self.listed
             self._look_up_speed(worker)
             self.workers[entry.worker_id] = worker
             logger.info(
@@ -334,7 +334,8 @@
         worker.last_seen_end = worker.last_acked_end = 0
         worker.clock_ms = worker.report_ms = 0
         worker.confirmed_token = 0
-        worker.reachable = worker.withheld = False
+        worker.reachable = False
+        worker.withheld = worker.life in self.listed
         worker.lapse_at = 0.0
         self._look_up_speed(worker)
         self._adopt_waiting(worker)
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import curio
 import pytest
 
@@ -22,6 +24,7 @@
     encode_leader_record,
     encode_lease_record,
 )
+from standins.job_platform import MemoryWorkers, overlapping_runs
 
 from .builders import make_job, make_step
 
@@ -210,3 +213,47 @@
         assert first.leadership.leader_record.term == term
 
     curio.run(scenario)
+
+
+# Guards against two runs of a task: a term that had listed a worker extends the leases
+# there once it registers, is cut off from the journal, and the next term believes the
+# journal.
+def test_a_worker_that_registers_late_keeps_its_run_to_itself(cluster):
+    cluster.times = PlacerTimes(lease=LeaseTimes(lease_s=2.0), max_unconfirmed_s=2.0)
+
+    async def scenario():
+        first = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        # By then no lease of a term before the first one can run.
+        await curio.sleep(cluster.times.max_unconfirmed_s + 2.5)
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        await cluster.submit(first, make_job(make_step(long_running=True)))
+        await cluster.wait_for(cluster.workers.history)
+        (run,) = cluster.workers.history()
+        lost = run.worker_id
+        # Deregistered by an outage of the registry; the process goes on.
+        cluster.registry.append_records([(lost, b"")])
+        second = await cluster.start_node("vm1")
+        await cluster.wait_for(second.is_ready)
+        await cluster.wait_for(lambda: lost not in first.workers)
+        await cluster.wait_for(lambda: lost not in second.workers)
+        await first.drain()
+        await cluster.wait_for(lambda: second.leadership is not None)
+        third = await cluster.start_node("vm2")
+        calls = MemoryWorkers(dict(cluster.workers.workers))
+        del calls.workers[lost]  # the third VM does not reach the worker
+        third.backends = replace(third.backends, calls=calls)
+        await cluster.wait_for(third.is_ready)
+        await curio.sleep(1.0)
+        cluster.views["vm1"][0].faults.unresponsive = True
+        cluster.registry.append_records([(lost, b"1")])
+        await cluster.wait_for(lambda: third.leadership is not None)
+        give_up_at = boottime() + 6.0
+        while boottime() < give_up_at:
+            for worker in cluster.workers.workers.values():
+                worker.advance()
+            assert not overlapping_runs(cluster.workers.history())
+            await curio.sleep(0.05)
+
+    curio.run(scenario)
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -233,6 +233,37 @@
     assert not second.workers["w1"].accepts_starts()
 
 
+# Guards against a healthy worker that is listed on each short silence, because an
+# earlier term had listed it: it gets no lease and no start until two appends are
+# stored.
+def test_a_worker_that_answered_this_term_is_listed_only_after_a_silence():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    runs = first.decide(NOW, WALL)[0]
+    mark_started(first, runs)
+    second = Placer(2, NOW)
+    second.table = first.table
+    second.inherited = InheritedLeases(1, ADDRESS, NOW, {("w1", 1): NOW + 3})
+    second.register_worker(make_entry("w1"), NOW)
+    second.add_job(decode_progress(progress.job, encode_progress(progress)), NOW)
+    answer_renewal(second, "w1", NOW, running=(running_row(runs[0]),))
+    journal = LeaseJournal(second, ADDRESS)
+    journal.prepare(NOW)
+    journal.note_stored()
+    second.worker_unreachable("w1", NOW + 60, closed=True)
+    journal.prepare(NOW + 60 + LIST_AFTER_S / 2)
+    answer_renewal(second, "w1", NOW + 60.2, running=(running_row(runs[0]),))
+    assert second.workers["w1"].may_extend_leases()
+
+
+# Guards against a wait for a record that a VM read late, which is longer than any lease
+# that can have been granted.
+def test_an_inherited_bound_does_not_prolong_the_wait():
+    placer = Placer(2, NOW)
+    placer.inherited = InheritedLeases(1, ADDRESS, NOW, {LIFE: NOW + 60})
+    assert lapse_at(placer, LIFE) == longest_lapse_at(placer)
+
+
 # Guards against a bound that counts from the wrong moment.
 def test_the_record_holds_the_time_left_when_it_is_made():
     placer = Placer(3, NOW)
