Keep the definitions of removed queues and crashes across changes of the placer

A job whose queue was removed after it had been accepted waited for ever once the placer had changed: the last definition of a queue was kept by the term. Each VM keeps those that it has read. A worker that crashed and restarted while the placer changed was counted by no term, and since runs of an earlier incarnation are released at once, a task that crashes workers would take the next one without a suspicion. The runs of that incarnation count as candidates, none of them to blame alone.

Measured: test_a_task_of_a_removed_queue_starts_again_after_a_change_of_the_placer and test_a_crash_during_a_change_of_the_placer_counts_against_the_task failed before and pass.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -109,6 +109,49 @@
     return _count(placer, _gather(placer, worker))
 
 
+def record_unseen_crash(
+    placer: Placer, life: tuple[str, int], keys: Iterable[TaskKey]
+) -> list[_Suspect]:
+    """Count the crash of a worker that this term has not reached.
+
+    Which of its runs had survived their start is not known, so none is to blame alone.
+
+    Parameters
+    ----------
+    life : (str, int)
+        Identity and incarnation of the worker.
+    keys : iterable of TaskKey
+        Tasks whose runs were present there.
+
+    Returns
+    -------
+    given_up : list
+        Tasks to pass to `give_up` once the runs of the worker are released.
+    """
+    suspects: dict[tuple[object, ...], _Suspect] = {}
+    for key in keys:
+        progress = placer.jobs.get(key.job_id)
+        task = progress.task(key) if progress is not None else None
+        if progress is not None and task is not None:
+            _add_suspect(suspects, progress, key, task)
+    n_present = len(suspects)
+    return _count(placer, Evidence(*life, list(suspects.values()), 0, n_present, False))
+
+
+def _add_suspect(
+    suspects: dict[tuple[object, ...], _Suspect],
+    progress: Progress,
+    key: TaskKey,
+    task: TaskState,
+) -> None:
+    """Add a task to the suspects, each gang once."""
+    if progress.job.steps[key.step].gang:
+        step_run = progress.step_run(key.occurrence, key.step)
+        suspects[key[:3]] = _Suspect(progress, key, step_run.tasks)
+    else:
+        suspects[key] = _Suspect(progress, key, [task])
+
+
 def record_lapse(placer: Placer, worker: Worker) -> None:
     """Remember the runs of a worker whose leases have lapsed.
 
@@ -207,11 +250,7 @@
             continue
         if (task.worker, task.run) != (worker.worker_id, slot.run):
             continue
-        if progress.job.steps[key.step].gang:
-            step_run = progress.step_run(key.occurrence, key.step)
-            candidates[key[:3]] = _Suspect(progress, key, step_run.tasks)
-        else:
-            candidates[key] = _Suspect(progress, key, [task])
+        _add_suspect(candidates, progress, key, task)
     return list(candidates.values())
 
 
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -30,7 +30,7 @@
 from .journal import KeyedLog, LogWriter, WriterToken
 from .leadership import Leadership, WorkerCalls
 from .logreader import LogFollower
-from .model import Outcome, QueueTable, WorkerEntry
+from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
 from .peers import AdviceService, JobPeers
 from .placer import Placer, PlacerTimes
@@ -143,6 +143,9 @@
     rng: random.Random
     job_index: JobIndex = field(default_factory=JobIndex)
     table: QueueTable = field(default_factory=QueueTable)
+    # Newest definition of each queue that this process has read, also of removed ones:
+    # jobs that were accepted for them go on.
+    last_queues: dict[str, Queue] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     leadership: Leadership | None = None
     draining: bool = False
@@ -289,6 +292,7 @@
                 queues=len(table.queues),
             )
             self.table = table
+            self.last_queues.update(table.queues)
             if self.leadership is not None:
                 self.leadership.placer.table = table
 
@@ -517,6 +521,7 @@
             reader=self.journal,
         )
         placer = Placer(claim.term, now, self.options.times)
+        placer.last_queues = self.last_queues
         leadership = Leadership(
             claim,
             placer,
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -6,11 +6,12 @@
 
 import structlog
 
-from .crashes import record_lapse
+from .crashes import give_up, record_lapse, record_unseen_crash
 from .leasebounds import lapse_at
 
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
+    from .model import TaskKey
     from .placer import Placer
 
 logger = structlog.get_logger(__name__)
@@ -88,32 +89,44 @@
 def _release_not_adopted(placer: Placer, now: float) -> None:
     """Release runs whose worker has not registered in this term, after its lease.
 
-    A run on an earlier incarnation of a registered worker is released at once.
+    Runs on an earlier incarnation of a registered worker are released at once.
     """
+    restarted: dict[tuple[str, int], list[TaskKey]] = {}
     for key, task in list(placer.not_adopted.items()):
-        progress = placer.jobs.get(key.job_id)
+        life = (task.worker, task.incarnation)
         worker = placer.workers.get(task.worker)
         adopted = worker is not None and (key, task.run) in worker.slots
-        if progress is None or adopted or not task.worker:
+        if key.job_id not in placer.jobs or adopted or not task.worker:
             del placer.not_adopted[key]
-            continue
-        restarted = worker is not None and worker.entry.incarnation > task.incarnation
-        lapsed = now >= lapse_at(placer, (task.worker, task.incarnation))
-        if not restarted and not lapsed:
-            continue
-        del placer.not_adopted[key]
-        logger.info(
-            "run lost",
-            job=key.job_id,
-            task=tuple(key[1:]),
-            run=task.run,
-            worker=task.worker,
-            why="worker restarted" if restarted else "worker not registered",
-            waited_s=round(now - placer.begun_at, 2),
-        )
-        progress.unassign(key)
-        task.away_since = placer.begun_at
-        placer.mark_dirty(progress)
-        if progress.job.steps[key.step].gang:
-            placer.stop_runs(progress, "gang", now, key.step)
-        placer.retire(progress)
+        elif worker is not None and worker.entry.incarnation > task.incarnation:
+            restarted.setdefault(life, []).append(key)
+        elif now >= lapse_at(placer, life):
+            _release(placer, key, "worker not registered", now)
+    for life, keys in restarted.items():
+        given_up = record_unseen_crash(placer, life, keys)
+        for key in keys:
+            _release(placer, key, "worker restarted", now)
+        give_up(placer, given_up, now)
+
+
+def _release(placer: Placer, key: TaskKey, why: str, now: float) -> None:
+    """Release a task whose run was not adopted."""
+    task = placer.not_adopted.pop(key)
+    progress = placer.jobs.get(key.job_id)
+    if progress is None or not task.worker:
+        return
+    logger.info(
+        "run lost",
+        job=key.job_id,
+        task=tuple(key[1:]),
+        run=task.run,
+        worker=task.worker,
+        why=why,
+        waited_s=round(now - placer.begun_at, 2),
+    )
+    progress.unassign(key)
+    task.away_since = placer.begun_at
+    placer.mark_dirty(progress)
+    if progress.job.steps[key.step].gang:
+        placer.stop_runs(progress, "gang", now, key.step)
+    placer.retire(progress)
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -467,3 +467,19 @@
             assert progress.state is JobState.FAILED
         else:
             assert progress.state is JobState.COMPLETED
+
+
+# Guards against a crash that no term counts: the worker restarted while the placer
+# changed, so the next term reads of the new incarnation first.
+def test_a_crash_during_a_change_of_the_placer_counts_against_the_task():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    mark_started(first, first.decide(NOW, WALL)[0])
+    second = make_placer(n_workers=0, term=2)
+    second.register_worker(make_entry("w1", incarnation=2), NOW)
+    copy = decode_progress(progress.job, encode_progress(progress))
+    second.add_job(copy, NOW)
+    second.tick(NOW)
+    task = copy.step_run(0, 0).tasks[0]
+    assert not task.worker
+    assert task.n_crashes == 1
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -26,7 +26,7 @@
 )
 from standins.job_platform import MemoryWorkers, overlapping_runs
 
-from .builders import make_job, make_step
+from .builders import make_job, make_queue, make_step
 
 # Leases that lapse within two of the intervals between changes of the placer.
 TIMES = PlacerTimes(lease=LeaseTimes(lease_s=2.0), max_unconfirmed_s=2.0)
@@ -104,6 +104,25 @@
     curio.run(scenario)
 
 
+# Guards against a job that waits for ever because its queue was removed before the
+# placer changed, and the next placer does not know where its tasks may run.
+def test_a_task_of_a_removed_queue_starts_again_after_a_change_of_the_placer(cluster):
+    cluster.times = TIMES
+
+    async def scenario():
+        for number in range(2):
+            await cluster.start_node(f"vm{number}")
+        await lose_worker_of_task(cluster, leaves=True)
+        cluster.publish(make_queue("other"))
+        await cluster.wait_for(
+            lambda: all(node.table.version == 2 for node in cluster.nodes.values())
+        )
+        await change_placer(cluster)
+        await cluster.wait_for(lambda: has_second_run(cluster))
+
+    curio.run(scenario)
+
+
 # Guards against a bound on leases that a process breaks later, by a claim that it had
 # made before it was asked.
 def test_a_process_that_is_asked_about_a_term_does_not_begin_it_afterwards(cluster):
