End the in-process clusters of tests as the daemons end

Cause: a cluster in one process may still have a call between two of its VMs in flight when a test is over. Accepting it starts a task while the kernel cancels the others, and curio fails with "New tasks created during shutdown", although each assertion of the test has held (seen in test_a_draining_placer_hands_over_at_once and test_a_placer_that_the_log_rejects_hands_over_through_others, more often since each term asks its predecessor). Change: these tests use run_to_end, as cuminhill.cmd.node does; no assertion changes.

--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -22,6 +22,7 @@
     StartResult,
 )
 from cuminhill.jobs.progress import decode_progress, encode_progress
+from cuminhill.util.kernel import run_to_end
 from standins.job_platform import overlapping_runs
 
 from .builders import (
@@ -223,7 +224,7 @@
         assert node.workers["w0"].stays_until == first
         assert node.workers["w1"].stays_until > first
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against tasks that are stopped on a sound worker because another writer has
@@ -308,7 +309,7 @@
         assert (second.run, second.ended_at) == (2, 0.0)
         assert not overlapping_runs([first, second])
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a move that is given up, or that nobody sees, when its stop gets lost.
@@ -340,7 +341,7 @@
         await cluster.wait_for(lambda: len(cluster.workers.history()) > 1)
         assert not node.dump()["leading"]["moving"]
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 @dataclass
--- a/tests/jobs/test_findings.py
+++ b/tests/jobs/test_findings.py
@@ -13,6 +13,7 @@
 from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.jobs.records import JournalRecord, encode_job
 from cuminhill.platform.wire import decode_report
+from cuminhill.util.kernel import run_to_end
 
 from .builders import (
     BEGUN_AT,
@@ -105,7 +106,7 @@
         await curio.sleep(0.3)
         assert cluster.workers.history() == []
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 @pytest.mark.parametrize("percent", ["high", None, [], True, 1e9, float("nan")])
@@ -150,7 +151,7 @@
         await cluster.wait_for(cluster.leader)
         assert "w0" not in node.leadership.placer.workers
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_restarted_placer_does_not_restore_a_withdrawn_queue():
@@ -219,4 +220,4 @@
         assert node.job_index.n_bad_records
         assert {run.key.job_id for run in cluster.workers.history()} == {good.job_id}
 
-    curio.run(main)
+    run_to_end(main)
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -24,6 +24,7 @@
     encode_leader_record,
     encode_lease_record,
 )
+from cuminhill.util.kernel import run_to_end
 from standins.job_platform import MemoryWorkers, overlapping_runs
 
 from .builders import make_job, make_queue, make_step
@@ -80,7 +81,7 @@
             await curio.sleep(CHANGE_INTERVAL_S)
         assert has_second_run(cluster), "the task stood still during all changes"
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a VM that takes the ends of leases in the journal for new because it
@@ -101,7 +102,7 @@
             await curio.sleep(CHANGE_INTERVAL_S)
         assert has_second_run(cluster), "the task stood still during all changes"
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a job that waits for ever because its queue was removed before the
@@ -120,7 +121,7 @@
         await change_placer(cluster)
         await cluster.wait_for(lambda: has_second_run(cluster))
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a bound on leases that a process breaks later, by a claim that it had
@@ -143,7 +144,7 @@
         begun = node.leadership and node.leadership.leader_record.term
         assert begun != claim.term
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against leases that a VM extends although its claim is old, as after a pause
@@ -171,7 +172,7 @@
         await cluster.wait_for(lambda: confirmed_at)
         assert confirmed_at[0] < claimed_at[0] + 0.3
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a VM that never leads again after an odd question of another one.
@@ -181,7 +182,7 @@
         assert await node.peers.ask_term_ended(node.options.rpc_address, 1 << 62)
         await cluster.wait_for(cluster.leader)
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against bounds of a term that others followed: the records of a snapshot carry
@@ -207,7 +208,7 @@
         fold(True, (101, *leases), (250, *claim(13)))
         assert index.inherited_leases() == NO_INHERITED_LEASES
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against a change of the placer in a rolling upgrade: VMs of the earlier build
@@ -231,7 +232,7 @@
         assert cluster.leader() is first
         assert first.leadership.leader_record.term == term
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 # Guards against two runs of a task: a term that had listed a worker extends the leases
@@ -275,4 +276,4 @@
             assert not overlapping_runs(cluster.workers.history())
             await curio.sleep(0.05)
 
-    curio.run(scenario)
+    run_to_end(scenario)
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -22,6 +22,7 @@
     encode_leader_record,
     encode_member,
 )
+from cuminhill.util.kernel import run_to_end
 from standins.job_platform import overlapping_runs
 
 from .builders import make_job, make_queue, make_step
@@ -52,7 +53,7 @@
         assert not overlapping_runs(cluster.workers.history())
         assert len(cluster.workers.history()) == 9
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_job_is_accepted_only_once_it_is_stored(cluster):
@@ -64,7 +65,7 @@
         assert await cluster.submit(node, make_job()) is Outcome.OK
         assert cluster.stored(JOB_PREFIX + make_job().job_id) is not None
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_jobs_rejected_at_once_during_a_log_outage_never_run(cluster):
@@ -93,7 +94,7 @@
         node.writer.failing_since = node.writer.failing_since or boottime()
         return True
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_node_without_the_log_accepts_jobs_through_another(cluster):
@@ -110,7 +111,7 @@
         assert outcome is Outcome.OK
         assert cluster.stored(JOB_PREFIX + job.job_id) is not None
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_another_node_takes_over_when_the_placer_loses_power(cluster):
@@ -139,7 +140,7 @@
         for worker in cluster.workers.workers.values():
             assert worker.max_used_cores <= 16.0
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_lost_answers_of_the_log_duplicate_nothing(cluster):
@@ -164,7 +165,7 @@
                 )
         assert not overlapping_runs(cluster.workers.history())
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_lost_answer_to_a_start_duplicates_nothing(cluster):
@@ -183,7 +184,7 @@
             )
         assert not overlapping_runs(cluster.workers.history())
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_renewals_wait_while_ends_cannot_be_journaled(cluster):
@@ -204,7 +205,7 @@
         await curio.sleep(1.5)
         assert cluster.workers.n_renewals - before < 15
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_cancelled_job_stops_and_stays_cancelled(cluster):
@@ -227,7 +228,7 @@
         )
         assert cluster.state(node, job.job_id) is JobState.CANCELLED
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_job_is_reported_unknown_only_by_an_up_to_date_node(cluster):
@@ -241,7 +242,7 @@
         await curio.sleep(1.5)
         assert await node.service.state("00000000000000fe") is Outcome.NOT_DONE
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_new_configuration_takes_effect_and_never_regresses(cluster):
@@ -256,7 +257,7 @@
         await curio.sleep(0.3)
         assert node.table.version == 2
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_followers_continue_after_the_log_was_compacted(cluster):
@@ -272,7 +273,7 @@
         cluster.views["a"][1].faults.down = False
         await cluster.wait_for(lambda: node.table.version == 2, 3.0)
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_draining_placer_hands_over_at_once(cluster):
@@ -293,7 +294,7 @@
         await cluster.wait_for(lambda: cluster.leader() not in {None, leader})
         assert boottime() - asked_at < 1.0
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_small_placer_hands_over_to_a_larger_vm(cluster):
@@ -325,7 +326,7 @@
         )
         assert len(large.job_index.entries) > 0
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_registration_in_a_snapshot_does_not_show_that_a_vm_is_alive(cluster):
@@ -345,7 +346,7 @@
         )
         await cluster.wait_for(lambda: "alive" in small.job_index.heard_at)
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 @pytest.mark.parametrize(
@@ -372,7 +373,7 @@
         assert speeds[0] / speeds[1] == pytest.approx(expected, rel=0.01)
         assert await cluster.submit(node, make_job()) is Outcome.OK
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_draining_placer_leads_on_while_the_log_is_unavailable(cluster):
@@ -391,7 +392,7 @@
         await task.join()
         assert leader.leadership is None or leader.leadership.ended
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_restarted_placer_claims_without_waiting(cluster):
@@ -406,7 +407,7 @@
         await cluster.wait_for(cluster.leader)
         assert boottime() - began_at < 1.0
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_lost_worker_is_replaced_after_its_lease(cluster):
@@ -426,7 +427,7 @@
         lost.advance()
         assert not overlapping_runs(cluster.workers.history())
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_new_placer_loads_all_jobs_before_it_hears_of_workers(cluster):
@@ -458,7 +459,7 @@
         for worker in other.leadership.placer.workers.values():
             assert worker.free.cores == 16.0
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_failing_task_ends_the_term_and_another_begins(cluster):
@@ -477,7 +478,7 @@
             lambda: cluster.state(node, make_job().job_id) is JobState.COMPLETED
         )
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_an_ended_job_leaves_only_its_state_in_the_journal(cluster):
@@ -498,7 +499,7 @@
         assert RUN_PREFIX + job.job_id in kept
         assert JOB_PREFIX + job.job_id not in kept
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 @pytest.mark.parametrize("fault", ["down", "unresponsive"])
@@ -527,7 +528,7 @@
         leader = decode_leader_record(cluster.stored(LEADER_KEY).value)
         assert leader.vm != first.options.vm and not leader.resigned
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_late_resignation_does_not_hide_a_newer_term(cluster):
@@ -551,7 +552,7 @@
         await cluster.wait_for(cluster.leader)
         assert node.leadership.leader_record.term == 5
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_used_term_without_a_readable_claim_is_skipped(cluster):
@@ -566,7 +567,7 @@
         await cluster.wait_for(cluster.leader)
         assert node.leadership.leader_record.term == 5
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_decisions_go_on_while_the_journal_is_slow(cluster):
@@ -602,4 +603,4 @@
         await journaled.set()
         await cluster.wait_for(lambda: placer.counts["starts_started"] == 2)
 
-    curio.run(scenario)
+    run_to_end(scenario)
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -4,7 +4,6 @@
 
 import json
 
-import curio
 import orjson
 import pytest
 from hypothesis import given, settings
@@ -25,6 +24,7 @@
     encode_leader_record,
     encode_member,
 )
+from cuminhill.util.kernel import run_to_end
 
 from .builders import JOB_ID, WALL, make_job, make_queue, make_step
 
@@ -238,7 +238,7 @@
         assert node.journal.n_snapshots == 1
         assert set(node.job_index.members) == {"vm1"}
 
-    curio.run(main)
+    run_to_end(main)
 
 
 # Guards against an error in one configuration that ends the follower of them.
@@ -261,7 +261,7 @@
         cluster.publish(make_queue("other"))
         await cluster.wait_for(lambda: "other" in node.table.queues)
 
-    curio.run(main)
+    run_to_end(main)
 
 
 def test_worker_whose_reports_cannot_be_read_stops_only_itself(cluster):
@@ -286,7 +286,7 @@
         assert node.leadership.leader_record.term == term
         assert {run.worker_id for run in cluster.workers.history()} <= {"w1", "w2"}
 
-    curio.run(main)
+    run_to_end(main)
 
 
 def test_next_term_of_the_highest_claim_has_a_valid_token():
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import curio
 import orjson
 import pytest
 from jobs.builders import make_queue
@@ -17,6 +16,7 @@
     _deadline_s,
 )
 from cuminhill.util.http import HttpRequest
+from cuminhill.util.kernel import run_to_end
 
 JOB_ID = "5c0e7a21d94b36f8"
 BODY = orjson.dumps({"spec": "payload", "phases": [{"count": 2, "cpu": 500}]})
@@ -60,7 +60,7 @@
         assert (response.status, response.value) == (200, {"state": "completed"})
         assert (await api.handle(request("GET", "/q/"))).value == {"waiting": 0}
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def make_need():
@@ -88,7 +88,7 @@
         assert response.status == status
         assert api.node.job_index.entries == {}
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_without_a_configuration_a_node_refuses_and_is_not_ready():
@@ -103,7 +103,7 @@
         assert ("retry-after", "1") in response.headers
         assert (await api.handle_ready(request("GET", "/-/ready"))).status == 503
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_refusal_has_a_retry_after_header(cluster):
@@ -117,7 +117,7 @@
         assert response.status == 503
         assert ("retry-after", "1") in response.headers
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_draining_node_is_not_ready_and_still_serves(cluster):
@@ -131,7 +131,7 @@
         response = await api.handle(request("POST", f"/q/{JOB_ID}", BODY))
         assert response.status == 200
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 def test_a_removed_queue_is_not_found_and_a_new_one_is(cluster):
@@ -144,7 +144,7 @@
         assert (await api.handle(request("GET", "/q/"))).status == 404
         assert (await api.handle(request("GET", "/n/"))).status == 200
 
-    curio.run(scenario)
+    run_to_end(scenario)
 
 
 @pytest.mark.parametrize(
@@ -163,4 +163,4 @@
     assert _deadline_s(request("GET", "/", x_cuminhill_deadline_ms=deadline)) == (
         DEFAULT_DEADLINE_MS / 1000 * DEADLINE_FRACTION
     )
-    curio.run(scenario)
+    run_to_end(scenario)
--- a/tests/platform/test_odd_registrations.py
+++ b/tests/platform/test_odd_registrations.py
@@ -10,6 +10,7 @@
 from cuminhill.errors import ProtocolError
 from cuminhill.jobs.model import JobState
 from cuminhill.platform.wire import decode_worker_entry
+from cuminhill.util.kernel import run_to_end
 from standins.job_platform import overlapping_runs
 from tests.jobs.builders import make_job, make_step
 from tests.jobs.conftest import Cluster
@@ -178,7 +179,7 @@
         assert node.n_bad_registrations == len(odd)
         assert node.dump()["bad"]["registrations"] == len(odd)
 
-    curio.run(main)
+    run_to_end(main)
 
 
 # Guards against an error of an unexpected type, in one registration, that makes the
@@ -198,7 +199,7 @@
         assert set(node.workers) == {"w0", "w1", "w2"}
         assert node.registry.n_snapshots == node.n_bad_registrations == 1
 
-    curio.run(main)
+    run_to_end(main)
 
 
 # Guards against running work that is started twice or given up, and against new starts,
@@ -236,7 +237,7 @@
         assert len(history) == 2
         assert not overlapping_runs(history)
 
-    curio.run(main)
+    run_to_end(main)
 
 
 # Guards against a log that fills with the lines of one entry, or a line without bound.
@@ -248,7 +249,7 @@
         cluster.registry.append_records([("odd", ODD["service huge"])] * 20)
         await cluster.wait_for(lambda: node.n_bad_registrations >= 20)
 
-    curio.run(main)
+    run_to_end(main)
     lines = [line for line in capsys.readouterr().out.splitlines() if "odd" in line]
     assert len(lines) == 1
     assert len(lines[0]) <= MAX_LOGGED
