Name the parts of the lease records by what they do; describe them

The review's readability edits: list_unreached, note_predecessor_ended, latest_lapse_at, _disclaim_term; the state of LeaseJournal and Worker.withheld say what they hold. No behaviour changes.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -124,8 +124,8 @@
     registered : bool
         Whether the worker is still registered.
     withheld : bool
-        Whether the journal may say that leases here are not extended, so that none may
-        be.
+        Whether a lease record that may be stored lists the worker, so that its leases
+        must not be extended.
     confirmed_token : int
         Token of the newest renewal that the worker has answered; 0 before the first.
     slots : dict
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -18,7 +18,7 @@
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
-from .leasebounds import LeaseJournal, end_predecessor, longest_lapse_at
+from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -240,13 +240,13 @@
     async def _ask_predecessor(self) -> None:
         """Ask the process of the previous term until it has ended that term.
 
-        Only whatever process has its address can answer; then that process has either
-        ended the term or is a later one.
+        Whichever process answers at its address has ended that term or was started
+        later.
         """
         inherited = self.placer.inherited
         if not inherited.term:
             return
-        give_up_at = longest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
+        give_up_at = latest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
         while not self.ended and boottime() < give_up_at:
             try:
                 ended = await self.ask_term_ended(inherited.address, inherited.term)
@@ -254,7 +254,7 @@
                 ended = False  # the longest lease counts until it answers
             if ended:
                 now = boottime()
-                end_predecessor(self.placer, now)
+                note_predecessor_ended(self.placer, now)
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -72,11 +72,11 @@
     )
 
 
-def longest_lapse_at(placer: Placer) -> float:
+def latest_lapse_at(placer: Placer) -> float:
     """Return when all leases have lapsed that earlier terms can have granted.
 
     The previous placer extends leases for a while without the journal, unless it is
-    known to have ended. Those before it may do so still if its term was short.
+    known to have ended. Terms before it are covered by `earlier_lapse_at`.
     """
     times = placer.times
     lapse_s = times.lease.lapse_s
@@ -101,10 +101,10 @@
         As the previous term knew it, or else by the longest lease that it can have
         granted.
     """
-    return min(placer.inherited.bounds.get(life, math.inf), longest_lapse_at(placer))
+    return min(placer.inherited.bounds.get(life, math.inf), latest_lapse_at(placer))
 
 
-def end_predecessor(placer: Placer, now: float) -> None:
+def note_predecessor_ended(placer: Placer, now: float) -> None:
     """Note that the previous term extends no lease from now on."""
     placer.predecessor_ended_at = min(placer.predecessor_ended_at, now)
     for worker in placer.workers.values():
@@ -126,10 +126,12 @@
 
     placer: Placer
     address: str
-    # What the newest record made and the newest one stored say, without their times.
-    _made: tuple[object, ...] | None = None
+    # Content, without its times, of the newest record that `prepare` has returned, and
+    # of the newest one stored; None if a resignation may be stored after that one.
+    _prepared: tuple[object, ...] | None = None
     _stored: tuple[object, ...] | None = None
     _made_at: float = -math.inf
+    # Records made in all, and when `prepare` was called last.
     _n_made: int = 0
     _n_prepared: int = 0
 
@@ -140,22 +142,22 @@
         record has to be queued before the next one is made.
         """
         placer = self.placer
-        bounds = withhold_leases(placer, now)
-        earlier_over = longest_lapse_at(placer) <= now
-        news = (set(bounds), placer.predecessor_ended_at <= now, earlier_over)
+        bounds = list_unreached(placer, now)
+        earlier_over = latest_lapse_at(placer) <= now
+        content = (set(bounds), placer.predecessor_ended_at <= now, earlier_over)
         is_open = bool(bounds) or not earlier_over
-        if news == self._stored and not (
+        if content == self._stored and not (
             is_open and now - self._made_at >= REWRITE_INTERVAL_S
         ):
             self._n_prepared = self._n_made
             return None
         record = self._make(bounds, now)
-        self._made, self._n_prepared = news, self._n_made
+        self._prepared, self._n_prepared = content, self._n_made
         return record
 
     def prepare_resignation(self, now: float) -> LeaseRecord:
         """Return the record to store together with a resignation."""
-        record = self._make(withhold_leases(self.placer, now), now)
+        record = self._make(list_unreached(self.placer, now), now)
         # It may be stored at any time from now on, so only a later one ends it.
         self._stored = None
         return record
@@ -166,7 +168,7 @@
         return LeaseRecord(
             self.placer.term,
             self.address,
-            max(0.0, longest_lapse_at(self.placer) - now),
+            max(0.0, latest_lapse_at(self.placer) - now),
             tuple(
                 LeaseBound(worker_id, incarnation, max(0.0, at - now))
                 for (worker_id, incarnation), at in sorted(bounds.items())
@@ -181,16 +183,19 @@
         """
         if self._n_prepared != self._n_made:
             return
-        self._stored = self._made
+        self._stored = self._prepared
         for worker in self.placer.workers.values():
             if worker.withheld and worker.life not in self.placer.listed:
                 worker.withheld = False
 
 
-def withhold_leases(placer: Placer, now: float) -> dict[tuple[str, int], float]:
-    """Return the workers with runs that are not reached, and when their leases lapse.
+def list_unreached(placer: Placer, now: float) -> dict[tuple[str, int], float]:
+    """Withhold leases on the workers with runs that are not reached; return these.
 
-    Their leases are not extended from now on.
+    Returns
+    -------
+    bounds : dict of (str, int) to float
+        When their leases have lapsed, in seconds, by worker and incarnation.
     """
     bounds = {
         (task.worker, task.incarnation): lapse_at(
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -192,7 +192,7 @@
             checks_first=True,
         )
         self.peers = JobPeers(
-            options.vm, backends.advice, self.writer, self.rng, self._end_term
+            options.vm, backends.advice, self.writer, self.rng, self._disclaim_term
         )
         self.service = JobService(
             self.job_index,
@@ -497,10 +497,11 @@
         else:
             await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
-    def _end_term(self, term: int) -> bool:
-        """Return whether this process extends no lease for a term and never will.
+    def _disclaim_term(self, term: int) -> bool:
+        """Abandon a claim of a term that was not begun; return whether it is over here.
 
-        A later placer asks, so a claim of the term that was not begun is abandoned.
+        A later placer asks, and counts on it that this process extends no lease for
+        the term and never will.
         """
         leadership = self.leadership
         if leadership is not None and leadership.leader_record.term <= term:
@@ -554,7 +555,7 @@
 
     async def _ask_term_ended(self, address: str, term: int) -> bool:
         if address == self.options.rpc_address:
-            return self._end_term(term)
+            return self._disclaim_term(term)
         return await self.peers.ask_term_ended(address, term)
 
     async def _end_term_if_over(self) -> None:
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -140,7 +140,8 @@
         Raises
         ------
         UnavailableError, UnknownOutcomeError, ProtocolError
-            If there is no usable answer; one of an earlier version knows no such call.
+            If there is no usable answer. A process of an earlier version answers that
+            the method is unknown.
         """
         client = self._client_at(address)
         try:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -110,7 +110,7 @@
         When it was known that the previous term extends no lease any more; infinite
         before.
     not_adopted : dict
-        Tasks whose runs may be present on a worker that is not known, by key.
+        Tasks assigned to an incarnation that has not registered in this term, by key.
     listed : set of (str, int)
         Workers in the newest lease record that was made, with their incarnations.
     lapsed : dict
@@ -184,8 +184,8 @@
         if progress.cancelled:
             self.cancel_job(job_id, now)
 
-    def _adopt_waiting(self, worker: Worker) -> None:
-        """Adopt the runs that waited for the registration of their worker."""
+    def _adopt_registered(self, worker: Worker) -> None:
+        """Adopt the runs that were assigned to a worker before it registered here."""
         for key, task in list(self.not_adopted.items()):
             if (task.worker, task.incarnation) != worker.life:
                 continue
@@ -311,7 +311,7 @@
                 draining=entry.draining,
                 speed=round(worker.health.speed, 2),
             )
-            self._adopt_waiting(worker)
+            self._adopt_registered(worker)
             return
         if entry.incarnation < worker.entry.incarnation:
             return  # record of an older incarnation
@@ -338,7 +338,7 @@
         worker.withheld = worker.life in self.listed
         worker.lapse_at = 0.0
         self._look_up_speed(worker)
-        self._adopt_waiting(worker)
+        self._adopt_registered(worker)
         if worker.slots:
             # An earlier term has read of this incarnation first.
             worker.lapse_at = lapse_at(self, worker.life)
--- a/cuminhill/shard.py
+++ b/cuminhill/shard.py
@@ -199,9 +199,9 @@
         if not self.leading:
             return
         self.leading = False
-        await self._end_term()
+        await self._disclaim_term()
 
-    async def _end_term(self) -> None:
+    async def _disclaim_term(self) -> None:
         logger.info("leaving shard", shard=self.shard, term=self._n_terms)
         if self._tick_task is not None:
             await self._tick_task.cancel()
@@ -251,7 +251,7 @@
             # ends in a separate task, since it may cancel the task that runs here.
             self.leading = False
             self.n_broken_terms += 1
-            await curio.spawn(self._end_term, daemon=True)
+            await curio.spawn(self._disclaim_term, daemon=True)
         actions = self.placer.handle(event, time.monotonic(), self.clock.wall())
         for action in actions:
             await self._execute(action)
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -176,7 +176,7 @@
 
 
 # Guards against a VM that never leads again after an odd question of another one.
-def test_a_question_about_a_term_of_the_future_has_no_effect(cluster):
+def test_a_question_about_a_term_of_the_future_does_not_keep_a_vm_from_leading(cluster):
     async def scenario():
         node = await cluster.start_node("vm0")
         assert await node.peers.ask_term_ended(node.options.rpc_address, 1 << 62)
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -21,10 +21,10 @@
     REWRITE_INTERVAL_S,
     InheritedLeases,
     LeaseJournal,
-    end_predecessor,
     lapse_at,
-    longest_lapse_at,
-    withhold_leases,
+    latest_lapse_at,
+    list_unreached,
+    note_predecessor_ended,
 )
 from cuminhill.jobs.placer import Placer
 from cuminhill.jobs.progress import TaskState, decode_progress, encode_progress
@@ -153,7 +153,7 @@
     lapse = lose_worker(placer, NOW)
     for number in range(4):
         now = NOW + 1 + number
-        bounds = withhold_leases(placer, now)
+        bounds = list_unreached(placer, now)
         assert bounds == {LIFE: pytest.approx(lapse, abs=0.01)}
         placer = next_term(placer, now, bounds)
         placer.tick(now)
@@ -170,13 +170,13 @@
     placer = Placer(3, NOW)
     times = placer.times
     latest = NOW + times.max_unconfirmed_s + times.lease.lapse_s
-    assert longest_lapse_at(placer) == latest
+    assert latest_lapse_at(placer) == latest
     placer.inherited = InheritedLeases(2, ADDRESS, NOW + earlier_s, {})
     placer.register_worker(make_entry("w1"), NOW)
     assert placer.workers["w1"].lapse_at == latest
-    end_predecessor(placer, NOW + 0.5)
+    note_predecessor_ended(placer, NOW + 0.5)
     expected = NOW + max(0.5 + times.lease.lapse_s, earlier_s)
-    assert longest_lapse_at(placer) == expected
+    assert latest_lapse_at(placer) == expected
     assert lapse_at(placer, ("w9", 1)) == expected
     assert placer.workers["w1"].lapse_at == expected
 
@@ -186,7 +186,7 @@
     placer = make_placer(n_workers=1)
     placer.inherited = InheritedLeases(1, ADDRESS, NOW, {})
     lapse = lose_worker(placer, NOW + 3)
-    end_predecessor(placer, NOW + 3)
+    note_predecessor_ended(placer, NOW + 3)
     assert placer.workers["w1"].lapse_at == lapse
 
 
@@ -261,7 +261,7 @@
 def test_an_inherited_bound_does_not_prolong_the_wait():
     placer = Placer(2, NOW)
     placer.inherited = InheritedLeases(1, ADDRESS, NOW, {LIFE: NOW + 60})
-    assert lapse_at(placer, LIFE) == longest_lapse_at(placer)
+    assert lapse_at(placer, LIFE) == latest_lapse_at(placer)
 
 
 # Guards against a bound that counts from the wrong moment.
@@ -273,7 +273,7 @@
         task = TaskState(1, worker=worker_id, incarnation=incarnation)
         placer.not_adopted[task_key(len(placer.not_adopted))] = task
     record = LeaseJournal(placer, ADDRESS).prepare(NOW)
-    left_s = pytest.approx(longest_lapse_at(placer) - NOW)
+    left_s = pytest.approx(latest_lapse_at(placer) - NOW)
     rows = (LeaseBound("w0", 4, 0.0), LeaseBound(*LIFE, 2.5))
     assert record == LeaseRecord(3, ADDRESS, left_s, rows)
     assert decode_lease_record(encode_lease_record(record)).bounds == rows
@@ -284,7 +284,7 @@
 def test_a_record_is_made_anew_only_while_a_lease_may_run():
     placer = make_placer(n_workers=1)
     journal = LeaseJournal(placer, ADDRESS)
-    over = longest_lapse_at(placer)
+    over = latest_lapse_at(placer)
     assert journal.prepare(over).earlier_left_s == 0
     journal.note_stored()
     assert journal.prepare(over + 60) is None
@@ -401,7 +401,7 @@
 
     def _write(self, placer: Placer) -> None:
         if not self.store_up:
-            withhold_leases(placer, self.now)
+            list_unreached(placer, self.now)
             return
         record = self.lease_journal.prepare(self.now)
         placements = placer.decide(self.now, WALL)[0]
@@ -435,7 +435,7 @@
                 if self.now < until:
                     self._renew(earlier)
             if self.predecessor_answers and self.placer.inherited.term:
-                end_predecessor(self.placer, self.now)
+                note_predecessor_ended(self.placer, self.now)
             self._renew(self.placer)
             self.placer.tick(self.now)
             self._write(self.placer)
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cuminhill.jobs.fleet import CLOCK_DRIFT
-from cuminhill.jobs.leasebounds import longest_lapse_at
+from cuminhill.jobs.leasebounds import latest_lapse_at
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, StartOrder, StartResult
 from cuminhill.jobs.placer import STOP_REPEAT_S, Placement
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
@@ -203,7 +203,7 @@
     copy = decode_progress(progress.job, encode_progress(progress))
     second.add_job(copy, NOW)
     assert second.counts["runs_not_adopted"] == 1
-    second.tick(longest_lapse_at(second))
+    second.tick(latest_lapse_at(second))
     assert copy.step_run(0, 0).tasks[0].away_since == second.begun_at
 
 
