Pass no wall-clock time to the moves of long-running tasks

Long-running tasks have no objective, so the outlook that was computed from it was always the same; and they are no short runs, also where their expected run time is 0, so that a move does not use workers that are reserved for a blocked step.

--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -18,8 +18,8 @@
     headroom_limits,
     step_candidates,
 )
+from .lateness import NO_OBJECTIVE
 from .model import JobState
-from .packing import SHORT_RUN_S
 
 if TYPE_CHECKING:
     from ..model import Resources
@@ -68,7 +68,7 @@
     slot: Slot
 
 
-def evacuate(placer: Placer, now: float, wall: float) -> list[AdviceCall]:
+def evacuate(placer: Placer, now: float) -> list[AdviceCall]:
     """Stop tasks on leaving workers for which there is a place elsewhere.
 
     Returns
@@ -98,7 +98,6 @@
             pool=pools.get(queue.pool, []),
             core_limit=limits.get(queue.name),
             now=now,
-            wall=wall,
         )
         if call is not None:
             calls.append(call)
@@ -156,19 +155,15 @@
     pool: list[Worker],
     core_limit: HeadroomLimit | None,
     now: float,
-    wall: float,
 ) -> AdviceCall | None:
     """Move tasks of one step; return a call for advice if it lacks places."""
-    run_times = placer.run_times(placer.jobs[step_run.job.job_id], step_run.occurrence)
-    short = run_times[step_run.number] <= SHORT_RUN_S
-    outlook = placer.outlook(step_run, queue, wall, run_times)
-    workers = eligible_workers(placer, step_run, pool, short)
+    workers = eligible_workers(placer, step_run, pool, short=False)
     advised, call = advise(
         placer,
         step_run,
         queue,
         workers,
-        outlook=outlook,
+        outlook=NO_OBJECTIVE,
         now=now,
         n_wanted=len(leaving),
         valid_at=now + MOVE_S,
@@ -177,7 +172,7 @@
         placer,
         step_run,
         advised,
-        outlook,
+        NO_OBJECTIVE,
         now=now,
         core_limit=core_limit,
         valid_at=now + MOVE_S,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -840,7 +840,7 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now, wall)
+        return placements, calls + evacuate(self, now)
 
 
 def _difference(new: WorkerEntry, old: WorkerEntry) -> Resources | None:
