--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -63,9 +63,10 @@
 STEP_S = 0.25
 
 
-def fold_claim(index: JobIndex, term: int, now: float, offset: int = 0) -> None:
+def fold_claim(index: JobIndex, term: int, now: float, **more: bool) -> None:
     record = LeaderRecord(term, f"vm{term}", f"n{term}")
-    index.fold(JournalRecord(offset, LEADER_KEY, encode_leader_record(record)), now)
+    journal_record = JournalRecord(0, LEADER_KEY, encode_leader_record(record))
+    index.fold(journal_record, now, **more)
 
 
 def fold_leases(index: JobIndex, term: int, left_s: float, now: float) -> None:
@@ -116,7 +117,7 @@
     index = JobIndex()
     fold_claim(index, 1, NOW)
     fold_leases(index, 1, 3.0, NOW)
-    fold_claim(index, 3, NOW + 1, offset=-1)
+    fold_claim(index, 3, NOW + 1, in_snapshot=True)
     assert index.inherited_leases() == NO_INHERITED_LEASES
 
 
@@ -213,6 +214,25 @@
     assert worker.accepts_starts()
 
 
+# Guards against leases that are extended on a worker that the journal lists: its runs
+# were listed before it had registered in this term.
+def test_a_listed_worker_that_registers_later_gets_no_lease_before_the_next_record():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(long_running=True)))
+    runs = first.decide(NOW, WALL)[0]
+    mark_started(first, runs)
+    second = Placer(2, NOW)
+    second.table = make_table(make_queue())
+    second.add_job(decode_progress(progress.job, encode_progress(progress)), NOW)
+    journal = LeaseJournal(second, ADDRESS)
+    assert [row.worker_id for row in journal.prepare(NOW).bounds] == ["w1"]
+    journal.note_stored()
+    second.register_worker(make_entry("w1"), NOW + 1)
+    answer_renewal(second, "w1", NOW + 1, running=(running_row(runs[0]),))
+    assert not second.workers["w1"].may_extend_leases()
+    assert not second.workers["w1"].accepts_starts()
+
+
 # Guards against a bound that counts from the wrong moment.
 def test_the_record_holds_the_time_left_when_it_is_made():
     placer = Placer(3, NOW)
