--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -857,7 +857,7 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now, wall)
+        return placements, calls + evacuate(self, now)
 
 
 def _counts_late(progress: Progress, task: TaskState, end: EndedTask) -> bool:
