--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -124,11 +124,17 @@
         return None if bookmark is None else config_record_to_dict(bookmark)
 
     async def adopt(self, value: dict[str, Any]) -> None:
-        """Load a peer's snapshot, for use while the log is unreachable."""
+        """Load a peer's snapshot, for use while the log is unreachable.
+
+        While the log is read to its end after a start, nothing comes into force: the
+        peer may lag behind what this VM has shown before.
+        """
         record = config_record_from_dict(value)
         if not isinstance(record, ConfigBookmark):
             raise TypeError("not a snapshot")
-        if self.state.adopt(record) is not None:
+        self.state.adopt(record)
+        is_replaying = self.follower.reachable and not self.follower.caught_up
+        if self.state.in_force.revision > self.revision and not is_replaying:
             await self._apply()
         self.follower.next_offset = max(
             self.follower.next_offset, self.state.next_offset
@@ -155,7 +161,7 @@
             "n_lost": self.state.n_lost,
             "n_gaps": self.state.n_gaps,
             "n_ignored_bookmarks": self.state.n_ignored_bookmarks,
-            "n_bad_records": self.n_bad_records,
+            "n_bad_records": self.n_bad_records + self.follower.n_failed_records,
         }
 
     async def _on_record(self, offset: int, value: dict[str, Any]) -> None:
