--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -728,3 +728,25 @@
     assert placer.decide(NOW, WALL)[0] == []
     answer_renewal(placer, "w1", NOW + 0.1)
     assert len(placer.decide(NOW + 0.1, WALL)[0]) == 1
+
+
+# Guards against a stalled run that is never stopped: the time without progress counts
+# from the begin of each term.
+def test_changes_of_the_placer_do_not_prolong_the_wait_for_a_stalled_run():
+    first = make_placer(n_workers=1)
+    progress = submit(first, make_job(make_step(run_time_s=20.0)))
+    runs = first.decide(NOW, WALL)[0]
+    mark_started(first, runs)
+    placer, rows = first, (running_row(runs[0]),)
+    for number in range(10):
+        now = NOW + 2.0 * number
+        answer_renewal(placer, "w1", now, running=rows)
+        placer.tick(now)
+        if placer.take_stops():
+            return
+        copy = decode_progress(progress.job, encode_progress(progress))
+        placer = make_placer(n_workers=0, term=placer.term + 1)
+        placer.begun_at = now
+        placer.register_worker(make_entry("w1"), now)
+        placer.add_job(copy, now)
+    raise AssertionError("the stalled run was not stopped in 20 s")
