--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -179,8 +179,7 @@
     Each step comes with the number of these runs and when the first is given up.
     """
     lost = [
-        (key, lapse_at(placer, (task.worker, task.incarnation)))
-        for key, task in placer.not_adopted.items()
+        (key, lapse_at(placer, task.life)) for key, task in placer.not_adopted.items()
     ]
     for worker in placer.workers.values():
         if not worker.reachable:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -198,9 +198,7 @@
         When their leases have lapsed, in seconds, by worker and incarnation.
     """
     bounds = {
-        (task.worker, task.incarnation): lapse_at(
-            placer, (task.worker, task.incarnation)
-        )
+        task.life: lapse_at(placer, task.life)
         for task in placer.not_adopted.values()
         if task.worker
     }
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -187,7 +187,7 @@
     def _adopt_registered(self, worker: Worker) -> None:
         """Adopt the runs that were assigned to a worker before it registered here."""
         for key, task in list(self.not_adopted.items()):
-            if (task.worker, task.incarnation) != worker.life:
+            if task.life != worker.life:
                 continue
             del self.not_adopted[key]
             progress = self.jobs.get(key.job_id)
@@ -215,7 +215,7 @@
             worker=task.worker,
             life=task.incarnation,
             registered_life=worker.entry.incarnation if worker else None,
-            wait_s=round(lapse_at(self, (task.worker, task.incarnation)) - now, 2),
+            wait_s=round(lapse_at(self, task.life) - now, 2),
         )
 
     def make_slot(self, progress: Progress, key: TaskKey, run: int) -> Slot:
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -62,6 +62,11 @@
     n_start_crashes: int = 0
     away_since: float = 0.0
 
+    @property
+    def life(self) -> tuple[str, int]:
+        """Worker on which the run may be present, with its incarnation."""
+        return self.worker, self.incarnation
+
 
 @dataclass(eq=False, slots=True)
 class StepRun:
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -93,14 +93,13 @@
     """
     restarted: dict[tuple[str, int], list[TaskKey]] = {}
     for key, task in list(placer.not_adopted.items()):
-        life = (task.worker, task.incarnation)
         worker = placer.workers.get(task.worker)
         adopted = worker is not None and (key, task.run) in worker.slots
         if key.job_id not in placer.jobs or adopted or not task.worker:
             del placer.not_adopted[key]
         elif worker is not None and worker.entry.incarnation > task.incarnation:
-            restarted.setdefault(life, []).append(key)
-        elif now >= lapse_at(placer, life):
+            restarted.setdefault(task.life, []).append(key)
+        elif now >= lapse_at(placer, task.life):
             _release(placer, key, "worker not registered", now)
     for life, keys in restarted.items():
         given_up = record_unseen_crash(placer, life, keys)
