List a term that the answer to a retry confirms too late, with its test

If an append stays unanswered and its retry is answered, the term counts as confirmed from the retry, although the log may have stored the first attempt long before and another term may have begun since.

--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -404,3 +404,22 @@
         assert keys(log) == ["a"]
 
     curio.run(scenario)
+
+
+# Guards against a placer that extends leases because of an append that the log stored
+# long ago, but answered only when it was retried, after another term had begun.
+def test_an_append_is_confirmed_from_its_first_unanswered_attempt():
+    confirmed = []
+
+    async def scenario():
+        faults = LogFaults(lost_fraction=1.0)
+        writer = await make_writer(MemoryLog(), faults, on_appended=confirmed.append)
+        sent_at = boottime()
+        task = await curio.spawn(writer.append, [("k", b"x")], math.inf)
+        while not writer.n_unknown:
+            await curio.sleep(0.01)
+        faults.lost_fraction = 0.0
+        await task.join()
+        assert sent_at <= confirmed[0] < sent_at + MIN_APPEND_TIMEOUT_S / 2
+
+    curio.run(scenario)
