Show tasks that run twice after a worker lost power for half a second

A worker goes dark for 0.5 s and starts again under its id. Starts in its queue reach the new life, are answered 200 and run, and the same tasks are started again on other workers.

Code path: jobs/placer.py `_end_incarnation` releases all slots of a worker, also those that the new life has acknowledged; `handle_start_result` and platform/workerclient.py `start` don't look at the life that answered.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,9 +8,9 @@
 
 from review.harness.site import NotRunError, Site, job_id, route, run_case
 
-N_WORKERS, CPU = 8, 32000
+N_WORKERS, CPU = 24, 32000
 LASTING_CPU = 6700
-N_GANG, GANG_CPU, GANG_S = 16, 16000, 9.6
+N_GANG, GANG_CPU, GANG_S = 48, 16000, 9.6
 PLAIN_CPU, PLAIN_S = 2500, 3.8
 N_PLAIN = 3
 FINISH_S, IDLE_S = 14.0, 3.0
--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -33,6 +33,8 @@
 
     handler: Handler
     address: str = ""
+    dark: bool = False
+    rebooted: asyncio.Event = field(default_factory=asyncio.Event)
     _server: Any = None
     _writers: set[Any] = field(default_factory=set)
     _tasks: set[Any] = field(default_factory=set)
@@ -56,6 +58,15 @@
             writer.transport.abort()
         self._writers.clear()
 
+    def go_dark(self) -> None:
+        """Act as a machine without power.
+
+        What was being answered stays without an answer for good. A channel on which
+        something is sent is reset once the machine is up again.
+        """
+        self.dark = True
+        self._server.close()
+
     async def _serve(self, reader: Any, writer: Any) -> None:
         self._writers.add(writer)
         task = asyncio.current_task()
@@ -83,7 +94,13 @@
         req = Request(
             method, parts.path, dict(parse_qsl(parts.query)), headers, body, peer
         )
+        if self.dark:
+            await self.rebooted.wait()
+            writer.transport.abort()
+            return False
         answer = await self.handler(req)
+        if self.dark:
+            await asyncio.Event().wait()
         if answer is None:
             return False
         status, value = answer
--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -143,6 +143,29 @@
         """Return the tasks that are running now."""
         return [task for item in self.workers if item.up for task in item.running]
 
+    def find_twice(self) -> list[str]:
+        """Return the pairs of runs of one task that ran at the same time."""
+        runs: dict[str, list[tuple[float, float, int, str]]] = {}
+        now = time.monotonic()
+        for worker in self.workers:
+            rows = list(worker.history)
+            rows += [(i.task, i.run, i.begun_at, now) for i in worker.running.values()]
+            for task, run, begun_at, ended_at in rows:
+                row = (begun_at, ended_at, run, worker.worker_id)
+                runs.setdefault(task, []).append(row)
+        found = []
+        for task, rows in runs.items():
+            rows.sort()
+            for i, earlier in enumerate(rows):
+                for later in rows[i + 1 :]:
+                    overlap_ms = (min(earlier[1], later[1]) - later[0]) * 1000
+                    if overlap_ms > 0:
+                        found.append(
+                            f"{task}: run {earlier[2]} on {earlier[3]} and run"
+                            f" {later[2]} on {later[3]}, for {overlap_ms:.0f} ms"
+                        )
+        return found
+
     async def watch_idle(self, jobs: list[str], finish_s: float, idle_s: float) -> str:
         """Watch jobs of one short task after the end of the traffic.
 
--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -65,9 +65,12 @@
     deadline_ms: int = 0
     highest: dict[str, int] = field(default_factory=dict)
     overfull: list[str] = field(default_factory=list)
+    # Task, run, begin and end of each run that has ended, in seconds.
+    history: list[tuple[str, int, float, float]] = field(default_factory=list)
     _started_at: float = 0.0
     _written_at: float = 0.0
     _server: Server | None = None
+    _dark: list[Server] = field(default_factory=list)
     _tasks: list[Any] = field(default_factory=list)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -85,6 +88,8 @@
             self._register()
         self.address = await self._server.start(self.host, port)
         self._register()
+        for server in self._dark:
+            server.rebooted.set()
         self.record.add(
             "worker up", worker=self.worker_id, life=self.n_life, cpu=self.cpu
         )
@@ -93,17 +98,33 @@
             asyncio.create_task(self._beat()),
         ]
 
+    def go_dark(self) -> None:
+        """Lose power; everything that runs here ends."""
+        self.up = False
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.go_dark()
+            self._dark.append(self._server)
+            self._server = None
+        self._lose_runs("worker dark")
+
     async def crash(self) -> None:
         """End without notice; everything that runs here ends with the worker."""
         self.up = False
         for task in self._tasks:
             task.cancel()
-        if self._server is not None:
-            await self._server.stop()
+        for server in [*self._dark, self._server]:
+            if server is not None:
+                await server.stop()
+        self._lose_runs("worker crashed")
+
+    def _lose_runs(self, event: str) -> None:
+        now = time.monotonic()
+        for item in self.running.values():
+            self.history.append((item.task, item.run, item.begun_at, now))
         tasks = [f"{item.task} run {item.run}" for item in self.running.values()]
-        self.record.add(
-            "worker crashed", worker=self.worker_id, life=self.n_life, lost=tasks
-        )
+        self.record.add(event, worker=self.worker_id, life=self.n_life, lost=tasks)
         self.running = {}
 
     def used(self) -> int:
@@ -154,6 +175,7 @@
 
     def _end(self, item: Run, how: str) -> None:
         del self.running[item.task]
+        self.history.append((item.task, item.run, item.begun_at, time.monotonic()))
         self.n_ended += 1
         self.ended.append([self.n_ended, item.task, item.run, how, ""])
         self.record.add(
