--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 N_WORKERS, CPU = 8, 16000
 TASK_CPU, TASK_S, N_TASKS = 1000, 1.5, 4
 DARK_S = float(os.environ.get("DARK_S", "0.5"))
-N_TIMES, EVERY_S = 8, 4.0
+N_TIMES, EVERY_S = 20, 3.0
 JOB_EVERY_S = 0.25
 
 
--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -27,6 +27,7 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 HOST_NAME = "jobs.example"
 READY_TIMEOUT_S = 20.0
+MAX_RUN_S = 112.0  # a script may run for 120 s
 RETRY_STATUSES = (0, 502, 504)
 
 
@@ -253,9 +254,13 @@
             trouble = os.environ.get("TROUBLE", "1") != "0"
             site = Site(record, Path(scratch), trouble)
             record.add("case", name=folder.name, trouble=trouble)
+            loop, task = asyncio.get_running_loop(), asyncio.current_task()
+            if task is not None:
+                loop.add_signal_handler(signal.SIGTERM, task.cancel)
             try:
-                broken = await play(site)
-            except Exception as exc:
+                async with asyncio.timeout(MAX_RUN_S):
+                    broken = await play(site)
+            except (Exception, asyncio.CancelledError) as exc:
                 traceback.print_exc()
                 record.add("not run", error=repr(exc))
                 return NOT_RUN
