Blame a task for a crash only if it was present and chance does not explain it

Cause: every start that had been sent to a worker counted as a run that was present when the worker ended, and two such ends, or four, were proof. A worker without power answers nothing, so starts that never arrived counted; and where workers crash in series, some tasks meet two crashes by chance. Survival was counted up to the last answer, not up to the time at which the silence was noticed.

Change: a run counts as present if an answer has shown it, if an earlier term may have seen it, or if its start was in flight when the worker closed its connections. A task is given up only if chance does not explain its crashes: the rate at which workers stop answering without a suspect, times the time for which the task was exposed.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -6,19 +6,29 @@
 had not survived their start, or all runs if each had. Of these, the tasks that have
 been suspected most are the suspects. The members of a gang count as one.
 
+A start that a silent worker has not answered need not have arrived, so its task is no
+candidate.
+
 A suspect starts again on a worker on which no other suspect is starting, if possible
 one on which nothing is starting, and nothing else is started there until it has
 survived, so that the next crash has one candidate only and few victims. A task that is
-the only candidate of its second crash is given up.
+the only candidate of its second crash is given up, unless workers crash so often by
+themselves that the crashes may well have met the task by chance.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
+from ..util.coincidence import (
+    MAX_COINCIDENCE,
+    coincidence,
+    crash_rate,
+)
 from .fleet import PROBATION_S
 from .model import JobState
 
@@ -48,14 +58,26 @@
 MAX_TOGETHER_FRACTION = 0.15
 # Workers remembered after their leases have lapsed; beyond it, the oldest is dropped.
 MAX_LAPSED = 1000
+# Largest usual run time of a task as a multiple of the declared one, a rough estimate.
+RUN_TIME_FACTOR = 5.0
+# Shortest time after a start for which a crash is counted as one at that start: answers
+# arrive with some delay.
+MIN_EXPOSURE_S = 0.05
 
 
 class _Suspect(NamedTuple):
-    """Task, or all tasks of a gang, that may have crashed a worker."""
+    """Task, or all tasks of a gang, that may have crashed a worker.
+
+    Parameters
+    ----------
+    exposed_s : float, seconds
+        How long its run had been present at most when the worker ended.
+    """
 
     progress: Progress
     key: TaskKey
     tasks: list[TaskState]
+    exposed_s: float
 
     @property
     def n_crashes(self) -> int:
@@ -65,6 +87,10 @@
     def n_start_crashes(self) -> int:
         return max(task.n_start_crashes for task in self.tasks)
 
+    @property
+    def start_exposure_s(self) -> float:
+        return max(task.start_exposure_s for task in self.tasks)
+
 
 @dataclass(frozen=True, slots=True)
 class Evidence:
@@ -95,7 +121,7 @@
     is_conclusive: bool
 
 
-def record_crash(placer: Placer, worker: Worker) -> list[_Suspect]:
+def record_crash(placer: Placer, worker: Worker, now: float) -> list[_Suspect]:
     """Count the crash of a worker against the tasks that may have caused it.
 
     Returns
@@ -105,12 +131,12 @@
     """
     lapsed = placer.lapsed.pop(worker.entry.address, None)
     if not worker.slots and lapsed is not None:
-        return _count(placer, lapsed)
-    return _count(placer, _gather(placer, worker))
+        return _count(placer, lapsed, now)
+    return _count(placer, _gather(placer, worker, now), now)
 
 
 def record_unseen_crash(
-    placer: Placer, life: tuple[str, int], keys: Iterable[TaskKey]
+    placer: Placer, life: tuple[str, int], keys: Iterable[TaskKey], now: float
 ) -> list[_Suspect]:
     """Count the crash of a worker that this term has not reached.
 
@@ -133,9 +159,9 @@
         progress = placer.jobs.get(key.job_id)
         task = progress.task(key) if progress is not None else None
         if progress is not None and task is not None:
-            _add_suspect(suspects, progress, key, task)
-    n_present = len(suspects)
-    return _count(placer, Evidence(*life, list(suspects.values()), 0, n_present, False))
+            _add_suspect(suspects, progress, key, task, math.inf)
+    candidates = list(suspects.values())
+    return _count(placer, Evidence(*life, candidates, 0, len(candidates), False), now)
 
 
 def _add_suspect(
@@ -143,16 +169,17 @@
     progress: Progress,
     key: TaskKey,
     task: TaskState,
+    exposed_s: float,
 ) -> None:
     """Add a task to the suspects, each gang once."""
     if progress.job.steps[key.step].gang:
         step_run = progress.step_run(key.occurrence, key.step)
-        suspects[key[:3]] = _Suspect(progress, key, step_run.tasks)
+        suspects[key[:3]] = _Suspect(progress, key, step_run.tasks, exposed_s)
     else:
-        suspects[key] = _Suspect(progress, key, [task])
+        suspects[key] = _Suspect(progress, key, [task], exposed_s)
 
 
-def record_lapse(placer: Placer, worker: Worker) -> None:
+def record_lapse(placer: Placer, worker: Worker, now: float) -> None:
     """Remember the runs of a worker whose leases have lapsed.
 
     Whether it crashed shows only once another process answers at its address.
@@ -160,7 +187,7 @@
     if not worker.slots or worker.entry.draining:
         return
     placer.lapsed.pop(worker.entry.address, None)
-    placer.lapsed[worker.entry.address] = _gather(placer, worker)
+    placer.lapsed[worker.entry.address] = _gather(placer, worker, now)
     while len(placer.lapsed) > MAX_LAPSED:
         del placer.lapsed[next(iter(placer.lapsed))]
 
@@ -171,12 +198,12 @@
     if lapsed is None or entry.incarnation <= lapsed.incarnation:
         return
     del placer.lapsed[entry.address]
-    give_up(placer, _count(placer, lapsed), now)
+    give_up(placer, _count(placer, lapsed, now), now)
 
 
 def give_up(placer: Placer, suspects: Iterable[_Suspect], now: float) -> None:
     """Fail the jobs of tasks that have crashed too many workers."""
-    for progress, key, tasks in suspects:
+    for progress, key, tasks, _ in suspects:
         placer.counts["given_up"] += 1
         placer.fail_job(progress, key, tasks[0], now)
         placer.retire(progress)
@@ -196,7 +223,7 @@
     if ran_s < PROBATION_S or progress is None or task is None:
         return
     if task.n_start_crashes:
-        task.n_start_crashes = 0
+        task.n_start_crashes, task.start_exposure_s = 0, 0.0
         placer.mark_dirty(progress)
     if ran_s >= CLEAR_S:
         task.n_crashes = 0
@@ -204,22 +231,35 @@
         placer.mark_dirty(progress)
 
 
-def _gather(placer: Placer, worker: Worker) -> Evidence:
-    sent = [slot for slot in worker.slots.values() if slot.sent]
-    starting = [slot for slot in sent if slot.on_probation(worker.heard_at)]
-    all_seen = all(slot.present_at or slot.fencing_token for slot in starting)
+def _gather(placer: Placer, worker: Worker, now: float) -> Evidence:
+    present = [slot for slot in worker.slots.values() if _was_present(worker, slot)]
+    # Until it is noticed that a worker does not answer, its runs may have gone on.
+    ended_by = now if worker.reachable else worker.silent_at
+    seen = [slot for slot in present if not slot.is_unseen]
+    starting = [slot for slot in seen if slot.on_probation(ended_by)]
     alone = not _is_one_of_many(placer, worker)
-    slots = starting or sent if alone else starting
+    slots = starting or present if alone else starting
     return Evidence(
         worker.worker_id,
         worker.entry.incarnation,
-        _candidates(placer, worker, slots),
+        _candidates(placer, worker, slots, ended_by),
         len(starting),
-        len(sent),
-        bool(starting) and all_seen and alone,
+        len(present),
+        bool(starting) and len(seen) == len(present) and alone,
     )
 
 
+def _was_present(worker: Worker, slot: Slot) -> bool:
+    """Return whether a run may have been present when its worker ended.
+
+    A start that was not answered counts only if the worker closed its connections: it
+    was alive until then, while a silent worker may have been gone before the start.
+    """
+    if not slot.sent:
+        return False
+    return slot.present_at > 0 or slot.is_unseen or worker.has_closed
+
+
 def _is_one_of_many(placer: Placer, worker: Worker) -> bool:
     """Return whether so many workers stopped answering that no task is to blame.
 
@@ -238,7 +278,7 @@
 
 
 def _candidates(
-    placer: Placer, worker: Worker, slots: Iterable[Slot]
+    placer: Placer, worker: Worker, slots: Iterable[Slot], ended_by: float
 ) -> list[_Suspect]:
     """Return the tasks of the current runs among some slots, each gang once."""
     candidates: dict[tuple[object, ...], _Suspect] = {}
@@ -250,22 +290,29 @@
             continue
         if (task.worker, task.run) != (worker.worker_id, slot.run):
             continue
-        _add_suspect(candidates, progress, key, task)
+        began_at = slot.present_at or slot.started_at
+        _add_suspect(candidates, progress, key, task, ended_by - began_at)
     return list(candidates.values())
 
 
-def _count(placer: Placer, evidence: Evidence) -> list[_Suspect]:
+def _count(placer: Placer, evidence: Evidence, now: float) -> list[_Suspect]:
     """Count a crash; return the tasks that have caused too many."""
     live = [item for item in evidence.candidates if _is_live(placer, item, evidence)]
     n_crashes = max((item.n_crashes for item in live), default=0)
     suspects = [item for item in live if item.n_crashes == n_crashes]
     blamed = evidence.is_conclusive and len(evidence.candidates) == 1
     for suspect in suspects:
-        n_start_crashes = suspect.n_start_crashes + bool(evidence.n_starting)
+        n_start_crashes = suspect.n_start_crashes
+        start_exposure_s = suspect.start_exposure_s
+        if evidence.n_starting:
+            n_start_crashes += 1
+            start_exposure_s = max(start_exposure_s, suspect.exposed_s)
         for task in suspect.tasks:
             task.n_crashes, task.n_start_crashes = n_crashes + 1, n_start_crashes
+            task.start_exposure_s = start_exposure_s
         placer.mark_dirty(suspect.progress)
     placer.counts["worker_crashes"] += 1
+    by_chance = [_coincidence(placer, suspect, now) for suspect in suspects]
     logger.info(
         "worker crashed",
         worker=evidence.worker_id,
@@ -275,18 +322,46 @@
         blamed=blamed and bool(suspects),
         starting=evidence.n_starting,
         present=evidence.n_present,
+        coincidence=f"{min(by_chance, default=1.0):.1e}",
+    )
+    return [item for item in suspects if _is_given_up(placer, item, blamed, now)]
+
+
+def _is_given_up(placer: Placer, suspect: _Suspect, blamed: bool, now: float) -> bool:
+    """Return whether a task has caused too many crashes to start again."""
+    enough = blamed and suspect.n_start_crashes >= MAX_START_CRASHES
+    if not enough and suspect.n_crashes < MAX_CRASHES:
+        return False
+    return _coincidence(placer, suspect, now) < MAX_COINCIDENCE
+
+
+def _coincidence(placer: Placer, suspect: _Suspect, now: float) -> float:
+    """Return the probability that a task meets its crashes without causing any."""
+    n_late_crashes = suspect.n_crashes - suspect.n_start_crashes
+    # A crash while a suspect was starting is taken to be that suspect's.
+    unexplained = [at for at, has_suspect in placer.silent_times if not has_suspect]
+    rate = crash_rate(
+        unexplained,
+        len(placer.workers),
+        now,
+        placer.begun_at,
+        n_excepted=max(1, n_late_crashes),
+    )
+    step = suspect.progress.job.steps[suspect.key.step]
+    run_s = CLEAR_S if step.long_running else RUN_TIME_FACTOR * step.run_time_s
+    start_s = min(PROBATION_S, max(MIN_EXPOSURE_S, suspect.start_exposure_s))
+    return coincidence(
+        rate * len(suspect.tasks),
+        [
+            (start_s, suspect.n_start_crashes),
+            (max(PROBATION_S, min(CLEAR_S, run_s)), n_late_crashes),
+        ],
     )
-    return [
-        item
-        for item in suspects
-        if (blamed and item.n_start_crashes >= MAX_START_CRASHES)
-        or item.n_crashes >= MAX_CRASHES
-    ]
 
 
 def _is_live(placer: Placer, suspect: _Suspect, evidence: Evidence) -> bool:
     """Return whether a task may start again and has not survived elsewhere since."""
-    progress, key, _ = suspect
+    progress, key = suspect.progress, suspect.key
     task = progress.task(key)
     if task is None or task.done or progress.cancelled:
         return False
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -104,6 +104,11 @@
         if not self.present_at:
             self.present_at, self.present_ms = now, clock_ms
 
+    @property
+    def is_unseen(self) -> bool:
+        """Whether the run is of an earlier term and was not seen in this one."""
+        return not self.fencing_token and not self.present_at
+
     def on_probation(self, now: float) -> bool:
         """Return whether the run may not have survived its start yet."""
         return not self.present_at or now - self.present_at < PROBATION_S
@@ -197,6 +202,11 @@
         """Kind of the worker, its first label; empty if the rack is the only label."""
         return self.entry.labels[0] if len(self.entry.labels) > 1 else ""
 
+    @property
+    def has_closed(self) -> bool:
+        """Whether the worker does not answer and has closed its connections."""
+        return not self.reachable and self.silent_at == self.heard_at > 0
+
     def accepts_starts(self) -> bool:
         """Return whether new runs may be placed here."""
         return (
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -415,7 +415,7 @@
         )
         seen = worker.slots or worker.confirmed_token
         crashed = seen and not worker.entry.draining
-        given_up = record_crash(self, worker) if crashed else []
+        given_up = record_crash(self, worker, now) if crashed else []
         for slot in list(worker.slots.values()):
             self.run_lost(worker, slot, "worker restarted", now)
         give_up(self, given_up, now)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -45,6 +46,9 @@
         Crashes of workers that the task may have caused.
     n_start_crashes : int
         Those at its start, since a run last survived it.
+    start_exposure_s : float, seconds
+        Longest time for which a run had been present at one of those; not kept in the
+        journal, infinite if it is not known.
     away_since : float, seconds
         When the last run ended, or its worker stopped answering; 0 while the task runs
         and before its first run. Not kept in the journal.
@@ -60,6 +64,7 @@
     failed_on: set[str] = field(default_factory=set)
     n_crashes: int = 0
     n_start_crashes: int = 0
+    start_exposure_s: float = 0.0
     away_since: float = 0.0
 
     @property
@@ -354,6 +359,7 @@
     for occurrence, number, index, *counts in data.crashes:
         task = progress.step_run(occurrence, number).tasks[index]
         task.n_crashes, task.n_start_crashes = counts
+        task.start_exposure_s = math.inf if task.n_start_crashes else 0.0
     return progress
 
 
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -27,7 +27,7 @@
     """Release runs on lost workers, stop stalled runs and repeat stops."""
     for worker_id, worker in list(placer.workers.items()):
         if not worker.reachable and now > worker.lapse_at:
-            record_lapse(placer, worker)
+            record_lapse(placer, worker, now)
             for slot in list(worker.slots.values()):
                 placer.run_lost(worker, slot, "lease lapsed", now)
             if not worker.registered:
@@ -102,7 +102,7 @@
         elif now >= lapse_at(placer, task.life):
             _release(placer, key, "worker not registered", now)
     for life, keys in restarted.items():
-        given_up = record_unseen_crash(placer, life, keys)
+        given_up = record_unseen_crash(placer, life, keys, now)
         for key in keys:
             _release(placer, key, "worker restarted", now)
         give_up(placer, given_up, now)
