--- a/cuminhill/scheduling/crashes.py
+++ b/cuminhill/scheduling/crashes.py
@@ -3,9 +3,9 @@
 Candidates and suspects are those of `cuminhill.jobs.crashes`, for tasks whose workers
 report lists under capacity leases. Suspects are not placed apart but started one after
 the other. A task is given up after two crashes at its start of which it was the only
-suspect, or four in all. Workers that crash together count like others. Orders never
-start a second time and need no limit. The counts are kept in memory: the limit holds
-for each term of a placer.
+suspect, or four in all, unless chance may explain them. Workers that crash together
+count like others. Orders never start a second time and need no limit. The counts are
+kept in memory: the limit holds for each term of a placer.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from ..model import RequestKind
+from ..util.coincidence import MAX_COINCIDENCE, coincidence, crash_rate
 from .state import OCCUPYING, Phase
 
 if TYPE_CHECKING:
@@ -28,6 +29,13 @@
 MAX_CRASHES = 4
 # Delay between the starts of suspects of one crash: one has survived before the next.
 STAGGER_S = 0.6
+# A crash counts as one at the start of a task if it comes within this time: the next
+# report, by default 0.35 s later, would have shown that the task survived.
+START_EXPOSURE_S = PROBATION_S + 0.35
+# Largest usual run time of a task as a multiple of the declared one, a rough estimate.
+RUN_TIME_FACTOR = 5.0
+SERVICE_EXPOSURE_S = 30.0  # of a task that runs without end, between two crashes
+UNANSWERED = frozenset({Phase.STARTING, Phase.UNCERTAIN})
 MAX_LOST = 1000  # workers whose tasks are remembered; beyond it, the oldest is dropped
 
 
@@ -63,9 +71,11 @@
         if task.phase in OCCUPYING and task.phase is not Phase.RECORDING
     ]
     starting = [task for task in present if is_starting(task, worker)]
+    # A start without an answer need not have arrived.
+    answered = all(task.phase not in UNANSWERED for task in starting)
     shard.lost.pop(worker.worker_id, None)
     shard.lost[worker.worker_id] = LostTasks(
-        worker.incarnation, starting or present, bool(starting)
+        worker.incarnation, starting or present, bool(starting) and answered
     )
     while len(shard.lost) > MAX_LOST:
         del shard.lost[next(iter(shard.lost))]
@@ -73,7 +83,7 @@
 
 def is_starting(task: TaskState, worker: WorkerState) -> bool:
     """Return whether a task had not survived its start when its worker was heard."""
-    if task.phase in {Phase.STARTING, Phase.UNCERTAIN}:
+    if task.phase in UNANSWERED:
         return True
     return (
         task.phase is Phase.RUNNING and worker.reported_at - task.phase_at < PROBATION_S
@@ -81,7 +91,7 @@
 
 
 def count_crash(
-    shard: ShardState, worker_id: str, incarnation: str
+    shard: ShardState, worker_id: str, incarnation: str, now: float
 ) -> dict[str, TaskState]:
     """Count a crash against its suspects, once another incarnation has answered.
 
@@ -102,12 +112,34 @@
         task.n_blamed += lost.is_conclusive and n_units == 1
     suspects.sort(key=lambda task: task.owner.kind is not RequestKind.CHECK)
     shard.n_crashes += 1
+    shard.crashes_at.append(now)
     return {task.task_id: task for task in suspects}
 
 
-def is_given_up(task: TaskState) -> bool:
+def is_given_up(shard: ShardState, task: TaskState, now: float) -> bool:
     """Return whether a task has caused too many crashes to start again."""
-    return task.n_blamed >= MAX_BLAMED or task.n_crashes >= MAX_CRASHES
+    if task.n_blamed < MAX_BLAMED and task.n_crashes < MAX_CRASHES:
+        return False
+    rate = crash_rate(
+        shard.crashes_at,
+        len(shard.workers),
+        now,
+        shard.observed_since,
+        n_excepted=task.n_crashes,
+    )
+    owner = task.owner
+    run_s = RUN_TIME_FACTOR * task.remaining_s
+    if owner.kind is RequestKind.SERVICE:
+        run_s = SERVICE_EXPOSURE_S
+    n_members = len(owner.tasks) if owner.kind is RequestKind.GANG else 1
+    by_chance = coincidence(
+        rate * n_members,
+        [
+            (START_EXPOSURE_S, task.n_blamed),
+            (max(START_EXPOSURE_S, run_s), task.n_crashes - task.n_blamed),
+        ],
+    )
+    return by_chance < MAX_COINCIDENCE
 
 
 def _unit(task: TaskState) -> str:
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -45,7 +45,7 @@
         return
     if worker is not None and worker.incarnation != reply.incarnation:
         record_lost(shard, worker)
-        suspects = count_crash(shard, worker.worker_id, reply.incarnation)
+        suspects = count_crash(shard, worker.worker_id, reply.incarnation, now)
         drop_worker(shard, worker, now, suspects)
         del shard.stopped_at[event.worker_id]  # this reply is newer
         worker = None
@@ -54,10 +54,11 @@
     if worker is not None:
         shard.lost.pop(worker.worker_id, None)  # it was only silent
     is_new = worker is None
+    shard.observed_since = min(shard.observed_since, now)
     if worker is None:
-        late = count_crash(shard, event.worker_id, reply.incarnation)
+        late = count_crash(shard, event.worker_id, reply.incarnation, now)
         for task in late.values():
-            if task.phase is Phase.QUEUED and is_given_up(task):
+            if task.phase is Phase.QUEUED and is_given_up(shard, task, now):
                 _end_given_up(shard, task, now)
         worker = WorkerState(
             event.worker_id,
@@ -131,7 +132,7 @@
             shard.end_with_unknown_outcome(task, now)
             continue
         task.ran = max(task.ran, _ran_when_lost(task))
-        if task.task_id in order and is_given_up(task):
+        if task.task_id in order and is_given_up(shard, task, now):
             _end_given_up(shard, task, now)
             continue
         delay_s = STAGGER_S * order.get(task.task_id, 0)
--- a/cuminhill/scheduling/shardstate.py
+++ b/cuminhill/scheduling/shardstate.py
@@ -5,6 +5,7 @@
 import contextlib
 import heapq
 import itertools
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
     from .gangs import GangReservation
 
 INFINITY = float("inf")
+MAX_CRASHES_KEPT = 1000  # beyond it, the oldest is dropped
 
 
 @dataclass(eq=False)
@@ -47,6 +49,10 @@
         reply does not readmit the worker.
     lost : dict of str to LostTasks
         Tasks on workers that no longer answer, by worker.
+    crashes_at : deque of float, seconds
+        When crashes of workers were counted, the newest last.
+    observed_since : float, seconds
+        When the first worker reported; infinite before.
     """
 
     shard_name: str
@@ -66,6 +72,10 @@
     n_preempted: int = 0
     n_overuse_steps: int = 0
     n_crashes: int = 0
+    crashes_at: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_CRASHES_KEPT)
+    )
+    observed_since: float = INFINITY
     lost: dict[str, LostTasks] = field(default_factory=dict)
     reservation: GangReservation | None = None
     gangs_due_at: float = 0.0
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -6,6 +6,7 @@
 
 from cuminhill.scheduling.crashes import MAX_CRASHES
 from cuminhill.scheduling.events import WorkerLeaving, WorkerStopped, WorkerUnreachable
+from cuminhill.util.coincidence import RATE_WINDOWS_S
 
 from .conftest import finishes, starts
 
@@ -25,9 +26,11 @@
 
 @pytest.fixture
 def workers(harness):
-    """Register six workers."""
-    for number in range(6):
-        harness.report(f"w{number}")
+    """Register six workers, none of which crashes for a minute."""
+    for now in (harness.now, harness.now + max(RATE_WINDOWS_S)):
+        harness.now = now
+        for number in range(6):
+            harness.report(f"w{number}")
     return harness
 
 
@@ -50,6 +53,32 @@
     assert "crashed 2 workers" in answers[0].detail
 
 
+# Guards against failed requests on a day on which workers lose power in series: starts
+# that never arrived, and crashes that met a task by chance, are no proof.
+def test_workers_that_crash_in_series_blame_no_task(workers):
+    _, given = workers.accept("batch")
+    answers = finishes(given)
+    for number in range(1, 2 * MAX_CRASHES):
+        (begun,) = starts(given)
+        for other in range(6):  # all workers crash, one after the other
+            worker_id = f"w{other}"
+            if worker_id != begun.worker_id:
+                restart(workers, worker_id, number)
+        given = restart(workers, begun.worker_id, number)
+        given += workers.run(1.0)
+        answers += finishes(given)
+    assert answers == []
+
+
+# Guards against blame for a worker that a start need not have reached.
+def test_a_start_without_an_answer_is_no_proof(workers):
+    _, given = workers.accept("batch")
+    (start,) = starts(given)
+    restart(workers, start.worker_id, 1)
+    task = workers.placer._shard.tasks[start.task_id]
+    assert (task.n_crashes, task.n_blamed) == (1, 0)
+
+
 # Guards against a check that crashes a worker with each restart that does not wait.
 def test_a_check_is_restarted_early_only_once(workers):
     _, given = workers.accept("check")
