--- a/cuminhill/errors.py
+++ b/cuminhill/errors.py
@@ -43,6 +43,10 @@
     """The peer refused or could not be reached; the call took no effect."""
 
 
+class RejectedError(UnavailableError):
+    """The peer refuses the call for good; it takes no effect however often repeated."""
+
+
 class UnknownOutcomeError(CuminhillError):
     """The call failed after it was sent; it may have taken effect."""
 
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -73,6 +73,8 @@
         if queue is None:
             continue
         for step_run in progress.ready_steps(wall):
+            if not progress.n_startable(step_run):
+                continue
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
             if step_run.name in moving:
@@ -101,6 +103,7 @@
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
     for step_run, queue, run_times in waiting_steps(placer, wall):
+        n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         short = run_times[step_run.number] <= SHORT_RUN_S
         workers = eligible_workers(placer, step_run, pools.get(queue.pool, []), short)
         outlook = placer.outlook(step_run, queue, wall, run_times)
@@ -111,7 +114,7 @@
             workers,
             outlook=outlook,
             now=now,
-            n_wanted=step_run.n_waiting,
+            n_wanted=n_startable,
             valid_at=now,
         )
         if call is not None:
@@ -128,7 +131,7 @@
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
         if step_run.step.gang or not short:
-            n_tasks = step_run.n_waiting
+            n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
             placer.reserved |= reserve(step_run.step, advised, n_tasks)
@@ -420,28 +423,36 @@
     if not candidates.workers:
         return []
     if step_run.step.gang:
+        n_tasks = step_run.step.n_tasks
         if step_run.n_assigned or step_run.n_done:
             return []
+        if progress.n_startable(step_run) < n_tasks:
+            return []
         chosen = place_gang(candidates)
         if chosen is None:
             return []
         run = max(task.run for task in step_run.tasks) + 1
         checkpoint = max(task.checkpoint for task in step_run.tasks)
         for task in step_run.tasks:
-            task.checkpoint = checkpoint
+            progress.store_checkpoint(task, checkpoint)
         return [
             _assign(placer, progress, step_run, index, worker, run=run, now=now)
             for index, worker in enumerate(chosen)
         ]
     placed = []
+    n_startable = progress.n_startable(step_run)
+    n_new = n_startable - (step_run.n_open - step_run.n_assigned)
     for index in list(step_run.waiting()):
         task = step_run.tasks[index]
+        if not task.run and n_new <= 0:
+            continue
         suspect = task.n_crashes > 0
         worker = candidates.pick(task.failed_on, suspect=suspect, now=now)
         if worker is None and suspect:
             continue  # the others may use workers that it may not
         if worker is None:
             break
+        n_new -= not task.run
         placed.append(
             _assign(
                 placer, progress, step_run, index, worker, run=task.run + 1, now=now
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -14,12 +14,14 @@
     CuminhillError,
     FencedError,
     ProtocolError,
+    RejectedError,
     UnavailableError,
     UnknownOutcomeError,
 )
+from .records import MAX_RECORD_BYTES
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from .logreader import LogFollower
     from .records import JournalRecord
@@ -58,6 +60,7 @@
 QUEUE_TIMEOUT_S = 0.5
 QUEUE_TIMEOUT_FACTOR = 2.0
 MAX_BATCH_BYTES = 1 << 20  # of one append; half of the limit of a call
+RECORD_OVERHEAD_BYTES = 5
 MAX_QUEUED_RECORDS = 20_000  # further appends are rejected at once
 
 
@@ -96,6 +99,28 @@
         """Append records, all or none, and return the offset of the first."""
 
 
+def record_bytes(key: str, value: bytes) -> int:
+    """Return the length of a record in an append, with the lengths in front of it."""
+    return RECORD_OVERHEAD_BYTES + len(key.encode()) + len(value)
+
+
+def split_records(
+    records: list[tuple[str, bytes]], max_bytes: int
+) -> Iterator[list[tuple[str, bytes]]]:
+    """Yield the records, in order, in lists of at most ``max_bytes`` each."""
+    part: list[tuple[str, bytes]] = []
+    n_bytes = 0
+    for record in records:
+        n_record = record_bytes(*record)
+        if part and n_bytes + n_record > max_bytes:
+            yield part
+            part, n_bytes = [], 0
+        part.append(record)
+        n_bytes += n_record
+    if part:
+        yield part
+
+
 @dataclass(eq=False, slots=True)
 class _PendingAppend:
     """Records of one caller that wait for an append."""
@@ -197,6 +222,8 @@
 
         Raises
         ------
+        RejectedError
+            If the log accepts such records never.
         UnavailableError
             If the records were not appended and never will be.
         UnknownOutcomeError
@@ -208,6 +235,12 @@
             raise FencedError(
                 "a later epoch has begun", step="append", peer=self.writer
             )
+        for key, value in records:
+            # One such record would have the log refuse the whole batch.
+            if record_bytes(key, value) > MAX_RECORD_BYTES:
+                raise RejectedError(
+                    f"record of {len(value)} bytes", step="append", peer=self.writer
+                )
         if self._n_queued + len(records) > MAX_QUEUED_RECORDS:
             raise UnavailableError(
                 "append queue is full", step="append", peer=self.writer
@@ -257,14 +290,23 @@
             if not self._queue:
                 self._wake.clear()
                 await self._wake.wait()
-            self._batch = self._next_batch()
+            self._batch = batch = self._next_batch()
             error = await self._append_batch()
-            for item in self._batch:
-                item.error = error
-                await item.done.set()
-            self._batch = []
+            if isinstance(error, RejectedError) and len(batch) > 1:
+                # Only the records that the log can't accept are to fail.
+                for item in batch:
+                    self._batch = [item]
+                    await self._finish_batch(await self._append_batch())
+                continue
+            await self._finish_batch(error)
         await self.close()
 
+    async def _finish_batch(self, error: CuminhillError | None) -> None:
+        for item in self._batch:
+            item.error = error
+            await item.done.set()
+        self._batch = []
+
     async def finish(self, timeout_s: float) -> None:
         """Reject further appends and those still queued; await the one in flight.
 
@@ -302,7 +344,7 @@
         while self._queue and n_bytes < MAX_BATCH_BYTES:
             item = self._queue.pop(0)
             self._n_queued -= len(item.records)
-            n_bytes += sum(len(key) + len(value) + 5 for key, value in item.records)
+            n_bytes += sum(record_bytes(key, value) for key, value in item.records)
             batch.append(item)
         return batch
 
@@ -324,6 +366,10 @@
                     "append out of order", writer=self.writer, error=str(exc)
                 )
                 return self._give_up(exc)
+            except RejectedError as exc:
+                self.n_refused += 1
+                logger.warning("append rejected", writer=self.writer, error=str(exc))
+                return exc if not n_unknown else self._give_up(exc)
             except UnavailableError as exc:
                 self._note_failure(exc)
                 self.n_refused += 1
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -15,9 +15,11 @@
     CuminhillError,
     FencedError,
     OtherIncarnationError,
+    RejectedError,
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
+from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
@@ -647,13 +649,18 @@
                 ]
         if lease_record is not None:
             records.append((LEASES_KEY, encode_lease_record(lease_record)))
+        rejected: set[str] = set()
         if records:
             sent_at = boottime()
-            await self.writer.append(records, NO_DEADLINE)
+            rejected = await self._append_records(records)
             if dirty:
                 self._shown_at = sent_at
             self._observe_ends(dirty.values())
-        self.lease_journal.note_stored()
+            placements = self._process_rejected(dirty, rejected, placements)
+        if LEASES_KEY not in rejected:
+            self.lease_journal.note_stored()
+        if rejected:
+            seen = {}  # ends that may not be in the journal are not acknowledged
         for worker_id, (incarnation, number) in seen.items():
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
@@ -664,6 +671,41 @@
         if not records:
             await self._expire_ended()
 
+    async def _append_records(self, records: list[tuple[str, bytes]]) -> set[str]:
+        """Append records; return the keys of those that the journal rejects for good.
+
+        Each of them stops only what it belongs to.
+        """
+        rejected: set[str] = set()
+        for part in split_records(records, MAX_BATCH_BYTES):
+            try:
+                await self.writer.append(part, NO_DEADLINE)
+            except RejectedError as exc:
+                if len(part) > 1:
+                    for record in part:
+                        rejected |= await self._append_records([record])
+                    continue
+                logger.error("record rejected", key=part[0][0], error=str(exc))
+                rejected.add(part[0][0])
+        return rejected
+
+    def _process_rejected(
+        self,
+        dirty: dict[str, Progress],
+        rejected: set[str],
+        placements: list[Placement],
+    ) -> list[Placement]:
+        """Process records of progress that were rejected; return other placements."""
+        if not rejected:
+            return placements
+        for job_id, progress in dirty.items():
+            if RUN_PREFIX + job_id in rejected:
+                ours = [item for item in placements if item.key.job_id == job_id]
+                self.placer.reject_progress(progress, ours)
+        return [
+            item for item in placements if RUN_PREFIX + item.key.job_id not in rejected
+        ]
+
     async def _write_speeds(self) -> None:
         """Write the estimated speeds for the next placer."""
         now = boottime()
@@ -676,7 +718,7 @@
         gone = self.placer.speeds.speeds.keys() - self.placer.workers.keys()
         self.placer.speeds.forget(gone)
         value = encode_speeds(self.placer.speeds)
-        await self.writer.append([(SPEEDS_KEY, value)], NO_DEADLINE)
+        await self._append_records([(SPEEDS_KEY, value)])
 
     async def _expire_ended(self) -> None:
         now = boottime()
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -654,7 +654,7 @@
             return
         checkpoint = end.checkpoint or (slot.checkpoint if slot else "")
         if progress.job.steps[end.key.step].checkpoints and checkpoint:
-            task.checkpoint = checkpoint
+            progress.store_checkpoint(task, checkpoint)
         progress.unassign(end.key)
         task.away_since = now
         self.mark_dirty(progress)
@@ -791,7 +791,7 @@
             return
         step = progress.job.steps[slot.key.step]
         if step.checkpoints and slot.checkpoint:
-            task.checkpoint = slot.checkpoint
+            progress.store_checkpoint(task, slot.checkpoint)
         progress.unassign(slot.key)
         task.away_since = now if worker.reachable else worker.silent_at or now
         self.mark_dirty(progress)
@@ -829,6 +829,26 @@
         self.run_lost(worker, slot, "not sent" if fits else "no room", now)
         return None
 
+    def reject_progress(self, progress: Progress, placements: list[Placement]) -> None:
+        """Process that the journal has rejected the progress of a job.
+
+        The placements, which only that record contains, are withdrawn, and fewer tasks
+        of the job may be under way from now on.
+        """
+        self.counts["records_rejected"] += 1
+        progress.max_open = progress.n_open // 2
+        logger.error(
+            "progress rejected by the journal",
+            job=progress.job.job_id,
+            max_open=progress.max_open,
+        )
+        for placement in placements:
+            worker = self.workers.get(placement.worker_id)
+            if worker is not None and worker.release(placement.key, placement.run):
+                progress.withdraw(placement.key)
+        self.mark_dirty(progress)
+        self.retire(progress)
+
     def release_unsent(self, placement: Placement, why: str, now: float) -> None:
         """Release a run whose start has not been sent."""
         worker = self.workers.get(placement.worker_id)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Annotated, Any
@@ -13,13 +14,26 @@
 from ..util.json_input import load_json
 from ..util.validation import MAX_COUNT, MAX_INTEGER, Message, validate_json
 from .model import Job, JobState, TaskKey
+from .records import MAX_RECORD_BYTES
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from .model import Step
 
 
+# Length that the progress of one job may have by the estimates below. The rest of a
+# record is left for names of workers that are longer than usual.
+MAX_PROGRESS_BYTES = MAX_RECORD_BYTES * 3 // 4
+BASE_BYTES = 100
+FINISHED_BYTES = 20  # numbers of an occurrence and a step
+INDEX_BYTES = 6
+# Row of a task without its checkpoint, its worker's name, and its row of crashes.
+ROW_BYTES = 128
+# A step with more tasks has those that are done as bits in place of a list.
+MAX_LISTED_TASKS = 500
+
+
 @dataclass(slots=True)
 class TaskState:
     """State of one task.
@@ -75,7 +89,15 @@
 
 @dataclass(eq=False, slots=True)
 class StepRun:
-    """One step of one occurrence."""
+    """One step of one occurrence.
+
+    Parameters
+    ----------
+    n_done, n_assigned : int
+        Number of tasks that are done, and of those that a worker may be running.
+    n_open : int
+        Number of tasks that have started at least once and are not done.
+    """
 
     job: Job
     occurrence: int
@@ -83,6 +105,12 @@
     tasks: list[TaskState]
     n_done: int = 0
     n_assigned: int = 0
+    n_open: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the journal lists tasks of the step one by one."""
+        return self.n_done + self.n_open > 0 and self.n_done < len(self.tasks)
 
     @property
     def step(self) -> Step:
@@ -105,6 +133,10 @@
             if not task.done and not task.worker:
                 yield index
 
+    def done_indexes(self) -> list[int]:
+        """Return the indexes of the tasks that are done."""
+        return [index for index, task in enumerate(self.tasks) if task.done]
+
     def key(self, index: int) -> TaskKey:
         """Return the identity of a task."""
         return TaskKey(self.job.job_id, self.occurrence, self.number, index)
@@ -122,6 +154,11 @@
     lengths : dict
         Observed length of steps that are done, in seconds at a speed of 1; not kept
         in the journal.
+    n_checkpoint_bytes : int
+        Total length of the checkpoints in the record.
+    max_open : int
+        Most tasks that may have started and not be done; lowered if the journal has
+        rejected the record for its length.
     """
 
     job: Job
@@ -132,6 +169,8 @@
     lengths: dict[tuple[int, int], float] = field(default_factory=dict)
     n_assigned: int = 0
     has_started: bool = False
+    n_checkpoint_bytes: int = 0
+    max_open: int = MAX_RECORD_BYTES // ROW_BYTES
 
     def is_ready(self, occurrence: int, number: int, wall: float) -> bool:
         """Return whether the tasks of a step may start."""
@@ -152,6 +191,42 @@
                 if step_run.n_waiting:
                     yield step_run
 
+    def n_startable(self, step_run: StepRun) -> int:
+        """Return how many waiting tasks of a step may start.
+
+        A task that starts for the first time gets a row in the record of the job,
+        which has a maximum length. The others wait until earlier tasks are done.
+        """
+        n_again = step_run.n_open - step_run.n_assigned
+        n_new = step_run.n_waiting - n_again
+        left = MAX_PROGRESS_BYTES - self._max_bytes()
+        if not step_run.is_open:
+            left -= _step_bytes(step_run.step.n_tasks)
+        n_rows = min(left // ROW_BYTES, self.max_open - self.n_open)
+        return n_again + max(0, min(n_new, n_rows))
+
+    @property
+    def n_open(self) -> int:
+        """Number of tasks that have started at least once and are not done."""
+        return sum(step_run.n_open for step_run in self.step_runs.values())
+
+    def _max_bytes(self) -> int:
+        """Return an upper estimate of the length of the job's record."""
+        n_bytes = BASE_BYTES + FINISHED_BYTES * len(self.finished)
+        for step_run in self.step_runs.values():
+            if step_run.is_open:
+                n_bytes += _step_bytes(step_run.step.n_tasks)
+                n_bytes += ROW_BYTES * step_run.n_open
+        return n_bytes + self.n_checkpoint_bytes
+
+    def store_checkpoint(self, task: TaskState, checkpoint: str) -> None:
+        """Keep a checkpoint of a task unless the record would become too long."""
+        grown = _checkpoint_bytes(checkpoint) - _checkpoint_bytes(task.checkpoint)
+        if grown > 0 and self._max_bytes() + grown > MAX_PROGRESS_BYTES:
+            return  # the task continues from the earlier one
+        task.checkpoint = checkpoint
+        self.n_checkpoint_bytes += grown
+
     def upcoming_steps(self, wall: float) -> Iterator[tuple[int, int]]:
         """Yield the steps that wait only for tasks that are assigned or done."""
         for occurrence in range(self.job.n_occurrences):
@@ -196,12 +271,21 @@
         """Assign a task to a worker, on which its run may be present from now on."""
         step_run = self.step_runs[key.occurrence, key.step]
         task = step_run.tasks[key.task]
+        step_run.n_open += not task.run
         task.run, task.worker, task.incarnation = run, worker, incarnation
         step_run.n_assigned += 1
         self.n_assigned += 1
         if self.state is JobState.PENDING:
             self.state = JobState.RUNNING
 
+    def withdraw(self, key: TaskKey) -> None:
+        """Take back an assignment that is not in the journal and was not sent."""
+        self.unassign(key)
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        task.run -= 1
+        step_run.n_open -= not task.run
+
     def unassign(self, key: TaskKey) -> None:
         """Release a task whose run is certainly not present on any worker."""
         step_run = self.step_runs[key.occurrence, key.step]
@@ -218,6 +302,8 @@
             return False
         task.done = True
         step_run.n_done += 1
+        step_run.n_open -= task.run > 0
+        self.store_checkpoint(task, "")
         if step_run.n_done < len(step_run.tasks):
             return False
         self.finished.add((key.occurrence, key.step))
@@ -249,7 +335,10 @@
         if (occurrence, number) in progress.finished and not step_run.n_assigned:
             steps.append([occurrence, number])
             continue
-        done = [index for index, task in enumerate(step_run.tasks) if task.done]
+        done_indexes = step_run.done_indexes()
+        done: list[int] | str = done_indexes
+        if len(step_run.tasks) > MAX_LISTED_TASKS:
+            done = _encode_bits(done_indexes, len(step_run.tasks))
         rows = []
         for index, task in enumerate(step_run.tasks):
             if not task.run or (task.done and not task.worker):
@@ -259,7 +348,7 @@
             if task.n_failed or task.failed_run or task.checkpoint:
                 row += [task.n_failed, task.failed_run, task.checkpoint]
             rows.append(row)
-        if done or rows:
+        if step_run.n_done or rows:
             steps.append([occurrence, number, done, rows])
     data = {"state": progress.state, "workers": list(workers), "steps": steps}
     crashes = crash_rows(progress)
@@ -268,6 +357,55 @@
     return orjson.dumps(data)
 
 
+def min_record_bytes(job: Job) -> int:
+    """Return the least length that the record of a job must be allowed to have.
+
+    That is enough for one task at a time, and for all tasks of a gang.
+    """
+    n_steps = job.n_occurrences * len(job.steps)
+    rows = max(
+        _step_bytes(step.n_tasks) + ROW_BYTES * (step.n_tasks if step.gang else 1)
+        for step in job.steps
+    )
+    return BASE_BYTES + FINISHED_BYTES * n_steps + rows
+
+
+def _step_bytes(n_tasks: int) -> int:
+    """Return the longest form of a step without the rows of its tasks."""
+    n_done_bytes = INDEX_BYTES * n_tasks
+    if n_tasks > MAX_LISTED_TASKS:
+        n_done_bytes = n_tasks // 6 + INDEX_BYTES  # six bits a character
+    return FINISHED_BYTES + n_done_bytes
+
+
+def _checkpoint_bytes(checkpoint: str) -> int:
+    return len(orjson.dumps(checkpoint)) if checkpoint else 0
+
+
+def _encode_bits(indexes: Iterable[int], n_bits: int) -> str:
+    bits = bytearray(n_bits // 8 + 1)
+    for index in indexes:
+        bits[index // 8] |= 1 << index % 8
+    return base64.b64encode(bits).decode()
+
+
+def _decode_bits(text: str, n_bits: int) -> list[int]:
+    """Return the indexes of the bits that are set.
+
+    Raises
+    ------
+    ProtocolError
+        If the text is malformed.
+    """
+    try:
+        bits = base64.b64decode(text, validate=True)
+    except ValueError as exc:
+        raise ProtocolError(f"done: {exc}", step="progress") from exc
+    if len(bits) != n_bits // 8 + 1:
+        raise ProtocolError("done: wrong length", step="progress")
+    return [index for index in range(n_bits) if bits[index // 8] >> index % 8 & 1]
+
+
 def crash_rows(progress: Progress) -> list[list[int]]:
     """Return the tasks that may have crashed workers.
 
@@ -293,9 +431,10 @@
     Field(union_mode="left_to_right"),
 ]
 # Occurrence and step; unless all is done, the tasks that are done and the others.
+# In a step of many tasks, the tasks that are done are bits.
 _StepRow = Annotated[
     tuple[_Number, _Number]
-    | tuple[_Number, _Number, tuple[_Number, ...], tuple[_Row, ...]],
+    | tuple[_Number, _Number, tuple[_Number, ...] | str, tuple[_Row, ...]],
     Field(union_mode="left_to_right"),
 ]
 
@@ -340,6 +479,8 @@
         _check_unseen(progress, occurrence, number)
         step_run = progress.step_run(occurrence, number)
         done, rows = rest or (range(len(step_run.tasks)), ())
+        if isinstance(done, str):
+            done = _decode_bits(done, len(step_run.tasks))
         for index in done:
             step_run.tasks[index].done = True
         step_run.n_done = sum(task.done for task in step_run.tasks)
@@ -349,8 +490,10 @@
                 raise ProtocolError("task listed twice", step="progress")
             task.run = run
             task.worker, task.incarnation = data.workers[where]
+            step_run.n_open += not task.done
             if failures:
                 task.n_failed, task.failed_run, task.checkpoint = failures
+                progress.n_checkpoint_bytes += _checkpoint_bytes(task.checkpoint)
             if task.worker:
                 step_run.n_assigned += 1
                 progress.n_assigned += 1
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -35,6 +35,8 @@
 # not fenced by terms, so a late one would overwrite a newer claim under `LEADER_KEY`.
 RESIGNATION_KEY = "resigned"
 
+# Longest record, key and value together, that the journal stores.
+MAX_RECORD_BYTES = 262_144
 MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
 MAX_STEPS = 200
 # Of one job, over all occurrences. Each one that is done is listed in the progress of
--- a/cuminhill/platform/store.py
+++ b/cuminhill/platform/store.py
@@ -10,6 +10,7 @@
     FencedError,
     HistoryGoneError,
     ProtocolError,
+    RejectedError,
     UnavailableError,
     UnknownOutcomeError,
 )
@@ -180,6 +181,8 @@
             If a later epoch has written, or the topic does not end at ``at``.
         ProtocolError
             If the sequence number does not follow that of the last append.
+        RejectedError
+            If the store accepts such records never, for example because of their size.
         UnavailableError
             If the records were certainly not appended.
         UnknownOutcomeError
@@ -208,7 +211,9 @@
             raise ProtocolError(answer, step="append", peer=self.writer.peer)
         if status in {409, 412}:
             raise FencedError(answer, step="append", peer=self.writer.peer)
-        if status in {400, 404, 413, 429, 503, 507}:
+        if status in {400, 413}:
+            raise RejectedError(answer, step="append", peer=self.writer.peer)
+        if status in {404, 429, 503, 507}:
             raise UnavailableError(answer, step="append", peer=self.writer.peer)
         raise UnknownOutcomeError(answer, step="append", peer=self.writer.peer)
 
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -31,6 +31,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from ..jobs.progress import MAX_PROGRESS_BYTES, min_record_bytes
 from ..jobs.records import (
     MAX_STEP_RUNS,
     MAX_STEPS,
@@ -148,7 +149,7 @@
                 step="decode",
             )
         steps.append(_decode_step(item))
-    return Job(
+    job = Job(
         job_id,
         queue,
         message.spec,
@@ -158,6 +159,20 @@
         message.first_run_ms / MS_PER_S,
         message.period_ms / MS_PER_S,
     )
+    _check_progress_length(job)
+    return job
+
+
+def _check_progress_length(job: Job) -> None:
+    """Check that the journal can store the progress of a job.
+
+    Raises
+    ------
+    ValidationError
+        If it can't.
+    """
+    if min_record_bytes(job) > MAX_PROGRESS_BYTES:
+        raise ValidationError("phases: too many tasks at a time", step="decode")
 
 
 def _decode_step(item: _StepBody) -> Step:
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -19,9 +19,11 @@
     HistoryGoneError,
     OtherIncarnationError,
     ProtocolError,
+    RejectedError,
     UnavailableError,
     UnknownOutcomeError,
 )
+from cuminhill.jobs.journal import MAX_BATCH_BYTES, record_bytes
 from cuminhill.jobs.model import (
     EndedTask,
     EndKind,
@@ -33,7 +35,7 @@
     WorkerEntry,
     WorkerReport,
 )
-from cuminhill.jobs.records import JournalRecord
+from cuminhill.jobs.records import MAX_RECORD_BYTES, JournalRecord
 
 if TYPE_CHECKING:
     from cuminhill.jobs.journal import WriterToken
@@ -80,6 +82,9 @@
     first_offset: int = 0
     writers: dict[str, tuple[int, int]] = field(default_factory=dict)
     n_appends: int = 0
+    max_record_bytes: int = MAX_RECORD_BYTES
+    max_call_bytes: int = 2 * MAX_BATCH_BYTES
+    n_rejected: int = 0
 
     def append_records(self, records: list[tuple[str, bytes]]) -> int:
         """Append records and return the offset of the first."""
@@ -109,6 +114,19 @@
         self.writers[token.writer] = (token.epoch, token.number)
         return True
 
+    def check_lengths(self, records: list[tuple[str, bytes]]) -> None:
+        """Check that a call may append records.
+
+        Raises
+        ------
+        RejectedError
+            If a record, or all together, are too long.
+        """
+        lengths = [record_bytes(key, value) for key, value in records]
+        if max(lengths) > self.max_record_bytes or sum(lengths) > self.max_call_bytes:
+            self.n_rejected += 1
+            raise RejectedError("status 413", step="append")
+
     def newest_per_key(self) -> list[JournalRecord]:
         """Return the newest record of each key, without deleted keys, by offset."""
         newest = {record.key: record for record in self.records}
@@ -173,6 +191,7 @@
     ) -> int:
         """Append records atomically and return the offset of the first."""
         await self._reach(timeout_s)
+        self.log.check_lengths(records)
         if at is not None and at != len(self.log.records):
             raise FencedError("end of log has moved", step="append")
         if token is not None and not self.log.accept_token(token):
