Reserve capacity for a blocked step from the expected ends of runs

Cause: the reservation of a blocked step counted the whole capacity of each worker, although lasting tasks hold a part of it that never becomes free, and kept the workers from other runs for as long as the step was blocked.

Evidence: test_a_blocked_gang_does_not_keep_other_jobs_waiting fails before the change, with lasting tasks as with runs of 60 s.

Ruled out: advice (the queues of the case have none), headroom for urgent work (the jobs start without the gang).

Change: reserve() follows the expected ends of the runs on each worker, and returns when the step is expected to start there. Runs that last never end.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -38,6 +39,9 @@
 # Tasks covered by the reservation of a step that is not a gang: they can start one by
 # one.
 MAX_RESERVED_TASKS = 4
+# A run that is not short may use a reserved worker if this multiple of its expected run
+# time fits before the reservation begins: expected run times are rough.
+BACKFILL_FACTOR = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
 # Steps for which advice is prefetched in one decision.
@@ -98,14 +102,15 @@
     """
     placements: list[Placement] = []
     calls: list[AdviceCall] = []
-    placer.reserved = set()
+    placer.reserved = {}
     n_reservations = 0
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
     for step_run, queue, run_times in waiting_steps(placer, wall):
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
-        short = run_times[step_run.number] <= SHORT_RUN_S
-        workers = eligible_workers(placer, step_run, pools.get(queue.pool, []), short)
+        run_s = run_times[step_run.number]
+        pool = pools.get(queue.pool, [])
+        workers = eligible_workers(placer, step_run, pool, run_s, now)
         outlook = placer.outlook(step_run, queue, wall, run_times)
         advised, call = advise(
             placer,
@@ -130,11 +135,11 @@
         placements.extend(placed)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
-        if step_run.step.gang or not short:
+        if step_run.step.gang or run_s > SHORT_RUN_S:
             n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            placer.reserved |= reserve(step_run.step, advised, n_tasks)
+            placer.reserved |= reserve(step_run.step, advised, n_tasks, now)
             n_reservations += 1
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
@@ -163,7 +168,7 @@
             placer,
             step_run,
             queue,
-            eligible_workers(placer, step_run, pool, short=True),
+            eligible_workers(placer, step_run, pool, 0.0, now),
             outlook=placer.outlook(step_run, queue, wall, run_times),
             now=now,
             n_wanted=n_runs,
@@ -227,7 +232,7 @@
                 continue
             outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
-            eligible = eligible_workers(placer, step_run, pool, short=True)
+            eligible = eligible_workers(placer, step_run, pool, 0.0, now)
             named = choose_advised(
                 step, step.n_tasks, [], eligible, [], outlook=outlook
             )
@@ -293,16 +298,27 @@
 
 
 def eligible_workers(
-    placer: Placer, step_run: StepRun, pool: list[Worker], short: bool
+    placer: Placer, step_run: StepRun, pool: list[Worker], run_s: float, now: float
 ) -> list[Worker]:
     """Return the workers of a pool that a step may run on, regardless of advice.
 
-    Short runs may use workers reserved for a blocked step (backfill). Workers that
-    already hold the step's maximum of tasks per worker are left out.
+    Runs may use workers reserved for a blocked step if they are short or will end well
+    before that step is expected to start there (backfill). Workers that already hold the
+    step's maximum of tasks per worker are left out.
+
+    Parameters
+    ----------
+    run_s : float, seconds
+        Expected run time of a task at a speed of 1.
     """
     step = step_run.step
-    if not short and placer.reserved:
-        pool = [worker for worker in pool if worker.worker_id not in placer.reserved]
+    if run_s > SHORT_RUN_S and placer.reserved:
+        pool = [
+            worker
+            for worker in pool
+            if now + BACKFILL_FACTOR * run_s / worker.health.speed
+            <= placer.reserved.get(worker.worker_id, math.inf)
+        ]
     if step.required_label:
         label = step.required_label
         pool = [worker for worker in pool if label in worker.entry.labels]
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -157,7 +158,7 @@
     now: float,
 ) -> AdviceCall | None:
     """Move tasks of one step; return a call for advice if it lacks places."""
-    workers = eligible_workers(placer, step_run, pool, short=False)
+    workers = eligible_workers(placer, step_run, pool, math.inf, now)
     advised, call = advise(
         placer,
         step_run,
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
 # an incarnation that was not noticed yet.
 MIN_LIFE_MS = 5000
 OVERTAKING_MS = 1000  # answers on different connections may overtake each other
+# From this progress on, the end of a run is extrapolated; before, it is estimated.
+MIN_PERCENT = 5.0
 CAPACITY_EPSILON = 1e-6  # tolerance for rounding, in cores or megabytes
 
 
@@ -91,6 +94,8 @@
         resumed from a checkpoint, and it was started in this term.
     suspect : bool
         Whether the task may have crashed a worker before.
+    long_running : bool
+        Whether the run goes on until it is stopped.
     """
 
     key: TaskKey
@@ -112,6 +117,22 @@
     full_run: bool = False
     urgent: bool = False
     suspect: bool = False
+    long_running: bool = False
+
+    def expected_end(self, speed: float) -> float:
+        """Return when the run is expected to end, infinite if it lasts.
+
+        Parameters
+        ----------
+        speed : float
+            Speed of its worker.
+        """
+        if self.long_running:
+            return math.inf
+        if self.full_run and self.percent >= MIN_PERCENT:
+            elapsed_s = self.progressed_at - self.started_at
+            return self.started_at + elapsed_s * 100 / self.percent
+        return self.started_at + self.run_time_s / speed
 
     def mark_present(self, clock_ms: int, now: float, incarnation: int) -> None:
         """Note an answer that shows that the run is present."""
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -11,10 +11,10 @@
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from ..model import Resources
-    from .fleet import Worker
+    from .fleet import Slot, Worker
     from .lateness import Outlook
     from .model import Step
 
@@ -192,24 +192,65 @@
     return placed
 
 
-def reserve(step: Step, workers: Iterable[Worker], n_tasks: int) -> set[str]:
-    """Return workers to reserve for a blocked step until it fits.
+def reserve(
+    step: Step, workers: Iterable[Worker], n_tasks: int, now: float
+) -> dict[str, float]:
+    """Return the workers to reserve for a blocked step until it fits.
 
-    Workers with the most free cores come first, as many as the step would need if they
-    were empty. The set is empty if the step does not fit even on all of them.
+    These are the workers on which it is expected to fit soonest. Capacity that is held
+    by runs without an end never becomes free.
+
+    Returns
+    -------
+    reserved : dict of str to float
+        Time in seconds at which the step is expected to start on each worker. A gang
+        starts on all of them at once. Empty if the tasks will not fit on all workers.
     """
-    reserved: set[str] = set()
-    n_reserved = 0
-    for worker in sorted(workers, key=lambda item: -item.free.cores):
-        if n_reserved >= n_tasks:
-            break
-        n_fitting = _n_fitting(step.need, worker.entry.capacity)
-        if step.max_per_worker:
-            n_fitting = min(n_fitting, step.max_per_worker)
-        if n_fitting:
-            reserved.add(worker.worker_id)
-            n_reserved += n_fitting
-    return reserved if n_reserved >= n_tasks else set()
+    chances = sorted(
+        (at, -worker.free.cores, worker.worker_id, n_fitting)
+        for worker in workers
+        for at, n_fitting in _expected_room(step, worker, now)
+    )
+    reserved: dict[str, float] = {}
+    n_by_worker: dict[str, int] = {}
+    n_left = n_tasks
+    for at, _, worker_id, n_fitting in chances:
+        n_more = min(n_fitting - n_by_worker.get(worker_id, 0), n_left)
+        if n_more <= 0:
+            continue
+        n_by_worker[worker_id] = n_by_worker.get(worker_id, 0) + n_more
+        reserved[worker_id] = at
+        n_left -= n_more
+    if n_left:
+        return {}
+    if step.gang:
+        return dict.fromkeys(reserved, max(reserved.values(), default=now))
+    return reserved
+
+
+def _expected_room(
+    step: Step, worker: Worker, now: float
+) -> Iterator[tuple[float, int]]:
+    """Yield the times at which more tasks of a step will fit, and how many."""
+    limit = step.max_per_worker or math.inf
+    free, n_before = worker.free, 0
+    ends = sorted(
+        (
+            (slot.expected_end(worker.health.speed), slot)
+            for slot in worker.slots.values()
+        ),
+        key=lambda row: row[0],
+    )
+    first: tuple[float, Slot | None] = (now, None)
+    for at, slot in [first, *ends]:
+        if at == math.inf:
+            return
+        if slot is not None:
+            free = free + slot.need
+        n_fitting = int(min(limit, _n_fitting(step.need, free)))
+        if n_fitting > n_before:
+            yield max(now, at), n_fitting
+            n_before = n_fitting
 
 
 def n_fitting_tasks(step: Step, workers: Iterable[Worker]) -> int:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -102,8 +102,9 @@
         Number of the term; fencing tokens are derived from it.
     begun_at : float, seconds
         When the term began, on the monotonic clock.
-    reserved : set of str
-        Workers reserved for blocked steps in the newest decision.
+    reserved : dict of str to float
+        Workers reserved for blocked steps in the newest decision, with the times in
+        seconds at which these are expected to start there.
     headroom : dict
         Headroom for urgent work, by pool.
     mean_pace : dict
@@ -138,7 +139,7 @@
     advice: AdviceTable = field(default_factory=AdviceTable)
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
-    reserved: set[str] = field(default_factory=set)
+    reserved: dict[str, float] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     last_queues: dict[str, Queue] = field(default_factory=dict)
@@ -243,7 +244,13 @@
         task = progress.task(key)
         suspect = task is not None and task.n_crashes > 0
         return Slot(
-            key, run, step.need, step.run_time_s, urgent=urgent, suspect=suspect
+            key,
+            run,
+            step.need,
+            step.run_time_s,
+            urgent=urgent,
+            suspect=suspect,
+            long_running=step.long_running,
         )
 
     def cancel_job(self, job_id: str, now: float) -> None:
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -11,7 +11,7 @@
     StepAdvice,
     choose_adviser,
 )
-from cuminhill.jobs.fleet import Worker, first_fencing_token
+from cuminhill.jobs.fleet import Slot, Worker, first_fencing_token
 from cuminhill.jobs.health import EJECT_S, N_FAILURES_TO_EJECT, make_worker_health
 from cuminhill.jobs.ordering import (
     critical_path_s,
@@ -26,8 +26,9 @@
     reserve,
 )
 from cuminhill.jobs.progress import Progress
+from cuminhill.jobs.records import task_need
 
-from .builders import WALL, make_entry, make_job, make_queue, make_step
+from .builders import WALL, make_entry, make_job, make_queue, make_step, task_key
 
 
 def make_worker(worker_id="w1", **more):
@@ -115,11 +116,39 @@
     assert len(place_gang(make_candidates(wide, workers))) == 3
 
 
+def make_slot(cores, index, **more):
+    """Return the slot of a run that takes some cores."""
+    run_time_s = more.pop("run_time_s", 1.0)
+    return Slot(task_key(index), 1, task_need(cores, 0.0, 0.0), run_time_s, **more)
+
+
 def test_workers_are_reserved_only_for_a_gang_that_can_fit():
     """Guards against workers reserved for a gang that never fits."""
     workers = [make_worker("w1"), make_worker("w2")]
-    assert reserve(make_step(2, cores=16.0), workers, 2) == {"w1", "w2"}
-    assert reserve(make_step(3, cores=16.0), workers, 3) == set()
+    now = 10.0
+    reserved = {"w1": now, "w2": now}
+    assert reserve(make_step(2, cores=16.0), workers, 2, now) == reserved
+    assert reserve(make_step(3, cores=16.0), workers, 3, now) == {}
+
+
+# Guards against workers reserved for a gang that never fits beside tasks that last.
+def test_capacity_that_never_becomes_free_is_not_reserved():
+    workers = [make_worker("w1"), make_worker("w2")]
+    workers[0].add(make_slot(7.0, 0, long_running=True))
+    assert reserve(make_step(2, cores=8.0), workers, 2, 10.0)
+    assert reserve(make_step(4, cores=8.0, gang=True), workers, 4, 10.0) == {}
+
+
+# Guards against workers that stay idle until the last run has ended elsewhere.
+def test_a_reservation_begins_when_the_step_is_expected_to_fit():
+    workers = [make_worker("w1"), make_worker("w2")]
+    workers[0].add(make_slot(10.0, 0, run_time_s=5.0, started_at=8.0))
+    workers[1].add(make_slot(10.0, 1, run_time_s=60.0, started_at=8.0))
+    gang = make_step(2, cores=10.0, gang=True)
+    assert reserve(gang, workers, 2, 10.0) == {"w1": 68.0, "w2": 68.0}
+    plain = make_step(2, cores=10.0)
+    assert reserve(plain, workers, 2, 10.0) == {"w1": 13.0, "w2": 68.0}
+    assert reserve(plain, workers, 1, 10.0) == {"w1": 13.0}
 
 
 # Health
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -386,6 +386,44 @@
     assert {item.run for item in placed} == {1}
 
 
+# Guards against idle workers that a gang keeps from other jobs although it can't fit
+# beside tasks that last, or not before long runs have ended (rule LOST).
+@pytest.mark.parametrize("lasting", [True, False])
+def test_a_blocked_gang_does_not_keep_other_jobs_waiting(lasting):
+    urgent, plain = make_queue("urgent"), make_queue("plain", priority=2)
+    placer = make_placer(urgent, plain, n_workers=4)
+    step = make_step(
+        4, cores=4.0, max_per_worker=1, long_running=lasting, run_time_s=60.0
+    )
+    submit(placer, make_job(step, queue="plain"))
+    held, _ = placer.decide(NOW, WALL)
+    assert len({item.worker_id for item in held}) == 4
+    mark_started(placer, held)
+    gang = make_step(8, cores=8.0, gang=True, run_time_s=9.6)
+    submit(placer, make_job(gang, queue="urgent", job_id="b" * 16))
+    small = make_step(1, cores=2.0, run_time_s=3.8)
+    submit(placer, make_job(small, queue="plain", job_id="c" * 16))
+    placed, _ = placer.decide(NOW + 1, WALL)
+    assert [item.key.job_id for item in placed] == ["c" * 16]
+
+
+# Guards against a gang that never starts since other jobs take what becomes free.
+def test_a_blocked_gang_keeps_the_workers_that_will_soon_be_free():
+    urgent, plain = make_queue("urgent"), make_queue("plain", priority=2)
+    placer = make_placer(urgent, plain, n_workers=2)
+    submit(placer, make_job(make_step(1, cores=16.0, run_time_s=5.0), queue="plain"))
+    mark_started(placer, placer.decide(NOW, WALL)[0])
+    gang = make_step(2, cores=16.0, gang=True, run_time_s=9.6)
+    submit(placer, make_job(gang, queue="urgent", job_id="b" * 16))
+    long = make_step(1, cores=2.0, run_time_s=3.8)
+    submit(placer, make_job(long, queue="plain", job_id="c" * 16))
+    assert placer.decide(NOW + 1, WALL)[0] == []
+    short = make_step(1, cores=2.0, run_time_s=1.6)
+    submit(placer, make_job(short, queue="plain", job_id="d" * 16))
+    placed, _ = placer.decide(NOW + 1, WALL)
+    assert [item.key.job_id for item in placed] == ["d" * 16]
+
+
 def test_one_done_member_ends_a_gang():
     """Guards against a second run of a gang whose other ends are reported later."""
     placer = make_placer()
