--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -303,8 +303,8 @@
     """Return the workers of a pool that a step may run on, regardless of advice.
 
     Runs may use workers reserved for a blocked step if they are short or will end well
-    before that step is expected to start there (backfill). Workers that already hold the
-    step's maximum of tasks per worker are left out.
+    before that step is expected to start there (backfill). Workers that already hold
+    the step's maximum of tasks per worker are left out.
 
     Parameters
     ----------
