Store the definition of its queue with each accepted job

Cause: the definitions of removed queues were kept in the memory of each process.

Evidence: test_a_job_of_a_removed_queue_outlasts_all_processes_that_knew_the_queue fails before the change.

Change: the definition is written with the job when it is accepted, and used when the configuration no longer has the queue. The memory of removed queues is gone. A job of an earlier build gets the definition that is in force when the term takes it in.

--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -123,6 +123,9 @@
         Wall-clock time at which the first occurrence is due.
     period_s : float, seconds
         Time between occurrences.
+    definition : Queue or None
+        The queue as it was when the job was accepted, by which the job goes on if the
+        queue is removed; None if an earlier build accepted the job.
     """
 
     job_id: str
@@ -133,6 +136,7 @@
     n_times: int = 0
     first_due_at: float = 0.0
     period_s: float = 0.0
+    definition: Queue | None = None
 
     @property
     def n_occurrences(self) -> int:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -143,9 +143,6 @@
     rng: random.Random
     job_index: JobIndex = field(default_factory=JobIndex)
     table: QueueTable = field(default_factory=QueueTable)
-    # Newest definition of each queue that this process has read, also of removed ones:
-    # jobs that were accepted for them go on.
-    last_queues: dict[str, Queue] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     leadership: Leadership | None = None
     draining: bool = False
@@ -200,6 +197,7 @@
             self.writer,
             self._append_by_placer,
             self.peers.append,
+            self._find_queue,
             self.metrics,
         )
         self.election = Election(
@@ -292,7 +290,6 @@
                 queues=len(table.queues),
             )
             self.table = table
-            self.last_queues.update(table.queues)
             if self.leadership is not None:
                 self.leadership.placer.table = table
 
@@ -510,6 +507,9 @@
             self._claim = None
         return True
 
+    def _find_queue(self, name: str) -> Queue | None:
+        return self.table.queues.get(name)
+
     async def _begin_term(self) -> None:
         claim = self.job_index.leader_record
         now = boottime()
@@ -522,7 +522,6 @@
             reader=self.journal,
         )
         placer = Placer(claim.term, now, self.options.times)
-        placer.last_queues = self.last_queues
         leadership = Leadership(
             claim,
             placer,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -110,8 +110,6 @@
     mean_pace : dict
         Mean time that a worker takes for a second of work at a speed of 1, by pool. It
         is divided out of speeds and run times, so that 1 is the pool's mean pace.
-    last_queues : dict
-        Newest definition of each queue, also of queues that were since removed.
     inherited : InheritedLeases
         What the previous term has left in the journal about leases.
     predecessor_ended_at : float, seconds
@@ -142,7 +140,6 @@
     reserved: dict[str, float] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
-    last_queues: dict[str, Queue] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
     predecessor_ended_at: float = math.inf
     not_adopted: dict[TaskKey, TaskState] = field(default_factory=dict)
@@ -165,6 +162,8 @@
             return
         self.jobs[job_id] = progress
         queue = self.queue_of(progress)
+        if job.definition is None:  # accepted by an earlier build
+            job = progress.job = replace(job, definition=queue)
         logger.info(
             "job taken in",
             job=job_id,
@@ -807,13 +806,9 @@
         self.retire(progress)
 
     def queue_of(self, progress: Progress) -> Queue | None:
-        """Return the queue of a job; the last known definition if it was removed."""
-        name = progress.job.queue
-        queue = self.table.queues.get(name)
-        if queue is not None:
-            self.last_queues[name] = queue
-            return queue
-        return self.last_queues.get(name)
+        """Return the queue of a job; as the job was accepted if it was removed."""
+        job = progress.job
+        return self.table.queues.get(job.queue, job.definition)
 
     # Starts
 
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -18,7 +18,7 @@
 from ..model import Resources
 from ..util.addresses import check_address
 from ..util.validation import MAX_INTEGER, Count, Message, Name, validate_json
-from .model import Job, Step
+from .model import AdviceTerms, Job, Queue, Step
 
 JOB_PREFIX, RUN_PREFIX, CANCEL_PREFIX, LEADER_KEY, MEMBER_PREFIX = (
     "job/",
@@ -256,15 +256,16 @@
 
 def encode_job(job: Job) -> bytes:
     """Return the JSON form of a job."""
-    return orjson.dumps(
-        {
-            "queue": job.queue,
-            "payload": job.payload,
-            "accepted_at": job.accepted_at,
-            "times": [job.n_times, job.first_due_at, job.period_s],
-            "steps": [_step_to_dict(step) for step in job.steps],
-        }
-    )
+    data = {
+        "queue": job.queue,
+        "payload": job.payload,
+        "accepted_at": job.accepted_at,
+        "times": [job.n_times, job.first_due_at, job.period_s],
+        "steps": [_step_to_dict(step) for step in job.steps],
+    }
+    if job.definition is not None:
+        data["definition"] = job.definition
+    return orjson.dumps(data)
 
 
 _JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
@@ -290,12 +291,31 @@
     fills: bool = False
 
 
+class _AdviceBody(Message):
+    decide_s: _Duration
+    per_worker_s: _Duration
+    valid_s: _Duration
+
+
+class _QueueBody(Message):
+    name: Name
+    host: str
+    path_prefix: str
+    pool: Name
+    priority: int
+    max_attempts: Count
+    stretch: _Duration
+    target_s: _Duration
+    advice: _AdviceBody | None = None
+
+
 class _JobBody(Message):
     queue: Name
     payload: str
     accepted_at: _Time
     times: tuple[Count, _Time, _Duration]
     steps: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
+    definition: _QueueBody | None = None
 
 
 def check_job_id(job_id: str) -> str:
@@ -337,10 +357,22 @@
         optional = {name: getattr(item, name) for name in _OPTIONAL}
         steps.append(Step(item.n, task_need(*item.need), item.time, **optional))
     return Job(
-        job_id, body.queue, body.payload, tuple(steps), body.accepted_at, *body.times
+        job_id,
+        body.queue,
+        body.payload,
+        tuple(steps),
+        body.accepted_at,
+        *body.times,
+        definition=_make_queue(body.definition) if body.definition else None,
     )
 
 
+def _make_queue(body: _QueueBody) -> Queue:
+    values = dict(body)
+    advice = values.pop("advice")
+    return Queue(**values, advice=AdviceTerms(**dict(advice)) if advice else None)
+
+
 def _step_to_dict(step: Step) -> dict[str, Any]:
     need = step.need
     data: dict[str, Any] = {
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import structlog
@@ -21,7 +21,7 @@
     from .jobindex import JobEntry, JobIndex
     from .journal import LogWriter
     from .logreader import LogFollower
-    from .model import Job, JobState
+    from .model import Job, JobState, Queue
 
 logger = structlog.get_logger(__name__)
 
@@ -53,6 +53,8 @@
         None if no placer can be called.
     append_by_peer : callable
         Coroutine function that appends through any other VM.
+    find_queue : callable
+        Returns the queue of a name in the newest configuration.
     """
 
     job_index: JobIndex
@@ -62,6 +64,7 @@
         [list[tuple[str, bytes]], float], Awaitable[Outcome | None]
     ]
     append_by_peer: Callable[[list[tuple[str, bytes]], float], Awaitable[None]]
+    find_queue: Callable[[str], Queue | None]
     metrics: MetricSet = field(default_factory=make_node_metrics)
     counts: Counter[str] = field(default_factory=Counter)
 
@@ -77,6 +80,8 @@
             self.counts["repeated"] += 1
             return Outcome.OK
         asked_at = boottime()
+        # The queue may be removed before the job has ended, and any VM may restart.
+        job = replace(job, definition=self.find_queue(job.queue))
         outcome, way = await self._append(
             JOB_PREFIX + job.job_id, encode_job(job), wait_s
         )
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -12,6 +12,7 @@
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.leadership import Leadership
 from cuminhill.jobs.leasebounds import NO_INHERITED_LEASES
+from cuminhill.jobs.model import JobState
 from cuminhill.jobs.node import JobNode
 from cuminhill.jobs.placer import PlacerTimes
 from cuminhill.jobs.records import (
@@ -124,6 +125,29 @@
     run_to_end(scenario)
 
 
+# Guards against a job that waits for ever because its queue was removed and every VM
+# has been restarted since (rule LOST).
+def test_a_job_of_a_removed_queue_outlasts_all_processes_that_knew_the_queue(cluster):
+    cluster.times = TIMES
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        job = make_job(make_step(), make_step(after=(0,)), accepted_at=0.0)
+        await cluster.submit(cluster.leader(), job)
+        await cluster.wait_for(cluster.workers.history)
+        cluster.publish(make_queue("other"))
+        await cluster.wait_for(lambda: cluster.nodes["vm0"].table.version == 2)
+        late = await cluster.start_node("vm1")
+        await cluster.wait_for(late.is_ready)
+        await cluster.kill_node("vm0")
+        await cluster.wait_for(
+            lambda: cluster.state(late, job.job_id) is JobState.COMPLETED
+        )
+
+    run_to_end(scenario)
+
+
 # Guards against a bound on leases that a process breaks later, by a claim that it had
 # made before it was asked.
 def test_a_process_that_is_asked_about_a_term_does_not_begin_it_afterwards(cluster):
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -12,7 +12,7 @@
 from cuminhill.errors import ProtocolError
 from cuminhill.jobs.fleet import first_fencing_token
 from cuminhill.jobs.jobindex import JobIndex
-from cuminhill.jobs.model import JobState
+from cuminhill.jobs.model import AdviceTerms, JobState
 from cuminhill.jobs.progress import Progress
 from cuminhill.jobs.records import (
     MAX_TERM,
@@ -308,3 +308,11 @@
     job = make_job(step, make_step(after=(0,)), n_times=times, period_s=1e9)
     assert decode_job(JOB_ID, encode_job(job)) == job
     assert Progress(job).job.accepted_at == WALL
+
+
+# Guards against a job that the next placer can't read, or for another queue.
+def test_the_definition_of_its_queue_is_stored_with_a_job():
+    advice = AdviceTerms(0.1, 0.02, 2.0)
+    for definition in (None, make_queue(), make_queue(priority=2, advice=advice)):
+        job = make_job(make_step(), definition=definition)
+        assert decode_job(JOB_ID, encode_job(job)) == job
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -58,7 +58,12 @@
         await curio.spawn(writer.run, daemon=True)
         follower = LogFollower("t", log, lambda rows, _: None, 0.1, 0.1)
         service = JobService(
-            JobIndex(), follower, writer, answers(by_placer), answers(elsewhere)
+            JobIndex(),
+            follower,
+            writer,
+            answers(by_placer),
+            answers(elsewhere),
+            lambda name: None,
         )
         assert await service.submit(make_job(), 2.0) is expected
 
