--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -199,8 +199,8 @@
         Newest reading of the worker's clock, and when it was received.
     report_ms : int, milliseconds
         Worker's clock at its newest report; older ones are ignored.
-    granted_until : float, seconds
-        Until when calls meant for an earlier incarnation may have extended the leases.
+    has_predecessor : bool
+        Whether calls meant for an earlier incarnation may have extended the leases.
     """
 
     entry: WorkerEntry
@@ -223,7 +223,7 @@
     clock_ms: int = 0
     clock_at: float = 0.0
     report_ms: int = 0
-    granted_until: float = 0.0
+    has_predecessor: bool = False
 
     def __post_init__(self) -> None:
         self.free = self.entry.capacity
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -370,8 +370,8 @@
         self._end_incarnation(worker, now)
         self._begin_incarnation(worker, entry)
         worker.bump_fencing_token()
-        worker.granted_until = now + self.times.lease.max_lapse_s
-        worker.lapse_at = max(worker.lapse_at, worker.granted_until)
+        worker.has_predecessor = True
+        worker.lapse_at = max(worker.lapse_at, now + self.times.lease.max_lapse_s)
         for slot in unknown:
             slot.mark_unknown()
             worker.add(slot)
@@ -563,7 +563,9 @@
         if not worker.confirmed_token:
             # The worker now rejects the older tokens of earlier placers, so they can
             # no longer extend leases on it.
-            worker.lapse_at = max(now + self.times.lease.lapse_s, worker.granted_until)
+            lease = self.times.lease
+            granted_s = lease.max_lapse_s if worker.has_predecessor else lease.lapse_s
+            worker.lapse_at = now + granted_s
         worker.confirmed_token = max(worker.confirmed_token, fencing_token)
         listed = {(row.key, row.run) for row in report.running}
         listed.update((row.key, row.run) for row in report.ended)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -171,6 +171,9 @@
     has_started: bool = False
     n_checkpoint_bytes: int = 0
     max_open: int = MAX_RECORD_BYTES // ROW_BYTES
+    # Results of `n_open` and `_max_bytes` until a task changes.
+    _n_open: int | None = None
+    _n_bytes: int | None = None
 
     def is_ready(self, occurrence: int, number: int, wall: float) -> bool:
         """Return whether the tasks of a step may start."""
@@ -208,15 +211,20 @@
     @property
     def n_open(self) -> int:
         """Number of tasks that have started at least once and are not done."""
-        return sum(step_run.n_open for step_run in self.step_runs.values())
+        if self._n_open is None:
+            self._n_open = sum(item.n_open for item in self.step_runs.values())
+        return self._n_open
 
     def _max_bytes(self) -> int:
         """Return an upper estimate of the length of the job's record."""
+        if self._n_bytes is not None:
+            return self._n_bytes + self.n_checkpoint_bytes
         n_bytes = BASE_BYTES + FINISHED_BYTES * len(self.finished)
         for step_run in self.step_runs.values():
             if step_run.is_open:
                 n_bytes += _step_bytes(step_run.step.n_tasks)
                 n_bytes += ROW_BYTES * step_run.n_open
+        self._n_bytes = n_bytes
         return n_bytes + self.n_checkpoint_bytes
 
     def store_checkpoint(self, task: TaskState, checkpoint: str) -> None:
@@ -271,6 +279,7 @@
         """Assign a task to a worker, on which its run may be present from now on."""
         step_run = self.step_runs[key.occurrence, key.step]
         task = step_run.tasks[key.task]
+        self._n_open = self._n_bytes = None
         step_run.n_open += not task.run
         task.run, task.worker, task.incarnation = run, worker, incarnation
         step_run.n_assigned += 1
@@ -285,6 +294,7 @@
         task = step_run.tasks[key.task]
         task.run -= 1
         step_run.n_open -= not task.run
+        self._n_open = self._n_bytes = None
 
     def unassign(self, key: TaskKey) -> None:
         """Release a task whose run is certainly not present on any worker."""
@@ -301,6 +311,7 @@
         if task.done:
             return False
         task.done = True
+        self._n_open = self._n_bytes = None
         step_run.n_done += 1
         step_run.n_open -= task.run > 0
         self.store_checkpoint(task, "")
