Let the earliest reservation of a worker count

Cause, found in reading the change: a worker that a second blocked step reserves as well took over the later start time, so that runs which the first step has to wait for could be placed there.

Change: the earliest time counts. The test fails before the change (60 s in place of 5 s).

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -139,7 +139,11 @@
             n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            placer.reserved |= reserve(step_run.step, advised, n_tasks, now)
+            reserved = reserve(step_run.step, advised, n_tasks, now)
+            for worker_id, at in reserved.items():
+                placer.reserved[worker_id] = min(
+                    at, placer.reserved.get(worker_id, math.inf)
+                )
             n_reservations += 1
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -424,6 +424,23 @@
     assert [item.key.job_id for item in placed] == ["d" * 16]
 
 
+# Guards against a later reservation that takes a worker away from an earlier one.
+def test_the_earliest_reservation_of_a_worker_counts():
+    urgent, plain = make_queue("urgent"), make_queue("plain", priority=2)
+    placer = make_placer(urgent, plain, n_workers=2)
+    for number, run_time_s in enumerate((5.0, 60.0)):
+        step = make_step(1, cores=16.0, run_time_s=run_time_s)
+        submit(placer, make_job(step, queue="plain", job_id=f"{number:016x}"))
+    held, _ = placer.decide(NOW, WALL)
+    mark_started(placer, held)
+    large = make_step(1, cores=16.0, run_time_s=9.6)
+    submit(placer, make_job(large, queue="urgent", job_id="a" * 16))
+    short = make_step(2, cores=16.0, run_time_s=1.0, gang=True)
+    submit(placer, make_job(short, queue="plain", job_id="b" * 16))
+    placer.decide(NOW + 1, WALL)
+    assert sorted(placer.reserved.values()) == [NOW + 5.0, NOW + 60.0]
+
+
 def test_one_done_member_ends_a_gang():
     """Guards against a second run of a gang whose other ends are reported later."""
     placer = make_placer()
