Count the confirmation of an append from its first unanswered attempt

LogWriter reported the time of the repeat, so a placer could extend leases longer than the next term counts with.

The time of the first attempt without an answer counts. Attempts that the log refused had no effect, so they still do not count.

tests/jobs/test_journal.py -k first_unanswered failed before (0.45 s too late); all 21 tests of the file pass.

Issue: 30, 40

--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -154,7 +154,8 @@
     number : int
         Number of the first append.
     on_appended : callable or None
-        Called with the time at which a successful append was sent.
+        Called with the time at which a successful append was sent; for one that was
+        retried, its first attempt that may have been stored.
     keeps_epoch : bool
         Whether the epoch is the number of a term, so that the writer ends instead of
         raising it.
@@ -353,6 +354,7 @@
         token = WriterToken(self.writer, self.epoch, self.number)
         begun_at = boottime()
         n_unknown = 0
+        first_unknown_at = math.inf
         while True:
             records = [record for item in self._batch for record in item.records]
             sent_at = boottime()
@@ -383,11 +385,13 @@
                 self._note_failure(exc)
                 self._note_unanswered(n_unknown)
                 n_unknown += 1
+                first_unknown_at = min(first_unknown_at, sent_at)
                 error = exc
                 # Limits the rate of calls to a log that resets connections.
                 await curio.sleep(max(0.0, sent_at + RETRY_S - boottime()))
             else:
-                self._succeeded(sent_at)
+                # The log may answer a repeat after a later epoch has begun.
+                self._succeeded(sent_at, min(sent_at, first_unknown_at))
                 return None
             awaited = any(item.give_up_at > boottime() for item in self._batch)
             if n_unknown and not awaited and not self.keeps_epoch:
@@ -496,7 +500,7 @@
             self.failing_since = boottime()
             logger.warning("append failing", writer=self.writer, error=str(error))
 
-    def _succeeded(self, sent_at: float) -> None:
+    def _succeeded(self, sent_at: float, first_sent_at: float) -> None:
         now = boottime()
         self.appended_at = sent_at
         self.latency_s += LATENCY_WEIGHT * (now - sent_at - self.latency_s)
@@ -515,7 +519,7 @@
         self.number += 1
         self.n_appends += 1
         if self.on_appended is not None:
-            self.on_appended(sent_at)
+            self.on_appended(first_sent_at)
 
     def _give_up(self, error: CuminhillError) -> CuminhillError:
         if self.keeps_epoch:
