Count the end of a term from the start of the process that replaced its own

Callers saw lasting tasks stand still for up to the start of a process longer than the leases last. A new term asks the process at its predecessor's address whether it has ended the term; the wait of 5.4 s counted from the answer, although a restarted process has extended no lease since before it was started.

The answer now says since when the term has ended: since the start of the process, read before its other imports, or since the end of the newest term that this process has led itself. The asking VM counts back from the arrival of the answer, less the drift of clocks. Builds without the field leave the value empty and ignore it; then, and for a value out of range, the answer counts as before. It relies on a process being started only after an earlier one at its address has ended, as supervisors do.

Ruled out: /proc/self/stat, whose start time need not be on the clock that the process sees.

With TermEnd() as every answer the new tests of test_handover.py fail (the predecessor's end counts from the answer, not from 0.3 s after the kill); now tests/jobs/test_peers.py, test_handover.py and test_leasebounds.py pass.

--- a/cuminhill/clock.py
+++ b/cuminhill/clock.py
@@ -45,3 +45,8 @@
     a lease that has lapsed would still look valid afterwards.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+# Boot time at which this process is known to have been running. The package imports
+# this module first, since its other imports take some tenths of a second.
+PROCESS_STARTED_AT = boottime()
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -62,6 +62,8 @@
 }
 
 // Asks whether the process that is called extends no lease for a term, and never will.
+// The value of the reply is JSON: `for_s`, how long before the answer the term had ended
+// at the latest, in seconds. Earlier builds leave it empty.
 struct TermCall {
     1: i64 term
 }
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -45,6 +45,7 @@
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
+    from .leasebounds import TermEnd
     from .model import QueueTable, StartReply, TaskKey, WorkerEntry, WorkerReport
 
 logger = structlog.get_logger(__name__)
@@ -138,7 +139,7 @@
         ``"host:port"`` at which other VMs call this process.
     ask_term_ended : callable
         Coroutine function that asks the process at an address whether it extends no
-        lease for a term and never will.
+        lease for a term and never will, and since when; None if it still may.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
     metrics : MetricSet
@@ -156,7 +157,7 @@
     job_index: JobIndex
     ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
     address: str
-    ask_term_ended: Callable[[str, int], Awaitable[bool]]
+    ask_term_ended: Callable[[str, int], Awaitable[TermEnd | None]]
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
@@ -241,25 +242,26 @@
         """Ask the process of the previous term until it has ended that term.
 
         Whichever process answers at its address has ended that term or was started
-        later.
+        later. An answer may still shorten the wait when no lease can be granted any
+        more, since it tells since when.
         """
         inherited = self.placer.inherited
         if not inherited.term:
             return
-        give_up_at = latest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
-        while not self.ended and boottime() < give_up_at:
+        while not self.ended and boottime() < latest_lapse_at(self.placer):
             try:
-                ended = await self.ask_term_ended(inherited.address, inherited.term)
+                end = await self.ask_term_ended(inherited.address, inherited.term)
             except CuminhillError:
-                ended = False  # the longest lease counts until it answers
-            if ended:
+                end = None  # the longest lease counts until it answers
+            if end is not None:
                 now = boottime()
-                note_predecessor_ended(self.placer, now)
+                note_predecessor_ended(self.placer, end.ended_at(now))
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
                     address=inherited.address,
                     after_s=round(now - self.placer.begun_at, 2),
+                    for_s=round(end.for_s, 2),
                 )
                 return
             await curio.sleep(ASK_INTERVAL_S)
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .fleet import CLOCK_DRIFT
 from .records import LeaseBound, LeaseRecord
 
 if TYPE_CHECKING:
@@ -52,6 +53,29 @@
 NO_INHERITED_LEASES = InheritedLeases()
 
 
+@dataclass(frozen=True, slots=True)
+class TermEnd:
+    """Statement that a process extends no lease for a term and never will.
+
+    Parameters
+    ----------
+    for_s : float, seconds
+        How long before the answer the process of the term had ended it at the latest.
+    """
+
+    for_s: float = 0.0
+
+    def ended_at(self, answered_at: float) -> float:
+        """Return when the term had ended at the latest, in seconds.
+
+        Parameters
+        ----------
+        answered_at : float, seconds
+            When the answer arrived, which is later than it was given.
+        """
+        return answered_at - self.for_s * (1 - CLOCK_DRIFT)
+
+
 def inherit_leases(record: LeaseRecord, read_at: float) -> InheritedLeases:
     """Return the ends of leases in a record of the previous term.
 
@@ -104,9 +128,9 @@
     return min(placer.inherited.bounds.get(life, math.inf), latest_lapse_at(placer))
 
 
-def note_predecessor_ended(placer: Placer, now: float) -> None:
-    """Note that the previous term extends no lease from now on."""
-    placer.predecessor_ended_at = min(placer.predecessor_ended_at, now)
+def note_predecessor_ended(placer: Placer, ended_at: float) -> None:
+    """Note that the previous term has extended no lease since a time, in seconds."""
+    placer.predecessor_ended_at = min(placer.predecessor_ended_at, ended_at)
     for worker in placer.workers.values():
         if not worker.confirmed_token and not worker.reachable:
             worker.lapse_at = min(worker.lapse_at, lapse_at(placer, worker.life))
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -29,6 +29,7 @@
 from .jobindex import JobIndex
 from .journal import KeyedLog, LogWriter, WriterToken
 from .leadership import Leadership, WorkerCalls
+from .leasebounds import TermEnd
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
@@ -96,6 +97,10 @@
         How long the state of ended jobs can be queried.
     fitness : float
         Suitability of the VM as the placer, from 0 to 1.
+    started_at : float or None, seconds
+        Boot time by which this process had started. Any earlier process at the same
+        address had ended by then. None if the process has other nodes: then it counts
+        from the creation of the node.
     """
 
     vm: str
@@ -103,6 +108,7 @@
     times: PlacerTimes
     keep_ended_s: float
     fitness: float = 1.0
+    started_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +160,9 @@
     _claim_number: int = 0
     _claimed_at: float = 0.0
     _used_term: int = 0
+    # Since when no earlier process at this address, and no term of this one that has
+    # been removed, extends leases.
+    _idle_since: float = 0.0
     _may_hand_over_at: float = 0.0
     _next_resign_at: float = 0.0
     _deregistered: set[str] = field(default_factory=set)
@@ -162,6 +171,9 @@
 
     def __post_init__(self) -> None:
         options, backends = self.options, self.backends
+        self._idle_since = boottime()
+        if options.started_at is not None:
+            self._idle_since = min(self._idle_since, options.started_at)
         self.journal = LogFollower(
             "journal",
             backends.journal,
@@ -494,18 +506,24 @@
         else:
             await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
-    def _disclaim_term(self, term: int) -> bool:
-        """Abandon a claim of a term that was not begun; return whether it is over here.
+    def _disclaim_term(self, term: int) -> TermEnd | None:
+        """Abandon a claim of a term that was not begun; return since when it is over.
 
         A later placer asks, and counts on it that this process extends no lease for
-        the term and never will.
+        the term and never will. A process that has led the term itself may have
+        extended leases until it ended the term.
+
+        Returns
+        -------
+        end : TermEnd or None
+            None if this process may still extend leases for the term.
         """
         leadership = self.leadership
         if leadership is not None and leadership.leader_record.term <= term:
-            return leadership.ended
+            return TermEnd() if leadership.ended else None
         if self._claim is not None and self._claim.term <= term:
             self._claim = None
-        return True
+        return TermEnd(max(0.0, boottime() - self._idle_since))
 
     def _find_queue(self, name: str) -> Queue | None:
         return self.table.queues.get(name)
@@ -552,7 +570,7 @@
         self.peers.placer_writer = writer
         await leadership.start()
 
-    async def _ask_term_ended(self, address: str, term: int) -> bool:
+    async def _ask_term_ended(self, address: str, term: int) -> TermEnd | None:
         if address == self.options.rpc_address:
             return self._disclaim_term(term)
         return await self.peers.ask_term_ended(address, term)
@@ -568,6 +586,7 @@
         )
         if replaced or leader.resigned or leadership.ended or leadership.writer.fenced:
             await leadership.end()
+            self._idle_since = boottime()
             self.leadership = self.peers.placer_writer = None
             self._claim = None
             self.journal.pause_s = FOLLOW_PAUSE_S
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Annotated, Any, Protocol
 
 import curio
 import orjson
 import structlog
+from pydantic import Field
 
 from ..clock import boottime
 from ..errors import (
@@ -19,7 +20,10 @@
 )
 from ..rpc import RpcClient, idl
 from ..util.json_input import load_json
+from ..util.validation import Message, validate_json
+from .leasebounds import TermEnd
 from .model import Outcome
+from .records import MAX_TIME_S
 
 if TYPE_CHECKING:
     import random
@@ -77,15 +81,15 @@
     placer_writer : LogWriter or None
         Writer of this VM's term while it is the placer.
     end_term : callable
-        Takes the number of a term and returns whether this process extends no lease
-        for it and never will.
+        Takes the number of a term and returns since when this process extends no lease
+        for it and never will; None if it still may.
     """
 
     vm: str
     advice: AdviceService
     writer: LogWriter
     rng: random.Random
-    end_term: Callable[[int], bool]
+    end_term: Callable[[int], TermEnd | None]
     source_host: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     placer_writer: LogWriter | None = None
@@ -134,8 +138,13 @@
             raise UnavailableError(str(reply.value), step="advise", peer=vm)
         return _decode_pairs(reply.value, "advise", vm)
 
-    async def ask_term_ended(self, address: str, term: int) -> bool:
-        """Return whether the process at an address has ended a term for good.
+    async def ask_term_ended(self, address: str, term: int) -> TermEnd | None:
+        """Ask the process at an address since when a term has ended for good.
+
+        Returns
+        -------
+        end : TermEnd or None
+            None if the process may still extend leases for the term.
 
         Raises
         ------
@@ -151,7 +160,7 @@
         except UnknownOutcomeError:
             await client.close()
             raise
-        return bool(reply.status == STATUS_OK)
+        return _decode_term_end(reply.value) if reply.status == STATUS_OK else None
 
     async def append_by_placer(
         self, placer: str, records: list[tuple[str, bytes]], wait_s: float
@@ -260,8 +269,10 @@
         return idl.Reply(STATUS_OK, b"")
 
     async def _serve_term_ended(self, call: Any) -> Any:
-        ended = self.end_term(call.term)
-        return idl.Reply(STATUS_OK if ended else STATUS_UNAVAILABLE, b"")
+        end = self.end_term(call.term)
+        if end is None:
+            return idl.Reply(STATUS_UNAVAILABLE, b"")
+        return idl.Reply(STATUS_OK, orjson.dumps({"for_s": end.for_s}))
 
     async def _serve_append(self, call: Any) -> Any:
         _check_wait(call.wait_s)
@@ -279,6 +290,22 @@
         return idl.Reply(STATUS_OK, orjson.dumps(tickets))
 
 
+class _TermEndBody(Message):
+    for_s: Annotated[float, Field(ge=0, le=MAX_TIME_S)]
+
+
+def _decode_term_end(data: bytes) -> TermEnd:
+    """Decode since when a term has ended.
+
+    Builds before the field give none, and a value out of range is not believed; the
+    term has then ended by the time of the answer.
+    """
+    try:
+        return TermEnd(validate_json(_TermEndBody, data, step="term ended").for_s)
+    except ProtocolError:
+        return TermEnd()
+
+
 def _decode_pairs(data: bytes, step: str, peer: str = "") -> list[tuple[str, str]]:
     """Decode a list of pairs of texts.
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -113,8 +113,8 @@
     inherited : InheritedLeases
         What the previous term has left in the journal about leases.
     predecessor_ended_at : float, seconds
-        When it was known that the previous term extends no lease any more; infinite
-        before.
+        Since when the previous term extends no lease any more; infinite while that is
+        not known.
     not_adopted : dict
         Tasks assigned to an incarnation that has not registered in this term, by key.
     listed : set of (str, int)
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -11,6 +11,7 @@
 
 from pydantic import BaseModel, ConfigDict
 
+from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
 from ..jobs.fleet import LeaseTimes
 from ..jobs.node import Backends, JobNode, NodeOptions
@@ -108,6 +109,7 @@
         times=PlacerTimes(lease),
         keep_ended_s=cfg.keep_state_s,
         fitness=placer_fitness(cfg),
+        started_at=PROCESS_STARTED_AT,
     )
     return JobNode(options, backends, rng)
 
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -108,8 +108,10 @@
             drain_left_s=DRAIN_S if state else 0.0,
         )
 
-    async def start_node(self, vm: str, seed: int = 1, fitness: float = 1.0) -> JobNode:
-        """Start a node."""
+    async def start_node(
+        self, vm: str, seed: int = 1, fitness: float = 1.0, address: str = ""
+    ) -> JobNode:
+        """Start a node, by default at an address of its own."""
         views = [LogView(log) for log in (self.journal, self.config, self.registry)]
         self.views[vm] = views
         backends = Backends(
@@ -120,7 +122,7 @@
             decode_worker=self._decode_worker,
             config_key="config",
         )
-        address = f"127.0.0.1:{free_port()}"
+        address = address or f"127.0.0.1:{free_port()}"
         options = NodeOptions(vm, address, self.times, 120.0, fitness)
         node = JobNode(options, backends, random.Random(f"{vm}.{seed}"))
         self.nodes[vm] = node
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -11,7 +11,7 @@
 from cuminhill.jobs.fleet import LeaseTimes
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.leadership import Leadership
-from cuminhill.jobs.leasebounds import NO_INHERITED_LEASES
+from cuminhill.jobs.leasebounds import NO_INHERITED_LEASES, TermEnd
 from cuminhill.jobs.model import JobState
 from cuminhill.jobs.node import JobNode
 from cuminhill.jobs.placer import PlacerTimes
@@ -199,6 +199,58 @@
     run_to_end(scenario)
 
 
+# Guards against a wait for leases that counts from the answer of a restarted process,
+# which comes as long after their end as the process takes to start and to be asked.
+@pytest.mark.parametrize("own", [True, False], ids=["own address", "other VM"])
+def test_leases_of_a_killed_placer_count_from_the_start_of_its_next_process(
+    cluster, own
+):
+    async def scenario():
+        first = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        await cluster.wait_for(lambda: first.job_index.leases.term)
+        if not own:
+            other = await cluster.start_node("vm1")
+            await cluster.wait_for(other.is_ready)
+        address = first.options.rpc_address
+        await cluster.kill_node("vm0")
+        killed_at = boottime()
+        second = await cluster.start_node("vm0", seed=2, address=address)
+        second.draining = not own
+        if own:
+            # It claims once it knows a configuration.
+            cluster.views["vm0"][1].faults.unresponsive = True
+            await curio.sleep(1.0)
+            cluster.views["vm0"][1].faults.unresponsive = False
+        await cluster.wait_for(cluster.leader)
+        placer = cluster.leader().leadership.placer
+        assert placer.begun_at > killed_at + 0.8
+        await cluster.wait_for(lambda: placer.predecessor_ended_at < killed_at + 0.3)
+        assert placer.predecessor_ended_at >= killed_at
+
+    run_to_end(scenario)
+
+
+# Guards against leases that a process extends until it ends its term, while the next
+# term counts from the start of the process.
+def test_a_process_that_has_led_a_term_says_when_it_ended_it(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        term = node.leadership.leader_record.term
+        await curio.sleep(0.5)
+        assert node._disclaim_term(term) is None
+        ended_at = boottime()
+        await node.drain()
+        assert node._disclaim_term(term) == TermEnd(0.0)
+        await cluster.wait_for(lambda: node.leadership is None)
+        await curio.sleep(0.3)
+        for_s = node._disclaim_term(term).for_s
+        assert 0.3 <= for_s <= boottime() - ended_at
+
+    run_to_end(scenario)
+
+
 # Guards against a VM that never leads again after an odd question of another one.
 def test_a_question_about_a_term_of_the_future_does_not_keep_a_vm_from_leading(cluster):
     async def scenario():
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -21,6 +21,7 @@
     REWRITE_INTERVAL_S,
     InheritedLeases,
     LeaseJournal,
+    TermEnd,
     lapse_at,
     latest_lapse_at,
     list_unreached,
@@ -181,6 +182,13 @@
     assert placer.workers["w1"].lapse_at == expected
 
 
+# Guards against a clock that runs fast in the process that tells since when a term has
+# ended, and against a time that counts from the question.
+def test_the_time_since_the_end_of_a_term_counts_back_from_the_answer():
+    assert TermEnd().ended_at(NOW) == NOW
+    assert TermEnd(2.0).ended_at(NOW) == pytest.approx(NOW - 2.0 * (1 - CLOCK_DRIFT))
+
+
 # Guards against a shorter wait for a worker that has answered this term meanwhile.
 def test_the_end_of_the_predecessor_changes_nothing_for_a_worker_that_has_answered():
     placer = make_placer(n_workers=1)
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -13,6 +13,7 @@
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.advice import AdviceCall
 from cuminhill.jobs.journal import LogWriter
+from cuminhill.jobs.leasebounds import TermEnd
 from cuminhill.jobs.peers import STATUS_OK, JobPeers
 from cuminhill.jobs.records import Member
 from cuminhill.rpc import RpcClient, RpcServer, idl
@@ -33,7 +34,11 @@
 def make_peers(address):
     writer = LogWriter(LogView(MemoryLog()), "a", 1)
     peers = JobPeers(
-        "a", MemoryAdvice(), writer, random.Random(1), lambda term: term < 3
+        "a",
+        MemoryAdvice(),
+        writer,
+        random.Random(1),
+        lambda term: TermEnd(2.5) if term < 3 else None,
     )
     peers.members = {"b": Member(address)}
     return peers
@@ -150,3 +155,48 @@
 
     peers = make_peers("")
     curio.run(main)
+
+
+async def ask_about_terms(handlers, *terms):
+    """Return the answers of a VM that serves the handlers to questions about terms."""
+    server = RpcServer(handlers)
+    await server.start("127.0.0.1", 0)
+    address = f"127.0.0.1:{server.port}"
+    try:
+        peers = make_peers(address)
+        return [await peers.ask_term_ended(address, term) for term in terms]
+    finally:
+        await server.close()
+
+
+# Guards against a wait for leases that counts from the answer of a process that was
+# started long after the term had ended.
+def test_the_answer_about_a_term_says_since_when_it_has_ended():
+    handlers = make_peers("").handlers()
+    answers = curio.run(ask_about_terms, handlers, 2, 3)
+    assert answers == [TermEnd(2.5), None]
+
+
+# Guards against a time on the wire that ends the wait for leases before they lapse;
+# builds before the field send none.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        b"2.5",
+        b'{"for_s":-1.0}',
+        b'{"for_s":NaN}',
+        b'{"for_s":1e999}',
+        b'{"for_s":1e300}',
+        b'{"for_s":"2.5"}',
+        b'{"for_s":null}',
+        b"[" * 100_000,
+    ],
+)
+def test_an_odd_time_since_a_term_has_ended_is_not_believed(value):
+    async def answer(_):
+        return idl.Reply(STATUS_OK, value)
+
+    handlers = {"term_ended": answer}
+    assert curio.run(ask_about_terms, handlers, 1) == [TermEnd(0.0)]
