Log the parts of a lasting task's absence

The logs could not tell how much of an absence was the wait for the leases, for advice, for room or for the start.

"run lost" and "run ended" say how long ago a report last showed the run, "run lost" since when the worker was silent, and it and "run not adopted" which bound ended the wait. "start" of a task that had run says how long it was away and since when it was given up, with the waits of its step for advice and room. A run of an earlier term counts from the begin of the term, and the line says so. cuminhill_restart_seconds counts from the loss to the start.

A start without effect no longer resets away_since: cuminhill_away_seconds counted such an absence from the refused start only. A run on a registered worker that a new term never reached counted as away from the end of the wait only; it counts from the begin of the term.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -133,6 +133,8 @@
             core_limit=limits.get(queue.name),
         )
         placements.extend(placed)
+        if step_run.step.long_running:
+            _note_wait(placer, step_run, queue, workers, now=now)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
         if step_run.step.gang or run_s > SHORT_RUN_S:
@@ -481,6 +483,37 @@
     return placed
 
 
+def _note_wait(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    *,
+    now: float,
+) -> None:
+    """Note what the tasks of a step that were not placed wait for.
+
+    They wait for advice as long as a worker with room for one is not known to be
+    permitted or forbidden, or has no valid ticket.
+    """
+    if not step_run.n_waiting:
+        step_run.note_wait("", now)
+        return
+    waits_for = "room"
+    if queue.advice is not None:
+        advice = placer.advice.for_step(step_run.name)
+        for worker in workers:
+            asked = worker.worker_id in advice.asked
+            if asked and not advice.permits(worker.worker_id):
+                continue
+            if not worker.fits(step_run.step.need):
+                continue
+            if not advice.ticket(worker.worker_id, worker.entry.incarnation, now):
+                waits_for = "advice"
+                break
+    step_run.note_wait(waits_for, now)
+
+
 def _assign(
     placer: Placer,
     progress: Progress,
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -78,6 +78,8 @@
     present_at, present_ms : float, int
         When an answer of the worker first showed that the run is present, in seconds,
         and the worker's clock in that answer, in milliseconds; 0 before.
+    seen_at : float, seconds
+        When an answer last showed it; 0 before.
     incarnation : int
         Incarnation of the worker that has shown the run, or to which an earlier term
         assigned it; 0 while it is not known which one received the start.
@@ -109,6 +111,7 @@
     started_at: float = 0.0
     present_at: float = 0.0
     present_ms: int = 0
+    seen_at: float = 0.0
     incarnation: int = 0
     stopping_at: float = 0.0
     percent: float = 0.0
@@ -137,6 +140,7 @@
     def mark_present(self, clock_ms: int, now: float, incarnation: int) -> None:
         """Note an answer that shows that the run is present."""
         self.confirmed, self.incarnation = True, incarnation
+        self.seen_at = now
         self.confirmed_ms = max(self.confirmed_ms, clock_ms)
         if not self.present_at:
             self.present_at, self.present_ms = now, clock_ms
@@ -144,7 +148,7 @@
     def mark_unknown(self) -> None:
         """Note that another incarnation of the worker may have received the start."""
         self.confirmed, self.confirmed_ms = False, 0
-        self.present_at, self.present_ms = 0.0, 0
+        self.present_at, self.present_ms, self.seen_at = 0.0, 0, 0.0
         self.percent, self.progressed_at = 0.0, 0.0
 
     @property
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -518,6 +518,7 @@
             worker=order.worker_id,
             fence=order.fencing_token,
             config=self.placer.table.version,
+            **self._absence(progress, order.key, now),
         )
         reply = await self.calls.start(order, START_TIMEOUT_S)
         result = self.placer.handle_start_reply(order, reply, boottime())
@@ -537,14 +538,42 @@
         waited_s = max(0.0, time.time() - job.accepted_at)
         self.metrics.observe("first_start_seconds", waited_s, queue=job.queue)
 
+    def _absence(
+        self, progress: Progress, key: TaskKey, now: float
+    ) -> dict[str, object]:
+        """Return how long a long-running task that starts again was away, and why.
+
+        Of a run that an earlier term gave up it is only known that the task has been
+        away since this term began.
+        """
+        task = progress.task(key)
+        if task is None or not progress.job.steps[key.step].long_running:
+            return {}
+        if task.run < 2 and not task.away_since:
+            return {}
+        since = task.away_since or self.placer.begun_at
+        step_run = progress.step_run(key.occurrence, key.step)
+        return {
+            "away_s": round(now - since, 3),
+            "away_from": "term begun" if since == self.placer.begun_at else "last run",
+            "given_up_s": round(now - task.given_up_at, 3)
+            if task.given_up_at
+            else None,
+            "advice_s": round(step_run.advice_s, 3),
+            "room_s": round(step_run.room_s, 3),
+        }
+
     def _observe_return(self, progress: Progress, key: TaskKey) -> None:
         task = progress.task(key)
         if task is None or not task.away_since:
             return
         if progress.job.steps[key.step].long_running:
-            away_s = boottime() - task.away_since
-            self.metrics.observe("away_seconds", away_s, queue=progress.job.queue)
-        task.away_since = 0.0
+            now, queue = boottime(), progress.job.queue
+            self.metrics.observe("away_seconds", now - task.away_since, queue=queue)
+            if task.given_up_at:
+                restart_s = now - task.given_up_at
+                self.metrics.observe("restart_seconds", restart_s, queue=queue)
+        task.away_since = task.given_up_at = 0.0
 
     def _observe_ends(self, progresses: Iterable[Progress]) -> None:
         for progress in progresses:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -104,6 +104,18 @@
     return min(placer.inherited.bounds.get(life, math.inf), latest_lapse_at(placer))
 
 
+def lapse_bound(placer: Placer, life: tuple[str, int]) -> str:
+    """Return the name of the bound that `lapse_at` returns, for log lines."""
+    at = lapse_at(placer, life)
+    if at == placer.inherited.bounds.get(life):
+        return "listed"
+    if at == placer.predecessor_ended_at + placer.times.lease.lapse_s:
+        return "predecessor ended"
+    if at == placer.inherited.earlier_lapse_at:
+        return "earlier terms"
+    return "longest lease"
+
+
 def note_predecessor_ended(placer: Placer, now: float) -> None:
     """Note that the previous term extends no lease from now on."""
     placer.predecessor_ended_at = min(placer.predecessor_ended_at, now)
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -129,6 +129,13 @@
         "seconds.",
         ("queue",),
     ),
+    Metric(
+        "restart_seconds",
+        HISTOGRAM,
+        "Time from when a run of a long-running task was given up to the next start of "
+        "the task, in seconds.",
+        ("queue",),
+    ),
     Metric(
         "advice_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -28,7 +28,7 @@
 from .evacuation import Move, evacuate
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
 from .lateness import make_outlook
-from .leasebounds import NO_INHERITED_LEASES, lapse_at
+from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
@@ -233,6 +233,7 @@
             life=task.incarnation,
             registered_life=worker.entry.incarnation if worker else None,
             wait_s=round(lapse_at(self, task.life) - now, 2),
+            bound=lapse_bound(self, task.life),
         )
 
     def make_slot(self, progress: Progress, key: TaskKey, run: int) -> Slot:
@@ -650,6 +651,7 @@
             number=end.number,
             current=current,
             late=late,
+            seen_s=_seconds_since(slot.seen_at, now) if slot else None,
         )
         self.counts[f"ends_{end.kind}"] += 1
         if progress is None or task is None or not (current or late):
@@ -664,7 +666,7 @@
         if progress.job.steps[end.key.step].checkpoints and checkpoint:
             progress.store_checkpoint(task, checkpoint)
         progress.unassign(end.key)
-        task.away_since = now
+        progress.note_away(end.key, now, now)
         self.mark_dirty(progress)
         if end.kind is EndKind.DONE:
             self._handle_done(worker, progress, end.key, slot, now)
@@ -780,6 +782,7 @@
             worker.worker_id,
             slot.run,
         )
+        unseen = slot.sent and slot.is_unseen
         logger.info(
             "run lost",
             job=slot.key.job_id,
@@ -793,6 +796,13 @@
             ran_s=round(worker.heard_at - slot.present_at, 3)
             if slot.present_at
             else None,
+            seen_s=_seconds_since(slot.seen_at, now),
+            silent_s=None
+            if worker.reachable
+            else _seconds_since(worker.silent_at, now),
+            # Nothing earlier is known of a run of an earlier term.
+            waited_s=round(now - self.begun_at, 2) if unseen else None,
+            bound=self._lease_bound(worker) if why == "lease lapsed" else None,
         )
         self.counts["runs_lost"] += 1
         if progress is None or task is None or not current:
@@ -801,12 +811,41 @@
         if step.checkpoints and slot.checkpoint:
             progress.store_checkpoint(task, slot.checkpoint)
         progress.unassign(slot.key)
-        task.away_since = now if worker.reachable else worker.silent_at or now
+        self._note_away(worker, slot, progress, task, now)
         self.mark_dirty(progress)
         if step.gang:
             self.stop_runs(progress, "gang", now, slot.key.step)
         self.retire(progress)
 
+    def _lease_bound(self, worker: Worker) -> str:
+        """Return the name of the bound by which a worker's leases have lapsed."""
+        if worker.confirmed_token:
+            return "renewal"
+        if worker.has_predecessor:
+            return "later incarnation"
+        return lapse_bound(self, worker.life)
+
+    def _note_away(
+        self,
+        worker: Worker,
+        slot: Slot,
+        progress: Progress,
+        task: TaskState,
+        now: float,
+    ) -> None:
+        """Note since when a task is away whose run was released.
+
+        A start that had no effect does not end an earlier absence.
+        """
+        if not slot.sent and task.away_since:
+            return
+        unseen = slot.sent and slot.is_unseen
+        if not worker.reachable:
+            began = self.begun_at if unseen else now
+            progress.note_away(slot.key, worker.silent_at or began, now)
+        elif slot.present_at or unseen or not task.away_since:
+            progress.note_away(slot.key, now, now)
+
     def queue_of(self, progress: Progress) -> Queue | None:
         """Return the queue of a job; as the job was accepted if it was removed."""
         job = progress.job
@@ -979,6 +1018,11 @@
         return placements, calls + evacuate(self, now)
 
 
+def _seconds_since(at: float, now: float) -> float | None:
+    """Return the seconds since a time, None if it is 0, for log lines."""
+    return round(now - at, 3) if at else None
+
+
 def _counts_late(progress: Progress, task: TaskState, end: EndedTask) -> bool:
     """Return whether a run has done a task although it was given up as lost.
 
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -66,6 +66,9 @@
     away_since : float, seconds
         When the last run ended, or its worker stopped answering; 0 while the task runs
         and before its first run. Not kept in the journal.
+    given_up_at : float, seconds
+        When that run was given up, so that the task might start again; 0 if it was not
+        in this term. Not kept in the journal.
     """
 
     run: int = 0
@@ -80,6 +83,7 @@
     n_start_crashes: int = 0
     start_exposure_s: float = 0.0
     away_since: float = 0.0
+    given_up_at: float = 0.0
 
     @property
     def life(self) -> tuple[str, int]:
@@ -97,6 +101,14 @@
         Number of tasks that are done, and of those that a worker may be running.
     n_open : int
         Number of tasks that have started at least once and are not done.
+    waits_for : str
+        What tasks of a long-running step waited for after the newest decision:
+        ``"advice"`` or ``"room"``; empty if none waited.
+    waits_since : float, seconds
+        When that decision was made.
+    advice_s, room_s : float, seconds
+        How long tasks of a long-running step have waited for each, in this term, since
+        none last waited.
     """
 
     job: Job
@@ -106,6 +118,10 @@
     n_done: int = 0
     n_assigned: int = 0
     n_open: int = 0
+    waits_for: str = ""
+    waits_since: float = 0.0
+    advice_s: float = 0.0
+    room_s: float = 0.0
 
     @property
     def is_open(self) -> bool:
@@ -133,6 +149,15 @@
             if not task.done and not task.worker:
                 yield index
 
+    def note_wait(self, waits_for: str, now: float) -> None:
+        """Note what tasks wait for after a decision; empty if none waits."""
+        waited_s = now - self.waits_since
+        if self.waits_for == "advice":
+            self.advice_s += waited_s
+        elif self.waits_for == "room":
+            self.room_s += waited_s
+        self.waits_for, self.waits_since = waits_for, now
+
     def done_indexes(self) -> list[int]:
         """Return the indexes of the tasks that are done."""
         return [index for index, task in enumerate(self.tasks) if task.done]
@@ -304,6 +329,24 @@
         step_run.n_assigned -= 1
         self.n_assigned -= 1
 
+    def note_away(self, key: TaskKey, since: float, now: float) -> None:
+        """Note that the run of an unassigned task was given up.
+
+        Parameters
+        ----------
+        since : float, seconds
+            Since when the task is away.
+
+        Notes
+        -----
+        If no other task of its step waits, what they wait for is counted anew.
+        """
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        task.away_since, task.given_up_at = since, now
+        if step_run.n_waiting <= 1:
+            step_run.waits_for, step_run.advice_s, step_run.room_s = "", 0.0, 0.0
+
     def finish_task(self, key: TaskKey) -> bool:
         """Mark an unassigned task as done; return whether its step is now done."""
         step_run = self.step_runs[key.occurrence, key.step]
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -7,7 +7,7 @@
 import structlog
 
 from .crashes import record_lapse
-from .leasebounds import lapse_at
+from .leasebounds import lapse_at, lapse_bound
 
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
@@ -111,9 +111,10 @@
         worker=task.worker,
         why=why,
         waited_s=round(now - placer.begun_at, 2),
+        bound=lapse_bound(placer, task.life),
     )
     progress.unassign(key)
-    task.away_since = placer.begun_at
+    progress.note_away(key, placer.begun_at, now)
     placer.mark_dirty(progress)
     if progress.job.steps[key.step].gang:
         placer.stop_runs(progress, "gang", now, key.step)
