Place interrupted lasting tasks right after urgent work

A lasting task whose worker was lost long after its job was accepted was placed behind all other waiting work of its pool, for room as for advice, and stood still as long as batches kept coming.

Cause: `order_key` counts from the acceptance of the job. A lasting job declares run times of some tenths of a second, so 9.6 s after acceptance each of its steps was stale, and before that late. Neither notion applies to a task without an end: its callers lose each second without it, however old the job.

Lasting steps that have not started yet keep their place in the order of latest starts and become neither late nor stale. The order of urgent work, gangs and moved tasks is as before; the ranks have names now.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -10,7 +10,7 @@
 from .headroom import Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
-from .ordering import order_key
+from .ordering import Rank, order_key
 from .packing import (
     SHORT_RUN_S,
     by_free_cores,
@@ -49,8 +49,6 @@
 # Advice is prefetched if the step is expected to be ready within this fraction of the
 # validity of its tickets.
 PREFETCH_FRACTION = 0.5
-# Rank of the steps whose tasks were stopped because a place for them was free.
-MOVING_RANK = -1
 
 
 class Placement(NamedTuple):
@@ -82,7 +80,7 @@
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
             if step_run.name in moving:
-                key = (MOVING_RANK, *key[1:])
+                key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
     return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
@@ -461,7 +459,7 @@
         ]
     placed = []
     n_startable = progress.n_startable(step_run)
-    n_new = n_startable - (step_run.n_open - step_run.n_assigned)
+    n_new = n_startable - step_run.n_interrupted
     for index in list(step_run.waiting()):
         task = step_run.tasks[index]
         if not task.run and n_new <= 0:
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -5,10 +5,15 @@
 its objective would only make others late as well, so it is placed after jobs of its
 priority class that still can. Urgent work comes first even when it is late: it is
 short, and its callers wait for it.
+
+Tasks that last have no end to be in time for: each second without them is lost to their
+callers, however long ago the job was accepted. Those that were interrupted come right
+after urgent work, the longest absent first.
 """
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,6 +29,18 @@
 STALE_FACTOR = 3.0
 
 
+class Rank(IntEnum):
+    """Classes of waiting steps; steps of a lower one are placed first."""
+
+    MOVING = 0  # tasks that were stopped because a place for them was free
+    URGENT = 1
+    URGENT_LATE = 2
+    RESTART = 3  # tasks that last and have run before
+    PATIENT = 4
+    PATIENT_LATE = 5
+    STALE = 6
+
+
 def critical_path_s(
     job: Job,
     first: int = 0,
@@ -77,14 +94,28 @@
     run_times : sequence of float, seconds, or None
         Expected run time of each step of the job.
     """
-    job = step_run.job
+    job, lasts = step_run.job, step_run.step.long_running
+    urgent = queue.priority == 0
+    if lasts and not urgent and step_run.n_interrupted:
+        return Rank.RESTART, queue.priority, _absent_since(step_run), step_run.name
     begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
     objective = objective_s(job, queue, run_times)
     left_s = critical_path_s(job, step_run.number, first_only=True, run_times=run_times)
     latest_start = begun_at + objective - left_s
-    if wall > begun_at + STALE_FACTOR * objective - left_s:
-        return 4, queue.priority, begun_at, step_run.name
-    rank = 0 if queue.priority == 0 else 2
-    if wall > latest_start + LATE_FRACTION * objective:
-        return rank + 1, queue.priority, left_s, step_run.name
-    return rank, 0, latest_start, step_run.name
+    if not lasts and wall > begun_at + STALE_FACTOR * objective - left_s:
+        return Rank.STALE, queue.priority, begun_at, step_run.name
+    late = wall > latest_start + LATE_FRACTION * objective
+    if urgent and late:
+        return Rank.URGENT_LATE, queue.priority, left_s, step_run.name
+    if late and not lasts:
+        return Rank.PATIENT_LATE, queue.priority, left_s, step_run.name
+    return Rank.URGENT if urgent else Rank.PATIENT, 0, latest_start, step_run.name
+
+
+def _absent_since(step_run: StepRun) -> float:
+    """Return since when a waiting task of a step has been absent, the longest one.
+
+    It is 0 if that was in an earlier term, before anything that this one has seen.
+    """
+    waiting = (step_run.tasks[index] for index in step_run.waiting())
+    return min((task.away_since for task in waiting if task.run), default=0.0)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -122,6 +122,11 @@
         """Number of tasks that are neither done nor assigned."""
         return len(self.tasks) - self.n_done - self.n_assigned
 
+    @property
+    def n_interrupted(self) -> int:
+        """Number of waiting tasks that have run before."""
+        return self.n_open - self.n_assigned
+
     @property
     def name(self) -> str:
         """Name of the step, unique among all jobs."""
@@ -200,7 +205,7 @@
         A task that starts for the first time gets a row in the record of the job,
         which has a maximum length. The others wait until earlier tasks are done.
         """
-        n_again = step_run.n_open - step_run.n_assigned
+        n_again = step_run.n_interrupted
         n_new = step_run.n_waiting - n_again
         left = MAX_PROGRESS_BYTES - self._max_bytes()
         if not step_run.is_open:
