Let interrupted lasting tasks use the headroom for urgent work

The headroom no longer applies to tasks that last and have run before. What they take counts against it, so batches leave as much free as before. First starts of lasting tasks still leave the headroom. For this the tasks of a step are placed in two groups, the interrupted ones first; before, a task that had never run could take the only place of one that was interrupted.

tests/jobs/test_decisions_lasting.py: the tests of the headroom for restarts and of the order within a step failed before.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -389,6 +389,7 @@
     now: float,
     core_limit: HeadroomLimit | None,
     valid_at: float,
+    restart: bool = False,
 ) -> Candidates:
     """Return the workers that can be sent tasks of a step.
 
@@ -396,6 +397,8 @@
     ----------
     valid_at : float, seconds
         When the tickets will be used.
+    restart : bool, default=False
+        Whether the tasks last and were interrupted. They may use the headroom.
     """
     progress = placer.jobs[step_run.job.job_id]
     queue = placer.queue_of(progress)
@@ -414,53 +417,82 @@
     ]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
-    return make_candidates(
+    candidates = make_candidates(
         step_run.step, workers, _n_by_worker(step_run), outlook, core_limit
     )
+    candidates.uses_headroom = restart
+    return candidates
 
 
 def _place(
     placer: Placer,
     step_run: StepRun,
-    workers: Iterable[Worker],
+    workers: list[Worker],
     outlook: Outlook,
     *,
     now: float,
     core_limit: HeadroomLimit | None,
+) -> list[Placement]:
+    """Assign waiting tasks of a step, those that last and were interrupted first."""
+    waiting = list(step_run.waiting())
+    lasts = step_run.step.long_running and not step_run.step.gang
+    restarts = [index for index in waiting if lasts and step_run.tasks[index].run]
+    others = [index for index in waiting if not (lasts and step_run.tasks[index].run)]
+    placed = []
+    for indexes in (restarts, others):
+        if not indexes:
+            continue
+        candidates = step_candidates(
+            placer,
+            step_run,
+            workers,
+            outlook,
+            now=now,
+            core_limit=core_limit,
+            valid_at=now,
+            restart=indexes is restarts,
+        )
+        if candidates.workers:
+            place = _place_gang if step_run.step.gang else _place_tasks
+            placed += place(placer, step_run, indexes, candidates, now)
+    return placed
+
+
+def _place_gang(
+    placer: Placer,
+    step_run: StepRun,
+    indexes: list[int],
+    candidates: Candidates,
+    now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
-    candidates = step_candidates(
-        placer,
-        step_run,
-        workers,
-        outlook,
-        now=now,
-        core_limit=core_limit,
-        valid_at=now,
-    )
-    if not candidates.workers:
+    n_tasks = step_run.step.n_tasks
+    if len(indexes) < n_tasks or progress.n_startable(step_run) < n_tasks:
         return []
-    if step_run.step.gang:
-        n_tasks = step_run.step.n_tasks
-        if step_run.n_assigned or step_run.n_done:
-            return []
-        if progress.n_startable(step_run) < n_tasks:
-            return []
-        chosen = place_gang(candidates)
-        if chosen is None:
-            return []
-        run = max(task.run for task in step_run.tasks) + 1
-        checkpoint = max(task.checkpoint for task in step_run.tasks)
-        for task in step_run.tasks:
-            progress.store_checkpoint(task, checkpoint)
-        return [
-            _assign(placer, progress, step_run, index, worker, run=run, now=now)
-            for index, worker in enumerate(chosen)
-        ]
+    chosen = place_gang(candidates)
+    if chosen is None:
+        return []
+    run = max(task.run for task in step_run.tasks) + 1
+    checkpoint = max(task.checkpoint for task in step_run.tasks)
+    for task in step_run.tasks:
+        progress.store_checkpoint(task, checkpoint)
+    return [
+        _assign(placer, progress, step_run, index, worker, run=run, now=now)
+        for index, worker in enumerate(chosen)
+    ]
+
+
+def _place_tasks(
+    placer: Placer,
+    step_run: StepRun,
+    indexes: list[int],
+    candidates: Candidates,
+    now: float,
+) -> list[Placement]:
+    progress = placer.jobs[step_run.job.job_id]
     placed = []
-    n_startable = progress.n_startable(step_run)
-    n_new = n_startable - step_run.n_interrupted
-    for index in list(step_run.waiting()):
+    n_new = progress.n_startable(step_run) - step_run.n_interrupted
+    for index in indexes:
         task = step_run.tasks[index]
         if not task.run and n_new <= 0:
             continue
@@ -471,10 +503,9 @@
         if worker is None:
             break
         n_new -= not task.run
+        run = task.run + 1
         placed.append(
-            _assign(
-                placer, progress, step_run, index, worker, run=task.run + 1, now=now
-            )
+            _assign(placer, progress, step_run, index, worker, run=run, now=now)
         )
     return placed
 
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -59,6 +59,8 @@
         Chance that the job ends in time.
     core_limit : HeadroomLimit
         Cores that the step may use on fast workers.
+    uses_headroom : bool
+        Whether the limit does not apply. What is placed counts against it all the same.
     """
 
     step: Step
@@ -67,6 +69,7 @@
     n_by_worker: dict[str, int] = field(default_factory=dict)
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
+    uses_headroom: bool = False
     _suitability: dict[str, float] = field(default_factory=dict)
     _suspects_on: set[str] = field(default_factory=set)
 
@@ -110,7 +113,8 @@
         bound = self.step.max_per_worker
         if bound and self.n_by_worker.get(worker.worker_id, 0) >= bound:
             return False
-        if not self.core_limit.allows(worker.worker_id, self.step.need.cores):
+        allowed = self.core_limit.allows(worker.worker_id, self.step.need.cores)
+        if not (allowed or self.uses_headroom):
             return False
         return worker.fits(self.step.need, self.free_by_worker[worker.worker_id])
 
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.model import EndKind
 
 from .builders import (
@@ -22,7 +23,9 @@
     make_queue,
     make_step,
     mark_started,
+    running_row,
     submit,
+    task_key,
 )
 
 URGENT = make_queue("u", priority=0, stretch=1.5, target_s=0.25)
@@ -62,6 +65,14 @@
     answer_renewal(placer, worker_id, now)
 
 
+def fill(placer, *worker_ids, cores, **more):
+    """Have workers run some other task."""
+    for number, worker_id in enumerate(worker_ids):
+        key = task_key(number, job_id="f" * 16)
+        need = make_step(1, cores).need
+        placer.workers[worker_id].add(Slot(key, 1, need, more.get("run_time_s", 60.0)))
+
+
 def job_ids(placements):
     """Return the jobs of some placements, in their order."""
     return [item.key.job_id for item in placements]
@@ -130,3 +141,52 @@
     add_worker(placer, "w1", NOW)
     placements, _ = placer.decide(NOW, WALL + LATER_S)
     assert job_ids(placements) == [PATIENT_ID]
+
+
+# Room
+
+
+# Guards against a lasting task that stands still beside free workers, since their room
+# is kept for urgent work. Callers count its absence however full the pool is.
+def test_the_headroom_for_urgent_work_does_not_keep_a_restart_waiting():
+    placer = make_placer(URGENT, LASTING, PATIENT, n_workers=2)
+    (run,) = start_lasting(placer, cores=7.0)
+    kept = {"w1", "w2"} - {run.worker_id}
+    placer.headroom["pool"].mean_cores = 1000.0
+    placer.workers[run.worker_id].withheld = True
+    fill(placer, *kept, cores=7.0)
+    end = ended_row(run, 1, EndKind.FAILED)
+    answer_renewal(placer, run.worker_id, NOW, ended=(end,))
+    submit_patient(placer, cores=7.0)
+    placements, _ = placer.decide(NOW, WALL + LATER_S)
+    assert job_ids(placements) == [LASTING_ID]
+
+
+# Guards against headroom that lasting jobs use up when they start: only what was
+# interrupted may use it, and what it uses is no longer free for batches.
+def test_first_starts_of_lasting_tasks_leave_the_headroom():
+    placer = make_placer(URGENT, LASTING, PATIENT, n_workers=1)
+    runs = start_lasting(placer, n_tasks=3, cores=5.0)
+    assert len(runs) == 2  # with a third one, only 1 of 16 cores would be free
+    end = ended_row(runs[1], 1, EndKind.FAILED)
+    answer_renewal(placer, "w1", NOW, running=(running_row(runs[0]),), ended=(end,))
+    submit_patient(placer, cores=5.0)
+    placements, _ = placer.decide(NOW, WALL + LATER_S)
+    assert [(item.key.task, item.run) for item in placements] == [(runs[1].key.task, 2)]
+
+
+# Guards against an interrupted task that finds no room because tasks of its step that
+# have never run were placed first.
+def test_interrupted_tasks_start_before_new_tasks_of_their_step():
+    placer = make_placer(LASTING, n_workers=1)
+    runs = start_lasting(placer, n_tasks=2, cores=12.0)
+    progress = placer.jobs[LASTING_ID]
+    step_run = progress.step_run(0, 0)
+    step_run.tasks.reverse()  # the task that has run is the second one now
+    worker = placer.workers["w1"]
+    slot = worker.release(runs[0].key, runs[0].run)
+    slot.key = step_run.key(1)
+    worker.add(slot)
+    placer.run_lost(worker, slot, "test", NOW)
+    placements, _ = placer.decide(NOW, WALL + LATER_S)
+    assert [(item.key.task, item.run) for item in placements] == [(1, 2)]
