Keep room for lasting tasks that wait or are bound to

A lasting task waits 5 to 10 s for the leases on its lost worker. Meanwhile batches filled the few workers that advice permits for it, so that it found no room once the leases had lapsed, and stood still until enough of them had ended on one worker at once.

Cause: room is reserved only for gangs and for steps with long declared run times, and only for steps that wait already. A lasting step declares some tenths of a second, and a task that is bound to be lost does not wait yet.

The placer now keeps the room of one task on one worker for each lasting task that was interrupted, or whose worker does not answer: where it is free now, or else where it is expected to be free soonest. What lasting runs hold never counts. Unlike the reservation of a whole worker this leaves all other room to batches, which may also use the kept room if twice their expected time fits before the task can start; short urgent work may always use it. A batch whose permitted workers are all kept asks for advice on others. A lasting step whose first starts are blocked keeps room for up to four tasks.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -13,17 +13,21 @@
 from .ordering import Rank, order_key
 from .packing import (
     SHORT_RUN_S,
+    Hold,
     by_free_cores,
     choose_advised,
+    held_room,
     make_candidates,
     n_fitting_tasks,
     place_gang,
     reserve,
+    soonest_places,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..model import Resources
     from .fleet import Worker
     from .lateness import Outlook
     from .model import Queue, TaskKey
@@ -42,6 +46,12 @@
 # A run that is not short may use a reserved worker if this multiple of its expected run
 # time fits before the reservation begins: expected run times are rough.
 BACKFILL_FACTOR = 2.0
+# Share of a pool's cores that may be kept for lasting tasks, though room for one task
+# always may: batches go on when many workers are lost.
+MAX_HELD_FRACTION = 0.25
+# Room is kept for an interrupted task for this long: longer than a wait for leases and
+# for batches to end, while a task that can't start for another reason holds none.
+MAX_HOLD_S = 30.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
 # Steps for which advice is prefetched in one decision.
@@ -104,11 +114,22 @@
     n_reservations = 0
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
-    for step_run, queue, run_times in waiting_steps(placer, wall):
+    waiting = waiting_steps(placer, wall)
+    hold_room(placer, waiting, pools, now)
+    patient = False
+    for step_run, queue, run_times in waiting:
+        restarts = _is_restart(step_run)
+        if not (patient or restarts or queue.priority == 0):
+            patient = True
+            # What was placed until here may use room that was kept.
+            hold_room(placer, waiting, pools, now)
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         workers = eligible_workers(placer, step_run, pool, run_s, now)
+        held = _room_held_from(placer, step_run, queue, workers, run_s=run_s, now=now)
+        if held and not restarts:
+            workers = _with_unheld_room(step_run, workers, held)
         outlook = placer.outlook(step_run, queue, wall, run_times)
         advised, call = advise(
             placer,
@@ -129,11 +150,17 @@
             outlook,
             now=now,
             core_limit=limits.get(queue.name),
+            held=held,
         )
         placements.extend(placed)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
-        if step_run.step.gang or run_s > SHORT_RUN_S:
+        if step_run.step.long_running and not step_run.step.gang:
+            if not restarts:  # for the others, room is kept already
+                n_tasks = min(n_startable, MAX_RESERVED_TASKS)
+                _hold_places(placer, step_run, advised, n_tasks, at=now, now=now)
+                n_reservations += 1
+        elif step_run.step.gang or run_s > SHORT_RUN_S:
             n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
@@ -148,6 +175,144 @@
     return placements, calls
 
 
+def _is_restart(step_run: StepRun) -> bool:
+    """Return whether tasks of a step wait that last and were interrupted."""
+    step = step_run.step
+    return step.long_running and not step.gang and step_run.n_interrupted > 0
+
+
+def hold_room(
+    placer: Placer,
+    waiting: Iterable[tuple[StepRun, Queue, list[float]]],
+    pools: dict[str, list[Worker]],
+    now: float,
+) -> None:
+    """Keep room for lasting tasks that were interrupted or will be given up as lost.
+
+    While such a task waits, for leases or advice, batches would take the room on the
+    few workers that may run it.
+    """
+    placer.held = {}
+    claims = [
+        (now, step_run, _n_held_for(placer, step_run, now))
+        for step_run, _, _ in waiting
+        if _is_restart(step_run)
+    ]
+    claims += [
+        (max(now, lapse), step_run, n_runs)
+        for step_run, (n_runs, lapse) in _lost_steps(placer).items()
+        if step_run.step.long_running and not step_run.step.gang
+    ]
+    cores_left = {
+        name: MAX_HELD_FRACTION * sum(item.entry.capacity.cores for item in pool)
+        for name, pool in pools.items()
+    }
+    used: set[str] = set()
+    for at, step_run, n_tasks in sorted(claims, key=lambda claim: claim[0]):
+        queue = placer.queue_of(placer.jobs[step_run.job.job_id])
+        if queue is None or queue.pool not in pools:
+            continue
+        cores = step_run.step.need.cores
+        n_allowed = n_tasks
+        if cores > 0:
+            n_allowed = int(max(0.0, cores_left[queue.pool]) // cores)
+        n_allowed = min(n_tasks, max(n_allowed, queue.pool not in used))
+        if n_allowed <= 0:
+            continue
+        workers = eligible_workers(placer, step_run, pools[queue.pool], 0.0, now)
+        if queue.advice is not None:
+            advice = placer.advice.for_step(step_run.name)
+            workers = [item for item in workers if advice.permits(item.worker_id)]
+        n_held = _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
+        if n_held:
+            used.add(queue.pool)
+        cores_left[queue.pool] -= n_held * cores
+
+
+def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
+    """Return the number of interrupted tasks for which room is still kept."""
+    waiting = (step_run.tasks[index] for index in step_run.waiting())
+    return sum(
+        now - max(task.away_since, placer.begun_at) <= MAX_HOLD_S
+        for task in waiting
+        if task.run
+    )
+
+
+def _hold_places(
+    placer: Placer,
+    step_run: StepRun,
+    workers: list[Worker],
+    n_tasks: int,
+    *,
+    at: float,
+    now: float,
+) -> int:
+    """Keep room for tasks of a step where it is free soonest; return for how many.
+
+    Parameters
+    ----------
+    at : float, seconds
+        Time from which the tasks may start.
+    """
+    step = step_run.step
+    places = soonest_places(
+        step,
+        workers,
+        n_tasks,
+        now,
+        holds=placer.held,
+        n_by_worker=_n_by_worker(step_run),
+    )
+    for worker_id, free_at in places:
+        hold = Hold(step.need, max(at, free_at))
+        placer.held.setdefault(worker_id, []).append(hold)
+    return len(places)
+
+
+def _room_held_from(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    *,
+    run_s: float,
+    now: float,
+) -> dict[str, Resources]:
+    """Return the room on workers that a step leaves to lasting tasks.
+
+    Short urgent work may use all of it, other work what it gives back in time.
+    """
+    if not placer.held or (queue.priority == 0 and run_s <= SHORT_RUN_S):
+        return {}
+    if step_run.step.long_running:
+        run_s = math.inf
+    held = {}
+    for worker in workers:
+        holds = placer.held.get(worker.worker_id)
+        if holds:
+            ends_at = now + BACKFILL_FACTOR * run_s / worker.health.speed
+            held[worker.worker_id] = held_room(holds, ends_at)
+    return held
+
+
+def _with_unheld_room(
+    step_run: StepRun, workers: list[Worker], held: dict[str, Resources]
+) -> list[Worker]:
+    """Leave out the workers whose room for a step is kept for other tasks.
+
+    Otherwise the step would count on them and not ask for advice on others.
+    """
+    need = step_run.step.need
+    return [
+        worker
+        for worker in workers
+        if worker.worker_id not in held
+        or not worker.fits(need)
+        or worker.fits(need, worker.free - held[worker.worker_id])
+    ]
+
+
 def _advise_lost_runs(
     placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
 ) -> list[AdviceCall]:
@@ -390,6 +555,7 @@
     core_limit: HeadroomLimit | None,
     valid_at: float,
     restart: bool = False,
+    held: dict[str, Resources] | None = None,
 ) -> Candidates:
     """Return the workers that can be sent tasks of a step.
 
@@ -398,7 +564,10 @@
     valid_at : float, seconds
         When the tickets will be used.
     restart : bool, default=False
-        Whether the tasks last and were interrupted. They may use the headroom.
+        Whether the tasks last and were interrupted. They may use the headroom, and room
+        that is kept for such tasks.
+    held : dict of str to Resources, optional
+        Room that other tasks leave to those, by worker.
     """
     progress = placer.jobs[step_run.job.job_id]
     queue = placer.queue_of(progress)
@@ -418,7 +587,12 @@
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
     candidates = make_candidates(
-        step_run.step, workers, _n_by_worker(step_run), outlook, core_limit
+        step_run.step,
+        workers,
+        _n_by_worker(step_run),
+        outlook,
+        core_limit,
+        held=None if restart else held,
     )
     candidates.uses_headroom = restart
     return candidates
@@ -432,6 +606,7 @@
     *,
     now: float,
     core_limit: HeadroomLimit | None,
+    held: dict[str, Resources],
 ) -> list[Placement]:
     """Assign waiting tasks of a step, those that last and were interrupted first."""
     waiting = list(step_run.waiting())
@@ -451,6 +626,7 @@
             core_limit=core_limit,
             valid_at=now,
             restart=indexes is restarts,
+            held=held,
         )
         if candidates.workers:
             place = _place_gang if step_run.step.gang else _place_tasks
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -4,14 +4,15 @@
 
 import math
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
+from ..model import NO_RESOURCES
 from .fleet import CAPACITY_EPSILON
 from .headroom import HeadroomLimit
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
 
     from ..model import Resources
     from .fleet import Slot, Worker
@@ -147,10 +148,24 @@
     n_by_worker: dict[str, int] | None = None,
     outlook: Outlook = NO_OBJECTIVE,
     core_limit: HeadroomLimit | None = None,
+    *,
+    held: Mapping[str, Resources] | None = None,
 ) -> Candidates:
-    """Return the workers on which a task of a step fits now."""
-    chosen = [worker for worker in workers if worker.fits(step.need)]
-    free_by_worker = {worker.worker_id: worker.free for worker in chosen}
+    """Return the workers on which a task of a step fits now.
+
+    Parameters
+    ----------
+    held : mapping of str to Resources, optional
+        Room that is kept for other tasks, by worker.
+    """
+    chosen, free_by_worker = [], {}
+    for worker in workers:
+        free = worker.free
+        if held and worker.worker_id in held:
+            free = free - held[worker.worker_id]
+        if worker.fits(step.need, free):
+            chosen.append(worker)
+            free_by_worker[worker.worker_id] = free
     return Candidates(
         step,
         chosen,
@@ -196,6 +211,28 @@
     return placed
 
 
+class Hold(NamedTuple):
+    """Room on a worker that is kept for a task until it starts.
+
+    Parameters
+    ----------
+    at : float, seconds
+        Time at which the task is expected to start.
+    """
+
+    need: Resources
+    at: float
+
+
+def held_room(holds: Iterable[Hold], ends_at: float) -> Resources:
+    """Return the room that a run leaves to some holds if it ends at a time."""
+    held = NO_RESOURCES
+    for hold in holds:
+        if hold.at < ends_at:
+            held = held + hold.need
+    return held
+
+
 def reserve(
     step: Step, workers: Iterable[Worker], n_tasks: int, now: float
 ) -> dict[str, float]:
@@ -210,34 +247,80 @@
         Time in seconds at which the step is expected to start on each worker. A gang
         starts on all of them at once. Empty if the tasks will not fit on all workers.
     """
+    places = soonest_places(step, workers, n_tasks, now)
+    if len(places) < n_tasks:
+        return {}
+    reserved = dict(places)
+    if step.gang:
+        return dict.fromkeys(reserved, max(reserved.values(), default=now))
+    return reserved
+
+
+def soonest_places(
+    step: Step,
+    workers: Iterable[Worker],
+    n_tasks: int,
+    now: float,
+    *,
+    holds: Mapping[str, Sequence[Hold]] | None = None,
+    n_by_worker: Mapping[str, int] | None = None,
+) -> list[tuple[str, float]]:
+    """Return the workers on which tasks of a step are expected to fit soonest.
+
+    Parameters
+    ----------
+    holds : mapping of str to sequence of Hold, optional
+        Room that is kept for other tasks, by worker.
+    n_by_worker : mapping of str to int, optional
+        Number of the step's tasks on each worker, if the step limits it.
+
+    Returns
+    -------
+    places : list of (str, float)
+        Worker and time in seconds for each task, the soonest first; fewer than
+        `n_tasks` if the others will not fit.
+    """
     chances = sorted(
         (at, -worker.free.cores, worker.worker_id, n_fitting)
         for worker in workers
-        for at, n_fitting in _expected_room(step, worker, now)
+        for at, n_fitting in _expected_room(
+            step,
+            worker,
+            now,
+            held=held_room((holds or {}).get(worker.worker_id, ()), math.inf),
+            n_before=(n_by_worker or {}).get(worker.worker_id, 0),
+        )
     )
-    reserved: dict[str, float] = {}
-    n_by_worker: dict[str, int] = {}
-    n_left = n_tasks
+    places: list[tuple[str, float]] = []
+    n_chosen: dict[str, int] = {}
     for at, _, worker_id, n_fitting in chances:
-        n_more = min(n_fitting - n_by_worker.get(worker_id, 0), n_left)
+        n_more = min(n_fitting - n_chosen.get(worker_id, 0), n_tasks - len(places))
         if n_more <= 0:
             continue
-        n_by_worker[worker_id] = n_by_worker.get(worker_id, 0) + n_more
-        reserved[worker_id] = at
-        n_left -= n_more
-    if n_left:
-        return {}
-    if step.gang:
-        return dict.fromkeys(reserved, max(reserved.values(), default=now))
-    return reserved
+        n_chosen[worker_id] = n_chosen.get(worker_id, 0) + n_more
+        places += [(worker_id, at)] * n_more
+    return places
 
 
 def _expected_room(
-    step: Step, worker: Worker, now: float
+    step: Step,
+    worker: Worker,
+    now: float,
+    *,
+    held: Resources = NO_RESOURCES,
+    n_before: int = 0,
 ) -> Iterator[tuple[float, int]]:
-    """Yield the times at which more tasks of a step will fit, and how many."""
-    limit = step.max_per_worker or math.inf
-    free, n_before = worker.free, 0
+    """Yield the times at which more tasks of a step will fit, and how many.
+
+    Parameters
+    ----------
+    held : Resources
+        Room that is kept for other tasks.
+    n_before : int, default=0
+        Number of the step's tasks on the worker.
+    """
+    limit = step.max_per_worker - n_before if step.max_per_worker else math.inf
+    free, n_before = worker.free - held, 0
     ends = sorted(
         (
             (slot.expected_end(worker.health.speed), slot)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -51,6 +51,7 @@
         WorkerEntry,
         WorkerReport,
     )
+    from .packing import Hold
     from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
@@ -105,6 +106,8 @@
     reserved : dict of str to float
         Workers reserved for blocked steps in the newest decision, with the times in
         seconds at which these are expected to start there.
+    held : dict
+        Room that the newest decision keeps for lasting tasks, by worker.
     headroom : dict
         Headroom for urgent work, by pool.
     mean_pace : dict
@@ -138,6 +141,7 @@
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: dict[str, float] = field(default_factory=dict)
+    held: dict[str, list[Hold]] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from cuminhill.jobs.decisions import MAX_HOLD_S
 from cuminhill.jobs.fleet import Slot
-from cuminhill.jobs.model import EndKind
+from cuminhill.jobs.model import AdviceTerms, EndKind
 
 from .builders import (
     BEGUN_AT,
@@ -65,12 +66,13 @@
     answer_renewal(placer, worker_id, now)
 
 
-def fill(placer, *worker_ids, cores, **more):
+def fill(placer, *worker_ids, cores, run_time_s=60.0, job_id="f" * 16):
     """Have workers run some other task."""
+    need = make_step(1, cores).need
     for number, worker_id in enumerate(worker_ids):
-        key = task_key(number, job_id="f" * 16)
-        need = make_step(1, cores).need
-        placer.workers[worker_id].add(Slot(key, 1, need, more.get("run_time_s", 60.0)))
+        slot = Slot(task_key(number, job_id=job_id), 1, need, run_time_s)
+        slot.started_at = NOW
+        placer.workers[worker_id].add(slot)
 
 
 def job_ids(placements):
@@ -190,3 +192,124 @@
     placer.run_lost(worker, slot, "test", NOW)
     placements, _ = placer.decide(NOW, WALL + LATER_S)
     assert [(item.key.task, item.run) for item in placements] == [(1, 2)]
+
+
+def lose_worker(placer, worker_id, now=NOW):
+    """Have a worker stop answering; return when the leases on it have lapsed."""
+    worker = placer.workers[worker_id]
+    worker.update_clock(int(now * 1000), now)
+    worker.record_lease(worker.lease_end_ms(now, placer.times.lease.lease_s))
+    placer.worker_unreachable(worker_id, now)
+    return worker.lapse_at
+
+
+def decide_at(placer, now):
+    """Return the jobs of the placements of one decision; mark them as started."""
+    placer.tick(now)
+    placements, _ = placer.decide(now, WALL + now - BEGUN_AT)
+    mark_started(placer, placements, now)
+    return job_ids(placements)
+
+
+# Guards against lost tasks that find all room taken once the leases have lapsed, since
+# batches filled it while the tasks had to wait.
+def test_room_is_kept_for_a_task_whose_worker_is_lost():
+    placer = make_placer(URGENT, LASTING, PATIENT, n_workers=2)
+    (run,) = start_lasting(placer, cores=12.0)
+    lapse_at = lose_worker(placer, run.worker_id)
+    submit_patient(placer, cores=4.0, run_time_s=9.0)
+    assert decide_at(placer, NOW + 0.1) == [PATIENT_ID]  # beside the room kept
+    submit_patient(placer, cores=4.0, run_time_s=9.0, job_id=OTHER_ID)
+    assert decide_at(placer, NOW + 0.2) == []
+    assert decide_at(placer, lapse_at + 0.1) == [LASTING_ID]
+
+
+# Guards against room that stays unused during the wait for the leases.
+def test_batches_that_end_in_time_use_the_room_of_a_lost_task():
+    placer = make_placer(LASTING, PATIENT, n_workers=2)
+    (run,) = start_lasting(placer, cores=12.0)
+    lapse_at = lose_worker(placer, run.worker_id)
+    submit_patient(placer, cores=12.0, run_time_s=2.0)
+    assert decide_at(placer, NOW + 0.1) == [PATIENT_ID]
+    submit_patient(placer, cores=4.0, run_time_s=2.0, job_id=OTHER_ID)
+    assert decide_at(placer, lapse_at - 2.0) == []
+
+
+# Guards against urgent checks that wait although there is room for them.
+@pytest.mark.parametrize(("run_time_s", "starts"), [(0.8, True), (9.0, False)])
+def test_short_urgent_work_uses_the_room_of_a_lost_task(run_time_s, starts):
+    placer = make_placer(URGENT, LASTING, n_workers=2)
+    (run,) = start_lasting(placer, cores=12.0)
+    lapse_at = lose_worker(placer, run.worker_id)
+    submit_urgent(placer, cores=12.0, run_time_s=run_time_s)
+    assert (decide_at(placer, lapse_at - 0.5) == [URGENT_ID]) is starts
+
+
+# Guards against batches that take what becomes free piece by piece, so that the room
+# for a lasting task is never free at once.
+def test_what_becomes_free_is_kept_for_an_interrupted_task():
+    placer = make_placer(LASTING, PATIENT, n_workers=1)
+    (run,) = start_lasting(placer, cores=7.0)
+    fill(placer, "w1", cores=9.0, run_time_s=1.0)  # ended by now, by its estimate
+    add_worker(placer, "w2", NOW)
+    fill(placer, "w2", cores=4.0, run_time_s=3.0)
+    fill(placer, "w2", cores=6.0, job_id="e" * 16)
+    placer.deregister_worker("w1")
+    end = ended_row(run, 1, EndKind.FAILED)
+    answer_renewal(placer, "w1", NOW, ended=(end,))
+    submit_patient(placer, cores=2.0)
+    assert decide_at(placer, NOW + 0.1) == []
+    placer.workers["w2"].release(task_key(job_id="f" * 16), 1)
+    assert decide_at(placer, NOW + 1) == [LASTING_ID, PATIENT_ID]
+
+
+# Guards against batches that don't start because of tasks that can't start either.
+def test_room_is_kept_only_in_part_of_a_pool_and_for_a_time():
+    placer = make_placer(LASTING, PATIENT, n_workers=12)
+    runs = start_lasting(placer, n_tasks=8, cores=12.0, max_per_worker=1)
+    lost = {run.worker_id for run in runs}
+    for worker_id in lost:
+        lose_worker(placer, worker_id)
+    submit_patient(placer, 64, cores=4.0, run_time_s=9.0)
+    # Four workers of 16 cores are left, and room for one task is a quarter of them.
+    assert len(decide_at(placer, NOW + 0.1)) == 13
+    placer = make_placer(LASTING, PATIENT, n_workers=1)
+    (run,) = start_lasting(placer, cores=12.0)
+    answer_renewal(placer, "w1", NOW, ended=(ended_row(run, 1, EndKind.FAILED),))
+    placer.workers["w1"].health.ejected_until = NOW + MAX_HOLD_S - 1
+    add_worker(placer, "w2", NOW)
+    fill(placer, "w2", cores=8.0, run_time_s=3.0)
+    submit_patient(placer, cores=8.0)
+    assert decide_at(placer, NOW + 1) == []
+    placer.workers["w1"].health.ejected_until = NOW + 1000
+    assert decide_at(placer, NOW + MAX_HOLD_S + 1) == [PATIENT_ID]
+
+
+# Guards against batches that have advice for workers with kept room only, and don't ask
+# about others since they would fit there.
+def test_a_batch_asks_for_other_workers_than_those_with_kept_room():
+    terms = AdviceTerms(0.1, 0.01, 2.5)
+    patient = make_queue("p", priority=2, advice=terms)
+    placer = make_placer(LASTING, patient, n_workers=2)
+    (run,) = start_lasting(placer, cores=12.0)
+    lose_worker(placer, run.worker_id)
+    (kept,) = {"w1", "w2"} - {run.worker_id}
+    progress = submit_patient(placer, cores=8.0, run_time_s=9.0)
+    advice = placer.advice.for_step(progress.step_run(0, 0).name)
+    advice.store_answer({kept: 1}, [(kept, "t")], NOW, terms.valid_s)
+    assert placer.decide(NOW + 0.1, WALL + LATER_S) == ([], [])
+    add_worker(placer, "w3", NOW)
+    placements, calls = placer.decide(NOW + 0.2, WALL + LATER_S)
+    assert placements == []
+    assert [set(call.workers) for call in calls] == [{"w3"}]
+
+
+# Guards against a lasting job that never starts, since batches take what becomes free.
+def test_room_is_kept_for_first_starts_of_a_blocked_lasting_step():
+    placer = make_placer(LASTING, PATIENT, n_workers=1)
+    fill(placer, "w1", cores=10.0, run_time_s=3.0)
+    start_lasting(placer, cores=8.0)
+    submit_patient(placer, cores=4.0)
+    assert decide_at(placer, NOW) == []
+    placer.workers["w1"].release(task_key(job_id="f" * 16), 1)
+    assert decide_at(placer, NOW + 1) == [LASTING_ID, PATIENT_ID]
