Have each VM queue its own calls for advice

The service serves the calls of a VM in turn and goes on with those whose caller has given up. A new term takes every queue for empty, so its first calls waited behind its predecessor's and timed out, and those behind them did as well.

A VM now has one call at the service at a time and holds the others. It drops calls that nobody waits for and those of earlier terms, serves short calls first, and refuses a call at once that could not be answered in time. Answers and refusals tell its backlog, which the placer counts with; a refusal does not exclude the VM. The new fields of the messages have defaults: calls from and to earlier builds are answered, with no refusal by expected time.

--- a/cuminhill/errors.py
+++ b/cuminhill/errors.py
@@ -47,6 +47,22 @@
     """The peer refuses the call for good; it takes no effect however often repeated."""
 
 
+class OverloadedError(UnavailableError):
+    """The peer has too many calls to answer this one in time; it took no effect.
+
+    Parameters
+    ----------
+    backlog_s : float, seconds
+        Expected time until the peer has answered the calls that it has.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str = "", backlog_s: float = 0.0
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.backlog_s = backlog_s
+
+
 class UnknownOutcomeError(CuminhillError):
     """The call failed after it was sent; it may have taken effect."""
 
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -59,6 +59,9 @@
     1: string step
     2: list<string> workers
     3: double wait_s
+    // Expected time of the call at the service and the placer's term; 0 if unknown.
+    4: double cost_s = 0.0
+    5: i64 term = 0
 }
 
 // Asks whether the process that is called extends no lease for a term, and never will.
@@ -69,6 +72,10 @@
 struct Reply {
     1: string status
     2: binary value
+    // Of requests for advice: how long the call waited for earlier ones of the VM, and
+    // when the VM expects to have answered all that it has; negative if unknown.
+    3: double waited_s = -1.0
+    4: double backlog_s = -1.0
 }
 
 struct Envelope {
--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -8,7 +8,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -128,12 +128,33 @@
         Expected time that the service takes for the call.
     valid_s : float, seconds
         Validity of the tickets in the answer.
+    term : int
+        Term of the placer that makes the call.
     """
 
     step: str
     workers: dict[str, int]
     cost_s: float
     valid_s: float
+    term: int = 0
+
+
+class AdviceAnswer(NamedTuple):
+    """Answer to a call for advice.
+
+    Parameters
+    ----------
+    tickets : list of (str, str)
+        Permitted workers and their tickets.
+    waited_s : float, seconds
+        How long the call waited for earlier calls of its VM; negative if unknown.
+    backlog_s : float, seconds
+        When the VM expects to have answered its other calls; negative if unknown.
+    """
+
+    tickets: list[tuple[str, str]]
+    waited_s: float = -1.0
+    backlog_s: float = -1.0
 
 
 def make_advice_call(
@@ -178,6 +199,8 @@
         Exclusions since the last answer.
     answered_at, failed_at : float, seconds
         When the VM last answered a call, and when a call through it last failed.
+    n_calls : int
+        Calls under way.
     """
 
     vm: str
@@ -186,11 +209,32 @@
     n_failures: int = 0
     answered_at: float = 0.0
     failed_at: float = -math.inf
+    n_calls: int = 0
+
+    def record_answer(self, now: float, backlog_s: float = -1.0) -> None:
+        """Record that the VM has answered a call.
 
-    def record_answer(self, now: float) -> None:
-        """Record that the VM has answered a call."""
+        Parameters
+        ----------
+        backlog_s : float, seconds
+            When it expects to have answered the others that it has; negative if
+            unknown.
+        """
         self.n_failures = 0
         self.answered_at = now
+        self._end_call()
+        if backlog_s < 0:
+            return
+        if self.n_calls:  # some may not have reached it yet
+            self.busy_until = max(self.busy_until, now + backlog_s)
+        else:
+            self.busy_until = now + backlog_s
+
+    def record_refusal(self, now: float, backlog_s: float) -> None:
+        """Record that the VM has refused a call since it has too many."""
+        self.answered_at = now
+        self._end_call()
+        self.busy_until = now + backlog_s
 
     def record_failure(self, now: float) -> None:
         """Exclude the VM, each time for longer.
@@ -198,6 +242,7 @@
         Calls that fail while it is excluded were sent earlier and do not count.
         """
         self.failed_at = now
+        self._end_call()
         if now < self.excluded_until:
             return
         delay_s = min(MAX_EXCLUDE_S, EXCLUDE_S * 2**self.n_failures)
@@ -205,6 +250,9 @@
         self.n_failures += 1
         self.busy_until = now
 
+    def _end_call(self) -> None:
+        self.n_calls = max(0, self.n_calls - 1)
+
 
 def choose_adviser(
     advisers: Iterable[Adviser], now: float, cost_s: float, max_wait_s: float
@@ -229,4 +277,5 @@
     if best is None or best.busy_until - now > max_wait_s:
         return None
     best.busy_until = max(now, best.busy_until) + cost_s
+    best.n_calls += 1
     return best
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -15,6 +15,7 @@
     CuminhillError,
     FencedError,
     OtherIncarnationError,
+    OverloadedError,
     RejectedError,
 )
 from .advice import AdviceCall, Adviser, choose_adviser
@@ -42,6 +43,7 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from ..metrics import MetricSet
+    from .advice import AdviceAnswer
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
@@ -154,7 +156,7 @@
     writer: LogWriter
     calls: WorkerCalls
     job_index: JobIndex
-    ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    ask_advice: Callable[[str, AdviceCall, float], Awaitable[AdviceAnswer]]
     address: str
     ask_term_ended: Callable[[str, int], Awaitable[bool]]
     keep_ended_s: float
@@ -763,35 +765,39 @@
         if adviser is None:
             return
         self.placer.advice.for_step(call.step).calling = True
-        await curio.spawn(self._fetch_advice, adviser, call, daemon=True)
+        sent = replace(call, term=self.leader_record.term)
+        await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
 
     async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
         sent_at = boottime()
         wait_s = max(0.0, adviser.busy_until - sent_at) + ADVICE_SLACK_S
         advice = self.placer.advice.for_step(call.step)
         try:
-            tickets = await self.ask_advice(adviser.vm, call, wait_s)
+            answer = await self.ask_advice(adviser.vm, call, wait_s)
         except CuminhillError as exc:
             now = boottime()
             logger.info(
                 "advice failed", step=call.step, through=adviser.vm, error=str(exc)
             )
-            adviser.record_failure(now)
+            if isinstance(exc, OverloadedError):
+                adviser.record_refusal(now, exc.backlog_s)
+            else:
+                adviser.record_failure(now)
             advice.record_failure(now)
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
-            adviser.record_answer(now)
+            adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             advice.store_answer(
-                call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
+                call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
             )
             logger.info(
                 "advice",
                 step=call.step,
                 through=adviser.vm,
                 named=len(call.workers),
-                permitted=len(tickets),
+                permitted=len(answer.tickets),
                 took_ms=round((now - sent_at) * 1000),
             )
         await self._wake.set()
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -32,7 +32,7 @@
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
-from .peers import AdviceService, JobPeers
+from .peers import JobPeers
 from .placer import Placer, PlacerTimes
 from .progress import crash_rows
 from .records import (
@@ -52,6 +52,7 @@
 
     from ..logs import BoundedOutput
     from ..metrics import MetricSet
+    from .advicequeue import AdviceService
     from .fleet import Worker
 
 logger = structlog.get_logger(__name__)
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 import curio
 import orjson
@@ -13,12 +13,15 @@
 from ..errors import (
     CuminhillError,
     FencedError,
+    OverloadedError,
     ProtocolError,
     UnavailableError,
     UnknownOutcomeError,
 )
 from ..rpc import RpcClient, idl
 from ..util.json_input import load_json
+from .advice import AdviceAnswer
+from .advicequeue import AdviceQueue, AdviceRequest
 from .model import Outcome
 
 if TYPE_CHECKING:
@@ -26,6 +29,7 @@
     from collections.abc import Callable
 
     from .advice import AdviceCall
+    from .advicequeue import AdviceService
     from .journal import LogWriter
     from .records import Member
 
@@ -50,18 +54,10 @@
 MAX_KEY_BYTES = 255  # the length of a key is one byte
 MAX_RECORD_BYTES = 250_000  # the log takes records of 256 KB
 STATUS_OK, STATUS_UNAVAILABLE = str(Outcome.OK), "unavailable"
+STATUS_BUSY = "busy"  # too many calls to answer this one in time
 _OUTCOMES = {str(outcome): outcome for outcome in Outcome}
 
 
-class AdviceService(Protocol):
-    """Placement advice."""
-
-    async def ask(
-        self, step: str, workers: list[str], timeout_s: float
-    ) -> list[tuple[str, str]]:
-        """Return the workers that may run a step and the ticket for each."""
-
-
 @dataclass(eq=False)
 class JobPeers:
     """Client and server side of the calls between entry VMs.
@@ -71,7 +67,7 @@
     vm : str
         Name of this VM.
     advice : AdviceService
-        Placement advice; the service queues the calls of each VM separately.
+        Placement advice; the service serves the calls of each VM separately.
     writer : LogWriter
         Appends to the journal.
     placer_writer : LogWriter or None
@@ -89,10 +85,14 @@
     source_host: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     placer_writer: LogWriter | None = None
+    advice_queue: AdviceQueue = field(init=False)
     _placer_backoff_until: float = 0.0
     _contacted_at: dict[str, float] = field(default_factory=dict)
     _clients: dict[str, RpcClient] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.advice_queue = AdviceQueue(self.advice)
+
     def handlers(self) -> dict[str, Any]:
         """Return the handlers of the RPC server."""
         return {
@@ -116,23 +116,44 @@
 
     async def ask_advice(
         self, vm: str, call: AdviceCall, wait_s: float
-    ) -> list[tuple[str, str]]:
+    ) -> AdviceAnswer:
         """Request advice through a VM.
 
         Raises
         ------
+        OverloadedError
+            If the VM would not answer in time for the calls that it has; the call was
+            not sent to the service.
         UnavailableError, UnknownOutcomeError, ProtocolError
             If there is no usable answer.
         """
         if vm == self.vm:
-            return await self.advice.ask(call.step, list(call.workers), wait_s)
+            request = AdviceRequest(
+                call.step, list(call.workers), call.cost_s, call.term
+            )
+            return await self.advice_queue.ask(request, wait_s)
         # A VM that is cut off is found by a ping sooner than by the call.
         await self._ensure_responsive(vm)
-        message = idl.AdviseCall(call.step, list(call.workers), wait_s)
+        message = idl.AdviseCall(
+            call.step, list(call.workers), wait_s, call.cost_s, call.term
+        )
         reply = await self._call(vm, "advise", message, wait_s)
+        if reply.status == STATUS_BUSY:
+            raise OverloadedError(
+                reply.value.decode(errors="replace"),
+                step="advise",
+                peer=vm,
+                backlog_s=max(0.0, _sound_wait(reply.backlog_s)),
+            )
         if reply.status != STATUS_OK:
-            raise UnavailableError(str(reply.value), step="advise", peer=vm)
-        return _decode_pairs(reply.value, "advise", vm)
+            # The service may have taken the call, and still be working on it.
+            text = reply.value.decode(errors="replace")
+            raise UnknownOutcomeError(text, step="advise", peer=vm)
+        return AdviceAnswer(
+            _decode_pairs(reply.value, "advise", vm),
+            _sound_wait(reply.waited_s),
+            _sound_wait(reply.backlog_s),
+        )
 
     async def ask_term_ended(self, address: str, term: int) -> bool:
         """Return whether the process at an address has ended a term for good.
@@ -272,11 +293,17 @@
 
     async def _serve_advise(self, call: Any) -> Any:
         _check_wait(call.wait_s)
+        _check_wait(call.cost_s)
+        request = AdviceRequest(call.step, call.workers, call.cost_s, call.term)
         try:
-            tickets = await self.advice.ask(call.step, call.workers, call.wait_s)
+            answer = await self.advice_queue.ask(request, call.wait_s)
+        except OverloadedError as exc:
+            return idl.Reply(STATUS_BUSY, str(exc).encode(), -1.0, exc.backlog_s)
         except CuminhillError as exc:
             return idl.Reply(STATUS_UNAVAILABLE, str(exc).encode())
-        return idl.Reply(STATUS_OK, orjson.dumps(tickets))
+        return idl.Reply(
+            STATUS_OK, orjson.dumps(answer.tickets), answer.waited_s, answer.backlog_s
+        )
 
 
 def _decode_pairs(data: bytes, step: str, peer: str = "") -> list[tuple[str, str]]:
@@ -319,6 +346,11 @@
     return records
 
 
+def _sound_wait(wait_s: float) -> float:
+    """Return a wait that another VM told, -1 if it is unknown or out of range."""
+    return wait_s if 0 <= wait_s <= MAX_WAIT_S else -1.0
+
+
 def _check_wait(wait_s: float) -> None:
     """Check how long a caller wants to wait.
 
--- a/cuminhill/platform/workerclient.py
+++ b/cuminhill/platform/workerclient.py
@@ -8,6 +8,7 @@
 from ..errors import (
     FencedError,
     OtherIncarnationError,
+    OverloadedError,
     UnavailableError,
     UnknownOutcomeError,
 )
@@ -30,6 +31,9 @@
 MAX_IDLE_PER_WORKER = 2
 CONNECT_TIMEOUT_S = 0.5
 REPLY_SLACK_S = 0.6  # added to the wait requested from the worker
+# Time for which the advice service takes no further call after it has refused one for
+# the number that waits; it does not tell how long those take.
+FULL_QUEUE_S = 1.0
 INCARNATION_HEADER = "X-Cuminhill-Expect-Instance"
 
 _REFUSALS = {
@@ -192,7 +196,7 @@
 
 @dataclass(eq=False)
 class PlatformAdviceClient:
-    """Client of the placement advice; implements `jobs.peers.AdviceService`."""
+    """Client of the placement advice; implements `jobs.advicequeue.AdviceService`."""
 
     client: HttpClient
 
@@ -212,6 +216,13 @@
             {"step": step, "workers": workers},
             timeout_s=timeout_s,
         )
+        if status == 429:
+            raise OverloadedError(
+                f"status {status}",
+                step="advise",
+                peer=self.client.peer,
+                backlog_s=FULL_QUEUE_S,
+            )
         if status != 200:
             raise UnavailableError(
                 f"status {status}", step="advise", peer=self.client.peer
