Tell the causes of failed calls for advice apart

A failed call reset its VM's expected backlog to nothing although the service still works on calls that were sent, so that the VM looked idle as soon as its exclusion ended.

The backlog stays, less the time of a call that was certainly not sent. A VM that refuses for its queue is asked again when that has ended; one that is cut off, or whose service does not answer, is excluded as before. "advice" and "advice failed" have planned_wait_ms, waited_ms and cost_ms, and the latter its cause and backlog_ms; the metrics count causes and waits.

The tests of causes and of the backlog after a failure failed on: the VM with a long queue was excluded, and one with calls under way looked idle.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -236,19 +236,25 @@
         self._end_call()
         self.busy_until = now + backlog_s
 
-    def record_failure(self, now: float) -> None:
+    def record_failure(self, now: float, unsent_s: float = 0.0) -> None:
         """Exclude the VM, each time for longer.
 
-        Calls that fail while it is excluded were sent earlier and do not count.
+        Calls that fail while it is excluded were sent earlier and do not count. The
+        service may still be working on the calls that were sent.
+
+        Parameters
+        ----------
+        unsent_s : float, seconds
+            Expected time of the call if it was certainly not sent to the service.
         """
         self.failed_at = now
         self._end_call()
+        self.busy_until -= unsent_s
         if now < self.excluded_until:
             return
         delay_s = min(MAX_EXCLUDE_S, EXCLUDE_S * 2**self.n_failures)
         self.excluded_until = now + delay_s
         self.n_failures += 1
-        self.busy_until = now
 
     def _end_call(self) -> None:
         self.n_calls = max(0, self.n_calls - 1)
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -17,6 +17,7 @@
     OtherIncarnationError,
     OverloadedError,
     RejectedError,
+    UnavailableError,
 )
 from .advice import AdviceCall, Adviser, choose_adviser
 from .fleet import may_extend
@@ -770,34 +771,67 @@
 
     async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
         sent_at = boottime()
-        wait_s = max(0.0, adviser.busy_until - sent_at) + ADVICE_SLACK_S
+        planned_s = max(0.0, adviser.busy_until - sent_at)
         advice = self.placer.advice.for_step(call.step)
+        # The wait for earlier calls that the placer counts with, and the service's own
+        # time, are told apart from the wait that the VM reports.
+        fields = {
+            "step": call.step,
+            "through": adviser.vm,
+            "named": len(call.workers),
+            "cost_ms": round(call.cost_s * 1000),
+            "planned_wait_ms": round(max(0.0, planned_s - call.cost_s) * 1000),
+        }
         try:
-            answer = await self.ask_advice(adviser.vm, call, wait_s)
+            answer = await self.ask_advice(adviser.vm, call, planned_s + ADVICE_SLACK_S)
         except CuminhillError as exc:
             now = boottime()
+            cause = _record_failed_call(adviser, call, exc, now)
+            self.placer.counts[f"advice_{cause}"] += 1
             logger.info(
-                "advice failed", step=call.step, through=adviser.vm, error=str(exc)
+                "advice failed",
+                **fields,
+                cause=cause,
+                took_ms=round((now - sent_at) * 1000),
+                backlog_ms=round(max(0.0, adviser.busy_until - now) * 1000),
+                error=str(exc),
             )
-            if isinstance(exc, OverloadedError):
-                adviser.record_refusal(now, exc.backlog_s)
-            else:
-                adviser.record_failure(now)
             advice.record_failure(now)
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
             adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
+            if answer.waited_s >= 0:
+                self.metrics.observe(
+                    "advice_wait_seconds", answer.waited_s, through=adviser.vm
+                )
             advice.store_answer(
                 call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
             )
             logger.info(
                 "advice",
-                step=call.step,
-                through=adviser.vm,
-                named=len(call.workers),
+                **fields,
                 permitted=len(answer.tickets),
                 took_ms=round((now - sent_at) * 1000),
+                waited_ms=round(answer.waited_s * 1000),
             )
         await self._wake.set()
+
+
+def _record_failed_call(
+    adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
+) -> str:
+    """Record a failed call for advice with its VM; return the cause.
+
+    A VM that refuses a call for the others that it has is asked again when it has
+    answered those. Any other failure excludes it.
+    """
+    if isinstance(error, OverloadedError):
+        adviser.record_refusal(now, error.backlog_s)
+        return "refused"
+    if isinstance(error, UnavailableError):
+        adviser.record_failure(now, unsent_s=call.cost_s)
+        return "unreachable"
+    adviser.record_failure(now)
+    return "unanswered"
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -135,6 +135,13 @@
         "Time of a call for advice, in seconds.",
         ("through",),
     ),
+    Metric(
+        "advice_wait_seconds",
+        HISTOGRAM,
+        "Time for which a call for advice waited for earlier calls of its VM, in "
+        "seconds.",
+        ("through",),
+    ),
     Metric(
         "log_lines_dropped_total",
         COUNTER,
--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -16,10 +16,10 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from cuminhill.jobs.advice import Adviser, make_advice_call
+from cuminhill.jobs.advice import EXCLUDE_S, Adviser, make_advice_call
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.leadership import Leadership
+from cuminhill.jobs.leadership import MAX_ADVISER_QUEUE_S, Leadership
 from cuminhill.jobs.model import AdviceTerms
 from cuminhill.jobs.nodemetrics import make_node_metrics
 from cuminhill.jobs.peers import JobPeers
@@ -353,6 +353,48 @@
     curio.run(main)
 
 
+def fail(error):
+    async def ask(vm, call, wait_s):
+        raise error
+
+    return ask
+
+
+# Guards against one remedy for all causes: a VM with a long queue was treated as one
+# that is cut off, and not asked for up to 4 s.
+@pytest.mark.parametrize(
+    ("error", "excluded", "busy_s", "cause"),
+    [
+        (OverloadedError("b", step="advise", backlog_s=0.4), False, 0.4, "refused"),
+        (UnavailableError("no answer", step="ping"), True, 0.0, "unreachable"),
+        (UnknownOutcomeError("time-out", step="http"), True, COST_S, "unanswered"),
+    ],
+    ids=["long queue", "cut off", "time-out"],
+)
+def test_a_failed_call_is_recorded_by_its_cause(error, excluded, busy_s, cause):
+    async def main():
+        leadership = make_leadership(1, fail(error), ["a"])
+        now = boottime()
+        await leadership._schedule_advice(make_call("step"), now)
+        await curio.sleep(0.02)
+        adviser = leadership.advisers["a"]
+        assert (adviser.excluded_until > now) == excluded
+        assert adviser.busy_until - now == pytest.approx(busy_s, abs=0.05)
+        assert adviser.n_calls == 0
+        assert leadership.placer.counts[f"advice_{cause}"] == 1
+        assert not leadership.placer.advice.for_step("step").calling
+
+    curio.run(main)
+
+
+# Guards against a VM that looks idle while the service works on calls through it.
+def test_a_failure_does_not_make_a_vm_look_idle():
+    adviser = Adviser("a", busy_until=10.0 + MAX_ADVISER_QUEUE_S, n_calls=2)
+    adviser.record_failure(10.0)
+    assert adviser.busy_until == 10.0 + MAX_ADVISER_QUEUE_S
+    assert adviser.excluded_until == 10.0 + EXCLUDE_S
+
+
 # Guards against a VM that looks busy for longer than it is, and against one that looks
 # idle while a call to it is on its way.
 def test_a_backlog_that_a_vm_tells_replaces_the_expected_one():
