Ask for advice on lost lasting tasks early and before patient work

Calls for them came after those of all waiting steps, so that under a backlog no VM took them, and began at most 1.25 s before the leases lapsed. Steps of which no task fits renewed their tickets every 2.25 s through all VMs.

Calls now have a rank: urgent steps, lasting tasks that are lost or will be given up soon, patient steps, steps that are not ready, renewals. Patient calls queue on a VM only in the last 0.3 s of its work; renewals start on idle VMs and leave half of them idle. Calls for lost runs begin as early as their tickets allow that stay valid for 0.75 s after the lapse, those with the earliest lapse first. In the first 0.3 s of a term, when no worker can have answered, none are made.

Each lost step takes one call.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -8,6 +8,7 @@
 
 import math
 from dataclasses import dataclass, field
+from enum import IntEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -23,6 +24,12 @@
 # call of an urgent step would wait behind them for longer than it takes itself.
 LONG_CALL_S = 0.2
 SHORT_CALL_FRACTION = 1 / 3
+# Most calls for advice queued on one VM, as their total service time. A step that is
+# not urgent gets a call only shortly before a VM has answered the others, so that calls
+# of more urgent steps do not wait for it; the time covers the pause between decisions.
+MAX_ADVISER_QUEUE_S, MAX_PATIENT_QUEUE_S = 0.8, 0.3
+# Calls that only renew tickets start on idle VMs, and leave this fraction of them idle.
+SPARE_FRACTION = 0.5
 # Time for which a VM that has not answered takes no calls, doubled for each further
 # failure: a call into a partition costs its step the whole time-out.
 EXCLUDE_S, MAX_EXCLUDE_S = 1.0, 4.0
@@ -114,6 +121,17 @@
         self.retry_at = now + RETRY_S
 
 
+class CallRank(IntEnum):
+    """Order of calls for advice; lower ranks are made first."""
+
+    URGENT = 0
+    RETURN = 1  # lasting tasks that have been lost, or will be given up soon
+    PLACE = 2
+    AHEAD = 3  # steps that are not ready
+    RENEW_RETURN = 4  # lost lasting tasks of which none fits now
+    RENEW = 5  # other steps of which no task fits now
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceCall:
     """Call for advice that is to be made.
@@ -130,6 +148,8 @@
         Validity of the tickets in the answer.
     term : int
         Term of the placer that makes the call.
+    rank : CallRank
+        What the call is for.
     """
 
     step: str
@@ -137,6 +157,7 @@
     cost_s: float
     valid_s: float
     term: int = 0
+    rank: CallRank = CallRank.PLACE
 
 
 class AdviceAnswer(NamedTuple):
@@ -158,11 +179,14 @@
 
 
 def make_advice_call(
-    step: str, workers: dict[str, int], terms: AdviceTerms
+    step: str,
+    workers: dict[str, int],
+    terms: AdviceTerms,
+    rank: CallRank = CallRank.PLACE,
 ) -> AdviceCall:
     """Return a call for advice on some workers for a step."""
     cost_s = terms.decide_s + terms.per_worker_s * len(workers)
-    return AdviceCall(step, workers, cost_s, terms.valid_s)
+    return AdviceCall(step, workers, cost_s, terms.valid_s, rank=rank)
 
 
 @dataclass(eq=False)
@@ -260,6 +284,30 @@
         self.n_calls = max(0, self.n_calls - 1)
 
 
+def find_adviser(
+    advisers: Iterable[Adviser], call: AdviceCall, now: float
+) -> Adviser | None:
+    """Return the VM through which a call is made now, None if it has to wait."""
+    known = list(advisers)
+    if call.rank <= CallRank.RETURN:
+        return choose_adviser(known, now, call.cost_s, MAX_ADVISER_QUEUE_S)
+    if call.rank <= CallRank.AHEAD or call.cost_s <= LONG_CALL_S:
+        return choose_adviser(known, now, call.cost_s, MAX_PATIENT_QUEUE_S)
+    able = _able(known, now, call.cost_s)
+    n_idle = sum(adviser.busy_until <= now for adviser in able)
+    if n_idle <= SPARE_FRACTION * len(able):
+        return None
+    return choose_adviser(known, now, call.cost_s, 0.0)
+
+
+def _able(advisers: Iterable[Adviser], now: float, cost_s: float) -> list[Adviser]:
+    """Return the VMs that may get a call of some length, excluded ones left out."""
+    able = [adviser for adviser in advisers if now >= adviser.excluded_until]
+    if cost_s > LONG_CALL_S:
+        able = able[int(SHORT_CALL_FRACTION * len(able)) :]
+    return able
+
+
 def choose_adviser(
     advisers: Iterable[Adviser], now: float, cost_s: float, max_wait_s: float
 ) -> Adviser | None:
@@ -270,9 +318,7 @@
     lower-priority steps, so that the short call of an urgent step never waits for one.
     """
     known = list(advisers)
-    able = [adviser for adviser in known if now >= adviser.excluded_until]
-    if cost_s > LONG_CALL_S:
-        able = able[int(SHORT_CALL_FRACTION * len(able)) :]
+    able = _able(known, now, cost_s)
     # VMs fail together when their failure domain is cut off, so after a failure those
     # that have answered since are asked first.
     failed_at = max((item.failed_at for item in known), default=-math.inf)
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -6,7 +6,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
-from .advice import AdviceCall, make_advice_call
+from .advice import (
+    TICKET_MARGIN_S,
+    AdviceCall,
+    CallRank,
+    make_advice_call,
+)
 from .headroom import Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
@@ -49,6 +54,17 @@
 # Advice is prefetched if the step is expected to be ready within this fraction of the
 # validity of its tickets.
 PREFETCH_FRACTION = 0.5
+# Advice for runs on lost workers is asked for early enough that many steps have it when
+# their leases lapse, and its tickets stay valid for this time after that.
+USE_LOST_TICKET_S = 0.75
+# Rank of a call that only renews tickets.
+RENEWAL_RANKS = {
+    CallRank.RETURN: CallRank.RENEW_RETURN,
+    CallRank.PLACE: CallRank.RENEW,
+}
+# Time in which the workers answer the first renewals of a term; until then they are not
+# lost.
+FIRST_ANSWERS_S = 0.3
 # Rank of the steps whose tasks were stopped because a place for them was free.
 MOVING_RANK = -1
 
@@ -98,7 +114,7 @@
     placements : list of Placement
         Runs to start once the progress of their jobs is in the journal.
     calls : list of AdviceCall
-        Calls for advice, the most urgent first.
+        Calls for advice, those of each rank in the order of their steps.
     """
     placements: list[Placement] = []
     calls: list[AdviceCall] = []
@@ -121,6 +137,7 @@
             now=now,
             n_wanted=n_startable,
             valid_at=now,
+            rank=_waiting_rank(step_run, queue),
         )
         if call is not None:
             calls.append(call)
@@ -158,11 +175,15 @@
     The end of their leases is known, so the tickets can be at hand by then.
     """
     calls: list[AdviceCall] = []
-    for step_run, (n_runs, lapse) in _lost_steps(placer).items():
+    if now - placer.begun_at < FIRST_ANSWERS_S:
+        return calls
+    lost = sorted(_lost_steps(placer).items(), key=lambda row: row[1][1])
+    for step_run, (n_runs, lapse) in lost:
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.advice is None or step_run.n_waiting:
             continue  # the decision on waiting tasks has made its own call
-        if lapse - now > PREFETCH_FRACTION * queue.advice.valid_s:
+        kept_s = queue.advice.valid_s - TICKET_MARGIN_S - USE_LOST_TICKET_S
+        if lapse - now > kept_s + queue.advice.decide_s:
             continue
         run_times = placer.run_times(
             placer.jobs[step_run.job.job_id], step_run.occurrence
@@ -177,6 +198,7 @@
             now=now,
             n_wanted=n_runs,
             valid_at=max(now, lapse),
+            rank=_lost_rank(step_run, queue),
         )
         if call is not None:
             calls.append(call)
@@ -185,6 +207,20 @@
     return calls
 
 
+def _lost_rank(step_run: StepRun, queue: Queue) -> CallRank:
+    """Return the rank of calls for a step of which tasks have been lost."""
+    if queue.priority == 0:
+        return CallRank.URGENT
+    return CallRank.RETURN if step_run.step.long_running else CallRank.PLACE
+
+
+def _waiting_rank(step_run: StepRun, queue: Queue) -> CallRank:
+    """Return the rank of calls for a step with waiting tasks."""
+    if step_run.n_open > step_run.n_assigned:  # some have run before
+        return _lost_rank(step_run, queue)
+    return CallRank.URGENT if queue.priority == 0 else CallRank.PLACE
+
+
 def _lost_steps(placer: Placer) -> dict[StepRun, tuple[int, float]]:
     """Return the steps with runs on workers that are not reached.
 
@@ -242,8 +278,9 @@
             )
             incarnations = {item.worker_id: item.entry.incarnation for item in named}
             if incarnations:
+                rank = CallRank.AHEAD if queue.priority else CallRank.URGENT
                 calls.append(
-                    make_advice_call(step_run.name, incarnations, queue.advice)
+                    make_advice_call(step_run.name, incarnations, queue.advice, rank)
                 )
             if len(calls) >= MAX_PREFETCHED_STEPS:
                 return calls
@@ -342,6 +379,7 @@
     now: float,
     n_wanted: int,
     valid_at: float,
+    rank: CallRank,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that advice permits, and a call if they are not enough.
 
@@ -351,6 +389,8 @@
         Number of tasks to place.
     valid_at : float, seconds
         When the tickets will be used.
+    rank : CallRank
+        Rank of the call if it can help to place a task now.
     """
     if queue.advice is None:
         return workers, None
@@ -376,10 +416,11 @@
         # as capacity becomes free.
         tickets = advice.has_valid_ticket(valid_at)
         named = [] if tickets else by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        rank = RENEWAL_RANKS.get(rank, rank)
     if not named:
         return permitted, None
     incarnations = {item.worker_id: item.entry.incarnation for item in named}
-    return permitted, make_advice_call(step_run.name, incarnations, queue.advice)
+    return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
 
 
 def step_candidates(
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from .advice import CallRank
 from .decisions import (
     advise,
     available_workers,
@@ -168,6 +169,7 @@
         now=now,
         n_wanted=len(leaving),
         valid_at=now + MOVE_S,
+        rank=CallRank.RETURN,
     )
     candidates = step_candidates(
         placer,
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -19,7 +19,7 @@
     RejectedError,
     UnavailableError,
 )
-from .advice import AdviceCall, Adviser, choose_adviser
+from .advice import AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
@@ -74,8 +74,6 @@
 ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
-# Most calls for advice queued on one VM, as their total service time.
-MAX_ADVISER_QUEUE_S = 0.8
 ADVICE_SLACK_S = 0.6  # added to the expected time of a call and its queue
 # Ended jobs are deleted from the journal after this time in addition to the time for
 # which the platform can query them.
@@ -760,9 +758,7 @@
     # Advice
 
     async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
-        adviser = choose_adviser(
-            self.advisers.values(), now, call.cost_s, MAX_ADVISER_QUEUE_S
-        )
+        adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
             return
         self.placer.advice.for_step(call.step).calling = True
@@ -778,6 +774,7 @@
         fields = {
             "step": call.step,
             "through": adviser.vm,
+            "rank": call.rank.name.lower(),
             "named": len(call.workers),
             "cost_ms": round(call.cost_s * 1000),
             "planned_wait_ms": round(max(0.0, planned_s - call.cost_s) * 1000),
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -976,7 +976,8 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now)
+        calls += evacuate(self, now)
+        return placements, sorted(calls, key=lambda call: call.rank)
 
 
 def _counts_late(progress: Progress, task: TaskState, end: EndedTask) -> bool:
--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -16,10 +16,15 @@
     UnavailableError,
     UnknownOutcomeError,
 )
-from cuminhill.jobs.advice import EXCLUDE_S, Adviser, make_advice_call
+from cuminhill.jobs.advice import (
+    EXCLUDE_S,
+    MAX_ADVISER_QUEUE_S,
+    Adviser,
+    make_advice_call,
+)
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.leadership import MAX_ADVISER_QUEUE_S, Leadership
+from cuminhill.jobs.leadership import Leadership
 from cuminhill.jobs.model import AdviceTerms
 from cuminhill.jobs.nodemetrics import make_node_metrics
 from cuminhill.jobs.peers import JobPeers
