--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -8,7 +8,8 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from enum import IntEnum
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,6 +24,12 @@
 # call of an urgent step would wait behind them for longer than it takes itself.
 LONG_CALL_S = 0.2
 SHORT_CALL_FRACTION = 1 / 3
+# Most calls for advice queued on one VM, as their total service time. A step that is
+# not urgent gets a call only shortly before a VM has answered the others, so that calls
+# of more urgent steps do not wait for it; the time covers the pause between decisions.
+MAX_ADVISER_QUEUE_S, MAX_PATIENT_QUEUE_S = 0.8, 0.3
+# Calls that only renew tickets start on idle VMs, and leave this fraction of them idle.
+SPARE_FRACTION = 0.5
 # Time for which a VM that has not answered takes no calls, doubled for each further
 # failure: a call into a partition costs its step the whole time-out.
 EXCLUDE_S, MAX_EXCLUDE_S = 1.0, 4.0
@@ -114,6 +121,17 @@
         self.retry_at = now + RETRY_S
 
 
+class CallRank(IntEnum):
+    """Order of calls for advice; lower ranks are made first."""
+
+    URGENT = 0
+    RETURN = 1  # lasting tasks that have been lost, or will be given up soon
+    PLACE = 2
+    AHEAD = 3  # steps that are not ready
+    RENEW_RETURN = 4  # lost lasting tasks of which none fits now
+    RENEW = 5  # other steps of which no task fits now
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceCall:
     """Call for advice that is to be made.
@@ -128,20 +146,47 @@
         Expected time that the service takes for the call.
     valid_s : float, seconds
         Validity of the tickets in the answer.
+    term : int
+        Term of the placer that makes the call.
+    rank : CallRank
+        What the call is for.
     """
 
     step: str
     workers: dict[str, int]
     cost_s: float
     valid_s: float
+    term: int = 0
+    rank: CallRank = CallRank.PLACE
+
+
+class AdviceAnswer(NamedTuple):
+    """Answer to a call for advice.
+
+    Parameters
+    ----------
+    tickets : list of (str, str)
+        Permitted workers and their tickets.
+    waited_s : float, seconds
+        How long the call waited for earlier calls of its VM; negative if unknown.
+    backlog_s : float, seconds
+        When the VM expects to have answered its other calls; negative if unknown.
+    """
+
+    tickets: list[tuple[str, str]]
+    waited_s: float = -1.0
+    backlog_s: float = -1.0
 
 
 def make_advice_call(
-    step: str, workers: dict[str, int], terms: AdviceTerms
+    step: str,
+    workers: dict[str, int],
+    terms: AdviceTerms,
+    rank: CallRank = CallRank.PLACE,
 ) -> AdviceCall:
     """Return a call for advice on some workers for a step."""
     cost_s = terms.decide_s + terms.per_worker_s * len(workers)
-    return AdviceCall(step, workers, cost_s, terms.valid_s)
+    return AdviceCall(step, workers, cost_s, terms.valid_s, rank=rank)
 
 
 @dataclass(eq=False)
@@ -178,6 +223,8 @@
         Exclusions since the last answer.
     answered_at, failed_at : float, seconds
         When the VM last answered a call, and when a call through it last failed.
+    n_calls : int
+        Calls under way.
     """
 
     vm: str
@@ -186,24 +233,79 @@
     n_failures: int = 0
     answered_at: float = 0.0
     failed_at: float = -math.inf
+    n_calls: int = 0
+
+    def record_answer(self, now: float, backlog_s: float = -1.0) -> None:
+        """Record that the VM has answered a call.
 
-    def record_answer(self, now: float) -> None:
-        """Record that the VM has answered a call."""
+        Parameters
+        ----------
+        backlog_s : float, seconds
+            When it expects to have answered the others that it has; negative if
+            unknown.
+        """
         self.n_failures = 0
         self.answered_at = now
+        self._end_call()
+        if backlog_s < 0:
+            return
+        if self.n_calls:  # some may not have reached it yet
+            self.busy_until = max(self.busy_until, now + backlog_s)
+        else:
+            self.busy_until = now + backlog_s
 
-    def record_failure(self, now: float) -> None:
+    def record_refusal(self, now: float, backlog_s: float) -> None:
+        """Record that the VM has refused a call since it has too many."""
+        self.answered_at = now
+        self._end_call()
+        self.busy_until = now + backlog_s
+
+    def record_failure(self, now: float, unsent_s: float = 0.0) -> None:
         """Exclude the VM, each time for longer.
 
-        Calls that fail while it is excluded were sent earlier and do not count.
+        Calls that fail while it is excluded were sent earlier and do not count. The
+        service may still be working on the calls that were sent.
+
+        Parameters
+        ----------
+        unsent_s : float, seconds
+            Expected time of the call if it was certainly not sent to the service.
         """
         self.failed_at = now
+        self._end_call()
+        self.busy_until -= unsent_s
         if now < self.excluded_until:
             return
         delay_s = min(MAX_EXCLUDE_S, EXCLUDE_S * 2**self.n_failures)
         self.excluded_until = now + delay_s
         self.n_failures += 1
-        self.busy_until = now
+
+    def _end_call(self) -> None:
+        self.n_calls = max(0, self.n_calls - 1)
+
+
+def find_adviser(
+    advisers: Iterable[Adviser], call: AdviceCall, now: float
+) -> Adviser | None:
+    """Return the VM through which a call is made now, None if it has to wait."""
+    known = list(advisers)
+    if call.rank <= CallRank.RETURN:
+        return choose_adviser(known, now, call.cost_s, MAX_ADVISER_QUEUE_S)
+    if call.rank <= CallRank.AHEAD or call.cost_s <= LONG_CALL_S:
+        return choose_adviser(known, now, call.cost_s, MAX_PATIENT_QUEUE_S)
+    able = _able(known, now, call.cost_s)
+    n_idle = sum(adviser.busy_until <= now for adviser in able)
+    if n_idle <= SPARE_FRACTION * len(able):
+        return None
+    return choose_adviser(known, now, call.cost_s, 0.0)
+
+
+def _able(advisers: Iterable[Adviser], now: float, cost_s: float) -> list[Adviser]:
+    """Return the VMs that may get a call of some length, excluded ones left out."""
+    able = [adviser for adviser in advisers if now >= adviser.excluded_until]
+    if cost_s > LONG_CALL_S:
+        able = able[int(SHORT_CALL_FRACTION * len(able)) :]
+    return able
 
 
 def choose_adviser(
@@ -216,9 +318,7 @@
     lower-priority steps, so that the short call of an urgent step never waits for one.
     """
     known = list(advisers)
-    able = [adviser for adviser in known if now >= adviser.excluded_until]
-    if cost_s > LONG_CALL_S:
-        able = able[int(SHORT_CALL_FRACTION * len(able)) :]
+    able = _able(known, now, cost_s)
     # VMs fail together when their failure domain is cut off, so after a failure those
     # that have answered since are asked first.
     failed_at = max((item.failed_at for item in known), default=-math.inf)
@@ -229,4 +329,5 @@
     if best is None or best.busy_until - now > max_wait_s:
         return None
     best.busy_until = max(now, best.busy_until) + cost_s
+    best.n_calls += 1
     return best
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -15,9 +15,11 @@
     CuminhillError,
     FencedError,
     OtherIncarnationError,
+    OverloadedError,
     RejectedError,
+    UnavailableError,
 )
-from .advice import AdviceCall, Adviser, choose_adviser
+from .advice import AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
@@ -42,6 +44,7 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from ..metrics import MetricSet
+    from .advice import AdviceAnswer
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
@@ -72,8 +75,6 @@
 ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
-# Most calls for advice queued on one VM, as their total service time.
-MAX_ADVISER_QUEUE_S = 0.8
 ADVICE_SLACK_S = 0.6  # added to the expected time of a call and its queue
 # Ended jobs are deleted from the journal after this time in addition to the time for
 # which the platform can query them.
@@ -155,7 +156,7 @@
     writer: LogWriter
     calls: WorkerCalls
     job_index: JobIndex
-    ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    ask_advice: Callable[[str, AdviceCall, float], Awaitable[AdviceAnswer]]
     address: str
     ask_term_ended: Callable[[str, int], Awaitable[TermEnd | None]]
     keep_ended_s: float
@@ -788,41 +789,77 @@
     # Advice
 
     async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
-        adviser = choose_adviser(
-            self.advisers.values(), now, call.cost_s, MAX_ADVISER_QUEUE_S
-        )
+        adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
             return
         self.placer.advice.for_step(call.step).calling = True
-        await curio.spawn(self._fetch_advice, adviser, call, daemon=True)
+        sent = replace(call, term=self.leader_record.term)
+        await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
 
     async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
         sent_at = boottime()
-        wait_s = max(0.0, adviser.busy_until - sent_at) + ADVICE_SLACK_S
+        planned_s = max(0.0, adviser.busy_until - sent_at)
         advice = self.placer.advice.for_step(call.step)
+        # The wait for earlier calls that the placer counts with, and the service's own
+        # time, are told apart from the wait that the VM reports.
+        fields = {
+            "step": call.step,
+            "through": adviser.vm,
+            "rank": call.rank.name.lower(),
+            "named": len(call.workers),
+            "cost_ms": round(call.cost_s * 1000),
+            "planned_wait_ms": round(max(0.0, planned_s - call.cost_s) * 1000),
+        }
         try:
-            tickets = await self.ask_advice(adviser.vm, call, wait_s)
+            answer = await self.ask_advice(adviser.vm, call, planned_s + ADVICE_SLACK_S)
         except CuminhillError as exc:
             now = boottime()
+            cause = _record_failed_call(adviser, call, exc, now)
+            self.placer.counts[f"advice_{cause}"] += 1
             logger.info(
-                "advice failed", step=call.step, through=adviser.vm, error=str(exc)
+                "advice failed",
+                **fields,
+                cause=cause,
+                took_ms=round((now - sent_at) * 1000),
+                backlog_ms=round(max(0.0, adviser.busy_until - now) * 1000),
+                error=str(exc),
             )
-            adviser.record_failure(now)
             advice.record_failure(now)
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
-            adviser.record_answer(now)
+            adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
+            if answer.waited_s >= 0:
+                self.metrics.observe(
+                    "advice_wait_seconds", answer.waited_s, through=adviser.vm
+                )
             advice.store_answer(
-                call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
+                call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
             )
             logger.info(
                 "advice",
-                step=call.step,
-                through=adviser.vm,
-                named=len(call.workers),
-                permitted=len(tickets),
+                **fields,
+                permitted=len(answer.tickets),
                 took_ms=round((now - sent_at) * 1000),
+                waited_ms=round(answer.waited_s * 1000),
             )
         await self._wake.set()
+
+
+def _record_failed_call(
+    adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
+) -> str:
+    """Record a failed call for advice with its VM; return the cause.
+
+    A VM that refuses a call for the others that it has is asked again when it has
+    answered those. Any other failure excludes it.
+    """
+    if isinstance(error, OverloadedError):
+        adviser.record_refusal(now, error.backlog_s)
+        return "refused"
+    if isinstance(error, UnavailableError):
+        adviser.record_failure(now, unsent_s=call.cost_s)
+        return "unreachable"
+    adviser.record_failure(now)
+    return "unanswered"
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -142,6 +142,13 @@
         "Time of a call for advice, in seconds.",
         ("through",),
     ),
+    Metric(
+        "advice_wait_seconds",
+        HISTOGRAM,
+        "Time for which a call for advice waited for earlier calls of its VM, in "
+        "seconds.",
+        ("through",),
+    ),
     Metric(
         "log_lines_dropped_total",
         COUNTER,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -1019,7 +1019,8 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now)
+        calls += evacuate(self, now)
+        return placements, sorted(calls, key=lambda call: call.rank)
 
 
 def _seconds_since(at: float, now: float) -> float | None:
