--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -34,11 +34,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Sequence
 
 logger = structlog.get_logger(__name__)
 
 MAX_LOGGED_CHARS = 120  # of a text from another writer
+JOB_RECORD_PREFIXES = (JOB_PREFIX, RUN_PREFIX, CANCEL_PREFIX)
 
 
 @dataclass(slots=True)
@@ -126,6 +127,26 @@
                 error=ascii(exc)[:MAX_LOGGED_CHARS],
             )
 
+    def fold_snapshot(self, records: Sequence[JournalRecord], now: float) -> None:
+        """Apply the newest record of each key; drop the jobs that have none.
+
+        Their records were deleted while the journal could not be read. An empty
+        snapshot drops none: the journal holds at least the claim of a placer by then.
+        """
+        for record in records:
+            self.fold(record, now)
+        if not records:
+            return
+        held = {
+            record.key.partition("/")[2]
+            for record in records
+            if record.value and record.key.startswith(JOB_RECORD_PREFIXES)
+        }
+        for job_id in self.entries.keys() - held:
+            del self.entries[job_id]
+        # Its records may be old, so they do not show that a VM is alive.
+        self.heard_at.clear()
+
     def _fold(self, record: JournalRecord, now: float) -> None:
         key, value = record.key, record.value
         if key == LEADER_KEY:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -258,11 +258,11 @@
 
     def _fold_journal(self, records: list[JournalRecord], snapshot: bool) -> None:
         now = boottime()
-        for record in records:
-            self.job_index.fold(record, now)
         if snapshot:
-            # Its records may be old, so they do not show that a VM is alive.
-            self.job_index.heard_at.clear()
+            self.job_index.fold_snapshot(records, now)
+        else:
+            for record in records:
+                self.job_index.fold(record, now)
         self.peers.members = self.job_index.members
         self.election.observe(
             self.job_index.leader_record, self.job_index.n_placer_records, now
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -16,9 +16,11 @@
     RESIGNATION_KEY,
     RUN_PREFIX,
     SPEEDS_KEY,
+    JournalRecord,
     LeaderRecord,
     Member,
     decode_leader_record,
+    encode_job,
     encode_leader_record,
     encode_member,
 )
@@ -604,3 +606,25 @@
         await cluster.wait_for(lambda: placer.counts["starts_started"] == 2)
 
     run_to_end(scenario)
+
+
+# Guards against jobs that run again because a VM was cut off from the journal for
+# longer than ended jobs are kept there, and becomes the placer later; and against
+# accepted jobs that are shown as unknown because one answer of the journal was empty.
+def test_a_snapshot_drops_the_jobs_whose_records_were_deleted(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(node.is_ready)
+        job, kept = (make_job(job_id=item) for item in job_ids(2))
+        rows = [
+            JournalRecord(100 + number, JOB_PREFIX + item.job_id, encode_job(item))
+            for number, item in enumerate((job, kept))
+        ]
+        node._fold_journal(rows, False)
+        node._fold_journal([], True)
+        assert {job.job_id, kept.job_id} <= node.job_index.entries.keys()
+        node._fold_journal(rows[1:], True)
+        assert kept.job_id in node.job_index.entries
+        assert job.job_id not in node.job_index.entries
+
+    run_to_end(scenario)
