Show that an early birth and too long a record of speeds stop nothing else

A worker whose clock stepped back between two starts names an earlier birth; its new incarnation is not used until the next term, but its tasks start elsewhere once its leases have lapsed. Speeds of 10,000 workers exceed a record; the record is rejected alone, and the placer goes on without handing the speeds on.

--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -18,6 +18,7 @@
     min_record_bytes,
 )
 from cuminhill.jobs.records import MAX_RECORD_BYTES, MAX_TASKS
+from cuminhill.jobs.speeds import Evidence, encode_speeds
 from cuminhill.platform.wire import MAX_CHECKPOINT_CHARS, decode_job_body
 from standins.job_platform import LogView, MemoryLog
 
@@ -203,3 +204,28 @@
         assert stored.issuperset(key for key, _ in records)
 
     curio.run(main)
+
+
+# Guards against a fleet so large that the record of its workers' speeds is not stored,
+# and no placer gets on: the speeds alone are not handed on.
+def test_speeds_that_no_record_holds_do_not_stop_the_placer(cluster):
+    async def main():
+        node = await cluster.start_node("vm-a")
+        await cluster.wait_for(lambda: cluster.leader() is not None)
+        part = cluster.leader().leadership
+        for number in range(10_000):
+            worker_id = f"i-{number:010x}"
+            part.placer.speeds.speeds[worker_id] = Evidence(LIFE, "a", 0.1, 0.2)
+            part.placer.workers[worker_id] = part.placer.workers["w1"]
+        assert len(encode_speeds(part.placer.speeds)) > MAX_RECORD_BYTES
+        await part._write_speeds()
+        for number in range(10_000):
+            del part.placer.workers[f"i-{number:010x}"]
+        job = make_job(accepted_at=0.0)
+        await cluster.submit(node, job)
+        await cluster.wait_for(
+            lambda: cluster.state(node, job.job_id) is JobState.COMPLETED
+        )
+        assert part.leader_record.term == node.job_index.leader_record.term == 1
+
+    curio.run(main)
--- a/tests/jobs/test_lives.py
+++ b/tests/jobs/test_lives.py
@@ -186,3 +186,29 @@
 
 
 ENDED = {JobState.COMPLETED, JobState.FAILED}
+
+
+# Guards against tasks that wait for ever for a worker whose clock stepped back between
+# two starts: its new incarnation seems older than the one before (rule LOST).
+def test_tasks_of_a_worker_that_is_back_with_an_earlier_birth_start_elsewhere():
+    placer = make_placer(n_workers=0)
+    for name in ("w1", "w2"):
+        placer.register_worker(make_entry(name, incarnation=NEW_LIFE), NOW)
+        answer_renewal(placer, name, NOW, incarnation=NEW_LIFE)
+    submit(placer, make_job(), NOW)
+    (placement,), _ = placer.decide(NOW, WALL)
+    send(placer, placement)
+    lost = placement.worker_id
+    (other,) = placer.workers.keys() - {lost}
+    placer.worker_unreachable(lost, NOW + 0.1)
+    placer.register_worker(make_entry(lost, incarnation=NEW_LIFE - 1), NOW + 0.2)
+    token = placer.workers[lost].fencing_token
+    last = NOW + 0.2 + placer.times.lease.max_lapse_s
+    for tenth in range(round(10 * (last - NOW))):
+        now = NOW + 0.3 + tenth / 10
+        report = make_report(tenth / 10, incarnation=NEW_LIFE - 1)
+        placer.process_report(lost, token, report, now)
+        answer_renewal(placer, other, now, incarnation=NEW_LIFE)
+        placer.tick(now)
+    (again,), _ = placer.decide(now, WALL)
+    assert (again.worker_id, again.run) == (other, 2)
