Count the leases of a silent predecessor from its newest record

A new term that gets no answer from its predecessor's process waited 4 s plus the longest lease from its own begin.

A term is now confirmed only by appends with a record under a key that only placers write: a claim, progress of jobs, ends of leases, speeds, also to delete one. The record of leases says for how long after it leases may run (lapse_ms). Earlier builds ignore that field; a predecessor that did not write it, and is confirmed by callers' records as well, gets the old bound. A time since a term has ended is counted from 1 s before that record at the earliest, so a false one cannot end the wait at once.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -31,6 +31,7 @@
     decode_leader_record,
     decode_lease_record,
     decode_member,
+    is_placer_key,
 )
 
 if TYPE_CHECKING:
@@ -91,6 +92,10 @@
         Jobs that are new or newly cancelled.
     speeds : bytes
         Worker speeds as estimated by a placer; empty if there are none.
+    placer_read_at : float, seconds
+        When the newest record under a placer's key was read.
+    predecessor_read_at : float, seconds
+        The same for the records before the newest claim that has won.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
@@ -103,6 +108,12 @@
     speeds: bytes = b""
     n_placer_records: int = 0
     n_bad_records: int = 0
+    placer_read_at: float = 0.0
+    predecessor_read_at: float = 0.0
+
+    def note_snapshot(self, now: float) -> None:
+        """Note that records of placers may have been left out until now."""
+        self.placer_read_at = now
 
     def fold(self, record: JournalRecord, now: float) -> None:
         """Apply one record.
@@ -125,6 +136,9 @@
                 key=ascii(record.key)[:MAX_LOGGED_CHARS],
                 error=ascii(exc)[:MAX_LOGGED_CHARS],
             )
+        if is_placer_key(record.key):
+            # Also an unreadable one: it may have confirmed the term that wrote it.
+            self.placer_read_at = now
 
     def _fold(self, record: JournalRecord, now: float) -> None:
         key, value = record.key, record.value
@@ -153,6 +167,8 @@
             self.leader_record.term,
             self.leader_record.nonce,
         )
+        if record.term > self.leader_record.term:
+            self.predecessor_read_at = self.placer_read_at
         if record.term > self.leader_record.term or same:
             self.leader_record = record
             self.n_placer_records += 1
@@ -228,7 +244,9 @@
         """
         if not self.leases.term or self.leases.term != self.leader_record.term - 1:
             return NO_INHERITED_LEASES
-        return inherit_leases(self.leases, self.leases_read_at)
+        return inherit_leases(
+            self.leases, self.leases_read_at, self.predecessor_read_at
+        )
 
     def n_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue without a started task."""
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -156,6 +156,9 @@
     on_appended : callable or None
         Called with the time at which a successful append was sent; for one that was
         retried, its first attempt that may have been stored.
+    reports : callable or None
+        Takes a key; appends without such a record are not reported to `on_appended`.
+        None if all are.
     keeps_epoch : bool
         Whether the epoch is the number of a term, so that the writer ends instead of
         raising it.
@@ -175,6 +178,7 @@
     epoch: int
     number: int = 0
     on_appended: Callable[[float], None] | None = None
+    reports: Callable[[str], bool] | None = None
     keeps_epoch: bool = False
     reader: LogFollower | None = None
     checks_first: bool = False
@@ -518,9 +522,15 @@
         self.refused_since = 0.0
         self.number += 1
         self.n_appends += 1
-        if self.on_appended is not None:
+        if self.on_appended is not None and self._is_reported():
             self.on_appended(first_sent_at)
 
+    def _is_reported(self) -> bool:
+        if self.reports is None:
+            return True
+        keys = (key for item in self._batch for key, _ in item.records)
+        return any(self.reports(key) for key in keys)
+
     def _give_up(self, error: CuminhillError) -> CuminhillError:
         if self.keeps_epoch:
             self.fenced = True
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -145,7 +145,8 @@
     metrics : MetricSet
         Records the times of jobs and of calls for advice.
     confirmed_at : float, seconds
-        When the newest successful append of the term was sent.
+        When the newest successful append was sent that carries a record under a key
+        of placers.
     resigning : bool
         Whether a resignation is being written; the term ends with it.
     """
@@ -181,7 +182,7 @@
         self.lease_journal = LeaseJournal(self.placer, self.address)
 
     def note_appended(self, sent_at: float) -> None:
-        """Handle a successful append of this term."""
+        """Handle a successful append with a record of the placer's own."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def may_act(self) -> bool:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -24,6 +24,9 @@
 # While a lease may still run, its record is written anew at this interval: for a VM
 # that has just started, the times in it count from when it reads it.
 REWRITE_INTERVAL_S = 0.5
+# A VM reads a record sooner after it was written, unless it is slow itself. So the
+# process of a term had not ended longer than this before its newest record was read.
+MAX_READ_LAG_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +45,19 @@
     bounds : dict of (str, int) to float
         When the leases have lapsed that it did not extend, in seconds, by worker and
         incarnation.
+    own_lapse_at : float, seconds
+        When all leases have lapsed that it can have granted, by its newest record;
+        infinite if it does not bound them.
+    newest_read_at : float, seconds
+        When its newest record, or a later one of an earlier term, was read.
     """
 
     term: int = 0
     address: str = ""
     earlier_lapse_at: float = math.inf
     bounds: dict[tuple[str, int], float] = field(default_factory=dict)
+    own_lapse_at: float = math.inf
+    newest_read_at: float = -math.inf
 
 
 NO_INHERITED_LEASES = InheritedLeases()
@@ -76,7 +86,9 @@
         return answered_at - self.for_s * (1 - CLOCK_DRIFT)
 
 
-def inherit_leases(record: LeaseRecord, read_at: float) -> InheritedLeases:
+def inherit_leases(
+    record: LeaseRecord, read_at: float, newest_read_at: float
+) -> InheritedLeases:
     """Return the ends of leases in a record of the previous term.
 
     Parameters
@@ -84,6 +96,9 @@
     read_at : float, seconds
         When the record was read. Its times count from then, later than they were
         written.
+    newest_read_at : float, seconds
+        When the newest record before the next claim was read, later than the last
+        append that has confirmed the term was sent.
     """
     return InheritedLeases(
         record.term,
@@ -93,6 +108,8 @@
             (bound.worker_id, bound.incarnation): read_at + bound.left_s
             for bound in record.bounds
         },
+        newest_read_at + record.lapse_s,
+        newest_read_at,
     )
 
 
@@ -100,15 +117,16 @@
     """Return when all leases have lapsed that earlier terms can have granted.
 
     The previous placer extends leases for a while without the journal, unless it is
-    known to have ended. Terms before it are covered by `earlier_lapse_at`.
+    known to have ended. What it has left in the journal tells for how long; otherwise
+    it may have been confirmed until this term began. Terms before it are covered by
+    `earlier_lapse_at`.
     """
     times = placer.times
     lapse_s = times.lease.lapse_s
     latest = placer.begun_at + times.max_unconfirmed_s + lapse_s
-    known = max(
-        placer.predecessor_ended_at + lapse_s, placer.inherited.earlier_lapse_at
-    )
-    return min(latest, known)
+    inherited = placer.inherited
+    own = min(placer.predecessor_ended_at + lapse_s, inherited.own_lapse_at)
+    return min(latest, max(own, inherited.earlier_lapse_at))
 
 
 def lapse_at(placer: Placer, life: tuple[str, int]) -> float:
@@ -130,6 +148,8 @@
 
 def note_predecessor_ended(placer: Placer, ended_at: float) -> None:
     """Note that the previous term has extended no lease since a time, in seconds."""
+    earliest = placer.inherited.newest_read_at - MAX_READ_LAG_S
+    ended_at = max(ended_at, earliest)
     placer.predecessor_ended_at = min(placer.predecessor_ended_at, ended_at)
     for worker in placer.workers.values():
         if not worker.confirmed_token and not worker.reachable:
@@ -197,6 +217,7 @@
                 LeaseBound(worker_id, incarnation, max(0.0, at - now))
                 for (worker_id, incarnation), at in sorted(bounds.items())
             ),
+            self.placer.times.unconfirmed_lapse_s,
         )
 
     def note_stored(self) -> None:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -44,6 +44,7 @@
     Member,
     encode_leader_record,
     encode_member,
+    is_placer_key,
 )
 from .service import JobService
 
@@ -270,6 +271,8 @@
 
     def _fold_journal(self, records: list[JournalRecord], snapshot: bool) -> None:
         now = boottime()
+        if snapshot:
+            self.job_index.note_snapshot(now)
         for record in records:
             self.job_index.fold(record, now)
         if snapshot:
@@ -536,6 +539,9 @@
             PLACER_WRITER,
             claim.term,
             self._claim_number + 1,
+            # The next term counts from the newest record of the placer that it reads,
+            # so appends that carry only callers' records do not confirm this one.
+            reports=is_placer_key,
             keeps_epoch=True,
             reader=self.journal,
         )
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -91,6 +91,11 @@
     lease: LeaseTimes = field(default_factory=LeaseTimes)
     max_unconfirmed_s: float = 4.0
 
+    @property
+    def unconfirmed_lapse_s(self) -> float:
+        """Time after the last confirmation until all leases have lapsed."""
+        return self.max_unconfirmed_s + self.lease.lapse_s
+
 
 @dataclass(eq=False)
 class Placer:
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -35,6 +35,9 @@
 # not fenced by terms, so a late one would overwrite a newer claim under `LEADER_KEY`.
 RESIGNATION_KEY = "resigned"
 
+# Keys under which only placers write; records of jobs have a prefix.
+_PLACER_KEYS = {LEADER_KEY, LEASES_KEY, SPEEDS_KEY}
+
 # Longest record, key and value together, that the journal stores.
 MAX_RECORD_BYTES = 262_144
 MAX_TASKS = 10_000  # of one step; bounds the memory that one request can use
@@ -147,18 +150,28 @@
         before this one can have granted on workers that it has not reached.
     bounds : tuple of LeaseBound
         The workers that carry runs and that the term does not reach.
+    lapse_s : float, seconds
+        Time from the sending of the newest append with a record under a placer's key
+        until all leases of the term have lapsed. Infinite for builds that extend
+        leases also after other appends.
     """
 
     term: int
     address: str = ""
     earlier_left_s: float = 0.0
     bounds: tuple[LeaseBound, ...] = ()
+    lapse_s: float = math.inf
 
 
 NO_LEASES = LeaseRecord(0)
 NO_LEADER = LeaderRecord(0, "", "", resigned=True)
 
 
+def is_placer_key(key: str) -> bool:
+    """Return whether only placers write records under a key, also to delete them."""
+    return key in _PLACER_KEYS or key.startswith(RUN_PREFIX)
+
+
 def encode_leader_record(record: LeaderRecord) -> bytes:
     """Return the JSON form of a claim."""
     return orjson.dumps(record)
@@ -206,17 +219,18 @@
 
 def encode_lease_record(record: LeaseRecord) -> bytes:
     """Return the JSON form of the ends of leases."""
-    return orjson.dumps(
-        {
-            "term": record.term,
-            "address": record.address,
-            "earlier_left_ms": _to_ms(record.earlier_left_s),
-            "left_ms": [
-                [bound.worker_id, bound.incarnation, _to_ms(bound.left_s)]
-                for bound in record.bounds
-            ],
-        }
-    )
+    data: dict[str, Any] = {
+        "term": record.term,
+        "address": record.address,
+        "earlier_left_ms": _to_ms(record.earlier_left_s),
+        "left_ms": [
+            [bound.worker_id, bound.incarnation, _to_ms(bound.left_s)]
+            for bound in record.bounds
+        ],
+    }
+    if record.lapse_s < math.inf:
+        data["lapse_ms"] = _to_ms(record.lapse_s)
+    return orjson.dumps(data)
 
 
 def _to_ms(left_s: float) -> int:
@@ -232,6 +246,7 @@
     address: Annotated[str, AfterValidator(check_address)]
     earlier_left_ms: Count
     left_ms: tuple[_LeaseRow, ...]
+    lapse_ms: Count | None = None
 
 
 def decode_lease_record(value: bytes) -> LeaseRecord:
@@ -251,6 +266,7 @@
             LeaseBound(worker_id, incarnation, left_ms / 1000)
             for worker_id, incarnation, left_ms in body.left_ms
         ),
+        math.inf if body.lapse_ms is None else body.lapse_ms / 1000,
     )
 
 
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import curio
@@ -231,6 +232,24 @@
     run_to_end(scenario)
 
 
+# Guards against a placer that only callers' records confirm, although the next term
+# counts from the newest record of the placer's own.
+def test_records_of_callers_do_not_confirm_a_term(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        leadership = node.leadership
+        leadership._shown_at = math.inf  # no renewal of the claim
+        await curio.sleep(0.5)
+        before = leadership.confirmed_at
+        await leadership.writer.append([("cancel/a", b"1")], math.inf)
+        assert leadership.confirmed_at == before
+        await leadership._write_leader_record()
+        assert leadership.confirmed_at > before
+
+    run_to_end(scenario)
+
+
 # Guards against leases that a process extends until it ends its term, while the next
 # term counts from the start of the process.
 def test_a_process_that_has_led_a_term_says_when_it_ended_it(cluster):
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -423,3 +423,29 @@
         assert sent_at <= confirmed[0] < sent_at + MIN_APPEND_TIMEOUT_S / 2
 
     curio.run(scenario)
+
+
+# Guards against a placer that extends leases because of callers' records, which the
+# next term does not take for a sign of it.
+def test_only_appends_with_a_reported_record_are_reported():
+    reported = []
+
+    async def scenario():
+        writer = await make_writer(
+            MemoryLog(),
+            LogFaults(delay_s=0.02),
+            on_appended=reported.append,
+            reports=lambda key: key == "own",
+        )
+        await writer.append([("k", b"x")], math.inf)
+        assert reported == []
+        # Both share an append.
+        tasks = [
+            await curio.spawn(writer.append, [(key, b"x")], math.inf)
+            for key in ("k", "k", "own", "k")
+        ]
+        for task in tasks:
+            await task.join()
+        assert len(reported) == 1
+
+    curio.run(scenario)
