End all leases 7.5 s after the last confirmation of a term

A lasting task whose placer and worker were gone for good stood still for more than 9 s: a placer extended leases in full for 4 s after its last confirmed append, so the last one ended 9.4 s after it on a slow clock.

A lease now ends 7.5 s after the last confirmation at the latest, in renewals and starts alike. The record of leases says 7.95 s accordingly. Where leases are shorter than 3.5 s the bound stays 4 s and one lease.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -32,6 +32,11 @@
 CAPACITY_EPSILON = 1e-6  # tolerance for rounding, in cores or megabytes
 
 
+def lapse_after_s(lease_s: float) -> float:
+    """Return the time after which a lease has lapsed on any worker's clock."""
+    return lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTimes:
     """Durations of worker leases.
@@ -50,12 +55,12 @@
     @property
     def lapse_s(self) -> float:
         """Time after which a lease granted now has lapsed on any worker's clock."""
-        return self.lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+        return lapse_after_s(self.lease_s)
 
     @property
     def max_lapse_s(self) -> float:
         """Time after which any lease granted now has lapsed on any worker's clock."""
-        return self.max_lease_s / (1 - CLOCK_DRIFT) + LAPSE_MARGIN_S
+        return lapse_after_s(self.max_lease_s)
 
 
 @dataclass(eq=False, slots=True)
@@ -384,13 +389,13 @@
 
 
 def may_extend(now: float, confirmed_at: float, max_unconfirmed_s: float) -> bool:
-    """Return whether a placer may still extend leases of running tasks.
+    """Return whether a placer may still act for its term, which may have ended.
 
     Parameters
     ----------
     confirmed_at : float, seconds
         When the newest successful journal write was sent.
     max_unconfirmed_s : float, seconds
-        How long a placer extends leases after that write.
+        How long it may after that write.
     """
     return now - confirmed_at < max_unconfirmed_s
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -185,8 +185,14 @@
         """Handle a successful append with a record of the placer's own."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
+    def lease_s(self, now: float) -> float:
+        """Return the length of a lease granted now, in seconds; 0 for none."""
+        if self.ended or self.writer.fenced:
+            return 0.0
+        return self.placer.times.lease_s_at(now, self.confirmed_at)
+
     def may_act(self) -> bool:
-        """Return whether the term is confirmed, so that leases may be extended."""
+        """Return whether the term is confirmed, so that runs may be started."""
         held = may_extend(
             boottime(), self.confirmed_at, self.placer.times.max_unconfirmed_s
         )
@@ -395,7 +401,7 @@
                 await self._disconnect(address)
                 break
             address = worker.entry.address
-            if not self.may_act():
+            if not self.lease_s(boottime()):
                 await curio.sleep(RENEW_RETRY_S)
                 continue
             if not await self._renew_once(worker):
@@ -417,8 +423,9 @@
         incarnation = worker.entry.incarnation
         lease_until_ms = None
         settled = worker.confirmed_token >= fencing_token
-        if worker.may_extend_leases() and self.may_act():
-            lease_until_ms = worker.lease_end_ms(now, self.placer.times.lease.lease_s)
+        lease_s = self.lease_s(now)
+        if worker.may_extend_leases() and lease_s:
+            lease_until_ms = worker.lease_end_ms(now, lease_s)
             worker.record_lease(lease_until_ms)
         wait_s = RENEW_WAIT_S if settled and worker.reachable else 0.0
         try:
@@ -505,7 +512,7 @@
             key=placement.key,
             run=placement.run,
             payload=progress.job.payload,
-            lease_until_ms=worker.lease_end_ms(now, self.placer.times.lease.lease_s),
+            lease_until_ms=worker.lease_end_ms(now, self.lease_s(now)),
             fencing_token=worker.fencing_token,
             checkpoint=slot.checkpoint,
             ticket=ticket,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -26,7 +26,7 @@
 )
 from .decisions import Placement, decide
 from .evacuation import Move, evacuate
-from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
+from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
 from .leasebounds import NO_INHERITED_LEASES, lapse_at
 from .model import EndKind, JobState, QueueTable, StartResult
@@ -84,17 +84,31 @@
     lease : LeaseTimes
         Durations of worker leases.
     max_unconfirmed_s : float, seconds
-        How long a placer may extend leases after its last confirmed journal write; for
-        this time a new placer assumes that its predecessor still extends them.
+        How long a placer starts runs after its last confirmed journal write. Earlier
+        builds extend leases in full for this time, and then not at all.
+    max_hold_s : float, seconds
+        Leases end at most this time after the last confirmed journal write. Shorter
+        than the outages of the journal that tasks are to survive makes them start
+        anew; a new placer waits for it on workers that it does not reach.
     """
 
     lease: LeaseTimes = field(default_factory=LeaseTimes)
     max_unconfirmed_s: float = 4.0
+    max_hold_s: float = 7.5
+
+    @property
+    def hold_s(self) -> float:
+        """Time after the last confirmation at which the last lease ends."""
+        return min(self.max_hold_s, self.max_unconfirmed_s + self.lease.lease_s)
 
     @property
     def unconfirmed_lapse_s(self) -> float:
         """Time after the last confirmation until all leases have lapsed."""
-        return self.max_unconfirmed_s + self.lease.lapse_s
+        return lapse_after_s(self.hold_s)
+
+    def lease_s_at(self, now: float, confirmed_at: float) -> float:
+        """Return the length of a lease granted now, in seconds; 0 for none."""
+        return max(0.0, min(self.lease.lease_s, confirmed_at + self.hold_s - now))
 
 
 @dataclass(eq=False)
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -250,6 +250,36 @@
     run_to_end(scenario)
 
 
+# Guards against a placer without the journal that extends leases beyond the time for
+# which the next term waits, or that gives up its tasks long before.
+def test_a_placer_without_the_journal_shortens_its_leases(cluster):
+    lease = LeaseTimes(lease_s=2.0, max_lease_s=2.0)
+    cluster.times = PlacerTimes(lease, max_unconfirmed_s=2.0, max_hold_s=3.0)
+
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        await cluster.submit(node, make_job(make_step(long_running=True)))
+        await cluster.wait_for(cluster.workers.history)
+        (run,) = cluster.workers.history()
+        worker = cluster.workers.workers[run.worker_id]
+        await curio.sleep(1.0)
+        cluster.views["vm0"][0].faults.unresponsive = True
+        await curio.sleep(0.2)
+        confirmed_at = node.leadership.confirmed_at
+        await curio.sleep(confirmed_at + 2.7 - boottime())
+        worker.advance()
+        assert worker.running
+        await curio.sleep(confirmed_at + 3.1 - boottime())
+        worker.advance()
+        assert not worker.running
+        assert node.leadership.confirmed_at == confirmed_at
+
+    run_to_end(scenario)
+
+
 # Guards against leases that a process extends until it ends its term, while the next
 # term counts from the start of the process.
 def test_a_process_that_has_led_a_term_says_when_it_ended_it(cluster):
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -16,7 +16,7 @@
     rule,
 )
 
-from cuminhill.jobs.fleet import CLOCK_DRIFT
+from cuminhill.jobs.fleet import CLOCK_DRIFT, LeaseTimes
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.leasebounds import (
     LIST_AFTER_S,
@@ -31,7 +31,7 @@
     list_unreached,
     note_predecessor_ended,
 )
-from cuminhill.jobs.placer import Placer
+from cuminhill.jobs.placer import Placer, PlacerTimes
 from cuminhill.jobs.progress import TaskState, decode_progress, encode_progress
 from cuminhill.jobs.records import (
     LEADER_KEY,
@@ -68,6 +68,7 @@
 ADDRESS = "127.0.0.1:1"
 STEP_S = 0.25
 RENEWAL_S = 3 * STEP_S  # between records of a placer that has nothing else to write
+ABSENT_S = 9.0  # longest time for which a lasting task may not run
 START_S = 2.0  # until the process that replaces a killed one answers
 
 
@@ -485,8 +486,10 @@
 
     def _lease_s(self, placer: Placer) -> float:
         """Return the lease that a placer grants now, 0 for none."""
-        unconfirmed_s = self.now - self.confirmed_at[placer.term]
-        if unconfirmed_s >= placer.times.max_unconfirmed_s:
+        confirmed_at = self.confirmed_at[placer.term]
+        if placer.term not in self.earlier_builds:
+            return placer.times.lease_s_at(self.now, confirmed_at)
+        if self.now - confirmed_at >= placer.times.max_unconfirmed_s:
             return 0.0
         return placer.times.lease.lease_s
 
@@ -645,6 +648,38 @@
     machine.teardown()
 
 
+# Guards against leases that outlast the bound that the next term counts with, and
+# against ones that end sooner in an outage of the journal than they have to.
+def test_leases_end_a_fixed_time_after_the_last_confirmation():
+    times = PlacerTimes()
+    lengths = [
+        times.lease_s_at(NOW + age, NOW) for age in (0.0, 2.5, 4.5, 7.0, 7.5, 60)
+    ]
+    assert lengths == [5.0, 5.0, 3.0, 0.5, 0.0, 0.0]
+    short = PlacerTimes(LeaseTimes(lease_s=2.0))
+    lengths = [short.lease_s_at(NOW + age, NOW) for age in (0.0, 4.0, 5.0, 6.0)]
+    assert lengths == [2.0, 2.0, 1.0, 0.0]
+    for given in (times, short):
+        longest_s = given.max_unconfirmed_s + given.lease.lapse_s
+        assert given.hold_s < given.unconfirmed_lapse_s <= longest_s + 0.1
+
+
+# Guards against tasks that end in an outage of the journal that their leases can
+# outlast, and against leases that run on after it.
+@pytest.mark.parametrize(("outage_s", "survive"), [(7.0, True), (9.0, False)])
+def test_tasks_outlast_a_short_outage_of_the_journal(outage_s, survive):
+    machine = LeaseMachine()
+    machine.begin()
+    machine.play(CUTS[0], True, "", False, 12.0)
+    before = [dict(sim.alive_runs(machine.now)) for sim in machine.sims.values()]
+    assert sum(map(len, before)) == 2
+    machine.now = machine.confirmed_at[1]
+    machine.play(CUTS[0], False, "", False, outage_s)
+    after = [sim.alive_runs(machine.now) for sim in machine.sims.values()]
+    assert after == (before if survive else [{}, {}, {}])
+    machine.teardown()
+
+
 # Guards against a wait for a predecessor that never answers which counts from the begin
 # of the term, or from the last lease that it can have granted by then.
 def test_a_task_of_a_placer_that_never_returns_starts_again_after_its_last_record():
@@ -660,6 +695,7 @@
     machine.now += 1.5  # an election timeout later
     machine.play(CUTS[0], True, "killed", False, 0.25)
     lapse_s = placer.times.unconfirmed_lapse_s
+    assert lapse_s + 0.5 < ABSENT_S
     machine.play(CUTS[0], True, "", False, record_at + lapse_s + 0.5 - machine.now)
     runs = [item for sim in machine.sims.values() for item in sim.runs.values()]
     assert run.run + 1 in [item.run for item in runs if item.key == run.key]
