--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -44,6 +44,7 @@
     Member,
     encode_leader_record,
     encode_member,
+    is_placer_key,
 )
 from .service import JobService
 
@@ -537,6 +538,9 @@
             PLACER_WRITER,
             claim.term,
             self._claim_number + 1,
+            # The next term counts from the newest record of the placer that it reads,
+            # so appends that carry only callers' records do not confirm this one.
+            reports=is_placer_key,
             keeps_epoch=True,
             reader=self.journal,
         )
