Judge lasting tasks beside more disturbances, with the parts of each absence

The first form of checks.lasting left few workers with room for a lost task, so that little was judged, and its kind one-worker lost workers without lasting tasks. Each cycle says how much of its longest absence was the notice, the change of term, the leases, advice, room and the start, from the log lines. TWICE is judged as well.

--- a/checks/lasting.py
+++ b/checks/lasting.py
@@ -3,477 +3,217 @@
 Nine entry VMs, 24 workers, a store and a placement advice service run on loopback.
 Callers submit tasks that last, beside batches and urgent work. In each cycle workers
 are lost while VMs are killed or the store is away; then nothing is disturbed, and every
-lasting task has to run again within the bounds of the rule LOST: a task may be absent
-for `ABSENT_S`, and longer only until it has been calm for `CALM_S`.
+lasting task has to run again within the bounds of the rule LOST (`lasting_judge`).
 """
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import json
+import math
 import os
 import random
-import signal
+import subprocess
 import sys
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import click
 
-from review.harness.http import Request, Server
-from review.harness.nodes import Node, free_host
 from review.harness.record import Record
-from review.harness.site import Site, route
-from review.harness.worker import Worker, expire_registrations
+from review.harness.site import route
+
+from .lasting_judge import N_PLACES, PARTS, parse_lines, split_absences
+from .lasting_site import ADVICE, TICKET_S, WATCH_S, LastingSite
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-OUT = Path("out/lasting")  # logs and record of the last run
-ABSENT_S = 9.0  # since the last run of the task
-CALM_S = 7.0  # since the last disturbance
-IDLE_S = 3.0  # with room for the task twice over
-MAX_PER_WORKER = 2  # tasks of one job
-HOLD_MAX_MS = 10_000
-N_NODES, N_WORKERS, CPU = 9, 24, 32_000
-MEM_MB = 131_072
-LOST_FRACTION = 0.25  # of the workers, in each cycle
-WATCH_S = 0.05
-WATCH_CYCLE_S = 14.0  # of calm after the disturbances of a cycle
-SETTLE_S = 4.0  # before the first cycle
-MAX_ADVICE_QUEUE = 32
-
-# Queue, tasks of a step, cores in thousandths, run time and priority; time of a call
-# for advice, time per worker named in it and permitted share.
-LASTING = ("watch", 8, 6700, 3_600_000, 1)
-ADVICE = {
-    "watch": (0.45, 0.0065, 0.35),
-    "batch": (0.43, 0.0061, 0.35),
-    "check": (0.026, 0.00037, 0.7),
+OUT = Path("out/lasting")  # logs and records, one folder for each seed
+N_LOST = 6  # workers, a quarter
+WATCH_CYCLE_S = 14.0  # of calm after the disturbances of a cycle, at most
+ALL_BACK_S = 0.8  # a cycle ends once all tasks have run again for this time
+LAPSE_S = 6.5  # runs on a worker that is cut off have lapsed after this time
+SETTLE_S = 3.0  # before each cycle
+# Of okrnik-grid: tasks of a lasting job, and of which most share no worker with more
+# than one other. Their cores are fewer, so that the workers left have room.
+N_PERMITTED = 8  # workers for each lasting job, so that those left have room
+N_JOBS, N_TASKS, TASK_CPU, MAX_PER_WORKER, APART_SHARE = 6, 8, 4000, 2, 0.7
+
+
+class Load(NamedTuple):
+    """Jobs of two equal steps.
+
+    Parameters
+    ----------
+    every_s : float, seconds
+        Mean interval between two jobs.
+    n_tasks, cpu, ms : int, int, float
+        Tasks of a step, cores of each in thousandths and its run time in milliseconds.
+    """
+
+    queue: str
+    every_s: float
+    n_tasks: int
+    cpu: int
+    ms: float
+
+
+# "light" makes the calls for advice of a fuller service and leaves room; in "full",
+# some steps have no room after a loss.
+LOADS: dict[str, list[Load]] = {
+    "none": [],
+    "light": [Load("batch", 1.2, 6, 2500, 2500), Load("check", 0.32, 3, 2000, 800)],
+    "full": [Load("batch", 2.0, 13, 5500, 3800), Load("check", 0.32, 6, 2500, 800)],
 }
-TICKET_S = 2.5
-
-
-@dataclass
-class Advice:
-    """Placement advice service: serves the calls of each VM one after the other."""
-
-    n_calls: Counter[str] = field(default_factory=Counter)
-    tickets: dict[str, tuple[str, str, int, float]] = field(default_factory=dict)
-    workers: dict[str, Worker] = field(default_factory=dict)
-    queues: dict[str, str] = field(default_factory=dict)
-    slowness: float = 1.0
-    server: Server = field(init=False)
-    _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
-    _n_waiting: Counter[str] = field(default_factory=Counter)
-
-    def __post_init__(self) -> None:
-        self.server = Server(self._handle)
-
-    async def _handle(self, req: Request) -> tuple[int, Any]:
-        body = json.loads(req.body)
-        step, names = body["step"], body["workers"]
-        queue = self.queues.get(step.partition(".")[0], "batch")
-        if self._n_waiting[req.peer] >= MAX_ADVICE_QUEUE:
-            return 429, {}
-        lock = self._locks.setdefault(req.peer, asyncio.Lock())
-        self._n_waiting[req.peer] += 1
-        try:
-            return await asyncio.shield(self._serve(lock, queue, step, names))
-        finally:
-            self._n_waiting[req.peer] -= 1
-
-    async def _serve(
-        self, lock: asyncio.Lock, queue: str, step: str, names: list[str]
-    ) -> tuple[int, Any]:
-        # A call goes on although its caller has given up.
-        decide_s, each_s, share = ADVICE[queue]
-        async with lock:
-            await asyncio.sleep(self.slowness * (decide_s + each_s * len(names)))
-        self.n_calls[queue] += 1
-        rows = []
-        for name in names:
-            worker = self.workers.get(name)
-            if worker is None or not permits(step, name, share):
-                continue
-            ticket = f"{random.getrandbits(64):016x}"
-            until = time.monotonic() + TICKET_S
-            self.tickets[ticket] = (step, name, worker.n_life, until)
-            rows.append([name, ticket])
-        return 200, {"good": rows}
-
-    def is_valid(self, ticket: str, task: str, worker: Worker) -> bool:
-        """Return whether a ticket permits the start of a task."""
-        step, name, life, until = self.tickets.get(ticket, ("", "", 0, 0.0))
-        return (
-            task.rpartition(".")[0] == step
-            and (name, life) == (worker.worker_id, worker.n_life)
-            and time.monotonic() <= until
-        )
 
 
-def permits(step: str, worker_id: str, share: float) -> bool:
-    """Return whether a policy allows a worker to run a step; it never changes."""
-    digest = hashlib.sha256(f"{step} {worker_id}".encode()).digest()
-    return int.from_bytes(digest[:4]) < share * (1 << 32)
+async def _lose_around(site: LastingSite, rng: random.Random, how: str) -> None:
+    """Lose workers within a second after now; called a second before a disturbance."""
+    await asyncio.sleep(rng.uniform(0.0, 2.0))
+    await site.lose_workers(rng, N_LOST, how)
 
 
-@dataclass
-class AdvisedWorker(Worker):
-    """Worker that checks the tickets of starts."""
+async def _kill_placer(site: LastingSite, down_s: float, lose: Any) -> None:
+    losing = asyncio.create_task(lose)
+    await asyncio.sleep(1.0)
+    await site.kill(site.placer(), down_s)
+    await losing
 
-    advice: Advice | None = None
-    # A cut worker runs on and does not answer.
-    cut: bool = False
 
-    def _extend(self, deadline_ms: int) -> None:
-        latest = self._clock_ms() + HOLD_MAX_MS
-        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, latest))
+async def placer_killed_long(site: LastingSite, rng: random.Random) -> None:
+    """Kill the placer for 3.5 s; workers crash in the second before or after."""
+    await _kill_placer(site, 3.5, _lose_around(site, rng, "crash"))
 
-    def _register(self) -> None:
-        if not self.cut:
-            super()._register()
 
-    def _start(self, body: dict[str, Any]) -> tuple[int, Any]:
-        assert self.advice is not None
-        known = body["task"] in self.running
-        ticket = body.get("ticket", "")
-        if not known and not self.advice.is_valid(ticket, body["task"], self):
-            return 409, {"reason": "ticket"}
-        return super()._start(body)
+async def placer_killed_short(site: LastingSite, rng: random.Random) -> None:
+    """Kill the placer for 0.3 to 1 s; workers go dark in the second before or after."""
+    down_s = rng.uniform(0.3, 1.0)
+    await _kill_placer(site, down_s, _lose_around(site, rng, "dark"))
 
-    async def _handle(self, req: Request) -> tuple[int, Any] | None:
-        if self.cut:
-            await asyncio.Event().wait()
-        return await super()._handle(req)
 
+async def placer_killed_cut(site: LastingSite, rng: random.Random) -> None:
+    """Kill the placer for 3.5 s while workers are cut off for good."""
+    await _kill_placer(site, 3.5, _lose_around(site, rng, "cut"))
 
-@dataclass
-class LastingSite(Site):
-    """Deployment with advice whose disturbances are noted.
 
-    Parameters
-    ----------
-    disturbed_at : float
-        When the newest disturbance ended, in seconds.
-    """
+async def workers_cut(site: LastingSite, rng: random.Random) -> None:
+    """Cut workers off for 5.5 s and kill the placer for 1 s meanwhile."""
+    lost = await site.lose_workers(rng, N_LOST, "cut")
+    back = asyncio.create_task(site.bring_back(lost, 5.5))
+    await asyncio.sleep(rng.uniform(0.2, 3.0))
+    await site.kill(site.placer(), 1.0)
+    await back
 
-    advice: Advice = field(default_factory=Advice)
-    rng: random.Random = field(default_factory=random.Random)
-    lasting: dict[str, int] = field(default_factory=dict)
-    disturbed_at: float = 0.0
-    n_disturbing: int = 0
-    store_away: bool = False
-    violations: list[str] = field(default_factory=list)
-    back_after: list[tuple[str, float, float]] = field(default_factory=list)
-    _n_workers_made: int = 0
-    _host: str = ""
-    _reported: set[tuple[str, int]] = field(default_factory=set)
-    _no_room_at: dict[str, float] = field(default_factory=dict)
-
-    async def start_all(self, routes: list[dict[str, Any]]) -> None:
-        """Start everything and wait until all VMs are ready."""
-        self._host = free_host()
-        self.store.server.handler = self._handle_store
-        address = await self.store.server.start(self._host)
-        advice_address = await self.advice.server.start(free_host())
-        self.configure(routes)
-        for _ in range(N_WORKERS):
-            await self.add_worker()
-        expiry = expire_registrations(self.store, self.workers)
-        self._tasks.append(asyncio.create_task(expiry))
-        for number in range(N_NODES):
-            node = Node(f"front-z1-{number + 1}", self.folder, address, self.record)
-            text = node.path.read_text().replace(
-                "max_lease_ms = 6000", f"max_lease_ms = {HOLD_MAX_MS}"
-            )
-            node.path.write_text(f'{text}advice_address = "{advice_address}"\n')
-            self.nodes.append(node)
-            node.start()
-        await self.wait_ready()
-
-    async def _handle_store(self, req: Request) -> tuple[int, Any] | None:
-        if self.store_away:
-            return 503, {}
-        return await self.store._handle(req)
-
-    async def add_worker(self) -> None:
-        """Start a worker with a new identity."""
-        self._n_workers_made += 1
-        number = self._n_workers_made
-        worker = AdvisedWorker(
-            f"i-{number:010x}",
-            self.store,
-            self.record,
-            self._host,
-            CPU,
-            advice=self.advice,
-        )
-        worker.labels = ("a", f"r1-{number % 3 + 1}")
-        await worker.start()
-        self.workers.append(worker)
-        self.advice.workers[worker.worker_id] = worker
-
-    def placer(self) -> Node | None:
-        """Return the VM that has claimed the newest term."""
-        newest = self.store.topic("keyed.cuminhill").newest.get("lead")
-        if newest is None:
-            return None
-        name = json.loads(newest[1])["vm"]
-        return next((node for node in self.nodes if node.name == name), None)
-
-    def disturb(self, kind: str, **values: Any) -> None:
-        """Note a disturbance."""
-        self.record.add("disturbance", kind=kind, **values)
-        self.disturbed_at = time.monotonic()
-
-    async def kill(self, node: Node, down_s: float, *, back: bool = True) -> None:
-        """Kill a VM's process; start it again after a time."""
-        self.n_disturbing += back
-        node.send_signal(signal.SIGKILL)
-        await node.wait_for_end(5.0)
-        self.disturb("kill", node=node.name, down_s=down_s, back=back)
-        if not back:
-            return
-        await asyncio.sleep(down_s)
-        node.start()
-        self.n_disturbing -= 1
-        self.disturb("started", node=node.name)
-
-    async def stop_and_start(self, node: Node) -> None:
-        """Stop a VM's process with SIGTERM and start it again."""
-        self.n_disturbing += 1
-        node.send_signal(signal.SIGTERM)
-        await node.wait_for_end(7.0)
-        await asyncio.sleep(0.5)
-        node.start()
-        self.n_disturbing -= 1
-        self.disturb("started", node=node.name)
-
-    async def take_store_away(self, for_s: float) -> None:
-        """Have the store refuse all calls for a time."""
-        self.n_disturbing += 1
-        self.store_away = True
-        self.disturb("store away", for_s=for_s)
-        await asyncio.sleep(for_s)
-        self.store_away = False
-        self.n_disturbing -= 1
-        self.disturb("store back")
-
-    async def lose_workers(self, fraction: float, *, how: str) -> list[AdvisedWorker]:
-        """Lose workers for good: ``crash``, ``dark`` or ``cut``."""
-        alive = [item for item in self.workers if item.up]
-        count = max(1, round(fraction * len(alive)))
-        lost: list[AdvisedWorker] = self.rng.sample(alive, count)  # type: ignore[arg-type]
-        self.disturb("workers lost", how=how, workers=[w.worker_id for w in lost])
-        for worker in lost:
-            if how == "crash":
-                await worker.crash()
-            elif how == "dark":
-                worker.go_dark()
-            else:
-                worker.cut = True
-        return lost
-
-    async def replace(self, lost: list[AdvisedWorker]) -> None:
-        """Remove lost workers and start as many with new identities."""
-        for worker in lost:
-            if worker.up:
-                await worker.crash()
-            self.workers.remove(worker)
-            await self.add_worker()
-        self.disturb("workers replaced")
-
-    # Load
-
-    async def submit_lasting(self, n_jobs: int) -> None:
-        """Submit jobs whose tasks last."""
-        queue, n_tasks, cpu, ms, _ = LASTING
-        for _ in range(n_jobs):
-            step = {"count": n_tasks, "cpu": cpu, "mem_mb": 2048}
-            step |= {
-                "est_runtime_ms": 320,
-                "long_running": True,
-                "max_per_server": MAX_PER_WORKER,
-            }
-            job = await self._submit(queue, cpu, ms, [step])
-            if job:
-                self.lasting[job] = n_tasks
-
-    async def _submit(
-        self, queue: str, cpu: int, ms: float, steps: list[dict[str, Any]]
-    ) -> str:
-        job = f"{self.rng.getrandbits(64):016x}"
-        self.advice.queues[job] = queue
-        body = {"spec": json.dumps({"cpu": cpu, "ms": ms}), "phases": steps}
-        return job if await self.submit(f"/{queue}/", job, body) == 200 else ""
-
-    async def offer_load(
-        self, queue: str, every_s: float, count: int, cpu: int, ms: float
-    ) -> None:
-        """Submit jobs of two steps at a mean interval."""
-        while True:
-            await asyncio.sleep(self.rng.expovariate(1 / every_s))
-            first = {"count": count, "cpu": cpu, "mem_mb": 1024, "est_runtime_ms": ms}
-            steps: list[dict[str, Any]] = [first, first | {"after": [0]}]
-            self._tasks.append(asyncio.create_task(self._submit(queue, cpu, ms, steps)))
-
-    # Judge
-
-    def absent(self) -> dict[str, float]:
-        """Return when the newest run of each lasting task that is absent ended."""
-        present: set[str] = set()
-        ended: dict[str, float] = {}
-        for worker in self.workers:
-            if worker.up:
-                present.update(worker.running)
-            for task, _, _, ended_at in worker.history:
-                ended[task] = max(ended_at, ended.get(task, 0.0))
-        rows = {}
-        for job, n_tasks in self.lasting.items():
-            for index in range(n_tasks):
-                task = f"{job}.0.0.{index}"
-                if task not in present and task in ended:
-                    rows[task] = ended[task]
-        return rows
-
-    def n_places(self, task: str) -> int:
-        """Return how many tasks like an absent one fit on its permitted workers."""
-        step = task.rpartition(".")[0]
-        _, _, cpu, _, _ = LASTING
-        total = 0
-        for worker in self.workers:
-            assert isinstance(worker, AdvisedWorker)
-            if not worker.up or worker.cut:
-                continue
-            if not permits(step, worker.worker_id, ADVICE["watch"][2]):
-                continue
-            held = sum(item.rpartition(".")[0] == step for item in worker.running)
-            fits = (worker.cpu - worker.used()) // cpu
-            total += max(0, min(MAX_PER_WORKER - held, fits))
-        return total
-
-    async def watch(self) -> None:
-        """Note each lasting task that is absent for longer than the rule allows.
-
-        It counts only if its workers have had room for it twice over for `IDLE_S`.
-        """
-        while True:
-            await asyncio.sleep(WATCH_S)
-            now = time.monotonic()
-            absent = self.absent()
-            for task in absent:
-                if self.n_places(task) < 2:
-                    self._no_room_at[task] = now
-            if self.n_disturbing or now - self.disturbed_at < CALM_S:
-                continue
-            for task, ended_at in absent.items():
-                if now - ended_at < ABSENT_S or (task, int(ended_at)) in self._reported:
-                    continue
-                if now - self._no_room_at.get(task, 0.0) < IDLE_S:
-                    continue
-                self._reported.add((task, int(ended_at)))
-                text = (
-                    f"LOST: {task} absent for {now - ended_at:.2f} s,"
-                    f" {now - self.disturbed_at:.2f} s after the last disturbance,"
-                    f" room for {self.n_places(task)}"
-                )
-                self.violations.append(text)
-                self.record.add("violation", text=text)
-
-    async def measure(self, kind: str, watch_s: float) -> None:
-        """Measure the calm time until all lasting tasks run again."""
-        begun_at = time.monotonic()
-        back_s = longest_s = 0.0
-        while time.monotonic() - begun_at < watch_s:
-            await asyncio.sleep(WATCH_S)
-            absent, now = self.absent(), time.monotonic()
-            if absent:
-                back_s = now - self.disturbed_at
-                if min(map(self.n_places, absent)) < 2:
-                    kind = kind.rstrip("*") + "*"  # some had no room
-                longest_s = max(longest_s, now - min(absent.values()))
-                self.record.add(
-                    "absent",
-                    tasks={task: self.n_places(task) for task in absent},
-                    used=sum(item.used() for item in self.workers if item.up),
-                )
-        self.back_after.append((kind, back_s, longest_s))
-        self.record.add("calm", kind=kind, back_s=back_s, longest_s=longest_s)
-        click.echo(
-            f"{kind:24} all back {back_s:5.2f} s after the last disturbance, "
-            f"longest absence {longest_s:5.2f} s, violations {len(self.violations)}"
-        )
+
+async def workers_restart(site: LastingSite, rng: random.Random) -> None:
+    """Have workers go dark for 4.5 s and kill the placer for 3.5 s."""
+    lost = await site.lose_workers(rng, N_LOST, "dark")
+    back = asyncio.create_task(site.bring_back(lost, 4.5))
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    await site.kill(site.placer(), 3.5)
+    await back
+
+
+async def placer_gone(site: LastingSite, rng: random.Random) -> None:
+    """Kill the placer for good; workers crash in the second before or after."""
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    await asyncio.sleep(1.0)
+    await site.kill(site.placer(), 0.0, back=False)
+    await losing
 
 
-async def _kill_placer(site: LastingSite, down_s: float, how: str) -> None:
-    placer = site.placer() or site.nodes[0]
-    before = site.rng.random() < 0.5
-    kill = asyncio.create_task(site.kill(placer, down_s))
-    if before:
-        await asyncio.sleep(0.2)
-    await site.lose_workers(LOST_FRACTION, how=how)
-    await kill
+async def placer_stopped(site: LastingSite, rng: random.Random) -> None:
+    """Stop the placer with SIGTERM; workers crash in the second before or after."""
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    await asyncio.sleep(1.0)
+    await site.stop_and_start(site.placer())
+    await losing
 
 
-async def placer_killed_long(site: LastingSite) -> None:
-    """Kill the placer for 3.5 s while workers crash."""
-    await _kill_placer(site, 3.5, "crash")
+async def placer_frozen(site: LastingSite, rng: random.Random) -> None:
+    """Suspend the placer for 4 s; workers crash in the second before or after."""
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    await asyncio.sleep(1.0)
+    await site.freeze(site.placer(), 4.0)
+    await losing
 
 
-async def placer_killed_short(site: LastingSite) -> None:
-    """Kill the placer for 1 s while workers lose power."""
-    await _kill_placer(site, 1.0, "dark")
+async def placers_in_turn(site: LastingSite, rng: random.Random) -> None:
+    """Kill three placers one after the other; workers crash beside the first."""
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    await asyncio.sleep(1.0)
+    kills = []
+    for _ in range(3):
+        kills.append(asyncio.create_task(site.kill(site.placer(), 3.5)))
+        await asyncio.sleep(3.0)
+    await asyncio.gather(losing, *kills)
 
 
-async def placer_killed_cut(site: LastingSite) -> None:
-    """Kill the placer for 3.5 s while workers are cut off."""
-    await _kill_placer(site, 3.5, "cut")
+async def all_killed(site: LastingSite, rng: random.Random) -> None:
+    """Kill all VMs for a second; workers crash in the second before or after."""
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    await asyncio.sleep(1.0)
+    await asyncio.gather(losing, *(site.kill(node, 0.9) for node in site.nodes))
 
 
-async def placer_gone(site: LastingSite) -> None:
-    """Kill the placer for good while workers crash."""
-    placer = site.placer() or site.nodes[0]
-    await site.lose_workers(LOST_FRACTION, how="crash")
-    await site.kill(placer, 0.0, back=False)
+async def _store_away(
+    site: LastingSite, rng: random.Random, share: float, for_s: float
+) -> None:
+    others = [node for node in site.nodes if node is not site.placer()]
+    n_others = round(share * len(site.nodes)) - 1
+    nodes = [site.placer(), *rng.sample(others, n_others)]
+    losing = asyncio.create_task(_lose_around(site, rng, "crash"))
+    silent = rng.random() < 0.5
+    await asyncio.sleep(1.0)
+    await site.take_store_away(nodes, for_s, silent=silent)
+    await losing
 
 
-async def placer_stopped(site: LastingSite) -> None:
-    """Stop the placer with SIGTERM while workers crash."""
-    placer = site.placer() or site.nodes[0]
-    await site.lose_workers(LOST_FRACTION, how="crash")
-    await site.stop_and_start(placer)
+async def store_away(site: LastingSite, rng: random.Random) -> None:
+    """Take the store away from all VMs for 4.5 s; workers crash before or after."""
+    await _store_away(site, rng, 1.0, 4.5)
 
 
-async def all_killed(site: LastingSite) -> None:
-    """Kill all VMs for a second while workers crash."""
-    await site.lose_workers(LOST_FRACTION, how="crash")
-    await asyncio.gather(*(site.kill(node, 0.9) for node in site.nodes))
+async def store_away_share(site: LastingSite, rng: random.Random) -> None:
+    """Take the store away from the placer and two other VMs for 4.5 s."""
+    await _store_away(site, rng, 1 / 3, 4.5)
 
 
-async def store_away(site: LastingSite) -> None:
-    """Take the store away while workers crash, with the placer killed."""
-    placer = site.placer() or site.nodes[0]
-    away = asyncio.create_task(site.take_store_away(4.5))
-    await asyncio.sleep(0.5)
-    await site.lose_workers(LOST_FRACTION, how="crash")
-    await site.kill(placer, 1.0)
+async def store_away_kill(site: LastingSite, rng: random.Random) -> None:
+    """Take the store away for 4.5 s and kill the placer meanwhile for 1 s."""
+    silent = rng.random() < 0.5
+    away = asyncio.create_task(site.take_store_away(site.nodes, 4.5, silent=silent))
+    await asyncio.sleep(rng.uniform(0.2, 1.0))
+    await site.lose_workers(rng, N_LOST, "crash")
+    await site.kill(site.placer(), 1.0)
     await away
 
 
-async def one_worker(site: LastingSite) -> None:
-    """Crash two workers one after the other, without any other disturbance."""
-    await site.lose_workers(0.04, how="crash")
-    await asyncio.sleep(0.3)
-    await site.lose_workers(0.04, how="dark")
+async def advice_slow(site: LastingSite, rng: random.Random) -> None:
+    """Kill the placer for 1 s beside advice that takes 1.5 or 2 times as long."""
+    site.advice.slowness = rng.choice((1.5, 2.0))
+    await _kill_placer(site, 1.0, _lose_around(site, rng, "crash"))
 
 
-KINDS: dict[str, Callable[[LastingSite], Awaitable[None]]] = {
+async def advice_held(site: LastingSite, rng: random.Random) -> None:
+    """Have the advice service hold calls for 3 s after the loss of workers."""
+    await site.lose_workers(rng, N_LOST, "crash")
+    await asyncio.sleep(rng.uniform(0.0, 3.0))
+    await site.hold_advice(3.0)
+
+
+async def workers_only(site: LastingSite, rng: random.Random) -> None:
+    """Crash workers, and others a moment later, without any other disturbance."""
+    await site.lose_workers(rng, N_LOST // 2, "crash")
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    await site.lose_workers(rng, N_LOST // 2, "dark")
+
+
+KINDS: dict[str, Callable[[LastingSite, random.Random], Awaitable[None]]] = {
     item.__name__.replace("_", "-"): item
     for item in (
         placer_killed_long,
@@ -481,14 +221,161 @@
         placer_killed_cut,
         placer_gone,
         placer_stopped,
+        placer_frozen,
+        placers_in_turn,
         all_killed,
         store_away,
-        one_worker,
+        store_away_share,
+        store_away_kill,
+        workers_cut,
+        workers_restart,
+        advice_slow,
+        advice_held,
+        workers_only,
     )
 }
 
 
-async def play(site: LastingSite, kinds: list[str], *, n_jobs: int, busy: bool) -> None:
+LASTING = Load("watch", math.inf, N_TASKS, TASK_CPU, 3_600_000)
+
+
+async def submit_lasting(site: LastingSite, rng: random.Random, n_jobs: int) -> None:
+    """Submit jobs whose tasks last."""
+    for _ in range(n_jobs):
+        most = MAX_PER_WORKER if rng.random() < APART_SHARE else 0
+        step: dict[str, Any] = {"count": N_TASKS, "cpu": TASK_CPU, "mem_mb": 2048}
+        step |= {"est_runtime_ms": 320, "long_running": True}
+        if most:
+            step["max_per_server"] = most
+        job = await submit(site, rng, LASTING, [step], widely=True)
+        if job:
+            site.lasting[job] = (N_TASKS, TASK_CPU, most)
+
+
+async def submit(
+    site: LastingSite,
+    rng: random.Random,
+    load: Load,
+    steps: list[dict[str, Any]],
+    *,
+    widely: bool = False,
+) -> str:
+    """Submit a job; return its id, empty if it was not accepted.
+
+    Parameters
+    ----------
+    widely : bool, default=False
+        Whether at least `N_PERMITTED` workers have to be permitted for its first step.
+    """
+    job = f"{rng.getrandbits(64):016x}"
+    while widely and site.n_permitted(f"{job}.0.0") < N_PERMITTED:
+        job = f"{rng.getrandbits(64):016x}"
+    site.advice.queues[job] = load.queue
+    spec = json.dumps({"cpu": load.cpu, "ms": load.ms})
+    body = {"spec": spec, "phases": steps}
+    return job if await site.submit(f"/{load.queue}/", job, body) == 200 else ""
+
+
+async def offer_load(site: LastingSite, rng: random.Random, load: Load) -> None:
+    """Submit jobs at a mean interval."""
+    calls: set[asyncio.Task[str]] = set()
+    first: dict[str, Any] = {"count": load.n_tasks, "cpu": load.cpu, "mem_mb": 1024}
+    first["est_runtime_ms"] = load.ms
+    steps: list[dict[str, Any]] = [first, first | {"after": [0]}]
+    while True:
+        await asyncio.sleep(rng.expovariate(1 / load.every_s))
+        call = asyncio.create_task(submit(site, rng, load, steps))
+        calls.add(call)
+        call.add_done_callback(calls.discard)
+
+
+async def wait_until_back(site: LastingSite) -> tuple[float, bool]:
+    """Wait until all lasting tasks that have room have run again.
+
+    Returns
+    -------
+    back_s : float, seconds
+        Calm time until then.
+    had_room : bool
+        Whether each absent task had room twice over all the while.
+    """
+    begun_at = back_at = time.monotonic()
+    back_s, had_room = 0.0, True
+    while (now := time.monotonic()) - begun_at < WATCH_CYCLE_S:
+        await asyncio.sleep(WATCH_S)
+        places = {task: item.n_places for task, item in site.absent().items()}
+        if places:
+            site.record.add("absent", tasks=places)
+            had_room &= min(places.values()) >= N_PLACES
+        if any(places.values()):
+            back_at, back_s = now, now - site.disturbed_at
+        cut = any(getattr(item, "cut", False) for item in site.workers)
+        least_s = LAPSE_S if cut else 0.0
+        if now - back_at > ALL_BACK_S and now - begun_at > least_s:
+            break
+    return back_s, had_room
+
+
+def describe(site: LastingSite, kind: str, since: float) -> dict[str, float]:
+    """Print the parts of the longest absence of a cycle and return them."""
+    lines: list[str] = []
+    for path in site.folder.glob("*.log"):
+        lines += path.read_text(errors="replace").splitlines()
+    found = split_absences(site.absences(since), parse_lines(lines))
+    found.sort(key=lambda row: -row[0].length_s)
+    for item, parts in found:
+        values = {name: round(value, 3) for name, value in parts.items()}
+        site.record.add(
+            "absence",
+            kind=kind,
+            task=item.task,
+            worker=item.worker,
+            length_s=round(item.length_s, 3),
+            **values,
+        )
+    return {"length": found[0][0].length_s} | found[0][1] if found else {}
+
+
+async def play_cycle(
+    site: LastingSite, rng: random.Random, kind: str
+) -> dict[str, Any]:
+    """Play one cycle and return what it has shown."""
+    begun_at = time.monotonic()
+    n_before, n_ripe = len(site.judge.violations), site.judge.n_ripe
+    site.record.add("cycle", kind=kind)
+    await KINDS[kind](site, rng)
+    back_s, had_room = await wait_until_back(site)
+    parts = describe(site, kind, begun_at)
+    n_lost = len(site.judge.violations) - n_before
+    row = {
+        "kind": kind,
+        "back_s": round(back_s, 2),
+        "had_room": had_room,
+        "violations": n_lost,
+        "ripe": site.judge.n_ripe - n_ripe,
+        "parts": {name: round(value, 2) for name, value in parts.items()},
+    }
+    site.record.add("calm", **row)
+    text = " ".join(f"{name} {parts.get(name, 0.0):.2f}" for name in PARTS)
+    click.echo(
+        f"{kind:20}{' ' if had_room else '*'} all back {back_s:5.2f} s after the last"
+        f" disturbance, longest {parts.get('length', 0.0):5.2f} s ({text}),"
+        f" LOST {n_lost}"
+    )
+    site.advice.slowness = 1.0
+    await site.replace_lost()
+    for node in site.nodes:
+        if node.process is not None and node.process.poll() is not None:
+            node.start()
+    await site.wait_ready()
+    await asyncio.sleep(SETTLE_S)
+    site.disturb("restored")
+    return row
+
+
+async def play(
+    site: LastingSite, kinds: list[str], *, seed: int, n_jobs: int, load: str
+) -> list[dict[str, Any]]:
     """Play one cycle for each kind of disturbance."""
     advice = {
         name: {"decide_ms": 1000 * a, "each_ms": 1000 * b, "valid_ms": 1000 * TICKET_S}
@@ -499,31 +386,49 @@
     check = route("check", stretch=1.5, target_duration_ms=250, priority=0)
     routes = [item | {"advice": advice[item["name"]]} for item in (watch, batch, check)]
     await site.start_all(routes)
-    await site.submit_lasting(n_jobs)
-    if busy:
-        for args in (("batch", 4.0, 13, 5500, 3800), ("check", 0.32, 6, 2500, 800)):
-            site._tasks.append(asyncio.create_task(site.offer_load(*args)))
+    await submit_lasting(site, random.Random(f"{seed} jobs"), n_jobs)
+    for number, item in enumerate(LOADS[load]):
+        offer = offer_load(site, random.Random(f"{seed} load {number}"), item)
+        site._tasks.append(asyncio.create_task(offer))
     await asyncio.sleep(SETTLE_S)
     site.disturb("begun")
     site._tasks.append(asyncio.create_task(site.watch()))
-    for kind in kinds:
-        site.record.add("cycle", kind=kind)
-        before = {w.worker_id for w in site.workers if w.up}
-        gone = [node for node in site.nodes if node.process is None]
-        assert not gone
-        await KINDS[kind](site)
-        await site.measure(kind, WATCH_CYCLE_S)
-        lost = [
-            item
-            for item in site.workers
-            if item.worker_id in before and (not item.up or getattr(item, "cut", False))
-        ]
-        await site.replace(lost)  # type: ignore[arg-type]
-        for node in site.nodes:
-            if node.process is not None and node.process.poll() is not None:
-                node.start()
-        await asyncio.sleep(SETTLE_S)
-        site.disturb("restored")
+    rows = []
+    for number, kind in enumerate(kinds):
+        rng = random.Random(f"{seed} {number} {kind}")
+        rows.append(await play_cycle(site, rng, kind))
+    return rows
+
+
+def start_busy(count: int) -> list[subprocess.Popen[bytes]]:
+    """Start processes that compute until they are killed."""
+    code = "import os\np = os.getppid()\nwhile os.getppid() == p: sum(range(10**5))"
+    return [subprocess.Popen([sys.executable, "-c", code]) for _ in range(count)]
+
+
+def summarize(site: LastingSite, rows: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return the closing line."""
+    longest: Counter[str] = Counter()
+    for row in rows:
+        parts = {name: row["parts"].get(name, 0.0) for name in PARTS}
+        if any(parts.values()):
+            longest[max(parts, key=lambda name: parts[name])] += 1
+    return {
+        "cycles": len(rows),
+        "violations": len(site.judge.violations),
+        "kinds": dict(Counter(row["kind"] for row in rows if row["violations"])),
+        "twice": len(site.find_doubles()),
+        "overfull": sum(len(item.overfull) for item in site.past + site.workers),
+        "ripe": site.judge.n_ripe,
+        "no_room": sum(not row["had_room"] for row in rows),
+        "worst_back_s": max((row["back_s"] for row in rows), default=0.0),
+        "worst_absence_s": max(
+            (row["parts"].get("length", 0.0) for row in rows), default=0.0
+        ),
+        "longest_part": dict(longest),
+        "worst_lag_s": round(site.worst_lag_s, 2),
+        "load": [round(value, 1) for value in os.getloadavg()[:2]],
+    }
 
 
 @click.command()
@@ -536,43 +441,64 @@
     type=click.Choice(sorted(KINDS)),
     help="Kind of disturbance; repeatable. By default, all.",
 )
-@click.option("--jobs", default=4, show_default=True, help="Jobs whose tasks last.")
-@click.option("--idle", is_flag=True, help="Only lasting tasks, no other load.")
-def main(seed: int, rounds: int, kinds: tuple[str, ...], jobs: int, idle: bool) -> None:
+@click.option("--jobs", default=N_JOBS, show_default=True, help="Jobs that last.")
+@click.option(
+    "--load",
+    default="light",
+    show_default=True,
+    type=click.Choice(sorted(LOADS)),
+    help="Work of other queues.",
+)
+@click.option(
+    "--busy", default=0, show_default=True, help="Processes that compute beside it."
+)
+@click.option(
+    "--out", default=OUT, type=click.Path(path_type=Path), help="Folder of the logs."
+)
+def main(
+    *,
+    seed: int,
+    rounds: int,
+    kinds: tuple[str, ...],
+    jobs: int,
+    load: str,
+    busy: int,
+    out: Path,
+) -> None:
     """Disturb a cluster and check that lasting tasks run again in time."""
     os.environ["PATH"] = f"{Path(sys.executable).parent}:{os.environ['PATH']}"
-    rng = random.Random(seed)
     order = [kind for _ in range(rounds) for kind in kinds or KINDS]
-    rng.shuffle(order)
-    OUT.mkdir(parents=True, exist_ok=True)
-    record = Record(OUT / f"record-{seed}.txt")
+    random.Random(seed).shuffle(order)
+    folder = out / str(seed)
+    folder.mkdir(parents=True, exist_ok=True)
+    record = Record(folder / "record.txt")
 
-    async def run() -> LastingSite:
+    async def run() -> tuple[LastingSite, list[dict[str, Any]]]:
         with tempfile.TemporaryDirectory() as scratch:
-            site = LastingSite(record, Path(scratch), True, rng=rng)
+            site = LastingSite(record, Path(scratch), True)
             try:
-                await play(site, order, n_jobs=jobs, busy=not idle)
+                rows = await play(site, order, seed=seed, n_jobs=jobs, load=load)
             finally:
                 for path in Path(scratch).glob("*.log"):
-                    (OUT / f"{seed}-{path.name}").write_bytes(path.read_bytes())
+                    (folder / path.name).write_bytes(path.read_bytes())
                 await site.stop()
                 await site.advice.server.stop()
-            return site
-
-    site = asyncio.run(run())
-    for text in site.violations:
+            return site, rows
+
+    processes = start_busy(busy)
+    try:
+        site, rows = asyncio.run(run())
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+    twice = [f"TWICE: {text}" for text in site.find_doubles()]
+    for text in site.judge.violations + twice:
         click.echo(text)
-    worst = max((back for _, back, _ in site.back_after), default=0.0)
-    click.echo(
-        json.dumps(
-            {
-                "cycles": len(site.back_after),
-                "violations": len(site.violations),
-                "worst_back_s": round(worst, 2),
-            }
-        )
-    )
-    sys.exit(1 if site.violations else 0)
+    closing = json.dumps({"seed": seed} | summarize(site, rows))
+    record.add("closing", text=closing)
+    click.echo(closing)
+    sys.exit(1 if site.judge.violations or twice else 0)
 
 
 if __name__ == "__main__":
