Let suspected lasting tasks start beside each other if they must

After a crash all tasks of the worker are suspects if each had survived its start. A suspect starts on a worker without another starting suspect, and nothing else starts there for 0.5 s. Where few permitted workers have room, lasting tasks thus started one after the other: with decisions every 0.1 s, the last of 3 (5) tasks for each worker with room started 1.0 s (2.0 s) after the first, on top of the wait for the leases.

The rule tells apart which start crashed a worker, and this crash was at none. Tasks that last and have not crashed a worker at their start now start on the same worker if no other has room; the scores still prefer a worker on which nothing is starting. A task that crashed a worker at its start starts alone as before, and other tasks still do not start beside a suspect.

A crash that a later term learns of is never counted as one at a start, so a lasting task that crashes its worker at its start while the placer changes may start beside others once more before it starts alone.

tests/jobs/test_decisions_lasting.py: the four cases of test_tasks_of_a_crashed_worker_start_at_once_on_few_workers failed before; the other three tests guard the purpose of the rule. tests/jobs/test_crashes.py passes unchanged.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -11,9 +11,13 @@
 
 A suspect starts again on a worker on which no other suspect is starting, if possible
 one on which nothing is starting, and nothing else is started there until it has
-survived, so that the next crash has one candidate only and few victims. A task that is
-the only candidate of its second crash is given up, unless workers crash so often by
-themselves that the crashes may well have met the task by chance.
+survived, so that the next crash has one candidate only and few victims. Lasting tasks
+that have survived their starts need not wait for that: any of several may have caused
+the crash, none at its start, and their callers count each second without them. They
+start apart where there is room, and beside each other where there is not.
+
+A task that is the only candidate of its second crash is given up, unless workers crash
+so often by themselves that the crashes may well have met the task by chance.
 """
 
 from __future__ import annotations
@@ -36,7 +40,7 @@
     from collections.abc import Iterable
 
     from .fleet import Slot, Worker
-    from .model import TaskKey, WorkerEntry
+    from .model import Step, TaskKey, WorkerEntry
     from .placer import Placer
     from .progress import Progress, TaskState
 
@@ -203,6 +207,19 @@
     give_up(placer, _count(placer, lapsed, now), now)
 
 
+def starts_apart(step: Step, task: TaskState) -> bool:
+    """Return whether nothing may start beside a task until it has survived.
+
+    Parameters
+    ----------
+    step : Step
+        Step of the task.
+    """
+    if step.long_running and not step.gang:
+        return task.n_start_crashes > 0
+    return task.n_crashes > 0
+
+
 def give_up(placer: Placer, suspects: Iterable[_Suspect], now: float) -> None:
     """Fail the jobs of tasks that have crashed too many workers."""
     for progress, key, tasks, _ in suspects:
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .advice import AdviceCall, make_advice_call
+from .crashes import starts_apart
 from .headroom import Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
@@ -582,7 +583,8 @@
     workers = [
         worker
         for worker in workers
-        if not (worker.n_suspects and worker.suspect_starts(now))
+        if not worker.n_suspects
+        or not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
     ]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
@@ -594,7 +596,7 @@
         core_limit,
         held=None if restart else held,
     )
-    candidates.uses_headroom = restart
+    candidates.restart = restart
     return candidates
 
 
@@ -673,7 +675,12 @@
         if not task.run and n_new <= 0:
             continue
         suspect = task.n_crashes > 0
-        worker = candidates.pick(task.failed_on, suspect=suspect, now=now)
+        worker = candidates.pick(
+            task.failed_on,
+            suspect=suspect,
+            apart=starts_apart(step_run.step, task),
+            now=now,
+        )
         if worker is None and suspect:
             continue  # the others may use workers that it may not
         if worker is None:
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -94,6 +94,8 @@
         resumed from a checkpoint, and it was started in this term.
     suspect : bool
         Whether the task may have crashed a worker before.
+    starts_apart : bool
+        Whether nothing may be started beside the run until it has survived its start.
     long_running : bool
         Whether the run goes on until it is stopped.
     """
@@ -117,6 +119,7 @@
     full_run: bool = False
     urgent: bool = False
     suspect: bool = False
+    starts_apart: bool = False
     long_running: bool = False
 
     def expected_end(self, speed: float) -> float:
@@ -300,6 +303,12 @@
             slot.suspect and slot.on_probation(now) for slot in self.slots.values()
         )
 
+    def starts_apart(self, now: float) -> bool:
+        """Return whether a task is starting here beside which nothing may start."""
+        return any(
+            slot.starts_apart and slot.on_probation(now) for slot in self.slots.values()
+        )
+
     def has_starting(self, now: float) -> bool:
         """Return whether a run here may not have survived its start yet."""
         return any(slot.on_probation(now) for slot in self.slots.values())
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -60,8 +60,9 @@
         Chance that the job ends in time.
     core_limit : HeadroomLimit
         Cores that the step may use on fast workers.
-    uses_headroom : bool
-        Whether the limit does not apply. What is placed counts against it all the same.
+    restart : bool
+        Whether the tasks last and were interrupted. The limit does not apply to them,
+        though they count against it, and they may start beside suspects.
     """
 
     step: Step
@@ -70,12 +71,18 @@
     n_by_worker: dict[str, int] = field(default_factory=dict)
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
-    uses_headroom: bool = False
+    restart: bool = False
     _suitability: dict[str, float] = field(default_factory=dict)
     _suspects_on: set[str] = field(default_factory=set)
+    _apart_on: set[str] = field(default_factory=set)
 
     def pick(
-        self, avoid: Iterable[str] = (), *, suspect: bool = False, now: float = 0.0
+        self,
+        avoid: Iterable[str] = (),
+        *,
+        suspect: bool = False,
+        apart: bool = True,
+        now: float = 0.0,
     ) -> Worker | None:
         """Return the best worker for one more task and reserve its capacity there.
 
@@ -84,21 +91,29 @@
         avoid : iterable of str
             Workers to choose only if no other worker scores nearly as well.
         suspect : bool, default=False
-            Whether the task may have crashed a worker. It gets one that runs little,
-            and no further task is placed there beside it.
+            Whether the task may have crashed a worker. It gets one that runs little.
+        apart : bool, default=True
+            Whether a suspect must not start beside another one, nor other tasks beside
+            it.
         now : float, seconds
-            Monotonic time; used for a suspect only.
+            Monotonic time; used where suspects start only.
         """
+        taken = self._suspects_on if suspect and apart else self._apart_on
         best, best_score = None, 0.0
         for worker in self.workers:
-            if self._suspects_on and worker.worker_id in self._suspects_on:
+            if taken and worker.worker_id in taken:
                 continue
             if not self._fits(worker):
                 continue
+            beside = self.restart and worker.suspect_starts(now)
+            if beside and suspect and apart:
+                continue
             score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
             if suspect:
                 score -= EXPOSURE_PRICE * len(worker.slots)
                 score -= STARTING_PRICE * worker.has_starting(now)
+            elif beside:
+                score -= STARTING_PRICE
             if best is None or score > best_score:
                 best, best_score = worker, score
         if best is not None:
@@ -108,6 +123,8 @@
             self.core_limit.use_cores(name, self.step.need.cores)
             if suspect:
                 self._suspects_on.add(name)
+            if suspect and apart:
+                self._apart_on.add(name)
         return best
 
     def _fits(self, worker: Worker) -> bool:
@@ -115,7 +132,7 @@
         if bound and self.n_by_worker.get(worker.worker_id, 0) >= bound:
             return False
         allowed = self.core_limit.allows(worker.worker_id, self.step.need.cores)
-        if not (allowed or self.uses_headroom):
+        if not (allowed or self.restart):
             return False
         return worker.fits(self.step.need, self.free_by_worker[worker.worker_id])
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -23,6 +23,7 @@
     record_crash,
     record_inherited_crashes,
     record_registration,
+    starts_apart,
 )
 from .decisions import Placement, decide
 from .evacuation import Move, evacuate
@@ -253,6 +254,7 @@
             step.run_time_s,
             urgent=urgent,
             suspect=suspect,
+            starts_apart=task is not None and starts_apart(step, task),
             long_running=step.long_running,
         )
 
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import itertools
+
 import pytest
 
 from cuminhill.jobs.decisions import MAX_HOLD_S
-from cuminhill.jobs.fleet import Slot
+from cuminhill.jobs.fleet import PROBATION_S, Slot
 from cuminhill.jobs.model import AdviceTerms, EndKind
 
 from .builders import (
@@ -313,3 +315,97 @@
     assert decide_at(placer, NOW) == []
     placer.workers["w1"].release(task_key(job_id="f" * 16), 1)
     assert decide_at(placer, NOW + 1) == [LASTING_ID, PATIENT_ID]
+
+
+# Suspects
+
+
+def crash_workers(placer, worker_ids, at):
+    """Crash workers whose runs have survived their start."""
+    for worker_id in worker_ids:
+        placer.worker_unreachable(worker_id, at, closed=True)
+    for worker_id in worker_ids:
+        incarnation = placer.workers[worker_id].entry.incarnation
+        placer.other_incarnation(worker_id, incarnation, at + 0.1)
+
+
+def start_times(placer, now, for_s=5.0):
+    """Decide for some time; return when each task was started, and its worker."""
+    starts = {}
+    for number in range(int(for_s / 0.1)):
+        at = now + 0.1 * number
+        placer.tick(at)
+        placements, _ = placer.decide(at, WALL + at - BEGUN_AT)
+        mark_started(placer, placements, at)
+        starts.update({item.key: (at, item.worker_id) for item in placements})
+    return starts
+
+
+def start_on(placer, worker_ids, n_tasks, cores=1.0):
+    """Start lasting tasks, which fill some workers and then have survived."""
+    runs = []
+    for number in range(n_tasks):
+        job_id = f"{number:016x}"
+        runs += start_lasting(
+            placer, len(worker_ids), cores, job_id=job_id, max_per_worker=1
+        )
+    assert {run.worker_id for run in runs} == set(worker_ids)
+    return runs
+
+
+# Guards against lasting tasks that stand still for seconds although their workers have
+# room: as suspects of a crash they started one after the other, 0.5 s apart.
+@pytest.mark.parametrize("n_crashed", [1, 2])
+@pytest.mark.parametrize("n_tasks", [3, 5])
+def test_tasks_of_a_crashed_worker_start_at_once_on_few_workers(n_crashed, n_tasks):
+    placer = make_placer(LASTING, n_workers=n_crashed)
+    crashed = list(placer.workers)
+    runs = start_on(placer, crashed, n_tasks)
+    for number in range(n_crashed):
+        add_worker(placer, f"n{number}", NOW)
+    crash_workers(placer, crashed, NOW)
+    starts = start_times(placer, NOW + 0.2)
+    assert len(starts) == len(runs)
+    assert max(at for at, _ in starts.values()) - NOW < 1.0
+
+
+# Guards against the next crash with many candidates and victims although there was room
+# to start the suspects apart.
+def test_suspected_lasting_tasks_start_apart_where_there_is_room():
+    placer = make_placer(LASTING, PATIENT, n_workers=1)
+    runs = start_on(placer, ["w1"], 4)
+    for number in range(4):
+        add_worker(placer, f"n{number}", NOW)
+    crash_workers(placer, ["w1"], NOW)
+    starts = start_times(placer, NOW + 0.2, 0.1)
+    assert len({worker_id for _, worker_id in starts.values()}) == len(runs)
+    submit_patient(placer, 4, cores=1.0)
+    assert decide_at(placer, NOW + 0.3) == []  # nothing else starts beside them
+
+
+# Guards against a deadly lasting task that hides among others which start beside it.
+def test_a_lasting_task_that_crashed_at_its_start_starts_alone():
+    placer = make_placer(LASTING, n_workers=1)
+    runs = start_on(placer, ["w1"], 3)
+    add_worker(placer, "n1", NOW)
+    for key in (run.key for run in runs):
+        task = placer.jobs[key.job_id].task(key)
+        task.n_crashes = task.n_start_crashes = 1
+    crash_workers(placer, ["w1"], NOW)
+    starts = start_times(placer, NOW + 0.2)
+    times = sorted(at for at, _ in starts.values())
+    assert len(times) == 3
+    assert min(b - a for a, b in itertools.pairwise(times)) >= PROBATION_S
+
+
+# Guards against a suspect that starts alone and is joined by a task a moment later.
+def test_nothing_starts_beside_a_task_that_crashed_at_its_start():
+    placer = make_placer(LASTING, n_workers=1)
+    runs = start_on(placer, ["w1"], 2)
+    add_worker(placer, "n1", NOW)
+    task = placer.jobs[runs[0].key.job_id].task(runs[0].key)
+    task.n_crashes = task.n_start_crashes = 1
+    crash_workers(placer, ["w1"], NOW)
+    starts = start_times(placer, NOW + 0.2)
+    (first, _), (second, _) = starts[runs[0].key], starts[runs[1].key]
+    assert abs(first - second) >= PROBATION_S
