Consider waiting steps behind the first 200 in turn

Cause: `waiting_steps` considers the first 200 steps in the order of urgency, the same ones in each decision. Steps that can't be placed keep their place in that order, so those behind them were left out of every decision.

If more than 200 steps wait, a decision considers the 150 most urgent ones and 50 of the others, those that have been left out for longest. The work of a decision is bounded as before, and newer steps don't delay the turn of a step that waits already.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -36,8 +36,10 @@
     from .placer import Placer
     from .progress import Progress, StepRun
 
-# Steps considered in one decision; the others wait for the next.
+# Steps considered in one decision: the most urgent ones, and some of the others in
+# turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
+N_TURNS_PER_DECISION = 50
 # Blocked steps with a reservation at a time; without one, steps that need many workers
 # would starve.
 MAX_RESERVATIONS = 2
@@ -73,7 +75,7 @@
 def waiting_steps(
     placer: Placer, wall: float
 ) -> list[tuple[StepRun, Queue, list[float]]]:
-    """Return the steps that have tasks to place, the most urgent first.
+    """Return the steps to consider that have tasks to place, the most urgent first.
 
     Each step comes with its queue and the expected run times of all steps of its job.
     """
@@ -94,7 +96,26 @@
                 key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
-    return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
+    chosen = _take_turns(placer, [row[1].name for row in rows])
+    return [row[1:] for row in rows if row[1].name in chosen]
+
+
+def _take_turns(placer: Placer, names: list[str]) -> set[str]:
+    """Return the steps to consider in this decision.
+
+    Parameters
+    ----------
+    names : list of str
+        All steps with tasks to place, the most urgent first.
+    """
+    n_first = MAX_STEPS_PER_DECISION
+    if len(names) > MAX_STEPS_PER_DECISION:
+        n_first -= N_TURNS_PER_DECISION
+    rest = dict.fromkeys(names[n_first:])
+    queue = [name for name in placer.left_out if name in rest]
+    queue += [name for name in rest if name not in placer.left_out]
+    placer.left_out = dict.fromkeys(queue[N_TURNS_PER_DECISION:])
+    return {*names[:n_first], *queue[:N_TURNS_PER_DECISION]}
 
 
 def decide(
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -107,6 +107,9 @@
     reserved : dict of str to float
         Workers reserved for blocked steps in the newest decision, with the times in
         seconds at which these are expected to start there.
+    left_out : dict of str to None
+        Names of waiting steps that the newest decision did not consider, those that
+        have waited for their turn for longest first.
     held : dict
         Room that the newest decision keeps for lasting tasks, by worker.
     headroom : dict
@@ -142,6 +145,7 @@
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: dict[str, float] = field(default_factory=dict)
+    left_out: dict[str, None] = field(default_factory=dict)
     held: dict[str, list[Hold]] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
