Keep decisions fast while room is kept for many lasting tasks

Room for lasting tasks was summed up anew for each worker and waiting step.

`reserve` also counts kept room as taken: a batch that was blocked by it reserved whole workers for room that it would not get. That test failed before.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -14,10 +14,10 @@
 from .ordering import Rank, order_key
 from .packing import (
     SHORT_RUN_S,
+    HeldRoom,
     Hold,
     by_free_cores,
     choose_advised,
-    held_room,
     make_candidates,
     n_fitting_tasks,
     place_gang,
@@ -143,13 +143,13 @@
         restarts = _is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
-            # What was placed until here may use room that was kept.
-            hold_room(placer, waiting, pools, now)
+            if placements:  # they may use room that was kept
+                hold_room(placer, waiting, pools, now)
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         workers = eligible_workers(placer, step_run, pool, run_s, now)
-        held = _room_held_from(placer, step_run, queue, workers, run_s=run_s, now=now)
+        held = _room_held_from(placer, step_run, queue, run_s=run_s, now=now)
         if held and not restarts:
             workers = _with_unheld_room(step_run, workers, held)
         outlook = placer.outlook(step_run, queue, wall, run_times)
@@ -186,7 +186,7 @@
             n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            reserved = reserve(step_run.step, advised, n_tasks, now)
+            reserved = reserve(step_run.step, advised, n_tasks, now, placer.held)
             for worker_id, at in reserved.items():
                 placer.reserved[worker_id] = min(
                     at, placer.reserved.get(worker_id, math.inf)
@@ -283,12 +283,12 @@
         workers,
         n_tasks,
         now,
-        holds=placer.held,
+        held=placer.held,
         n_by_worker=_n_by_worker(step_run),
     )
     for worker_id, free_at in places:
         hold = Hold(step.need, max(at, free_at))
-        placer.held.setdefault(worker_id, []).append(hold)
+        placer.held.setdefault(worker_id, HeldRoom()).add(hold)
     return len(places)
 
 
@@ -296,7 +296,6 @@
     placer: Placer,
     step_run: StepRun,
     queue: Queue,
-    workers: list[Worker],
     *,
     run_s: float,
     now: float,
@@ -309,13 +308,12 @@
         return {}
     if step_run.step.long_running:
         run_s = math.inf
-    held = {}
-    for worker in workers:
-        holds = placer.held.get(worker.worker_id)
-        if holds:
-            ends_at = now + BACKFILL_FACTOR * run_s / worker.health.speed
-            held[worker.worker_id] = held_room(holds, ends_at)
-    return held
+    return {
+        worker_id: room.until(
+            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed
+        )
+        for worker_id, room in placer.held.items()
+    }
 
 
 def _with_unheld_room(
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -12,7 +12,7 @@
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping, Sequence
+    from collections.abc import Iterable, Iterator, Mapping
 
     from ..model import Resources
     from .fleet import Slot, Worker
@@ -241,22 +241,59 @@
     at: float
 
 
-def held_room(holds: Iterable[Hold], ends_at: float) -> Resources:
-    """Return the room that a run leaves to some holds if it ends at a time."""
-    held = NO_RESOURCES
-    for hold in holds:
-        if hold.at < ends_at:
-            held = held + hold.need
-    return held
+@dataclass(eq=False, slots=True)
+class HeldRoom:
+    """Room on one worker that is kept for tasks until they start.
+
+    Parameters
+    ----------
+    total : Resources
+        Sum of the holds.
+    first_at, last_at : float, seconds
+        Earliest and latest time at which one of the tasks is expected to start.
+    """
+
+    holds: list[Hold] = field(default_factory=list)
+    total: Resources = NO_RESOURCES
+    first_at: float = math.inf
+    last_at: float = -math.inf
+
+    def add(self, hold: Hold) -> None:
+        """Keep room for one more task."""
+        self.holds.append(hold)
+        self.total = self.total + hold.need
+        self.first_at = min(self.first_at, hold.at)
+        self.last_at = max(self.last_at, hold.at)
+
+    def until(self, ends_at: float) -> Resources:
+        """Return the room that a run has to leave if it ends at a time."""
+        if ends_at <= self.first_at:
+            return NO_RESOURCES
+        if ends_at > self.last_at:
+            return self.total
+        held = NO_RESOURCES
+        for hold in self.holds:
+            if hold.at < ends_at:
+                held = held + hold.need
+        return held
 
 
 def reserve(
-    step: Step, workers: Iterable[Worker], n_tasks: int, now: float
+    step: Step,
+    workers: Iterable[Worker],
+    n_tasks: int,
+    now: float,
+    held: Mapping[str, HeldRoom] | None = None,
 ) -> dict[str, float]:
     """Return the workers to reserve for a blocked step until it fits.
 
     These are the workers on which it is expected to fit soonest. Capacity that is held
-    by runs without an end never becomes free.
+    by runs without an end, or kept for them, never becomes free.
+
+    Parameters
+    ----------
+    held : mapping of str to HeldRoom, optional
+        Room that is kept for other tasks, by worker.
 
     Returns
     -------
@@ -264,7 +301,7 @@
         Time in seconds at which the step is expected to start on each worker. A gang
         starts on all of them at once. Empty if the tasks will not fit on all workers.
     """
-    places = soonest_places(step, workers, n_tasks, now)
+    places = soonest_places(step, workers, n_tasks, now, held=held)
     if len(places) < n_tasks:
         return {}
     reserved = dict(places)
@@ -279,14 +316,14 @@
     n_tasks: int,
     now: float,
     *,
-    holds: Mapping[str, Sequence[Hold]] | None = None,
+    held: Mapping[str, HeldRoom] | None = None,
     n_by_worker: Mapping[str, int] | None = None,
 ) -> list[tuple[str, float]]:
     """Return the workers on which tasks of a step are expected to fit soonest.
 
     Parameters
     ----------
-    holds : mapping of str to sequence of Hold, optional
+    held : mapping of str to HeldRoom, optional
         Room that is kept for other tasks, by worker.
     n_by_worker : mapping of str to int, optional
         Number of the step's tasks on each worker, if the step limits it.
@@ -297,17 +334,26 @@
         Worker and time in seconds for each task, the soonest first; fewer than
         `n_tasks` if the others will not fit.
     """
-    chances = sorted(
-        (at, -worker.free.cores, worker.worker_id, n_fitting)
-        for worker in workers
-        for at, n_fitting in _expected_room(
-            step,
-            worker,
-            now,
-            held=held_room((holds or {}).get(worker.worker_id, ()), math.inf),
-            n_before=(n_by_worker or {}).get(worker.worker_id, 0),
-        )
-    )
+    held, n_by_worker = held or {}, n_by_worker or {}
+    chances, rooms = [], []
+    for worker in workers:
+        name, free, limit = worker.worker_id, worker.free, math.inf
+        if name in held:
+            free = free - held[name].total
+        if step.max_per_worker:
+            limit = step.max_per_worker - n_by_worker.get(name, 0)
+        n_fitting = int(min(limit, _n_fitting(step.need, free)))
+        if n_fitting > 0:
+            chances.append((now, -free.cores, name, n_fitting))
+        rooms.append((worker, free, limit, n_fitting))
+    if sum(chance[-1] for chance in chances) < n_tasks:
+        chances += [
+            (at, -free.cores, worker.worker_id, n_fitting)
+            for worker, free, limit, n_now in rooms
+            for at, n_fitting in _expected_room(step, worker, now, free, limit)
+            if n_fitting > n_now
+        ]
+    chances.sort()
     places: list[tuple[str, float]] = []
     n_chosen: dict[str, int] = {}
     for at, _, worker_id, n_fitting in chances:
@@ -320,24 +366,18 @@
 
 
 def _expected_room(
-    step: Step,
-    worker: Worker,
-    now: float,
-    *,
-    held: Resources = NO_RESOURCES,
-    n_before: int = 0,
+    step: Step, worker: Worker, now: float, free: Resources, limit: float
 ) -> Iterator[tuple[float, int]]:
     """Yield the times at which more tasks of a step will fit, and how many.
 
     Parameters
     ----------
-    held : Resources
-        Room that is kept for other tasks.
-    n_before : int, default=0
-        Number of the step's tasks on the worker.
+    free : Resources
+        Free room that is not kept for other tasks.
+    limit : float
+        Most tasks of the step that may start on the worker.
     """
-    limit = step.max_per_worker - n_before if step.max_per_worker else math.inf
-    free, n_before = worker.free - held, 0
+    n_before = 0
     ends = sorted(
         (
             (slot.expected_end(worker.health.speed), slot)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -52,7 +52,7 @@
         WorkerEntry,
         WorkerReport,
     )
-    from .packing import Hold
+    from .packing import HeldRoom
     from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
@@ -146,7 +146,7 @@
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: dict[str, float] = field(default_factory=dict)
     left_out: dict[str, None] = field(default_factory=dict)
-    held: dict[str, list[Hold]] = field(default_factory=dict)
+    held: dict[str, HeldRoom] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -306,6 +306,19 @@
     assert [set(call.workers) for call in calls] == [{"w3"}]
 
 
+# Guards against whole workers that are reserved for a batch on room which it will not
+# get, since that is kept for a lasting task (the fault of issue 36).
+def test_kept_room_is_not_reserved_for_a_batch():
+    placer = make_placer(LASTING, PATIENT, n_workers=2)
+    (run,) = start_lasting(placer, cores=8.0)
+    lose_worker(placer, run.worker_id)
+    (kept,) = {"w1", "w2"} - {run.worker_id}
+    fill(placer, kept, cores=4.0, run_time_s=1.0)
+    submit_patient(placer, cores=13.0, run_time_s=9.0)
+    submit_patient(placer, cores=2.0, run_time_s=9.5, job_id=OTHER_ID)
+    assert decide_at(placer, NOW + 0.1) == [OTHER_ID]
+
+
 # Guards against a lasting job that never starts, since batches take what becomes free.
 def test_room_is_kept_for_first_starts_of_a_blocked_lasting_step():
     placer = make_placer(LASTING, PATIENT, n_workers=1)
