Do not keep room from jobs that would stand still on an idle pool

Room that is kept for a lost lasting task kept jobs from starting for as long as its leases ran, 5 to 10 s, also where little of the pool was in use: on two workers of 16 cores, a batch of 5 cores stood still beside 16 free ones once the task's 12 were kept. Callers count a job as lost that has nothing running for 3 s while under half of the capacity is in use. First starts of a lasting step kept free room although only a ticket was missing.

While less than half of the cores of a pool are in use, a job without a run may use kept room 2 s after its acceptance. On a busy pool nothing changes, so that a backlog of batches does not take the room. A lasting step whose first starts wait keeps room only if none of its workers has room for a task, and within the same share of the pool as the others.

tests/jobs/test_decisions_lasting.py: the tests of the idle pool and of first starts failed before; test_a_backlog_does_not_use_kept_room guards what must stay. The test of urgent work fills the pool now, which was idle.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -8,7 +8,7 @@
 
 from .advice import AdviceCall, make_advice_call
 from .crashes import starts_apart
-from .headroom import Headroom, HeadroomLimit, headroom_limit
+from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
 from .ordering import Rank, order_key
@@ -55,6 +55,9 @@
 # Room is kept for an interrupted task for this long: longer than a wait for leases and
 # for batches to end, while a task that can't start for another reason holds none.
 MAX_HOLD_S = 30.0
+# While a pool is not busy, a job without a run may use kept room after this wait, since
+# callers count it as lost after 3 s.
+MAX_IDLE_WAIT_S = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
 # Steps for which advice is prefetched in one decision.
@@ -138,6 +141,7 @@
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
     hold_room(placer, waiting, pools, now)
+    busy = {name for name, pool in pools.items() if _is_busy(pool)}
     patient = False
     for step_run, queue, run_times in waiting:
         restarts = _is_restart(step_run)
@@ -149,7 +153,9 @@
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         workers = eligible_workers(placer, step_run, pool, run_s, now)
-        held = _room_held_from(placer, step_run, queue, run_s=run_s, now=now)
+        held = {}
+        if queue.pool in busy or not _waits_idle(placer, step_run, wall):
+            held = _room_held_from(placer, step_run, queue, run_s, now)
         if held and not restarts:
             workers = _with_unheld_room(step_run, workers, held)
         outlook = placer.outlook(step_run, queue, wall, run_times)
@@ -178,8 +184,12 @@
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
         if step_run.step.long_running and not step_run.step.gang:
-            if not restarts:  # for the others, room is kept already
+            # For restarts room is kept already.
+            if not restarts and not any(
+                item.fits(step_run.step.need) for item in advised
+            ):
                 n_tasks = min(n_startable, MAX_RESERVED_TASKS)
+                n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
                 _hold_places(placer, step_run, advised, n_tasks, at=now, now=now)
                 n_reservations += 1
         elif step_run.step.gang or run_s > SHORT_RUN_S:
@@ -197,6 +207,21 @@
     return placements, calls
 
 
+def _is_busy(pool: list[Worker]) -> bool:
+    """Return whether half of the cores of some workers are in use."""
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    free = sum(max(0.0, worker.free.cores) for worker in pool)
+    return free <= (1 - BUSY_FRACTION) * capacity
+
+
+def _waits_idle(placer: Placer, step_run: StepRun, wall: float) -> bool:
+    """Return whether a job has no run although it was accepted some time ago."""
+    job = step_run.job
+    begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
+    idle = not placer.jobs[job.job_id].n_assigned
+    return idle and wall - begun_at > MAX_IDLE_WAIT_S
+
+
 def _is_restart(step_run: StepRun) -> bool:
     """Return whether tasks of a step wait that last and were interrupted."""
     step = step_run.step
@@ -225,30 +250,19 @@
         for step_run, (n_runs, lapse) in _lost_steps(placer).items()
         if step_run.step.long_running and not step_run.step.gang
     ]
-    cores_left = {
-        name: MAX_HELD_FRACTION * sum(item.entry.capacity.cores for item in pool)
-        for name, pool in pools.items()
-    }
-    used: set[str] = set()
     for at, step_run, n_tasks in sorted(claims, key=lambda claim: claim[0]):
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.pool not in pools:
             continue
-        cores = step_run.step.need.cores
-        n_allowed = n_tasks
-        if cores > 0:
-            n_allowed = int(max(0.0, cores_left[queue.pool]) // cores)
-        n_allowed = min(n_tasks, max(n_allowed, queue.pool not in used))
-        if n_allowed <= 0:
+        pool = pools[queue.pool]
+        n_allowed = _n_holdable(placer, step_run, pool, n_tasks)
+        if not n_allowed:
             continue
-        workers = eligible_workers(placer, step_run, pools[queue.pool], 0.0, now)
+        workers = eligible_workers(placer, step_run, pool, 0.0, now)
         if queue.advice is not None:
             advice = placer.advice.for_step(step_run.name)
             workers = [item for item in workers if advice.permits(item.worker_id)]
-        n_held = _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
-        if n_held:
-            used.add(queue.pool)
-        cores_left[queue.pool] -= n_held * cores
+        _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
 
 
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
@@ -261,6 +275,23 @@
     )
 
 
+def _n_holdable(
+    placer: Placer, step_run: StepRun, pool: list[Worker], n_tasks: int
+) -> int:
+    """Return for how many tasks of a step room may still be kept in a pool."""
+    cores = step_run.step.need.cores
+    if cores <= 0:
+        return n_tasks
+    held = [
+        placer.held[worker.worker_id].total.cores
+        for worker in pool
+        if worker.worker_id in placer.held
+    ]
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    left = max(0.0, MAX_HELD_FRACTION * capacity - sum(held))
+    return min(n_tasks, max(int(left // cores), not held))
+
+
 def _hold_places(
     placer: Placer,
     step_run: StepRun,
@@ -269,8 +300,8 @@
     *,
     at: float,
     now: float,
-) -> int:
-    """Keep room for tasks of a step where it is free soonest; return for how many.
+) -> None:
+    """Keep room for tasks of a step where it is free soonest.
 
     Parameters
     ----------
@@ -289,14 +320,12 @@
     for worker_id, free_at in places:
         hold = Hold(step.need, max(at, free_at))
         placer.held.setdefault(worker_id, HeldRoom()).add(hold)
-    return len(places)
 
 
 def _room_held_from(
     placer: Placer,
     step_run: StepRun,
     queue: Queue,
-    *,
     run_s: float,
     now: float,
 ) -> dict[str, Resources]:
