--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -12,16 +12,17 @@
     CallRank,
     make_advice_call,
 )
-from .headroom import Headroom, HeadroomLimit, headroom_limit
+from .crashes import starts_apart
+from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
 from .ordering import Rank, order_key
 from .packing import (
     SHORT_RUN_S,
+    HeldRoom,
     Hold,
     by_free_cores,
     choose_advised,
-    held_room,
     make_candidates,
     n_fitting_tasks,
     place_gang,
@@ -40,8 +41,10 @@
     from .placer import Placer
     from .progress import Progress, StepRun
 
-# Steps considered in one decision; the others wait for the next.
+# Steps considered in one decision: the most urgent ones, and some of the others in
+# turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
+N_TURNS_PER_DECISION = 50
 # Blocked steps with a reservation at a time; without one, steps that need many workers
 # would starve.
 MAX_RESERVATIONS = 2
@@ -57,6 +60,9 @@
 # Room is kept for an interrupted task for this long: longer than a wait for leases and
 # for batches to end, while a task that can't start for another reason holds none.
 MAX_HOLD_S = 30.0
+# While a pool is not busy, a job without a run may use kept room after this wait, since
+# callers count it as lost after 3 s.
+MAX_IDLE_WAIT_S = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
 # Steps for which advice is prefetched in one decision.
@@ -88,7 +94,7 @@
 def waiting_steps(
     placer: Placer, wall: float
 ) -> list[tuple[StepRun, Queue, list[float]]]:
-    """Return the steps that have tasks to place, the most urgent first.
+    """Return the steps to consider that have tasks to place, the most urgent first.
 
     Each step comes with its queue and the expected run times of all steps of its job.
     """
@@ -109,7 +115,26 @@
                 key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
-    return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
+    chosen = _take_turns(placer, [row[1].name for row in rows])
+    return [row[1:] for row in rows if row[1].name in chosen]
+
+
+def _take_turns(placer: Placer, names: list[str]) -> set[str]:
+    """Return the steps to consider in this decision.
+
+    Parameters
+    ----------
+    names : list of str
+        All steps with tasks to place, the most urgent first.
+    """
+    n_first = MAX_STEPS_PER_DECISION
+    if len(names) > MAX_STEPS_PER_DECISION:
+        n_first -= N_TURNS_PER_DECISION
+    rest = dict.fromkeys(names[n_first:])
+    queue = [name for name in placer.left_out if name in rest]
+    queue += [name for name in rest if name not in placer.left_out]
+    placer.left_out = dict.fromkeys(queue[N_TURNS_PER_DECISION:])
+    return {*names[:n_first], *queue[:N_TURNS_PER_DECISION]}
 
 
 def decide(
@@ -132,18 +157,21 @@
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
     hold_room(placer, waiting, pools, now)
+    busy = {name for name, pool in pools.items() if _is_busy(pool)}
     patient = False
     for step_run, queue, run_times in waiting:
         restarts = _is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
-            # What was placed until here may use room that was kept.
-            hold_room(placer, waiting, pools, now)
+            if placements:  # they may use room that was kept
+                hold_room(placer, waiting, pools, now)
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         workers = eligible_workers(placer, step_run, pool, run_s, now)
-        held = _room_held_from(placer, step_run, queue, workers, run_s=run_s, now=now)
+        held = {}
+        if queue.pool in busy or not _waits_idle(placer, step_run, wall):
+            held = _room_held_from(placer, step_run, queue, run_s, now)
         if held and not restarts:
             workers = _with_unheld_room(step_run, workers, held)
         outlook = placer.outlook(step_run, queue, wall, run_times)
@@ -175,15 +203,19 @@
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
         if step_run.step.long_running and not step_run.step.gang:
-            if not restarts:  # for the others, room is kept already
+            # For restarts room is kept already.
+            if not restarts and not any(
+                item.fits(step_run.step.need) for item in advised
+            ):
                 n_tasks = min(n_startable, MAX_RESERVED_TASKS)
+                n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
                 _hold_places(placer, step_run, advised, n_tasks, at=now, now=now)
                 n_reservations += 1
         elif step_run.step.gang or run_s > SHORT_RUN_S:
             n_tasks = n_startable
             if not step_run.step.gang:
                 n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            reserved = reserve(step_run.step, advised, n_tasks, now)
+            reserved = reserve(step_run.step, advised, n_tasks, now, placer.held)
             for worker_id, at in reserved.items():
                 placer.reserved[worker_id] = min(
                     at, placer.reserved.get(worker_id, math.inf)
@@ -194,6 +226,21 @@
     return placements, calls
 
 
+def _is_busy(pool: list[Worker]) -> bool:
+    """Return whether half of the cores of some workers are in use."""
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    free = sum(max(0.0, worker.free.cores) for worker in pool)
+    return free <= (1 - BUSY_FRACTION) * capacity
+
+
+def _waits_idle(placer: Placer, step_run: StepRun, wall: float) -> bool:
+    """Return whether a job has no run although it was accepted some time ago."""
+    job = step_run.job
+    begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
+    idle = not placer.jobs[job.job_id].n_assigned
+    return idle and wall - begun_at > MAX_IDLE_WAIT_S
+
+
 def _is_restart(step_run: StepRun) -> bool:
     """Return whether tasks of a step wait that last and were interrupted."""
     step = step_run.step
@@ -222,30 +269,19 @@
         for step_run, (n_runs, lapse) in _lost_steps(placer).items()
         if step_run.step.long_running and not step_run.step.gang
     ]
-    cores_left = {
-        name: MAX_HELD_FRACTION * sum(item.entry.capacity.cores for item in pool)
-        for name, pool in pools.items()
-    }
-    used: set[str] = set()
     for at, step_run, n_tasks in sorted(claims, key=lambda claim: claim[0]):
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.pool not in pools:
             continue
-        cores = step_run.step.need.cores
-        n_allowed = n_tasks
-        if cores > 0:
-            n_allowed = int(max(0.0, cores_left[queue.pool]) // cores)
-        n_allowed = min(n_tasks, max(n_allowed, queue.pool not in used))
-        if n_allowed <= 0:
+        pool = pools[queue.pool]
+        n_allowed = _n_holdable(placer, step_run, pool, n_tasks)
+        if not n_allowed:
             continue
-        workers = eligible_workers(placer, step_run, pools[queue.pool], 0.0, now)
+        workers = eligible_workers(placer, step_run, pool, 0.0, now)
         if queue.advice is not None:
             advice = placer.advice.for_step(step_run.name)
             workers = [item for item in workers if advice.permits(item.worker_id)]
-        n_held = _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
-        if n_held:
-            used.add(queue.pool)
-        cores_left[queue.pool] -= n_held * cores
+        _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
 
 
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
@@ -258,6 +294,23 @@
     )
 
 
+def _n_holdable(
+    placer: Placer, step_run: StepRun, pool: list[Worker], n_tasks: int
+) -> int:
+    """Return for how many tasks of a step room may still be kept in a pool."""
+    cores = step_run.step.need.cores
+    if cores <= 0:
+        return n_tasks
+    held = [
+        placer.held[worker.worker_id].total.cores
+        for worker in pool
+        if worker.worker_id in placer.held
+    ]
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    left = max(0.0, MAX_HELD_FRACTION * capacity - sum(held))
+    return min(n_tasks, max(int(left // cores), not held))
+
+
 def _hold_places(
     placer: Placer,
     step_run: StepRun,
@@ -266,8 +319,8 @@
     *,
     at: float,
     now: float,
-) -> int:
-    """Keep room for tasks of a step where it is free soonest; return for how many.
+) -> None:
+    """Keep room for tasks of a step where it is free soonest.
 
     Parameters
     ----------
@@ -280,21 +333,18 @@
         workers,
         n_tasks,
         now,
-        holds=placer.held,
+        held=placer.held,
         n_by_worker=_n_by_worker(step_run),
     )
     for worker_id, free_at in places:
         hold = Hold(step.need, max(at, free_at))
-        placer.held.setdefault(worker_id, []).append(hold)
-    return len(places)
+        placer.held.setdefault(worker_id, HeldRoom()).add(hold)
 
 
 def _room_held_from(
     placer: Placer,
     step_run: StepRun,
     queue: Queue,
-    workers: list[Worker],
-    *,
     run_s: float,
     now: float,
 ) -> dict[str, Resources]:
@@ -306,13 +356,12 @@
         return {}
     if step_run.step.long_running:
         run_s = math.inf
-    held = {}
-    for worker in workers:
-        holds = placer.held.get(worker.worker_id)
-        if holds:
-            ends_at = now + BACKFILL_FACTOR * run_s / worker.health.speed
-            held[worker.worker_id] = held_room(holds, ends_at)
-    return held
+    return {
+        worker_id: room.until(
+            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed
+        )
+        for worker_id, room in placer.held.items()
+    }
 
 
 def _with_unheld_room(
@@ -625,7 +674,8 @@
     workers = [
         worker
         for worker in workers
-        if not (worker.n_suspects and worker.suspect_starts(now))
+        if not worker.n_suspects
+        or not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
     ]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
@@ -637,7 +687,7 @@
         core_limit,
         held=None if restart else held,
     )
-    candidates.uses_headroom = restart
+    candidates.restart = restart
     return candidates
 
 
@@ -716,7 +766,12 @@
         if not task.run and n_new <= 0:
             continue
         suspect = task.n_crashes > 0
-        worker = candidates.pick(task.failed_on, suspect=suspect, now=now)
+        worker = candidates.pick(
+            task.failed_on,
+            suspect=suspect,
+            apart=starts_apart(step_run.step, task),
+            now=now,
+        )
         if worker is None and suspect:
             continue  # the others may use workers that it may not
         if worker is None:
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -12,7 +12,7 @@
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping, Sequence
+    from collections.abc import Iterable, Iterator, Mapping
 
     from ..model import Resources
     from .fleet import Slot, Worker
@@ -60,8 +60,9 @@
         Chance that the job ends in time.
     core_limit : HeadroomLimit
         Cores that the step may use on fast workers.
-    uses_headroom : bool
-        Whether the limit does not apply. What is placed counts against it all the same.
+    restart : bool
+        Whether the tasks last and were interrupted. The limit does not apply to them,
+        though they count against it, and they may start beside suspects.
     """
 
     step: Step
@@ -70,12 +71,18 @@
     n_by_worker: dict[str, int] = field(default_factory=dict)
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
-    uses_headroom: bool = False
+    restart: bool = False
     _suitability: dict[str, float] = field(default_factory=dict)
     _suspects_on: set[str] = field(default_factory=set)
+    _apart_on: set[str] = field(default_factory=set)
 
     def pick(
-        self, avoid: Iterable[str] = (), *, suspect: bool = False, now: float = 0.0
+        self,
+        avoid: Iterable[str] = (),
+        *,
+        suspect: bool = False,
+        apart: bool = True,
+        now: float = 0.0,
     ) -> Worker | None:
         """Return the best worker for one more task and reserve its capacity there.
 
@@ -84,21 +91,29 @@
         avoid : iterable of str
             Workers to choose only if no other worker scores nearly as well.
         suspect : bool, default=False
-            Whether the task may have crashed a worker. It gets one that runs little,
-            and no further task is placed there beside it.
+            Whether the task may have crashed a worker. It gets one that runs little.
+        apart : bool, default=True
+            Whether a suspect must not start beside another one, nor other tasks beside
+            it.
         now : float, seconds
-            Monotonic time; used for a suspect only.
+            Monotonic time; used where suspects start only.
         """
+        taken = self._suspects_on if suspect and apart else self._apart_on
         best, best_score = None, 0.0
         for worker in self.workers:
-            if self._suspects_on and worker.worker_id in self._suspects_on:
+            if taken and worker.worker_id in taken:
                 continue
             if not self._fits(worker):
                 continue
+            beside = self.restart and worker.suspect_starts(now)
+            if beside and suspect and apart:
+                continue
             score = self._score(worker) - (1.0 if worker.worker_id in avoid else 0.0)
             if suspect:
                 score -= EXPOSURE_PRICE * len(worker.slots)
                 score -= STARTING_PRICE * worker.has_starting(now)
+            elif beside:
+                score -= STARTING_PRICE
             if best is None or score > best_score:
                 best, best_score = worker, score
         if best is not None:
@@ -108,6 +123,8 @@
             self.core_limit.use_cores(name, self.step.need.cores)
             if suspect:
                 self._suspects_on.add(name)
+            if suspect and apart:
+                self._apart_on.add(name)
         return best
 
     def _fits(self, worker: Worker) -> bool:
@@ -115,7 +132,7 @@
         if bound and self.n_by_worker.get(worker.worker_id, 0) >= bound:
             return False
         allowed = self.core_limit.allows(worker.worker_id, self.step.need.cores)
-        if not (allowed or self.uses_headroom):
+        if not (allowed or self.restart):
             return False
         return worker.fits(self.step.need, self.free_by_worker[worker.worker_id])
 
@@ -224,22 +241,59 @@
     at: float
 
 
-def held_room(holds: Iterable[Hold], ends_at: float) -> Resources:
-    """Return the room that a run leaves to some holds if it ends at a time."""
-    held = NO_RESOURCES
-    for hold in holds:
-        if hold.at < ends_at:
-            held = held + hold.need
-    return held
+@dataclass(eq=False, slots=True)
+class HeldRoom:
+    """Room on one worker that is kept for tasks until they start.
+
+    Parameters
+    ----------
+    total : Resources
+        Sum of the holds.
+    first_at, last_at : float, seconds
+        Earliest and latest time at which one of the tasks is expected to start.
+    """
+
+    holds: list[Hold] = field(default_factory=list)
+    total: Resources = NO_RESOURCES
+    first_at: float = math.inf
+    last_at: float = -math.inf
+
+    def add(self, hold: Hold) -> None:
+        """Keep room for one more task."""
+        self.holds.append(hold)
+        self.total = self.total + hold.need
+        self.first_at = min(self.first_at, hold.at)
+        self.last_at = max(self.last_at, hold.at)
+
+    def until(self, ends_at: float) -> Resources:
+        """Return the room that a run has to leave if it ends at a time."""
+        if ends_at <= self.first_at:
+            return NO_RESOURCES
+        if ends_at > self.last_at:
+            return self.total
+        held = NO_RESOURCES
+        for hold in self.holds:
+            if hold.at < ends_at:
+                held = held + hold.need
+        return held
 
 
 def reserve(
-    step: Step, workers: Iterable[Worker], n_tasks: int, now: float
+    step: Step,
+    workers: Iterable[Worker],
+    n_tasks: int,
+    now: float,
+    held: Mapping[str, HeldRoom] | None = None,
 ) -> dict[str, float]:
     """Return the workers to reserve for a blocked step until it fits.
 
     These are the workers on which it is expected to fit soonest. Capacity that is held
-    by runs without an end never becomes free.
+    by runs without an end, or kept for them, never becomes free.
+
+    Parameters
+    ----------
+    held : mapping of str to HeldRoom, optional
+        Room that is kept for other tasks, by worker.
 
     Returns
     -------
@@ -247,7 +301,7 @@
         Time in seconds at which the step is expected to start on each worker. A gang
         starts on all of them at once. Empty if the tasks will not fit on all workers.
     """
-    places = soonest_places(step, workers, n_tasks, now)
+    places = soonest_places(step, workers, n_tasks, now, held=held)
     if len(places) < n_tasks:
         return {}
     reserved = dict(places)
@@ -262,14 +316,14 @@
     n_tasks: int,
     now: float,
     *,
-    holds: Mapping[str, Sequence[Hold]] | None = None,
+    held: Mapping[str, HeldRoom] | None = None,
     n_by_worker: Mapping[str, int] | None = None,
 ) -> list[tuple[str, float]]:
     """Return the workers on which tasks of a step are expected to fit soonest.
 
     Parameters
     ----------
-    holds : mapping of str to sequence of Hold, optional
+    held : mapping of str to HeldRoom, optional
         Room that is kept for other tasks, by worker.
     n_by_worker : mapping of str to int, optional
         Number of the step's tasks on each worker, if the step limits it.
@@ -280,17 +334,26 @@
         Worker and time in seconds for each task, the soonest first; fewer than
         `n_tasks` if the others will not fit.
     """
-    chances = sorted(
-        (at, -worker.free.cores, worker.worker_id, n_fitting)
-        for worker in workers
-        for at, n_fitting in _expected_room(
-            step,
-            worker,
-            now,
-            held=held_room((holds or {}).get(worker.worker_id, ()), math.inf),
-            n_before=(n_by_worker or {}).get(worker.worker_id, 0),
-        )
-    )
+    held, n_by_worker = held or {}, n_by_worker or {}
+    chances, rooms = [], []
+    for worker in workers:
+        name, free, limit = worker.worker_id, worker.free, math.inf
+        if name in held:
+            free = free - held[name].total
+        if step.max_per_worker:
+            limit = step.max_per_worker - n_by_worker.get(name, 0)
+        n_fitting = int(min(limit, _n_fitting(step.need, free)))
+        if n_fitting > 0:
+            chances.append((now, -free.cores, name, n_fitting))
+        rooms.append((worker, free, limit, n_fitting))
+    if sum(chance[-1] for chance in chances) < n_tasks:
+        chances += [
+            (at, -free.cores, worker.worker_id, n_fitting)
+            for worker, free, limit, n_now in rooms
+            for at, n_fitting in _expected_room(step, worker, now, free, limit)
+            if n_fitting > n_now
+        ]
+    chances.sort()
     places: list[tuple[str, float]] = []
     n_chosen: dict[str, int] = {}
     for at, _, worker_id, n_fitting in chances:
@@ -303,24 +366,18 @@
 
 
 def _expected_room(
-    step: Step,
-    worker: Worker,
-    now: float,
-    *,
-    held: Resources = NO_RESOURCES,
-    n_before: int = 0,
+    step: Step, worker: Worker, now: float, free: Resources, limit: float
 ) -> Iterator[tuple[float, int]]:
     """Yield the times at which more tasks of a step will fit, and how many.
 
     Parameters
     ----------
-    held : Resources
-        Room that is kept for other tasks.
-    n_before : int, default=0
-        Number of the step's tasks on the worker.
+    free : Resources
+        Free room that is not kept for other tasks.
+    limit : float
+        Most tasks of the step that may start on the worker.
     """
-    limit = step.max_per_worker - n_before if step.max_per_worker else math.inf
-    free, n_before = worker.free - held, 0
+    n_before = 0
     ends = sorted(
         (
             (slot.expected_end(worker.health.speed), slot)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -23,6 +23,7 @@
     record_crash,
     record_inherited_crashes,
     record_registration,
+    starts_apart,
 )
 from .decisions import Placement, decide
 from .evacuation import Move, evacuate
@@ -51,7 +52,7 @@
         WorkerEntry,
         WorkerReport,
     )
-    from .packing import Hold
+    from .packing import HeldRoom
     from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
@@ -125,6 +126,9 @@
     reserved : dict of str to float
         Workers reserved for blocked steps in the newest decision, with the times in
         seconds at which these are expected to start there.
+    left_out : dict of str to None
+        Names of waiting steps that the newest decision did not consider, those that
+        have waited for their turn for longest first.
     held : dict
         Room that the newest decision keeps for lasting tasks, by worker.
     headroom : dict
@@ -160,7 +164,8 @@
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: dict[str, float] = field(default_factory=dict)
-    held: dict[str, list[Hold]] = field(default_factory=dict)
+    left_out: dict[str, None] = field(default_factory=dict)
+    held: dict[str, HeldRoom] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
@@ -273,6 +278,7 @@
             step.run_time_s,
             urgent=urgent,
             suspect=suspect,
+            starts_apart=task is not None and starts_apart(step, task),
             long_running=step.long_running,
         )
 
