Keep tickets at hand for lost lasting tasks without room

The tickets of such tasks are renewed before they lapse, and only those of workers that may be used count.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -49,6 +49,9 @@
 BACKFILL_FACTOR = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
+# Tickets of lost lasting tasks are renewed so early that the answer comes before they
+# lapse; decisions are at most this far apart.
+MAX_DECISION_PAUSE_S = 0.25
 # Steps for which advice is prefetched in one decision.
 MAX_PREFETCHED_STEPS = 20
 # Advice is prefetched if the step is expected to be ready within this fraction of the
@@ -414,8 +417,15 @@
     if not named and permitted and not with_ticket and not step.gang:
         # No task fits now. With a few valid tickets at hand, a task can start as soon
         # as capacity becomes free.
-        tickets = advice.has_valid_ticket(valid_at)
-        named = [] if tickets else by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        renewed = by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        if rank is CallRank.RETURN:  # the next ones come before these lapse
+            cost_s = queue.advice.decide_s + queue.advice.per_worker_s * len(renewed)
+            valid_at += cost_s + MAX_DECISION_PAUSE_S
+        kept = any(
+            advice.ticket(item.worker_id, item.entry.incarnation, valid_at)
+            for item in permitted
+        )
+        named = [] if kept else renewed
         rank = RENEWAL_RANKS.get(rank, rank)
     if not named:
         return permitted, None
--- a/tests/jobs/test_adviceorder.py
+++ b/tests/jobs/test_adviceorder.py
@@ -38,6 +38,7 @@
 QUEUES = (
     make_queue("lasting", priority=1, stretch=2.2, target_s=2.5, advice=LASTING),
     make_queue("patient", priority=2, stretch=2.2, target_s=1.2, advice=PATIENT),
+    make_queue("filler", priority=2),
 )
 
 
@@ -159,6 +160,28 @@
     assert n_calls == n_lasting
 
 
+# Guards against a lost lasting task for which a worker gets room while its tickets are
+# being renewed, and that waits for the call.
+def test_lost_lasting_tasks_without_room_have_tickets_at_any_time():
+    sim = make_simulation(n_lasting=3, n_patient=0)
+    lapse = lose_workers(sim)
+    fillers = make_step(24, 14.0, run_time_s=60.0)
+    submit(sim.placer, make_job(fillers, job_id=f"{99:016x}", queue="filler"), sim.now)
+    lost = list(sim.started)
+    sim.run_until(lapse + 0.2)
+    calls_before = len(sim.calls)
+    without_s = 0.0
+    while sim.now < lapse + 8.0:
+        sim.run_until(sim.now + TICK_S / 2)
+        for step in lost:
+            advice = sim.placer.advice.for_step(step)
+            without_s += TICK_S * (not advice.has_valid_ticket(sim.now))
+    assert all(len(sim.started[step]) == 1 for step in lost)
+    assert without_s < 0.1
+    # Their tickets are valid for 2.25 s, of which the next call takes a quarter.
+    assert len(sim.calls) - calls_before <= len(lost) * 6
+
+
 # Guards against calls that serve nothing until a task fits, and that hold the service
 # meanwhile: renewals for steps that fit nowhere took all VMs.
 def test_renewals_of_tickets_leave_vms_idle():
