Exclude a VM whose calls wait behind one that is not answered

A call that waited behind one that the service did not answer was refused as if the VM's queue were long, so that the VM stayed in use, and a cut connection to the service cost each step its wait.

If the call under way is overdue when the wait of one behind it ends, that one fails as unavailable, which excludes the VM. The test failed before.

--- a/cuminhill/jobs/advicequeue.py
+++ b/cuminhill/jobs/advicequeue.py
@@ -15,7 +15,12 @@
 import curio
 
 from ..clock import boottime
-from ..errors import CuminhillError, OverloadedError, UnknownOutcomeError
+from ..errors import (
+    CuminhillError,
+    OverloadedError,
+    UnavailableError,
+    UnknownOutcomeError,
+)
 from .advice import LONG_CALL_S, AdviceAnswer
 
 if TYPE_CHECKING:
@@ -24,6 +29,9 @@
 # Time beyond its expected one after which a call that was sent is given up. The
 # service may first serve a call that an earlier process of this VM has left there.
 SERVICE_SLACK_S = 1.2
+# Time beyond its expected one after which a call under way counts as not answered, so
+# that the calls behind it are no sign of a long queue.
+OVERDUE_S = 0.25
 # Calls that wait; the service itself takes 32 of a VM.
 MAX_WAITING = 32
 
@@ -112,7 +120,7 @@
         except curio.TaskTimeout:
             if call.sent_at:
                 raise UnknownOutcomeError("time-out", step="advise") from None
-            raise self._refusal("not sent in time") from None
+            raise self._not_sent() from None
         finally:
             if call in self._waiting:
                 self._waiting.remove(call)
@@ -136,6 +144,15 @@
     def _refusal(self, why: str) -> OverloadedError:
         return OverloadedError(why, step="advise", backlog_s=self.backlog_s())
 
+    def _not_sent(self) -> CuminhillError:
+        """Return the error of a call whose turn has not come in time."""
+        sent = self._sent
+        if sent is None or (
+            boottime() < sent.sent_at + sent.request.cost_s + OVERDUE_S
+        ):
+            return self._refusal("not sent in time")
+        return UnavailableError("the service does not answer", step="advise")
+
     async def _drop_earlier_terms(self, term: int) -> None:
         """Drop the waiting calls of placers of earlier terms."""
         for call in list(self._waiting):
--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -22,6 +22,7 @@
     Adviser,
     make_advice_call,
 )
+from cuminhill.jobs.advicequeue import SERVICE_SLACK_S
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
 from cuminhill.jobs.leadership import Leadership
@@ -181,6 +182,28 @@
     curio.run(main)
 
 
+# Guards against a VM that stays in use although the service does not answer it: the
+# calls behind the one under way were refused as if its queue were long.
+def test_calls_behind_one_that_is_not_answered_are_no_sign_of_a_long_queue():
+    async def main():
+        service = SerialService({"first": 10.0, "second": 0.01})
+        peers = make_peers(service)
+        tasks = [
+            await curio.spawn(give_up, peers, make_call(step), wait_s)
+            for step, wait_s in (("first", 0.6), ("second", 0.7))
+        ]
+        errors = [await task.join() for task in tasks]
+        assert isinstance(errors[0], UnknownOutcomeError)
+        assert isinstance(errors[1], UnavailableError)
+        assert not isinstance(errors[1], OverloadedError)
+        # The first is given up, so that later ones are tried.
+        await curio.sleep(COST_S + SERVICE_SLACK_S - 0.7)
+        service._lock = curio.Lock()
+        await peers.ask_advice("a", make_call("second"), 0.5)
+
+    curio.run(main)
+
+
 # Guards against a queue that outlives a call of which the caller's connection ended.
 def test_a_cancelled_call_leaves_the_queue():
     async def main():
