--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -205,30 +205,48 @@
             _note_wait(placer, step_run, queue, workers, now=now)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
-        if step_run.step.long_running and not step_run.step.gang:
-            # For restarts room is kept already.
-            if not restarts and not any(
-                item.fits(step_run.step.need) for item in advised
-            ):
-                n_tasks = min(n_startable, MAX_RESERVED_TASKS)
-                n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
-                _hold_places(placer, step_run, advised, n_tasks, at=now, now=now)
-                n_reservations += 1
-        elif step_run.step.gang or run_s > SHORT_RUN_S:
-            n_tasks = n_startable
-            if not step_run.step.gang:
-                n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            reserved = reserve(step_run.step, advised, n_tasks, now, placer.held)
-            for worker_id, at in reserved.items():
-                placer.reserved[worker_id] = min(
-                    at, placer.reserved.get(worker_id, math.inf)
-                )
-            n_reservations += 1
+        n_reservations += _reserve_room(
+            placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
+        )
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
     return placements, calls
 
 
+def _reserve_room(
+    placer: Placer,
+    step_run: StepRun,
+    pool: list[Worker],
+    workers: list[Worker],
+    n_startable: int,
+    *,
+    run_s: float,
+    now: float,
+) -> bool:
+    """Reserve capacity for a blocked step; return whether it counts as a reservation.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers of the pool that may run the step.
+    """
+    step = step_run.step
+    n_tasks = n_startable if step.gang else min(n_startable, MAX_RESERVED_TASKS)
+    if step.long_running and not step.gang:
+        # For restarts room is kept already.
+        if _is_restart(step_run) or any(item.fits(step.need) for item in workers):
+            return False
+        n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
+        _hold_places(placer, step_run, workers, n_tasks, at=now, now=now)
+        return True
+    if not step.gang and run_s <= SHORT_RUN_S:
+        return False
+    reserved = reserve(step, workers, n_tasks, now, placer.held)
+    for worker_id, at in reserved.items():
+        placer.reserved[worker_id] = min(at, placer.reserved.get(worker_id, math.inf))
+    return True
+
+
 def _is_busy(pool: list[Worker]) -> bool:
     """Return whether half of the cores of some workers are in use."""
     capacity = sum(worker.entry.capacity.cores for worker in pool)
