--- a/tests/platform/test_odd_answers.py
+++ b/tests/platform/test_odd_answers.py
@@ -8,7 +8,7 @@
 import curio
 import pytest
 
-from cuminhill.errors import ProtocolError
+from cuminhill.errors import OverloadedError, ProtocolError, UnavailableError
 from cuminhill.jobs.model import StartOrder, StartReply, StartResult, TaskKey
 from cuminhill.platform.store import MAX_PAGE_KB, PlatformTopic
 from cuminhill.platform.wire import (
@@ -315,3 +315,14 @@
 
 async def append(topic):
     return await topic.append([("a", b"1")], timeout_s=1.0)
+
+
+# Guards against a VM that is treated as cut off since it has too many calls waiting.
+def test_advice_refused_for_the_number_of_calls_is_told_apart():
+    client = PlatformAdviceClient(OddClient(429, {}))
+    with pytest.raises(OverloadedError) as info:
+        curio.run(client.ask, "s", ["w"], 1.0)
+    assert info.value.backlog_s > 0
+    with pytest.raises(UnavailableError) as info:
+        curio.run(PlatformAdviceClient(OddClient(503, {})).ask, "s", ["w"], 1.0)
+    assert not isinstance(info.value, OverloadedError)
