--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -6,24 +6,34 @@
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
-from .advice import AdviceCall, make_advice_call
-from .headroom import Headroom, HeadroomLimit, headroom_limit
+from .advice import (
+    TICKET_MARGIN_S,
+    AdviceCall,
+    CallRank,
+    make_advice_call,
+)
+from .crashes import starts_apart
+from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
-from .ordering import order_key
+from .ordering import Rank, order_key
 from .packing import (
     SHORT_RUN_S,
+    HeldRoom,
+    Hold,
     by_free_cores,
     choose_advised,
     make_candidates,
     n_fitting_tasks,
     place_gang,
     reserve,
+    soonest_places,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..model import Resources
     from .fleet import Worker
     from .lateness import Outlook
     from .model import Queue, TaskKey
@@ -31,8 +41,10 @@
     from .placer import Placer
     from .progress import Progress, StepRun
 
-# Steps considered in one decision; the others wait for the next.
+# Steps considered in one decision: the most urgent ones, and some of the others in
+# turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
+N_TURNS_PER_DECISION = 50
 # Blocked steps with a reservation at a time; without one, steps that need many workers
 # would starve.
 MAX_RESERVATIONS = 2
@@ -42,15 +54,36 @@
 # A run that is not short may use a reserved worker if this multiple of its expected run
 # time fits before the reservation begins: expected run times are rough.
 BACKFILL_FACTOR = 2.0
+# Share of a pool's cores that may be kept for lasting tasks, though room for one task
+# always may: batches go on when many workers are lost.
+MAX_HELD_FRACTION = 0.25
+# Room is kept for an interrupted task for this long: longer than a wait for leases and
+# for batches to end, while a task that can't start for another reason holds none.
+MAX_HOLD_S = 30.0
+# While a pool is not busy, a job without a run may use kept room after this wait, since
+# callers count it as lost after 3 s.
+MAX_IDLE_WAIT_S = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
+# Tickets of lost lasting tasks are renewed so early that the answer comes before they
+# lapse; decisions are at most this far apart.
+MAX_DECISION_PAUSE_S = 0.25
 # Steps for which advice is prefetched in one decision.
 MAX_PREFETCHED_STEPS = 20
 # Advice is prefetched if the step is expected to be ready within this fraction of the
 # validity of its tickets.
 PREFETCH_FRACTION = 0.5
-# Rank of the steps whose tasks were stopped because a place for them was free.
-MOVING_RANK = -1
+# Advice for runs on lost workers is asked for early enough that many steps have it when
+# their leases lapse, and its tickets stay valid for this time after that.
+USE_LOST_TICKET_S = 0.75
+# Rank of a call that only renews tickets.
+RENEWAL_RANKS = {
+    CallRank.RETURN: CallRank.RENEW_RETURN,
+    CallRank.PLACE: CallRank.RENEW,
+}
+# Time in which the workers answer the first renewals of a term; until then they are not
+# lost.
+FIRST_ANSWERS_S = 0.3
 
 
 class Placement(NamedTuple):
@@ -64,7 +97,7 @@
 def waiting_steps(
     placer: Placer, wall: float
 ) -> list[tuple[StepRun, Queue, list[float]]]:
-    """Return the steps that have tasks to place, the most urgent first.
+    """Return the steps to consider that have tasks to place, the most urgent first.
 
     Each step comes with its queue and the expected run times of all steps of its job.
     """
@@ -82,10 +115,29 @@
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
             if step_run.name in moving:
-                key = (MOVING_RANK, *key[1:])
+                key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
-    return [row[1:] for row in rows[:MAX_STEPS_PER_DECISION]]
+    chosen = _take_turns(placer, [row[1].name for row in rows])
+    return [row[1:] for row in rows if row[1].name in chosen]
+
+
+def _take_turns(placer: Placer, names: list[str]) -> set[str]:
+    """Return the steps to consider in this decision.
+
+    Parameters
+    ----------
+    names : list of str
+        All steps with tasks to place, the most urgent first.
+    """
+    n_first = MAX_STEPS_PER_DECISION
+    if len(names) > MAX_STEPS_PER_DECISION:
+        n_first -= N_TURNS_PER_DECISION
+    rest = dict.fromkeys(names[n_first:])
+    queue = [name for name in placer.left_out if name in rest]
+    queue += [name for name in rest if name not in placer.left_out]
+    placer.left_out = dict.fromkeys(queue[N_TURNS_PER_DECISION:])
+    return {*names[:n_first], *queue[:N_TURNS_PER_DECISION]}
 
 
 def decide(
@@ -98,7 +150,7 @@
     placements : list of Placement
         Runs to start once the progress of their jobs is in the journal.
     calls : list of AdviceCall
-        Calls for advice, the most urgent first.
+        Calls for advice, those of each rank in the order of their steps.
     """
     placements: list[Placement] = []
     calls: list[AdviceCall] = []
@@ -106,11 +158,25 @@
     n_reservations = 0
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
-    for step_run, queue, run_times in waiting_steps(placer, wall):
+    waiting = waiting_steps(placer, wall)
+    hold_room(placer, waiting, pools, now)
+    busy = {name for name, pool in pools.items() if _is_busy(pool)}
+    patient = False
+    for step_run, queue, run_times in waiting:
+        restarts = _is_restart(step_run)
+        if not (patient or restarts or queue.priority == 0):
+            patient = True
+            if placements:  # they may use room that was kept
+                hold_room(placer, waiting, pools, now)
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         workers = eligible_workers(placer, step_run, pool, run_s, now)
+        held = {}
+        if queue.pool in busy or not _waits_idle(placer, step_run, wall):
+            held = _room_held_from(placer, step_run, queue, run_s, now)
+        if held and not restarts:
+            workers = _with_unheld_room(step_run, workers, held)
         outlook = placer.outlook(step_run, queue, wall, run_times)
         advised, call = advise(
             placer,
@@ -121,6 +187,7 @@
             now=now,
             n_wanted=n_startable,
             valid_at=now,
+            rank=_waiting_rank(step_run, queue),
         )
         if call is not None:
             calls.append(call)
@@ -131,27 +198,210 @@
             outlook,
             now=now,
             core_limit=limits.get(queue.name),
+            held=held,
         )
         placements.extend(placed)
         if step_run.step.long_running:
             _note_wait(placer, step_run, queue, workers, now=now)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
-        if step_run.step.gang or run_s > SHORT_RUN_S:
-            n_tasks = n_startable
-            if not step_run.step.gang:
-                n_tasks = min(n_tasks, MAX_RESERVED_TASKS)
-            reserved = reserve(step_run.step, advised, n_tasks, now)
-            for worker_id, at in reserved.items():
-                placer.reserved[worker_id] = min(
-                    at, placer.reserved.get(worker_id, math.inf)
-                )
-            n_reservations += 1
+        n_reservations += _reserve_room(
+            placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
+        )
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
     return placements, calls
 
 
+def _reserve_room(
+    placer: Placer,
+    step_run: StepRun,
+    pool: list[Worker],
+    workers: list[Worker],
+    n_startable: int,
+    *,
+    run_s: float,
+    now: float,
+) -> bool:
+    """Reserve capacity for a blocked step; return whether it counts as a reservation.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers of the pool that may run the step.
+    """
+    step = step_run.step
+    n_tasks = n_startable if step.gang else min(n_startable, MAX_RESERVED_TASKS)
+    if step.long_running and not step.gang:
+        # For restarts room is kept already.
+        if _is_restart(step_run) or any(item.fits(step.need) for item in workers):
+            return False
+        n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
+        _hold_places(placer, step_run, workers, n_tasks, at=now, now=now)
+        return True
+    if not step.gang and run_s <= SHORT_RUN_S:
+        return False
+    reserved = reserve(step, workers, n_tasks, now, placer.held)
+    for worker_id, at in reserved.items():
+        placer.reserved[worker_id] = min(at, placer.reserved.get(worker_id, math.inf))
+    return True
+
+
+def _is_busy(pool: list[Worker]) -> bool:
+    """Return whether half of the cores of some workers are in use."""
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    free = sum(max(0.0, worker.free.cores) for worker in pool)
+    return free <= (1 - BUSY_FRACTION) * capacity
+
+
+def _waits_idle(placer: Placer, step_run: StepRun, wall: float) -> bool:
+    """Return whether a job has no run although it was accepted some time ago."""
+    job = step_run.job
+    begun_at = max(job.accepted_at, job.due_at(step_run.occurrence))
+    idle = not placer.jobs[job.job_id].n_assigned
+    return idle and wall - begun_at > MAX_IDLE_WAIT_S
+
+
+def _is_restart(step_run: StepRun) -> bool:
+    """Return whether tasks of a step wait that last and were interrupted."""
+    step = step_run.step
+    return step.long_running and not step.gang and step_run.n_interrupted > 0
+
+
+def hold_room(
+    placer: Placer,
+    waiting: Iterable[tuple[StepRun, Queue, list[float]]],
+    pools: dict[str, list[Worker]],
+    now: float,
+) -> None:
+    """Keep room for lasting tasks that were interrupted or will be given up as lost.
+
+    While such a task waits, for leases or advice, batches would take the room on the
+    few workers that may run it.
+    """
+    placer.held = {}
+    claims = [
+        (now, step_run, _n_held_for(placer, step_run, now))
+        for step_run, _, _ in waiting
+        if _is_restart(step_run)
+    ]
+    claims += [
+        (max(now, lapse), step_run, n_runs)
+        for step_run, (n_runs, lapse) in _lost_steps(placer).items()
+        if step_run.step.long_running and not step_run.step.gang
+    ]
+    for at, step_run, n_tasks in sorted(claims, key=lambda claim: claim[0]):
+        queue = placer.queue_of(placer.jobs[step_run.job.job_id])
+        if queue is None or queue.pool not in pools:
+            continue
+        pool = pools[queue.pool]
+        n_allowed = _n_holdable(placer, step_run, pool, n_tasks)
+        if not n_allowed:
+            continue
+        workers = eligible_workers(placer, step_run, pool, 0.0, now)
+        if queue.advice is not None:
+            advice = placer.advice.for_step(step_run.name)
+            workers = [item for item in workers if advice.permits(item.worker_id)]
+        _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
+
+
+def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
+    """Return the number of interrupted tasks for which room is still kept."""
+    waiting = (step_run.tasks[index] for index in step_run.waiting())
+    return sum(
+        now - max(task.away_since, placer.begun_at) <= MAX_HOLD_S
+        for task in waiting
+        if task.run
+    )
+
+
+def _n_holdable(
+    placer: Placer, step_run: StepRun, pool: list[Worker], n_tasks: int
+) -> int:
+    """Return for how many tasks of a step room may still be kept in a pool."""
+    cores = step_run.step.need.cores
+    if cores <= 0:
+        return n_tasks
+    held = [
+        placer.held[worker.worker_id].total.cores
+        for worker in pool
+        if worker.worker_id in placer.held
+    ]
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    left = max(0.0, MAX_HELD_FRACTION * capacity - sum(held))
+    return min(n_tasks, max(int(left // cores), not held))
+
+
+def _hold_places(
+    placer: Placer,
+    step_run: StepRun,
+    workers: list[Worker],
+    n_tasks: int,
+    *,
+    at: float,
+    now: float,
+) -> None:
+    """Keep room for tasks of a step where it is free soonest.
+
+    Parameters
+    ----------
+    at : float, seconds
+        Time from which the tasks may start.
+    """
+    step = step_run.step
+    places = soonest_places(
+        step,
+        workers,
+        n_tasks,
+        now,
+        held=placer.held,
+        n_by_worker=_n_by_worker(step_run),
+    )
+    for worker_id, free_at in places:
+        hold = Hold(step.need, max(at, free_at))
+        placer.held.setdefault(worker_id, HeldRoom()).add(hold)
+
+
+def _room_held_from(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    run_s: float,
+    now: float,
+) -> dict[str, Resources]:
+    """Return the room on workers that a step leaves to lasting tasks.
+
+    Short urgent work may use all of it, other work what it gives back in time.
+    """
+    if not placer.held or (queue.priority == 0 and run_s <= SHORT_RUN_S):
+        return {}
+    if step_run.step.long_running:
+        run_s = math.inf
+    return {
+        worker_id: room.until(
+            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed
+        )
+        for worker_id, room in placer.held.items()
+    }
+
+
+def _with_unheld_room(
+    step_run: StepRun, workers: list[Worker], held: dict[str, Resources]
+) -> list[Worker]:
+    """Leave out the workers whose room for a step is kept for other tasks.
+
+    Otherwise the step would count on them and not ask for advice on others.
+    """
+    need = step_run.step.need
+    return [
+        worker
+        for worker in workers
+        if worker.worker_id not in held
+        or not worker.fits(need)
+        or worker.fits(need, worker.free - held[worker.worker_id])
+    ]
+
+
 def _advise_lost_runs(
     placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
 ) -> list[AdviceCall]:
@@ -160,11 +410,15 @@
     The end of their leases is known, so the tickets can be at hand by then.
     """
     calls: list[AdviceCall] = []
-    for step_run, (n_runs, lapse) in _lost_steps(placer).items():
+    if now - placer.begun_at < FIRST_ANSWERS_S:
+        return calls
+    lost = sorted(_lost_steps(placer).items(), key=lambda row: row[1][1])
+    for step_run, (n_runs, lapse) in lost:
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.advice is None or step_run.n_waiting:
             continue  # the decision on waiting tasks has made its own call
-        if lapse - now > PREFETCH_FRACTION * queue.advice.valid_s:
+        kept_s = queue.advice.valid_s - TICKET_MARGIN_S - USE_LOST_TICKET_S
+        if lapse - now > kept_s + queue.advice.decide_s:
             continue
         run_times = placer.run_times(
             placer.jobs[step_run.job.job_id], step_run.occurrence
@@ -179,6 +433,7 @@
             now=now,
             n_wanted=n_runs,
             valid_at=max(now, lapse),
+            rank=_lost_rank(step_run, queue),
         )
         if call is not None:
             calls.append(call)
@@ -187,6 +442,20 @@
     return calls
 
 
+def _lost_rank(step_run: StepRun, queue: Queue) -> CallRank:
+    """Return the rank of calls for a step of which tasks have been lost."""
+    if queue.priority == 0:
+        return CallRank.URGENT
+    return CallRank.RETURN if step_run.step.long_running else CallRank.PLACE
+
+
+def _waiting_rank(step_run: StepRun, queue: Queue) -> CallRank:
+    """Return the rank of calls for a step with waiting tasks."""
+    if step_run.n_open > step_run.n_assigned:  # some have run before
+        return _lost_rank(step_run, queue)
+    return CallRank.URGENT if queue.priority == 0 else CallRank.PLACE
+
+
 def _lost_steps(placer: Placer) -> dict[StepRun, tuple[int, float]]:
     """Return the steps with runs on workers that are not reached.
 
@@ -244,8 +513,9 @@
             )
             incarnations = {item.worker_id: item.entry.incarnation for item in named}
             if incarnations:
+                rank = CallRank.AHEAD if queue.priority else CallRank.URGENT
                 calls.append(
-                    make_advice_call(step_run.name, incarnations, queue.advice)
+                    make_advice_call(step_run.name, incarnations, queue.advice, rank)
                 )
             if len(calls) >= MAX_PREFETCHED_STEPS:
                 return calls
@@ -344,6 +614,7 @@
     now: float,
     n_wanted: int,
     valid_at: float,
+    rank: CallRank,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that advice permits, and a call if they are not enough.
 
@@ -353,6 +624,8 @@
         Number of tasks to place.
     valid_at : float, seconds
         When the tickets will be used.
+    rank : CallRank
+        Rank of the call if it can help to place a task now.
     """
     if queue.advice is None:
         return workers, None
@@ -376,12 +649,20 @@
     if not named and permitted and not with_ticket and not step.gang:
         # No task fits now. With a few valid tickets at hand, a task can start as soon
         # as capacity becomes free.
-        tickets = advice.has_valid_ticket(valid_at)
-        named = [] if tickets else by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        renewed = by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        if rank is CallRank.RETURN:  # the next ones come before these lapse
+            cost_s = queue.advice.decide_s + queue.advice.per_worker_s * len(renewed)
+            valid_at += cost_s + MAX_DECISION_PAUSE_S
+        kept = any(
+            advice.ticket(item.worker_id, item.entry.incarnation, valid_at)
+            for item in permitted
+        )
+        named = [] if kept else renewed
+        rank = RENEWAL_RANKS.get(rank, rank)
     if not named:
         return permitted, None
     incarnations = {item.worker_id: item.entry.incarnation for item in named}
-    return permitted, make_advice_call(step_run.name, incarnations, queue.advice)
+    return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
 
 
 def step_candidates(
@@ -393,6 +674,8 @@
     now: float,
     core_limit: HeadroomLimit | None,
     valid_at: float,
+    restart: bool = False,
+    held: dict[str, Resources] | None = None,
 ) -> Candidates:
     """Return the workers that can be sent tasks of a step.
 
@@ -400,6 +683,11 @@
     ----------
     valid_at : float, seconds
         When the tickets will be used.
+    restart : bool, default=False
+        Whether the tasks last and were interrupted. They may use the headroom, and room
+        that is kept for such tasks.
+    held : dict of str to Resources, optional
+        Room that other tasks leave to those, by worker.
     """
     progress = placer.jobs[step_run.job.job_id]
     queue = placer.queue_of(progress)
@@ -414,71 +702,112 @@
     workers = [
         worker
         for worker in workers
-        if not (worker.n_suspects and worker.suspect_starts(now))
+        if not worker.n_suspects
+        or not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
     ]
     if core_limit is not None and step_run.step.gang and not core_limit.busy:
         core_limit = None
-    return make_candidates(
-        step_run.step, workers, _n_by_worker(step_run), outlook, core_limit
+    candidates = make_candidates(
+        step_run.step,
+        workers,
+        _n_by_worker(step_run),
+        outlook,
+        core_limit,
+        held=None if restart else held,
     )
+    candidates.restart = restart
+    return candidates
 
 
 def _place(
     placer: Placer,
     step_run: StepRun,
-    workers: Iterable[Worker],
+    workers: list[Worker],
     outlook: Outlook,
     *,
     now: float,
     core_limit: HeadroomLimit | None,
+    held: dict[str, Resources],
+) -> list[Placement]:
+    """Assign waiting tasks of a step, those that last and were interrupted first."""
+    waiting = list(step_run.waiting())
+    lasts = step_run.step.long_running and not step_run.step.gang
+    restarts = [index for index in waiting if lasts and step_run.tasks[index].run]
+    others = [index for index in waiting if not (lasts and step_run.tasks[index].run)]
+    placed = []
+    for indexes in (restarts, others):
+        if not indexes:
+            continue
+        candidates = step_candidates(
+            placer,
+            step_run,
+            workers,
+            outlook,
+            now=now,
+            core_limit=core_limit,
+            valid_at=now,
+            restart=indexes is restarts,
+            held=held,
+        )
+        if candidates.workers:
+            place = _place_gang if step_run.step.gang else _place_tasks
+            placed += place(placer, step_run, indexes, candidates, now)
+    return placed
+
+
+def _place_gang(
+    placer: Placer,
+    step_run: StepRun,
+    indexes: list[int],
+    candidates: Candidates,
+    now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
-    candidates = step_candidates(
-        placer,
-        step_run,
-        workers,
-        outlook,
-        now=now,
-        core_limit=core_limit,
-        valid_at=now,
-    )
-    if not candidates.workers:
+    n_tasks = step_run.step.n_tasks
+    if len(indexes) < n_tasks or progress.n_startable(step_run) < n_tasks:
         return []
-    if step_run.step.gang:
-        n_tasks = step_run.step.n_tasks
-        if step_run.n_assigned or step_run.n_done:
-            return []
-        if progress.n_startable(step_run) < n_tasks:
-            return []
-        chosen = place_gang(candidates)
-        if chosen is None:
-            return []
-        run = max(task.run for task in step_run.tasks) + 1
-        checkpoint = max(task.checkpoint for task in step_run.tasks)
-        for task in step_run.tasks:
-            progress.store_checkpoint(task, checkpoint)
-        return [
-            _assign(placer, progress, step_run, index, worker, run=run, now=now)
-            for index, worker in enumerate(chosen)
-        ]
+    chosen = place_gang(candidates)
+    if chosen is None:
+        return []
+    run = max(task.run for task in step_run.tasks) + 1
+    checkpoint = max(task.checkpoint for task in step_run.tasks)
+    for task in step_run.tasks:
+        progress.store_checkpoint(task, checkpoint)
+    return [
+        _assign(placer, progress, step_run, index, worker, run=run, now=now)
+        for index, worker in enumerate(chosen)
+    ]
+
+
+def _place_tasks(
+    placer: Placer,
+    step_run: StepRun,
+    indexes: list[int],
+    candidates: Candidates,
+    now: float,
+) -> list[Placement]:
+    progress = placer.jobs[step_run.job.job_id]
     placed = []
-    n_startable = progress.n_startable(step_run)
-    n_new = n_startable - (step_run.n_open - step_run.n_assigned)
-    for index in list(step_run.waiting()):
+    n_new = progress.n_startable(step_run) - step_run.n_interrupted
+    for index in indexes:
         task = step_run.tasks[index]
         if not task.run and n_new <= 0:
             continue
         suspect = task.n_crashes > 0
-        worker = candidates.pick(task.failed_on, suspect=suspect, now=now)
+        worker = candidates.pick(
+            task.failed_on,
+            suspect=suspect,
+            apart=starts_apart(step_run.step, task),
+            now=now,
+        )
         if worker is None and suspect:
             continue  # the others may use workers that it may not
         if worker is None:
             break
         n_new -= not task.run
+        run = task.run + 1
         placed.append(
-            _assign(
-                placer, progress, step_run, index, worker, run=task.run + 1, now=now
-            )
+            _assign(placer, progress, step_run, index, worker, run=run, now=now)
         )
     return placed
 
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -15,9 +15,11 @@
     CuminhillError,
     FencedError,
     OtherIncarnationError,
+    OverloadedError,
     RejectedError,
+    UnavailableError,
 )
-from .advice import AdviceCall, Adviser, choose_adviser
+from .advice import AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
@@ -42,9 +44,11 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from ..metrics import MetricSet
+    from .advice import AdviceAnswer
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
+    from .leasebounds import TermEnd
     from .model import QueueTable, StartReply, TaskKey, WorkerEntry, WorkerReport
 
 logger = structlog.get_logger(__name__)
@@ -71,8 +75,6 @@
 ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
-# Most calls for advice queued on one VM, as their total service time.
-MAX_ADVISER_QUEUE_S = 0.8
 ADVICE_SLACK_S = 0.6  # added to the expected time of a call and its queue
 # Ended jobs are deleted from the journal after this time in addition to the time for
 # which the platform can query them.
@@ -138,13 +140,14 @@
         ``"host:port"`` at which other VMs call this process.
     ask_term_ended : callable
         Coroutine function that asks the process at an address whether it extends no
-        lease for a term and never will.
+        lease for a term and never will, and since when; None if it still may.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
     metrics : MetricSet
         Records the times of jobs and of calls for advice.
     confirmed_at : float, seconds
-        When the newest successful append of the term was sent.
+        When the newest successful append was sent that carries a record under a key
+        of placers.
     resigning : bool
         Whether a resignation is being written; the term ends with it.
     """
@@ -154,9 +157,9 @@
     writer: LogWriter
     calls: WorkerCalls
     job_index: JobIndex
-    ask_advice: Callable[[str, AdviceCall, float], Awaitable[list[tuple[str, str]]]]
+    ask_advice: Callable[[str, AdviceCall, float], Awaitable[AdviceAnswer]]
     address: str
-    ask_term_ended: Callable[[str, int], Awaitable[bool]]
+    ask_term_ended: Callable[[str, int], Awaitable[TermEnd | None]]
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
@@ -180,11 +183,17 @@
         self.lease_journal = LeaseJournal(self.placer, self.address)
 
     def note_appended(self, sent_at: float) -> None:
-        """Handle a successful append of this term."""
+        """Handle a successful append with a record of the placer's own."""
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
+    def lease_s(self, now: float) -> float:
+        """Return the length of a lease granted now, in seconds; 0 for none."""
+        if self.ended or self.writer.fenced:
+            return 0.0
+        return self.placer.times.lease_s_at(now, self.confirmed_at)
+
     def may_act(self) -> bool:
-        """Return whether the term is confirmed, so that leases may be extended."""
+        """Return whether the term is confirmed, so that runs may be started."""
         held = may_extend(
             boottime(), self.confirmed_at, self.placer.times.max_unconfirmed_s
         )
@@ -241,25 +250,26 @@
         """Ask the process of the previous term until it has ended that term.
 
         Whichever process answers at its address has ended that term or was started
-        later.
+        later. An answer may still shorten the wait when no lease can be granted any
+        more, since it tells since when.
         """
         inherited = self.placer.inherited
         if not inherited.term:
             return
-        give_up_at = latest_lapse_at(self.placer) - self.placer.times.lease.lapse_s
-        while not self.ended and boottime() < give_up_at:
+        while not self.ended and boottime() < latest_lapse_at(self.placer):
             try:
-                ended = await self.ask_term_ended(inherited.address, inherited.term)
+                end = await self.ask_term_ended(inherited.address, inherited.term)
             except CuminhillError:
-                ended = False  # the longest lease counts until it answers
-            if ended:
+                end = None  # the longest lease counts until it answers
+            if end is not None:
                 now = boottime()
-                note_predecessor_ended(self.placer, now)
+                note_predecessor_ended(self.placer, end.ended_at(now))
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
                     address=inherited.address,
                     after_s=round(now - self.placer.begun_at, 2),
+                    for_s=round(end.for_s, 2),
                 )
                 return
             await curio.sleep(ASK_INTERVAL_S)
@@ -392,7 +402,7 @@
                 await self._disconnect(address)
                 break
             address = worker.entry.address
-            if not self.may_act():
+            if not self.lease_s(boottime()):
                 await curio.sleep(RENEW_RETRY_S)
                 continue
             if not await self._renew_once(worker):
@@ -414,8 +424,9 @@
         incarnation = worker.entry.incarnation
         lease_until_ms = None
         settled = worker.confirmed_token >= fencing_token
-        if worker.may_extend_leases() and self.may_act():
-            lease_until_ms = worker.lease_end_ms(now, self.placer.times.lease.lease_s)
+        lease_s = self.lease_s(now)
+        if worker.may_extend_leases() and lease_s:
+            lease_until_ms = worker.lease_end_ms(now, lease_s)
             worker.record_lease(lease_until_ms)
         wait_s = RENEW_WAIT_S if settled and worker.reachable else 0.0
         try:
@@ -502,7 +513,7 @@
             key=placement.key,
             run=placement.run,
             payload=progress.job.payload,
-            lease_until_ms=worker.lease_end_ms(now, self.placer.times.lease.lease_s),
+            lease_until_ms=worker.lease_end_ms(now, self.lease_s(now)),
             fencing_token=worker.fencing_token,
             checkpoint=slot.checkpoint,
             ticket=ticket,
@@ -786,41 +797,77 @@
     # Advice
 
     async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
-        adviser = choose_adviser(
-            self.advisers.values(), now, call.cost_s, MAX_ADVISER_QUEUE_S
-        )
+        adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
             return
         self.placer.advice.for_step(call.step).calling = True
-        await curio.spawn(self._fetch_advice, adviser, call, daemon=True)
+        sent = replace(call, term=self.leader_record.term)
+        await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
 
     async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
         sent_at = boottime()
-        wait_s = max(0.0, adviser.busy_until - sent_at) + ADVICE_SLACK_S
+        planned_s = max(0.0, adviser.busy_until - sent_at)
         advice = self.placer.advice.for_step(call.step)
+        # The wait for earlier calls that the placer counts with, and the service's own
+        # time, are told apart from the wait that the VM reports.
+        fields = {
+            "step": call.step,
+            "through": adviser.vm,
+            "rank": call.rank.name.lower(),
+            "named": len(call.workers),
+            "cost_ms": round(call.cost_s * 1000),
+            "planned_wait_ms": round(max(0.0, planned_s - call.cost_s) * 1000),
+        }
         try:
-            tickets = await self.ask_advice(adviser.vm, call, wait_s)
+            answer = await self.ask_advice(adviser.vm, call, planned_s + ADVICE_SLACK_S)
         except CuminhillError as exc:
             now = boottime()
+            cause = _record_failed_call(adviser, call, exc, now)
+            self.placer.counts[f"advice_{cause}"] += 1
             logger.info(
-                "advice failed", step=call.step, through=adviser.vm, error=str(exc)
+                "advice failed",
+                **fields,
+                cause=cause,
+                took_ms=round((now - sent_at) * 1000),
+                backlog_ms=round(max(0.0, adviser.busy_until - now) * 1000),
+                error=str(exc),
             )
-            adviser.record_failure(now)
             advice.record_failure(now)
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
-            adviser.record_answer(now)
+            adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
+            if answer.waited_s >= 0:
+                self.metrics.observe(
+                    "advice_wait_seconds", answer.waited_s, through=adviser.vm
+                )
             advice.store_answer(
-                call.workers, tickets, max(sent_at, now - 0.02), call.valid_s
+                call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
             )
             logger.info(
                 "advice",
-                step=call.step,
-                through=adviser.vm,
-                named=len(call.workers),
-                permitted=len(tickets),
+                **fields,
+                permitted=len(answer.tickets),
                 took_ms=round((now - sent_at) * 1000),
+                waited_ms=round(answer.waited_s * 1000),
             )
         await self._wake.set()
+
+
+def _record_failed_call(
+    adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
+) -> str:
+    """Record a failed call for advice with its VM; return the cause.
+
+    A VM that refuses a call for the others that it has is asked again when it has
+    answered those. Any other failure excludes it.
+    """
+    if isinstance(error, OverloadedError):
+        adviser.record_refusal(now, error.backlog_s)
+        return "refused"
+    if isinstance(error, UnavailableError):
+        adviser.record_failure(now, unsent_s=call.cost_s)
+        return "unreachable"
+    adviser.record_failure(now)
+    return "unanswered"
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -23,10 +23,11 @@
     record_crash,
     record_inherited_crashes,
     record_registration,
+    starts_apart,
 )
 from .decisions import Placement, decide
 from .evacuation import Move, evacuate
-from .fleet import LeaseTimes, Slot, Worker, first_fencing_token
+from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound
 from .model import EndKind, JobState, QueueTable, StartResult
@@ -51,6 +52,7 @@
         WorkerEntry,
         WorkerReport,
     )
+    from .packing import HeldRoom
     from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
@@ -84,12 +86,31 @@
     lease : LeaseTimes
         Durations of worker leases.
     max_unconfirmed_s : float, seconds
-        How long a placer may extend leases after its last confirmed journal write; for
-        this time a new placer assumes that its predecessor still extends them.
+        How long a placer starts runs after its last confirmed journal write. Earlier
+        builds extend leases in full for this time, and then not at all.
+    max_hold_s : float, seconds
+        Leases end at most this time after the last confirmed journal write. Shorter
+        than the outages of the journal that tasks are to survive makes them start
+        anew; a new placer waits for it on workers that it does not reach.
     """
 
     lease: LeaseTimes = field(default_factory=LeaseTimes)
     max_unconfirmed_s: float = 4.0
+    max_hold_s: float = 7.5
+
+    @property
+    def hold_s(self) -> float:
+        """Time after the last confirmation at which the last lease ends."""
+        return min(self.max_hold_s, self.max_unconfirmed_s + self.lease.lease_s)
+
+    @property
+    def unconfirmed_lapse_s(self) -> float:
+        """Time after the last confirmation until all leases have lapsed."""
+        return lapse_after_s(self.hold_s)
+
+    def lease_s_at(self, now: float, confirmed_at: float) -> float:
+        """Return the length of a lease granted now, in seconds; 0 for none."""
+        return max(0.0, min(self.lease.lease_s, confirmed_at + self.hold_s - now))
 
 
 @dataclass(eq=False)
@@ -105,6 +126,11 @@
     reserved : dict of str to float
         Workers reserved for blocked steps in the newest decision, with the times in
         seconds at which these are expected to start there.
+    left_out : dict of str to None
+        Names of waiting steps that the newest decision did not consider, those that
+        have waited for their turn for longest first.
+    held : dict
+        Room that the newest decision keeps for lasting tasks, by worker.
     headroom : dict
         Headroom for urgent work, by pool.
     mean_pace : dict
@@ -113,8 +139,8 @@
     inherited : InheritedLeases
         What the previous term has left in the journal about leases.
     predecessor_ended_at : float, seconds
-        When it was known that the previous term extends no lease any more; infinite
-        before.
+        Since when the previous term extends no lease any more; infinite while that is
+        not known.
     not_adopted : dict
         Tasks assigned to an incarnation that has not registered in this term, by key.
     listed : set of (str, int)
@@ -138,6 +164,8 @@
     counts: Counter[str] = field(default_factory=Counter)
     speeds: SpeedModel = field(default_factory=SpeedModel)
     reserved: dict[str, float] = field(default_factory=dict)
+    left_out: dict[str, None] = field(default_factory=dict)
+    held: dict[str, HeldRoom] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
@@ -250,6 +278,7 @@
             step.run_time_s,
             urgent=urgent,
             suspect=suspect,
+            starts_apart=task is not None and starts_apart(step, task),
             long_running=step.long_running,
         )
 
@@ -1015,7 +1044,8 @@
             Calls for advice, the most urgent first.
         """
         placements, calls = decide(self, now, wall)
-        return placements, calls + evacuate(self, now)
+        calls += evacuate(self, now)
+        return placements, sorted(calls, key=lambda call: call.rank)
 
 
 def _seconds_since(at: float, now: float) -> float | None:
