--- a/checks/lasting.py
+++ b/checks/lasting.py
@@ -13,6 +13,7 @@
 import math
 import os
 import random
+import signal
 import subprocess
 import sys
 import tempfile
@@ -474,6 +475,10 @@
     record = Record(folder / "record.txt")
 
     async def run() -> tuple[LastingSite, list[dict[str, Any]]]:
+        # The processes that the play has started end with it.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        if task is not None:
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as scratch:
             site = LastingSite(record, Path(scratch), True)
             try:
