Let tasks on leaving workers move into the headroom for urgent work

What callers would see: on a pool that is full but for the headroom, a lasting task stays on a worker that leaves, ends with it and stands still until its lease has lapsed.

Cause: `_move_step` asks for candidates like a first start. It now asks for those of a restart.

--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -179,6 +179,7 @@
         now=now,
         core_limit=core_limit,
         valid_at=now + MOVE_S,
+        restart=True,
     )
     _keep_promises(placer, candidates)
     n_movable = max(1, step_run.step.may_miss) - _n_away(placer, step_run)
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -12,7 +12,7 @@
 
 from cuminhill.errors import UnknownOutcomeError
 from cuminhill.jobs.evacuation import HOLD_S, MOVE_S
-from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.jobs.fleet import LeaseTimes, Slot
 from cuminhill.jobs.model import (
     AdviceTerms,
     EndedTask,
@@ -211,6 +211,20 @@
     assert again.key == run.key
 
 
+# Guards against a task that stays on a worker that leaves, and is lost with it, for the
+# room elsewhere is kept for urgent work; once lost, it may use that room.
+def test_a_task_moves_into_the_headroom_for_urgent_work():
+    lasting, urgent = make_queue(priority=1), make_queue("u", priority=0)
+    placer = make_placer(lasting, urgent)
+    (placed,) = place(placer, make_step(cores=7.0, long_running=True))
+    answer_renewal(placer, placed.worker_id, NOW, running=(running_row(placed),))
+    placer.headroom["pool"].mean_cores = 1000.0
+    (other,) = {"w1", "w2"} - {placed.worker_id}
+    placer.workers[other].add(Slot(task_key(9), 1, make_step(cores=7.0).need, 60.0))
+    drain(placer, placed.worker_id)
+    assert evacuated(placer) == [(placed.worker_id, placed.key, placed.run)]
+
+
 # Guards against a stay that each further record of the same notice prolongs.
 def test_a_notice_counts_from_its_first_record(cluster):
     async def scenario():
