Test that the place of a task that is being moved stays free

What callers would see: a lasting task on a worker that leaves is stopped for a place elsewhere, a batch takes that place before the end of the run is reported, and the task stands still although its own worker had not left.

Cause: `Placer.moves` keeps the room from other moves only. `decide` uses it to rank the step once its task waits; `hold_room` holds room for waiting and lost tasks, not for those that are being stopped.

The fault is not fixed here.

--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -211,6 +211,25 @@
     assert again.key == run.key
 
 
+# Guards against a task that is stopped for a place which other work then takes: nothing
+# ran the task any more, although its own worker had not left yet.
+def test_a_batch_does_not_take_the_place_of_a_task_that_is_being_moved():
+    lasting, patient = make_queue(priority=1), make_queue("p", priority=2)
+    placer = make_placer(lasting, patient)
+    (placed,) = place(placer, make_step(cores=12.0, long_running=True))
+    answer_renewal(placer, placed.worker_id, NOW, running=(running_row(placed),))
+    drain(placer, placed.worker_id)
+    assert evacuated(placer) == [(placed.worker_id, placed.key, placed.run)]
+    batch = make_step(cores=12.0, run_time_s=9.0)
+    submit(placer, make_job(batch, job_id="b" * 16, queue="p"), NOW)
+    taken, _ = placer.decide(NOW + 0.1, WALL)
+    end = ended_row(placed, 1, EndKind.STOPPED)
+    answer_renewal(placer, placed.worker_id, NOW + 0.3, ended=(end,))
+    moved, _ = placer.decide(NOW + 0.3, WALL)
+    assert [(item.key, item.run) for item in moved] == [(placed.key, 2)]
+    assert taken == []
+
+
 # Guards against a task that stays on a worker that leaves, and is lost with it, for the
 # room elsewhere is kept for urgent work; once lost, it may use that room.
 def test_a_task_moves_into_the_headroom_for_urgent_work():
