--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -12,7 +12,7 @@
 
 from cuminhill.errors import UnknownOutcomeError
 from cuminhill.jobs.evacuation import HOLD_S, MOVE_S
-from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.jobs.fleet import LeaseTimes, Slot
 from cuminhill.jobs.model import (
     AdviceTerms,
     EndedTask,
@@ -211,6 +211,39 @@
     assert again.key == run.key
 
 
+# Guards against a task that is stopped for a place which other work then takes: nothing
+# ran the task any more, although its own worker had not left yet.
+def test_a_batch_does_not_take_the_place_of_a_task_that_is_being_moved():
+    lasting, patient = make_queue(priority=1), make_queue("p", priority=2)
+    placer = make_placer(lasting, patient)
+    (placed,) = place(placer, make_step(cores=12.0, long_running=True))
+    answer_renewal(placer, placed.worker_id, NOW, running=(running_row(placed),))
+    drain(placer, placed.worker_id)
+    assert evacuated(placer) == [(placed.worker_id, placed.key, placed.run)]
+    batch = make_step(cores=12.0, run_time_s=9.0)
+    submit(placer, make_job(batch, job_id="b" * 16, queue="p"), NOW)
+    taken, _ = placer.decide(NOW + 0.1, WALL)
+    end = ended_row(placed, 1, EndKind.STOPPED)
+    answer_renewal(placer, placed.worker_id, NOW + 0.3, ended=(end,))
+    moved, _ = placer.decide(NOW + 0.3, WALL)
+    assert [(item.key, item.run) for item in moved] == [(placed.key, 2)]
+    assert taken == []
+
+
+# Guards against a task that stays on a worker that leaves, and is lost with it, for the
+# room elsewhere is kept for urgent work; once lost, it may use that room.
+def test_a_task_moves_into_the_headroom_for_urgent_work():
+    lasting, urgent = make_queue(priority=1), make_queue("u", priority=0)
+    placer = make_placer(lasting, urgent)
+    (placed,) = place(placer, make_step(cores=7.0, long_running=True))
+    answer_renewal(placer, placed.worker_id, NOW, running=(running_row(placed),))
+    placer.headroom["pool"].mean_cores = 1000.0
+    (other,) = {"w1", "w2"} - {placed.worker_id}
+    placer.workers[other].add(Slot(task_key(9), 1, make_step(cores=7.0).need, 60.0))
+    drain(placer, placed.worker_id)
+    assert evacuated(placer) == [(placed.worker_id, placed.key, placed.run)]
+
+
 # Guards against a stay that each further record of the same notice prolongs.
 def test_a_notice_counts_from_its_first_record(cluster):
     async def scenario():
