Keep the place of a task that is being moved, and bound the steps with kept room

A task on a leaving worker is stopped because another worker has room for it; a batch could take that room before the end of the run was reported, so that nothing ran the task although its own worker had not left yet. The room of a move is now held like that of lost tasks. tests/jobs/test_evacuation.py -k place_of_a_task failed before.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -57,6 +57,9 @@
 # Share of a pool's cores that may be kept for lasting tasks, though room for one task
 # always may: batches go on when many workers are lost.
 MAX_HELD_FRACTION = 0.25
+# Steps for which room is kept in one decision, those with the earliest start first; it
+# bounds the time of a decision after the loss of many workers.
+MAX_HELD_STEPS = 50
 # Room is kept for an interrupted task for this long: longer than a wait for leases and
 # for batches to end, while a task that can't start for another reason holds none.
 MAX_HOLD_S = 30.0
@@ -277,9 +280,14 @@
     """Keep room for lasting tasks that were interrupted or will be given up as lost.
 
     While such a task waits, for leases or advice, batches would take the room on the
-    few workers that may run it.
+    few workers that may run it. The same holds for tasks that are being moved, which
+    were stopped because their target had room.
     """
     placer.held = {}
+    for move in placer.moves.values():
+        if move.target in placer.workers:
+            hold = Hold(move.need, now)
+            placer.held.setdefault(move.target, HeldRoom()).add(hold)
     claims = [
         (now, step_run, _n_held_for(placer, step_run, now))
         for step_run, _, _ in waiting
@@ -290,7 +298,8 @@
         for step_run, (n_runs, lapse) in _lost_steps(placer).items()
         if step_run.step.long_running and not step_run.step.gang
     ]
-    for at, step_run, n_tasks in sorted(claims, key=lambda claim: claim[0]):
+    claims.sort(key=lambda claim: claim[0])
+    for at, step_run, n_tasks in claims[:MAX_HELD_STEPS]:
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.pool not in pools:
             continue
