--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -460,7 +460,7 @@
 
 def _waiting_rank(step_run: StepRun, queue: Queue) -> CallRank:
     """Return the rank of calls for a step with waiting tasks."""
-    if step_run.n_open > step_run.n_assigned:  # some have run before
+    if step_run.n_interrupted:
         return _lost_rank(step_run, queue)
     return CallRank.URGENT if queue.priority == 0 else CallRank.PLACE
 
