--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -4,11 +4,13 @@
 
 import math
 from dataclasses import replace
+from functools import partial
 
 import curio
 import pytest
 
 from cuminhill.clock import boottime
+from cuminhill.errors import UnavailableError
 from cuminhill.jobs.fleet import LeaseTimes
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.leadership import Leadership
@@ -17,6 +19,7 @@
 from cuminhill.jobs.node import JobNode
 from cuminhill.jobs.placer import PlacerTimes
 from cuminhill.jobs.records import (
+    JOB_PREFIX,
     LEADER_KEY,
     LEASES_KEY,
     JournalRecord,
@@ -25,6 +28,7 @@
     LeaseRecord,
     decode_leader_record,
     decode_lease_record,
+    encode_job,
     encode_leader_record,
     encode_lease_record,
 )
@@ -339,6 +343,79 @@
     run_to_end(scenario)
 
 
+# Guards against a wait for the longest lease that begins with a term after terms
+# without a record: their claimants did not learn that they had won, so what the last
+# placer had left in the journal counted for nothing.
+def test_terms_that_were_not_begun_do_not_begin_the_wait_anew(cluster, monkeypatch):
+    async def begin_later(node, begin):
+        if node.job_index.leader_record.term > 3:
+            await begin()
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await lose_worker_of_task(cluster, leaves=False)
+        lost_at = boottime()
+        nodes = [await cluster.start_node(f"vm{number}") for number in (1, 2, 3)]
+        for node in nodes:
+            await cluster.wait_for(node.is_ready)
+            begin = node._begin_term
+            monkeypatch.setattr(node, "_begin_term", partial(begin_later, node, begin))
+        await cluster.kill_node("vm0")
+        await cluster.wait_for(lambda: nodes[0].job_index.leader_record.term == 3)
+        leases = decode_lease_record(cluster.stored(LEASES_KEY).value)
+        assert leases.term == 1
+        await cluster.wait_for(lambda: has_second_run(cluster), 20.0)
+        assert cluster.leader().leadership.leader_record.term > 3
+        assert boottime() - lost_at < MAX_ABSENT_S
+
+    run_to_end(scenario)
+
+
+# Guards against leases that a term grants before its first record is stored: the
+# next term then counts from the records of the terms before.
+def test_a_term_without_a_record_of_leases_extends_none_and_starts_nothing(
+    cluster, monkeypatch
+):
+    async def scenario():
+        first = await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        await cluster.submit(first, make_job(make_step(long_running=True)))
+        await cluster.wait_for(cluster.workers.history)
+        second = await cluster.start_node("vm1")
+        await cluster.wait_for(second.is_ready)
+        leases, held = [], [True]
+        view, renew = cluster.views["vm1"][0], cluster.workers.renew
+        append = view.append
+
+        async def hold_leases(records, *args, **kwargs):
+            if held and any(key == LEASES_KEY for key, _ in records):
+                raise UnavailableError("held", step="append")
+            return await append(records, *args, **kwargs)
+
+        async def note_renewal(*args, **kwargs):
+            leases.append(kwargs["lease_until_ms"])
+            return await renew(*args, **kwargs)
+
+        monkeypatch.setattr(view, "append", hold_leases)
+        monkeypatch.setattr(cluster.workers, "renew", note_renewal)
+        await cluster.kill_node("vm0")
+        leases.clear()
+        await cluster.wait_for(lambda: second.leadership is not None)
+        job = make_job(make_step(), job_id="second")
+        cluster.journal.append_records([(JOB_PREFIX + job.job_id, encode_job(job))])
+        await curio.sleep(1.5)
+        assert cluster.leader() is second
+        assert not any(leases)
+        assert len(cluster.workers.history()) == 1
+        held.clear()
+        await cluster.wait_for(lambda: len(cluster.workers.history()) == 2)
+        await cluster.wait_for(lambda: any(leases))
+
+    run_to_end(scenario)
+
+
 # Guards against a change of the placer in a rolling upgrade: VMs of the earlier build
 # take no notice of lease records, so the placer has to write others as well.
 def test_a_build_without_lease_records_sees_that_the_placer_is_alive(
