Extend no lease before a term's first record of leases is stored

Cause: only the record of the term just before counted, since a term could extend leases before it wrote one. A claimant that does not learn that it has won, or that is killed or stopped, leaves a term without a record; the next term then waited for the longest lease from its own begin, and each such term began that wait anew.

Change: a term extends no lease and starts nothing before its first record of leases is stored, which is one append after the claim. So a term without a record has granted nothing, and the newest record bounds all leases, however many terms lie between.

Ruled out: a record in the claim itself. The claimant has not read what its predecessor writes until the claim is stored, and that may allow leases on workers that the claimant would list.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -96,7 +96,8 @@
     placer_read_at : float, seconds
         When the newest record under a placer's key was read.
     predecessor_read_at : float, seconds
-        The same for the records before the newest claim that has won.
+        The same for the records before the first claim that has won after the newest
+        term that can have extended leases.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
@@ -189,12 +190,17 @@
             self.leader_record.term,
             self.leader_record.nonce,
         )
-        if record.term > self.leader_record.term:
+        if record.term > self.leader_record.term and not self._granted_nothing():
             self.predecessor_read_at = self.placer_read_at
         if record.term > self.leader_record.term or same:
             self.leader_record = record
             self.n_placer_records += 1
 
+    def _granted_nothing(self) -> bool:
+        """Return whether the newest term can't have extended any lease."""
+        recorded = self.leases.term >= self.leader_record.term
+        return self.leader_record.recorded_since > 0 and not recorded
+
     def _fold_resignation(self, value: bytes) -> None:
         record = decode_leader_record(value)
         if (record.term, record.nonce) == (
@@ -259,12 +265,16 @@
         entry.job = entry.run = b""
 
     def inherited_leases(self) -> InheritedLeases:
-        """Return what the term before the newest has left about leases.
+        """Return what the terms before the newest have left about leases.
 
-        Only a record of that term counts: one in between that wrote none may have
-        extended any lease.
+        The newest record bounds all leases if each term after it extends none before
+        a record of its own.
         """
-        if not self.leases.term or self.leases.term != self.leader_record.term - 1:
+        leader = self.leader_record
+        recorded_since = leader.recorded_since or leader.term
+        if not self.leases.term or not (
+            recorded_since - 1 <= self.leases.term < leader.term
+        ):
             return NO_INHERITED_LEASES
         return inherit_leases(
             self.leases, self.leases_read_at, self.predecessor_read_at
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -180,6 +180,9 @@
     _renewers: dict[str, Any] = field(default_factory=dict)
     _send_queues: dict[str, curio.Queue] = field(default_factory=dict)
     _to_journal: Any = field(default_factory=curio.Event)
+    # Set once the term's first record of leases is stored. Before that it extends no
+    # lease and starts nothing, so that a term without a record has granted nothing.
+    _recorded: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
     # When a record was sent by which others see that the placer is alive: progress of
     # jobs or its claim. Earlier builds do not count records of leases.
@@ -196,13 +199,13 @@
 
     def lease_s(self, now: float) -> float:
         """Return the length of a lease granted now, in seconds; 0 for none."""
-        if self.ended or self.writer.fenced:
+        if self.ended or self.writer.fenced or not self._recorded.is_set():
             return 0.0
         return self.placer.times.lease_s_at(now, self.confirmed_at)
 
     def may_act(self) -> bool:
         """Return whether the term is confirmed, so that runs may be started."""
-        held = may_extend(
+        held = self._recorded.is_set() and may_extend(
             boottime(), self.confirmed_at, self.placer.times.max_unconfirmed_s
         )
         return held and not self.ended and not self.writer.fenced
@@ -303,10 +306,7 @@
         await self.writer.close()
 
     def _resignation(self) -> bytes:
-        record = self.leader_record
-        return encode_leader_record(
-            LeaderRecord(record.term, record.vm, record.nonce, resigned=True)
-        )
+        return encode_leader_record(replace(self.leader_record, resigned=True))
 
     async def resign(self) -> bool:
         """Write a resignation and end the term; return whether it was written."""
@@ -404,6 +404,7 @@
 
     async def _renew_worker(self, worker_id: str) -> None:
         address = ""
+        await self._recorded.wait()
         while not self.ended:
             worker = self.placer.workers.get(worker_id)
             if worker is None:
@@ -659,6 +660,7 @@
     async def _journal(self) -> None:
         """Write the progress of changed jobs; then send starts and acknowledge ends."""
         try:
+            await self._record_leases()
             while not self.ended:
                 await self._to_journal.wait()
                 self._to_journal.clear()
@@ -669,6 +671,15 @@
             )
             self.ended = True
 
+    async def _record_leases(self) -> None:
+        """Write the term's first record of leases."""
+        record = self.lease_journal.prepare(boottime())
+        if record is not None:
+            await self._append_records([(LEASES_KEY, encode_lease_record(record))])
+        self.lease_journal.note_stored()
+        await self._recorded.set()
+        await self._wake.set()
+
     async def _enqueue(self, worker_id: str, item: Placement | StopOrder) -> None:
         queue = self._send_queues.get(worker_id)
         if queue is not None:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -28,6 +28,10 @@
 # read: a VM that follows the journal reads sooner, one that has just started within the
 # time that a start takes.
 MAX_READ_LAG_S = 3.0
+# Bound of the list in a record, and of one entry without the worker's name. A record
+# that the log rejects would keep its term from extending any lease.
+MAX_LIST_BYTES = 200_000
+ENTRY_BYTES = 50
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +224,7 @@
         return record
 
     def _make(self, bounds: dict[tuple[str, int], float], now: float) -> LeaseRecord:
+        bounds = fit_bounds(bounds)
         self._n_made += 1
         self._made_at, self.placer.listed = now, set(bounds)
         return LeaseRecord(
@@ -247,6 +252,21 @@
                 worker.withheld = False
 
 
+def fit_bounds(bounds: dict[tuple[str, int], float]) -> dict[tuple[str, int], float]:
+    """Return the bounds that fit into one record, those that end first.
+
+    The longest lease counts for a worker that is left out.
+    """
+    fitting: dict[tuple[str, int], float] = {}
+    n_bytes = 0
+    for life, at in sorted(bounds.items(), key=lambda item: item[1]):
+        n_bytes += len(life[0].encode()) + ENTRY_BYTES
+        if n_bytes > MAX_LIST_BYTES:
+            break
+        fitting[life] = at
+    return fitting
+
+
 def list_unreached(placer: Placer, now: float) -> dict[tuple[str, int], float]:
     """Withhold leases on the workers with runs that are not reached; return these.
 
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -45,6 +45,7 @@
     encode_leader_record,
     encode_member,
     is_placer_key,
+    make_claim,
 )
 from .service import JobService
 
@@ -476,7 +477,8 @@
         """
         nonce = f"{self.rng.getrandbits(48):012x}"
         term = max(self.job_index.leader_record.term, self._used_term) + 1
-        claim = LeaderRecord(term, self.options.vm, nonce)
+        leader = self.job_index.leader_record
+        claim = make_claim(term, self.options.vm, nonce, leader)
         self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
         self._claimed_at = boottime()
         token = WriterToken(PLACER_WRITER, claim.term, self._claim_number)
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -88,6 +88,10 @@
     latency_s : float, seconds
         Mean latency of the placer's appends, so that others do not mistake a slow
         journal for a dead placer.
+    recorded_since : int
+        First term from which on, up to this one, each term extends no lease before its
+        first record of leases is stored; 0 if this term may do so, as in builds
+        without the field.
     """
 
     term: int
@@ -95,6 +99,7 @@
     nonce: str
     resigned: bool = False
     latency_s: float = 0.0
+    recorded_since: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +172,21 @@
 NO_LEADER = LeaderRecord(0, "", "", resigned=True)
 
 
+def make_claim(
+    term: int, vm: str, nonce: str, newest: LeaderRecord = NO_LEADER
+) -> LeaderRecord:
+    """Return a claim of a term that extends no lease before its first record.
+
+    Parameters
+    ----------
+    newest : LeaderRecord
+        Newest claim that the claimant has read.
+    """
+    follows = newest.term == term - 1 and newest.recorded_since
+    since = newest.recorded_since if follows else term
+    return LeaderRecord(term, vm, nonce, recorded_since=since)
+
+
 def is_placer_key(key: str) -> bool:
     """Return whether only placers write records under a key, also to delete them."""
     return key in _PLACER_KEYS or key.startswith(RUN_PREFIX)
@@ -183,6 +203,7 @@
     nonce: Name
     resigned: bool = False
     latency_s: Annotated[float, Field(ge=0, le=MAX_LATENCY_S)] = 0.0
+    recorded_since: Annotated[int, Field(ge=0, le=MAX_TERM)] = 0
 
 
 def decode_leader_record(value: bytes) -> LeaderRecord:
