Drop the bounds of leases after a record of them that can't be read

Cause: since a record counts until a later term has stored one, an unreadable record, such as one of a later build, left the bounds of an earlier term in force, although its term may have extended the leases. Change: an unreadable record leaves no bounds, so the longest lease counts. A term without any readable record before it is not taken for one that has granted nothing.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -170,6 +170,8 @@
         elif key == RESIGNATION_KEY:
             self._fold_resignation(value)
         elif key == LEASES_KEY:
+            # The term of an unreadable one may have extended leases as well.
+            self.leases = NO_LEASES
             self.leases, self.leases_read_at = decode_lease_record(value), now
             self.n_placer_records += 1
         elif key == SPEEDS_KEY:
@@ -198,8 +200,8 @@
 
     def _granted_nothing(self) -> bool:
         """Return whether the newest term can't have extended any lease."""
-        recorded = self.leases.term >= self.leader_record.term
-        return self.leader_record.recorded_since > 0 and not recorded
+        leader = self.leader_record
+        return leader.recorded_since > 0 and 0 < self.leases.term < leader.term
 
     def _fold_resignation(self, value: bytes) -> None:
         record = decode_leader_record(value)
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -200,6 +200,19 @@
     assert index.inherited_leases() == NO_INHERITED_LEASES
 
 
+# Guards against bounds of an earlier term after one whose record can't be read, such as
+# one of a later build: it may have extended the leases since.
+def test_an_earlier_record_does_not_count_after_an_unreadable_one():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW)
+    fold_claim(index, 2, NOW + 1)
+    assert index.inherited_leases().term == 1
+    index.fold(JournalRecord(1, LEASES_KEY, b'{"term":2}'), NOW + 2)
+    fold_claim(index, 3, NOW + 3)
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
 # Guards against a wait that begins anew with each term, for a worker that has left.
 def test_a_task_starts_when_the_leases_have_lapsed_whatever_the_number_of_terms():
     placer = make_placer(n_workers=1)
