Repeat a claim until its outcome is known

Cause: a claim was sent once, with a time-out of 1 s. After that the VM made another claim and forgot the first one. A slow log that loses answers stored the first one later; its claimant did not know it any more, took it for one of an earlier process, and claimed the next term at once.

The claim counts from its first attempt, as before. A claim that is answered costs one append, as before.

In test_claims.py a claim that is stored 1.2 s after it was accepted was not begun within 10 s; it is now. The case without a slow log and the placer that writes again passed before too; they guard the repeats.

Ruled out: the term's own writer for the claim. The term may begin as soon as the claim is read, which can be before its answer; its writer would then wait for the answer to the repeat.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -11,11 +12,7 @@
 import structlog
 
 from ..clock import boottime
-from ..errors import (
-    CuminhillError,
-    FencedError,
-    ProtocolError,
-)
+from ..errors import CuminhillError
 from ..rpc import RpcServer
 from .election import (
     ALIVE_TIMEOUT_S,
@@ -27,7 +24,7 @@
     fitter_member,
 )
 from .jobindex import JobIndex
-from .journal import KeyedLog, LogWriter, WriterToken
+from .journal import KeyedLog, LogWriter
 from .leadership import Leadership, WorkerCalls
 from .leasebounds import TermEnd
 from .logreader import LogFollower
@@ -426,16 +423,21 @@
             ):
                 await self._begin_term()
                 continue
-            ready = self.table.version and self.journal.synced and self.registry.synced
-            now = boottime()
-            view = JournalView(
-                self.journal.read_at,
-                self.journal.reachable_since,
-                max(self.writer.latency_s, self.job_index.leader_record.latency_s),
-            )
-            if ready and self.election.may_claim(self.job_index.members, now, view):
+            if self._may_claim():
                 await self._make_claim()
 
+    def _may_claim(self) -> bool:
+        """Return whether this VM may claim the next term, or repeat its claim."""
+        view = JournalView(
+            self.journal.read_at,
+            self.journal.reachable_since,
+            max(self.writer.latency_s, self.job_index.leader_record.latency_s),
+        )
+        ready = self.table.version and self.journal.synced and self.registry.synced
+        if self.draining or not ready:
+            return False
+        return self.election.may_claim(self.job_index.members, boottime(), view)
+
     async def _hand_over_if_unfit(self, leadership: Leadership) -> None:
         """Resign if a clearly fitter VM is alive."""
         now = boottime()
@@ -473,42 +475,92 @@
         """Append a claim; of several claims of one term only the first is stored.
 
         A claim is the first append of its term's epoch, so the log itself refuses later
-        claims of that term and claims of earlier terms.
+        claims of that term and claims of earlier terms. A claim with an unknown outcome
+        is repeated, never replaced by another one: it may be stored seconds later, and
+        the term would then have a placer that does not know that it has won.
         """
-        nonce = f"{self.rng.getrandbits(48):012x}"
-        term = max(self.job_index.leader_record.term, self._used_term) + 1
+        claim = self._claim
         leader = self.job_index.leader_record
-        claim = make_claim(term, self.options.vm, nonce, leader)
-        self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
-        self._claimed_at = boottime()
-        token = WriterToken(PLACER_WRITER, claim.term, self._claim_number)
+        if claim is None or claim.term <= leader.term:
+            nonce = f"{self.rng.getrandbits(48):012x}"
+            term = max(leader.term, self._used_term) + 1
+            claim = make_claim(term, self.options.vm, nonce, leader)
+            self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
+            self._claimed_at = boottime()
         silent_s = boottime() - self.election.newest_record_at
         logger.info(
             "claiming",
             term=claim.term,
-            before=self.job_index.leader_record.vm,
+            before=leader.vm,
             silent_s=round(silent_s, 2),
+            since_s=round(boottime() - self._claimed_at, 2),
             offset=self.journal.offset,
         )
-        try:
-            await self.backends.journal.append(
-                [(LEADER_KEY, encode_leader_record(claim))],
-                token,
-                timeout_s=CLAIM_TIMEOUT_S,
-            )
-        except (FencedError, ProtocolError) as exc:
-            logger.info("claim refused", term=claim.term, error=str(exc))
-            caught_up = await self.journal.catch_up(CLAIM_TIMEOUT_S)
-            if caught_up and self.job_index.leader_record.term < claim.term:
-                # The term was used, but its claim is no longer in the journal.
-                self._used_term = claim.term
-            await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
-        except CuminhillError as exc:
+        stored = await self._append_as_placer(
+            claim, self._claim_number, lambda: self._may_repeat(claim)
+        )
+        if stored is None:
             # If it was stored nevertheless, the journal will show it.
-            logger.info("claim outcome unknown", term=claim.term, error=str(exc))
-            await self.journal.catch_up(CLAIM_TIMEOUT_S)
-        else:
-            await self.journal.catch_up(CLAIM_TIMEOUT_S)
+            logger.info("claim outcome unknown", term=claim.term)
+        caught_up = await self.journal.catch_up(CLAIM_TIMEOUT_S)
+        if stored is not False:
+            return
+        logger.info("claim refused", term=claim.term)
+        if self._claim is claim:
+            self._claim = None
+        if caught_up and self.job_index.leader_record.term < claim.term:
+            # The term was used, but its claim is no longer in the journal.
+            self._used_term = claim.term
+        await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
+
+    def _may_repeat(self, claim: LeaderRecord) -> bool:
+        return (
+            self._claim is claim
+            and self.job_index.leader_record.term < claim.term
+            # The placer gets time to write once the journal is reachable again.
+            and self.journal.reachable
+            and self._may_claim()
+        )
+
+    async def _append_as_placer(
+        self, record: LeaderRecord, number: int, is_wanted: Callable[[], bool]
+    ) -> bool | None:
+        """Append a record under the epoch of its term until the outcome is known.
+
+        Parameters
+        ----------
+        is_wanted : callable
+            Returns whether to go on.
+
+        Returns
+        -------
+        stored : bool or None
+            False if the log refuses the append for good; None if the outcome is
+            unknown.
+        """
+        writer = LogWriter(
+            self.backends.journal,
+            PLACER_WRITER,
+            record.term,
+            number,
+            keeps_epoch=True,
+            reader=self.journal,
+        )
+        await writer.start_caller()
+        records = [(LEADER_KEY, encode_leader_record(record))]
+        run = await curio.spawn(writer.run, daemon=True)
+        stored: list[bool] = []
+        append = await curio.spawn(_note_append, writer, records, stored, daemon=True)
+        try:
+            while not append.terminated and is_wanted():
+                async with curio.ignore_after(ELECTION_TICK_S):
+                    await append.wait()
+            refused = writer.fenced
+        finally:
+            await run.cancel()
+            await writer.close()
+        await append.wait()
+        return stored[0] if stored and (stored[0] or refused) else None
 
     def _disclaim_term(self, term: int) -> TermEnd | None:
         """Abandon a claim of a term that was not begun; return since when it is over.
@@ -724,6 +776,18 @@
     return "ready" if worker.health.accepts_runs(now) else "ejected"
 
 
+async def _note_append(
+    writer: LogWriter, records: list[tuple[str, bytes]], stored: list[bool]
+) -> None:
+    """Append records and add to a list whether that succeeded."""
+    try:
+        await writer.append(records, math.inf)
+    except CuminhillError:
+        stored.append(False)
+    else:
+        stored.append(True)
+
+
 async def _supervise(name: str, run: Callable[[], Any]) -> None:
     """Run a task; log a failure and restart it."""
     while True:
