Leave time for a claim that the log has accepted and does not show yet

Cause: the log refuses by epoch and number as soon as it has accepted a claim; a slow log shows the claim up to 1.3 s later.

Change: a refusal is evidence of a claim. Until a claim of that term or a later one has been read, the VM waits for the election timeout, counted from the refusal, and then claims the term after it. The pause after a refusal is no longer needed.

Ruled out: reads that were sent before the refusal. catch_up counts only those that it sends itself, later.

--- a/cuminhill/jobs/election.py
+++ b/cuminhill/jobs/election.py
@@ -72,6 +72,10 @@
         Count of all records that placers have written.
     fitness : float
         Suitability of this VM as the placer, from 0 to 1.
+    refused_term : int
+        Newest term that the log has shown, by a refusal, to be claimed.
+    refused_at : float, seconds
+        When it was last refused.
     """
 
     vm: str
@@ -79,6 +83,8 @@
     newest_record_at: float
     n_records: int = 0
     fitness: float = 1.0
+    refused_term: int = 0
+    refused_at: float = 0.0
 
     def observe(self, leader_record: LeaderRecord, n_records: int, now: float) -> None:
         """Update the view after records were folded.
@@ -92,6 +98,26 @@
             self.leader_record, self.n_records = leader_record, n_records
             self.newest_record_at = now
 
+    def note_refusal(self, term: int, now: float) -> None:
+        """Note that the log has refused an append since a VM has claimed a term.
+
+        The log refuses as soon as it has accepted the claim, and a slow one stores it
+        seconds later. Until it can be read, its claimant gets the election timeout.
+        """
+        if term > self.leader_record.term:
+            self.refused_term = max(self.refused_term, term)
+            self.refused_at = now
+
+    @property
+    def awaits_claim(self) -> bool:
+        """Whether a claim has been accepted by the log that has not been read."""
+        return self.refused_term > self.leader_record.term
+
+    @property
+    def next_term(self) -> int:
+        """The lowest term that may not have been claimed."""
+        return max(self.leader_record.term, self.refused_term) + 1
+
     def claim_at(self, members: Mapping[str, Member], latency_s: float = 0.0) -> float:
         """Return the time from which this VM may claim to be the placer.
 
@@ -99,10 +125,12 @@
         from term to term, so that a VM that fails repeatedly is not always first. A VM
         whose earlier incarnation was the placer does not wait, since it has ended.
         """
+        resigned = self.leader_record.resigned and not self.awaits_claim
         if (
             self.leader_record.vm == self.vm
             and self.leader_record.term
             and not self.leader_record.resigned
+            and not self.awaits_claim
         ):
             return self.newest_record_at
         fitness = {
@@ -115,9 +143,12 @@
         order.sort(key=lambda vm: -fitness[vm])
         delay_s = min(MAX_STAGGER_S, order.index(self.vm) * STAGGER_S)
         timeout_s = PLACER_TIMEOUT_S + LATENCY_FACTOR * latency_s
-        if self.leader_record.resigned:
+        if resigned:
             timeout_s = UNFIT_DELAY_S * (1 - self.fitness)
-        return self.newest_record_at + timeout_s + delay_s
+        since = self.newest_record_at
+        if self.awaits_claim:
+            since = max(since, self.refused_at)
+        return since + timeout_s + delay_s
 
     def may_claim(
         self, members: Mapping[str, Member], now: float, journal: JournalView
@@ -128,7 +159,7 @@
         and the placer gets time to write again after the journal was unreachable.
         """
         claim_at = self.claim_at(members, journal.latency_s)
-        if self.leader_record.resigned:
+        if self.leader_record.resigned and not self.awaits_claim:
             return now >= claim_at
         read_until = min(now, journal.read_at)
         return read_until >= max(claim_at, journal.readable_since + RECOVERY_GRACE_S)
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -171,6 +171,8 @@
     refused_since : float, seconds
         Since when the log has refused every append; 0 while it does not, or after an
         append without an answer.
+    superseded : bool
+        Whether the log has refused an append since a later epoch had begun.
     """
 
     log: KeyedLog
@@ -189,6 +191,7 @@
     n_unknown: int = 0
     n_refused: int = 0
     fenced: bool = False
+    superseded: bool = False
     refused_since: float = 0.0
     appended_at: float = 0.0
     _queue: list[_PendingAppend] = field(default_factory=list)
@@ -467,7 +470,7 @@
         return waited_s < max(MIN_ANSWER_WAIT_S, expected_s)
 
     def _fenced(self, error: FencedError, outcome_unknown: bool) -> CuminhillError:
-        self.fenced = True
+        self.fenced = self.superseded = True
         logger.warning("writer fenced", writer=self.writer, error=str(error))
         if not outcome_unknown:
             return error
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -68,7 +68,6 @@
 CONFIG_PAUSE_S = 0.02
 ELECTION_TICK_S = 0.05
 CLAIM_TIMEOUT_S = 1.0
-CLAIM_PAUSE_S = 0.2  # longest pause after a claim that was refused
 # A VM whose newest read is older, or whose appends have failed for longer, reports not
 # ready, so that new callers go to other VMs.
 READY_MAX_AGE_S = 1.6
@@ -159,7 +158,6 @@
     _claim: LeaderRecord | None = None
     _claim_number: int = 0
     _claimed_at: float = 0.0
-    _used_term: int = 0
     # Since when no earlier process at this address, and no term of this one that has
     # been removed, extends leases.
     _idle_since: float = 0.0
@@ -483,7 +481,7 @@
         leader = self.job_index.leader_record
         if claim is None or claim.term <= leader.term:
             nonce = f"{self.rng.getrandbits(48):012x}"
-            term = max(leader.term, self._used_term) + 1
+            term = self.election.next_term
             claim = make_claim(term, self.options.vm, nonce, leader)
             self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
             self._claimed_at = boottime()
@@ -502,16 +500,12 @@
         if stored is None:
             # If it was stored nevertheless, the journal will show it.
             logger.info("claim outcome unknown", term=claim.term)
-        caught_up = await self.journal.catch_up(CLAIM_TIMEOUT_S)
-        if stored is not False:
-            return
-        logger.info("claim refused", term=claim.term)
-        if self._claim is claim:
-            self._claim = None
-        if caught_up and self.job_index.leader_record.term < claim.term:
-            # The term was used, but its claim is no longer in the journal.
-            self._used_term = claim.term
-        await curio.sleep(CLAIM_PAUSE_S * self.rng.random())
+        elif not stored:
+            logger.info("claim refused", term=claim.term)
+            self.election.note_refusal(claim.term, boottime())
+            if self._claim is claim:
+                self._claim = None
+        await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
     def _may_repeat(self, claim: LeaderRecord) -> bool:
         return (
@@ -646,6 +640,9 @@
         if replaced or leader.resigned or leadership.ended or leadership.writer.fenced:
             await leadership.end()
             self._idle_since = boottime()
+            if leadership.writer.superseded:
+                term = leadership.leader_record.term + 1
+                self.election.note_refusal(term, boottime())
             self.leadership = self.peers.placer_writer = None
             self._claim = None
             self.journal.pause_s = FOLLOW_PAUSE_S
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -9,7 +9,12 @@
 from cuminhill.errors import UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.election import PLACER_TIMEOUT_S
 from cuminhill.jobs.node import PLACER_WRITER
-from cuminhill.jobs.records import LEADER_KEY, decode_leader_record
+from cuminhill.jobs.records import (
+    LEADER_KEY,
+    LeaderRecord,
+    decode_leader_record,
+    encode_leader_record,
+)
 from cuminhill.util.kernel import run_to_end
 
 STORED_AFTER_S = 1.2  # the log takes this long for a claim that it has accepted
@@ -118,3 +123,40 @@
         assert second.leadership is None
 
     run_to_end(scenario)
+
+
+# Guards against a claim of one more term by each VM that is refused, while the log has
+# accepted the first claim and does not show it yet: each fenced the one before.
+def test_a_refused_claim_is_not_followed_by_one_of_the_next_term(cluster):
+    async def scenario():
+        vms = ["vm0", "vm1", "vm2", "vm3"]
+        await start_nodes(cluster, *vms)
+        late = LateClaims(cluster, vms[1:])
+        await cluster.kill_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        await curio.sleep(PLACER_TIMEOUT_S)
+        assert [claim.term for claim in late.accepted] == [2]
+        assert cluster.leader().leadership.leader_record == late.accepted[0]
+
+    run_to_end(scenario)
+
+
+# Guards against a placer that is fenced by a claim and claims the next term at once,
+# since the journal still shows its own term as the newest.
+def test_a_fenced_placer_leaves_time_for_the_claim_that_fenced_it(cluster):
+    async def scenario():
+        (node,) = await start_nodes(cluster, "vm0")
+        late = LateClaims(cluster, ["vm0"])
+        leadership = node.leadership
+        term = leadership.leader_record.term
+        cluster.journal.writers[PLACER_WRITER] = (term + 1, 17)
+        await cluster.wait_for(lambda: leadership.ended)
+        await curio.sleep(STORED_AFTER_S)
+        assert not late.accepted
+        other = LeaderRecord(term + 1, "vm1", "n1", recorded_since=1)
+        cluster.journal.append_records([(LEADER_KEY, encode_leader_record(other))])
+        # Nobody begins that term either, so its silence counts from the claim.
+        await cluster.wait_for(cluster.leader)
+        assert node.leadership.leader_record.term == term + 2
+
+    run_to_end(scenario)
