Resign a term that a stopping VM has won

A VM that had been told to stop won a term and nobody began it; the others waited for 1.4 s and more of silence.

Cause: the election ignored everything once the VM drained, also the claim that it had made before. A drain between the reading of the claim and the begin of the term let the term begin; drain() had returned by then, so that nobody resigned it when the process ended.

Change: a draining VM that reads its own claim as the newest writes the resignation of that claim, with the number after the claim's under its epoch, until it is stored or a later term has been claimed. It is written only after the claim has been read, since a higher epoch may start at any number.

Ruled out: a resignation under the key of resignations by other VMs. The VM's own appends need no other VM, and one that the log does not answer is repeated.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -413,17 +413,24 @@
                 await self._hand_over_if_unfit(self.leadership)
                 await self._hand_over_if_isolated(self.leadership)
                 continue
-            if self.draining:
-                continue
-            if (
-                self._claim is not None
-                and self.job_index.leader_record.nonce == self._claim.nonce
-            ):
-                await self._begin_term()
+            if self._has_won():
+                if self.draining:
+                    await self._resign_claim()
+                else:
+                    await self._begin_term()
                 continue
             if self._may_claim():
                 await self._make_claim()
 
+    def _has_won(self) -> bool:
+        """Return whether the newest term is that of this process's own claim."""
+        leader = self.job_index.leader_record
+        return (
+            self._claim is not None
+            and leader.nonce == self._claim.nonce
+            and not leader.resigned
+        )
+
     def _may_claim(self) -> bool:
         """Return whether this VM may claim the next term, or repeat its claim."""
         view = JournalView(
@@ -507,6 +514,23 @@
                 self._claim = None
         await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
+    async def _resign_claim(self) -> None:
+        """Resign from a term that was not begun, so that others claim at once.
+
+        It has the number after that of the claim, which has been read, so the log
+        refuses it only once a later term has been claimed.
+        """
+        leader = self.job_index.leader_record
+        stored = await self._append_as_placer(
+            replace(leader, resigned=True),
+            self._claim_number + 1,
+            lambda: self.job_index.leader_record == leader,
+        )
+        logger.info("resigned a term not begun", term=leader.term, stored=stored)
+        if stored is False:
+            self._claim = None  # a later term has been claimed
+        await self.journal.catch_up(CLAIM_TIMEOUT_S)
+
     def _may_repeat(self, claim: LeaderRecord) -> bool:
         return (
             self._claim is claim
@@ -610,8 +634,8 @@
         writer.on_appended = leadership.note_appended
         # A draining worker must be known before any task is started on it.
         await self.registry.catch_up(CLAIM_TIMEOUT_S)
-        if self._claim is None:
-            return  # a later term has begun
+        if self.draining or not self._has_won():
+            return
         self.journal.pause_s = PLACER_PAUSE_S
         self.registry.pause_s = PLACER_REGISTRY_PAUSE_S
         # Nothing may be delivered to the term before it has loaded all jobs: ends of
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -56,6 +56,16 @@
         self.stored.add(token.epoch)
 
 
+def claims(cluster):
+    """Return the claims in the journal, without their renewals."""
+    records = [
+        decode_leader_record(record.value)
+        for record in cluster.journal.records
+        if record.key == LEADER_KEY
+    ]
+    return {(record.term, record.nonce): record for record in records}
+
+
 async def start_nodes(cluster, *vms):
     """Start nodes, the first of which leads."""
     nodes = [await cluster.start_node(vms[0])]
@@ -160,3 +170,35 @@
         assert node.leadership.leader_record.term == term + 2
 
     run_to_end(scenario)
+
+
+# Guards against a term that a stopping VM wins and nobody begins: the others took it
+# for a silent placer, after a claim whose answer came too late for the VM.
+@pytest.mark.parametrize("drains", ["claim accepted", "claim stored", "claim read"])
+def test_a_vm_that_wins_while_it_stops_resigns(cluster, drains):
+    async def scenario():
+        first, second = await start_nodes(cluster, "vm0", "vm1")
+        late = LateClaims(cluster, ["vm1"])
+        catch_up = second.registry.catch_up
+
+        async def drain_first(timeout_s):
+            await second.drain()
+            return await catch_up(timeout_s)
+
+        if drains == "claim read":
+            second.registry.catch_up = drain_first
+        await first.drain()
+        await cluster.wait_for(lambda: late.accepted)
+        claim = late.accepted[0]
+        if drains == "claim stored":
+            await cluster.wait_for(lambda: late.stored)
+        if drains != "claim read":
+            await second.drain()
+        key = claim.term, claim.nonce
+        await cluster.wait_for(lambda: key in claims(cluster))
+        await cluster.wait_for(lambda: claims(cluster)[key].resigned, PLACER_TIMEOUT_S)
+        await curio.sleep(PLACER_TIMEOUT_S)
+        assert late.accepted == [claim]
+        assert second.leadership is None
+
+    run_to_end(scenario)
