Tell the latency of the log in a claim

What callers saw: nothing that a log shows. The claim said 0.0, so that others gave a claimant on a slow log 1.4 s to write its first record, unless their own appends were slow; its first renewal of the claim told the latency.

Cause: the latency was set in renewals of the claim only.

Change: the claim carries the mean latency of the VM's own appends. That of the last placer is not passed on, since nothing would correct it over terms that are not begun.

Evidence: the new test of test_claims.py found 0.0 with appends of 0.5 s; it passes now.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -35,6 +35,7 @@
 from .progress import crash_rows
 from .records import (
     LEADER_KEY,
+    MAX_LATENCY_S,
     MEMBER_PREFIX,
     JournalRecord,
     LeaderRecord,
@@ -489,7 +490,8 @@
         if claim is None or claim.term <= leader.term:
             nonce = f"{self.rng.getrandbits(48):012x}"
             term = self.election.next_term
-            claim = make_claim(term, self.options.vm, nonce, leader)
+            latency_s = min(MAX_LATENCY_S, self.writer.latency_s)
+            claim = make_claim(term, self.options.vm, nonce, leader, latency_s)
             self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
             self._claimed_at = boottime()
         silent_s = boottime() - self.election.newest_record_at
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -173,7 +173,11 @@
 
 
 def make_claim(
-    term: int, vm: str, nonce: str, newest: LeaderRecord = NO_LEADER
+    term: int,
+    vm: str,
+    nonce: str,
+    newest: LeaderRecord = NO_LEADER,
+    latency_s: float = 0.0,
 ) -> LeaderRecord:
     """Return a claim of a term that extends no lease before its first record.
 
@@ -181,10 +185,14 @@
     ----------
     newest : LeaderRecord
         Newest claim that the claimant has read.
+    latency_s : float, seconds
+        Mean latency of the claimant's appends.
     """
     follows = newest.term == term - 1 and newest.recorded_since
     since = newest.recorded_since if follows else term
-    return LeaderRecord(term, vm, nonce, recorded_since=since)
+    return LeaderRecord(
+        term, vm, nonce, latency_s=round(latency_s, 4), recorded_since=since
+    )
 
 
 def is_placer_key(key: str) -> bool:
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -202,3 +202,15 @@
         assert second.leadership is None
 
     run_to_end(scenario)
+
+
+# Guards against others that take a slow log for a silent placer until the first renewal
+# of the claim, since the claim said that the log was fast.
+def test_a_claim_tells_the_latency_of_the_log(cluster):
+    async def scenario():
+        node = await cluster.start_node("vm0")
+        node.writer.latency_s = 0.5
+        await cluster.wait_for(cluster.leader)
+        assert node.leadership.leader_record.latency_s == pytest.approx(0.5, abs=0.2)
+
+    run_to_end(scenario)
