--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -419,7 +419,7 @@
     The end of their leases is known, so the tickets can be at hand by then.
     """
     calls: list[AdviceCall] = []
-    if now - placer.begun_at < FIRST_ANSWERS_S:
+    if now - max(placer.begun_at, placer.calls_since) < FIRST_ANSWERS_S:
         return calls
     lost = sorted(_lost_steps(placer).items(), key=lambda row: row[1][1])
     for step_run, (n_runs, lapse) in lost:
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -653,8 +653,10 @@
             self._unjournaled.extend(placements)
             for call in calls:
                 await self._schedule_advice(call, now)
-        for stop in self.placer.take_stops():
-            await self._enqueue(stop.worker_id, stop)
+        if self._recorded.is_set():
+            # Before that they would be dropped, and repeated only after a while.
+            for stop in self.placer.take_stops():
+                await self._enqueue(stop.worker_id, stop)
         await self._to_journal.set()
 
     async def _journal(self) -> None:
@@ -675,8 +677,12 @@
         """Write the term's first record of leases."""
         record = self.lease_journal.prepare(boottime())
         if record is not None:
-            await self._append_records([(LEASES_KEY, encode_lease_record(record))])
+            encoded = encode_lease_record(record)
+            if await self._append_records([(LEASES_KEY, encoded)]):
+                # The next term would count from the records of the terms before.
+                raise RejectedError("first record of leases", step="append")
         self.lease_journal.note_stored()
+        self.placer.calls_since = boottime()
         await self._recorded.set()
         await self._wake.set()
 
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -283,7 +283,7 @@
     for worker in placer.workers.values():
         if worker.reachable or not worker.slots:
             continue
-        silent_s = now - max(worker.silent_at, placer.begun_at)
+        silent_s = now - max(worker.silent_at, placer.begun_at, placer.calls_since)
         inherited = worker.life in placer.inherited.bounds
         known = worker.withheld or (inherited and not worker.confirmed_token)
         if known or silent_s >= LIST_AFTER_S:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -123,6 +123,8 @@
         Number of the term; fencing tokens are derived from it.
     begun_at : float, seconds
         When the term began, on the monotonic clock.
+    calls_since : float, seconds
+        Since when workers are called; 0 if since the term began.
     reserved : dict of str to float
         Workers reserved for blocked steps in the newest decision, with the times in
         seconds at which these are expected to start there.
@@ -157,6 +159,7 @@
     term: int
     begun_at: float
     times: PlacerTimes = field(default_factory=PlacerTimes)
+    calls_since: float = 0.0
     table: QueueTable = field(default_factory=QueueTable)
     jobs: dict[str, Progress] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
