--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -302,6 +302,8 @@
         self.ended = True
         for task in [*self._tasks, *self._renewers.values()]:
             await task.cancel(blocking=False)
+        for queue in self._send_queues.values():
+            await queue.put(None)
         # Callers' records queued here are then appended by their VMs.
         await self.writer.close()
 
