Count the absence of a lasting task across terms

The record of leases now has for how long each listed worker had not answered, and the record of a job's progress for how long its lasting tasks had been away, both as lengths at the writing. A new term counts them from its reading, so what it reports is never too long, and no clocks are compared. Both have a key of their own, which earlier builds ignore; records without them are read as before.

Ruled out: another column in the rows of leases, since earlier builds read three.

The expected values of two tests in test_leasebounds.py have the new field; they are compared as a whole as before. The new tests fail on: after two changes of the placer the start said 'term begun'.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -59,6 +59,8 @@
         Whether a caller cancelled it before it ended.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
+    run_read_at : float, seconds
+        When `run` was read.
     """
 
     job: bytes = b""
@@ -68,6 +70,7 @@
     cancelled: bool = False
     accepted_at: float = 0.0
     ended_at: float = 0.0
+    run_read_at: float = 0.0
 
 
 @dataclass(eq=False)
@@ -243,7 +246,7 @@
             self.entries.pop(job_id, None)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.run = value
+        entry.run, entry.run_read_at = value, now
         if not entry.cancelled:
             entry.state = state
         if state in FINAL_JOB_STATES:
@@ -306,7 +309,9 @@
             return None
         try:
             job = decode_job(job_id, entry.job)
-            progress = decode_progress(job, entry.run) if entry.run else Progress(job)
+            progress = Progress(job)
+            if entry.run:
+                progress = decode_progress(job, entry.run, entry.run_read_at)
         except Exception as exc:
             self.n_bad_records += 1
             logger.error(
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -540,10 +540,12 @@
             config=self.placer.table.version,
             **self._absence(progress, order.key, now),
         )
+        task = progress.task(order.key)
+        away = (task.away_since, task.given_up_at) if task else (0.0, 0.0)
         reply = await self.calls.start(order, START_TIMEOUT_S)
         result = self.placer.handle_start_reply(order, reply, boottime())
         if result is StartResult.STARTED:
-            self._observe_return(progress, order.key)
+            self._observe_return(progress, order.key, *away)
         else:
             await self._wake.set()
         if result is StartResult.UNKNOWN:
@@ -563,8 +565,8 @@
     ) -> dict[str, object]:
         """Return how long a long-running task that starts again was away, and why.
 
-        Of a run that an earlier term gave up it is only known that the task has been
-        away since this term began.
+        Of a run that an earlier term gave up without a word of when it ended, it is
+        only known that the task has been away since this term began.
         """
         task = progress.task(key)
         if task is None or not progress.job.steps[key.step].long_running:
@@ -575,7 +577,7 @@
         step_run = progress.step_run(key.occurrence, key.step)
         return {
             "away_s": round(now - since, 3),
-            "away_from": "term begun" if since == self.placer.begun_at else "last run",
+            "away_from": _absence_source(since, self.placer.begun_at),
             "given_up_s": round(now - task.given_up_at, 3)
             if task.given_up_at
             else None,
@@ -583,17 +585,27 @@
             "room_s": round(step_run.room_s, 3),
         }
 
-    def _observe_return(self, progress: Progress, key: TaskKey) -> None:
-        task = progress.task(key)
-        if task is None or not task.away_since:
+    def _observe_return(
+        self, progress: Progress, key: TaskKey, since: float, given_up_at: float
+    ) -> None:
+        """Record an absence that a start has ended.
+
+        Parameters
+        ----------
+        since, given_up_at : float, seconds
+            Absence of the task when the start was sent.
+        """
+        if not since:
             return
         if progress.job.steps[key.step].long_running:
             now, queue = boottime(), progress.job.queue
-            self.metrics.observe("away_seconds", now - task.away_since, queue=queue)
-            if task.given_up_at:
-                restart_s = now - task.given_up_at
+            self.metrics.observe("away_seconds", now - since, queue=queue)
+            if given_up_at:
+                restart_s = now - given_up_at
                 self.metrics.observe("restart_seconds", restart_s, queue=queue)
-        task.away_since = task.given_up_at = 0.0
+        task = progress.task(key)
+        if task is not None and task.away_since == since:
+            self.placer.note_back(key)
 
     def _observe_ends(self, progresses: Iterable[Progress]) -> None:
         for progress in progresses:
@@ -698,7 +710,8 @@
         }
         records = []
         for job_id, progress in dirty.items():
-            records.append((RUN_PREFIX + job_id, encode_progress(progress)))
+            value = encode_progress(progress, boottime())
+            records.append((RUN_PREFIX + job_id, value))
             if progress.is_over():
                 # Only its state is queried from now on; a starting VM reads all
                 # records, possibly over a slow link.
@@ -885,6 +898,13 @@
         self.advice_pace = min(MAX_PACE, max(1.0, pace))
 
 
+def _absence_source(since: float, begun_at: float) -> str:
+    """Return from what on an absence counts, for log lines."""
+    if since == begun_at:
+        return "term begun"
+    return "earlier term" if since < begun_at else "last run"
+
+
 def _record_failed_call(
     adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
 ) -> str:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -28,6 +28,7 @@
 # read: a VM that follows the journal reads sooner, one that has just started within the
 # time that a start takes.
 MAX_READ_LAG_S = 3.0
+MAX_SILENT_S = 10_000.0  # in a record; bounds the length of an entry
 # Bound of the list in a record, and of one entry without the worker's name. A record
 # that the log rejects would keep its term from extending any lease.
 MAX_LIST_BYTES = 200_000
@@ -55,6 +56,8 @@
         infinite if it does not bound them.
     newest_read_at : float, seconds
         When its newest record, or a later one of an earlier term, was read.
+    silent_since : dict of (str, int) to float
+        Since when the workers in `bounds` have not answered at the latest, in seconds.
     """
 
     term: int = 0
@@ -63,6 +66,7 @@
     bounds: dict[tuple[str, int], float] = field(default_factory=dict)
     own_lapse_at: float = math.inf
     newest_read_at: float = -math.inf
+    silent_since: dict[tuple[str, int], float] = field(default_factory=dict)
 
 
 NO_INHERITED_LEASES = InheritedLeases()
@@ -115,6 +119,10 @@
         },
         newest_read_at + record.lapse_s,
         newest_read_at,
+        {
+            (bound.worker_id, bound.incarnation): read_at - bound.silent_s
+            for bound in record.bounds
+        },
     )
 
 
@@ -163,6 +171,25 @@
     return "longest lease"
 
 
+def silent_since(placer: Placer, life: tuple[str, int]) -> float:
+    """Return since when a worker that does not answer has not, at the latest.
+
+    Parameters
+    ----------
+    life : (str, int)
+        Identity and incarnation of the worker.
+
+    Returns
+    -------
+    since : float, seconds
+        As this term or the previous one has noticed it, or else when this term began.
+    """
+    worker = placer.workers.get(life[0])
+    if worker is not None and worker.life == life and worker.silent_at:
+        return worker.silent_at
+    return min(placer.inherited.silent_since.get(life, math.inf), placer.begun_at)
+
+
 def note_predecessor_ended(placer: Placer, ended_at: float) -> None:
     """Note that the previous term has extended no lease since a time, in seconds."""
     earliest = placer.inherited.newest_read_at - MAX_READ_LAG_S
@@ -232,8 +259,12 @@
             self.address,
             max(0.0, latest_lapse_at(self.placer) - now),
             tuple(
-                LeaseBound(worker_id, incarnation, max(0.0, at - now))
-                for (worker_id, incarnation), at in sorted(bounds.items())
+                LeaseBound(
+                    *life,
+                    max(0.0, at - now),
+                    min(MAX_SILENT_S, max(0.0, now - silent_since(self.placer, life))),
+                )
+                for life, at in sorted(bounds.items())
             ),
             self.placer.times.unconfirmed_lapse_s,
         )
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -115,7 +115,7 @@
 def _absent_since(step_run: StepRun) -> float:
     """Return since when a waiting task of a step has been absent, the longest one.
 
-    It is 0 if that was in an earlier term, before anything that this one has seen.
+    It is 0 if an earlier term has left no word of when that was.
     """
     waiting = (step_run.tasks[index] for index in step_run.waiting())
     return min((task.away_since for task in waiting if task.run), default=0.0)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -29,7 +29,7 @@
 from .evacuation import Move, evacuate
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
-from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound
+from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
@@ -643,6 +643,14 @@
             clear_survivor(self, worker, slot, clock_ms)
         if not self._is_current_run(worker, row.key, row.run):
             self.stop(worker, slot, "superseded", now)
+        elif slot.long_running:
+            self.note_back(row.key)
+
+    def note_back(self, key: TaskKey) -> None:
+        """Note that the newest run of a task is present."""
+        progress = self.jobs.get(key.job_id)
+        if progress is not None and progress.note_back(key):
+            self.mark_dirty(progress)
 
     def _is_current_run(self, worker: Worker, key: TaskKey, run: int) -> bool:
         progress = self.jobs.get(key.job_id)
@@ -864,16 +872,18 @@
     ) -> None:
         """Note since when a task is away whose run was released.
 
-        A start that had no effect does not end an earlier absence.
+        A start that had no effect does not end an earlier absence, also if an earlier
+        term had sent it.
         """
         if not slot.sent and task.away_since:
             return
         unseen = slot.sent and slot.is_unseen
+        earlier = 0.0 if slot.present_at else task.away_since
         if not worker.reachable:
-            began = self.begun_at if unseen else now
-            progress.note_away(slot.key, worker.silent_at or began, now)
+            since = silent_since(self, worker.life) if unseen else worker.silent_at
+            progress.note_away(slot.key, earlier or since or now, now)
         elif slot.present_at or unseen or not task.away_since:
-            progress.note_away(slot.key, now, now)
+            progress.note_away(slot.key, earlier or now, now)
 
     def queue_of(self, progress: Progress) -> Queue | None:
         """Return the queue of a job; as the job was accepted if it was removed."""
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -28,8 +28,10 @@
 BASE_BYTES = 100
 FINISHED_BYTES = 20  # numbers of an occurrence and a step
 INDEX_BYTES = 6
-# Row of a task without its checkpoint, its worker's name, and its row of crashes.
+# Rows of a task without its checkpoint, its worker's name, and its rows of crashes and
+# of its absence.
 ROW_BYTES = 128
+MAX_AWAY_MS = 10_000_000  # bounds the row of an absence
 # A step with more tasks has those that are done as bits in place of a list.
 MAX_LISTED_TASKS = 500
 
@@ -65,7 +67,8 @@
         journal, infinite if it is not known.
     away_since : float, seconds
         When the last run ended, or its worker stopped answering; 0 while the task runs
-        and before its first run. Not kept in the journal.
+        and before its first run. The journal keeps how long ago that was, for tasks
+        that last.
     given_up_at : float, seconds
         When that run was given up, so that the task might start again; 0 if it was not
         in this term. Not kept in the journal.
@@ -352,6 +355,17 @@
         if step_run.n_waiting <= 1:
             step_run.waits_for, step_run.advice_s, step_run.room_s = "", 0.0, 0.0
 
+    def note_back(self, key: TaskKey) -> bool:
+        """Note that the run of a task is present; return whether its record is stale.
+
+        That is so if the journal says that the task is away.
+        """
+        step_run = self.step_runs[key.occurrence, key.step]
+        task = step_run.tasks[key.task]
+        was_away = task.away_since > 0
+        task.away_since = task.given_up_at = 0.0
+        return was_away and step_run.step.long_running
+
     def finish_task(self, key: TaskKey) -> bool:
         """Mark an unassigned task as done; return whether its step is now done."""
         step_run = self.step_runs[key.occurrence, key.step]
@@ -380,8 +394,15 @@
                     yield step_run.key(index), task
 
 
-def encode_progress(progress: Progress) -> bytes:
-    """Return the JSON form of a job's progress."""
+def encode_progress(progress: Progress, now: float | None = None) -> bytes:
+    """Return the JSON form of a job's progress.
+
+    Parameters
+    ----------
+    now : float, seconds
+        From which on the record counts the absences of tasks that last; None leaves
+        them out.
+    """
     if progress.is_over():
         ended = progress.state in {JobState.COMPLETED, JobState.FAILED}
         state = progress.state if ended else JobState.CANCELLED
@@ -413,6 +434,9 @@
     crashes = crash_rows(progress)
     if crashes:
         data["crashes"] = crashes  # a key of its own: older builds ignore it
+    away = away_rows(progress, now) if now is not None else []
+    if away:
+        data["away"] = away
     return orjson.dumps(data)
 
 
@@ -481,6 +505,25 @@
     ]
 
 
+def away_rows(progress: Progress, now: float) -> list[list[int]]:
+    """Return the tasks that last and are away.
+
+    A task that was assigned again is listed until its new run is known to be present.
+
+    Returns
+    -------
+    rows : list of [occurrence, step, task, away_ms]
+        With the time since the last run ended or its worker stopped answering.
+    """
+    return [
+        [*step_run.key(index)[1:], min(MAX_AWAY_MS, int((now - since) * 1000))]
+        for step_run in progress.step_runs.values()
+        if step_run.step.long_running
+        for index, task in enumerate(step_run.tasks)
+        if task.run and not task.done and 0 < (since := task.away_since) <= now
+    ]
+
+
 _Number = Annotated[int, Field(ge=0, le=MAX_COUNT)]
 _Incarnation = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 # Task, run and index of its worker; with failures, the failed runs and a checkpoint.
@@ -503,6 +546,7 @@
     workers: tuple[tuple[str, _Incarnation], ...] = ()
     steps: tuple[_StepRow, ...] = ()
     crashes: tuple[tuple[_Number, _Number, _Number, _Number, _Number], ...] = ()
+    away: tuple[tuple[_Number, _Number, _Number, _Number], ...] = ()
 
 
 def decode_job_state(value: bytes) -> JobState:
@@ -522,9 +566,15 @@
         raise ProtocolError(f"state: {exc}", step="progress") from exc
 
 
-def decode_progress(job: Job, value: bytes) -> Progress:
+def decode_progress(job: Job, value: bytes, read_at: float | None = None) -> Progress:
     """Return the progress of a job for its JSON form.
 
+    Parameters
+    ----------
+    read_at : float, seconds
+        When the record was read; absences in it count from then, later than they were
+        written. None leaves them out.
+
     Raises
     ------
     ProtocolError, IndexError
@@ -562,6 +612,10 @@
         task = progress.step_run(occurrence, number).tasks[index]
         task.n_crashes, task.n_start_crashes = counts
         task.start_exposure_s = math.inf if task.n_start_crashes else 0.0
+    if read_at is not None:
+        for occurrence, number, index, away_ms in data.away:
+            task = progress.step_run(occurrence, number).tasks[index]
+            task.away_since = read_at - away_ms / 1000
     return progress
 
 
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -131,11 +131,14 @@
         Its incarnation that holds the leases.
     left_s : float, seconds
         Time from the encoding of the record until all leases have lapsed.
+    silent_s : float, seconds
+        For how long the worker had not answered at the encoding; 0 if not known.
     """
 
     worker_id: str
     incarnation: int
     left_s: float
+    silent_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,6 +252,9 @@
             for bound in record.bounds
         ],
     }
+    if any(bound.silent_s > 0 for bound in record.bounds):
+        # A list of its own: earlier builds reject rows with another column.
+        data["silent_ms"] = [int(bound.silent_s * 1000) for bound in record.bounds]
     if record.lapse_s < math.inf:
         data["lapse_ms"] = _to_ms(record.lapse_s)
     return orjson.dumps(data)
@@ -267,6 +273,7 @@
     address: Annotated[str, AfterValidator(check_address)]
     earlier_left_ms: Count
     left_ms: tuple[_LeaseRow, ...]
+    silent_ms: tuple[Count, ...] = ()
     lapse_ms: Count | None = None
 
 
@@ -279,13 +286,16 @@
         If a field is missing, malformed or out of range.
     """
     body = validate_json(_LeaseBody, value, step="leases")
+    silent_ms = body.silent_ms or (0,) * len(body.left_ms)
+    if len(silent_ms) != len(body.left_ms):
+        raise ProtocolError("silent_ms: wrong length", step="leases")
     return LeaseRecord(
         body.term,
         body.address,
         body.earlier_left_ms / 1000,
         tuple(
-            LeaseBound(worker_id, incarnation, left_ms / 1000)
-            for worker_id, incarnation, left_ms in body.left_ms
+            LeaseBound(*row[:2], row[2] / 1000, silent / 1000)
+            for row, silent in zip(body.left_ms, silent_ms, strict=True)
         ),
         math.inf if body.lapse_ms is None else body.lapse_ms / 1000,
     )
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -7,7 +7,7 @@
 import structlog
 
 from .crashes import record_lapse
-from .leasebounds import lapse_at, lapse_bound
+from .leasebounds import lapse_at, lapse_bound, silent_since
 
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
@@ -113,8 +113,10 @@
         waited_s=round(now - placer.begun_at, 2),
         bound=lapse_bound(placer, task.life),
     )
+    life = task.life
     progress.unassign(key)
-    progress.note_away(key, placer.begun_at, now)
+    since = task.away_since or silent_since(placer, life)
+    progress.note_away(key, since, now)
     placer.mark_dirty(progress)
     if progress.job.steps[key.step].gang:
         placer.stop_runs(progress, "gang", now, key.step)
--- a/tests/jobs/test_absences.py
+++ b/tests/jobs/test_absences.py
@@ -2,13 +2,34 @@
 
 from __future__ import annotations
 
+import orjson
 import pytest
 from structlog.testing import capture_logs
 
-from cuminhill.jobs.leasebounds import InheritedLeases, lapse_at, lapse_bound
+from cuminhill.clock import boottime
+from cuminhill.jobs.jobindex import JobIndex
+from cuminhill.jobs.leasebounds import (
+    InheritedLeases,
+    LeaseJournal,
+    lapse_at,
+    lapse_bound,
+    latest_lapse_at,
+)
 from cuminhill.jobs.model import AdviceTerms, EndKind
 from cuminhill.jobs.placer import Placer
 from cuminhill.jobs.progress import decode_progress, encode_progress
+from cuminhill.jobs.records import (
+    JOB_PREFIX,
+    LEADER_KEY,
+    LEASES_KEY,
+    RUN_PREFIX,
+    JournalRecord,
+    decode_lease_record,
+    encode_job,
+    encode_leader_record,
+    encode_lease_record,
+    make_claim,
+)
 from cuminhill.util.kernel import run_to_end
 
 from .builders import (
@@ -30,6 +51,7 @@
 
 NOW = BEGUN_AT
 LIFE = ("w1", 1)
+ADDRESS = "127.0.0.1:1"
 
 
 def lasting(**more):
@@ -62,6 +84,56 @@
     return second, copy
 
 
+class Terms:
+    """Terms that follow each other on VMs with clocks of their own.
+
+    Parameters
+    ----------
+    placer : Placer
+        The newest term.
+    """
+
+    def __init__(self, placer):
+        self.placer = placer
+        self.jobs = list(placer.jobs.values())
+        self.lease_journal = LeaseJournal(placer, ADDRESS)
+
+    def change(self, now, clock):
+        """Have the next term begin on a VM whose clock shows another time.
+
+        Parameters
+        ----------
+        now, clock : float, seconds
+            The time by the clock of the newest term, and by that of the next.
+        """
+        index = JobIndex()
+        leases = self.lease_journal.prepare_resignation(now)
+        term = self.placer.term
+        claims = [make_claim(number, f"n{number}", "x") for number in (term, term + 1)]
+        records = [(LEADER_KEY, encode_leader_record(claims[0]))]
+        for progress in self.placer.jobs.values():
+            job = progress.job
+            records.append((JOB_PREFIX + job.job_id, encode_job(job)))
+            value = encode_progress(progress, now)
+            records.append((RUN_PREFIX + job.job_id, value))
+        records.append((LEASES_KEY, encode_lease_record(leases)))
+        records.append((LEADER_KEY, encode_leader_record(claims[1])))
+        for key, value in records:
+            index.fold(JournalRecord(0, key, value), clock)
+        self.placer = Placer(term + 1, clock)
+        self.placer.table = make_table(make_queue())
+        self.placer.inherited = index.inherited_leases()
+        for progress in index.live():
+            self.placer.add_job(progress, clock)
+        self.lease_journal = LeaseJournal(self.placer, ADDRESS)
+
+    @property
+    def task(self):
+        """The only task in the newest term."""
+        (progress,) = self.placer.jobs.values()
+        return progress.task(task_key())
+
+
 # Guards against a line from which the wait for the leases can't be told from the time
 # until the end of the worker was noticed.
 def test_a_lost_run_is_logged_with_when_it_was_seen_and_its_worker_stopped_answering():
@@ -128,6 +200,93 @@
     assert copy.step_run(0, 0).tasks[0].away_since == second.begun_at
 
 
+# Guards against an absence that seems to begin anew with each change of the placer
+# while the leases on its worker run.
+def test_the_silence_of_a_worker_counts_across_terms():
+    placer = make_placer(n_workers=1)
+    _, run = started(placer)
+    answer_renewal(placer, "w1", NOW + 1, running=(running_row(run),))
+    placer.worker_unreachable("w1", NOW + 1)
+    terms = Terms(placer)
+    terms.change(NOW + 3, 5000.0)
+    terms.change(5001.5, 70.0)
+    terms.placer.tick(latest_lapse_at(terms.placer))
+    assert terms.task.away_since == pytest.approx(70.0 - 3.5, abs=0.01)
+    assert terms.task.away_since >= 70.0 - 3.5
+
+
+# Guards against the same for a worker that is registered and answers no call.
+def test_the_silence_of_a_registered_worker_counts_across_terms():
+    placer = make_placer(n_workers=1)
+    _, run = started(placer)
+    answer_renewal(placer, "w1", NOW + 1, running=(running_row(run),))
+    placer.worker_unreachable("w1", NOW + 1)
+    terms = Terms(placer)
+    terms.change(NOW + 3, 5000.0)
+    terms.placer.register_worker(make_entry("w1"), 5000.0)
+    terms.change(5001.5, 70.0)
+    terms.placer.register_worker(make_entry("w1"), 70.0)
+    terms.placer.tick(latest_lapse_at(terms.placer) + 0.1)
+    assert terms.task.away_since == pytest.approx(70.0 - 3.5, abs=0.01)
+
+
+# Guards against an absence without a beginning once an earlier term has given the run
+# up or seen it end, whether the journal lists a start that had no effect or not.
+@pytest.mark.parametrize("assigned", [False, True])
+def test_the_absence_of_a_task_counts_across_terms(assigned):
+    placer = make_placer(n_workers=1)
+    _, run = started(placer)
+    answer_renewal(placer, "w1", NOW + 1, ended=(ended_row(run, 1, EndKind.STOPPED),))
+    if assigned:
+        assert len(placer.decide(NOW + 2, WALL)[0]) == 1
+    terms = Terms(placer)
+    terms.change(NOW + 3, 5000.0)
+    terms.change(5001.5, 70.0)
+    if assigned:
+        terms.placer.tick(latest_lapse_at(terms.placer))
+    assert not terms.task.worker
+    assert terms.task.away_since == pytest.approx(70.0 - 3.5, abs=0.01)
+
+
+# Guards against a task that seems to have been away since before a run that a later
+# term has seen.
+def test_a_run_that_is_present_ends_an_absence_of_an_earlier_term():
+    placer = make_placer(n_workers=1)
+    _, run = started(placer)
+    answer_renewal(placer, "w1", NOW + 1, ended=(ended_row(run, 1, EndKind.STOPPED),))
+    ((again,), _) = placer.decide(NOW + 2, WALL)
+    terms = Terms(placer)
+    terms.change(NOW + 3, 5000.0)
+    second = terms.placer
+    second.register_worker(make_entry("w1"), 5000.0)
+    second.take_dirty()
+    answer_renewal(second, "w1", 5000.5, running=(running_row(again),))
+    assert terms.task.away_since == 0.0
+    assert len(second.take_dirty()) == 1  # the journal says otherwise
+    terms.change(5002.0, 70.0)
+    assert terms.task.away_since == 0.0
+
+
+# Guards against a build that can't read what one with absences has written, and the
+# reverse: an earlier build reads rows of three columns and ignores keys.
+def test_records_without_absences_are_read():
+    placer = make_placer(n_workers=1)
+    progress, _ = started(placer)
+    placer.worker_unreachable("w1", NOW + 1)
+    record = LeaseJournal(placer, ADDRESS).prepare(NOW + 3)
+    data = orjson.loads(encode_lease_record(record))
+    assert [len(row) for row in data["left_ms"]] == [3]
+    assert data.pop("silent_ms") == [2000]
+    (bound,) = decode_lease_record(orjson.dumps(data)).bounds
+    assert bound.silent_s == 0.0
+    placer.tick(placer.workers["w1"].lapse_at + 0.1)
+    data = orjson.loads(encode_progress(progress, NOW + 20))
+    assert data.pop("away") == [[0, 0, 0, 19_000]]
+    assert "away" not in orjson.loads(encode_progress(progress))
+    copy = decode_progress(progress.job, orjson.dumps(data), NOW)
+    assert copy.task(task_key()).away_since == 0.0
+
+
 # Guards against an absence that seems to begin with the newest start that was refused.
 def test_a_start_without_effect_does_not_end_an_absence():
     placer = make_placer(n_workers=2)
@@ -193,3 +352,50 @@
     assert row["away_from"] == ("term begun" if change else "last run")
     assert row["away_s"] > row["given_up_s"] >= 0.0
     assert (row["advice_s"], row["room_s"]) == (0.0, 0.0)
+
+
+# Guards against a line and a metric that leave out the time before the newest term: the
+# rule counts it, and the margin seems larger than it is.
+def test_the_absence_after_two_changes_of_the_placer_covers_the_time_before(cluster):
+    async def main():
+        for worker in cluster.workers.workers.values():
+            worker.hang = True  # the task lasts
+        for vm in ("n1", "n2", "n3"):
+            await cluster.start_node(vm)
+        await cluster.wait_for(cluster.leader)
+        await cluster.submit(cluster.leader(), lasting())
+        workers = cluster.workers.workers
+        await cluster.wait_for(lambda: any(item.running for item in workers.values()))
+        name = next(name for name, item in workers.items() if item.running)
+
+        def is_listed():
+            record = cluster.leader() and cluster.stored(LEASES_KEY)
+            leases = record and decode_lease_record(record.value)
+            term = cluster.leader().job_index.leader_record.term if leases else 0
+            return leases and leases.term == term and leases.bounds
+
+        async def end_term():
+            (vm,) = (vm for vm, node in cluster.nodes.items() if node.leadership)
+            await cluster.kill_node(vm)
+            await cluster.wait_for(cluster.leader)
+
+        with capture_logs() as logs:
+            del workers[name]  # it answers no call from now on
+            await cluster.wait_for(is_listed)
+            noticed_at = boottime()
+            await end_term()
+            await cluster.wait_for(is_listed)
+            await end_term()
+            await cluster.wait_for(
+                lambda: any(item.running for item in workers.values()), 20.0
+            )
+            known_s = boottime() - noticed_at
+        (vm,) = cluster.nodes
+        await cluster.kill_node(vm)
+        return logs, known_s
+
+    logs, known_s = run_to_end(main)
+    row = line(logs, "start")
+    assert row["run"] == 2
+    assert row["away_from"] == "earlier term"
+    assert known_s - 0.2 < row["away_s"] < known_s + 2.0
--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -5,6 +5,7 @@
 import random
 
 import curio
+import orjson
 import pytest
 
 from cuminhill.errors import RejectedError, ValidationError
@@ -104,6 +105,24 @@
     assert progress.n_checkpoint_bytes == 0
 
 
+# Guards against rows of absences for which a record has no room, beside crashes and the
+# longest numbers.
+def test_absences_do_not_make_a_record_too_long(placer):
+    step = make_step(MAX_TASKS, cores=0.0001, memory_mb=0.0, long_running=True)
+    progress = submit(placer, make_job(step))
+    placements, _ = placer.decide(BEGUN_AT, WALL)
+    assert len(placements) > 1000
+    mark_started(placer, placements)
+    for item in placements:
+        task = progress.task(item.key)
+        progress.assign(item.key, task.worker, task.incarnation, 1 << 31)
+        task.n_failed = task.failed_run = 1 << 31
+        task.n_crashes = task.n_start_crashes = 1 << 31
+        task.away_since = BEGUN_AT
+    assert orjson.loads(encode_progress(progress, BEGUN_AT + 1e9))["away"]
+    assert len(encode_progress(progress, BEGUN_AT + 1e9)) <= MAX_RECORD_BYTES
+
+
 # Guards against progress of a large step that the next placer reads otherwise.
 def test_the_tasks_that_are_done_are_read_back():
     rng = random.Random(2)
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -131,7 +131,12 @@
     fold_claim(index, 1, NOW)
     fold_leases(index, 1, 3.0, NOW + 1)
     expected = InheritedLeases(
-        1, ADDRESS, NOW + 3, {LIFE: NOW + 4}, newest_read_at=NOW + 1
+        1,
+        ADDRESS,
+        NOW + 3,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 1,
+        silent_since={LIFE: NOW + 1},
     )
     for term in (2, 3, 4):
         fold_claim(index, term, NOW + term)
@@ -139,7 +144,12 @@
     fold_leases(index, 4, 1.0, NOW + 5)
     fold_claim(index, 5, NOW + 6)
     expected = InheritedLeases(
-        4, ADDRESS, NOW + 7, {LIFE: NOW + 6}, newest_read_at=NOW + 5
+        4,
+        ADDRESS,
+        NOW + 7,
+        {LIFE: NOW + 6},
+        newest_read_at=NOW + 5,
+        silent_since={LIFE: NOW + 5},
     )
     assert index.inherited_leases() == expected
 
@@ -151,7 +161,12 @@
     fold_leases(index, 1, 3.0, NOW + 1)
     fold_claim(index, 2, NOW + 2, earlier_build=True)
     expected = InheritedLeases(
-        1, ADDRESS, NOW + 3, {LIFE: NOW + 4}, newest_read_at=NOW + 1
+        1,
+        ADDRESS,
+        NOW + 3,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 1,
+        silent_since={LIFE: NOW + 1},
     )
     assert index.inherited_leases() == expected
     fold_claim(index, 3, NOW + 3, earlier_build=True)
@@ -159,7 +174,12 @@
     fold_leases(index, 3, 1.0, NOW + 3)
     fold_claim(index, 4, NOW + 3.5, earlier_build=True)
     expected = InheritedLeases(
-        3, ADDRESS, NOW + 5, {LIFE: NOW + 4}, newest_read_at=NOW + 3
+        3,
+        ADDRESS,
+        NOW + 5,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 3,
+        silent_since={LIFE: NOW + 3},
     )
     assert index.inherited_leases() == expected
 
@@ -188,6 +208,7 @@
         b'{"term":1,"address":"a:1","earlier_left_ms":null,"left_ms":[]}',
         b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"lapse_ms":-1}',
         b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"lapse_ms":1.5}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"silent_ms":[1]}',
         b"[" * 100_000,
     ],
 )
