Tell the next term which runs are known to be gone

A task that was moved from a leaving worker stood still for 9 to 16 s: its placer had processed the end of the run, but the store did not take the record before the term ended, and the worker had left when the next term asked.

A process that has ended its term now also answers the question about it with the runs of lasting tasks that it knew to be gone. Builds without the field tell nothing, and they ignore it.

Ruled out: that the end was not noticed (the log has 'run ended'), and that a place was lost with the term (no start was waiting).

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -22,7 +22,12 @@
 from .advice import LONG_CALL_S, AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
-from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
+from .leasebounds import (
+    LeaseJournal,
+    ReleasedRun,
+    latest_lapse_at,
+    note_predecessor_ended,
+)
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -39,6 +44,7 @@
     encode_lease_record,
 )
 from .speeds import encode_speeds, load_speeds
+from .watch import release_gone
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -73,6 +79,8 @@
 TERM_RENEWAL_S = 0.6
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
 ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
+# That a process tells the next term of; bounds its answer, which must come in time.
+MAX_RELEASED_RUNS = 2000
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
 # Added to the expected time of a call for advice and its queue, the larger of the time
@@ -275,12 +283,15 @@
             if end is not None:
                 now = boottime()
                 note_predecessor_ended(self.placer, end.ended_at(now))
+                release_gone(self.placer, end.released, now)
+                await self._wake.set()
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
                     address=inherited.address,
                     after_s=round(now - self.placer.begun_at, 2),
                     for_s=round(end.for_s, 2),
+                    released=len(end.released),
                 )
                 return
             await curio.sleep(ASK_INTERVAL_S)
@@ -305,6 +316,26 @@
         # Callers' records queued here are then appended by their VMs.
         await self.writer.close()
 
+    def released_runs(self, now: float) -> tuple[ReleasedRun, ...]:
+        """Return the runs of lasting tasks that are known to be gone.
+
+        A run is started only after the one before it is gone, and after its start is in
+        the journal, which the next term has read.
+        """
+        waiting, assigned = [], []
+        for progress in self.placer.jobs.values():
+            for step_run in progress.step_runs.values():
+                if not step_run.step.long_running:
+                    continue
+                for index, task in enumerate(step_run.tasks):
+                    key = step_run.key(index)
+                    away_s = now - task.away_since if task.away_since else 0.0
+                    if task.run and not task.worker:
+                        waiting.append(ReleasedRun(key, task.run, away_s))
+                    elif task.run > 1:
+                        assigned.append(ReleasedRun(key, task.run - 1, away_s))
+        return tuple([*waiting, *assigned][:MAX_RELEASED_RUNS])
+
     def _resignation(self) -> bytes:
         return encode_leader_record(replace(self.leader_record, resigned=True))
 
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -16,6 +16,7 @@
 from .records import LeaseBound, LeaseRecord
 
 if TYPE_CHECKING:
+    from .model import TaskKey
     from .placer import Placer
 
 # A worker that does not answer is listed after this time; most of those whose
@@ -72,6 +73,21 @@
 NO_INHERITED_LEASES = InheritedLeases()
 
 
+@dataclass(frozen=True, slots=True)
+class ReleasedRun:
+    """Statement that neither a run of a task nor an earlier one is on any worker.
+
+    Parameters
+    ----------
+    away_s : float, seconds
+        For how long the task had been away at the answer; 0 if not known.
+    """
+
+    key: TaskKey
+    run: int
+    away_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class TermEnd:
     """Statement that a process extends no lease for a term and never will.
@@ -80,9 +96,13 @@
     ----------
     for_s : float, seconds
         How long before the answer the process of the term had ended it at the latest.
+    released : tuple of ReleasedRun
+        Runs of lasting tasks that the term knew to be gone, whether or not it could
+        write so to the journal.
     """
 
     for_s: float = 0.0
+    released: tuple[ReleasedRun, ...] = ()
 
     def ended_at(self, answered_at: float) -> float:
         """Return when the term had ended at the latest, in seconds.
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -29,7 +29,7 @@
 from .jobindex import JobIndex
 from .journal import KeyedLog, LogWriter, WriterToken
 from .leadership import Leadership, WorkerCalls
-from .leasebounds import TermEnd
+from .leasebounds import ReleasedRun, TermEnd
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
@@ -166,6 +166,9 @@
     # Since when no earlier process at this address, and no term of this one that has
     # been removed, extends leases.
     _idle_since: float = 0.0
+    # Newest term led by this process that has ended, with the runs that it knew to be
+    # gone when it ended, and when that was.
+    _released: tuple[int, float, tuple[ReleasedRun, ...]] = (0, 0.0, ())
     _may_hand_over_at: float = 0.0
     _next_resign_at: float = 0.0
     _deregistered: set[str] = field(default_factory=set)
@@ -524,10 +527,31 @@
         """
         leadership = self.leadership
         if leadership is not None and leadership.leader_record.term <= term:
-            return TermEnd() if leadership.ended else None
+            if not leadership.ended:
+                return None
+            self._note_released(leadership)
+            return TermEnd(0.0, self._released_in(term))
         if self._claim is not None and self._claim.term <= term:
             self._claim = None
-        return TermEnd(max(0.0, boottime() - self._idle_since))
+        for_s = max(0.0, boottime() - self._idle_since)
+        return TermEnd(for_s, self._released_in(term))
+
+    def _note_released(self, leadership: Leadership) -> None:
+        """Keep what a term that has ended knew of runs that are gone."""
+        now = boottime()
+        released = leadership.released_runs(now)
+        self._released = (leadership.leader_record.term, now, released)
+
+    def _released_in(self, term: int) -> tuple[ReleasedRun, ...]:
+        """Return the runs that this process knew to be gone in a term that it led."""
+        led, noted_at, released = self._released
+        if led != term:
+            return ()
+        for_s = boottime() - noted_at
+        return tuple(
+            replace(item, away_s=item.away_s + for_s if item.away_s else 0.0)
+            for item in released
+        )
 
     def _find_queue(self, name: str) -> Queue | None:
         return self.table.queues.get(name)
@@ -593,6 +617,7 @@
         )
         if replaced or leader.resigned or leadership.ended or leadership.writer.fenced:
             await leadership.end()
+            self._note_released(leadership)
             self._idle_since = boottime()
             self.leadership = self.peers.placer_writer = None
             self._claim = None
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -21,11 +21,11 @@
 )
 from ..rpc import RpcClient, idl
 from ..util.json_input import load_json
-from ..util.validation import Message, validate_json
+from ..util.validation import Count, Message, validate_json
 from .advice import AdviceAnswer
 from .advicequeue import AdviceQueue, AdviceRequest
-from .leasebounds import TermEnd
-from .model import Outcome
+from .leasebounds import ReleasedRun, TermEnd
+from .model import Outcome, TaskKey
 from .records import MAX_TIME_S
 
 if TYPE_CHECKING:
@@ -293,7 +293,13 @@
         end = self.end_term(call.term)
         if end is None:
             return idl.Reply(STATUS_UNAVAILABLE, b"")
-        return idl.Reply(STATUS_OK, orjson.dumps({"for_s": end.for_s}))
+        data: dict[str, Any] = {"for_s": end.for_s}
+        if end.released:
+            data["released"] = [
+                [*item.key, item.run, int(max(0.0, item.away_s) * 1000)]
+                for item in end.released
+            ]
+        return idl.Reply(STATUS_OK, orjson.dumps(data))
 
     async def _serve_append(self, call: Any) -> Any:
         _check_wait(call.wait_s)
@@ -319,18 +325,25 @@
 
 class _TermEndBody(Message):
     for_s: Annotated[float, Field(ge=0, le=MAX_TIME_S)]
+    # Job, occurrence, step, task, run, and the time away in milliseconds.
+    released: tuple[tuple[str, Count, Count, Count, Count, Count], ...] = ()
 
 
 def _decode_term_end(data: bytes) -> TermEnd:
-    """Decode since when a term has ended.
+    """Decode since when a term has ended, and the runs that it knew to be gone.
 
     Builds before the field give none, and a value out of range is not believed; the
     term has then ended by the time of the answer.
     """
     try:
-        return TermEnd(validate_json(_TermEndBody, data, step="term ended").for_s)
+        body = validate_json(_TermEndBody, data, step="term ended")
     except ProtocolError:
         return TermEnd()
+    released = (
+        ReleasedRun(TaskKey(job_id, occurrence, step, task), run, away_ms / 1000)
+        for job_id, occurrence, step, task, run, away_ms in body.released
+    )
+    return TermEnd(body.for_s, tuple(released))
 
 
 def _decode_pairs(data: bytes, step: str, peer: str = "") -> list[tuple[str, str]]:
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -10,7 +10,10 @@
 from .leasebounds import lapse_at, lapse_bound, silent_since
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from .fleet import Slot, Worker
+    from .leasebounds import ReleasedRun
     from .model import TaskKey
     from .placer import Placer
 
@@ -97,6 +100,29 @@
             _release(placer, key, "worker not registered", now)
 
 
+def release_gone(placer: Placer, released: Iterable[ReleasedRun], now: float) -> None:
+    """Release lasting tasks whose runs the previous term knew to be gone.
+
+    It may not have written so to the journal, and a worker that has left does not
+    report it again.
+    """
+    for item in released:
+        progress = placer.jobs.get(item.key.job_id)
+        task = progress.task(item.key) if progress is not None else None
+        if progress is None or task is None or not task.worker or task.run > item.run:
+            continue
+        if not progress.job.steps[item.key.step].long_running:
+            continue
+        worker = placer.workers.get(task.worker)
+        slot = worker.slots.get((item.key, task.run)) if worker is not None else None
+        if item.away_s and not task.away_since:
+            task.away_since = now - item.away_s
+        if item.key in placer.not_adopted:
+            _release(placer, item.key, "gone in an earlier term", now)
+        elif worker is not None and slot is not None and slot.is_unseen:
+            placer.run_lost(worker, slot, "gone in an earlier term", now)
+
+
 def _release(placer: Placer, key: TaskKey, why: str, now: float) -> None:
     """Release a task whose run was not adopted."""
     task = placer.not_adopted.pop(key)
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -13,7 +13,8 @@
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.advice import AdviceCall
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.leasebounds import TermEnd
+from cuminhill.jobs.leasebounds import ReleasedRun, TermEnd
+from cuminhill.jobs.model import TaskKey
 from cuminhill.jobs.peers import STATUS_OK, JobPeers
 from cuminhill.jobs.records import Member
 from cuminhill.rpc import RpcClient, RpcServer, idl
@@ -177,6 +178,14 @@
     assert answers == [TermEnd(2.5), None]
 
 
+# Guards against runs that were gone in a term and are waited for in the next one.
+def test_the_answer_about_a_term_names_the_runs_that_it_knew_to_be_gone():
+    gone = TermEnd(2.5, (ReleasedRun(TaskKey("00aa", 0, 1, 2), 3, 1.25),))
+    peers = make_peers("")
+    peers.end_term = lambda _: gone
+    assert curio.run(ask_about_terms, peers.handlers(), 2) == [gone]
+
+
 # Guards against a time on the wire that ends the wait for leases before they lapse;
 # builds before the field send none.
 @pytest.mark.parametrize(
@@ -191,6 +200,10 @@
         b'{"for_s":1e300}',
         b'{"for_s":"2.5"}',
         b'{"for_s":null}',
+        b'{"for_s":2.5,"released":null}',
+        b'{"for_s":2.5,"released":[["00aa",0,0,0,1]]}',
+        b'{"for_s":2.5,"released":[["00aa",0,0,-1,1,0]]}',
+        b'{"for_s":2.5,"released":[["00aa",0,0,0,1,1e999]]}',
         b"[" * 100_000,
     ],
 )
