Count a record of leases after claims that had not read each other

A claim says since which term each term begins with a record of leases, by the claims that its writer had read. The store may refuse further claims of a term before it shows the first; a VM then claims the next term without having read the one between, so its claim speaks for itself only.

A VM now joins what the claims that it has read say of each other, in its index, its own claims and the renewals of its claim. A term whose claim was not read, or of an earlier build, still breaks the chain.

The new test fails without the change: nothing is inherited.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -98,6 +98,9 @@
         Worker speeds as estimated by a placer; empty if there are none.
     placer_read_at : float, seconds
         When the newest record under a placer's key was read.
+    recorded_since : int
+        First term from which on, up to the newest, each term extends no lease before
+        its first record of leases, by all claims that were read; 0 if the newest may.
     predecessor_read_at : float, seconds
         The same for the records before the first claim that has won after the newest
         term that can have extended leases.
@@ -114,6 +117,7 @@
     n_placer_records: int = 0
     n_bad_records: int = 0
     placer_read_at: float = 0.0
+    recorded_since: int = 0
     predecessor_read_at: float = 0.0
 
     def note_snapshot(self, now: float) -> None:
@@ -198,9 +202,21 @@
         if record.term > self.leader_record.term and not self._granted_nothing():
             self.predecessor_read_at = self.placer_read_at
         if record.term > self.leader_record.term or same:
+            self._note_recorded_since(record)
             self.leader_record = record
             self.n_placer_records += 1
 
+    def _note_recorded_since(self, record: LeaderRecord) -> None:
+        """Join what a claim says of the terms before it with what earlier claims say.
+
+        A claim speaks only of claims that its writer had read, and that of the term
+        before it may have been stored while its writer waited for the answer.
+        """
+        since = record.recorded_since
+        if self.recorded_since and 0 < since <= self.leader_record.term + 1:
+            since = min(since, self.recorded_since)
+        self.recorded_since = since
+
     def _granted_nothing(self) -> bool:
         """Return whether the newest term can't have extended any lease."""
         leader = self.leader_record
@@ -276,7 +292,7 @@
         a record of its own.
         """
         leader = self.leader_record
-        recorded_since = leader.recorded_since or leader.term
+        recorded_since = self.recorded_since or leader.term
         if not self.leases.term or not (
             recorded_since - 1 <= self.leases.term < leader.term
         ):
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -480,8 +480,7 @@
         """
         nonce = f"{self.rng.getrandbits(48):012x}"
         term = max(self.job_index.leader_record.term, self._used_term) + 1
-        leader = self.job_index.leader_record
-        claim = make_claim(term, self.options.vm, nonce, leader)
+        claim = make_claim(term, self.options.vm, nonce, self._newest_claim())
         self._claim, self._claim_number = claim, self.rng.randrange(1, 1 << 20)
         self._claimed_at = boottime()
         token = WriterToken(PLACER_WRITER, claim.term, self._claim_number)
@@ -513,6 +512,11 @@
         else:
             await self.journal.catch_up(CLAIM_TIMEOUT_S)
 
+    def _newest_claim(self) -> LeaderRecord:
+        """Return the newest claim, with all that is known of the terms before it."""
+        index = self.job_index
+        return replace(index.leader_record, recorded_since=index.recorded_since)
+
     def _disclaim_term(self, term: int) -> TermEnd | None:
         """Abandon a claim of a term that was not begun; return since when it is over.
 
@@ -557,7 +561,8 @@
         return self.table.queues.get(name)
 
     async def _begin_term(self) -> None:
-        claim = self.job_index.leader_record
+        # Its renewals hand on what this VM has read, also to those who read a snapshot.
+        claim = self._newest_claim()
         now = boottime()
         writer = LogWriter(
             self.backends.journal,
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -154,6 +154,40 @@
     assert index.inherited_leases() == expected
 
 
+# Guards against a wait that begins anew with a claim whose writer had not read the one
+# before it: a slow store refuses further claims of a term before it shows the first.
+def test_a_record_counts_after_claims_that_do_not_know_of_each_other():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    first = index.leader_record
+    fold_leases(index, 1, 3.0, NOW + 1)
+    for term in (2, 3):
+        claim = make_claim(term, f"vm{term}", f"n{term}", first)
+        value = encode_leader_record(claim)
+        index.fold(JournalRecord(0, LEADER_KEY, value), NOW + term)
+    assert claim.recorded_since == 3
+    assert index.inherited_leases().term == 1
+    fold_claim(index, 4, NOW + 4)
+    assert index.inherited_leases().term == 1
+    assert index.recorded_since == 1
+    # A renewal of the newest claim does not change what earlier claims say.
+    fold_claim(index, 4, NOW + 5)
+    assert index.recorded_since == 1
+
+
+# Guards against bounds of a term of an earlier build before claims that say so of none.
+def test_a_claim_does_not_speak_for_a_term_of_an_earlier_build():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW + 1)
+    first = index.leader_record
+    fold_claim(index, 2, NOW + 2, earlier_build=True)
+    claim = make_claim(3, "vm3", "n3", first)
+    value = encode_leader_record(claim)
+    index.fold(JournalRecord(0, LEADER_KEY, value), NOW + 3)
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
 # Guards against bounds of a term that another term of an earlier build followed.
 def test_only_the_record_of_the_previous_term_of_an_earlier_build_counts():
     index = JobIndex()
