--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -59,6 +59,8 @@
         Whether a caller cancelled it before it ended.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
+    run_read_at : float, seconds
+        When `run` was read.
     """
 
     job: bytes = b""
@@ -68,6 +70,7 @@
     cancelled: bool = False
     accepted_at: float = 0.0
     ended_at: float = 0.0
+    run_read_at: float = 0.0
 
 
 @dataclass(eq=False)
@@ -95,6 +98,9 @@
         Worker speeds as estimated by a placer; empty if there are none.
     placer_read_at : float, seconds
         When the newest record under a placer's key was read.
+    recorded_since : int
+        First term from which on, up to the newest, each term extends no lease before
+        its first record of leases, by all claims that were read; 0 if the newest may.
     predecessor_read_at : float, seconds
         The same for the records before the first claim that has won after the newest
         term that can have extended leases.
@@ -111,6 +117,7 @@
     n_placer_records: int = 0
     n_bad_records: int = 0
     placer_read_at: float = 0.0
+    recorded_since: int = 0
     predecessor_read_at: float = 0.0
 
     def note_snapshot(self, now: float) -> None:
@@ -195,9 +202,21 @@
         if record.term > self.leader_record.term and not self._granted_nothing():
             self.predecessor_read_at = self.placer_read_at
         if record.term > self.leader_record.term or same:
+            self._note_recorded_since(record)
             self.leader_record = record
             self.n_placer_records += 1
 
+    def _note_recorded_since(self, record: LeaderRecord) -> None:
+        """Join what a claim says of the terms before it with what earlier claims say.
+
+        A claim speaks only of claims that its writer had read, and that of the term
+        before it may have been stored while its writer waited for the answer.
+        """
+        since = record.recorded_since
+        if self.recorded_since and 0 < since <= self.leader_record.term + 1:
+            since = min(since, self.recorded_since)
+        self.recorded_since = since
+
     def _granted_nothing(self) -> bool:
         """Return whether the newest term can't have extended any lease."""
         leader = self.leader_record
@@ -245,7 +264,7 @@
             self.entries.pop(job_id, None)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.run = value
+        entry.run, entry.run_read_at = value, now
         if not entry.cancelled:
             entry.state = state
         if state in FINAL_JOB_STATES:
@@ -273,7 +292,7 @@
         a record of its own.
         """
         leader = self.leader_record
-        recorded_since = leader.recorded_since or leader.term
+        recorded_since = self.recorded_since or leader.term
         if not self.leases.term or not (
             recorded_since - 1 <= self.leases.term < leader.term
         ):
@@ -308,7 +327,9 @@
             return None
         try:
             job = decode_job(job_id, entry.job)
-            progress = decode_progress(job, entry.run) if entry.run else Progress(job)
+            progress = Progress(job)
+            if entry.run:
+                progress = decode_progress(job, entry.run, entry.run_read_at)
         except Exception as exc:
             self.n_bad_records += 1
             logger.error(
