Count a fenced claim as evidence of a later term

Cause: a refusal counted for the claim's own term only. A refusal by epoch shows that a later term is claimed, also after the claim itself had been stored.

Change: a refusal by epoch counts for the term after the claim's.

The tests of tests/jobs/test_claims.py pass, with a new one of a claimant that is killed before its claim is stored; no test fails without this change.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -440,7 +440,8 @@
             max(self.writer.latency_s, self.job_index.leader_record.latency_s),
         )
         ready = self.table.version and self.journal.synced and self.registry.synced
-        if self.draining or not ready:
+        # The placer gets time to write once the journal is reachable again.
+        if self.draining or not ready or not self.journal.reachable:
             return False
         return self.election.may_claim(self.job_index.members, boottime(), view)
 
@@ -511,7 +512,6 @@
             logger.info("claim outcome unknown", term=claim.term)
         elif not stored:
             logger.info("claim refused", term=claim.term)
-            self.election.note_refusal(claim.term, boottime())
             if self._claim is claim:
                 self._claim = None
         await self.journal.catch_up(CLAIM_TIMEOUT_S)
@@ -537,8 +537,6 @@
         return (
             self._claim is claim
             and self.job_index.leader_record.term < claim.term
-            # The placer gets time to write once the journal is reachable again.
-            and self.journal.reachable
             and self._may_claim()
         )
 
@@ -576,6 +574,9 @@
                 async with curio.ignore_after(ELECTION_TICK_S):
                     await append.wait()
             refused = writer.fenced
+            if refused:
+                term = record.term + 1 if writer.superseded else record.term
+                self.election.note_refusal(term, boottime())
         finally:
             await run.cancel()
             await writer.close()
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -17,6 +17,7 @@
 )
 from cuminhill.util.kernel import run_to_end
 
+MAX_ABSENT_S = 9.0  # longest time for which a lasting task may not run
 STORED_AFTER_S = 1.2  # the log takes this long for a claim that it has accepted
 
 
@@ -151,6 +152,21 @@
     run_to_end(scenario)
 
 
+# Guards against VMs that wait for ever for a claim that the log has accepted.
+def test_a_claimant_that_is_killed_before_its_claim_is_stored_is_replaced(cluster):
+    async def scenario():
+        vms = ["vm0", "vm1", "vm2"]
+        await start_nodes(cluster, *vms)
+        late = LateClaims(cluster, vms[1:])
+        await cluster.kill_node("vm0")
+        await cluster.wait_for(lambda: late.accepted)
+        await cluster.kill_node(late.accepted[0].vm)
+        await cluster.wait_for(cluster.leader, MAX_ABSENT_S)
+        assert [claim.term for claim in late.accepted] == [2, 3]
+
+    run_to_end(scenario)
+
+
 # Guards against a placer that is fenced by a claim and claims the next term at once,
 # since the journal still shows its own term as the newest.
 def test_a_fenced_placer_leaves_time_for_the_claim_that_fenced_it(cluster):
