--- a/tests/jobs/test_slow_claims.py
+++ b/tests/jobs/test_slow_claims.py
@@ -14,6 +14,7 @@
     from standins.job_platform import LogView
 
 STORE_S = 1.2  # from the acceptance of an append until it can be read
+ANSWER_S = 0.01  # from then until the answer
 
 
 def make_slow(view: LogView) -> None:
@@ -23,7 +24,7 @@
 
     async def append(records, token=None, *, at=None, timeout_s):
         if token is None or log.accept_token(token):
-            stored_at[token] = boottime() + STORE_S
+            stored_at[token] = boottime() + STORE_S + ANSWER_S
             await curio.spawn(store, records, daemon=True)
         wait_s = stored_at.get(token, 0.0) - boottime()
         if wait_s > timeout_s:
