--- a/checks/absences.py
+++ b/checks/absences.py
@@ -3,7 +3,8 @@
 Reads the output of a play with ``--log all``: lines of the seconds of the play, the VM
 and a log line as JSON. Times are in seconds of the play. An absence counts from the
 earliest moment at which the log of any VM shows that the run was gone, so it is never
-longer than the real one.
+longer than the real one. Where a VM has dropped log lines, the start of a run may be
+missing; an absence that it may have ended is only as long as the next start says.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     from collections.abc import Iterable, Sequence
 
 N_LISTED = 10
+DROPPED = "log lines dropped"
 LINE = re.compile(r"\s*(-?\d+(?:\.\d+)?) (\S+) (\{.*\})\s*")
 # Ends of a job, after which its tasks are not to run.
 JOB_ENDS = frozenset({"job cancelled", "job completed", "job failed"})
@@ -117,13 +119,21 @@
             job_ends.setdefault(row.fields["job"], row.at)
         elif "worker" in row.fields:
             by_worker[row.fields["worker"]].append(row)
+    dropped = [row.at for row in rows if row.event == DROPPED]
     found = []
     for task, own in by_task.items():
         if not any("away_s" in row.fields for row in own):
             continue
         over_at = job_ends.get(task.partition(".")[0], rows[-1].at)
         for earlier, later in _pairs(_effective_starts(own)):
-            item = _find_absence(earlier, later, own, by_worker, over_at)
+            next_run = later.fields["run"] if later is not None else 0
+            if next_run != earlier.fields["run"] + 1 and any(
+                at > earlier.at for at in dropped
+            ):
+                # A start between the two may be missing.
+                item = _find_absence(earlier, later, (), {}, over_at)
+            else:
+                item = _find_absence(earlier, later, own, by_worker, over_at)
             if item is not None:
                 found.append(_add_terms(item, own, terms))
     return sorted(found, key=lambda item: -item.length_s)
@@ -157,7 +167,7 @@
     until = later.at if later is not None else over_at
     signs = [
         (row.at, _describe(row))
-        for row in _end_lines(earlier, own, by_worker[earlier.fields["worker"]])
+        for row in _end_lines(earlier, own, by_worker.get(earlier.fields["worker"], ()))
         if row.at <= until
     ]
     fields = later.fields if later is not None else {}
@@ -266,6 +276,11 @@
             print(f"checks.absences: {path}: no log lines of a play", file=sys.stderr)
             return 2
         found += [(path.name, item) for item in find_absences(rows)]
+        n_dropped = sum(
+            row.fields.get("count", 0) for row in rows if row.event == DROPPED
+        )
+        if n_dropped:
+            print(f"{path.name}: {n_dropped} log lines were dropped", file=sys.stderr)
     found.sort(key=lambda pair: -pair[1].length_s)
     for name, item in found[:N_LISTED]:
         print(format_absence(name, item))
--- a/tests/checks/test_absences.py
+++ b/tests/checks/test_absences.py
@@ -105,6 +105,26 @@
     assert item.ended_at == 4.0
 
 
+# Guards against an absence that was over long before: the start of a run is among the
+# lines that a VM has dropped.
+def test_an_absence_that_a_dropped_start_may_have_ended_counts_as_reported():
+    rows = [
+        start(1.0, 1, "w1"),
+        (2.0, "n1", "run ended", {**TASK, "run": 1, "worker": "w1", "how": "lapsed"}),
+        back(3.0, 2, "w2", "n1", 1.0),
+        (9.0, "n1", "run ended", {**TASK, "run": 2, "worker": "w2", "how": "lapsed"}),
+    ]
+    dropped = (12.0, "n1", "log lines dropped", {"count": 7})
+    later = back(30.0, 4, "w3", "n1", 1.0)
+
+    def lengths(*more):
+        return [(item.run, item.length_s) for item in absences(*rows, *more)]
+
+    assert lengths(later) == [(4, 21.0), (2, 1.0)]
+    assert lengths(dropped, later) == [(2, 1.0), (4, 1.0)]
+    assert lengths(dropped) == [(2, 1.0)]
+
+
 # Guards against a list that is not sorted across logs, or longer than ten lines.
 def test_the_ten_longest_absences_of_all_logs_are_printed(tmp_path, capsys):
     paths = []
