Say what an absence counts when a worker is only cut off

The silence of a worker begins an absence, as it did within one term, but its run goes on until the lease lapses.

--- a/checks/absences.py
+++ b/checks/absences.py
@@ -1,10 +1,13 @@
 """Lists the longest absences of lasting tasks in the logs of plays, across terms.
 
 Reads the output of a play with ``--log all``: lines of the seconds of the play, the VM
-and a log line as JSON. Times are in seconds of the play. An absence counts from the
-earliest moment at which the log of any VM shows that the run was gone, so it is never
-longer than the real one. Where a VM has dropped log lines, the start of a run may be
-missing; an absence that it may have ended is only as long as the next start says.
+and a log line as JSON. Times are in seconds of the play.
+
+An absence counts from the earliest moment at which the log of any VM shows that the run
+was gone or that its worker did not answer. It is longer than the real one if the worker
+was only cut off, since the run then goes on until its lease lapses. Where a VM has
+dropped log lines, the start of a run may be missing; an absence that it may have ended
+is only as long as the next start says.
 """
 
 from __future__ import annotations
