Count the time without progress of a run over changes of the placer

A run that hangs on a worker that looks healthy was stopped only by a term that lasted for the whole stall time (2.5 s or a quarter of the expected time, whichever is longer). With placers that change more often, its caller waited until the changes were over. The time counted from the first report of each term, since only the process of the placer knew when the progress had last risen.

Progress records now list the runs whose newest report showed no more progress, with that share and the time for which it had not risen at that report. The record is written for it after each quarter of the stall time, four times at most until the run is stopped; a run that progresses with each report has no row and no write. The next placer counts on from when its VM has read the record, less the stored time, if the first report from the same incarnation shows exactly the stored share. Any other share, another incarnation or another run of the task counts anew. All errors shorten the time: rounding is downwards, and a record that a restarted VM reads late counts from its reading. No clocks of different VMs are compared.

A record of all tasks that may be under way, with shares of 18 characters and crashes, stays within MAX_PROGRESS_BYTES.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -93,7 +93,15 @@
     percent : float
         Share of the work that is done, 0 to 100.
     progressed_at : float, seconds
-        When `percent` last rose; 0 if the run has not been reported yet.
+        When `percent` last rose; 0 if the run has not been reported yet. In an earlier
+        term if the first report in this one shows `still_percent`.
+    still_percent : float
+        Share of the work that was done according to an earlier term; negative if
+        that is not known.
+    still_since : float, seconds
+        A time since which no more was done if a report still shows that share.
+    stored_still_s : float, seconds
+        Time without progress for which the journal was last written.
     urgent : bool
         Whether the queue of the run has the highest priority, 0.
     full_run : bool
@@ -123,6 +131,9 @@
     stopping_at: float = 0.0
     percent: float = 0.0
     progressed_at: float = 0.0
+    still_percent: float = -1.0
+    still_since: float = 0.0
+    stored_still_s: float = 0.0
     checkpoint: str = ""
     full_run: bool = False
     urgent: bool = False
@@ -158,6 +169,7 @@
         self.confirmed, self.confirmed_ms = False, 0
         self.present_at, self.present_ms, self.seen_at = 0.0, 0, 0.0
         self.percent, self.progressed_at = 0.0, 0.0
+        self.still_percent = -1.0
 
     @property
     def is_unseen(self) -> bool:
@@ -392,8 +404,11 @@
         slot = self.slots[row.key, row.run]
         slot.mark_present(clock_ms, now, self.entry.incarnation)
         slot.checkpoint = row.checkpoint or slot.checkpoint
-        if row.percent > slot.percent or not slot.progressed_at:
+        if not slot.progressed_at and row.percent == slot.still_percent:
+            slot.percent, slot.progressed_at = row.percent, slot.still_since
+        elif row.percent > slot.percent or not slot.progressed_at:
             slot.percent, slot.progressed_at = row.percent, now
+            slot.stored_still_s = 0.0
 
 
 def first_fencing_token(term: int) -> int:
--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -57,6 +57,8 @@
         Name of the queue; empty until the job's own record has been read.
     cancelled : bool
         Whether a caller cancelled it before it ended.
+    run_read_at : float, seconds
+        When this VM read its progress.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
     """
@@ -67,6 +69,7 @@
     queue: str = ""
     cancelled: bool = False
     accepted_at: float = 0.0
+    run_read_at: float = 0.0
     ended_at: float = 0.0
 
 
@@ -243,7 +246,7 @@
             self.entries.pop(job_id, None)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.run = value
+        entry.run, entry.run_read_at = value, now
         if not entry.cancelled:
             entry.state = state
         if state in FINAL_JOB_STATES:
@@ -315,7 +318,7 @@
                 error=ascii(exc)[:MAX_LOGGED_CHARS],
             )
             return None
-        progress.cancelled = entry.cancelled
+        progress.cancelled, progress.read_at = entry.cancelled, entry.run_read_at
         return progress
 
     def live(self) -> Iterator[Progress]:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -33,7 +33,7 @@
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
-from .watch import watch_runs
+from .watch import inherit_progress, note_progress, watch_runs
 
 if TYPE_CHECKING:
     from ..model import Resources
@@ -246,6 +246,8 @@
         worker.add(slot)
         if task.incarnation < worker.entry.incarnation:
             self._reassign(worker, slot)
+        else:
+            inherit_progress(slot, task, progress.read_at or self.begun_at)
 
     def _note_not_adopted(
         self, key: TaskKey, task: TaskState, worker: Worker | None, now: float
@@ -415,6 +417,7 @@
             return
         if (task.worker, task.run) == (worker.worker_id, slot.run):
             task.incarnation = worker.entry.incarnation
+            task.still_percent = -1.0  # of the earlier incarnation
             self.mark_dirty(progress)
 
     def _begin_incarnation(self, worker: Worker, entry: WorkerEntry) -> None:
@@ -643,6 +646,8 @@
             clear_survivor(self, worker, slot, clock_ms)
         if not self._is_current_run(worker, row.key, row.run):
             self.stop(worker, slot, "superseded", now)
+            return
+        note_progress(self, slot, now)
 
     def _is_current_run(self, worker: Worker, key: TaskKey, run: int) -> bool:
         progress = self.jobs.get(key.job_id)
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -28,7 +28,9 @@
 BASE_BYTES = 100
 FINISHED_BYTES = 20  # numbers of an occurrence and a step
 INDEX_BYTES = 6
-# Row of a task without its checkpoint, its worker's name, and its row of crashes.
+ALL_DONE_PERCENT = 100  # a run that reports this ends with its next report
+# Row of a task without its checkpoint, its worker's name, and its rows of crashes and
+# of the time without progress.
 ROW_BYTES = 128
 # A step with more tasks has those that are done as bits in place of a list.
 MAX_LISTED_TASKS = 500
@@ -69,6 +71,11 @@
     given_up_at : float, seconds
         When that run was given up, so that the task might start again; 0 if it was not
         in this term. Not kept in the journal.
+    still_percent : float
+        Share of the work that its run had done at the newest report; negative if none
+        is known, or if that report has shown more than the one before.
+    still_s : float, seconds
+        How long that share had not risen at that report.
     """
 
     run: int = 0
@@ -84,6 +91,8 @@
     start_exposure_s: float = 0.0
     away_since: float = 0.0
     given_up_at: float = 0.0
+    still_percent: float = -1.0
+    still_s: float = 0.0
 
     @property
     def life(self) -> tuple[str, int]:
@@ -189,6 +198,8 @@
     max_open : int
         Most tasks that may have started and not be done; lowered if the journal has
         rejected the record for its length.
+    read_at : float, seconds
+        When the record from which it was decoded was read; 0 if that is not known.
     """
 
     job: Job
@@ -201,6 +212,7 @@
     has_started: bool = False
     n_checkpoint_bytes: int = 0
     max_open: int = MAX_RECORD_BYTES // ROW_BYTES
+    read_at: float = 0.0
     # Results of `n_open` and `_max_bytes` until a task changes.
     _n_open: int | None = None
     _n_bytes: int | None = None
@@ -312,6 +324,7 @@
         self._n_open = self._n_bytes = None
         step_run.n_open += not task.run
         task.run, task.worker, task.incarnation = run, worker, incarnation
+        task.still_percent, task.still_s = -1.0, 0.0
         step_run.n_assigned += 1
         self.n_assigned += 1
         if self.state is JobState.PENDING:
@@ -413,6 +426,9 @@
     crashes = crash_rows(progress)
     if crashes:
         data["crashes"] = crashes  # a key of its own: older builds ignore it
+    still = _still_rows(progress)
+    if still:
+        data["still"] = still  # older builds ignore it as well
     return orjson.dumps(data)
 
 
@@ -481,7 +497,31 @@
     ]
 
 
+def _still_rows(progress: Progress) -> list[list[float]]:
+    """Return the runs whose newest report has not shown more progress.
+
+    Returns
+    -------
+    rows : list of [occurrence, step, task, percent, still_s]
+        The share is not rounded, since a report that shows more than it ends the time
+        without progress.
+    """
+    return [
+        [
+            *step_run.key(index)[1:],
+            task.still_percent,
+            min(int(task.still_s * 100) / 100, MAX_COUNT),
+        ]
+        for step_run in progress.step_runs.values()
+        if step_run.n_assigned
+        for index, task in enumerate(step_run.tasks)
+        if task.worker and task.still_percent >= 0
+    ]
+
+
 _Number = Annotated[int, Field(ge=0, le=MAX_COUNT)]
+_Percent = Annotated[float, Field(ge=0, le=ALL_DONE_PERCENT)]
+_Seconds = Annotated[float, Field(ge=0, le=MAX_COUNT)]
 _Incarnation = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 # Task, run and index of its worker; with failures, the failed runs and a checkpoint.
 _Row = Annotated[
@@ -503,6 +543,7 @@
     workers: tuple[tuple[str, _Incarnation], ...] = ()
     steps: tuple[_StepRow, ...] = ()
     crashes: tuple[tuple[_Number, _Number, _Number, _Number, _Number], ...] = ()
+    still: tuple[tuple[_Number, _Number, _Number, _Percent, _Seconds], ...] = ()
 
 
 def decode_job_state(value: bytes) -> JobState:
@@ -562,6 +603,9 @@
         task = progress.step_run(occurrence, number).tasks[index]
         task.n_crashes, task.n_start_crashes = counts
         task.start_exposure_s = math.inf if task.n_start_crashes else 0.0
+    for occurrence, number, index, percent, still_s in data.still:
+        task = progress.step_run(occurrence, number).tasks[index]
+        task.still_percent, task.still_s = percent, still_s
     return progress
 
 
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -8,11 +8,13 @@
 
 from .crashes import record_lapse
 from .leasebounds import lapse_at, lapse_bound
+from .progress import ALL_DONE_PERCENT
 
 if TYPE_CHECKING:
     from .fleet import Slot, Worker
     from .model import TaskKey
     from .placer import Placer
+    from .progress import TaskState
 
 logger = structlog.get_logger(__name__)
 
@@ -20,7 +22,9 @@
 # this fraction of its expected run time, since long tasks progress slowly.
 MIN_STALL_S = 2.5
 STALL_FRACTION = 0.25
-ALL_DONE_PERCENT = 100  # a run that reports this ends with its next report
+# A run without progress is written to the journal after each such part of that time,
+# so that the next placer goes on counting.
+STORED_FRACTION = 0.25
 
 
 def watch_runs(placer: Placer, now: float) -> None:
@@ -44,6 +48,7 @@
             placer.stop(worker, slot, "repeated", now)
             continue
         if not _is_stalled(placer, slot, now):
+            _store_time_without_progress(placer, slot)
             continue
         worker.health.record_failure(slot.key.job_id, now)
         logger.info(
@@ -68,7 +73,7 @@
     if progress is None:
         return False
     step = progress.job.steps[slot.key.step]
-    stall_s = max(MIN_STALL_S, STALL_FRACTION * slot.run_time_s)
+    stall_s = _stall_s(slot)
     if (
         step.long_running
         or not slot.progressed_at
@@ -86,6 +91,48 @@
     return True
 
 
+def _stall_s(slot: Slot) -> float:
+    return max(MIN_STALL_S, STALL_FRACTION * slot.run_time_s)
+
+
+def inherit_progress(slot: Slot, task: TaskState, read_at: float) -> None:
+    """Count the time that a run of an earlier term has been without progress.
+
+    Parameters
+    ----------
+    read_at : float, seconds
+        When the state of the task was read. The run had been without progress for
+        `TaskState.still_s` by then, or for longer.
+    """
+    slot.still_percent = task.still_percent
+    slot.still_since = read_at - task.still_s
+    slot.stored_still_s = task.still_s
+
+
+def note_progress(placer: Placer, slot: Slot, now: float) -> None:
+    """Note what a report shows of the progress of a run for the next term."""
+    progress = placer.jobs.get(slot.key.job_id)
+    task = progress.task(slot.key) if progress is not None else None
+    if task is None or slot.long_running:
+        return
+    has_risen = slot.progressed_at == now > slot.present_at
+    task.still_percent = -1.0 if has_risen else slot.percent
+    task.still_s = now - slot.progressed_at
+
+
+def _store_time_without_progress(placer: Placer, slot: Slot) -> None:
+    """Write how long a run has been without progress, a few times before it stalls."""
+    progress = placer.jobs.get(slot.key.job_id)
+    task = progress.task(slot.key) if progress is not None else None
+    if progress is None or task is None or task.run != slot.run:
+        return
+    if task.still_percent < 0 or task.still_percent >= ALL_DONE_PERCENT:
+        return
+    if task.still_s - slot.stored_still_s >= STORED_FRACTION * _stall_s(slot):
+        slot.stored_still_s = task.still_s
+        placer.mark_dirty(progress)
+
+
 def _release_not_adopted(placer: Placer, now: float) -> None:
     """Release runs whose worker has not registered in this term, after its lease."""
     for key, task in list(placer.not_adopted.items()):
--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -32,6 +32,7 @@
     make_placer,
     make_step,
     mark_started,
+    running_row,
     submit,
 )
 
@@ -125,6 +126,33 @@
     ]
 
 
+# Guards against rows of runs without progress that make a record too long.
+def test_runs_without_progress_do_not_make_a_record_too_long(placer):
+    step = make_step(MAX_TASKS, cores=0.001, memory_mb=0.0)
+    progress = submit(placer, make_job(step))
+    placements, _ = placer.decide(BEGUN_AT, WALL)
+    mark_started(placer, placements)
+    for worker_id in placer.workers:
+        rows = [
+            running_row(item, 33.370000000000005)
+            for item in placements
+            if item.worker_id == worker_id
+        ]
+        for now in (BEGUN_AT + 0.01, BEGUN_AT + 12345.67):
+            answer_renewal(placer, worker_id, now, running=rows, incarnation=LIFE)
+    for _, task in progress.assigned():
+        task.n_crashes, task.n_start_crashes = 3, 2
+    assert len(placements) > 1000
+    value = encoded(progress)
+    assert len(value) <= MAX_PROGRESS_BYTES
+    copy = decode_progress(progress.job, value)
+    for (_, before), (_, after) in zip(
+        progress.assigned(), copy.assigned(), strict=True
+    ):
+        assert after.still_percent == before.still_percent == 33.370000000000005
+        assert before.still_s - 0.02 < after.still_s <= before.still_s
+
+
 # Guards against gangs that are accepted and can never start.
 def test_a_gang_whose_progress_no_record_holds_is_refused():
     step = b'{"count":9000,"cpu":1,"est_runtime_ms":1,"gang":true}'
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cuminhill.jobs.fleet import CLOCK_DRIFT
+from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.leasebounds import latest_lapse_at
 from cuminhill.jobs.model import (
     AdviceTerms,
@@ -16,7 +17,8 @@
 )
 from cuminhill.jobs.placer import STOP_REPEAT_S, Placement
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
-from cuminhill.jobs.watch import MIN_STALL_S
+from cuminhill.jobs.records import JOB_PREFIX, RUN_PREFIX, JournalRecord, encode_job
+from cuminhill.jobs.watch import MIN_STALL_S, STALL_FRACTION, STORED_FRACTION
 
 from .builders import (
     BEGUN_AT,
@@ -807,9 +809,139 @@
         placer.tick(now)
         if placer.take_stops():
             return
-        copy = decode_progress(progress.job, encode_progress(progress))
-        placer = make_placer(n_workers=0, term=placer.term + 1)
-        placer.begun_at = now
-        placer.register_worker(make_entry("w1"), now)
-        placer.add_job(copy, now)
+        progress = decode_progress(progress.job, encode_progress(progress))
+        placer = next_placer(placer, progress, now)
     raise AssertionError("the stalled run was not stopped in 20 s")
+
+
+def next_placer(placer, progress, now):
+    """Return the placer of the next term, with the progress that it has read."""
+    placer = make_placer(n_workers=0, term=placer.term + 1)
+    placer.begun_at = now
+    placer.register_worker(make_entry("w1"), now)
+    placer.add_job(progress, now)
+    return placer
+
+
+class StillRun:
+    """Run of 20 s whose placer changes; all records are read by one VM at once."""
+
+    stall_s = STALL_FRACTION * 20.0
+
+    def __init__(self, **step):
+        self.now, self.percent, self.n_writes = NOW, 30.000000000000004, 0
+        self.placer = make_placer(n_workers=1)
+        self.job = make_job(make_step(run_time_s=20.0, **step))
+        self.index = JobIndex()
+        self.fold(JOB_PREFIX, encode_job(self.job))
+        submit(self.placer, self.job)
+        self.runs = self.placer.decide(NOW, WALL)[0]
+        mark_started(self.placer, self.runs)
+        self.write()
+        self.n_writes = 0
+
+    def fold(self, prefix, value):
+        record = JournalRecord(0, prefix + self.job.job_id, value)
+        self.index.fold(record, self.now)
+
+    def write(self):
+        for progress in self.placer.take_dirty().values():
+            self.n_writes += 1
+            self.fold(RUN_PREFIX, encode_progress(progress))
+
+    def report(self):
+        rows = (running_row(self.runs[0], self.percent),)
+        answer_renewal(self.placer, "w1", self.now, running=rows)
+        self.placer.tick(self.now)
+        self.write()
+
+    def stops_within(self, for_s):
+        """Go on for a while; return whether the run is stopped as stalled."""
+        until = self.now + for_s
+        while self.now < until:
+            self.now += 0.25
+            self.report()
+            if self.placer.take_stops():
+                return True
+        return False
+
+    def change_placer(self, *, restarted=False):
+        """Begin the next term, by a VM that reads all records only now if restarted."""
+        if restarted:
+            entry = self.index.entries[self.job.job_id]
+            self.index = JobIndex()
+            self.fold(JOB_PREFIX, entry.job)
+            self.fold(RUN_PREFIX, entry.run)
+        progress = self.index.load(self.job.job_id)
+        self.placer = next_placer(self.placer, progress, self.now)
+
+
+# Guards against a stalled run that is timed anew by each term, of which only that is
+# read which a term has written for it, by VMs that read all records or start anew.
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_run_without_progress_is_stopped_in_time_over_several_terms(restarted):
+    run = StillRun()
+    terms_s = 0.4 * run.stall_s
+    while not run.stops_within(terms_s):
+        assert run.now - NOW < 2 * run.stall_s
+        run.change_placer(restarted=restarted)
+    lost_s = STORED_FRACTION * run.stall_s * (run.placer.term - 1) if restarted else 0.0
+    assert run.stall_s <= run.now - NOW <= run.stall_s + lost_s + 0.75
+    assert run.n_writes <= 1 / STORED_FRACTION
+
+
+# Guards against the stop of a healthy run by what an earlier term has stored of it: it
+# progresses between the terms, or before the first report that a later term reads.
+@pytest.mark.parametrize("n_more", [1, 2])
+def test_a_run_that_progresses_again_is_not_stopped_by_a_later_term(n_more):
+    run = StillRun()
+    assert not run.stops_within(0.9 * run.stall_s)
+    for _ in range(n_more):
+        run.now += 5.0
+        run.change_placer()
+    run.percent += 0.000000000000004
+    assert not run.stops_within(0.9 * run.stall_s)
+    assert run.stops_within(0.2 * run.stall_s)
+
+
+# Guards against the time without progress of one run that is counted for the next run
+# of the task, which begins at the same share of the work.
+def test_the_next_run_of_a_task_is_not_stopped_for_the_one_before():
+    run = StillRun()
+    assert not run.stops_within(0.9 * run.stall_s)
+    run.now += 1.0
+    answer_renewal(run.placer, "w1", run.now)
+    run.runs = run.placer.decide(run.now, WALL)[0]
+    assert [item.run for item in run.runs] == [2]
+    mark_started(run.placer, run.runs, run.now)
+    run.write()
+    run.change_placer()
+    assert not run.stops_within(0.9 * run.stall_s)
+    assert run.stops_within(0.2 * run.stall_s)
+
+
+# Guards against writes for runs that progress with each report.
+def test_a_run_that_progresses_is_written_no_more_often():
+    run = StillRun()
+    for _ in range(40):
+        run.percent += 1.0
+        assert not run.stops_within(0.25)
+    assert run.n_writes == 0
+    progress = run.placer.jobs[run.job.job_id]
+    assert b"still" not in encode_progress(progress)
+
+
+# Guards against a stop of a run on an incarnation that the earlier term did not know.
+def test_progress_of_an_earlier_incarnation_says_nothing_of_a_later_one():
+    run = StillRun()
+    assert not run.stops_within(0.9 * run.stall_s)
+    progress = run.index.load(run.job.job_id)
+    placer = make_placer(n_workers=0, term=2)
+    placer.begun_at = run.now
+    placer.register_worker(make_entry("w1", incarnation=2), run.now)
+    placer.add_job(progress, run.now)
+    rows = (running_row(run.runs[0], run.percent),)
+    now = run.now + 0.5 * run.stall_s
+    answer_renewal(placer, "w1", now, running=rows, incarnation=2)
+    placer.tick(now)
+    assert [stop for stop in placer.take_stops() if stop.reason == "stalled"] == []
