Pass over records of unknown types in the project's own streams

One record of a type that a build does not know made each VM of that build clear its index of requests: the record was left out without its offset being counted, so the next one seemed to follow a gap made by retention. Accepted requests were unknown there until a refresh, and the configuration could not be judged until a bookmark.

Such a record binds no request and counts for no revision, so it is passed over now. One of a known type that cannot be read still makes the index inexact: a later build may read it as a claim or as a publication, and passing over it could run an order twice or count revisions differently. Two tests keep that.

Not tried in processes of two builds.

--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -14,7 +14,12 @@
 from .clock import SystemClock
 from .configuration import STREAM as CONFIG_STREAM
 from .configuration import Configuration
-from .coordination.claims import LeaderRecord, RequestIndex, record_from_dict
+from .coordination.claims import (
+    LeaderRecord,
+    RequestIndex,
+    has_known_type,
+    record_from_dict,
+)
 from .coordination.membership import Member, make_membership
 from .coordination.ownership import leader_of, shard_names, shard_of
 from .coordination.recovery import from_snapshot, to_snapshot
@@ -421,6 +426,8 @@
             record = record_from_dict(value)
         except (KeyError, TypeError):
             self.n_bad_records += 1
+            if not has_known_type(value):
+                self.index.skip(offset)
             return
         self.index.apply(offset, record)
         if isinstance(record, LeaderRecord) and record.shard in self.drivers:
--- a/cuminhill/configuration.py
+++ b/cuminhill/configuration.py
@@ -15,6 +15,7 @@
     Publication,
     config_record_from_dict,
     config_record_to_dict,
+    has_known_config_type,
     make_config_state,
 )
 from .errors import SettingsError, UnavailableError, UnknownOutcomeError
@@ -169,6 +170,8 @@
             record = config_record_from_dict(value)
         except (KeyError, TypeError):
             self.n_bad_records += 1
+            if not has_known_config_type(value):
+                self.state.skip(offset)
             return
         changed = self.state.apply(offset, record) is not None
         if changed and self.follower.caught_up:
--- a/cuminhill/coordination/claims.py
+++ b/cuminhill/coordination/claims.py
@@ -22,6 +22,7 @@
     Record,
     Refresh,
     Started,
+    has_known_type,
     record_from_dict,
     record_to_dict,
 )
@@ -156,6 +157,15 @@
             self._update_exact()
         return found
 
+    def skip(self, offset: int) -> None:
+        """Pass over a record of an unknown type, unless it follows a gap.
+
+        One of a known type must not be passed over: a build that can read it may bind
+        a request by it.
+        """
+        if offset == self.next_offset:
+            self.next_offset = offset + 1
+
     def adopt(self, other: RequestIndex) -> None:
         """Replace the state by that of another index; the counters stay."""
         for item in fields(self):
@@ -401,6 +411,7 @@
     "Refresh",
     "RequestIndex",
     "Started",
+    "has_known_type",
     "make_request_index",
     "record_from_dict",
     "record_time",
--- a/cuminhill/coordination/configstream.py
+++ b/cuminhill/coordination/configstream.py
@@ -95,6 +95,12 @@
     return {"type": _NAMES[type(record)], **asdict(record)}
 
 
+def has_known_config_type(data: object) -> bool:
+    """Return whether a value has the type of a record, even if it is none."""
+    kind = data.get("type") if isinstance(data, dict) else None
+    return isinstance(kind, str) and kind in _TYPES
+
+
 def config_record_from_dict(data: dict[str, Any]) -> ConfigRecord:
     """Return the record for a mapping made by ``config_record_to_dict``.
 
@@ -217,6 +223,15 @@
         self.last_record_at = record.at
         return self.in_force if self.in_force is not before else None
 
+    def skip(self, offset: int) -> None:
+        """Pass over a record of an unknown type, unless it follows a gap.
+
+        One of a known type must not be passed over: a build that can read it may count
+        a revision for it.
+        """
+        if offset == self.next_offset:
+            self.next_offset = offset + 1
+
     def skip_to(self, offset: int) -> None:
         """Skip the records before an offset, which can no longer be read."""
         if offset <= self.next_offset:
--- a/cuminhill/coordination/records.py
+++ b/cuminhill/coordination/records.py
@@ -162,6 +162,12 @@
     return {"type": _NAMES[type(record)], **asdict(record)}
 
 
+def has_known_type(data: object) -> bool:
+    """Return whether a value has the type of a record, even if it is none."""
+    kind = data.get("type") if isinstance(data, dict) else None
+    return isinstance(kind, str) and kind in _TYPES
+
+
 def record_from_dict(data: dict[str, Any]) -> Record:
     """Return the record for a mapping made by ``record_to_dict``.
 
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -5,6 +5,9 @@
 import curio
 import pytest
 
+from cuminhill.application import Application
+from cuminhill.clock import SystemClock
+from cuminhill.configuration import Configuration
 from cuminhill.coordination.claims import (
     Claim,
     Done,
@@ -27,6 +30,7 @@
 from cuminhill.platform.log import HttpLog, LogPage
 from cuminhill.platform.vmlist import HttpVmListing
 from cuminhill.platform.worker import HttpWorker
+from cuminhill.settings import make_settings
 
 CLAIM = Claim("r", "s", {}, 1.0)
 STARTED = Started("r", "t", "w", 1, "i", "by")
@@ -141,6 +145,77 @@
     assert index.get("r") is not None
 
 
+UNREADABLE = [{"type": "of a later build"}, {"type": []}, {}, 7]
+
+
+def make_application():
+    names = ("http_address", "rpc_address", "log_address", "vm_list_address")
+    values = {name: "127.0.0.1:1" for name in names}
+    return Application(make_settings({"vm": "e0", "failure_domain": "d", **values}))
+
+
+def fold_records(reader, *records):
+    """Have the reader of a stream read records or their JSON-ready forms."""
+
+    async def main():
+        for offset, record in enumerate(records):
+            known = isinstance(record, Claim | Started)
+            await reader._on_record(offset, record_to_dict(record) if known else record)
+
+    curio.run(main)
+
+
+# Guards against accepted requests that all VMs forget because of one record that they
+# can't read, such as one of a later build.
+@pytest.mark.parametrize("value", UNREADABLE)
+def test_an_unreadable_record_does_not_clear_the_index_of_requests(value):
+    app = make_application()
+    fold_records(app, CLAIM, value, STARTED)
+    assert app.n_bad_records == 1
+    assert app.index.n_gaps == 0
+    assert app.index.exact
+    assert app.index.get("r").started["t"] == STARTED
+
+
+# Guards against a second run of a request whose claim only a later build can read: the
+# claim that follows must not count as the first one.
+def test_an_unreadable_claim_makes_the_index_inexact():
+    app = make_application()
+    fold_records(app, record_to_dict(CLAIM) | {"new": 1}, CLAIM)
+    assert app.index.n_gaps == 1
+    assert app.index.live_entries("s") == []
+
+
+# Guards against a configuration that no VM can change after one unreadable record.
+@pytest.mark.parametrize("value", UNREADABLE)
+def test_an_unreadable_record_does_not_stop_changes_of_the_configuration(value):
+    config = Configuration(None, SystemClock(), None)
+    publication = config_record_to_dict(Publication("p", "o", 0, {}, 1.0))
+    fold_records(config, value, publication)
+    assert config.n_bad_records == 1
+    assert config.state.n_gaps == 0
+    assert config.state.in_force.revision == 1
+
+
+# Guards against revisions that VMs of two builds count differently.
+def test_an_unreadable_publication_is_not_passed_over():
+    config = Configuration(None, SystemClock(), None)
+    publication = config_record_to_dict(Publication("p", "o", 0, {}, 1.0))
+    fold_records(config, publication | {"new": 1}, publication)
+    assert config.state.n_gaps == 1
+    assert not config.state.in_sync
+
+
+# Guards against records that retention has dropped and that count as unreadable ones.
+def test_an_unreadable_record_after_a_gap_does_not_hide_the_gap():
+    index = RequestIndex()
+    index.apply(0, CLAIM)
+    index.skip(5)
+    index.apply(6, STARTED)
+    assert index.n_gaps == 1
+    assert not index.exact
+
+
 class OddClient:
     """HTTP client that returns one answer."""
 
