--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -57,10 +57,10 @@
         Name of the queue; empty until the job's own record has been read.
     cancelled : bool
         Whether a caller cancelled it before it ended.
+    run_read_at : float, seconds
+        When this VM read its progress.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
-    run_read_at : float, seconds
-        When `run` was read.
     """
 
     job: bytes = b""
@@ -69,8 +69,8 @@
     queue: str = ""
     cancelled: bool = False
     accepted_at: float = 0.0
-    ended_at: float = 0.0
     run_read_at: float = 0.0
+    ended_at: float = 0.0
 
 
 @dataclass(eq=False)
@@ -338,7 +338,7 @@
                 error=ascii(exc)[:MAX_LOGGED_CHARS],
             )
             return None
-        progress.cancelled = entry.cancelled
+        progress.cancelled, progress.read_at = entry.cancelled, entry.run_read_at
         return progress
 
     def live(self) -> Iterator[Progress]:
