Keep the wait for a restarted worker when the predecessor's end is known

A task could have been given up and started again although a run of it had been accepted by the new incarnation of its worker (rule TWICE).

Cause: a start that was sent in this term to an incarnation that has ended may have reached the next one, so the wait for that worker lasts for a lease from the time at which it registered. `note_predecessor_ended` shortened it to the lapse of the leases of earlier terms, since the new incarnation had not answered a renewal yet.

Evidence: the new test fails without the change: `lapse_at` is 1.4 s after the registration instead of 5.4 s. A worker that has answered in this term was left alone already. Workers that restarted in this term are now as well; the longest wait for them still ends one lease after they have registered.

--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -169,7 +169,9 @@
     ended_at = max(ended_at, earliest)
     placer.predecessor_ended_at = min(placer.predecessor_ended_at, ended_at)
     for worker in placer.workers.values():
-        if not worker.confirmed_token and not worker.reachable:
+        # A worker that has restarted in this term may have accepted a start of it.
+        known = worker.confirmed_token or worker.has_predecessor
+        if not known and not worker.reachable:
             worker.lapse_at = min(worker.lapse_at, lapse_at(placer, worker.life))
 
 
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -317,6 +317,21 @@
     assert placer.workers["w1"].lapse_at == lapse
 
 
+# Guards against two runs of a task: a new incarnation may have accepted a start of this
+# term that was meant for the one before, and its lease outlasts those of the previous
+# term.
+def test_the_end_of_the_predecessor_changes_nothing_for_a_restarted_worker():
+    placer = make_placer(n_workers=1)
+    placer.inherited = InheritedLeases(1, ADDRESS, NOW - 9, {})
+    submit(placer, make_job(make_step(long_running=True)))
+    (run,) = placer.decide(NOW, WALL)[0]
+    slot = placer.sendable_slot(run, NOW + 2)
+    slot.sent, slot.fencing_token = True, placer.workers["w1"].fencing_token
+    placer.register_worker(make_entry("w1", incarnation=2), NOW + 2)
+    note_predecessor_ended(placer, NOW - 2)
+    assert placer.workers["w1"].lapse_at >= NOW + 2 + placer.times.lease.lapse_s
+
+
 # Guards against leases that are extended although the journal says that they lapse.
 def test_a_listed_worker_is_used_again_once_a_record_without_it_is_stored():
     placer = make_placer(n_workers=1)
