Count inherited waits from the earliest reading of their records

Cause: the times in a record of leases count from its reading by the new placer.

Change: a new placer asks up to 16 other VMs how long ago they read the lease record that its claim inherits and the newest record before the terms that have left none, and counts from the earliest reading. They are asked until they answer while a lease may run; waits for workers and for runs that were not adopted become shorter, and the term's next record hands the better times on. The end that the predecessor's process has told is bounded anew by the earlier reading.

The claim fences all records of earlier terms. A VM that has missed records names another position or gives later times, and one that has not read the claim gives none. Ages count back from the arrival of the answer, less the drift of clocks. Ages that are out of range or out of order are ignored; earlier builds answer that the method is unknown and are asked once.

Not covered: a term that is killed before its second record, 0.5 s after the first, hands on the later times, since the first record does not wait for answers.

--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -41,6 +41,7 @@
     "append": idl.AppendCall,
     "advise": idl.AdviseCall,
     "term_ended": idl.TermCall,
+    "lease_ages": idl.LeaseAgesCall,
 }
 REPLY_TYPES = {name: idl.Reply for name in CALL_TYPES} | {"heartbeat": idl.Heartbeat}
 
--- a/cuminhill/idl/peer.thrift
+++ b/cuminhill/idl/peer.thrift
@@ -71,6 +71,16 @@
     1: i64 term
 }
 
+// Asks how long ago the process that is called read the lease record that a claim
+// inherits, and the newest record of placers before the terms that have left none. The
+// value of the reply is JSON: `record_s` and `newest_s`, in seconds.
+struct LeaseAgesCall {
+    // The claim, and the position of the lease record in the journal.
+    1: i64 term
+    2: string nonce
+    3: i64 offset
+}
+
 struct Reply {
     1: string status
     2: binary value
--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -8,7 +8,13 @@
 import structlog
 
 from ..errors import ProtocolError
-from .leasebounds import NO_INHERITED_LEASES, InheritedLeases, inherit_leases
+from .leasebounds import (
+    NO_INHERITED_LEASES,
+    InheritedLeases,
+    LeaseAges,
+    LeaseQuery,
+    LeaseReading,
+)
 from .model import FINAL_JOB_STATES, JobState
 from .progress import Progress, decode_job_state, decode_progress
 from .records import (
@@ -85,6 +91,11 @@
         Newest ends of leases that a placer does not extend.
     leases_read_at : float, seconds
         When that record was read.
+    leases_offset : int
+        Position of that record in the journal.
+    lease_reading : LeaseReading or None
+        What the newest claim inherits, as this VM has read it by the claim; None if
+        that bounds no leases. Later records of leases do not change it.
     members : dict
         Registered VMs.
     heard_at : dict
@@ -104,6 +115,8 @@
     leader_record: LeaderRecord = NO_LEADER
     leases: LeaseRecord = NO_LEASES
     leases_read_at: float = 0.0
+    leases_offset: int = -1
+    lease_reading: LeaseReading | None = None
     members: dict[str, Member] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
@@ -171,6 +184,7 @@
             self._fold_resignation(value)
         elif key == LEASES_KEY:
             self.leases, self.leases_read_at = decode_lease_record(value), now
+            self.leases_offset = record.offset
             self.n_placer_records += 1
         elif key == SPEEDS_KEY:
             self.speeds = value
@@ -190,11 +204,14 @@
             self.leader_record.term,
             self.leader_record.nonce,
         )
-        if record.term > self.leader_record.term and not self._granted_nothing():
+        is_new = record.term > self.leader_record.term
+        if is_new and not self._granted_nothing():
             self.predecessor_read_at = self.placer_read_at
-        if record.term > self.leader_record.term or same:
+        if is_new or same:
             self.leader_record = record
             self.n_placer_records += 1
+        if is_new:
+            self.lease_reading = self._read_leases()
 
     def _granted_nothing(self) -> bool:
         """Return whether the newest term can't have extended any lease."""
@@ -265,7 +282,26 @@
         entry.job = entry.run = b""
 
     def inherited_leases(self) -> InheritedLeases:
-        """Return what the terms before the newest have left about leases.
+        """Return what the terms before the newest have left about leases."""
+        reading = self.lease_reading
+        return NO_INHERITED_LEASES if reading is None else reading.inherited()
+
+    def lease_ages(self, query: LeaseQuery, now: float) -> LeaseAges | None:
+        """Return how long ago this VM read what a claim inherits.
+
+        Returns
+        -------
+        ages : LeaseAges or None
+            None if the claim is not the newest one that this VM has read, or if this
+            VM had read another lease record by then.
+        """
+        reading = self.lease_reading
+        if reading is None or reading.query != query:
+            return None
+        return reading.ages(now)
+
+    def _read_leases(self) -> LeaseReading | None:
+        """Return what the newest claim inherits.
 
         The newest record bounds all leases if each term after it extends none before
         a record of its own.
@@ -275,9 +311,12 @@
         if not self.leases.term or not (
             recorded_since - 1 <= self.leases.term < leader.term
         ):
-            return NO_INHERITED_LEASES
-        return inherit_leases(
-            self.leases, self.leases_read_at, self.predecessor_read_at
+            return None
+        return LeaseReading(
+            LeaseQuery(leader.term, leader.nonce, self.leases_offset),
+            self.leases,
+            self.leases_read_at,
+            self.predecessor_read_at,
         )
 
     def n_waiting(self, queue: str) -> int:
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import time
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -16,9 +18,11 @@
     FencedError,
     OtherIncarnationError,
     OverloadedError,
+    ProtocolError,
     RejectedError,
     UnavailableError,
 )
+from ..util.hashing import rendezvous_order
 from .advice import LONG_CALL_S, AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
@@ -48,7 +52,7 @@
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
-    from .leasebounds import TermEnd
+    from .leasebounds import LeaseAges, LeaseQuery, LeaseReading, TermEnd
     from .model import QueueTable, StartReply, TaskKey, WorkerEntry, WorkerReport
 
 logger = structlog.get_logger(__name__)
@@ -72,7 +76,11 @@
 # The placer writes at least at this interval, so that others see that it is alive.
 TERM_RENEWAL_S = 0.6
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
-ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
+ASK_INTERVAL_S = 0.25  # between questions to VMs about the previous term
+# VMs that are asked when they read the records about leases. One that has followed the
+# journal is enough, and even if most VMs have just started, some of so many have; it
+# bounds the calls of a hand-over on a site with hundreds of VMs.
+MAX_READERS = 16
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
 # Added to the expected time of a call for advice and its queue, the larger of the time
@@ -146,6 +154,9 @@
     ask_term_ended : callable
         Coroutine function that asks the process at an address whether it extends no
         lease for a term and never will, and since when; None if it still may.
+    ask_lease_ages : callable
+        Coroutine function that asks a VM how long ago it read the records about leases
+        that a claim inherits; None if it has not read them.
     keep_ended_s : float, seconds
         How long ended jobs stay in the journal.
     metrics : MetricSet
@@ -167,6 +178,7 @@
     ask_advice: Callable[[str, AdviceCall, float], Awaitable[AdviceAnswer]]
     address: str
     ask_term_ended: Callable[[str, int], Awaitable[TermEnd | None]]
+    ask_lease_ages: Callable[[str, LeaseQuery], Awaitable[LeaseAges | None]]
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
@@ -187,6 +199,15 @@
     # When a record was sent by which others see that the placer is alive: progress of
     # jobs or its claim. Earlier builds do not count records of leases.
     _shown_at: float = 0.0
+    # What the claim inherits, by the earliest times known of its reading.
+    _reading: LeaseReading | None = None
+    # Since when the process of the previous term has said that it extends no lease.
+    _told_ended_at: float = math.inf
+    # VMs that are being asked when they read the records, those that need not be asked
+    # again, and the number of questions to each.
+    _readers_calling: set[str] = field(default_factory=set)
+    _readers_done: set[str] = field(default_factory=set)
+    _reader_calls: Counter[str] = field(default_factory=Counter)
     _expired_at: float = 0.0
     _speeds_written_at: float = 0.0
 
@@ -217,6 +238,7 @@
         now = boottime()
         self.placer.table = table
         self.placer.inherited = self.job_index.inherited_leases()
+        self._reading = self.job_index.lease_reading
         self._load_speeds()
         for entry in entries:
             self.placer.register_worker(entry, now)
@@ -253,6 +275,7 @@
             ("journal", self._journal),
             ("renew term", self._renew_term),
             ("ask predecessor", self._ask_predecessor),
+            ("ask readers", self._ask_readers),
         ):
             self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
         await self._spawn_renewers()
@@ -274,7 +297,8 @@
                 end = None  # the longest lease counts until it answers
             if end is not None:
                 now = boottime()
-                note_predecessor_ended(self.placer, end.ended_at(now))
+                self._told_ended_at = end.ended_at(now)
+                note_predecessor_ended(self.placer, self._told_ended_at)
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
@@ -285,6 +309,69 @@
                 return
             await curio.sleep(ASK_INTERVAL_S)
 
+    async def _ask_readers(self) -> None:
+        """Ask other VMs when they read the records about leases that are inherited.
+
+        This VM may have read them long after they were written, from a snapshot after
+        its own start. A VM that has not read the claim yet, or that does not answer, is
+        asked again while a lease may still run.
+        """
+        while self._reading is not None and not self.ended:
+            if boottime() >= latest_lapse_at(self.placer):
+                return
+            for vm in self._next_readers():
+                self._readers_calling.add(vm)
+                self._reader_calls[vm] += 1
+                await curio.spawn(
+                    self._guard,
+                    "ask reader",
+                    self._ask_reader,
+                    vm,
+                    self._reading,
+                    daemon=True,
+                )
+            if len(self._readers_done) >= MAX_READERS:
+                return
+            await curio.sleep(ASK_INTERVAL_S)
+
+    def _next_readers(self) -> list[str]:
+        """Return the VMs to ask now, those first that were asked least often."""
+        busy = self._readers_calling | self._readers_done | {self.leader_record.vm}
+        others = [vm for vm in self.job_index.members if vm not in busy]
+        others = rendezvous_order(self.leader_record.nonce, others)
+        others.sort(key=lambda vm: self._reader_calls[vm])
+        n_busy = len(self._readers_calling) + len(self._readers_done)
+        return others[: max(0, MAX_READERS - n_busy)]
+
+    async def _ask_reader(self, vm: str, reading: LeaseReading) -> None:
+        """Ask one VM, and count from its times if they are earlier."""
+        try:
+            ages = await self.ask_lease_ages(vm, reading.query)
+        except ProtocolError:
+            self._readers_done.add(vm)  # an earlier build
+            return
+        except CuminhillError:
+            return
+        finally:
+            self._readers_calling.discard(vm)
+        if ages is None or self._reading is None:
+            return
+        self._readers_done.add(vm)
+        before = self._reading
+        self._reading = before.with_ages(ages, boottime())
+        if self._reading == before:
+            return
+        logger.info(
+            "leases read earlier",
+            term=self.leader_record.term,
+            by=vm,
+            record_s=round(before.read_at - self._reading.read_at, 2),
+            newest_s=round(before.newest_read_at - self._reading.newest_read_at, 2),
+        )
+        self.placer.inherited = self._reading.inherited()
+        note_predecessor_ended(self.placer, self._told_ended_at)
+        await self._wake.set()
+
     async def _guard(self, name: str, run: Callable[..., Any], *args: Any) -> None:
         """Run a task of the term; a failure ends the term, and another one follows."""
         try:
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from .fleet import CLOCK_DRIFT
@@ -118,6 +118,102 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseQuery:
+    """Names the lease record that a claim inherits.
+
+    Parameters
+    ----------
+    term : int
+        Term of the claim.
+    nonce : str
+        Nonce of the claim.
+    offset : int
+        Position of the lease record in the journal.
+    """
+
+    term: int
+    nonce: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAges:
+    """How long before its answer a VM had read what a claim inherits.
+
+    Parameters
+    ----------
+    record_s : float, seconds
+        The lease record.
+    newest_s : float, seconds
+        The newest record of a placer that has confirmed a term which can have extended
+        leases.
+    """
+
+    record_s: float
+    newest_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReading:
+    """Lease record that a claim inherits, and when it was read.
+
+    A VM that has just started reads it from a snapshot as if it were new. One that has
+    followed the journal has read it earlier and still after it was written, so the
+    bounds also hold if they count from there. This needs the same record, since a
+    later one of the same term may no longer list a worker: the term has extended its
+    leases again. The position in the journal tells them apart. It also needs the same
+    claim, which fences all records of earlier terms: records that the other VM read
+    after its times then confirm none of these terms.
+
+    Parameters
+    ----------
+    query : LeaseQuery
+        The claim and the record's position.
+    record : LeaseRecord
+        The record.
+    read_at : float, seconds
+        When it was read.
+    newest_read_at : float, seconds
+        When the newest record before the next claim was read, later than the last
+        append that has confirmed the term was sent.
+    """
+
+    query: LeaseQuery
+    record: LeaseRecord
+    read_at: float
+    newest_read_at: float
+
+    def inherited(self) -> InheritedLeases:
+        """Return the ends of leases by these times."""
+        return inherit_leases(self.record, self.read_at, self.newest_read_at)
+
+    def ages(self, now: float) -> LeaseAges:
+        """Return how long ago the records were read."""
+        return LeaseAges(
+            max(0.0, now - self.read_at), max(0.0, now - self.newest_read_at)
+        )
+
+    def with_ages(self, ages: LeaseAges, answered_at: float) -> LeaseReading:
+        """Return the reading with the earlier times of this VM and another one.
+
+        Parameters
+        ----------
+        ages : LeaseAges
+            Answer of another VM to the query. Its clock may run fast.
+        answered_at : float, seconds
+            When the answer arrived, which is later than it was given.
+        """
+        factor = 1 - CLOCK_DRIFT
+        return replace(
+            self,
+            read_at=min(self.read_at, answered_at - ages.record_s * factor),
+            newest_read_at=min(
+                self.newest_read_at, answered_at - ages.newest_s * factor
+            ),
+        )
+
+
 def latest_lapse_at(placer: Placer) -> float:
     """Return when all leases have lapsed that earlier terms can have granted.
 
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -29,7 +29,7 @@
 from .jobindex import JobIndex
 from .journal import KeyedLog, LogWriter, WriterToken
 from .leadership import Leadership, WorkerCalls
-from .leasebounds import TermEnd
+from .leasebounds import LeaseAges, LeaseQuery, TermEnd
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
@@ -204,7 +204,12 @@
             checks_first=True,
         )
         self.peers = JobPeers(
-            options.vm, backends.advice, self.writer, self.rng, self._disclaim_term
+            options.vm,
+            backends.advice,
+            self.writer,
+            self.rng,
+            self._disclaim_term,
+            self._lease_ages,
         )
         self.service = JobService(
             self.job_index,
@@ -529,6 +534,9 @@
             self._claim = None
         return TermEnd(max(0.0, boottime() - self._idle_since))
 
+    def _lease_ages(self, query: LeaseQuery) -> LeaseAges | None:
+        return self.job_index.lease_ages(query, boottime())
+
     def _find_queue(self, name: str) -> Queue | None:
         return self.table.queues.get(name)
 
@@ -556,6 +564,7 @@
             self.peers.ask_advice,
             self.options.rpc_address,
             self._ask_term_ended,
+            self.peers.ask_lease_ages,
             self.options.keep_ended_s,
             self.metrics,
             # The newest write of the term: the claim may have been read much later.
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -24,7 +24,7 @@
 from ..util.validation import Message, validate_json
 from .advice import AdviceAnswer
 from .advicequeue import AdviceQueue, AdviceRequest
-from .leasebounds import TermEnd
+from .leasebounds import LeaseAges, LeaseQuery, TermEnd
 from .model import Outcome
 from .records import MAX_TIME_S
 
@@ -79,6 +79,9 @@
     end_term : callable
         Takes the number of a term and returns since when this process extends no lease
         for it and never will; None if it still may.
+    lease_ages : callable
+        Takes a `LeaseQuery` and returns how long ago this VM read what it names; None
+        if it has not.
     """
 
     vm: str
@@ -86,6 +89,7 @@
     writer: LogWriter
     rng: random.Random
     end_term: Callable[[int], TermEnd | None]
+    lease_ages: Callable[[LeaseQuery], LeaseAges | None]
     source_host: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     placer_writer: LogWriter | None = None
@@ -104,6 +108,7 @@
             "append": self._serve_append,
             "advise": self._serve_advise,
             "term_ended": self._serve_term_ended,
+            "lease_ages": self._serve_lease_ages,
         }
 
     def _client(self, vm: str) -> RpcClient:
@@ -183,6 +188,27 @@
             raise
         return _decode_term_end(reply.value) if reply.status == STATUS_OK else None
 
+    async def ask_lease_ages(self, vm: str, query: LeaseQuery) -> LeaseAges | None:
+        """Ask a VM how long ago it read what a claim inherits about leases.
+
+        Returns
+        -------
+        ages : LeaseAges or None
+            None if the VM has not read the claim yet, or has read something else.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no usable answer. A VM of an earlier version answers that the
+            method is unknown.
+        """
+        message = idl.LeaseAgesCall(query.term, query.nonce, query.offset)
+        wait_s = PING_TIMEOUT_S - REPLY_SLACK_S
+        reply = await self._call(vm, "lease_ages", message, wait_s)
+        if reply.status != STATUS_OK:
+            return None
+        return _decode_lease_ages(reply.value, vm)
+
     async def append_by_placer(
         self, placer: str, records: list[tuple[str, bytes]], wait_s: float
     ) -> Outcome | None:
@@ -295,6 +321,12 @@
             return idl.Reply(STATUS_UNAVAILABLE, b"")
         return idl.Reply(STATUS_OK, orjson.dumps({"for_s": end.for_s}))
 
+    async def _serve_lease_ages(self, call: Any) -> Any:
+        ages = self.lease_ages(LeaseQuery(call.term, call.nonce, call.offset))
+        if ages is None:
+            return idl.Reply(STATUS_UNAVAILABLE, b"")
+        return idl.Reply(STATUS_OK, orjson.dumps(ages))
+
     async def _serve_append(self, call: Any) -> Any:
         _check_wait(call.wait_s)
         records = _decode_records(call.records)
@@ -333,6 +365,26 @@
         return TermEnd()
 
 
+class _LeaseAgesBody(Message):
+    record_s: Annotated[float, Field(ge=0, le=MAX_TIME_S)]
+    newest_s: Annotated[float, Field(ge=0, le=MAX_TIME_S)]
+
+
+def _decode_lease_ages(data: bytes, peer: str) -> LeaseAges:
+    """Decode how long ago a VM read what a claim inherits.
+
+    Raises
+    ------
+    ProtocolError
+        If an age is missing or out of range, or if the lease record would be newer than
+        the newest record.
+    """
+    body = validate_json(_LeaseAgesBody, data, step="lease ages", peer=peer)
+    if body.record_s < body.newest_s:
+        raise ProtocolError("ages out of order", step="lease ages", peer=peer)
+    return LeaseAges(body.record_s, body.newest_s)
+
+
 def _decode_pairs(data: bytes, step: str, peer: str = "") -> list[tuple[str, str]]:
     """Decode a list of pairs of texts.
 
--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -72,7 +72,9 @@
 
 def make_peers(service, vm="a"):
     writer = LogWriter(LogView(MemoryLog()), vm, 1)
-    return JobPeers(vm, service, writer, random.Random(1), lambda _: True)
+    return JobPeers(
+        vm, service, writer, random.Random(1), lambda _: True, lambda _: None
+    )
 
 
 def make_call(step, terms=TERMS, term=0):
@@ -315,6 +317,7 @@
         ask_advice,
         "127.0.0.1:1",
         None,
+        None,
         120.0,
         make_node_metrics(),
         confirmed_at=boottime(),
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -10,14 +10,29 @@
 import pytest
 
 from cuminhill.clock import boottime
-from cuminhill.errors import UnavailableError
-from cuminhill.jobs.fleet import LeaseTimes
+from cuminhill.errors import ProtocolError, UnavailableError
+from cuminhill.jobs import election
+from cuminhill.jobs.fleet import LeaseTimes, lapse_after_s
 from cuminhill.jobs.jobindex import JobIndex
-from cuminhill.jobs.leadership import Leadership
-from cuminhill.jobs.leasebounds import NO_INHERITED_LEASES, TermEnd
-from cuminhill.jobs.model import JobState
+from cuminhill.jobs.journal import LogWriter
+from cuminhill.jobs.leadership import (
+    ASK_INTERVAL_S,
+    MAX_READERS,
+    RENEW_WAIT_S,
+    Leadership,
+)
+from cuminhill.jobs.leasebounds import (
+    MAX_READ_LAG_S,
+    NO_INHERITED_LEASES,
+    REWRITE_INTERVAL_S,
+    LeaseAges,
+    TermEnd,
+    note_predecessor_ended,
+)
+from cuminhill.jobs.model import JobState, QueueTable
 from cuminhill.jobs.node import JobNode
-from cuminhill.jobs.placer import PlacerTimes
+from cuminhill.jobs.nodemetrics import make_node_metrics
+from cuminhill.jobs.placer import Placer, PlacerTimes
 from cuminhill.jobs.records import (
     JOB_PREFIX,
     LEADER_KEY,
@@ -26,6 +41,7 @@
     LeaderRecord,
     LeaseBound,
     LeaseRecord,
+    Member,
     decode_leader_record,
     decode_lease_record,
     encode_job,
@@ -33,7 +49,12 @@
     encode_lease_record,
 )
 from cuminhill.util.kernel import run_to_end
-from standins.job_platform import MemoryWorkers, overlapping_runs
+from standins.job_platform import (
+    LogView,
+    MemoryLog,
+    MemoryWorkers,
+    overlapping_runs,
+)
 
 from .builders import make_job, make_queue, make_step
 
@@ -43,6 +64,7 @@
 N_CHANGES = 4
 # A renewal in flight hides the end of its worker for up to one second.
 NOTICED_S, UNNOTICED_S = 2.0, 0.2
+LATE_S = 1.2  # from the end of a placer until the process that follows it starts
 MAX_ABSENT_S = 9.0  # longest time for which a lasting task may not run
 
 
@@ -512,3 +534,175 @@
         assert boottime() - lost_at < MAX_ABSENT_S
 
     run_to_end(scenario)
+
+
+def has_recorded(node, term) -> bool:
+    return node.job_index.leases.term == term
+
+
+# Guards against a wait that each placer prolongs by the time for which a record was
+# stored before it read it: VMs that have just started lead one after the other, and
+# only one that does not lead has followed the journal all the while.
+@pytest.mark.parametrize(
+    ("times", "is_listed", "most_s"),
+    [
+        (PlacerTimes(max_hold_s=6.5), False, MAX_ABSENT_S),
+        # Leases that outlast both changes of the placer, of which the last one counts
+        # from a renewal in flight.
+        (
+            PlacerTimes(LeaseTimes(lease_s=8.0, max_lease_s=8.0), max_hold_s=12.0),
+            True,
+            lapse_after_s(8.0) + RENEW_WAIT_S + 2.0,
+        ),
+    ],
+    ids=["new", "listed"],
+)
+def test_placers_that_read_records_late_do_not_prolong_the_wait(
+    cluster, monkeypatch, times, is_listed, most_s
+):
+    cluster.times = times
+    monkeypatch.setattr(election, "PLACER_TIMEOUT_S", 0.3)
+
+    async def scenario():
+        await cluster.start_node("vm0")
+        await lose_worker_of_task(cluster, leaves=False)
+        lost_at = boottime()
+        follower = await cluster.start_node("follower")
+        follower.draining = True  # it never claims
+        await cluster.wait_for(lambda: follower.job_index.leases.term)
+        if is_listed:
+            await cluster.wait_for(lambda: follower.job_index.leases.bounds)
+        for term in (2, 3):
+            await cluster.kill_node(cluster.leader().options.vm)
+            await curio.sleep(LATE_S)
+            await cluster.start_node(f"vm{term}")
+            await cluster.wait_for(partial(has_recorded, follower, term))
+            # By then a record is stored with what other VMs have answered.
+            await curio.sleep(2 * REWRITE_INTERVAL_S)
+        await cluster.wait_for(lambda: has_second_run(cluster), 20.0)
+        assert boottime() - lost_at < most_s
+
+    run_to_end(scenario)
+
+
+def lead_with_members(n_members, ask_lease_ages):
+    """Return a leadership of a late reader with other VMs and leases that may run."""
+    now = boottime()
+    index = JobIndex()
+    leases = LeaseRecord(1, "127.0.0.1:1", 60.0)
+    claim = LeaderRecord(2, "vm0", "n2", recorded_since=1)
+    for offset, (key, value) in enumerate(
+        [
+            (LEASES_KEY, encode_lease_record(leases)),
+            (LEADER_KEY, encode_leader_record(claim)),
+        ]
+    ):
+        index.fold(JournalRecord(offset, key, value), now)
+    index.members = {f"vm{i}": Member("127.0.0.1:1") for i in range(n_members)}
+    writer = LogWriter(LogView(MemoryLog()), "placer", 2)
+    placer = Placer(2, now)
+    return Leadership(
+        claim,
+        placer,
+        writer,
+        None,
+        index,
+        None,
+        "127.0.0.1:1",
+        None,
+        ask_lease_ages,
+        120.0,
+        make_node_metrics(),
+        confirmed_at=now,
+    )
+
+
+async def ask_readers(leadership, is_enough, for_s=10.0):
+    """Let a placer ask other VMs for a while, or until that is enough."""
+    leadership.load(QueueTable(), [], [])
+    task = await curio.spawn(leadership._ask_readers, daemon=True)
+    give_up_at = boottime() + for_s
+    while boottime() < give_up_at and not is_enough():
+        await curio.sleep(0.01)
+    await task.cancel()
+
+
+# Guards against a call to each VM of a large site at each hand-over, and against a
+# second one to VMs that have answered or are of an earlier build.
+@pytest.mark.parametrize("earlier_build", [False, True])
+def test_a_new_placer_asks_a_bounded_number_of_vms_once(earlier_build):
+    asked = []
+
+    async def ask(vm, query):
+        asked.append(vm)
+        if earlier_build:
+            raise ProtocolError("unknown method", step="call")
+        return LeaseAges(2.0, 1.0)
+
+    async def scenario():
+        leadership = lead_with_members(300, ask)
+        read_at = leadership.job_index.leases_read_at
+        await ask_readers(leadership, lambda: False, 3 * ASK_INTERVAL_S)
+        assert len(asked) == len(set(asked)) == MAX_READERS
+        assert "vm0" not in asked
+        earlier_at = leadership.placer.inherited.newest_read_at
+        assert earlier_at == read_at if earlier_build else earlier_at < read_at - 0.9
+
+    run_to_end(scenario)
+
+
+# Guards against a placer that asks the same VMs again and again while others would
+# answer, and against one that gives up VMs that have not read its claim yet.
+@pytest.mark.parametrize("n_members", [300, 3])
+def test_vms_without_an_answer_are_asked_again_after_the_others(n_members):
+    asked = []
+
+    async def ask(vm, query):
+        asked.append(vm)
+        if len(asked) % 2:
+            raise UnavailableError("cut off", step="connect", peer=vm)
+
+    async def scenario():
+        n_others = n_members - 1
+        n_calls = 3 * min(MAX_READERS, n_others)
+        leadership = lead_with_members(n_members, ask)
+        await ask_readers(leadership, lambda: len(asked) >= n_calls)
+        assert len(asked) == n_calls
+        assert len(set(asked)) == min(n_calls, n_others)
+
+    run_to_end(scenario)
+
+
+# Guards against questions without end, for leases that have lapsed.
+def test_a_new_placer_asks_nobody_when_all_leases_have_lapsed():
+    async def scenario():
+        leadership = lead_with_members(3, None)
+        leadership.placer.predecessor_ended_at = boottime() - 60
+        late = replace(leadership.job_index.leases, earlier_left_s=0.0)
+        reading = leadership.job_index.lease_reading
+        leadership.job_index.lease_reading = replace(reading, record=late)
+        await ask_readers(leadership, lambda: False, ASK_INTERVAL_S)
+        assert not leadership._reader_calls
+
+    run_to_end(scenario)
+
+
+# Guards against a time since the end of the previous term that stays bounded by the
+# late reading of a record, although another VM has read the record in time.
+def test_an_earlier_reading_counts_for_the_end_of_the_predecessor_told_before():
+    async def ask(vm, query):
+        return LeaseAges(8.0, 4.0)
+
+    async def scenario():
+        leadership = lead_with_members(2, ask)
+        now = boottime()
+        leadership._told_ended_at = now - 6
+        leadership.load(QueueTable(), [], [])
+        note_predecessor_ended(leadership.placer, now - 6)
+        placer = leadership.placer
+        earliest = placer.inherited.newest_read_at - MAX_READ_LAG_S
+        assert placer.predecessor_ended_at == earliest > now - 6
+        await ask_readers(leadership, lambda: placer.predecessor_ended_at < earliest)
+        assert placer.predecessor_ended_at == now - 6
+
+    run_to_end(scenario)
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -24,7 +24,9 @@
     NO_INHERITED_LEASES,
     REWRITE_INTERVAL_S,
     InheritedLeases,
+    LeaseAges,
     LeaseJournal,
+    LeaseQuery,
     TermEnd,
     lapse_at,
     latest_lapse_at,
@@ -71,6 +73,7 @@
 STEP_S = 0.25
 RENEWAL_S = 3 * STEP_S  # between records of a placer that has nothing else to write
 ABSENT_S = 9.0  # longest time for which a lasting task may not run
+ROUNDING_S = 1e-6
 START_S = 2.0  # until the process that replaces a killed one answers
 
 
@@ -308,6 +311,88 @@
     assert TermEnd(2.0).ended_at(NOW) == pytest.approx(NOW - 2.0 * (1 - CLOCK_DRIFT))
 
 
+def fold_at(index: JobIndex, offset: int, key: str, value: bytes, now: float) -> None:
+    index.fold(JournalRecord(offset, key, value), now)
+
+
+def list_worker(left_s: float) -> bytes:
+    record = LeaseRecord(1, ADDRESS, 2.0, (LeaseBound(*LIFE, left_s),), 6.0)
+    return encode_lease_record(record)
+
+
+def read_late(records: list[tuple[int, str, bytes]], now: float) -> JobIndex:
+    """Return the index of a VM that reads the records with a snapshot."""
+    index = JobIndex()
+    index.fold_snapshot([JournalRecord(*row) for row in records], now)
+    return index
+
+
+FIRST_CLAIM = encode_leader_record(make_claim(1, "vm1", "n1"))
+
+
+# Guards against waits that count from the reading of a snapshot although another VM has
+# read the same records when they were written.
+def test_all_waits_count_from_the_earliest_reading_of_the_same_records():
+    records = [(0, LEADER_KEY, FIRST_CLAIM), (1, LEASES_KEY, list_worker(4.0))]
+    follower = JobIndex()
+    for offset, key, value in records:
+        fold_at(follower, offset, key, value, NOW + offset)
+    late = read_late(records, NOW + 3)
+    for index in (follower, late):
+        fold_claim(index, 2, NOW + 4)
+    # Neither a record of the new term nor a renewal of its claim changes the answer.
+    later = encode_lease_record(LeaseRecord(2, ADDRESS))
+    fold_at(follower, 3, LEASES_KEY, later, NOW + 4.5)
+    fold_claim(follower, 2, NOW + 4.5)
+    assert follower.leases.term == 2
+    placer = Placer(2, NOW + 4)
+    placer.inherited = late.inherited_leases()
+    placer.register_worker(make_entry("w1"), NOW + 4)
+    assert lapse_at(placer, LIFE) == NOW + 7
+    assert latest_lapse_at(placer) == NOW + 9
+    reading = late.lease_reading
+    ages = follower.lease_ages(reading.query, NOW + 5)
+    assert ages == LeaseAges(4.0, 4.0)
+    reading = reading.with_ages(ages, NOW + 5)
+    placer.inherited = reading.inherited()
+    note_predecessor_ended(placer, math.inf)
+    drift_s = 4 * CLOCK_DRIFT
+    assert lapse_at(placer, LIFE) == pytest.approx(NOW + 5 + drift_s)
+    assert placer.workers["w1"].lapse_at == lapse_at(placer, LIFE)
+    assert lapse_at(placer, ("w9", 1)) == pytest.approx(NOW + 7 + drift_s)
+    assert placer.inherited.earlier_lapse_at == pytest.approx(NOW + 3 + drift_s)
+    # A VM that has read them later changes nothing.
+    assert reading.with_ages(LeaseAges(1.0, 0.5), NOW + 5) == reading
+
+
+# Guards against two runs of a task: a VM that has not read the newest record of a term
+# counts from an earlier one, in which a worker was listed whose leases the term has
+# extended since.
+def test_a_vm_that_has_read_another_record_of_the_term_does_not_answer():
+    records = [(0, LEADER_KEY, FIRST_CLAIM), (2, LEASES_KEY, list_worker(4.0))]
+    other = read_late([records[0], (1, LEASES_KEY, list_worker(4.0))], NOW)
+    late = read_late(records, NOW + 3)
+    for index in (other, late):
+        fold_claim(index, 2, NOW + 4)
+    assert other.lease_ages(late.lease_reading.query, NOW + 5) is None
+    assert late.lease_ages(late.lease_reading.query, NOW + 5) == LeaseAges(2.0, 2.0)
+
+
+# Guards against a VM that answers for a claim that it has not read, so that records of
+# terms before it may still follow.
+def test_a_vm_answers_only_about_the_newest_claim_that_it_has_read():
+    index = JobIndex()
+    fold_at(index, 0, LEADER_KEY, FIRST_CLAIM, NOW)
+    fold_at(index, 1, LEASES_KEY, list_worker(4.0), NOW)
+    query = LeaseQuery(2, "n2", 1)
+    assert index.lease_ages(query, NOW) is None
+    fold_claim(index, 2, NOW + 1)
+    assert index.lease_ages(query, NOW + 1) == LeaseAges(1.0, 1.0)
+    assert index.lease_ages(replace(query, nonce="other"), NOW + 1) is None
+    fold_claim(index, 3, NOW + 2)
+    assert index.lease_ages(query, NOW + 2) is None
+
+
 # Guards against a shorter wait for a worker that has answered this term meanwhile.
 def test_the_end_of_the_predecessor_changes_nothing_for_a_worker_that_has_answered():
     placer = make_placer(n_workers=1)
@@ -522,7 +607,9 @@
     """Workers that crash or are cut off while placers follow one another.
 
     Guards against two runs of a task at a time, and against a wait that is longer than
-    the longest lease which the newest term cannot exclude.
+    the longest lease which the newest term cannot exclude. A placer may read the
+    records late, from a snapshot, and ask a VM that has read them in time or that has
+    missed some.
     """
 
     @initialize()
@@ -531,7 +618,14 @@
         rates = [1.0 - CLOCK_DRIFT, 1.0, 1.0 - CLOCK_DRIFT]
         self.sims = {f"w{i + 1}": _SimWorker(rate) for i, rate in enumerate(rates)}
         self.store_up = True
-        self.index = JobIndex()
+        # Indexes of a VM that reads all records at once, of the placer, and of the VM
+        # that the placer asks when it read them.
+        self.index = self.own_index = JobIndex()
+        self.other = JobIndex()
+        self.other_reads = self.other_in_time = True
+        self.answers_at = math.inf
+        self.stored: dict[str, JournalRecord] = {}
+        self.n_stored = 0
         self.journal: dict = {}
         self.placer = Placer(1, NOW)
         self.isolated: list[Placer] = []
@@ -550,15 +644,51 @@
         self._write(self.placer)
 
     def _begin_term(self, placer: Placer) -> None:
-        earlier_build = placer.term in self.earlier_builds
-        fold_claim(self.index, placer.term, self.now, earlier_build)
+        self._claim(placer.term, self.own_index, placer.term in self.earlier_builds)
         self.confirmed_at[placer.term] = self.now
         placer.table = make_table(make_queue())
-        placer.inherited = self.index.inherited_leases()
+        placer.inherited = self.own_index.inherited_leases()
+        self.reading = self.own_index.lease_reading
+        self.timely = self.index.lease_reading
         for worker_id in self.sims:
             placer.register_worker(make_entry(worker_id), self.now)
         self.lease_journal = LeaseJournal(placer, ADDRESS)
 
+    def _claim(self, term: int, index: JobIndex, earlier_build: bool = False) -> None:
+        claim = make_claim(term, f"vm{term}", f"n{term}", index.leader_record)
+        if earlier_build:
+            claim = LeaderRecord(claim.term, claim.vm, claim.nonce)
+        self._store(LEADER_KEY, encode_leader_record(claim))
+
+    def _store(self, key: str, value: bytes) -> None:
+        """Store a record, which the VMs that reach the journal read at once."""
+        record = self.stored[key] = JournalRecord(self.n_stored, key, value)
+        self.n_stored += 1
+        readers = [self.index, *([self.other] if self.other_reads else [])]
+        if self.own_index is not self.index:
+            readers.append(self.own_index)
+        for index in readers:
+            index.fold(record, self.now)
+
+    def _read_snapshot(self, index: JobIndex) -> None:
+        records = sorted(self.stored.values(), key=lambda record: record.offset)
+        index.fold_snapshot(records, self.now)
+
+    def _ask_reader(self) -> None:
+        """Have the placer learn when another VM read what it inherits."""
+        if self.now < self.answers_at or self.reading is None:
+            return
+        ages = self.other.lease_ages(self.reading.query, self.now)
+        if ages is None:
+            return
+        # The other VM's clock runs fast.
+        ages = LeaseAges(
+            ages.record_s / (1 - CLOCK_DRIFT), ages.newest_s / (1 - CLOCK_DRIFT)
+        )
+        self.reading = self.reading.with_ages(ages, self.now)
+        self.placer.inherited = self.reading.inherited()
+        note_predecessor_ended(self.placer, math.inf)
+
     def _lease_s(self, placer: Placer) -> float:
         """Return the lease that a placer grants now, 0 for none."""
         confirmed_at = self.confirmed_at[placer.term]
@@ -571,8 +701,8 @@
         return placer.times.lease.lease_s
 
     def _append(self, placer: Placer, key: str, value: bytes) -> None:
-        """Store a record of a placer, which other VMs read at once."""
-        self.index.fold(JournalRecord(0, key, value), self.now)
+        """Store a record of a placer."""
+        self._store(key, value)
         self.confirmed_at[placer.term] = self.now
 
     def _renew(self, placer: Placer) -> None:
@@ -645,10 +775,26 @@
             ended_at, known_at = self.predecessor_end
             if self.now >= known_at and self.placer.inherited.term:
                 note_predecessor_ended(self.placer, ended_at)
+            self._ask_reader()
             self._renew(self.placer)
             self.placer.tick(self.now)
             self._write(self.placer)
             self.no_task_runs_twice()
+        self.answer_makes_up_for_late_reading()
+
+    def answer_makes_up_for_late_reading(self) -> None:
+        """Check that the placer waits no longer than one that has read in time."""
+        asked = self.now >= self.answers_at and self.other_in_time
+        if self.timely is None or not asked:
+            return
+        timely, known = self.timely.inherited(), self.placer.inherited
+        assert known.own_lapse_at <= timely.own_lapse_at + ROUNDING_S
+        assert known.earlier_lapse_at <= timely.earlier_lapse_at + ROUNDING_S
+        for life, at in timely.bounds.items():
+            assert known.bounds[life] <= at + ROUNDING_S
+        for worker in self.placer.workers.values():
+            if not worker.confirmed_token:
+                assert worker.lapse_at <= lapse_at(self.placer, worker.life)
 
     @rule(
         cut=st.sampled_from(CUTS),
@@ -656,12 +802,31 @@
         change=st.sampled_from(["", "", "ended", "restarted", "killed", "isolated"]),
         earlier_build=st.sampled_from([False, False, True]),
         n_unbegun=st.sampled_from([0, 0, 1, 3]),
+        late_s=st.sampled_from([None, 0.0, 2.0, 5.0]),
+        answer_s=st.sampled_from([0.0, 0.5, 3.0, math.inf]),
+        other_reads=st.sampled_from([True, True, True, False]),
         duration_s=st.sampled_from([0.5, 1.0, 4.0, 10.0]),
     )
-    def play(self, cut, store_up, change, earlier_build, duration_s, *, n_unbegun=0):
+    def play(
+        self,
+        cut,
+        store_up,
+        change,
+        earlier_build,
+        duration_s,
+        *,
+        n_unbegun=0,
+        late_s=None,
+        answer_s=math.inf,
+        other_reads=True,
+    ):
         cut, self.cut_all = cut
+        if other_reads and not self.other_reads:
+            self._read_snapshot(self.other)
+        self.other_reads = other_reads
+        self.other_in_time = self.other_in_time and other_reads
         if change:
-            self._change_placer(change, earlier_build, n_unbegun)
+            self._change_placer(change, earlier_build, n_unbegun, late_s, answer_s)
         for worker_id, sim in self.sims.items():
             sim.cut = worker_id in cut
         self.store_up = store_up
@@ -673,21 +838,39 @@
         self.sims[worker_id].up = False
 
     def _change_placer(
-        self, change: str, earlier_build: bool, n_unbegun: int = 0
+        self,
+        change: str,
+        earlier_build: bool,
+        n_unbegun: int = 0,
+        late_s: float | None = None,
+        answer_s: float = math.inf,
     ) -> None:
         """Begin a term; an isolated placer goes on renewing without the journal.
 
-        Some terms before it are claimed and not begun.
+        Some terms before it are claimed and not begun. If ``late_s`` is given, the new
+        placer reads all records only after this time; another VM tells it when it read
+        them ``answer_s`` after the claim.
         """
         before = self.placer
         if change == "isolated":
             self.isolated.append(before)
-        answer_s = {"ended": 0.0, "restarted": START_S}.get(change, math.inf)
-        self.predecessor_end = (self.now, self.now + answer_s)
+        known_s = {"ended": 0.0, "restarted": START_S}.get(change, math.inf)
+        self.predecessor_end = (self.now, self.now + known_s)
         term = before.term + 1 + n_unbegun
         for unbegun in range(before.term + 1, term):
-            fold_claim(self.index, unbegun, self.now)
+            self._claim(unbegun, self.index)
             self.now += STEP_S
+        self.own_index = self.index
+        if late_s is not None:
+            until = self.now + late_s
+            while self.now < until:
+                self.now += STEP_S
+                for earlier in self.isolated:
+                    self._renew(earlier)
+                self.no_task_runs_twice()
+            self.own_index = JobIndex()
+            self._read_snapshot(self.own_index)
+        self.answers_at = math.inf if earlier_build else self.now + answer_s
         self.placer = Placer(term, self.now)
         if earlier_build:
             self.earlier_builds.add(self.placer.term)
@@ -714,10 +897,22 @@
         if inherited.term and inherited.term not in self.earlier_builds:
             earlier_s = inherited.earlier_lapse_at - self.now
             wait_s = min(wait_s, max(times.unconfirmed_lapse_s, earlier_s))
+            wait_s = min(wait_s, self._timely_wait_s())
         self._play(wait_s + 2 * LIST_AFTER_S + 2.0)
         n_running = sum(len(sim.alive_runs(self.now)) for sim in self.sims.values())
         assert n_running == 2
 
+    def _timely_wait_s(self) -> float:
+        """Return the longest wait if a VM has read all records in time, and answers."""
+        timely = self.own_index is self.index or self.other_in_time
+        if self.timely is None or not timely:
+            return math.inf
+        inherited = self.timely.inherited()
+        bounds = [inherited.own_lapse_at, inherited.earlier_lapse_at]
+        if self.own_index is not self.index:
+            bounds.append(self.answers_at)
+        return max(self.placer.times.lease.lapse_s, max(bounds) - self.now)
+
 
 TestLeases = LeaseMachine.TestCase
 TestLeases.settings = settings(max_examples=150, stateful_step_count=15, deadline=None)
@@ -736,6 +931,36 @@
     machine.teardown()
 
 
+# Guards against a wait that counts from the time at which the VM that is asked read an
+# earlier record of the same term, in which the worker was listed as well: the term has
+# extended its leases in between.
+def test_no_task_runs_twice_if_the_vm_that_is_asked_has_missed_records():
+    machine = LeaseMachine()
+    machine.begin()
+    uncut, cut = CUTS[0], (("w1", "w2"), True)
+    machine.play(cut, True, "", False, 1.0)
+    assert machine.other.leases.bounds
+    machine.play(uncut, True, "", False, 10.0, other_reads=False)
+    machine.play(cut, True, "", False, 1.0, other_reads=False)
+    assert machine.index.leases.bounds
+    late = {"late_s": 0.0, "answer_s": 0.0}
+    machine.play(cut, True, "killed", False, 0.5, other_reads=False, **late)
+    machine.play(cut, True, "", False, 10.0)
+    machine.teardown()
+
+
+# Guards against a wait that moves on with each placer that reads the records late.
+@pytest.mark.parametrize("cut", CUTS, ids=str)
+def test_late_placers_wait_no_longer_than_one_that_has_read_in_time(cut):
+    machine = LeaseMachine()
+    machine.begin()
+    machine.play(CUTS[0], True, "", False, 10.0)
+    machine.play(cut, True, "", False, 0.5)
+    for _ in range(3):
+        machine.play(cut, True, "killed", False, 1.0, late_s=2.0, answer_s=0.5)
+    machine.teardown()
+
+
 # Guards against leases that outlast the bound that the next term counts with, and
 # against ones that end sooner in an outage of the journal than they have to.
 def test_leases_end_a_fixed_time_after_the_last_confirmation():
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from dataclasses import replace
 
 import curio
 import orjson
@@ -13,13 +14,14 @@
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.advice import AdviceCall
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.leasebounds import TermEnd
+from cuminhill.jobs.leasebounds import LeaseAges, LeaseQuery, TermEnd
 from cuminhill.jobs.peers import STATUS_OK, JobPeers
 from cuminhill.jobs.records import Member
 from cuminhill.rpc import RpcClient, RpcServer, idl
 from standins.job_platform import LogView, MemoryAdvice, MemoryLog
 
 RECORDS = [("job/a", b"{}")]
+LEASE_QUERY, LEASE_AGES = LeaseQuery(2, "n2", 7), LeaseAges(3.5, 1.25)
 
 
 @pytest.fixture
@@ -39,6 +41,7 @@
         writer,
         random.Random(1),
         lambda term: TermEnd(2.5) if term < 3 else None,
+        lambda query: LEASE_AGES if query == LEASE_QUERY else None,
     )
     peers.members = {"b": Member(address)}
     return peers
@@ -200,3 +203,51 @@
 
     handlers = {"term_ended": answer}
     assert curio.run(ask_about_terms, handlers, 1) == [TermEnd(0.0)]
+
+
+async def ask_for_ages(handlers, query=LEASE_QUERY):
+    """Return the answer of a VM that serves the handlers."""
+    server = RpcServer(handlers)
+    await server.start("127.0.0.1", 0)
+    try:
+        peers = make_peers(f"127.0.0.1:{server.port}")
+        return await peers.ask_lease_ages("b", query)
+    finally:
+        await server.close()
+
+
+# Guards against an answer about another claim, or another record of the same term.
+def test_a_vm_tells_only_when_it_read_the_record_that_is_asked_for():
+    handlers = make_peers("").handlers()
+    assert curio.run(ask_for_ages, handlers) == LEASE_AGES
+    for other in [{"term": 3}, {"nonce": "n3"}, {"offset": 8}]:
+        query = replace(LEASE_QUERY, **other)
+        assert curio.run(ask_for_ages, handlers, query) is None
+
+
+# Guards against ages on the wire that end the wait for leases before they lapse, and
+# against a placer that fails on a VM of an earlier build.
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        b"[3.5,1.25]",
+        b'{"record_s":3.5}',
+        b'{"record_s":3.5,"newest_s":-1.0}',
+        b'{"record_s":NaN,"newest_s":1.0}',
+        b'{"record_s":1e999,"newest_s":1.0}',
+        b'{"record_s":1e300,"newest_s":1.0}',
+        b'{"record_s":"3.5","newest_s":1.0}',
+        b'{"record_s":1.0,"newest_s":3.5}',
+        b"[" * 100_000,
+        None,
+    ],
+)
+def test_odd_ages_of_the_records_about_leases_are_not_believed(value):
+    async def answer(_):
+        return idl.Reply(STATUS_OK, value)
+
+    handlers = {} if value is None else {"lease_ages": answer}
+    with pytest.raises(ProtocolError):
+        curio.run(ask_for_ages, handlers)
