--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -26,7 +26,7 @@
 from .jobindex import JobIndex
 from .journal import KeyedLog, LogWriter
 from .leadership import Leadership, WorkerCalls
-from .leasebounds import ReleasedRun, TermEnd
+from .leasebounds import LeaseAges, LeaseQuery, ReleasedRun, TermEnd
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
@@ -203,7 +203,12 @@
             checks_first=True,
         )
         self.peers = JobPeers(
-            options.vm, backends.advice, self.writer, self.rng, self._disclaim_term
+            options.vm,
+            backends.advice,
+            self.writer,
+            self.rng,
+            self._disclaim_term,
+            self._lease_ages,
         )
         self.service = JobService(
             self.job_index,
@@ -633,6 +638,9 @@
             for item in released
         )
 
+    def _lease_ages(self, query: LeaseQuery) -> LeaseAges | None:
+        return self.job_index.lease_ages(query, boottime())
+
     def _find_queue(self, name: str) -> Queue | None:
         return self.table.queues.get(name)
 
@@ -661,6 +669,7 @@
             self.peers.ask_advice,
             self.options.rpc_address,
             self._ask_term_ended,
+            self.peers.ask_lease_ages,
             self.options.keep_ended_s,
             self.metrics,
             # The newest write of the term: the claim may have been read much later.
