Test a claimant that is cut off from the log

The test shows that a claimant that is cut off, and replaced by another VM meanwhile, neither begins the term that it has won nor claims once it reads again.

--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -167,6 +167,30 @@
     run_to_end(scenario)
 
 
+# Guards against a VM that begins or repeats its claim after it was cut off from the log
+# and others have replaced it.
+def test_a_claimant_that_was_cut_off_does_not_disturb_the_next_term(cluster):
+    async def scenario():
+        _, second, third = await start_nodes(cluster, "vm0", "vm1", "vm2")
+        late = LateClaims(cluster, ["vm1"])
+        third.draining = True  # the claim is vm1's
+        await cluster.kill_node("vm0")
+        await cluster.wait_for(lambda: late.accepted)
+        for view in cluster.views["vm1"]:
+            view.faults.unresponsive = True
+        third.draining = False
+        await cluster.wait_for(lambda: third.leadership is not None, MAX_ABSENT_S)
+        for view in cluster.views["vm1"]:
+            view.faults.unresponsive = False
+        await cluster.wait_for(second.is_ready)
+        await curio.sleep(PLACER_TIMEOUT_S)
+        assert [claim.term for claim in late.accepted] == [2]
+        assert second.leadership is None
+        assert cluster.leader() is third
+
+    run_to_end(scenario)
+
+
 # Guards against a placer that is fenced by a claim and claims the next term at once,
 # since the journal still shows its own term as the newest.
 def test_a_fenced_placer_leaves_time_for_the_claim_that_fenced_it(cluster):
