--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -22,7 +22,12 @@
 from .advice import LONG_CALL_S, AdviceCall, Adviser, find_adviser
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
-from .leasebounds import LeaseJournal, latest_lapse_at, note_predecessor_ended
+from .leasebounds import (
+    LeaseJournal,
+    ReleasedRun,
+    latest_lapse_at,
+    note_predecessor_ended,
+)
 from .model import JobState, StartOrder, StartResult
 from .placer import Placement, Placer, StopOrder
 from .progress import Progress, encode_progress
@@ -39,6 +44,7 @@
     encode_lease_record,
 )
 from .speeds import encode_speeds, load_speeds
+from .watch import release_gone
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -73,6 +79,8 @@
 TERM_RENEWAL_S = 0.6
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
 ASK_INTERVAL_S = 0.25  # between questions to the process of the previous term
+# That a process tells the next term of; bounds its answer, which must come in time.
+MAX_RELEASED_RUNS = 2000
 # A placer whose appends have failed for this time resigns if another VM's succeed.
 ISOLATED_AFTER_S = 0.3
 # Added to the expected time of a call for advice and its queue, the larger of the time
@@ -275,12 +283,15 @@
             if end is not None:
                 now = boottime()
                 note_predecessor_ended(self.placer, end.ended_at(now))
+                release_gone(self.placer, end.released, now)
+                await self._wake.set()
                 logger.info(
                     "predecessor ended",
                     term=inherited.term,
                     address=inherited.address,
                     after_s=round(now - self.placer.begun_at, 2),
                     for_s=round(end.for_s, 2),
+                    released=len(end.released),
                 )
                 return
             await curio.sleep(ASK_INTERVAL_S)
@@ -307,6 +318,26 @@
         # Callers' records queued here are then appended by their VMs.
         await self.writer.close()
 
+    def released_runs(self, now: float) -> tuple[ReleasedRun, ...]:
+        """Return the runs of lasting tasks that are known to be gone.
+
+        A run is started only after the one before it is gone, and after its start is in
+        the journal, which the next term has read.
+        """
+        waiting, assigned = [], []
+        for progress in self.placer.jobs.values():
+            for step_run in progress.step_runs.values():
+                if not step_run.step.long_running:
+                    continue
+                for index, task in enumerate(step_run.tasks):
+                    key = step_run.key(index)
+                    away_s = now - task.away_since if task.away_since else 0.0
+                    if task.run and not task.worker:
+                        waiting.append(ReleasedRun(key, task.run, away_s))
+                    elif task.run > 1:
+                        assigned.append(ReleasedRun(key, task.run - 1, away_s))
+        return tuple([*waiting, *assigned][:MAX_RELEASED_RUNS])
+
     def _resignation(self) -> bytes:
         return encode_leader_record(replace(self.leader_record, resigned=True))
 
@@ -542,10 +573,12 @@
             config=self.placer.table.version,
             **self._absence(progress, order.key, now),
         )
+        task = progress.task(order.key)
+        away = (task.away_since, task.given_up_at) if task else (0.0, 0.0)
         reply = await self.calls.start(order, START_TIMEOUT_S)
         result = self.placer.handle_start_reply(order, reply, boottime())
         if result is StartResult.STARTED:
-            self._observe_return(progress, order.key)
+            self._observe_return(progress, order.key, *away)
         else:
             await self._wake.set()
         if result is StartResult.UNKNOWN:
@@ -565,8 +598,8 @@
     ) -> dict[str, object]:
         """Return how long a long-running task that starts again was away, and why.
 
-        Of a run that an earlier term gave up it is only known that the task has been
-        away since this term began.
+        Of a run that an earlier term gave up without a word of when it ended, it is
+        only known that the task has been away since this term began.
         """
         task = progress.task(key)
         if task is None or not progress.job.steps[key.step].long_running:
@@ -577,7 +610,7 @@
         step_run = progress.step_run(key.occurrence, key.step)
         return {
             "away_s": round(now - since, 3),
-            "away_from": "term begun" if since == self.placer.begun_at else "last run",
+            "away_from": _absence_source(since, self.placer.begun_at),
             "given_up_s": round(now - task.given_up_at, 3)
             if task.given_up_at
             else None,
@@ -585,17 +618,27 @@
             "room_s": round(step_run.room_s, 3),
         }
 
-    def _observe_return(self, progress: Progress, key: TaskKey) -> None:
-        task = progress.task(key)
-        if task is None or not task.away_since:
+    def _observe_return(
+        self, progress: Progress, key: TaskKey, since: float, given_up_at: float
+    ) -> None:
+        """Record an absence that a start has ended.
+
+        Parameters
+        ----------
+        since, given_up_at : float, seconds
+            Absence of the task when the start was sent.
+        """
+        if not since:
             return
         if progress.job.steps[key.step].long_running:
             now, queue = boottime(), progress.job.queue
-            self.metrics.observe("away_seconds", now - task.away_since, queue=queue)
-            if task.given_up_at:
-                restart_s = now - task.given_up_at
+            self.metrics.observe("away_seconds", now - since, queue=queue)
+            if given_up_at:
+                restart_s = now - given_up_at
                 self.metrics.observe("restart_seconds", restart_s, queue=queue)
-        task.away_since = task.given_up_at = 0.0
+        task = progress.task(key)
+        if task is not None and task.away_since == since:
+            self.placer.note_back(key)
 
     def _observe_ends(self, progresses: Iterable[Progress]) -> None:
         for progress in progresses:
@@ -706,7 +749,8 @@
         }
         records = []
         for job_id, progress in dirty.items():
-            records.append((RUN_PREFIX + job_id, encode_progress(progress)))
+            value = encode_progress(progress, boottime())
+            records.append((RUN_PREFIX + job_id, value))
             if progress.is_over():
                 # Only its state is queried from now on; a starting VM reads all
                 # records, possibly over a slow link.
@@ -893,6 +937,13 @@
         self.advice_pace = min(MAX_PACE, max(1.0, pace))
 
 
+def _absence_source(since: float, begun_at: float) -> str:
+    """Return from what on an absence counts, for log lines."""
+    if since == begun_at:
+        return "term begun"
+    return "earlier term" if since < begun_at else "last run"
+
+
 def _record_failed_call(
     adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
 ) -> str:
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -131,7 +131,12 @@
     fold_claim(index, 1, NOW)
     fold_leases(index, 1, 3.0, NOW + 1)
     expected = InheritedLeases(
-        1, ADDRESS, NOW + 3, {LIFE: NOW + 4}, newest_read_at=NOW + 1
+        1,
+        ADDRESS,
+        NOW + 3,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 1,
+        silent_since={LIFE: NOW + 1},
     )
     for term in (2, 3, 4):
         fold_claim(index, term, NOW + term)
@@ -139,11 +144,50 @@
     fold_leases(index, 4, 1.0, NOW + 5)
     fold_claim(index, 5, NOW + 6)
     expected = InheritedLeases(
-        4, ADDRESS, NOW + 7, {LIFE: NOW + 6}, newest_read_at=NOW + 5
+        4,
+        ADDRESS,
+        NOW + 7,
+        {LIFE: NOW + 6},
+        newest_read_at=NOW + 5,
+        silent_since={LIFE: NOW + 5},
     )
     assert index.inherited_leases() == expected
 
 
+# Guards against a wait that begins anew with a claim whose writer had not read the one
+# before it: a slow store refuses further claims of a term before it shows the first.
+def test_a_record_counts_after_claims_that_do_not_know_of_each_other():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    first = index.leader_record
+    fold_leases(index, 1, 3.0, NOW + 1)
+    for term in (2, 3):
+        claim = make_claim(term, f"vm{term}", f"n{term}", first)
+        value = encode_leader_record(claim)
+        index.fold(JournalRecord(0, LEADER_KEY, value), NOW + term)
+    assert claim.recorded_since == 3
+    assert index.inherited_leases().term == 1
+    fold_claim(index, 4, NOW + 4)
+    assert index.inherited_leases().term == 1
+    assert index.recorded_since == 1
+    # A renewal of the newest claim does not change what earlier claims say.
+    fold_claim(index, 4, NOW + 5)
+    assert index.recorded_since == 1
+
+
+# Guards against bounds of a term of an earlier build before claims that say so of none.
+def test_a_claim_does_not_speak_for_a_term_of_an_earlier_build():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW + 1)
+    first = index.leader_record
+    fold_claim(index, 2, NOW + 2, earlier_build=True)
+    claim = make_claim(3, "vm3", "n3", first)
+    value = encode_leader_record(claim)
+    index.fold(JournalRecord(0, LEADER_KEY, value), NOW + 3)
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
 # Guards against bounds of a term that another term of an earlier build followed.
 def test_only_the_record_of_the_previous_term_of_an_earlier_build_counts():
     index = JobIndex()
@@ -151,7 +195,12 @@
     fold_leases(index, 1, 3.0, NOW + 1)
     fold_claim(index, 2, NOW + 2, earlier_build=True)
     expected = InheritedLeases(
-        1, ADDRESS, NOW + 3, {LIFE: NOW + 4}, newest_read_at=NOW + 1
+        1,
+        ADDRESS,
+        NOW + 3,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 1,
+        silent_since={LIFE: NOW + 1},
     )
     assert index.inherited_leases() == expected
     fold_claim(index, 3, NOW + 3, earlier_build=True)
@@ -159,7 +208,12 @@
     fold_leases(index, 3, 1.0, NOW + 3)
     fold_claim(index, 4, NOW + 3.5, earlier_build=True)
     expected = InheritedLeases(
-        3, ADDRESS, NOW + 5, {LIFE: NOW + 4}, newest_read_at=NOW + 3
+        3,
+        ADDRESS,
+        NOW + 5,
+        {LIFE: NOW + 4},
+        newest_read_at=NOW + 3,
+        silent_since={LIFE: NOW + 3},
     )
     assert index.inherited_leases() == expected
 
@@ -188,6 +242,7 @@
         b'{"term":1,"address":"a:1","earlier_left_ms":null,"left_ms":[]}',
         b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"lapse_ms":-1}',
         b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"lapse_ms":1.5}',
+        b'{"term":1,"address":"a:1","earlier_left_ms":0,"left_ms":[],"silent_ms":[1]}',
         b"[" * 100_000,
     ],
 )
