Bound the times away in the answer about a term

A task that had been away for 2^31 ms (24.8 days) made the next term reject the whole answer, so that its wait for all leases counted from the answer and the released runs were not known.

--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -21,7 +21,7 @@
 )
 from ..rpc import RpcClient, idl
 from ..util.json_input import load_json
-from ..util.validation import Count, Message, validate_json
+from ..util.validation import MAX_COUNT, Count, Message, validate_json
 from .advice import AdviceAnswer
 from .advicequeue import AdviceQueue, AdviceRequest
 from .leasebounds import ReleasedRun, TermEnd
@@ -296,7 +296,7 @@
         data: dict[str, Any] = {"for_s": end.for_s}
         if end.released:
             data["released"] = [
-                [*item.key, item.run, int(max(0.0, item.away_s) * 1000)]
+                [*item.key, item.run, min(MAX_COUNT, int(max(0.0, item.away_s) * 1000))]
                 for item in end.released
             ]
         return idl.Reply(STATUS_OK, orjson.dumps(data))
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -186,6 +186,18 @@
     assert curio.run(ask_about_terms, peers.handlers(), 2) == [gone]
 
 
+# Guards against an answer that the asker rejects as a whole, for a task that has been
+# away for weeks: the wait for all leases then counted from the answer.
+def test_the_answer_about_a_term_is_readable_however_long_a_task_was_away():
+    gone = ReleasedRun(TaskKey("00aa", 0, 1, 2), 3, 60 * 86400.0)
+    peers = make_peers("")
+    peers.end_term = lambda _: TermEnd(2.5, (gone,))
+    (end,) = curio.run(ask_about_terms, peers.handlers(), 2)
+    assert end is not None
+    assert end.for_s == 2.5
+    assert [(item.key, item.run) for item in end.released] == [(gone.key, 3)]
+
+
 # Guards against a time on the wire that ends the wait for leases before they lapse;
 # builds before the field send none.
 @pytest.mark.parametrize(
