--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -169,6 +169,9 @@
         snapshot drops none: the journal holds at least the claim of a placer by then.
         """
         self.note_snapshot(now)
+        if records:
+            # Records of leases may have been replaced by one that follows the claim.
+            self.leases = NO_LEASES
         for record in records:
             self.fold(record, now)
         if not records:
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -191,6 +191,24 @@
     assert index.inherited_leases() == NO_INHERITED_LEASES
 
 
+# Guards against bounds of a record that is no longer the newest: a snapshot shows the
+# claim before the record of its own term, which has replaced that of the term before.
+def test_a_record_from_before_a_snapshot_does_not_count_for_its_claim():
+    index = JobIndex()
+    fold_claim(index, 1, NOW)
+    fold_leases(index, 1, 3.0, NOW + 1)
+    claim = make_claim(3, "vm3", "n3", LeaderRecord(2, "vm2", "n2", recorded_since=1))
+    leases = encode_lease_record(LeaseRecord(3, ADDRESS))
+    index.fold_snapshot(
+        [
+            JournalRecord(20, LEADER_KEY, encode_leader_record(claim)),
+            JournalRecord(21, LEASES_KEY, leases),
+        ],
+        NOW + 9,
+    )
+    assert index.inherited_leases() == NO_INHERITED_LEASES
+
+
 # Guards against bounds of a term that another term of an earlier build followed.
 def test_only_the_record_of_the_previous_term_of_an_earlier_build_counts():
     index = JobIndex()
