Name the inherited term as what it is, and start no renewals for an ended term

Since a record counts until a later term has stored one, it need not be of the previous term; docstrings and comments say so now. A change of the registrations that is delivered while the term ends could start renewals that nobody cancels (found by the reviewer, by reading). Tests of leases, terms, the index and the node pass.

--- a/cuminhill/jobs/election.py
+++ b/cuminhill/jobs/election.py
@@ -99,7 +99,7 @@
             self.newest_record_at = now
 
     def note_refusal(self, term: int, now: float) -> None:
-        """Note that the log has refused an append since a VM has claimed a term.
+        """Note that the log has refused an append because a VM has claimed a term.
 
         The log refuses as soon as it has accepted the claim, and a slow one stores it
         seconds later. Until it can be read, its claimant gets the election timeout.
--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -172,7 +172,7 @@
         Since when the log has refused every append; 0 while it does not, or after an
         append without an answer.
     superseded : bool
-        Whether the log has refused an append since a later epoch had begun.
+        Whether the log has refused an append because a later epoch had begun.
     """
 
     log: KeyedLog
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -84,7 +84,7 @@
 RESIGN_TIMEOUT_S = 0.6  # of writing a resignation
 # That a process tells the next term of; bounds its answer, which must come in time.
 MAX_RELEASED_RUNS = 2000
-ASK_INTERVAL_S = 0.25  # between questions to VMs about the previous term
+ASK_INTERVAL_S = 0.25  # between questions to VMs about the inherited leases
 # VMs that are asked when they read the records about leases. One that has followed the
 # journal is enough, and even if most VMs have just started, some of so many have; it
 # bounds the calls of a hand-over on a site with hundreds of VMs.
@@ -209,7 +209,7 @@
     _shown_at: float = 0.0
     # What the claim inherits, by the earliest times known of its reading.
     _reading: LeaseReading | None = None
-    # Since when the process of the previous term has said that it extends no lease.
+    # Since when the process of the inherited term says that it extends no lease.
     _told_ended_at: float = math.inf
     # VMs that are being asked when they read the records, those that need not be asked
     # again, and the number of questions to each.
@@ -289,7 +289,7 @@
         await self._spawn_renewers()
 
     async def _ask_predecessor(self) -> None:
-        """Ask the process of the previous term until it has ended that term.
+        """Ask the process of the inherited term until it has ended that term.
 
         Whichever process answers at its address has ended that term or was started
         later. An answer may still shorten the wait when no lease can be granted any
@@ -510,6 +510,8 @@
         await self._wake.set()
 
     async def _spawn_renewers(self) -> None:
+        if self.ended:
+            return  # tasks that are spawned now would not be cancelled
         for worker_id in self.placer.workers:
             if worker_id not in self._renewers:
                 queue = self._send_queues[worker_id] = curio.Queue()
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -38,12 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class InheritedLeases:
-    """What the previous term has left in the journal about leases.
+    """What the newest earlier term with a record has left about leases.
 
     Parameters
     ----------
     term : int
-        The previous term; 0 if it has left nothing.
+        That term; 0 if none bounds all leases.
     address : str
         ``"host:port"`` at which its process is called by other VMs.
     earlier_lapse_at : float, seconds
@@ -118,7 +118,7 @@
 def inherit_leases(
     record: LeaseRecord, read_at: float, newest_read_at: float
 ) -> InheritedLeases:
-    """Return the ends of leases in a record of the previous term.
+    """Return the ends of leases in the record of an earlier term.
 
     Parameters
     ----------
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -139,9 +139,9 @@
         Mean time that a worker takes for a second of work at a speed of 1, by pool. It
         is divided out of speeds and run times, so that 1 is the pool's mean pace.
     inherited : InheritedLeases
-        What the previous term has left in the journal about leases.
+        What the newest earlier term with a record has left about leases.
     predecessor_ended_at : float, seconds
-        Since when the previous term extends no lease any more; infinite while that is
+        Since when that term extends no lease any more; infinite while that is
         not known.
     not_adopted : dict
         Tasks assigned to an incarnation that has not registered in this term, by key.
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -28,8 +28,8 @@
     "vm/",
 )
 SPEEDS_KEY = "speeds"  # of all workers, written by the placer
-# Ends of the leases that the placer no longer extends. Not a part of its claim, since
-# earlier builds read claims strictly.
+# Ends of the leases that the placer no longer extends. Not a part of its claim, which
+# is stored before the claimant has read the last records of its predecessor.
 LEASES_KEY = "leases"
 # A resignation written through another VM. It has its own key: that VM's appends are
 # not fenced by terms, so a late one would overwrite a newer claim under `LEADER_KEY`.
