Read large records once, however long the link takes

The read that waited for a record had 0.6 s left for its transfer and was given up. The follower took the log for unreachable and sent a read each 0.25 s, up to ten at a time. The store returns one record however small the page asked for (a trial: 546,392 bytes for max_kb=128), so each of them transferred the whole record, none within its limit of 2.4 s, and the next ones had begun by then. The class is retries that add to the load that makes them fail.

Ruled out: a store that is slow or refuses (its calls did not increase and all succeeded), a lack of processor time (1 to 3%), and links that are too small in general (20 to 110 KB/s before the first large record).

Change: probes ask for the end of the log and transfer no records; one read follows the first answer. The transfer of a page is given up only if no data arrives for 2 s. Callers that wait for the newest records share one read.

--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -85,6 +85,9 @@
     ) -> tuple[int, list[JournalRecord]]:
         """Return the end offset and the records from an offset on."""
 
+    async def end(self, timeout_s: float) -> int:
+        """Return the end offset; little data is transferred."""
+
     async def newest(self) -> tuple[int, list[JournalRecord]]:
         """Return the offset to continue from and the newest record of each key."""
 
--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -22,13 +22,14 @@
 
 # Timeout of a read, in addition to the wait that it requests.
 READ_TIMEOUT_S = 0.6
-# While the log does not answer, a read is sent at this interval, each on its own
+# While the log does not answer, a probe is sent at this interval, each on its own
 # connection and with its own timeout: a call sent during an outage is never answered,
-# and a slow log answers the first of them.
+# and a slow log answers the first of them. Probes transfer no records: parallel reads
+# of one large record would share the link, and none of them would end in time.
 PROBE_INTERVAL_S = 0.25
 PROBE_TIMEOUT_S = 2.4
 PROBE_POLL_S = 0.03
-N_PROBERS = math.ceil(PROBE_TIMEOUT_S / PROBE_INTERVAL_S)  # most concurrent reads
+N_PROBERS = math.ceil(PROBE_TIMEOUT_S / PROBE_INTERVAL_S)  # most concurrent probes
 # A waiting read that is answered within this time shows the log's latency; a later
 # answer may have waited for a record.
 QUICK_READ_S = 0.1
@@ -70,24 +71,25 @@
     _probe_requested_at: float = 0.0
     _n_probers: int = 0
     _probe_requests: Any = field(default_factory=curio.Queue)
+    _catching_up: Any = field(default_factory=curio.Lock)
 
     def age(self, now: float) -> float:
         """Return the age of the newest complete read, in seconds."""
         return now - self.read_at
 
     def answered_after(self, sent_at: float) -> float | None:
-        """Return the duration of the newest answered read if it was sent later.
+        """Return the duration of the newest answered call if it was sent later.
 
         Returns
         -------
         read_s : float or None, seconds
-            Time between call and answer; None if there is no such read.
+            Time between call and answer; None if there is no such call.
         """
         read_sent_at, read_s = self._newest_answer
         return read_s if read_sent_at > sent_at else None
 
     async def start_probers(self) -> None:
-        """Start the tasks that send reads in parallel to those of `run`.
+        """Start the tasks that send probes in parallel to the reads of `run`.
 
         They are started before they are needed, since spawning a task during the
         kernel's shutdown makes the shutdown fail.
@@ -100,12 +102,12 @@
         """Follow the log until cancelled."""
         while True:
             try:
+                if not self.reachable:
+                    await self._await_answer()
                 if not self.synced:
                     await self._load()
-                if self.reachable:
-                    at_end = await self.read(self.wait_s, self._timeout_s())
-                else:
-                    at_end = await self._await_recovery()
+                wait_s = self.wait_s if self.reachable else 0.0
+                at_end = await self.read(wait_s, self._timeout_s())
             except HistoryGoneError as exc:
                 logger.info("history gone", log=self.name, error=str(exc))
                 self.synced = False
@@ -164,10 +166,13 @@
         self._newest_answer = sent_at, max(0.0, took_s - wait_s) or took_s
 
     async def catch_up(self, timeout_s: float) -> bool:
-        """Read up to the current end; return whether that succeeded."""
+        """Read up to the current end; return whether that succeeded.
+
+        Concurrent callers share a read that was sent after each of them asked.
+        """
         asked_at = boottime()
         try:
-            async with curio.timeout_after(timeout_s):
+            async with curio.timeout_after(timeout_s), self._catching_up:
                 while self.synced and self.read_at < asked_at:
                     await self.read(0.0, timeout_s)
         except (CuminhillError, curio.TaskTimeout) as exc:
@@ -177,19 +182,19 @@
         return self.synced
 
     async def probe(self, timeout_s: float) -> bool:
-        """Return whether the log answers a read within the timeout."""
+        """Return whether the log answers within the timeout."""
+        sent_at = boottime()
         try:
             async with curio.timeout_after(timeout_s):
-                await self.read(0.0, timeout_s)
-        except HistoryGoneError:
-            return True
+                await self.log.end(timeout_s)
         except (CuminhillError, curio.TaskTimeout):
             self.n_errors += 1
             return False
+        self._note_answer(sent_at, 0.0)
         return True
 
     async def request_probe(self) -> None:
-        """Send a parallel read, unless one was sent within the probe interval."""
+        """Send a probe, unless one was sent within the probe interval."""
         now = boottime()
         due = now - self._probe_requested_at >= PROBE_INTERVAL_S
         if self._n_probers and due and self._probe_requests.empty():
@@ -200,15 +205,14 @@
         while True:
             await self.probe(await self._probe_requests.get())
 
-    async def _await_recovery(self) -> bool:
-        """Probe until the log answers; then continue reading."""
+    async def _await_answer(self) -> None:
+        """Probe until the log answers."""
         begun_at = boottime()
         while self.answered_after(begun_at) is None:
             if not self._n_probers:
                 await self.probe(PROBE_TIMEOUT_S)
             await self.request_probe()
             await curio.sleep(PROBE_POLL_S)
-        return await self.read(0.0, self._timeout_s())
 
     async def _load(self) -> None:
         sent_at = boottime()
--- a/cuminhill/platform/store.py
+++ b/cuminhill/platform/store.py
@@ -32,13 +32,19 @@
 CONFIG_TOPIC = "keyed.op"
 WORKERS_TOPIC = "keyed.servers"
 READ_TIMEOUT_S = 2.0
-# For one page of the newest records, up to 1 MB, which takes 1 s on a link of
-# 10 Mbit/s; other reads share the link.
+# Until a page of the newest records begins to arrive. Other reads may be ahead of it on
+# the link.
 NEWEST_PAGE_TIMEOUT_S = 4.0
-# Limit of one read. A page must arrive within the shortest timeout of a read, 0.6 s, on
-# a link of 10 Mbit/s shared with other traffic; pages of 1 MB always timed out there.
+# Time without data after which the transfer of a page is given up. A page may take as
+# long as the link needs, which is seconds for a large record on a link of a few Mbit/s:
+# the next read would have to transfer all of it again.
+STALL_S = 2.0
+# Limit of one read, so that other reads on a link of 10 Mbit/s need not wait for long.
+# The store exceeds it for a single larger record.
 MAX_PAGE_KB = 128
 LARGE_PAGE_KB = 1024  # for a record that does not fit into such a page
+# Offset behind the end of any topic. A read from there returns the end without records.
+BEYOND_END = 2**53 - 1
 
 
 @dataclass(eq=False)
@@ -81,20 +87,45 @@
             )
         return end, records
 
+    async def end(self, timeout_s: float) -> int:
+        """Return the end of the topic without reading records.
+
+        Raises
+        ------
+        UnavailableError, UnknownOutcomeError, ProtocolError
+            If there is no valid reply.
+        """
+        query = {"topic": self.name, "part": 0, "from": BEYOND_END, "max_kb": 1}
+        raw = await self._get_raw(query, timeout_s)
+        end, _, _ = decode_page(raw, BEYOND_END, self.reader.peer)
+        return end
+
     async def _read_page(
         self, offset: int, wait_s: float, timeout_s: float, max_kb: int
     ) -> tuple[int, list[JournalRecord]]:
         query = {"topic": self.name, "part": 0, "from": offset, "max_kb": max_kb}
         if wait_s > 0:
             query["wait_ms"] = int(wait_s * 1000)
+        raw = await self._get_raw(query, timeout_s + wait_s)
+        end, first, records = decode_page(raw, offset, self.reader.peer)
+        if first > offset:
+            raise HistoryGoneError(
+                f"offset {offset} of {self.name}", step="read", peer=self.reader.peer
+            )
+        return end, records
+
+    async def _get_raw(self, query: dict[str, Any], timeout_s: float) -> bytes:
         status, body = await self.reader.request(
             "GET",
             f"/-/log-read?{urlencode(query)}",
-            timeout_s=timeout_s + wait_s,
+            timeout_s=timeout_s,
+            stall_s=STALL_S,
         )
         if status == 410:
             raise HistoryGoneError(
-                f"offset {offset} of {self.name}", step="read", peer=self.reader.peer
+                f"offset {query['from']} of {self.name}",
+                step="read",
+                peer=self.reader.peer,
             )
         if status != 200:
             raise UnavailableError(
@@ -103,12 +134,7 @@
         raw = body.encode() if isinstance(body, str) else body
         if not isinstance(raw, bytes):
             raise ProtocolError("no raw data", step="read", peer=self.reader.peer)
-        end, first, records = decode_page(raw, offset, self.reader.peer)
-        if first > offset:
-            raise HistoryGoneError(
-                f"offset {offset} of {self.name}", step="read", peer=self.reader.peer
-            )
-        return end, records
+        return raw
 
     async def newest(self) -> tuple[int, list[JournalRecord]]:
         """Return an offset to continue from and the newest record of each key.
@@ -132,6 +158,7 @@
                 "GET",
                 f"/-/log-newest?{urlencode(query)}",
                 timeout_s=NEWEST_PAGE_TIMEOUT_S,
+                stall_s=STALL_S,
             )
             if status == 404:
                 return 0, []  # nothing has been written to the topic yet
--- a/cuminhill/util/http_client.py
+++ b/cuminhill/util/http_client.py
@@ -27,6 +27,8 @@
 
 JSON_TYPE, RAW_TYPE = b"application/json", b"application/octet-stream"
 READ_SIZE = 65536  # bytes
+# Bounds a response with `stall_s` that arrives in small parts without an end.
+MAX_TRANSFER_S = 30.0
 MAX_RESPONSE_BYTES = 64 << 20
 # Below the servers' idle timeout, so that a request is rarely sent on a connection
 # that the server is closing.
@@ -99,6 +101,7 @@
         value: Any = None,
         *,
         timeout_s: float = 5.0,
+        stall_s: float | None = None,
         headers: Sequence[tuple[str, str]] = (),
     ) -> tuple[int, Any]:
         """Send a request and return status and decoded body.
@@ -112,7 +115,12 @@
         value : object, default=None
             Body: bytes are sent unchanged, other values as JSON, None as no body.
         timeout_s : float, seconds
-            Limit for the whole request, including connecting.
+            Limit for the whole request, including connecting. With ``stall_s``, limit
+            until the response begins.
+        stall_s : float or None, seconds
+            Limit between two parts of the response, for one that may be large: a
+            transfer over a slow link that goes on is not given up before it has taken
+            `MAX_TRANSFER_S`.
         headers : sequence of (str, str)
             Headers in addition to host, content type and content length.
 
@@ -142,8 +150,12 @@
             raise UnavailableError(repr(exc), step="encode", peer=self.peer) from exc
         conn = await self._connect(timeout_s)
         try:
-            async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
-                result = await self._exchange(conn, method, path, content, headers)
+            limit_s = give_up_at - time.monotonic()
+            if stall_s is not None:
+                limit_s += MAX_TRANSFER_S
+            async with curio.timeout_after(max(0.001, limit_s)):
+                await self._send(conn, method, path, content, headers)
+                result = await self._read_response(conn, give_up_at, stall_s)
         except curio.TaskTimeout as exc:
             await conn.sock.close()
             raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
@@ -193,14 +205,14 @@
         conn.last_used_at = time.monotonic()
         self._idle.append(conn)
 
-    async def _exchange(
+    async def _send(
         self,
         conn: _PooledConnection,
         method: str,
         path: str,
         content: tuple[bytes, str],
         headers: Sequence[tuple[str, str]],
-    ) -> tuple[int, Any]:
+    ) -> None:
         body, content_type = content
         all_headers = [
             ("host", self.peer),
@@ -215,16 +227,21 @@
         data += conn.h11_conn.send(h11.EndOfMessage()) or b""
         await conn.sock.sendall(data)
         _CLIENT_TRAFFIC.n_sent_bytes += len(data)
-        return await self._read_response(conn)
 
-    async def _read_response(self, conn: _PooledConnection) -> tuple[int, Any]:
+    async def _read_response(
+        self, conn: _PooledConnection, begin_by: float, stall_s: float | None
+    ) -> tuple[int, Any]:
+        limit_s: float | None = None
+        if stall_s is not None:
+            limit_s = max(0.001, begin_by - time.monotonic())
         status = 0
         content_type = b""
         body = bytearray()
         while True:
             event = conn.h11_conn.next_event()
             if event is h11.NEED_DATA:
-                data = await conn.sock.recv(READ_SIZE)
+                data = await self._receive(conn, limit_s)
+                limit_s = stall_s
                 _CLIENT_TRAFFIC.n_received_bytes += len(data)
                 if not data and not status:
                     raise ConnectionResetError("closed before the response")
@@ -242,6 +259,22 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionResetError("closed before the response was complete")
 
+    async def _receive(self, conn: _PooledConnection, limit_s: float | None) -> bytes:
+        """Return the next part of a response.
+
+        Raises
+        ------
+        UnknownOutcomeError
+            If none arrives within the limit.
+        """
+        if limit_s is None:
+            return await conn.sock.recv(READ_SIZE)
+        try:
+            async with curio.timeout_after(limit_s):
+                return await conn.sock.recv(READ_SIZE)
+        except curio.TaskTimeout as exc:
+            raise UnknownOutcomeError("time-out", step="http", peer=self.peer) from exc
+
 
 def _encode(value: Any) -> tuple[bytes, str]:
     if value is None:
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -176,6 +176,11 @@
         until = offset + self.faults.page_size if self.faults.page_size else None
         return len(self.log.records), self.log.records[offset:until]
 
+    async def end(self, timeout_s: float) -> int:
+        """Return the end offset."""
+        await self._reach(timeout_s)
+        return len(self.log.records)
+
     async def newest(self) -> tuple[int, list[JournalRecord]]:
         """Return the end offset and the newest record of each key."""
         await self._reach(1.0)
