Say in the logs why a ready step waits

The logs told only for lasting tasks whether they waited for advice or for room. A job that stood still beside idle workers left no line that names the condition that was not met.

The placer now writes "step waits" for each step that has waited over a second for the placement of its first or next task, with the reason and the counts of workers and room behind it: at a change of the reason and when the wait passes 1, 3, 10 and 30 s, at most once a second for a step and 30 times a second in all. The next start has step_waited_s and step_waits. cuminhill_step_wait_seconds counts the waits by their longest reason, and the dump of the placer lists the ten longest that go on.

advice_s and room_s of starts are as before in the first second of a wait, and follow the reason after that.

At most five steps are explained in a decision, those first that were explained longest ago.

An answered call for advice now clears retry_at, so that an earlier failure is not named after it; no call is made earlier by this.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -56,7 +56,8 @@
     calling : bool
         Whether a call is in progress.
     retry_at : float, seconds
-        Time before which no call is made after a failed one.
+        Time before which no call is made after a failed one; 0 unless the newest call
+        with an outcome has failed.
     """
 
     permitted: dict[str, str] = field(default_factory=dict)
@@ -74,6 +75,11 @@
             return ""
         return self.permitted.get(worker_id, "")
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the newest call with an outcome has failed."""
+        return self.retry_at > 0
+
     def permits(self, worker_id: str) -> bool:
         """Return whether a worker may run the step, with or without a valid ticket."""
         return worker_id in self.permitted
@@ -109,6 +115,7 @@
             Validity of the tickets.
         """
         self.calling = False
+        self.retry_at = 0.0
         self.asked.update(named)
         for worker_id, ticket in tickets:
             self.permitted[worker_id] = ticket
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -4,7 +4,10 @@
 
 import math
 from collections import Counter
-from typing import TYPE_CHECKING, NamedTuple
+from heapq import nsmallest
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import structlog
 
 from .advice import (
     TICKET_MARGIN_S,
@@ -29,6 +32,15 @@
     reserve,
     soonest_places,
 )
+from .waitcauses import explain_wait
+from .waits import (
+    EXPLAIN_INTERVAL_S,
+    EXPLAINED_AFTER_S,
+    MAX_DUMPED_STEPS,
+    MAX_EXPLAINED_STEPS,
+    WaitCause,
+    WaitReason,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -41,6 +53,8 @@
     from .placer import Placer
     from .progress import Progress, StepRun
 
+logger = structlog.get_logger(__name__)
+
 # Steps considered in one decision: the most urgent ones, and some of the others in
 # turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
@@ -165,6 +179,7 @@
     hold_room(placer, waiting, pools, now)
     busy = {name for name, pool in pools.items() if _is_busy(pool)}
     patient = False
+    explained = _steps_to_explain(waiting, now)
     for step_run, queue, run_times in waiting:
         restarts = _is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
@@ -204,13 +219,27 @@
             held=held,
         )
         placements.extend(placed)
-        if step_run.step.long_running:
-            _note_wait(placer, step_run, queue, workers, now=now)
+        if placed:
+            _end_wait(placer, step_run, now)
+        elif step_run in explained:
+            _explain_wait(
+                placer,
+                step_run,
+                queue,
+                pool,
+                n_wanted=n_startable,
+                run_s=run_s,
+                held=held,
+                core_limit=limits.get(queue.name),
+                now=now,
+            )
+        _note_wait(placer, step_run, queue, workers, now=now)
         if placed or n_reservations >= MAX_RESERVATIONS or not advised:
             continue
         n_reservations += _reserve_room(
             placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
         )
+    note_unconsidered(placer, now, wall)
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
     return placements, calls
@@ -821,6 +850,14 @@
     return placed
 
 
+def _steps_to_explain(
+    waiting: list[tuple[StepRun, Queue, list[float]]], now: float
+) -> set[StepRun]:
+    """Return the steps whose waits are explained in this decision."""
+    due = [row[0] for row in waiting if row[0].wait.is_due(now)]
+    return set(nsmallest(MAX_EXPLAINED_STEPS, due, key=lambda it: it.wait.explained_at))
+
+
 def _note_wait(
     placer: Placer,
     step_run: StepRun,
@@ -829,13 +866,20 @@
     *,
     now: float,
 ) -> None:
-    """Note what the tasks of a step that were not placed wait for.
+    """Note that the tasks of a step that were not placed wait, and what for.
 
-    They wait for advice as long as a worker with room for one is not known to be
-    permitted or forbidden, or has no valid ticket.
+    Unless the wait was explained, they wait for advice as long as a worker with room
+    for one is not known to be permitted or forbidden, or has no valid ticket. Only
+    absences of tasks that last need this in the first second.
     """
     if not step_run.n_waiting:
-        step_run.note_wait("", now)
+        return
+    wait = step_run.wait
+    wait.since = wait.since or now
+    if not step_run.step.long_running:
+        return
+    if wait.cause is not None:
+        step_run.note_wait(wait.cause.reason.kind, now)
         return
     waits_for = "room"
     if queue.advice is not None:
@@ -852,6 +896,119 @@
     step_run.note_wait(waits_for, now)
 
 
+def _explain_wait(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    pool: list[Worker],
+    *,
+    n_wanted: int,
+    run_s: float,
+    held: dict[str, Resources],
+    core_limit: HeadroomLimit | None,
+    now: float,
+) -> None:
+    """Find and note why no task of a step was placed."""
+    step, restarts = step_run.step, _is_restart(step_run)
+    if restarts or (step.gang and core_limit is not None and not core_limit.busy):
+        core_limit = None
+    unreserved = eligible_workers(placer, step_run, pool, run_s, now)
+    cause = explain_wait(
+        step,
+        pool,
+        {worker.worker_id for worker in unreserved},
+        _n_by_worker(step_run),
+        n_wanted=n_wanted,
+        advice=placer.advice.for_step(step_run.name) if queue.advice else None,
+        held={} if restarts else held,
+        core_limit=core_limit,
+        now=now,
+    )
+    step_run.note_cause(cause, now)
+    _tell_wait(placer, step_run, now)
+
+
+def _end_wait(placer: Placer, step_run: StepRun, now: float) -> None:
+    wait = step_run.wait
+    waited_s = step_run.end_wait(now)
+    if waited_s >= EXPLAINED_AFTER_S:
+        placer.ended_waits.append((wait.longest_reason(), waited_s))
+
+
+def _tell_wait(placer: Placer, step_run: StepRun, now: float) -> None:
+    """Log why a step waits if a line is due."""
+    wait, step = step_run.wait, step_run.step
+    if wait.cause is None or not placer.wait_lines.has_left(now):
+        return
+    if not wait.take_line(now):
+        return
+    placer.wait_lines.n_lines += 1
+    logger.info(
+        "step waits",
+        job=step_run.job.job_id,
+        step=step_run.name,
+        queue=step_run.job.queue,
+        waited_s=round(now - wait.since, 3),
+        gang=step.gang,
+        cores=step.need.cores,
+        **wait.cause.fields(),
+    )
+
+
+def note_unconsidered(
+    placer: Placer, now: float, wall: float, *, may_act: bool = True
+) -> None:
+    """Note the waits of ready steps that the newest decision did not consider.
+
+    Parameters
+    ----------
+    may_act : bool, default=True
+        Whether the term may start tasks; otherwise no step is considered.
+    """
+    if now - placer.waits_noted_at < EXPLAIN_INTERVAL_S:
+        return
+    placer.waits_noted_at = now
+    for progress in placer.jobs.values():
+        if progress.cancelled or progress.state is JobState.FAILED:
+            continue
+        queue = placer.queue_of(progress)
+        for step_run in progress.ready_steps(wall):
+            n_wanted = progress.n_startable(step_run)
+            if not may_act:
+                reason = WaitReason.TERM_INACTIVE
+            elif queue is None:
+                reason = WaitReason.QUEUE_GONE
+            elif not n_wanted:
+                reason = WaitReason.RECORD_LIMIT
+            elif step_run.name in placer.left_out:
+                reason = WaitReason.NOT_CONSIDERED
+            else:
+                continue
+            step_run.wait.since = step_run.wait.since or now
+            if step_run.wait.is_due(now):
+                step_run.note_cause(WaitCause(reason, n_wanted), now)
+                _tell_wait(placer, step_run, now)
+
+
+def longest_waits(placer: Placer, now: float) -> list[dict[str, Any]]:
+    """Return the steps that have waited for longest, for the dump."""
+    waiting = [
+        step_run
+        for progress in placer.jobs.values()
+        for step_run in progress.step_runs.values()
+        if step_run.wait.since and step_run.n_waiting and not progress.cancelled
+    ]
+    waiting.sort(key=lambda step_run: step_run.wait.since)
+    return [
+        {
+            "step": step_run.name,
+            **step_run.wait.fields(now),
+            **(step_run.wait.cause.fields() if step_run.wait.cause else {}),
+        }
+        for step_run in waiting[:MAX_DUMPED_STEPS]
+    ]
+
+
 def _assign(
     placer: Placer,
     progress: Progress,
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -24,6 +24,7 @@
 )
 from ..util.hashing import rendezvous_order
 from .advice import LONG_CALL_S, AdviceCall, Adviser, find_adviser
+from .decisions import note_unconsidered
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import (
@@ -661,6 +662,7 @@
             fence=order.fencing_token,
             config=self.placer.table.version,
             **self._absence(progress, order.key, now),
+            **progress.step_run(order.key.occurrence, order.key.step).take_waited(),
         )
         task = progress.task(order.key)
         away = (task.away_since, task.given_up_at) if task else (0.0, 0.0)
@@ -729,6 +731,12 @@
         if task is not None and task.away_since == since:
             self.placer.note_back(key)
 
+    def _observe_waits(self) -> None:
+        waits = self.placer.ended_waits
+        while waits:
+            reason, waited_s = waits.popleft()
+            self.metrics.observe("step_wait_seconds", waited_s, reason=reason)
+
     def _observe_ends(self, progresses: Iterable[Progress]) -> None:
         for progress in progresses:
             job = progress.job
@@ -787,6 +795,9 @@
             self._unjournaled.extend(placements)
             for call in calls:
                 await self._schedule_advice(call, now)
+            self._observe_waits()
+        else:
+            note_unconsidered(self.placer, now, time.time(), may_act=False)
         if self._recorded.is_set():
             # Before that they would be dropped, and repeated only after a while.
             for stop in self.placer.take_stops():
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -14,6 +14,7 @@
 from ..clock import boottime
 from ..errors import CuminhillError
 from ..rpc import RpcServer
+from .decisions import longest_waits
 from .election import (
     ALIVE_TIMEOUT_S,
     HANDOVER_COOLDOWN_S,
@@ -801,6 +802,7 @@
             for job_id, item in placer.jobs.items()
         },
         "moving": [[*key, move.target] for key, move in placer.moves.items()],
+        "waiting": longest_waits(placer, now),
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -122,6 +122,13 @@
         "Time from the acceptance of a job to its completion, in seconds.",
         ("queue",),
     ),
+    Metric(
+        "step_wait_seconds",
+        HISTOGRAM,
+        "Time for which a ready step waited for the placement of its first or next "
+        "task, if over a second, by the reason of most of it, in seconds.",
+        ("reason",),
+    ),
     Metric(
         "away_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -406,6 +406,11 @@
     return total
 
 
+def n_tasks_in(step: Step, free: Resources) -> int:
+    """Return how many tasks of a step fit into some room."""
+    return _n_fitting(step.need, free)
+
+
 def by_free_cores(workers: Iterable[Worker]) -> list[Worker]:
     """Return workers sorted by free cores times speed, the largest first."""
     return sorted(workers, key=lambda item: -item.free.cores * item.health.speed)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -33,6 +33,7 @@
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
+from .waits import LineLimit
 from .watch import inherit_progress, note_progress, watch_runs
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
 CAPACITY_BACKOFF_S = 0.3
 UNHEALTHY_BACKOFF_S = 0.5
 MAX_SILENT_TIMES = 1000  # more than stop answering within a restart
+MAX_ENDED_WAITS = 1000  # more than end in one decision
 
 
 class StopOrder(NamedTuple):
@@ -154,6 +156,13 @@
     silent_times : deque of (float, bool)
         When workers stopped answering, in seconds, and whether a suspect was starting
         there; the newest last.
+    ended_waits : deque of (str, float)
+        Waits of steps that have ended with a placement: the longest reason and the
+        length in seconds; for the metrics.
+    wait_lines : LineLimit
+        Limits the log lines about waits.
+    waits_noted_at : float, seconds
+        When the waits of steps that are not considered were noted.
     """
 
     term: int
@@ -180,6 +189,11 @@
     silent_times: deque[tuple[float, bool]] = field(
         default_factory=lambda: deque(maxlen=MAX_SILENT_TIMES)
     )
+    ended_waits: deque[tuple[str, float]] = field(
+        default_factory=lambda: deque(maxlen=MAX_ENDED_WAITS)
+    )
+    wait_lines: LineLimit = field(default_factory=LineLimit)
+    waits_noted_at: float = 0.0
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -15,11 +15,13 @@
 from ..util.validation import MAX_COUNT, MAX_INTEGER, Message, validate_json
 from .model import Job, JobState, TaskKey
 from .records import MAX_RECORD_BYTES
+from .waits import EXPLAINED_AFTER_S, StepWait
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from .model import Step
+    from .waits import WaitCause
 
 
 # Length that the progress of one job may have by the estimates below. The rest of a
@@ -120,6 +122,10 @@
     advice_s, room_s : float, seconds
         How long tasks of a long-running step have waited for each, in this term, since
         none last waited.
+    wait : StepWait
+        Wait for the placement of the first or next task.
+    waited : dict
+        Fields that tell of the newest wait that was explained, until a start has them.
     """
 
     job: Job
@@ -133,6 +139,8 @@
     waits_since: float = 0.0
     advice_s: float = 0.0
     room_s: float = 0.0
+    wait: StepWait = field(default_factory=StepWait)
+    waited: dict[str, Any] = field(default_factory=dict)
 
     @property
     def is_open(self) -> bool:
@@ -174,6 +182,29 @@
             self.room_s += waited_s
         self.waits_for, self.waits_since = waits_for, now
 
+    def note_cause(self, cause: WaitCause, now: float) -> None:
+        """Note why the step waits, as found after a decision."""
+        self.wait.count(now)
+        self.wait.cause, self.wait.explained_at = cause, now
+        if self.step.long_running:
+            self.note_wait(cause.reason.kind, now)
+
+    def end_wait(self, now: float) -> float:
+        """Note that a task was placed; return how long the step had waited for it."""
+        self.wait.count(now)
+        if self.step.long_running:
+            self.note_wait("", now)
+        waited_s = now - self.wait.since if self.wait.since else 0.0
+        if waited_s >= EXPLAINED_AFTER_S:
+            self.waited = self.wait.fields(now)
+        self.wait = StepWait(now if self.n_waiting else 0.0)
+        return waited_s
+
+    def take_waited(self) -> dict[str, Any]:
+        """Return and clear the fields that tell of the newest explained wait."""
+        waited, self.waited = self.waited, {}
+        return waited
+
     def done_indexes(self) -> list[int]:
         """Return the indexes of the tasks that are done."""
         return [index for index, task in enumerate(self.tasks) if task.done]
@@ -366,6 +397,7 @@
         task.away_since, task.given_up_at = since, now
         if step_run.n_waiting <= 1:
             step_run.waits_for, step_run.advice_s, step_run.room_s = "", 0.0, 0.0
+            step_run.wait = StepWait()
 
     def note_back(self, key: TaskKey) -> bool:
         """Note that the run of a task is present; return whether its record is stale.
--- /dev/null
+++ b/tests/jobs/test_waits.py
@@ -0,0 +1,317 @@
+"""Why ready steps wait: reasons, log lines, metrics and the dump."""
+
+from __future__ import annotations
+
+import pytest
+from structlog.testing import capture_logs
+
+from cuminhill.jobs import decisions, waits
+from cuminhill.jobs.decisions import longest_waits, note_unconsidered
+from cuminhill.jobs.headroom import HeadroomLimit
+from cuminhill.jobs.model import AdviceTerms, EndKind, QueueTable
+from cuminhill.jobs.records import task_need
+from cuminhill.jobs.waitcauses import explain_wait
+from cuminhill.jobs.waits import WaitReason
+from cuminhill.util.kernel import run_to_end
+
+from .builders import (
+    BEGUN_AT,
+    WALL,
+    answer_renewal,
+    ended_row,
+    make_job,
+    make_placer,
+    make_queue,
+    make_step,
+    mark_started,
+    submit,
+)
+
+NOW = BEGUN_AT
+ADVICE = AdviceTerms(0.4, 0.01, 2.5)
+TOO_MANY = 99.0  # cores that no worker has
+
+
+def decide_at(placer, *times):
+    """Decide at some seconds of the test; return the lines about waits."""
+    with capture_logs() as logs:
+        for at in times:
+            placer.decide(NOW + at, WALL + at)
+    return [row for row in logs if row["event"] == "step waits"]
+
+
+def advised():
+    """Return a placer whose queue needs advice, a waiting step's advice and its job."""
+    placer = make_placer(make_queue(advice=ADVICE))
+    progress = submit(placer, make_job(make_step(cores=2.0)))
+    return placer, placer.advice.for_step(progress.step_run(0, 0).name), progress
+
+
+# Guards against a log that does not tell a missing answer from a failed or a late one.
+@pytest.mark.parametrize(
+    "reason", ["advice_not_asked", "advice_calling", "advice_failed", "not_permitted"]
+)
+def test_a_wait_for_advice_names_the_state_of_the_call(reason):
+    placer, advice, _ = advised()
+    if reason == "advice_calling":
+        advice.calling = True
+    elif reason == "advice_failed":
+        advice.record_failure(NOW)
+    elif reason == "not_permitted":
+        advice.store_answer({"w1": 1, "w2": 1}, [], NOW, 2.5)
+    (row,) = decide_at(placer, 0.0, 1.2)
+    assert row["reason"] == reason
+    assert (row["pool"], row["eligible"], row["wanted"]) == (2, 2, 1)
+    assert row["asked"] == (2 if reason == "not_permitted" else 0)
+    assert (row["permitted"], row["ticket"], row["startable"]) == (0, 0, 0)
+
+
+# Guards against a failure that is named long after a later call was answered.
+def test_an_answer_ends_the_state_of_a_failed_call():
+    _, advice, _ = advised()
+    advice.record_failure(NOW)
+    assert advice.has_failed
+    advice.store_answer({"w1": 1}, [], NOW + 1, 2.5)
+    assert not advice.has_failed
+
+
+# Guards against a lapsed ticket that is taken for a missing answer: the first is a
+# question of renewals, the second of the calls.
+def test_a_wait_with_permitted_workers_and_lapsed_tickets_says_so():
+    placer, advice, _ = advised()
+    advice.store_answer({"w1": 1, "w2": 1}, [("w1", "t")], NOW - 10.0, 2.5)
+    advice.calling = True
+    (row,) = decide_at(placer, 0.0, 1.2)
+    assert row["reason"] == "tickets_lapsed"
+    assert (row["asked"], row["permitted"], row["ticket"]) == (2, 1, 0)
+    assert (row["room"], row["unheld"]) == (1, 8)
+
+
+@pytest.mark.parametrize(
+    ("step", "reason"),
+    [
+        (make_step(cores=TOO_MANY), "no_room"),
+        (make_step(5, cores=16.0, gang=True), "no_room"),
+        (make_step(required_label="fast"), "label"),
+        (make_step(5, gang=True, max_per_worker=2), "max_per_worker"),
+    ],
+)
+def test_a_wait_without_room_names_the_condition(step, reason):
+    """Guards against a step that can never be placed and seems to want room only."""
+    placer = make_placer()
+    submit(placer, make_job(step))
+    (row,) = decide_at(placer, 0.0, 1.2)
+    assert (row["reason"], row["gang"]) == (reason, step.gang)
+    assert row["cores"] == step.need.cores
+    assert row["used_share"] == 0.0
+
+
+def test_a_pool_without_workers_that_accept_starts_is_named():
+    """Guards against lost workers that look like workers without room."""
+    placer = make_placer()
+    for name in ("w1", "w2"):
+        placer.worker_unreachable(name, NOW)
+    submit(placer, make_job())
+    (row,) = decide_at(placer, 0.0, 1.2)
+    assert (row["reason"], row["pool"]) == ("no_workers", 0)
+
+
+def explain(step, *, n_wanted=1, advice=None, unreserved=("w1", "w2"), **more):
+    """Return the cause for a step on two idle workers of 16 cores."""
+    options = {"held": {}, "core_limit": None, "n_by_worker": {}, **more}
+    return explain_wait(
+        step,
+        make_placer().workers.values(),
+        unreserved,
+        n_wanted=n_wanted,
+        advice=advice,
+        now=NOW,
+        **options,
+    )
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        ({"unreserved": ()}, WaitReason.RESERVED),
+        (
+            {"held": dict.fromkeys(("w1", "w2"), task_need(16.0, 0.0, 0.0))},
+            WaitReason.HELD,
+        ),
+        ({"core_limit": HeadroomLimit({"w1", "w2"}, 0.5)}, WaitReason.HEADROOM),
+        ({"core_limit": HeadroomLimit({"w1"}, 0.5)}, WaitReason.OTHER),
+        ({"n_wanted": 0}, WaitReason.RECORD_LIMIT),
+    ],
+)
+def test_room_that_is_kept_for_others_is_told_apart(options, reason):
+    """Guards against a wait for reserved or kept room that seems to be for room."""
+    assert explain(make_step(), **options).reason is reason
+
+
+def test_a_gang_counts_the_room_for_all_of_its_tasks():
+    """Guards against a reason that looks at one task of a gang."""
+    gang = make_step(20, cores=1.0, gang=True)
+    assert explain(gang, n_wanted=19).reason is WaitReason.GANG_ENDING
+    cause = explain(gang, n_wanted=20, unreserved=("w1",))
+    assert cause.reason is WaitReason.RESERVED
+    assert (cause.counts.fitting, cause.counts.unreserved) == (32, 16)
+    limit = HeadroomLimit({"w1"}, 3.0)
+    assert explain(gang, n_wanted=20, core_limit=limit).reason is WaitReason.HEADROOM
+
+
+# Guards against a log that is silent about a step that was never looked at.
+def test_steps_that_other_steps_keep_out_are_named(monkeypatch):
+    monkeypatch.setattr(decisions, "MAX_STEPS_PER_DECISION", 2)
+    monkeypatch.setattr(decisions, "N_TURNS_PER_DECISION", 1)
+    placer = make_placer()
+    for number in range(6):
+        submit(placer, make_job(make_step(cores=TOO_MANY), job_id=f"{number:016x}"))
+    rows = decide_at(placer, 0.0, 1.2)
+    reasons = [row["reason"] for row in rows]
+    assert sorted(set(reasons)) == ["no_room", "not_considered"]
+    assert reasons.count("not_considered") == 4
+
+
+def test_a_step_whose_queue_is_gone_is_named():
+    """Guards against a job of a removed queue that waits without a line."""
+    placer = make_placer()
+    progress = submit(placer, make_job())
+    progress.job = make_job()  # as an earlier build has left it
+    placer.table = QueueTable(2, {})
+    (row,) = decide_at(placer, 0.0, 1.2)
+    assert row["reason"] == "queue_gone"
+
+
+def test_a_term_that_may_not_act_is_named():
+    """Guards against a log that tells no outage of the journal from a full pool."""
+    placer = make_placer()
+    submit(placer, make_job())
+    with capture_logs() as logs:
+        for at in (0.0, 0.6, 1.2):
+            note_unconsidered(placer, NOW + at, WALL, may_act=False)
+    (row,) = [row for row in logs if row["event"] == "step waits"]
+    assert (row["reason"], row["waited_s"]) == ("term_inactive", 1.2)
+
+
+# Guards against lines at each decision, which would push other lines out of the log.
+def test_lines_come_at_changes_and_at_fixed_times_only():
+    placer, advice, _ = advised()
+    rows = decide_at(placer, *(0.02 * tick for tick in range(250)))
+    assert [row["waited_s"] for row in rows] == [
+        pytest.approx(1.0, abs=0.03),
+        pytest.approx(3.0, abs=0.6),
+    ]
+    advice.calling = True
+    (row,) = decide_at(placer, 5.6, 5.7, 6.2)
+    assert row["reason"] == "advice_calling"
+    advice.calling = False
+    assert not decide_at(placer, 6.3)  # within a second of the line before
+    assert len(decide_at(placer, 6.9)) == 1
+
+
+def test_lines_of_all_steps_have_a_limit():
+    """Guards against a full site whose lines about waits push out all others."""
+    placer = make_placer()
+    for number in range(150):
+        submit(placer, make_job(make_step(cores=TOO_MANY), job_id=f"{number:016x}"))
+    times = [0.0, *(1.1 + 0.02 * tick for tick in range(40))]
+    rows = decide_at(placer, *times)
+    assert len(rows) == waits.MAX_LINES_PER_S
+    assert len({row["step"] for row in rows}) == len(rows)
+
+
+def test_a_decision_explains_a_limited_number_of_steps():
+    """Guards against decisions that take longer the more steps wait."""
+    placer = make_placer()
+    for number in range(150):
+        submit(placer, make_job(make_step(cores=TOO_MANY), job_id=f"{number:016x}"))
+    decide_at(placer, 0.0, 1.2)
+
+    def n_explained():
+        return sum(
+            progress.step_run(0, 0).wait.cause is not None
+            for progress in placer.jobs.values()
+        )
+
+    assert n_explained() == waits.MAX_EXPLAINED_STEPS
+    decide_at(placer, *(1.22 + 0.02 * tick for tick in range(30)))
+    assert n_explained() == 150
+
+
+# Guards against a start that does not tell what its step has waited for, and against
+# later starts of the step that repeat it.
+def test_the_first_start_after_a_wait_tells_it():
+    placer, advice, progress = advised()
+    advice.calling = True
+    decide_at(placer, 0.0, 1.2, 2.0)
+    advice.store_answer({"w1": 1}, [("w1", "t")], NOW + 2.4, 2.5)
+    decide_at(placer, 2.4)
+    step_run = progress.step_run(0, 0)
+    assert step_run.n_assigned == 1
+    assert list(placer.ended_waits) == [("advice_calling", pytest.approx(2.4))]
+    waited = step_run.take_waited()
+    assert waited["step_waited_s"] == 2.4
+    assert waited["step_waits"] == {"advice_calling": 1.2}  # after the first second
+    assert step_run.take_waited() == {}
+
+
+# Guards against a wait that seems to last since an earlier one: the step had all of its
+# tasks assigned meanwhile.
+def test_a_task_that_waits_again_begins_a_new_wait():
+    placer = make_placer(n_workers=1)
+    progress = submit(placer, make_job(make_step(run_time_s=20.0)))
+    placements, _ = placer.decide(NOW, WALL)
+    mark_started(placer, placements, NOW)
+    end = ended_row(placements[0], 1, EndKind.STOPPED)
+    answer_renewal(placer, "w1", NOW + 9, ended=(end,))
+    placer.worker_unreachable("w1", NOW + 9)
+    assert not decide_at(placer, 9.0, 9.9)
+    assert progress.step_run(0, 0).wait.since == NOW + 9
+    (row,) = decide_at(placer, 10.1)
+    assert (row["reason"], row["waited_s"]) == ("no_workers", 1.1)
+
+
+def test_the_dump_lists_the_longest_waits():
+    """Guards against a dump that grows with the backlog or starts with short waits."""
+    placer = make_placer()
+    for number in range(20):
+        submit(placer, make_job(make_step(cores=TOO_MANY), job_id=f"{number:016x}"))
+        decide_at(placer, float(number))
+    rows = longest_waits(placer, NOW + 20.0)
+    assert [row["step_waited_s"] for row in rows] == [20.0 - n for n in range(10)]
+    assert rows[0]["reason"] == "no_room"
+    assert rows[0]["step"] == "0000000000000000.0.0"
+
+
+# Guards against a start line, metric and dump that are not connected to the waits.
+def test_a_node_shows_the_waits_of_steps(cluster):
+    async def main():
+        await cluster.start_node("n1")
+        await cluster.wait_for(cluster.leader)
+        node = cluster.leader()
+        placer = node.leadership.placer
+        gone = {name: placer.workers[name] for name in placer.workers}
+        for worker in gone.values():
+            worker.health.ejected_until = float("inf")
+        with capture_logs() as logs:
+            await cluster.submit(node, make_job())
+            await cluster.wait_for(
+                lambda: any(row["event"] == "step waits" for row in logs), 20.0
+            )
+            dump = node.dump()["leading"]["waiting"]
+            for worker in gone.values():
+                worker.health.ejected_until = 0.0
+            await cluster.wait_for(
+                lambda: any(row["event"] == "start" for row in logs), 20.0
+            )
+        text = node.metrics.render()
+        await cluster.kill_node("n1")
+        return logs, dump, text
+
+    logs, dump, text = run_to_end(main)
+    (start,) = [row for row in logs if row["event"] == "start"]
+    assert start["step_waited_s"] >= 1.0
+    assert set(start["step_waits"]) <= {"no_workers", "advice_not_asked"}
+    (row,) = dump
+    assert row["reason"] == "no_workers"
+    assert b"step_wait_seconds_count" in text
