--- a/checks/absences.py
+++ b/checks/absences.py
@@ -263,27 +263,37 @@
     return "  ".join(parts)
 
 
-def main(argv: Sequence[str] | None = None) -> int:
-    """Print the longest absences in logs of plays; return the exit code."""
-    parser = argparse.ArgumentParser(prog="checks.absences", description=__doc__)
-    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
-    args = parser.parse_args(argv)
-    found = []
-    for path in args.logs:
+def read_logs(
+    program: str, paths: Iterable[Path]
+) -> list[tuple[str, list[Row]]] | None:
+    """Return the names and lines of logs; None, with a message, if one has none."""
+    logs = []
+    for path in paths:
         try:
             rows = parse_lines(path.read_text(errors="replace").splitlines())
         except OSError as exc:
-            print(f"checks.absences: {path}: {exc.strerror}", file=sys.stderr)
-            return 2
+            print(f"{program}: {path}: {exc.strerror}", file=sys.stderr)
+            return None
         if not rows:
-            print(f"checks.absences: {path}: no log lines of a play", file=sys.stderr)
-            return 2
-        found += [(path.name, item) for item in find_absences(rows)]
+            print(f"{program}: {path}: no log lines of a play", file=sys.stderr)
+            return None
+        logs.append((path.name, rows))
         n_dropped = sum(
             row.fields.get("count", 0) for row in rows if row.event == DROPPED
         )
         if n_dropped:
             print(f"{path.name}: {n_dropped} log lines were dropped", file=sys.stderr)
+    return logs
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Print the longest absences in logs of plays; return the exit code."""
+    parser = argparse.ArgumentParser(prog="checks.absences", description=__doc__)
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
+    logs = read_logs("checks.absences", parser.parse_args(argv).logs)
+    if logs is None:
+        return 2
+    found = [(name, item) for name, rows in logs for item in find_absences(rows)]
     found.sort(key=lambda pair: -pair[1].length_s)
     for name, item in found[:N_LISTED]:
         print(format_absence(name, item))
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -224,6 +224,7 @@
             stretch=queue.stretch if queue else None,
             target_s=queue.target_s if queue else None,
             accepted_at=round(job.accepted_at, 3),
+            times=job.n_times,
             assigned=progress.n_assigned,
             config=self.table.version,
         )
