Tell how long a log was unreachable and how much a VM reads

Neither the logs nor the metrics showed the bytes.

"log reachable" has the length of the outage, the reads and probes that failed, the bytes that the process has received over HTTP meanwhile and the time of the newest read. The dump and the metrics have the bytes sent and received, for how long each log has been unreachable, and the time of the newest read without its wait for records.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -11,6 +11,7 @@
 
 from ..clock import boottime
 from ..errors import CuminhillError, HistoryGoneError
+from ..util.http_client import byte_counts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +54,9 @@
         How long a read waits for a record.
     pause_s : float, seconds
         Pause between reads; limits the rate of calls under load.
+    unreachable_since : float, seconds
+        When a read failed for the first time since the log last answered; 0 while it is
+        reachable.
     """
 
     name: str
@@ -67,6 +71,9 @@
     reachable_since: float = 0.0
     n_snapshots: int = 0
     n_errors: int = 0
+    unreachable_since: float = 0.0
+    # Failed reads and received bytes of the process when the log became unreachable.
+    _counts_before: tuple[int, int] = (0, 0)
     _newest_answer: tuple[float, float] = (0.0, 0.0)
     _probe_requested_at: float = 0.0
     _n_probers: int = 0
@@ -77,6 +84,18 @@
         """Return the age of the newest complete read, in seconds."""
         return now - self.read_at
 
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long the log has been unreachable, in seconds."""
+        return now - self.unreachable_since if self.unreachable_since else 0.0
+
+    @property
+    def newest_read_s(self) -> float:
+        """Duration of the newest answered read or probe, without a wait for records.
+
+        A read that may have waited for a record is not counted.
+        """
+        return self._newest_answer[1]
+
     def answered_after(self, sent_at: float) -> float | None:
         """Return the duration of the newest answered call if it was sent later.
 
@@ -118,8 +137,7 @@
                     await curio.sleep(PROBE_INTERVAL_S)
                 continue
             if not self.reachable:
-                self.reachable, self.reachable_since = True, boottime()
-                logger.info("log reachable", log=self.name, offset=self.offset)
+                self._note_reachable(boottime())
             if at_end:
                 await curio.sleep(self.pause_s)
 
@@ -227,5 +245,20 @@
     def _failed(self, exc: CuminhillError) -> None:
         self.n_errors += 1
         if self.reachable:
-            self.reachable = False
+            self.reachable, self.unreachable_since = False, boottime()
+            self._counts_before = self.n_errors - 1, byte_counts()[1]
             logger.warning("log unreachable", log=self.name, error=str(exc))
+
+    def _note_reachable(self, now: float) -> None:
+        n_errors, n_bytes = self._counts_before
+        logger.info(
+            "log reachable",
+            log=self.name,
+            offset=self.offset,
+            unreachable_s=round(self.unreachable_s(now), 3),
+            failed_reads=self.n_errors - n_errors,
+            newest_read_s=round(self.newest_read_s, 3),
+            received_bytes=byte_counts()[1] - n_bytes,
+        )
+        self.reachable, self.reachable_since = True, now
+        self.unreachable_since = 0.0
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -14,6 +14,7 @@
 from ..clock import boottime
 from ..errors import CuminhillError
 from ..rpc import RpcServer
+from ..util.http_client import byte_counts
 from .decisions import longest_waits
 from .election import (
     ALIVE_TIMEOUT_S,
@@ -755,9 +756,12 @@
                     "age_s": round(item.age(now), 3),
                     "n_errors": item.n_errors,
                     "n_snapshots": item.n_snapshots,
+                    "unreachable_s": round(item.unreachable_s(now), 3),
+                    "newest_read_s": round(item.newest_read_s, 4),
                 }
                 for item in (self.journal, self.config, self.registry)
             },
+            "http_bytes": dict(zip(("sent", "received"), byte_counts(), strict=True)),
             "is_leading": self.leadership is not None,
             "writers": {"own": _dump_writer(self.writer)},
         }
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -60,6 +60,28 @@
         ("log",),
         "logs.*.n_snapshots",
     ),
+    Metric(
+        "followed_unreachable_seconds",
+        GAUGE,
+        "Time for which a log has not answered a read, 0 while it is reachable.",
+        ("log",),
+        "logs.*.unreachable_s",
+    ),
+    Metric(
+        "followed_read_seconds",
+        GAUGE,
+        "Time of the newest answered read of a log, without its wait for records.",
+        ("log",),
+        "logs.*.newest_read_s",
+    ),
+    Metric(
+        "http_bytes_total",
+        COUNTER,
+        "Bytes that the HTTP clients of the process have sent and received, without "
+        "TCP and IP headers.",
+        ("direction",),
+        "http_bytes.*",
+    ),
     Metric(
         "appends_total",
         COUNTER,
--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -7,11 +7,14 @@
 from dataclasses import dataclass, field
 
 import curio
+from structlog.testing import capture_logs
 
 from cuminhill.clock import boottime
 from cuminhill.errors import UnknownOutcomeError
+from cuminhill.jobs import logreader
 from cuminhill.jobs.logreader import LogFollower
 from cuminhill.platform.store import make_topic
+from cuminhill.util.kernel import run_to_end
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
 from .conftest import free_port
@@ -97,6 +100,86 @@
     curio.run(scenario)
 
 
+def test_an_outage_is_told_with_its_length_and_the_reads_that_failed(monkeypatch):
+    """Guards against one line for all failures of a long outage (issue 46).
+
+    It did not tell a read that was lost from a VM whose own reads fill its link.
+    """
+    received = [1000]
+    monkeypatch.setattr(logreader, "byte_counts", lambda: (0, received[0]))
+
+    async def scenario():
+        log = MemoryLog()
+        view = LogView(log, LogFaults())
+        follower = await _follow(view)
+        assert follower.unreachable_s(boottime()) == 0.0
+        follower.n_errors = 5  # of earlier outages
+        view.faults.down = True
+        while follower.reachable:
+            await curio.sleep(TICK_S)
+        began_at = follower.unreachable_since
+        assert follower.unreachable_s(began_at + 2.0) == 2.0
+        while follower.n_errors < 8:
+            await curio.sleep(TICK_S)
+        received[0] += 77
+        view.faults.down = False
+        while not follower.reachable:
+            await curio.sleep(TICK_S)
+        assert follower.unreachable_s(boottime()) == 0.0
+        return follower, follower.reachable_since - began_at
+
+    with capture_logs() as logs:
+        follower, length_s = curio.run(scenario)
+    (row,) = [row for row in logs if row["event"] == "log reachable"]
+    assert row["unreachable_s"] == round(length_s, 3) > 0.0
+    assert row["failed_reads"] == follower.n_errors - 5 >= 3
+    assert row["received_bytes"] == 77
+    assert row["newest_read_s"] == round(follower.newest_read_s, 3)
+
+
+def test_the_time_of_a_read_leaves_out_its_wait_for_records(monkeypatch):
+    """Guards against a time that shows how rarely records come."""
+    now, transfer_s = [100.0], [0.02]
+    monkeypatch.setattr(logreader, "boottime", lambda: now[0])
+
+    class TimedLog(MemoryLog):
+        async def read(self, offset, wait_s, timeout_s=2.0):
+            now[0] += wait_s + transfer_s[0]
+            return 0, []
+
+    async def scenario():
+        follower = LogFollower("t", TimedLog(), lambda rows, _: None, 0.5, 0.01)
+        times = []
+        for wait_s, took_s in ((0.5, 0.02), (0.0, 1.5), (0.5, 0.75)):
+            transfer_s[0] = took_s
+            await follower.read(wait_s)
+            times.append(round(follower.newest_read_s, 6))
+        return times
+
+    assert curio.run(scenario) == [0.02, 1.5, 0.75]
+
+
+def test_a_node_shows_how_its_logs_are_read(cluster):
+    """Guards against metrics that read a path which the dump doesn't have."""
+
+    async def scenario():
+        node = await cluster.start_node("n1")
+        await cluster.wait_for(cluster.leader)
+        dump = node.dump()
+        node.metrics.update_from(dump)
+        text = node.metrics.render().decode()
+        await cluster.kill_node("n1")
+        return dump, text
+
+    dump, text = run_to_end(scenario)
+    assert {row["unreachable_s"] for row in dump["logs"].values()} == {0.0}
+    for log in dump["logs"]:
+        assert f'cuminhill_followed_unreachable_seconds{{log="{log}"}} 0' in text
+        assert f'cuminhill_followed_read_seconds{{log="{log}"}}' in text
+    for direction in ("sent", "received"):
+        assert f'cuminhill_http_bytes_total{{direction="{direction}"}}' in text
+
+
 def test_callers_that_ask_for_new_jobs_share_one_read():
     """Guards against one transfer of the same records for each caller.
 
