--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -4,7 +4,6 @@
 
 import math
 import struct
-from dataclasses import dataclass, field
 
 import curio
 
@@ -12,49 +11,14 @@
 from cuminhill.errors import UnknownOutcomeError
 from cuminhill.jobs.logreader import LogFollower
 from cuminhill.platform.store import make_topic
-from standins.job_platform import LogFaults, LogView, MemoryLog
+from standins.job_platform import LogFaults, MemoryLog
 
 from .conftest import free_port
+from .slowlinks import Link, LinkedLog
 
 HOST = "127.0.0.1"
 TICK_S = 0.01
-RECORD_BYTES = 1_000_000
-LINK_BYTES_S = 1_000_000.0  # one record a second
-
-
-@dataclass(eq=False)
-class Link:
-    """Link whose capacity all transfers under way share equally."""
-
-    bytes_s: float = LINK_BYTES_S
-    n_under_way: int = 0
-    n_transferred: float = 0.0
-
-    async def transfer(self, n_bytes: float) -> None:
-        """Wait until some data has arrived."""
-        self.n_under_way += 1
-        try:
-            while n_bytes > 0:
-                sent_at = boottime()
-                await curio.sleep(TICK_S)
-                part = (boottime() - sent_at) * self.bytes_s / self.n_under_way
-                n_bytes -= part
-                self.n_transferred += part
-        finally:
-            self.n_under_way -= 1
-
-
-@dataclass(eq=False)
-class LinkedLog(LogView):
-    """A log behind a link; a read is answered once its records have arrived."""
-
-    link: Link = field(default_factory=Link)
-
-    async def read(self, offset, wait_s, timeout_s=2.0):
-        """Return the end offset and the records from an offset on."""
-        end, records = await super().read(offset, wait_s, timeout_s)
-        await self.link.transfer(sum(len(record.value) for record in records))
-        return end, records
+RECORD_BYTES = 1_000_000  # takes 1 s of the link
 
 
 async def _follow(view, wait_s=0.1):
