Add a failing test of a gang behind an overdue task

A task that runs longer than estimated is expected to end at once, so a reservation takes its worker for free. The gang with the reservation is not tried elsewhere.

Measured: a gang of two not started 120 s after two of three workers had become idle.

--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from .conftest import controls, starts
 
 
@@ -63,3 +65,28 @@
     for action in running:
         harness.end(action, ok=False, remaining_s=5.0)
     assert [a.request for a in starts(harness.actions)] == [gang, gang]
+
+
+@pytest.mark.parametrize("overrun_s", [3.0, 30.0])
+def test_gang_does_not_wait_for_an_overdue_task_beside_idle_workers(harness, overrun_s):
+    """Guards against a ready gang that waits while enough workers are idle.
+
+    A task that runs longer than estimated was expected to end at once, so that its
+    worker was reserved as if it were free, and the gang with the reservation was
+    tried on no other worker.
+    """
+    for index in range(3):
+        harness.report(f"w{index}")
+    given = []
+    for _ in range(3):
+        given += starts(harness.accept("gang", cores=16.0, run_time_s=1.0)[1])
+    running = {action.worker_id: action for action in given}
+    for action in given:
+        harness.running(action)
+    gang, _ = harness.accept("gang", n_tasks=2, cores=16.0)
+    harness.run(overrun_s)
+    harness.end(running["w1"])
+    harness.end(running["w2"])
+    harness.run(2.5)  # the reservation is replaced after 2 s
+    started = [a.worker_id for a in starts(harness.actions) if a.request == gang]
+    assert sorted(started) == ["w1", "w2"]
