Add a failing test of workers that hide a healthy one

A search for a worker ends after 12 (service: 32) candidates, and those that are due for a probe are removed from the result afterwards. They are idle and come first, so that nothing is left, although a healthy worker has room.

Measured: no start in 3 s of a check beside 20 such workers, nor of a service beside 40, with 15 of 16 cores of a healthy worker free.

--- a/tests/scheduling/test_health.py
+++ b/tests/scheduling/test_health.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cuminhill.scheduling.events import StartTask
+from cuminhill.scheduling.health import EJECT_AFTER, PROBE_BASE_S
 
 from .conftest import finishes, starts
 
@@ -61,3 +64,28 @@
     assert len({action.worker_id for action in given}) == len(given) == 3
     assert [answer.state for answer in finishes(harness.actions)] == ["failed"]
     assert not any(worker.ejected for worker in harness.placer.workers.values())
+
+
+@pytest.mark.parametrize(("kind", "n_ejected"), [("check", 20), ("service", 40)])
+def test_many_workers_due_for_a_probe_hide_no_healthy_one(harness, kind, n_ejected):
+    """Guards against a ready task that waits beside a worker with room.
+
+    Idle workers that are due for a probe come first in the order of free capacity, and
+    a search stopped after 12 or 32 of them, none of which may run such a task.
+    """
+    for index in range(n_ejected + 1):
+        harness.report(f"w{index}")
+    shard = harness.placer._shard
+    for index in range(n_ejected):
+        health = shard.health.of(f"w{index}")
+        for number in range(EJECT_AFTER):
+            health.record_failure(f"t{number}", f"r{number}", harness.now)
+        shard.set_ejected(shard.workers[f"w{index}"], ejected=True)
+    _, given = harness.start_batch(cores=1.0, run_time_s=1e4)
+    assert [action.worker_id for action in given] == [f"w{n_ejected}"]
+    harness.run(PROBE_BASE_S + 1.0)
+    harness.actions.clear()
+    request, _ = harness.accept(kind, cores=1.0)
+    harness.run(3)
+    given = starts(harness.actions)
+    assert [(a.request, a.worker_id) for a in given] == [(request, f"w{n_ejected}")]
