Give large appends over slow links time to arrive

Callers of a VM with a slow or shared link saw "uncertain" for larger records, and a placer behind one could write nothing larger until its term was taken over.

Cause: an append was given up once the log had answered a later probe and 0.25 s, or five times the probe's duration, had passed, and after 2 s in any case. A probe transfers little, so it says nothing about an append whose data is still being sent. Each retry sent all of it again, with the same limits.

Ruled out: the number of the append, since the store deduplicates it; the doubling timeout of the writer, which is used only without a follower.

Change: each attempt of an append of 14 KB or more that is abandoned while the log answers waits twice as long as the one before, from the third attempt on and up to 16 s. Attempts during an outage do not count, so that a log that answers again is used at once. Smaller appends keep their limits: they arrive in the time of a probe.

--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -47,9 +47,17 @@
 # A retry is deduplicated by its number, so abandoning it too early costs one call.
 MIN_ANSWER_WAIT_S = 0.25
 SLOW_APPEND_FACTOR = 5.0
+# Each attempt of a large append that is abandoned while the log answers reads, after
+# the first one, has this multiple of the previous wait: its data may still be on its
+# way over a slow link, and a retry sends all of it again.
+ANSWER_WAIT_GROWTH = 2.0
+MAX_ANSWER_WAIT_S = 16.0
+# A smaller append arrives in about the time of a read, as it fits into the first
+# packets that a new connection may send.
+LARGE_APPEND_BYTES = 14_000
 # A log that has answered nothing for this time counts as unresponsive.
 UNRESPONSIVE_AFTER_S = 0.8
-# A writer that has not appended for this time first probes the log with a read.
+# A writer that has not appended for this time first probes the log.
 CHECK_IDLE_S = 0.5
 CHECK_TIMEOUT_S = 0.35
 LATENCY_WEIGHT = 0.2  # of a new observation in the running mean
@@ -136,8 +144,15 @@
 
 @dataclass(eq=False, slots=True)
 class _CallResult:
-    """Result of one call to the log."""
+    """One call to the log and its result.
 
+    Parameters
+    ----------
+    growth : float
+        Factor of the time for which its answer is awaited.
+    """
+
+    growth: float = 1.0
     done: Any = field(default_factory=curio.Event)
     error: CuminhillError | None = None
 
@@ -200,6 +215,7 @@
     _queue: list[_PendingAppend] = field(default_factory=list)
     _batch: list[_PendingAppend] = field(default_factory=list)
     _n_queued: int = 0
+    _n_abandoned: int = 0  # attempts of the batch, while the log answered reads
     _wake: Any = field(default_factory=curio.Event)
     _caller: Any = None
     _to_call: Any = field(default_factory=curio.Queue)
@@ -365,6 +381,7 @@
         begun_at = boottime()
         n_unknown = 0
         first_unknown_at = math.inf
+        self._n_abandoned = 0
         while True:
             records = [record for item in self._batch for record in item.records]
             sent_at = boottime()
@@ -414,23 +431,37 @@
         if self.reader is None:
             await self.log.append(records, token, timeout_s=self.timeout_s)
             return
-        result = _CallResult()
+        n_bytes = sum(record_bytes(key, value) for key, value in records)
+        growth = 1.0
+        if n_bytes >= LARGE_APPEND_BYTES:
+            growth = ANSWER_WAIT_GROWTH ** max(0, self._n_abandoned - 1)
+        result = _CallResult(growth)
         await self.start_caller()
         await self._to_call.put((records, token, result))
         sent_at = boottime()
         while not result.done.is_set():
             async with curio.ignore_after(ANSWER_POLL_S):
                 await result.done.wait()
-            if result.done.is_set() or await self._is_outstanding(sent_at):
+            if result.done.is_set() or await self._is_outstanding(sent_at, growth):
                 continue
             await self._caller.cancel()
             self._caller = None
+            self._note_abandoned(sent_at, growth)
             raise UnknownOutcomeError(
                 "log did not answer", step="append", peer=self.writer
             )
         if result.error is not None:
+            if isinstance(result.error, UnknownOutcomeError):
+                self._note_abandoned(sent_at, growth)
             raise result.error
 
+    def _note_abandoned(self, sent_at: float, growth: float) -> None:
+        """Count an attempt that was not answered in time, unless the log was silent."""
+        if self.reader is None or self.reader.answered_after(sent_at) is None:
+            return
+        if boottime() - sent_at >= growth * MIN_ANSWER_WAIT_S:
+            self._n_abandoned += 1
+
     async def start_caller(self) -> None:
         """Start the task that makes the calls, unless it is running.
 
@@ -445,12 +476,18 @@
         while True:
             records, token, result = await self._to_call.get()
             try:
-                await self.log.append(records, token, timeout_s=MAX_APPEND_TIMEOUT_S)
+                await self.log.append(
+                    records,
+                    token,
+                    timeout_s=min(
+                        MAX_ANSWER_WAIT_S, result.growth * MAX_APPEND_TIMEOUT_S
+                    ),
+                )
             except CuminhillError as exc:
                 result.error = exc
             await result.done.set()
 
-    async def _is_outstanding(self, sent_at: float) -> bool:
+    async def _is_outstanding(self, sent_at: float, growth: float) -> bool:
         """Return whether the answer to a call may still arrive."""
         now = boottime()
         waited_s = now - sent_at
@@ -470,7 +507,8 @@
             await self.reader.request_probe()
             return True
         expected_s = SLOW_APPEND_FACTOR * max(read_s, self.latency_s)
-        return waited_s < max(MIN_ANSWER_WAIT_S, expected_s)
+        wait_s = growth * max(MIN_ANSWER_WAIT_S, expected_s)
+        return waited_s < min(MAX_ANSWER_WAIT_S, wait_s)
 
     def _fenced(self, error: FencedError, outcome_unknown: bool) -> CuminhillError:
         self.fenced = self.superseded = True
