Continue with the page that was not received

A VM that starts, or whose history was compacted, could not read a topic of many pages while requests failed now and then: after each failure all pages were read again.

Cause: the pages were kept for one call only. The pages before the failed one were transferred again each time, which also adds to the load of a link or store that is the reason for the failure.

Change: the client keeps the pages between calls, with the end of the topic that came with the first one. A refusal (4xx other than 429) or a malformed page begins anew.

--- a/cuminhill/platform/store.py
+++ b/cuminhill/platform/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -47,6 +47,23 @@
 BEYOND_END = 2**53 - 1
 
 
+@dataclass(eq=False, slots=True)
+class _NewestPages:
+    """Pages of the newest records that have been read so far.
+
+    Parameters
+    ----------
+    end : int or None
+        End of the topic when the first page was read.
+    after : str
+        Last key of the newest page.
+    """
+
+    end: int | None = None
+    after: str = ""
+    records: list[JournalRecord] = field(default_factory=list)
+
+
 @dataclass(eq=False)
 class PlatformTopic:
     """Client of one keyed topic; implements `jobs.journal.KeyedLog`.
@@ -62,6 +79,7 @@
     name: str
     reader: HttpClient
     writer: HttpClient
+    _pages: _NewestPages = field(default_factory=_NewestPages)
 
     async def read(
         self, offset: int, wait_s: float, timeout_s: float = READ_TIMEOUT_S
@@ -140,19 +158,18 @@
         """Return an offset to continue from and the newest record of each key.
 
         The records are in order of offset. Changes made while the pages were read may
-        be missing; they are found by reading on from the returned offset.
+        be missing; they are found by reading on from the returned offset. After a
+        failure, a repeated call continues with the page that was not received.
 
         Raises
         ------
         UnavailableError, UnknownOutcomeError, ProtocolError
             If there is no valid reply.
         """
-        records: list[JournalRecord] = []
-        end: int | None = None
-        after = ""
+        pages = self._pages
         while True:
             query = {"topic": self.name, "part": 0} | (
-                {"after": after} if after else {}
+                {"after": pages.after} if pages.after else {}
             )
             status, page = await self.reader.request(
                 "GET",
@@ -161,28 +178,25 @@
                 stall_s=STALL_S,
             )
             if status == 404:
+                self._pages = _NewestPages()
                 return 0, []  # nothing has been written to the topic yet
             if status != 200:
+                if status < 500 and status != 429:
+                    self._pages = _NewestPages()  # the request itself is refused
                 raise UnavailableError(
                     f"status {status}", step="newest", peer=self.reader.peer
                 )
             try:
-                if end is None:
-                    end = decode_integer(page["end"], MAX_INTEGER)
-                records.extend(decode_newest_records(page["items"]))
-                if not page.get("more"):
+                if _add_page(pages, page):
                     break
-                before, after = after, str(page["items"][-1]["key"])
             except (AttributeError, LookupError, TypeError, ValueError) as exc:
+                self._pages = _NewestPages()
                 raise ProtocolError(
                     brief(exc), step="newest", peer=self.reader.peer
                 ) from exc
-            if after == before:
-                raise ProtocolError(
-                    "pages do not advance", step="newest", peer=self.reader.peer
-                )
-        records.sort(key=lambda record: record.offset)
-        return end or 0, records
+        self._pages = _NewestPages()
+        records = sorted(pages.records, key=lambda record: record.offset)
+        return pages.end or 0, records
 
     async def append(
         self,
@@ -245,6 +259,25 @@
         raise UnknownOutcomeError(answer, step="append", peer=self.writer.peer)
 
 
+def _add_page(pages: _NewestPages, page: Any) -> bool:
+    """Add a page; return whether it is the last one.
+
+    Raises
+    ------
+    AttributeError, LookupError, TypeError, ValueError
+        If it is malformed or does not advance.
+    """
+    if pages.end is None:
+        pages.end = decode_integer(page["end"], MAX_INTEGER)
+    pages.records.extend(decode_newest_records(page["items"]))
+    if not page.get("more"):
+        return True
+    before, pages.after = pages.after, str(page["items"][-1]["key"])
+    if pages.after == before:
+        raise ValueError("pages do not advance")
+    return False
+
+
 def make_topic(name: str, address: str, source_host: str = "") -> PlatformTopic:
     """Return a client of one topic of the store at ``"host:port"``."""
     reader = make_http_client(address, 2, 1.0, source_host=source_host)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,7 @@
 import curio
 import pytest
 
-from cuminhill.errors import UnknownOutcomeError
+from cuminhill.errors import UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.logreader import READ_TIMEOUT_S
 from cuminhill.platform.store import PlatformTopic
 
@@ -84,3 +84,39 @@
     assert [record.key for record in records] == [str(n) for n in range(n_pages)]
     assert end == 101  # reading on from there finds all changes made meanwhile
     assert client.n_requests <= 2 * n_pages
+
+
+class RefusingPages(FailingPages):
+    """Refuses every page after the first one, once each, with a status."""
+
+    def __init__(self, status):
+        super().__init__(n_pages=3, n_th=1000)
+        self.status = status
+        self.refused = set()
+        self.n_first = 0
+
+    async def request(self, method, path, value=None, **more):
+        """Serve or refuse one page."""
+        after = parse_qs(urlsplit(path).query).get("after")
+        self.n_first += after is None
+        if after is not None and path not in self.refused:
+            self.refused.add(path)
+            return self.status, {}
+        return await super().request(method, path, value, **more)
+
+
+@pytest.mark.parametrize(("status", "n_first"), [(503, 1), (429, 1), (410, 3)])
+def test_a_refused_page_is_read_again_from_the_first_one_on(status, n_first):
+    """Guards against a topic that is never read, since its key has gone."""
+    client = RefusingPages(status)
+    topic = PlatformTopic("t", client, client)
+
+    async def scenario():
+        for _ in range(2):
+            with pytest.raises(UnavailableError):
+                await topic.newest()
+        return await topic.newest()
+
+    _, records = curio.run(scenario)
+    assert [record.key for record in records] == ["0", "1", "2"]
+    assert client.n_first == n_first
