Read and append streams over slow links once

A daemon on the project's own log behind a slow link did not catch up with a stream of configurations, and did not get its records into the log.

Cause: a read had 2 s for a page of up to 1,000 records and an append 2 s for up to 500. What takes longer was transferred again from its beginning, without an end; the log may store each of the appends.

Change: the transfer of a page is given up only if no data arrives for 2 s. A page that fails nevertheless is requested in halves, down to one record. The timeout of appends doubles up to 8 s while the log answers reads. Failures during an outage set it back, so that a log that answers again is used at once.

--- a/cuminhill/follower.py
+++ b/cuminhill/follower.py
@@ -22,8 +22,12 @@
 
 APPEND_INTERVAL_S = 0.05  # limits a daemon to 20 appends a second
 APPEND_TIMEOUT_S = 2.0
+# The timeout doubles up to this one while appends fail and the log answers reads: the
+# data may take longer on a slow link, and a retry sends all of it again.
+MAX_APPEND_TIMEOUT_S = 8.0
 MAX_BATCH_RECORDS = 500
 MAX_PENDING_RECORDS = 50_000
+MAX_READ_RECORDS = 1000  # halved while reads fail
 READ_WAIT_S = 2.0  # bounds the age of the last complete view of an idle stream
 CATCH_UP_TIMEOUT_S = 2.0
 CATCH_UP_POLL_S = 0.01
@@ -89,6 +93,8 @@
     read_ok_at: float = float("-inf")
     complete_as_of: float = float("-inf")
     reachable: bool = False
+    _n_read: int = MAX_READ_RECORDS
+    _append_timeout_s: float = APPEND_TIMEOUT_S
     _pending: deque[PendingRecord] = field(default_factory=deque)
     _in_flight: list[PendingRecord] = field(default_factory=list)
     _wake: Any = field(default_factory=curio.Event)
@@ -161,14 +167,20 @@
             asked_at = time.monotonic()
             try:
                 wait_s = READ_WAIT_S if self.caught_up else 0.0
-                page = await self.log.read(self.stream, self.next_offset, wait_s=wait_s)
+                page = await self.log.read(
+                    self.stream, self.next_offset, limit=self._n_read, wait_s=wait_s
+                )
             except CuminhillError as exc:
                 self.n_read_failures += 1
+                if not isinstance(exc, UnavailableError):
+                    # The page did not arrive in time; not all of it is read again.
+                    self._n_read = max(1, self._n_read // 2)
                 self._set_reachable(False, str(exc))
                 await curio.sleep(RETRY_MIN_S)
                 continue
             self._set_reachable(True, "")
             self.read_ok_at = time.monotonic()
+            self._n_read = min(MAX_READ_RECORDS, 2 * self._n_read)
             await self._apply_page(page)
             if self.next_offset >= page.end:
                 self.complete_as_of = asked_at
@@ -210,11 +222,12 @@
         unsent = [record for record in self._in_flight if not record.sent]
         for record in unsent:
             record.sent = True
+        sent_at = time.monotonic()
         try:
             await self.log.append(
                 self.stream,
                 [record.value for record in self._in_flight],
-                timeout_s=APPEND_TIMEOUT_S,
+                timeout_s=self._append_timeout_s,
             )
         except UnavailableError:
             # Certainly not appended: records that no earlier attempt contained can
@@ -227,7 +240,14 @@
             return False
         except CuminhillError:
             self.n_append_failures += 1
+            answers_reads = self.read_ok_at > sent_at
+            self._append_timeout_s = (
+                min(MAX_APPEND_TIMEOUT_S, 2 * self._append_timeout_s)
+                if answers_reads
+                else APPEND_TIMEOUT_S
+            )
             return False
+        self._append_timeout_s = APPEND_TIMEOUT_S
         self.n_appends += 1
         self._in_flight.clear()
         return True
--- a/cuminhill/platform/log.py
+++ b/cuminhill/platform/log.py
@@ -13,6 +13,9 @@
     from ..util.http import HttpClient
 
 WAIT_SLACK_S = 2.0  # added to the server's own wait
+# Time without data after which the transfer of a page is given up. On a slow link a
+# page takes longer than the slack, and the next read would transfer all of it again.
+STALL_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +104,7 @@
         """
         path = f"/streams/{stream}?from={offset}&limit={limit}&wait_s={wait_s}"
         status, value = await self._client.request(
-            "GET", path, timeout_s=wait_s + WAIT_SLACK_S
+            "GET", path, timeout_s=wait_s + WAIT_SLACK_S, stall_s=STALL_S
         )
         if status != 200:
             raise UnavailableError(
