--- a/cuminhill/application.py
+++ b/cuminhill/application.py
@@ -50,7 +50,10 @@
 REQUESTS_STREAM = "requests"
 CONFIG_INTERVAL_S = 0.5
 START_RETRY_S = 0.2
-SNAPSHOT_TIMEOUT_S = 1.0
+SNAPSHOT_TIMEOUT_S = 1.0  # until the snapshot begins to arrive
+# The transfer itself may take seconds on a slow link, and the next peer would have to
+# send all of it again.
+SNAPSHOT_STALL_S = 1.0
 MAX_SNAPSHOT_BYTES = 3 << 20  # below the size limit of a frame
 VM_LIST_INTERVAL_S = 1.0
 LEADERSHIP_INTERVAL_S = 0.1
@@ -383,7 +386,10 @@
                 continue
             try:
                 reply = await self.peers.client(member.address).call(
-                    "snapshot", idl.SnapshotCall(stream), timeout_s=SNAPSHOT_TIMEOUT_S
+                    "snapshot",
+                    idl.SnapshotCall(stream),
+                    timeout_s=SNAPSHOT_TIMEOUT_S,
+                    stall_s=SNAPSHOT_STALL_S,
                 )
             except CuminhillError:
                 continue
--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -153,6 +153,11 @@
         self._buffer = bytearray()
         self.broken = False
 
+    @property
+    def n_buffered(self) -> int:
+        """Number of bytes of the frame that is arriving."""
+        return len(self._buffer)
+
     async def write(self, envelope: Any) -> None:
         """Send one envelope.
 
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -226,6 +226,27 @@
     reply: Any = None
 
 
+async def _await_large_reply(
+    pending: _PendingCall, begin_by: float, stall_s: float
+) -> None:
+    """Wait for a reply for as long as a frame goes on arriving.
+
+    Raises
+    ------
+    TimeoutError
+        If none arrives, or its transfer stalls.
+    """
+    limit_s = max(0.001, begin_by - time.monotonic())
+    n_buffered = 0
+    while True:
+        async with curio.ignore_after(limit_s):
+            await pending.event.wait()
+            return
+        if pending.stream.n_buffered in {0, n_buffered}:
+            raise TimeoutError(f"no data for {limit_s:.3g} s")
+        n_buffered, limit_s = pending.stream.n_buffered, stall_s
+
+
 @dataclass(eq=False)
 class RpcClient:
     """Calls one other entry VM; concurrent calls share one connection.
@@ -250,7 +271,14 @@
     _last_used_at: float = 0.0
     _connect_lock: Any = field(default_factory=curio.Lock)
 
-    async def call(self, method: str, message: Any, *, timeout_s: float) -> Any:
+    async def call(
+        self,
+        method: str,
+        message: Any,
+        *,
+        timeout_s: float,
+        stall_s: float | None = None,
+    ) -> Any:
         """Call a method and return its reply struct.
 
         Parameters
@@ -260,7 +288,11 @@
         message : object
             Call struct of that method.
         timeout_s : float, seconds
-            Limit for the whole call, including connecting.
+            Limit for the whole call, including connecting. With ``stall_s``, limit
+            until a reply begins.
+        stall_s : float or None, seconds
+            Limit between two parts of a reply that may be large: one that goes on
+            arriving over a slow link has the time of a frame (`RpcLimits`).
 
         Raises
         ------
@@ -284,7 +316,11 @@
         try:
             async with curio.timeout_after(max(0.001, give_up_at - time.monotonic())):
                 await stream.write(envelope)
-                await pending.event.wait()
+                if stall_s is None:
+                    await pending.event.wait()
+            if stall_s is not None:
+                async with curio.timeout_after(self.limits.frame_timeout_s + timeout_s):
+                    await _await_large_reply(pending, give_up_at, stall_s)
         except (OSError, curio.TaskTimeout) as exc:
             self.counters.n_failed_calls += 1
             raise UnknownOutcomeError(
