Prefer free workers to overdue tasks in reservations

A gang waited without an end beside enough idle workers.

Cause: the reservation of a gang counted a task that runs longer than estimated as one that ends now, so that its worker came before idle ones with a later name. The gang with the reservation is tried on no other workers, and the next reservation, 2 s later, chose the same ones.

Change: an overdue task is expected to end after the period of a reservation.

Failed before: a gang of two not started 120 s after two of three workers had become idle; it starts within 2.5 s now, also after an overrun of 30 s. Jobs on the users' platform have reservations of their own (jobs/decisions.py), which this does not touch.

--- a/cuminhill/scheduling/gangs.py
+++ b/cuminhill/scheduling/gangs.py
@@ -244,7 +244,7 @@
     free = _reservable(shard, worker)
     tasks = shard.tasks_on.get(worker.worker_id, {}).values()
     ends = sorted(
-        (max(now, task.phase_at + shard.run_time_s(task, worker)), task.task_id)
+        (_expected_end(task, shard.run_time_s(task, worker), now), task.task_id)
         for task in tasks
         if task.phase in ENDING and task.owner.kind is not RequestKind.SERVICE
     )
@@ -258,6 +258,16 @@
     return found
 
 
+def _expected_end(task: TaskState, run_time_s: float, now: float) -> float:
+    """Return the time at which a task is expected to end.
+
+    A task that runs longer than estimated is not expected to end at once, since its
+    worker would then be reserved as if it were free.
+    """
+    end_at = task.phase_at + run_time_s
+    return end_at if end_at > now else now + RESERVATION_PERIOD_S
+
+
 def _reservable(shard: ShardState, worker: WorkerState) -> Resources:
     free = shard.free_capacity.free_of(worker)
     check_reserve = shard.free_capacity.check_reserves.get(worker.worker_id)
