Search for workers without those that may not run the task

Checks and services waited beside a healthy worker with room while many workers were due for a probe.

Cause: a search returns the first 12 (service: 32) workers on which a task fits. Workers that are due for a probe were removed afterwards, and so were those with a check reserve for orders. Such workers are idle and come first.

Change: the search leaves them out itself, so that an empty result is exact. A task that failed on all candidates is no longer offered a worker that is due for a probe.

The mutant "every worker fits" takes the new argument and ignores it, as it does the need; it is caught as before.

--- a/cuminhill/scheduling/capacity.py
+++ b/cuminhill/scheduling/capacity.py
@@ -9,7 +9,7 @@
 from sortedcontainers import SortedDict
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Container, Iterator
 
     from ..model import Resources
 
@@ -102,7 +102,12 @@
         return self._free.get(worker_id)
 
     def fitting(
-        self, need: Resources, *, tight: bool, limit: int = N_CANDIDATES
+        self,
+        need: Resources,
+        *,
+        tight: bool,
+        limit: int = N_CANDIDATES,
+        excluded: Container[str] = (),
     ) -> list[str]:
         """Return up to ``limit`` workers on which a task fits.
 
@@ -115,11 +120,13 @@
             those with the most.
         limit : int, default=N_CANDIDATES
             Maximum number of workers to return.
+        excluded : container of str, default=()
+            Workers on which the task may not run.
 
         Returns
         -------
         list of str
-            Empty only if the task fits on none of the indexed workers.
+            Empty only if the task fits on none of the other indexed workers.
         """
         self._rotation += 1
         found: list[str] = []
@@ -134,7 +141,7 @@
             position = self._rotation % size
             for _ in range(min(size, N_SAMPLED)):
                 worker_id = ids[position]
-                if need.fits(free[worker_id]):
+                if worker_id not in excluded and need.fits(free[worker_id]):
                     found.append(worker_id)
                     if len(found) >= limit:
                         return found
@@ -145,7 +152,7 @@
         # exact.
         for members in partly_seen:
             for worker_id in members.ids:
-                if need.fits(free[worker_id]):
+                if worker_id not in excluded and need.fits(free[worker_id]):
                     return [worker_id]
         return []
 
--- a/cuminhill/scheduling/policies.py
+++ b/cuminhill/scheduling/policies.py
@@ -153,29 +153,38 @@
 @candidates.register(CheckPolicy)
 @candidates.register(OrderPolicy)
 def _(policy: Policy, task: TaskState, free_capacity: FreeCapacity) -> list[str]:
-    found = free_capacity.general.fitting(task.need, tight=False)
+    excluded = _excluded(policy, free_capacity)
+    found = free_capacity.general.fitting(task.need, tight=False, excluded=excluded)
     if found:
         return found
-    if isinstance(policy, CheckPolicy) or not free_capacity.check_reserves:
-        return free_capacity.with_reserves.fitting(task.need, tight=False)
-    # Orders may use capacity reserved for a gang, but not the check reserve.
-    found = free_capacity.with_reserves.fitting(
-        task.need, tight=False, limit=N_SPREAD_CANDIDATES
+    if isinstance(policy, OrderPolicy):
+        # Orders may use capacity reserved for a gang, but not the check reserve.
+        excluded = excluded.union(free_capacity.check_reserves)
+    return free_capacity.with_reserves.fitting(
+        task.need, tight=False, excluded=excluded
     )
-    return [key for key in found if key not in free_capacity.check_reserves]
 
 
 @candidates.register(ServicePolicy)
 def _(policy: ServicePolicy, task: TaskState, free_capacity: FreeCapacity) -> list[str]:
     return free_capacity.general.fitting(
-        task.need, tight=False, limit=N_SPREAD_CANDIDATES
+        task.need,
+        tight=False,
+        limit=N_SPREAD_CANDIDATES,
+        excluded=_excluded(policy, free_capacity),
     )
 
 
 @candidates.register(BatchPolicy)
 @candidates.register(GangPolicy)
 def _(policy: Policy, task: TaskState, free_capacity: FreeCapacity) -> list[str]:
-    return free_capacity.general.fitting(task.need, tight=True)
+    excluded = _excluded(policy, free_capacity)
+    return free_capacity.general.fitting(task.need, tight=True, excluded=excluded)
+
+
+def _excluded(policy: Policy, free_capacity: FreeCapacity) -> set[str]:
+    """Return the workers that are left to one task of another kind, as a probe."""
+    return set() if isinstance(policy, BatchPolicy) else free_capacity.probing
 
 
 def choose(
@@ -184,14 +193,14 @@
     """Return the best worker on which a task fits, or None."""
     found = candidates(policy, task, free_capacity)
     if not found and free_capacity.needs_reserve(task.need):
-        found = free_capacity.with_reserves.fitting(task.need, tight=True)
+        found = free_capacity.with_reserves.fitting(
+            task.need, tight=True, excluded=_excluded(policy, free_capacity)
+        )
     workers = free_capacity.workers
     # Excludes workers that may still run an earlier copy of this task.
     found = [key for key in found if task.task_id not in workers[key].needs]
-    if free_capacity.probing and not isinstance(policy, BatchPolicy):
-        found = [key for key in found if key not in free_capacity.probing]
     if task.failed_on:
-        found = _prefer_untried(task, found, free_capacity)
+        found = _prefer_untried(policy, task, found, free_capacity)
     if not found:
         return None
     best = max(
@@ -203,14 +212,16 @@
 
 
 def _prefer_untried(
-    task: TaskState, found: list[str], free_capacity: FreeCapacity
+    policy: Policy, task: TaskState, found: list[str], free_capacity: FreeCapacity
 ) -> list[str]:
     """Prefer workers on which the task has not failed yet."""
     if any(key not in task.failed_on for key in found):
         return [key for key in found if key not in task.failed_on]
-    limit = len(task.failed_on) + 1
-    more = free_capacity.general.fitting(task.need, tight=False, limit=limit)
-    return [key for key in more if key not in task.failed_on] or found
+    excluded = _excluded(policy, free_capacity).union(task.failed_on)
+    more = free_capacity.general.fitting(
+        task.need, tight=False, limit=1, excluded=excluded
+    )
+    return more or found
 
 
 def idle_fraction(worker: WorkerState, free: Resources) -> float:
--- a/tests/scheduling/test_machine.py
+++ b/tests/scheduling/test_machine.py
@@ -194,7 +194,7 @@
     "every worker fits": (
         capacity.CapacityIndex,
         "fitting",
-        lambda self, need, *, tight, limit=12: list(self._free)[:limit],
+        lambda self, need, *, tight, limit=12, excluded=(): list(self._free)[:limit],
     ),
     "stops are not repeated": (reconcile, "repeat_stop", never),
     "unknown outcomes are retried": (
