Add a failing test of look-ups beside a slow read

If the transfer takes longer, it is given up, and the next look-up begins from the first byte, on the same link.

--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -134,3 +134,28 @@
         raise AssertionError("no error")
 
     curio.run(scenario)
+
+
+def test_callers_that_give_up_do_not_delay_the_follower():
+    """Guards against look-ups that transfer what the follower is reading already.
+
+    Each caller's read is given up after 1 s, which is less than the transfer takes, and
+    the next one begins from the first byte.
+    """
+
+    async def scenario():
+        log, link = MemoryLog(), Link(RECORD_BYTES / 4.0)
+        follower = await _follow(LinkedLog(log, LogFaults(), link), wait_s=0.5)
+        log.append_records([("k", b"x" * RECORD_BYTES)])
+
+        async def look_up():
+            while follower.offset < 1:
+                await follower.catch_up(1.0)
+
+        for _ in range(5):
+            await curio.spawn(look_up, daemon=True)
+        await _reach_offset(follower, 1, 20.0)
+        assert follower.offset == 1
+        assert link.n_transferred < 1.5 * RECORD_BYTES
+
+    curio.run(scenario)
