Let look-ups wait for records that arrive already

Look-ups of unknown jobs on a VM with a slow link took half of the link from the follower, and none of them was answered.

A transfer that takes longer was given up and begun again by the next look-up, beside that of the follower.

Ruled out: a loop without an end, since the follower's own read is not given up.

Change: while the follower's read has been outstanding for longer than the log may take to begin its answer, its records are arriving, and callers wait for these.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -67,6 +67,9 @@
     reachable_since: float = 0.0
     n_snapshots: int = 0
     n_errors: int = 0
+    # From this time on, records of the outstanding read of `run` are arriving, since it
+    # would have been given up otherwise.
+    _arriving_from: float = math.inf
     _newest_answer: tuple[float, float] = (0.0, 0.0)
     _probe_requested_at: float = 0.0
     _n_probers: int = 0
@@ -106,8 +109,7 @@
                     await self._await_answer()
                 if not self.synced:
                     await self._load()
-                wait_s = self.wait_s if self.reachable else 0.0
-                at_end = await self.read(wait_s, self._timeout_s())
+                at_end = await self._read_on()
             except HistoryGoneError as exc:
                 logger.info("history gone", log=self.name, error=str(exc))
                 self.synced = False
@@ -123,6 +125,15 @@
             if at_end:
                 await curio.sleep(self.pause_s)
 
+    async def _read_on(self) -> bool:
+        wait_s = self.wait_s if self.reachable else 0.0
+        timeout_s = self._timeout_s()
+        self._arriving_from = boottime() + wait_s + timeout_s
+        try:
+            return await self.read(wait_s, timeout_s)
+        finally:
+            self._arriving_from = math.inf
+
     def _timeout_s(self) -> float:
         slow_s = SLOW_READ_FACTOR * self._newest_answer[1]
         return min(PROBE_TIMEOUT_S, max(READ_TIMEOUT_S, slow_s))
@@ -168,13 +179,18 @@
     async def catch_up(self, timeout_s: float) -> bool:
         """Read up to the current end; return whether that succeeded.
 
-        Concurrent callers share a read that was sent after each of them asked.
+        Concurrent callers share a read that was sent after each of them asked. None is
+        sent while records arrive in any case: they would share the link, and a caller
+        that gives up has transferred them for nothing.
         """
         asked_at = boottime()
         try:
             async with curio.timeout_after(timeout_s), self._catching_up:
                 while self.synced and self.read_at < asked_at:
-                    await self.read(0.0, timeout_s)
+                    if boottime() > self._arriving_from:
+                        await curio.sleep(PROBE_POLL_S)
+                    else:
+                        await self.read(0.0, timeout_s)
         except (CuminhillError, curio.TaskTimeout) as exc:
             self.n_errors += 1
             logger.info("catch-up failed", log=self.name, error=str(exc))
