--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -253,3 +253,29 @@
         raise AssertionError("no error")
 
     curio.run(scenario)
+
+
+def test_callers_behind_a_lost_read_are_served_once_the_log_answers():
+    """Guards against callers that have no time left when their turn comes.
+
+    A read that was lost held the turn for its caller's whole limit. Each of the others
+    then had the rest of its own limit, less than a read takes, and failed in turn.
+    """
+
+    async def scenario():
+        view = LogView(MemoryLog(), LogFaults(unresponsive=True))
+        follower = LogFollower("t", view, lambda rows, _: None, 0.1, 0.01)
+        await follower.start_probers()
+        follower.synced = True
+        lost = await curio.spawn(follower.catch_up, 1.0)
+        await curio.sleep(0.1)
+        view.faults.unresponsive, view.faults.delay_s = False, 0.1
+        tasks = []
+        for _ in range(40):
+            tasks.append(await curio.spawn(follower.catch_up, 1.0))
+            await curio.sleep(0.05)
+        served = [await task.join() for task in tasks]
+        assert not await lost.join()
+        assert all(served)
+
+    curio.run(scenario)
