Add a failing test of a read that ends with its first caller

A record that takes 3 s of the link is never read by callers with limits of 1 s, and is transferred in part by each of them.

Seen: offset 0 after 20 callers, 0.3 s apart.

--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -279,3 +279,28 @@
         assert all(served)
 
     curio.run(scenario)
+
+
+def test_a_shared_read_goes_on_when_its_first_caller_gives_up():
+    """Guards against a record that each caller begins to transfer anew.
+
+    It takes 3 s of the link, and each caller gave up after 1 s.
+    """
+
+    async def scenario():
+        log, link = MemoryLog(), Link()
+        view = LinkedLog(log, LogFaults(), link)
+        follower = LogFollower("t", view, lambda rows, _: None, 0.1, 0.01)
+        await follower.start_probers()
+        follower.synced = True
+        log.append_records([("k", b"x" * 3 * RECORD_BYTES)])
+        tasks = []
+        for _ in range(20):
+            tasks.append(await curio.spawn(follower.catch_up, 1.0))
+            await curio.sleep(0.3)
+        served = [await task.join() for task in tasks]
+        assert follower.offset == 1
+        assert served[-1]
+        assert link.n_transferred < 2 * 3 * RECORD_BYTES
+
+    curio.run(scenario)
