Let a task send the reads that callers share

Callers saw look-ups of unknown jobs end without an answer after the store answered again, and claims without the newest records.

Cause: the read that callers share since was sent by the first of them under a lock, within its own limit. A lost read blocked the others until that limit, and each then had less time left than a read takes.

Ruled out: a lock that stays locked after a time-out; it was free after each test.

Change: a task, started together with the probers, sends the reads, within the limit of those of run(). Callers wait for it within their own limits, and fail if a read that was sent after they asked has failed. A complete read of run() serves them as well.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -78,7 +78,13 @@
     _probe_requested_at: float = 0.0
     _n_probers: int = 0
     _probe_requests: Any = field(default_factory=curio.Queue)
-    _catching_up: Any = field(default_factory=curio.Lock)
+    # Task that sends the reads of `catch_up`, the time when one was last requested, and
+    # when the newest failed one was sent.
+    _catch_up_task: Any = None
+    _catch_up_requested: Any = field(default_factory=curio.Event)
+    _catch_up_read_ended: Any = field(default_factory=curio.Event)
+    _catch_up_asked_at: float = 0.0
+    _catch_up_failed_at: float = 0.0
 
     def age(self, now: float) -> float:
         """Return the age of the newest complete read, in seconds."""
@@ -108,7 +114,7 @@
         return read_s if read_sent_at > sent_at else None
 
     async def start_probers(self) -> None:
-        """Start the tasks that send probes in parallel to the reads of `run`.
+        """Start the tasks that send probes and reads in parallel to those of `run`.
 
         They are started before they are needed, since spawning a task during the
         kernel's shutdown makes the shutdown fail.
@@ -116,6 +122,7 @@
         while self._n_probers < N_PROBERS:
             self._n_probers += 1
             await curio.spawn(self._probe_on_demand, daemon=True)
+        await self._start_catch_up_task()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -175,6 +182,7 @@
         if at_end:
             # Conservative: a waiting read without records shows the state at its end.
             self.read_at = max(self.read_at, sent_at)
+            await self._wake_callers()
         return at_end
 
     def _note_answer(self, sent_at: float, wait_s: float) -> None:
@@ -186,19 +194,50 @@
     async def catch_up(self, timeout_s: float) -> bool:
         """Read up to the current end; return whether that succeeded.
 
-        Concurrent callers share a read that was sent after each of them asked.
+        Concurrent callers share a read that was sent after each of them asked. It goes
+        on when a caller gives up, so that the next one need not begin it anew.
         """
         asked_at = boottime()
         try:
-            async with curio.timeout_after(timeout_s), self._catching_up:
+            async with curio.timeout_after(timeout_s):
                 while self.synced and self.read_at < asked_at:
-                    await self.read(0.0, timeout_s)
-        except (CuminhillError, curio.TaskTimeout) as exc:
+                    if self._catch_up_failed_at >= asked_at:
+                        return False
+                    self._catch_up_asked_at = max(self._catch_up_asked_at, asked_at)
+                    await self._start_catch_up_task()
+                    await self._catch_up_requested.set()
+                    await self._catch_up_read_ended.wait()
+        except curio.TaskTimeout as exc:
             self.n_errors += 1
             logger.info("catch-up failed", log=self.name, error=str(exc))
             return False
         return self.synced
 
+    async def _start_catch_up_task(self) -> None:
+        if self._catch_up_task is None or self._catch_up_task.terminated:
+            self._catch_up_task = await curio.spawn(
+                self._catch_up_on_demand, daemon=True
+            )
+
+    async def _catch_up_on_demand(self) -> None:
+        while True:
+            await self._catch_up_requested.wait()
+            self._catch_up_requested.clear()
+            while self.synced and self.read_at < self._catch_up_asked_at:
+                sent_at = boottime()
+                try:
+                    await self.read(0.0, self._timeout_s())
+                except CuminhillError as exc:
+                    self.n_errors += 1
+                    self._catch_up_failed_at = sent_at
+                    logger.info("catch-up failed", log=self.name, error=str(exc))
+                    break
+            await self._wake_callers()
+
+    async def _wake_callers(self) -> None:
+        await self._catch_up_read_ended.set()
+        self._catch_up_read_ended.clear()
+
     async def probe(self, timeout_s: float) -> bool:
         """Return whether the log answers within the timeout."""
         sent_at = boottime()
