--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -74,14 +74,18 @@
     unreachable_since: float = 0.0
     # Failed reads and received bytes of the process when the log became unreachable.
     _counts_before: tuple[int, int] = (0, 0)
-    # From this time on, records of the outstanding read of `run` are arriving, since it
-    # would have been given up otherwise.
-    _arriving_from: float = math.inf
+    _is_reading: bool = False  # whether a read of `run` is outstanding
     _newest_answer: tuple[float, float] = (0.0, 0.0)
     _probe_requested_at: float = 0.0
     _n_probers: int = 0
     _probe_requests: Any = field(default_factory=curio.Queue)
-    _catching_up: Any = field(default_factory=curio.Lock)
+    # Task that sends the reads of `catch_up`, the time when one was last requested, and
+    # when the newest failed one was sent.
+    _catch_up_task: Any = None
+    _catch_up_requested: Any = field(default_factory=curio.Event)
+    _catch_up_read_ended: Any = field(default_factory=curio.Event)
+    _catch_up_asked_at: float = 0.0
+    _catch_up_failed_at: float = 0.0
 
     def age(self, now: float) -> float:
         """Return the age of the newest complete read, in seconds."""
@@ -111,7 +115,7 @@
         return read_s if read_sent_at > sent_at else None
 
     async def start_probers(self) -> None:
-        """Start the tasks that send probes in parallel to the reads of `run`.
+        """Start the tasks that send probes and reads in parallel to those of `run`.
 
         They are started before they are needed, since spawning a task during the
         kernel's shutdown makes the shutdown fail.
@@ -119,6 +123,7 @@
         while self._n_probers < N_PROBERS:
             self._n_probers += 1
             await curio.spawn(self._probe_on_demand, daemon=True)
+        await self._start_catch_up_task()
 
     async def run(self) -> None:
         """Follow the log until cancelled."""
@@ -144,13 +149,12 @@
                 await curio.sleep(self.pause_s)
 
     async def _read_on(self) -> bool:
-        wait_s = self.wait_s if self.reachable else 0.0
-        timeout_s = self._timeout_s()
-        self._arriving_from = boottime() + wait_s + timeout_s
+        self._is_reading = True
         try:
-            return await self.read(wait_s, timeout_s)
+            wait_s = self.wait_s if self.reachable else 0.0
+            return await self.read(wait_s, self._timeout_s())
         finally:
-            self._arriving_from = math.inf
+            self._is_reading = False
 
     def _timeout_s(self) -> float:
         slow_s = SLOW_READ_FACTOR * self._newest_answer[1]
@@ -185,7 +189,7 @@
         at_end = self.offset >= end
         if at_end:
             # Conservative: a waiting read without records shows the state at its end.
-            self.read_at = max(self.read_at, sent_at)
+            await self._note_complete(sent_at)
         return at_end
 
     def _note_answer(self, sent_at: float, wait_s: float) -> None:
@@ -197,34 +201,88 @@
     async def catch_up(self, timeout_s: float) -> bool:
         """Read up to the current end; return whether that succeeded.
 
-        Concurrent callers share a read that was sent after each of them asked. None is
-        sent while records arrive in any case: they would share the link, and a caller
-        that gives up has transferred them for nothing.
+        Concurrent callers share a read that was sent after each of them asked. It goes
+        on when a caller gives up, so that the next one need not begin it anew.
         """
         asked_at = boottime()
         try:
-            async with curio.timeout_after(timeout_s), self._catching_up:
+            async with curio.timeout_after(timeout_s):
                 while self.synced and self.read_at < asked_at:
-                    if boottime() > self._arriving_from:
-                        await curio.sleep(PROBE_POLL_S)
-                    else:
-                        await self.read(0.0, timeout_s)
-        except (CuminhillError, curio.TaskTimeout) as exc:
+                    if self._catch_up_failed_at >= asked_at:
+                        return False
+                    self._catch_up_asked_at = max(self._catch_up_asked_at, asked_at)
+                    await self._start_catch_up_task()
+                    await self._catch_up_requested.set()
+                    await self._catch_up_read_ended.wait()
+        except curio.TaskTimeout as exc:
             self.n_errors += 1
             logger.info("catch-up failed", log=self.name, error=str(exc))
             return False
         return self.synced
 
+    async def _start_catch_up_task(self) -> None:
+        if self._catch_up_task is None or self._catch_up_task.terminated:
+            self._catch_up_task = await curio.spawn(
+                self._catch_up_on_demand, daemon=True
+            )
+
+    async def _catch_up_on_demand(self) -> None:
+        while True:
+            await self._catch_up_requested.wait()
+            self._catch_up_requested.clear()
+            while self.synced and self.read_at < self._catch_up_asked_at:
+                sent_at = boottime()
+                try:
+                    await self._read_to_end()
+                except CuminhillError as exc:
+                    self.n_errors += 1
+                    self._catch_up_failed_at = sent_at
+                    logger.info("catch-up failed", log=self.name, error=str(exc))
+                    break
+            await self._wake_callers()
+
+    async def _read_to_end(self) -> None:
+        """Read up to the end that the log has now.
+
+        What the outstanding read of `run` brings is not read again, since both
+        transfers would share the link.
+        """
+        sent_at = boottime()
+        end = await self._find_end(self._timeout_s())
+        while self.synced and self.offset < end:
+            if self._is_reading:
+                await curio.sleep(PROBE_POLL_S)
+            else:
+                await self.read(0.0, self._timeout_s())
+        if self.synced:
+            await self._note_complete(sent_at)
+
+    async def _find_end(self, timeout_s: float) -> int:
+        """Return the end of the log, which also shows whether records are missing."""
+        sent_at = boottime()
+        end = await self.log.end(timeout_s)
+        self._note_answer(sent_at, 0.0)
+        if self.synced and self.offset >= end:
+            await self._note_complete(sent_at)
+        return end
+
+    async def _note_complete(self, sent_at: float) -> None:
+        """Note that all records have been read that were in the log at a time."""
+        self.read_at = max(self.read_at, sent_at)
+        await self._wake_callers()
+
+    async def _wake_callers(self) -> None:
+        await self._catch_up_read_ended.set()
+        self._catch_up_read_ended.clear()
+
     async def probe(self, timeout_s: float) -> bool:
         """Return whether the log answers within the timeout."""
-        sent_at = boottime()
         try:
             async with curio.timeout_after(timeout_s):
-                await self.log.end(timeout_s)
+                await self._find_end(timeout_s)
         except (CuminhillError, curio.TaskTimeout):
             self.n_errors += 1
             return False
-        self._note_answer(sent_at, 0.0)
         return True
 
     async def request_probe(self) -> None:
