Find out by pings which VMs answer, not by calls for advice

Cause: a VM that had failed took calls again after 1 to 4 s, and the call of a step was what found out whether it answered. With more VMs out of reach than time-outs fit into an exclusion, there was always an idle one to lose the next call to. If few VMs answered, these were too busy or among the third without long calls, and a step had no advice at all.

Ruled out: the advice service (calls through kiln-1 took 0.75 s, as it states), the order of calls (the step had the rank "return") and a lack of known VMs (kiln-1 and kiln-2 answered within the same seconds).

Change: a VM of which a call or ping has failed takes no call until it has answered a ping of the placer, or an earlier call. The first ping follows 0.05 s after the failure. At most 32 are under way, 0.01 to 0.03 s apart. A new term pings the VMs that it has not heard of; after a failed call those not heard of since are pinged, since a failure domain fails as a whole. A VM that answers pings and not calls is excluded by time as before, and is then tried if those that answer are too busy: one call at a time, no more VMs than there are others, and by a step whose call has failed only after a wait of what another failure may cost. The third without long calls is one of those that answer. VMs that leave the members are dropped. It works since time-outs no longer add up in a step: they run beside each other and beside the calls.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -23,7 +23,14 @@
     UnavailableError,
 )
 from ..util.hashing import rendezvous_order
-from .advice import LONG_CALL_S, AdviceCall, Adviser, find_adviser
+from .advice import (
+    LONG_CALL_S,
+    AdviceCall,
+    Adviser,
+    find_adviser,
+    next_ping,
+    ping_spacing_s,
+)
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import (
@@ -95,6 +102,8 @@
 # and the multiple of the call's own. The service works on a call that was given up, so
 # one that it answers late must not be repeated through the next VM.
 ADVICE_SLACK_S, ADVICE_SLACK_FACTOR = 0.6, 2.0
+# Pause of the pings while none is due.
+PING_IDLE_S = 0.05
 # Weight of an answer in the pace of the service, and bound of the pace.
 PACE_WEIGHT, MAX_PACE = 0.5, 4.0
 # Ended jobs are deleted from the journal after this time in addition to the time for
@@ -174,6 +183,8 @@
     confirmed_at : float, seconds
         When the newest successful append was sent that carries a record under a key
         of placers.
+    ping : callable
+        Coroutine function that returns if a VM can be reached, and raises if not.
     resigning : bool
         Whether a resignation is being written; the term ends with it.
     """
@@ -190,6 +201,7 @@
     keep_ended_s: float
     metrics: MetricSet
     confirmed_at: float
+    ping: Callable[[str], Awaitable[None]] | None = None
     ended: bool = False
     resigning: bool = False
     advice_pace: float = 1.0
@@ -199,6 +211,8 @@
     _tasks: list[Any] = field(default_factory=list)
     _renewers: dict[str, Any] = field(default_factory=dict)
     _send_queues: dict[str, curio.Queue] = field(default_factory=dict)
+    # Tasks of the pings under way.
+    _pings: dict[Adviser, Any] = field(default_factory=dict)
     _to_journal: Any = field(default_factory=curio.Event)
     # Set once the term's first record of leases is stored. Before that it extends no
     # lease and starts nothing, so that a term without a record has granted nothing.
@@ -284,6 +298,7 @@
             ("renew term", self._renew_term),
             ("ask predecessor", self._ask_predecessor),
             ("ask readers", self._ask_readers),
+            ("ping", self._ping_advisers),
         ):
             self._tasks.append(await curio.spawn(self._guard, name, run, daemon=True))
         await self._spawn_renewers()
@@ -398,7 +413,7 @@
         if not self.ended:
             logger.info("term ended", term=self.leader_record.term)
         self.ended = True
-        for task in [*self._tasks, *self._renewers.values()]:
+        for task in [*self._tasks, *self._renewers.values(), *self._pings.values()]:
             await task.cancel(blocking=False)
         for queue in self._send_queues.values():
             await queue.put(None)
@@ -477,9 +492,15 @@
         return True
 
     def set_members(self, vms: Iterable[str]) -> None:
-        """Add the VMs through which advice can be requested."""
-        for vm in vms:
-            self.advisers.setdefault(vm, Adviser(vm))
+        """Set the VMs through which advice can be requested.
+
+        Calls through a VM that is no longer among them go on.
+        """
+        names = list(vms)
+        if names == list(self.advisers):
+            return
+        known, own = self.advisers, self.leader_record.vm
+        self.advisers = {vm: known.get(vm) or Adviser(vm, vm == own) for vm in names}
 
     async def jobs_changed(self, job_ids: Iterable[str]) -> None:
         """Add jobs that are new in the journal and cancel those newly cancelled."""
@@ -956,8 +977,51 @@
 
     # Advice
 
+    async def _ping_advisers(self) -> None:
+        """Ping the VMs of which it is not known whether they answer.
+
+        A call for advice then goes to a VM that has answered, and its step does not
+        wait until another one is found out of reach.
+        """
+        while not self.ended and self.ping is not None:
+            adviser = next_ping(self.advisers.values(), boottime())
+            if adviser is None:
+                await curio.sleep(PING_IDLE_S)
+                continue
+            adviser.begin_ping(boottime())
+            self._pings[adviser] = await curio.spawn(
+                self._guard, "ping", self._ping, self.ping, adviser, daemon=True
+            )
+            await curio.sleep(ping_spacing_s(adviser))
+
+    async def _ping(
+        self, ping: Callable[[str], Awaitable[None]], adviser: Adviser
+    ) -> None:
+        """Ping one VM."""
+        was_out = adviser.out_of_reach
+        error: CuminhillError | None = None
+        try:
+            if not self.ended:
+                await ping(adviser.vm)
+        except CuminhillError as exc:
+            error = exc
+        finally:
+            self._pings.pop(adviser, None)
+        adviser.record_ping(boottime(), answered=error is None)
+        if adviser.out_of_reach == was_out:
+            return
+        if adviser.out_of_reach:
+            logger.info("adviser out of reach", vm=adviser.vm, error=str(error))
+            return
+        logger.info("adviser in reach again", vm=adviser.vm)
+        await self._wake.set()
+
     async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
-        call = replace(call, cost_s=call.cost_s * self.advice_pace)
+        call = replace(
+            call,
+            cost_s=call.cost_s * self.advice_pace,
+            failed_at=self.placer.advice.for_step(call.step).failed_at,
+        )
         adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
             return
@@ -984,7 +1048,7 @@
             answer = await self.ask_advice(adviser.vm, call, planned_s + slack_s)
         except CuminhillError as exc:
             now = boottime()
-            cause = _record_failed_call(adviser, call, exc, now)
+            cause = _record_failed_call(adviser, call, exc, now, now - sent_at)
             self.placer.counts[f"advice_{cause}"] += 1
             logger.info(
                 "advice failed",
@@ -994,7 +1058,7 @@
                 backlog_ms=round(max(0.0, adviser.busy_until - now) * 1000),
                 error=str(exc),
             )
-            advice.record_failure(now)
+            advice.record_failure(now, refused=cause == "refused")
         else:
             # Tickets count from their issue; the call took at least its own time.
             now = boottime()
@@ -1034,18 +1098,22 @@
 
 
 def _record_failed_call(
-    adviser: Adviser, call: AdviceCall, error: CuminhillError, now: float
+    adviser: Adviser,
+    call: AdviceCall,
+    error: CuminhillError,
+    now: float,
+    took_s: float,
 ) -> str:
     """Record a failed call for advice with its VM; return the cause.
 
     A VM that refuses a call for the others that it has is asked again when it has
-    answered those. Any other failure excludes it.
+    answered those. After any other failure it has to answer a ping first.
     """
     if isinstance(error, OverloadedError):
         adviser.record_refusal(now, error.backlog_s)
         return "refused"
     if isinstance(error, UnavailableError):
-        adviser.record_failure(now, unsent_s=call.cost_s)
+        adviser.record_failure(now, call.cost_s, took_s)
         return "unreachable"
-    adviser.record_failure(now)
+    adviser.record_failure(now, lost_s=took_s)
     return "unanswered"
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -14,6 +14,7 @@
 from ..clock import boottime
 from ..errors import CuminhillError
 from ..rpc import RpcServer
+from .advice import adviser_states
 from .election import (
     ALIVE_TIMEOUT_S,
     HANDOVER_COOLDOWN_S,
@@ -674,6 +675,7 @@
             self.metrics,
             # The newest write of the term: the claim may have been read much later.
             confirmed_at=self._claimed_at,
+            ping=self.peers.ping,
         )
         writer.on_appended = leadership.note_appended
         # A draining worker must be known before any task is started on it.
@@ -791,6 +793,7 @@
         "worker_states": dict(
             Counter(_worker_state(item, now) for item in placer.workers.values())
         ),
+        "adviser_states": adviser_states(leadership.advisers.values(), now),
         "confirmed_age_s": round(now - leadership.confirmed_at, 3),
         "jobs": {
             job_id: {
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -110,6 +110,13 @@
         ("state",),
         "leading.worker_states.*",
     ),
+    Metric(
+        "placer_advisers",
+        GAUGE,
+        "VMs through which the placer asks for advice by state.",
+        ("state",),
+        "leading.adviser_states.*",
+    ),
     Metric(
         "first_start_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -164,6 +164,17 @@
             _sound_wait(reply.backlog_s),
         )
 
+    async def ping(self, vm: str) -> None:
+        """Return if a VM can be reached.
+
+        Raises
+        ------
+        UnavailableError
+            If it does not answer.
+        """
+        if vm != self.vm:
+            await self._ping(vm)
+
     async def ask_term_ended(self, address: str, term: int) -> TermEnd | None:
         """Ask the process at an address since when a term has ended for good.
 
@@ -302,8 +313,10 @@
         UnavailableError
             If it does not answer.
         """
-        if boottime() - self._contacted_at.get(vm, -CONTACT_VALID_S) < CONTACT_VALID_S:
-            return
+        if boottime() - self._contacted_at.get(vm, -CONTACT_VALID_S) >= CONTACT_VALID_S:
+            await self._ping(vm)
+
+    async def _ping(self, vm: str) -> None:
         try:
             await self._call(vm, "ping", idl.PingCall(), PING_TIMEOUT_S - REPLY_SLACK_S)
         except UnknownOutcomeError as exc:
--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -472,3 +472,60 @@
     assert adviser.busy_until == 12.0
     adviser.record_answer(10.1, backlog_s=0.3)
     assert adviser.busy_until == pytest.approx(10.4)
+
+
+# Guards against pings of a term that go on after its end, and against a placer that
+# calls a VM which has left, or forgets what it knows of those that stay.
+def test_pings_end_with_the_term():
+    begun, ended = [], []
+
+    async def ping(vm):
+        begun.append(vm)
+        try:
+            await curio.sleep(60.0)
+        finally:
+            ended.append(vm)
+
+    async def main():
+        leadership = make_leadership(1, fail(None), ["a", "b", "c"])
+        leadership.ping = ping
+        task = await curio.spawn(leadership._ping_advisers)
+        leadership._tasks.append(task)
+        while len(begun) < 2:
+            await curio.sleep(0.01)
+        await leadership.end()
+        await curio.sleep(0.1)
+        assert sorted(begun) == ["b", "c"]  # its own VM needs none
+        assert sorted(ended) == ["b", "c"]
+        assert task.terminated
+
+    curio.run(main)
+
+
+def test_vms_that_leave_take_no_calls():
+    leadership = make_leadership(1, fail(None), ["a", "b", "c"])
+    kept = leadership.advisers["c"]
+    leadership.set_members(["c", "d"])
+    assert list(leadership.advisers) == ["c", "d"]
+    assert leadership.advisers["c"] is kept
+    left = leadership.advisers["d"]
+    leadership.set_members(["c"])
+    leadership.set_members(["c", "d"])
+    assert leadership.advisers["d"] is not left
+
+
+# Guards against calls that are only made at the next tick of the placer, after the only
+# VM that it can ask has come back.
+def test_a_vm_that_is_back_wakes_the_placer():
+    async def ping(vm):
+        pass
+
+    async def main():
+        leadership = make_leadership(1, fail(None), ["b"])
+        adviser = leadership.advisers["b"]
+        adviser.record_failure(boottime(), unsent_s=0.1)
+        await leadership._ping(ping, adviser)
+        assert leadership._wake.is_set()
+        assert adviser.takes_calls(boottime())
+
+    curio.run(main)
