Add a failing test of a ping that ends other calls

All calls to a VM share a connection, and a ping that times out closes it. A VM that is slow for a moment, as on a link that is full, so loses a call for advice that it is about to answer; its placer then takes the call for one that the service may still be working on, and excludes the VM.

The second test guards what the closing is for: a connection that has died is not used again. It passes on this code.

--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -16,7 +16,12 @@
 from cuminhill.jobs.journal import LogWriter
 from cuminhill.jobs.leasebounds import LeaseAges, LeaseQuery, ReleasedRun, TermEnd
 from cuminhill.jobs.model import TaskKey
-from cuminhill.jobs.peers import STATUS_OK, JobPeers
+from cuminhill.jobs.peers import (
+    CONTACT_VALID_S,
+    PING_TIMEOUT_S,
+    STATUS_OK,
+    JobPeers,
+)
 from cuminhill.jobs.records import Member
 from cuminhill.rpc import RpcClient, RpcServer, idl
 from standins.job_platform import LogView, MemoryAdvice, MemoryLog
@@ -276,3 +281,47 @@
     handlers = {} if value is None else {"lease_ages": answer}
     with pytest.raises(ProtocolError):
         curio.run(ask_for_ages, handlers)
+
+
+# Guards against a ping that ends the calls under way on its connection: a VM that was
+# slow for a moment then lost a call for advice that it had nearly answered.
+def test_a_ping_without_an_answer_ends_no_other_call():
+    async def advise(_):
+        await curio.sleep(PING_TIMEOUT_S + 0.3)
+        return idl.Reply(STATUS_OK, b'[["w","t"]]')
+
+    async def ping(_):
+        nonlocal n_pings
+        n_pings += 1
+        if n_pings > 1:
+            await curio.sleep(60.0)
+        return idl.Reply(STATUS_OK, b"")
+
+    async def main():
+        server = RpcServer({"advise": advise, "ping": ping})
+        await server.start("127.0.0.1", 0)
+        peers = make_peers(f"127.0.0.1:{server.port}")
+        call = AdviceCall("s", {"w": 1}, 0.1, 1.0)
+        first = await curio.spawn(peers.ask_advice, "b", call, 2.0)
+        await curio.sleep(CONTACT_VALID_S + 0.02)
+        # The second call is not sent, since the VM answers no ping.
+        with pytest.raises(UnavailableError):
+            await peers.ask_advice("b", call, 2.0)
+        assert (await first.join()).tickets == [("w", "t")]
+        await server.close()
+
+    n_pings = 0
+    curio.run(main)
+
+
+# Guards against calls on a connection that died in a partition: the next one has to use
+# a new one.
+def test_a_ping_without_an_answer_closes_an_idle_connection(unresponsive_address):
+    async def main():
+        peers = make_peers(unresponsive_address)
+        for _ in range(2):
+            with pytest.raises(UnavailableError):
+                await peers.ask_advice("b", AdviceCall("s", {"w": 1}, 0.1, 1.0), 1.0)
+            assert peers._client("b")._stream is None
+
+    curio.run(main)
