Keep the calls of a connection when a ping has no answer

Callers could see advice that comes later than needed: a VM that was slow for 0.4 s, as on a link that is full, lost a call for advice that it was about to answer, and the placer excluded it for 1 to 4 s.

Cause: all calls to a VM share a connection, and a ping that timed out closed it, so that the calls under way ended as "connection lost".

Ruled out: keeping the connection in any case. After a partition a dead one would keep the VM out of use until the calls on it time out.

Change: the first ping without an answer closes the connection only if no call waits on it, the second one in a row does. A call has the time of two pings for its answer then; a dead connection is replaced after the second ping, as measured by the new test.

--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -54,6 +55,10 @@
 # sent to it: after a call into a partition it is unknown whether they were stored.
 CONTACT_VALID_S = 0.25
 PING_TIMEOUT_S = 0.4
+# Pings in a row without an answer after which a connection with calls under way is
+# closed: a VM that is slow may still answer them, but after a partition a dead
+# connection would keep the VM out of use until they time out.
+MAX_FAILED_PINGS = 2
 MAX_WAIT_S = 60.0  # that another VM may ask for
 MAX_KEY_BYTES = 255  # the length of a key is one byte
 MAX_RECORD_BYTES = 250_000  # the log takes records of 256 KB
@@ -96,6 +101,7 @@
     advice_queue: AdviceQueue = field(init=False)
     _placer_backoff_until: float = 0.0
     _contacted_at: dict[str, float] = field(default_factory=dict)
+    _failed_pings: Counter[str] = field(default_factory=Counter)
     _clients: dict[str, RpcClient] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -300,11 +306,20 @@
             reply = await client.call(method, message, timeout_s=wait_s + REPLY_SLACK_S)
         except UnknownOutcomeError:
             # The connection may be dead; the next call opens a new one.
-            await client.close()
+            if method != "ping" or self._closes_after_ping(vm, client):
+                await client.close()
             raise
+        self._failed_pings.pop(vm, None)
         self._contacted_at[vm] = boottime()
         return reply
 
+    def _closes_after_ping(self, vm: str, client: RpcClient) -> bool:
+        """Count a ping without an answer; return whether to close its connection."""
+        self._failed_pings[vm] += 1
+        if self._failed_pings[vm] >= MAX_FAILED_PINGS:
+            return True
+        return not client.has_calls_except("ping")
+
     async def _ensure_responsive(self, vm: str) -> None:
         """Ping a VM unless it has answered a moment ago.
 
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -221,6 +221,7 @@
 class _PendingCall:
     """Call whose reply has not arrived."""
 
+    method: str
     event: Any
     stream: FrameStream
     reply: Any = None
@@ -278,7 +279,7 @@
         self._last_used_at = time.monotonic()
         call_id = self._next_id
         self._next_id += 1
-        pending = self._pending[call_id] = _PendingCall(curio.Event(), stream)
+        pending = self._pending[call_id] = _PendingCall(method, curio.Event(), stream)
         envelope = idl.Envelope(call_id, False, method, encode(message), "", False)
         self.counters.n_calls += 1
         try:
@@ -310,6 +311,10 @@
                 exc.message, step=method, peer=self.address
             ) from exc
 
+    def has_calls_except(self, method: str) -> bool:
+        """Return whether calls of other methods wait for their replies."""
+        return any(item.method != method for item in self._pending.values())
+
     async def close(self) -> None:
         """Close the connection; the next call opens a new one."""
         if self._reader is not None:
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -18,6 +18,7 @@
 from cuminhill.jobs.model import TaskKey
 from cuminhill.jobs.peers import (
     CONTACT_VALID_S,
+    MAX_FAILED_PINGS,
     PING_TIMEOUT_S,
     STATUS_OK,
     JobPeers,
@@ -314,6 +315,30 @@
     curio.run(main)
 
 
+# Guards against a dead connection that calls without an answer keep open: a VM that is
+# back after a partition is then out of use until they time out.
+def test_pings_without_an_answer_close_a_connection_with_calls_under_way(
+    unresponsive_address,
+):
+    async def main():
+        peers = make_peers(unresponsive_address)
+        peers._contacted_at["b"] = boottime()
+        call = AdviceCall("s", {"w": 1}, 0.1, 1.0)
+        await curio.spawn(ask_in_vain, peers, call, daemon=True)
+        await curio.sleep(0.05)
+        client = peers._client("b")
+        for n_failed in range(1, MAX_FAILED_PINGS + 1):
+            with pytest.raises(UnavailableError):
+                await peers.ping("b")
+            assert (client._stream is None) == (n_failed == MAX_FAILED_PINGS)
+
+    async def ask_in_vain(peers, call):
+        with pytest.raises(UnknownOutcomeError):
+            await peers.ask_advice("b", call, 10.0)
+
+    curio.run(main)
+
+
 # Guards against calls on a connection that died in a partition: the next one has to use
 # a new one.
 def test_a_ping_without_an_answer_closes_an_idle_connection(unresponsive_address):
