Keep places for a blocked gang until it starts

Cause: a reservation did not last. Nor did it converge: its time moved with each late run, and runs of up to 1.5 s could use its workers at any time; a gang of 40 beside runs of 0.5 to 1.4 s was due in 0.4 to 1.0 s for 28 s. Tickets were asked for only when all tasks fitted at once, so one or two calls of 0.6 s came behind that, in which others used the room. On a busy pool the headroom kept a gang from its free places.

Ruled out: workers that are never named (the whole pool had been asked about within three calls); a single lapsed ticket was not seen to matter.

Now a blocked gang reserves places on permitted workers and keeps them from decision to decision until it starts. Places that are free are kept, others are given up for ones that are, and those on workers that are lost, drain or are ejected are replaced. Room is kept, not whole workers; other runs use it if twice their expected time fits before the places are expected to be free, and that time is not put off by late runs. Short urgent work and jobs that wait idle use it only where nothing else is left. The tickets are renewed from one call before that time on, and while it is further off the rest of the pool is asked about. The wait is bounded by the calls that name the pool, the longest run on the places and one more call. The first gang may reserve all that it needs, further ones of its priority up to a quarter of the pool in all.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -18,15 +18,22 @@
 from .model import JobState
 from .ordering import Rank, order_key
 from .packing import (
+    MAX_ADVISED_WORKERS,
+    MIN_ASKED_WORKERS,
+    PERMITTED_FACTOR,
     SHORT_RUN_S,
     HeldRoom,
     Hold,
+    Reservation,
     by_free_cores,
+    by_suitability,
     choose_advised,
+    covering,
     make_candidates,
     n_fitting_tasks,
     place_gang,
     reserve,
+    reserve_places,
     soonest_places,
 )
 
@@ -36,7 +43,7 @@
     from ..model import Resources
     from .fleet import Worker
     from .lateness import Outlook
-    from .model import Queue, TaskKey
+    from .model import AdviceTerms, Queue, TaskKey
     from .packing import Candidates
     from .placer import Placer
     from .progress import Progress, StepRun
@@ -45,8 +52,8 @@
 # turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
 N_TURNS_PER_DECISION = 50
-# Blocked steps with a reservation at a time; without one, steps that need many workers
-# would starve.
+# Blocked steps other than gangs with a reservation at a time; without one, steps that
+# need many workers would starve.
 MAX_RESERVATIONS = 2
 # Tasks covered by the reservation of a step that is not a gang: they can start one by
 # one.
@@ -57,6 +64,12 @@
 # Share of a pool's cores that may be kept for lasting tasks, though room for one task
 # always may: batches go on when many workers are lost.
 MAX_HELD_FRACTION = 0.25
+# Share of a pool's cores that may be kept for gangs of the same or a higher priority,
+# though one gang always may have all that it needs.
+MAX_RESERVED_FRACTION = 0.25
+# Places of gangs that are expected to be free within this time are deducted from the
+# room beside the headroom; before that, short runs may use them.
+RESERVED_AHEAD_S = BACKFILL_FACTOR * SHORT_RUN_S
 # Steps for which room is kept in one decision, those with the earliest start first; it
 # bounds the time of a decision after the loss of many workers.
 MAX_HELD_STEPS = 50
@@ -122,6 +135,7 @@
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
     chosen = _take_turns(placer, [row[1].name for row in rows])
+    chosen.update(placer.reservations)  # their places may be free now
     return [row[1:] for row in rows if row[1].name in chosen]
 
 
@@ -163,6 +177,7 @@
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
     hold_room(placer, waiting, pools, now)
+    _deduct_reservations(placer, limits, now)
     busy = {name for name, pool in pools.items() if _is_busy(pool)}
     patient = False
     for step_run, queue, run_times in waiting:
@@ -174,12 +189,12 @@
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
-        workers = eligible_workers(placer, step_run, pool, run_s, now)
-        held = {}
-        if queue.pool in busy or not _waits_idle(placer, step_run, wall):
-            held = _room_held_from(placer, step_run, queue, run_s, now)
-        if held and not restarts:
-            workers = _with_unheld_room(step_run, workers, held)
+        expected_s = 0.0 if step_run.name in placer.reservations else run_s
+        workers = eligible_workers(placer, step_run, pool, expected_s, now)
+        idle = queue.pool not in busy and _waits_idle(placer, step_run, wall)
+        rooms = _kept_rooms(placer, step_run, queue, run_s, idle=idle, now=now)
+        if rooms[-1] and not restarts:
+            workers = _with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
         advised, call = advise(
             placer,
@@ -191,6 +206,7 @@
             n_wanted=n_startable,
             valid_at=now,
             rank=_waiting_rank(step_run, queue),
+            pool=pool,
         )
         if call is not None:
             calls.append(call)
@@ -201,16 +217,19 @@
             outlook,
             now=now,
             core_limit=limits.get(queue.name),
-            held=held,
+            rooms=rooms,
         )
         placements.extend(placed)
         if step_run.step.long_running:
             _note_wait(placer, step_run, queue, workers, now=now)
-        if placed or n_reservations >= MAX_RESERVATIONS or not advised:
+        if placed:
             continue
-        n_reservations += _reserve_room(
-            placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
-        )
+        if step_run.step.gang:
+            _reserve_for_gang(placer, step_run, pool, limits.get(queue.name), now=now)
+        elif advised and n_reservations < MAX_RESERVATIONS:
+            n_reservations += _reserve_room(
+                placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
+            )
     calls.extend(_advise_lost_runs(placer, pools, now, wall))
     calls.extend(_prefetch_advice(placer, pools, now, wall))
     return placements, calls
@@ -226,7 +245,7 @@
     run_s: float,
     now: float,
 ) -> bool:
-    """Reserve capacity for a blocked step; return whether it counts as a reservation.
+    """Reserve workers for a blocked step; return whether it counts as a reservation.
 
     Parameters
     ----------
@@ -234,17 +253,19 @@
         Workers of the pool that may run the step.
     """
     step = step_run.step
-    n_tasks = n_startable if step.gang else min(n_startable, MAX_RESERVED_TASKS)
-    if step.long_running and not step.gang:
+    n_tasks = min(n_startable, MAX_RESERVED_TASKS)
+    if step.long_running:
         # For restarts room is kept already.
         if _is_restart(step_run) or any(item.fits(step.need) for item in workers):
             return False
         n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
         _hold_places(placer, step_run, workers, n_tasks, at=now, now=now)
         return True
-    if not step.gang and run_s <= SHORT_RUN_S:
+    if run_s <= SHORT_RUN_S:
         return False
-    reserved = reserve(step, workers, n_tasks, now, placer.held)
+    reserved = reserve(
+        step, workers, n_tasks, now, _sum_holds(placer.held, placer.reserved_room)
+    )
     for worker_id, at in reserved.items():
         placer.reserved[worker_id] = min(at, placer.reserved.get(worker_id, math.inf))
     return True
@@ -312,6 +333,142 @@
             advice = placer.advice.for_step(step_run.name)
             workers = [item for item in workers if advice.permits(item.worker_id)]
         _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
+    _renew_reservations(placer, pools, now)
+
+
+def _renew_reservations(
+    placer: Placer, pools: dict[str, list[Worker]], now: float
+) -> None:
+    """Keep the places of gangs; replace those that can no longer be used."""
+    for name, reservation in list(placer.reservations.items()):
+        step_run = reservation.step_run
+        progress = placer.jobs.get(step_run.job.job_id)
+        wanted = (
+            progress is not None
+            and not progress.cancelled
+            and progress.state is not JobState.FAILED
+            and progress.n_startable(step_run) >= step_run.step.n_tasks
+        )
+        pool = pools.get(reservation.pool, [])
+        if not (wanted and _choose_places(placer, reservation, pool, now)):
+            del placer.reservations[name]
+    placer.reserved_room = _reserved_rooms(placer)
+
+
+def _reserved_rooms(placer: Placer, without: str = "") -> dict[str, HeldRoom]:
+    """Return the room that is kept for gangs, by worker.
+
+    Parameters
+    ----------
+    without : str, optional
+        Step that is left out.
+    """
+    rooms: dict[str, HeldRoom] = {}
+    for name, reservation in placer.reservations.items():
+        if name == without:
+            continue
+        hold = Hold(reservation.step_run.step.need, reservation.at, name)
+        for worker_id, n_tasks in reservation.places.items():
+            if worker_id not in placer.workers:
+                continue
+            room = rooms.setdefault(worker_id, HeldRoom())
+            for _ in range(n_tasks):
+                room.add(hold)
+    return rooms
+
+
+def _reserve_for_gang(
+    placer: Placer,
+    step_run: StepRun,
+    pool: list[Worker],
+    core_limit: HeadroomLimit | None,
+    *,
+    now: float,
+) -> None:
+    """Keep places for a blocked gang until it starts.
+
+    They are kept from decision to decision, however urgent the steps are that come
+    later: what becomes free would never add up otherwise.
+    """
+    name, progress = step_run.name, placer.jobs[step_run.job.job_id]
+    queue = placer.queue_of(progress)
+    if queue is None or name in placer.reservations:
+        return
+    if progress.n_startable(step_run) < step_run.step.n_tasks:
+        return
+    reservation = Reservation(step_run, queue.pool, queue.priority, {}, now)
+    others = [
+        item.cores
+        for item in placer.reservations.values()
+        if item.pool == queue.pool and item.priority <= queue.priority
+    ]
+    capacity = sum(worker.entry.capacity.cores for worker in pool)
+    if others and sum(others) + reservation.cores > MAX_RESERVED_FRACTION * capacity:
+        return
+    if _choose_places(placer, reservation, pool, now):
+        placer.reservations[name] = reservation
+        placer.reserved_room = _reserved_rooms(placer)
+        if core_limit is not None:
+            _deduct_reservation(placer, reservation, core_limit, now)
+
+
+def _choose_places(
+    placer: Placer, reservation: Reservation, pool: list[Worker], now: float
+) -> bool:
+    """Choose the places of a gang anew; return whether it will fit."""
+    step_run = reservation.step_run
+    workers = eligible_workers(placer, step_run, pool, 0.0, now)
+    queue = placer.queue_of(placer.jobs[step_run.job.job_id])
+    if queue is not None and queue.advice is not None:
+        advice = placer.advice.for_step(step_run.name)
+        workers = [item for item in workers if advice.permits(item.worker_id)]
+    earlier = reservation if reservation.places else None
+    held = _sum_holds(placer.held, _reserved_rooms(placer, step_run.name))
+    chosen = reserve_places(step_run.step, workers, now, held=held, earlier=earlier)
+    if chosen is None:
+        return False
+    reservation.places, reservation.at = chosen
+    return True
+
+
+def _deduct_reservations(
+    placer: Placer, limits: dict[str, HeadroomLimit], now: float
+) -> None:
+    """Deduct the places of gangs from what other steps may use on fast workers."""
+    for queue in placer.table.queues.values():
+        limit = limits.get(queue.name)
+        if limit is None:
+            continue
+        for reservation in placer.reservations.values():
+            if reservation.pool == queue.pool and not limit.deducted:
+                _deduct_reservation(placer, reservation, limit, now)
+        limit.deducted = True
+
+
+def _deduct_reservation(
+    placer: Placer, reservation: Reservation, limit: HeadroomLimit, now: float
+) -> None:
+    if reservation.at - now > RESERVED_AHEAD_S:
+        return
+    for worker_id, n_tasks in reservation.places.items():
+        free = max(0.0, placer.workers[worker_id].free.cores)
+        limit.use_cores(
+            worker_id, min(free, n_tasks * reservation.step_run.step.need.cores)
+        )
+
+
+def _sum_holds(
+    first: dict[str, HeldRoom], second: dict[str, HeldRoom]
+) -> dict[str, HeldRoom]:
+    """Return all room that is kept, by worker."""
+    if not (first and second):
+        return first or second
+    rooms = first | second
+    for worker_id in first.keys() & second.keys():
+        room = rooms[worker_id] = HeldRoom()
+        for hold in first[worker_id].holds + second[worker_id].holds:
+            room.add(hold)
+    return rooms
 
 
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
@@ -382,7 +539,7 @@
 
     Short urgent work may use all of it, other work what it gives back in time.
     """
-    if not placer.held or (queue.priority == 0 and run_s <= SHORT_RUN_S):
+    if not placer.held or _is_short_urgent(queue, run_s):
         return {}
     if step_run.step.long_running:
         run_s = math.inf
@@ -394,6 +551,68 @@
     }
 
 
+def _room_reserved_from(
+    placer: Placer, step_run: StepRun, run_s: float, now: float
+) -> dict[str, Resources]:
+    """Return the room on workers that a step leaves to gangs."""
+    if not placer.reserved_room:
+        return {}
+    name = step_run.name
+    owner = name if name in placer.reservations else ""
+    if step_run.step.long_running:
+        run_s = math.inf
+    return {
+        worker_id: room.until(
+            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed,
+            owner,
+        )
+        for worker_id, room in placer.reserved_room.items()
+    }
+
+
+def _kept_rooms(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    run_s: float,
+    *,
+    idle: bool,
+    now: float,
+) -> list[dict[str, Resources]]:
+    """Return the room on workers that a step leaves to others, by attempt.
+
+    Short urgent work, and a job that waits idle, may use the places of gangs where
+    nothing else is left. Other gangs may not: they would starve one another.
+
+    Parameters
+    ----------
+    idle : bool
+        Whether the job waits idle while the pool is not busy.
+    """
+    held = {} if idle else _room_held_from(placer, step_run, queue, run_s, now)
+    reserved = _room_reserved_from(placer, step_run, run_s, now)
+    if not reserved:
+        return [held]
+    kept = _sum_rooms(held, reserved)
+    insists = idle or _is_short_urgent(queue, run_s)
+    return [kept, held] if insists and not step_run.step.gang else [kept]
+
+
+def _sum_rooms(
+    first: dict[str, Resources], second: dict[str, Resources]
+) -> dict[str, Resources]:
+    if not (first and second):
+        return first or second
+    total = dict(first)
+    for worker_id, room in second.items():
+        total[worker_id] = total[worker_id] + room if worker_id in total else room
+    return total
+
+
+def _is_short_urgent(queue: Queue, run_s: float) -> bool:
+    return queue.priority == 0 and run_s <= SHORT_RUN_S
+
+
 def _with_unheld_room(
     step_run: StepRun, workers: list[Worker], held: dict[str, Resources]
 ) -> list[Worker]:
@@ -624,6 +843,7 @@
     n_wanted: int,
     valid_at: float,
     rank: CallRank,
+    pool: list[Worker] | None = None,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that advice permits, and a call if they are not enough.
 
@@ -635,6 +855,9 @@
         When the tickets will be used.
     rank : CallRank
         Rank of the call if it can help to place a task now.
+    pool : list of Worker, optional
+        All workers of the pool. A gang asks about those without room as well, since it
+        may wait for room there.
     """
     if queue.advice is None:
         return workers, None
@@ -651,10 +874,25 @@
     ]
     if n_fitting_tasks(step, with_ticket) >= n_wanted:
         return permitted, None
-    unasked = [item for item in workers if item.worker_id not in advice.asked]
-    named = choose_advised(
-        step, n_wanted, fitting, unasked, with_ticket, outlook=outlook
-    )
+    askable = workers
+    if step.gang and pool is not None:
+        askable = eligible_workers(placer, step_run, pool, 0.0, now)
+    unasked = [item for item in askable if item.worker_id not in advice.asked]
+    reservation = placer.reservations.get(step_run.name)
+    if reservation is None:
+        named = choose_advised(
+            step, n_wanted, fitting, unasked, with_ticket, outlook=outlook
+        )
+    else:
+        named = _advised_for_reservation(
+            placer,
+            reservation,
+            queue.advice,
+            fitting,
+            unasked,
+            outlook=outlook,
+            now=now,
+        )
     if not named and permitted and not with_ticket and not step.gang:
         # No task fits now. With a few valid tickets at hand, a task can start as soon
         # as capacity becomes free.
@@ -674,6 +912,49 @@
     return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
 
 
+def _advised_for_reservation(
+    placer: Placer,
+    reservation: Reservation,
+    terms: AdviceTerms,
+    fitting: list[Worker],
+    unasked: list[Worker],
+    *,
+    outlook: Outlook,
+    now: float,
+) -> list[Worker]:
+    """Return the workers to name for a gang for which places are kept.
+
+    Its tickets are at hand from when all places are expected to be free until it
+    starts. Before that it asks about the workers that no call has named.
+
+    Parameters
+    ----------
+    fitting : list of Worker
+        Permitted workers with room for a task now; some are named as well, since a
+        place may be replaced.
+    """
+    step_run = reservation.step_run
+    step, advice = step_run.step, placer.advice.for_step(step_run.name)
+    ranked = by_suitability(step, step.n_tasks, fitting, outlook)
+    spare = covering(step, step.n_tasks * PERMITTED_FACTOR, ranked)
+    names = dict.fromkeys([*reservation.places, *(item.worker_id for item in spare)])
+    named = [placer.workers[name] for name in names][:MAX_ADVISED_WORKERS]
+    cost_s = terms.decide_s + terms.per_worker_s * len(named)
+    ahead_s = cost_s + MAX_DECISION_PAUSE_S
+    if reservation.at - now > ahead_s:
+        if len(unasked) < MIN_ASKED_WORKERS:
+            return []
+        return by_suitability(step, step.n_tasks, unasked, outlook)[
+            :MAX_ADVISED_WORKERS
+        ]
+    valid_at = max(reservation.at, now + ahead_s)
+    kept = all(
+        advice.ticket(name, placer.workers[name].entry.incarnation, valid_at)
+        for name in reservation.places
+    )
+    return [] if kept else named
+
+
 def step_candidates(
     placer: Placer,
     step_run: StepRun,
@@ -714,8 +995,10 @@
         if not worker.n_suspects
         or not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
     ]
-    if core_limit is not None and step_run.step.gang and not core_limit.busy:
-        core_limit = None
+    if core_limit is not None and step_run.step.gang:
+        # The limit of the others leaves it the places that are kept for it.
+        limited = core_limit.busy and step_run.name not in placer.reservations
+        core_limit = core_limit if limited else None
     candidates = make_candidates(
         step_run.step,
         workers,
@@ -736,15 +1019,24 @@
     *,
     now: float,
     core_limit: HeadroomLimit | None,
-    held: dict[str, Resources],
+    rooms: list[dict[str, Resources]],
 ) -> list[Placement]:
-    """Assign waiting tasks of a step, those that last and were interrupted first."""
-    waiting = list(step_run.waiting())
+    """Assign waiting tasks of a step, those that last and were interrupted first.
+
+    Parameters
+    ----------
+    rooms : list of dict
+        Room on workers that the step leaves to others: in the first attempt, and in a
+        second one for tasks that found no place.
+    """
     lasts = step_run.step.long_running and not step_run.step.gang
-    restarts = [index for index in waiting if lasts and step_run.tasks[index].run]
-    others = [index for index in waiting if not (lasts and step_run.tasks[index].run)]
     placed = []
-    for indexes in (restarts, others):
+    for held, restart in [(held, again) for held in rooms for again in (True, False)]:
+        indexes = [
+            index
+            for index in step_run.waiting()
+            if (lasts and step_run.tasks[index].run > 0) is restart
+        ]
         if not indexes:
             continue
         candidates = step_candidates(
@@ -755,7 +1047,7 @@
             now=now,
             core_limit=core_limit,
             valid_at=now,
-            restart=indexes is restarts,
+            restart=restart,
             held=held,
         )
         if candidates.workers:
@@ -780,6 +1072,8 @@
         return []
     run = max(task.run for task in step_run.tasks) + 1
     checkpoint = max(task.checkpoint for task in step_run.tasks)
+    if placer.reservations.pop(step_run.name, None) is not None:
+        placer.reserved_room = _reserved_rooms(placer)
     for task in step_run.tasks:
         progress.store_checkpoint(task, checkpoint)
     return [
--- a/cuminhill/jobs/headroom.py
+++ b/cuminhill/jobs/headroom.py
@@ -76,11 +76,14 @@
         Cores that lower-priority steps may still use on the fast workers.
     busy : bool
         Whether so much of the fast workers is in use that the limit applies to gangs.
+    deducted : bool
+        Whether the places kept for gangs have been deducted.
     """
 
     fast: set[str] = field(default_factory=set)
     cores: float = math.inf
     busy: bool = False
+    deducted: bool = False
 
     def allows(self, worker_id: str, cores: float) -> bool:
         """Return whether a task of a lower-priority step may run on a worker."""
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -18,6 +18,7 @@
     from .fleet import Slot, Worker
     from .lateness import Outlook
     from .model import Step
+    from .progress import StepRun
 
 # Weight of how full a worker is in its score; a result in time weighs 1.
 FIT_WEIGHT = 0.05
@@ -235,10 +236,13 @@
     ----------
     at : float, seconds
         Time at which the task is expected to start.
+    owner : str
+        Name of the step if it is a gang.
     """
 
     need: Resources
     at: float
+    owner: str = ""
 
 
 @dataclass(eq=False, slots=True)
@@ -265,19 +269,135 @@
         self.first_at = min(self.first_at, hold.at)
         self.last_at = max(self.last_at, hold.at)
 
-    def until(self, ends_at: float) -> Resources:
-        """Return the room that a run has to leave if it ends at a time."""
+    def until(self, ends_at: float, owner: str = "") -> Resources:
+        """Return the room that a run has to leave if it ends at a time.
+
+        Parameters
+        ----------
+        owner : str, optional
+            Step of the run; what is kept for that gang is not counted.
+        """
         if ends_at <= self.first_at:
             return NO_RESOURCES
-        if ends_at > self.last_at:
+        if ends_at > self.last_at and not owner:
             return self.total
         held = NO_RESOURCES
         for hold in self.holds:
-            if hold.at < ends_at:
+            if hold.at < ends_at and not (owner and hold.owner == owner):
                 held = held + hold.need
         return held
 
 
+@dataclass(eq=False, slots=True)
+class Reservation:
+    """Places on permitted workers that are kept for a gang until all are free.
+
+    Parameters
+    ----------
+    places : dict of str to int
+        Number of tasks by worker.
+    at : float, seconds
+        When all places are expected to be free. It is put off only if a place is lost,
+        so that runs which use the room in the meantime end by then.
+    """
+
+    step_run: StepRun
+    pool: str
+    priority: int
+    places: dict[str, int]
+    at: float
+
+    @property
+    def cores(self) -> float:
+        """Cores of all places."""
+        step = self.step_run.step
+        return step.n_tasks * step.need.cores
+
+
+def reserve_places(
+    step: Step,
+    workers: Iterable[Worker],
+    now: float,
+    *,
+    held: Mapping[str, HeldRoom],
+    earlier: Reservation | None = None,
+) -> tuple[dict[str, int], float] | None:
+    """Return the places to keep for a gang, and when all are expected to be free.
+
+    Places that are free are preferred, then those that were kept before, so that what
+    becomes free adds up. The others are those that are expected to be free soonest.
+
+    Parameters
+    ----------
+    workers : iterable of Worker
+        Workers that may run the gang.
+    held : mapping of str to HeldRoom
+        Room that is kept for other tasks, by worker.
+    earlier : Reservation, optional
+        Places that have been kept for the gang so far.
+
+    Returns
+    -------
+    places : (dict of str to int, float) or None
+        Number of tasks by worker and a time in seconds; None if the tasks will not fit.
+    """
+    before = earlier.places if earlier is not None else {}
+    rooms = {worker.worker_id: _Room(step, worker, held) for worker in workers}
+    kept = [name for name in before if name in rooms]
+    by_room = sorted(rooms, key=lambda name: -rooms[name].free.cores)
+    free = [(name, min(before[name], rooms[name].n_now)) for name in kept]
+    free += [(name, rooms[name].n_now) for name in by_room]
+    places: dict[str, int] = {}
+    for name, n_fitting in free:
+        _take(places, step.n_tasks, name, n_fitting)
+    if sum(places.values()) == step.n_tasks:
+        return places, now
+    later = [
+        (at, name, n_fitting)
+        for name in by_room
+        for at, n_fitting in rooms[name].expected(now)
+    ]
+    later.sort(key=lambda row: row[0])
+    soonest = [(at, name, min(n, before.get(name, 0))) for at, name, n in later]
+    due = now
+    for at, name, n_fitting in soonest:
+        if _take(places, step.n_tasks, name, n_fitting):
+            due = max(due, at)
+    if earlier is not None and sum(places.values()) == step.n_tasks:
+        return places, min(earlier.at, due)
+    for at, name, n_fitting in later:
+        if _take(places, step.n_tasks, name, n_fitting):
+            due = max(due, at)
+    return (places, due) if sum(places.values()) == step.n_tasks else None
+
+
+def _take(places: dict[str, int], n_tasks: int, name: str, n_fitting: int) -> bool:
+    """Take more places on a worker up to a number; return whether there were any."""
+    n_here = places.get(name, 0)
+    n_more = min(n_fitting - n_here, n_tasks - sum(places.values()))
+    if n_more <= 0:
+        return False
+    places[name] = n_here + n_more
+    return True
+
+
+class _Room:
+    """Room on one worker that is not kept for other tasks."""
+
+    def __init__(
+        self, step: Step, worker: Worker, held: Mapping[str, HeldRoom]
+    ) -> None:
+        self.step, self.worker, self.free = step, worker, worker.free
+        if worker.worker_id in held:
+            self.free = self.free - held[worker.worker_id].total
+        self.limit = step.max_per_worker or math.inf
+        self.n_now = int(min(self.limit, _n_fitting(step.need, self.free)))
+
+    def expected(self, now: float) -> Iterator[tuple[float, int]]:
+        """Yield the times at which more tasks will fit, and how many."""
+        return _expected_room(self.step, self.worker, now, self.free, self.limit)
+
+
 def reserve(
     step: Step,
     workers: Iterable[Worker],
@@ -457,11 +577,11 @@
         Chance that the job ends in time.
     """
     ranked = by_suitability(step, n_wanted, permitted, outlook)
-    named = _covering(step, n_wanted * PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS)
+    named = covering(step, n_wanted * PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS)
     if n_fitting_tasks(step, named) < n_wanted and unasked:
         rest = n_wanted * UNASKED_FACTOR
         suitable = by_suitability(step, n_wanted, unasked, outlook)
-        asked = _covering(step, rest, suitable, MIN_ASKED_WORKERS)
+        asked = covering(step, rest, suitable, MIN_ASKED_WORKERS)
         return (named + asked)[:MAX_ADVISED_WORKERS]
     if len(named) <= len(with_ticket) or (
         step.gang and n_fitting_tasks(step, named) < n_wanted
@@ -470,7 +590,7 @@
     return named[:MAX_ADVISED_WORKERS]
 
 
-def _covering(
+def covering(
     step: Step, n_needed: float, workers: list[Worker], at_least: int = 0
 ) -> list[Worker]:
     """Return the first workers that together have capacity for some tasks."""
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -52,7 +52,7 @@
         WorkerEntry,
         WorkerReport,
     )
-    from .packing import HeldRoom
+    from .packing import HeldRoom, Reservation
     from .progress import Progress, StepRun, TaskState
 
 logger = structlog.get_logger(__name__)
@@ -126,13 +126,17 @@
     calls_since : float, seconds
         Since when workers are called; 0 if since the term began.
     reserved : dict of str to float
-        Workers reserved for blocked steps in the newest decision, with the times in
-        seconds at which these are expected to start there.
+        Workers reserved for blocked steps other than gangs in the newest decision, with
+        the times in seconds at which these are expected to start there.
     left_out : dict of str to None
         Names of waiting steps that the newest decision did not consider, those that
         have waited for their turn for longest first.
     held : dict
         Room that the newest decision keeps for lasting tasks, by worker.
+    reservations : dict of str to Reservation
+        Places that are kept for gangs, by the names of their steps; the oldest first.
+    reserved_room : dict
+        Room of these places in the newest decision, by worker.
     headroom : dict
         Headroom for urgent work, by pool.
     mean_pace : dict
@@ -169,6 +173,8 @@
     reserved: dict[str, float] = field(default_factory=dict)
     left_out: dict[str, None] = field(default_factory=dict)
     held: dict[str, HeldRoom] = field(default_factory=dict)
+    reservations: dict[str, Reservation] = field(default_factory=dict)
+    reserved_room: dict[str, HeldRoom] = field(default_factory=dict)
     headroom: dict[str, Headroom] = field(default_factory=dict)
     mean_pace: dict[str, float] = field(default_factory=dict)
     inherited: InheritedLeases = NO_INHERITED_LEASES
--- a/tests/jobs/test_gang_waits.py
+++ b/tests/jobs/test_gang_waits.py
@@ -15,7 +15,9 @@
 import pytest
 
 from cuminhill.jobs.advice import Adviser, find_adviser
+from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.model import AdviceTerms, EndKind
+from cuminhill.jobs.packing import MAX_ADVISED_WORKERS
 
 from .builders import (
     BEGUN_AT,
@@ -30,6 +32,7 @@
     mark_started,
     running_row,
     submit,
+    task_key,
 )
 
 NOW = BEGUN_AT
@@ -41,6 +44,7 @@
 URGENT_TERMS = AdviceTerms(decide_s=0.026, per_worker_s=0.00037, valid_s=2.5)
 URGENT = make_queue("u", priority=0, stretch=1.5, target_s=0.25, advice=URGENT_TERMS)
 PATIENT = make_queue("p", priority=2, stretch=2.2, target_s=1.2, advice=TERMS)
+CHECKS = make_queue("c", priority=0, stretch=1.5, target_s=0.25)
 FREE = make_queue("f", priority=2, stretch=2.2, target_s=1.2)
 
 
@@ -281,3 +285,169 @@
     begun_at = pool.now
     pool.run_until(begun_at + bound_s(20, 6.0))
     assert pool.started.get(name)
+
+
+# Places of one gang
+
+
+def fill(placer, worker_id, cores, run_time_s):
+    """Have a worker run some other task."""
+    key = task_key(int(worker_id[1:]), job_id="f" * 16)
+    slot = Slot(key, 1, make_step(1, cores).need, run_time_s)
+    slot.started_at = NOW
+    placer.workers[worker_id].add(slot)
+
+
+def make_blocked_gang(n_tasks=2, cores=16.0, n_workers=3, run_s=(3.0, 4.0, 9.0)):
+    """Return a placer whose workers of 16 cores run something, and a waiting gang."""
+    placer = make_placer(CHECKS, FREE, n_workers=n_workers)
+    for worker_id, run_time_s in zip(placer.workers, run_s, strict=True):
+        fill(placer, worker_id, 12.0, run_time_s)
+    gang = make_step(n_tasks, cores, gang=True, run_time_s=4.0)
+    submit(placer, make_job(gang, queue="f", job_id="a" * 16))
+    assert placer.decide(NOW, WALL) == ([], [])
+    return placer, placer.reservations["a" * 16 + ".0.0"]
+
+
+# Guards against a gang that waits for a worker which takes no starts any more.
+@pytest.mark.parametrize("how", ["lost", "drains", "ejected", "registered anew"])
+def test_a_place_on_a_worker_that_is_gone_is_replaced(how):
+    placer, reservation = make_blocked_gang()
+    assert (reservation.places, reservation.at) == ({"w1": 1, "w2": 1}, NOW + 4.0)
+    if how == "lost":
+        placer.worker_unreachable("w2", NOW + 1)
+    elif how == "drains":
+        placer.register_worker(make_entry("w2", draining=True), NOW + 1)
+    elif how == "ejected":
+        placer.workers["w2"].health.ejected_until = NOW + 60.0
+    else:
+        placer.register_worker(make_entry("w2", incarnation=2), NOW + 1)
+    placer.decide(NOW + 1, WALL)
+    assert (reservation.places, reservation.at) == ({"w1": 1, "w3": 1}, NOW + 9.0)
+    # What becomes free first counts.
+    placer.workers["w3"].release(task_key(3, job_id="f" * 16), 1)
+    placer.workers["w1"].release(task_key(1, job_id="f" * 16), 1)
+    placements, _ = placer.decide(NOW + 2, WALL)
+    assert {item.worker_id for item in placements} == {"w1", "w3"}
+    assert not placer.reservations
+
+
+# Guards against workers that stay idle for a gang that can't fit any more, or was
+# cancelled.
+@pytest.mark.parametrize("cancelled", [True, False])
+def test_places_of_a_gang_that_will_not_start_are_given_up(cancelled):
+    placer, _ = make_blocked_gang()
+    if cancelled:
+        placer.cancel_job("a" * 16, NOW + 1)
+    else:
+        for worker_id in ("w2", "w3"):
+            placer.worker_unreachable(worker_id, NOW + 1)
+    long = make_step(1, cores=2.0, run_time_s=60.0)
+    submit(placer, make_job(long, queue="f", job_id="b" * 16))
+    placements, _ = placer.decide(NOW + 1, WALL)
+    assert [item.key.job_id for item in placements] == ["b" * 16]
+    assert not placer.reservations
+
+
+# Guards against a gang whose turn never comes, since the end that its places are
+# expected at moves with each run that is late, and other runs use them until then.
+def test_the_time_of_the_places_is_not_put_off_by_late_runs():
+    placer, reservation = make_blocked_gang()
+    placer.decide(NOW + 5, WALL)
+    assert (reservation.places, reservation.at) == ({"w1": 1, "w2": 1}, NOW + 4.0)
+    short = make_step(1, cores=4.0, run_time_s=0.5)
+    for number, queue in enumerate(("f", "c")):
+        submit(placer, make_job(short, queue=queue, job_id=f"{number:016x}"))
+    placer.workers["w3"].withheld = True
+    placements, _ = placer.decide(NOW + 5, WALL)
+    # Short urgent work still starts where nothing else is left.
+    assert [item.key.job_id for item in placements] == [f"{1:016x}"]
+
+
+# Guards against urgent work on the places of a gang although there is room elsewhere.
+def test_short_urgent_work_leaves_the_places_while_there_is_other_room():
+    placer, reservation = make_blocked_gang()
+    short = make_step(1, cores=4.0, run_time_s=0.5)
+    submit(placer, make_job(short, queue="c", job_id="b" * 16))
+    (run,), _ = placer.decide(NOW + 5, WALL)
+    assert run.worker_id == "w3" and "w3" not in reservation.places
+
+
+# Guards against a pool of which most is kept for gangs while other jobs wait: beside
+# the first gang only a part of the pool is kept.
+def test_gangs_keep_a_part_of_the_pool_but_the_first_one_all_that_it_needs():
+    run_s = [60.0] * 12
+    placer, reservation = make_blocked_gang(9, 16.0, n_workers=12, run_s=run_s)
+    assert len(reservation.places) == 9
+    small = make_step(3, 16.0, gang=True, run_time_s=4.0)
+    submit(placer, make_job(small, queue="f", job_id="b" * 16))
+    placer.decide(NOW, WALL)
+    assert list(placer.reservations.values()) == [reservation]
+    # An urgent gang does not wait for patient ones.
+    submit(placer, make_job(small, queue="c", job_id="c" * 16))
+    placer.decide(NOW, WALL)
+    assert [name[0] for name in placer.reservations] == ["a", "c"]
+
+
+# Guards against a call for advice after all places are free, in which others may use
+# them: the tickets are at hand by then.
+def test_tickets_are_renewed_before_the_places_are_expected_to_be_free():
+    placer = make_placer(PATIENT, n_workers=4)
+    for worker_id in placer.workers:
+        fill(placer, worker_id, 12.0, 6.0)
+    gang = make_step(2, 16.0, gang=True, run_time_s=4.0)
+    submit(placer, make_job(gang, queue="p", job_id="a" * 16))
+    (call,) = placer.decide(NOW, WALL)[1]
+    assert set(call.workers) == set(placer.workers)  # though none has room
+    advice = placer.advice.for_step(call.step)
+    permitted = ("w1", "w2", "w3")
+
+    def answer(call, at):
+        tickets = [(name, "t") for name in call.workers if name in permitted]
+        advice.store_answer(call.workers, tickets, at, TERMS.valid_s)
+
+    answer(call, NOW)
+    assert placer.decide(NOW + 3, WALL) == ([], [])
+    (reservation,) = placer.reservations.values()
+    ahead = NOW + 6.0 - call.cost_s - 0.2
+    (call,) = placer.decide(ahead, WALL)[1]
+    assert set(reservation.places) <= set(call.workers) <= set(permitted)
+    answer(call, ahead + call.cost_s)
+    for worker_id in reservation.places:
+        key = task_key(int(worker_id[1:]), job_id="f" * 16)
+        placer.workers[worker_id].release(key, 1)
+    placements, _ = placer.decide(NOW + 6, WALL)
+    assert {item.worker_id for item in placements} == set(reservation.places)
+
+
+# Guards against workers without room that a waiting gang does not ask about while its
+# places are a long time off.
+def test_a_gang_that_waits_asks_about_the_rest_of_the_pool():
+    placer = make_placer(PATIENT, n_workers=150)
+    for worker_id in placer.workers:
+        fill(placer, worker_id, 16.0, 20.0)
+    gang = make_step(4, 16.0, gang=True, run_time_s=4.0)
+    submit(placer, make_job(gang, queue="p", job_id="a" * 16))
+    (call,) = placer.decide(NOW, WALL)[1]
+    assert len(call.workers) == MAX_ADVISED_WORKERS
+    advice = placer.advice.for_step(call.step)
+    tickets = [(name, "t") for name in list(call.workers)[:33]]
+    advice.store_answer(call.workers, tickets, NOW + 1, TERMS.valid_s)
+    placer.decide(NOW + 1, WALL)
+    assert placer.reservations
+    (call,) = placer.decide(NOW + 1, WALL)[1]
+    assert set(call.workers) == set(placer.workers) - set(advice.asked)
+
+
+# Guards against a gang that waits beside its free places until all runs on fast workers
+# have left the headroom for urgent work.
+def test_a_gang_starts_on_its_places_though_the_headroom_is_used():
+    placer, reservation = make_blocked_gang(n_workers=8, run_s=[3.0] * 8)
+    placer.headroom["pool"].mean_cores = 1000.0
+    for worker_id in reservation.places:
+        key = task_key(int(worker_id[1:]), job_id="f" * 16)
+        placer.workers[worker_id].release(key, 1)
+    batch = make_step(1, 4.0, run_time_s=0.5)
+    submit(placer, make_job(batch, queue="f", job_id="b" * 16))
+    placements, _ = placer.decide(NOW + 3, WALL)
+    assert [item.key.job_id for item in placements] == ["a" * 16] * 2
