Count pings that overlap once

A ping counts only if it was sent after the last counted one had ended. The test failed before with a TaskError of the call for advice; the tests of peers pass.

--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Annotated, Any
 
@@ -101,7 +100,8 @@
     advice_queue: AdviceQueue = field(init=False)
     _placer_backoff_until: float = 0.0
     _contacted_at: dict[str, float] = field(default_factory=dict)
-    _failed_pings: Counter[str] = field(default_factory=Counter)
+    # Pings in a row without an answer, and when the newest of them was counted, by VM.
+    _failed_pings: dict[str, tuple[int, float]] = field(default_factory=dict)
     _clients: dict[str, RpcClient] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -302,21 +302,29 @@
 
     async def _call(self, vm: str, method: str, message: Any, wait_s: float) -> Any:
         client = self._client(vm)
+        sent_at = boottime()
         try:
             reply = await client.call(method, message, timeout_s=wait_s + REPLY_SLACK_S)
         except UnknownOutcomeError:
             # The connection may be dead; the next call opens a new one.
-            if method != "ping" or self._closes_after_ping(vm, client):
+            if method != "ping" or self._closes_after_ping(vm, client, sent_at):
                 await client.close()
             raise
         self._failed_pings.pop(vm, None)
         self._contacted_at[vm] = boottime()
         return reply
 
-    def _closes_after_ping(self, vm: str, client: RpcClient) -> bool:
-        """Count a ping without an answer; return whether to close its connection."""
-        self._failed_pings[vm] += 1
-        if self._failed_pings[vm] >= MAX_FAILED_PINGS:
+    def _closes_after_ping(self, vm: str, client: RpcClient, sent_at: float) -> bool:
+        """Count a ping without an answer; return whether to close its connection.
+
+        Pings under way at the same time count once: one moment of silence is no sign of
+        a dead connection.
+        """
+        n_failed, counted_at = self._failed_pings.get(vm, (0, 0.0))
+        if sent_at >= counted_at:
+            n_failed += 1
+            self._failed_pings[vm] = n_failed, boottime()
+        if n_failed >= MAX_FAILED_PINGS:
             return True
         return not client.has_calls_except("ping")
 
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -315,6 +315,37 @@
     curio.run(main)
 
 
+# Guards against pings under way at the same time that count as several in a row: one
+# moment of silence then ended a call for advice that was nearly answered.
+def test_concurrent_pings_without_an_answer_end_no_other_call():
+    async def advise(_):
+        await curio.sleep(PING_TIMEOUT_S + 0.3)
+        return idl.Reply(STATUS_OK, b'[["w","t"]]')
+
+    async def ping(_):
+        await curio.sleep(60.0)
+        return idl.Reply(STATUS_OK, b"")
+
+    async def main():
+        server = RpcServer({"advise": advise, "ping": ping})
+        await server.start("127.0.0.1", 0)
+        peers = make_peers(f"127.0.0.1:{server.port}")
+        peers._contacted_at["b"] = boottime()
+        call = AdviceCall("s", {"w": 1}, 0.1, 1.0)
+        first = await curio.spawn(peers.ask_advice, "b", call, 2.0)
+        await curio.sleep(0.05)
+        pings = [
+            await curio.spawn(peers.ping, "b") for _ in range(MAX_FAILED_PINGS + 1)
+        ]
+        for task in pings:
+            with pytest.raises(curio.TaskError):
+                await task.join()
+        assert (await first.join()).tickets == [("w", "t")]
+        await server.close()
+
+    curio.run(main)
+
+
 # Guards against a dead connection that calls without an answer keep open: a VM that is
 # back after a partition is then out of use until they time out.
 def test_pings_without_an_answer_close_a_connection_with_calls_under_way(
