--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -4,6 +4,7 @@
 
 import functools
 import random
+import socket
 import struct
 
 import curio
@@ -14,6 +15,7 @@
 from cuminhill import rpc
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.rpc import RpcClient, RpcLimits, RpcServer, decode, encode, idl
+from cuminhill.util.kernel import run_to_end
 from cuminhill.util.listener import Listener
 from cuminhill.util.thriftcheck import MAX_ELEMENTS
 
@@ -363,3 +365,34 @@
 def test_impossible_address_is_an_unavailable_peer(address):
     with pytest.raises(UnavailableError):
         curio.run(lookup, RpcClient(address), "any")
+
+
+def test_a_connection_closed_under_a_blocked_write_disturbs_no_other():
+    """Guards against calls of others that fail since they get the closed descriptor."""
+
+    async def write(client):
+        call = idl.AppendCall(b"x" * 900_000, 1.0)
+        with pytest.raises(UnknownOutcomeError):
+            await client.call("append", call, timeout_s=2.0)
+
+    async def scenario():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind((HOST, 0))
+        listener.listen()  # connections are made, but nothing is read from them
+        address = f"{HOST}:{listener.getsockname()[1]}"
+        client = RpcClient(address)
+        writers = [await curio.spawn(write, client) for _ in range(8)]
+        await curio.sleep(0.3)
+        number = client._sock.fileno()
+        await client.close()
+        other = RpcClient(address)
+        with pytest.raises(UnknownOutcomeError, match="TaskTimeout"):
+            await other.call("ping", idl.PingCall(), timeout_s=0.2)
+        assert number == other._sock.fileno()
+        for task in writers:
+            await task.join()
+        await other.close()
+        listener.close()
+
+    run_to_end(scenario)
