Close a connection between VMs only once no task writes to it

Callers of any other service could fail with curio's WriteResourceBusy, an error that nobody expects: a term ended with "task failed", or a call for advice stayed marked as under way, after a connection to a VM was closed.

Cause: the task that reads replies closes the socket when it ends or is cancelled (such as after two pings without an answer) while calls may be blocked in a write. curio keeps them registered for the number of the descriptor, and the next socket with that number can't be waited for until they time out. On the server, replies that were blocked when the peer went away stayed so for good: its connection was no longer swept.

The stream now shuts the socket down, which wakes the writers, and closes it under the write lock. Other sockets are used by one task each (util/http_client.py, the HTTP listener).

--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import struct
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -183,6 +185,18 @@
                 raise
         self._counters.n_sent_bytes += len(data) + _LENGTH.size
 
+    async def close(self) -> None:
+        """Close the socket once no task is blocked in a write to it.
+
+        A task that is left would still be registered for the descriptor, and the next
+        socket with the same one could not be waited for.
+        """
+        self.broken = True
+        with contextlib.suppress(OSError):  # the peer may have closed it
+            await self._sock.shutdown(socket.SHUT_RDWR)  # wakes the task
+        async with self._write_lock:
+            await self._sock.close()
+
     async def read(self) -> Any:
         """Return the next envelope, or None at the end of the stream.
 
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -118,6 +118,7 @@
             pass  # the peer disconnected; its client reports the lost reply
         finally:
             self._served.discard(served)
+            await stream.close()
 
     async def _start_call(self, served: _ServedConnection, envelope: Any) -> None:
         """Start a call once fewer than ``max_calls`` are in progress."""
@@ -400,11 +401,9 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         self._stream = FrameStream(self._sock, self.address, self.counters, self.limits)
-        self._reader = await curio.spawn(
-            self._read_replies, self._sock, self._stream, daemon=True
-        )
+        self._reader = await curio.spawn(self._read_replies, self._stream, daemon=True)
 
-    async def _read_replies(self, sock: Any, stream: FrameStream) -> None:
+    async def _read_replies(self, stream: FrameStream) -> None:
         try:
             while (envelope := await stream.read()) is not None:
                 pending = self._pending.get(envelope.call_id)
@@ -421,7 +420,7 @@
             for pending in list(self._pending.values()):
                 if pending.stream is stream:
                     await pending.event.set()
-            await sock.close()
+            await stream.close()
 
 
 __all__ = [
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -396,3 +396,21 @@
         listener.close()
 
     run_to_end(scenario)
+
+
+@with_server(RpcLimits(write_timeout_s=30.0))
+async def test_replies_to_a_peer_that_is_gone_do_not_stay_blocked(server, handlers):
+    """Guards against tasks that write to a closed connection without an end."""
+    sock = await curio.open_connection(HOST, server.port)
+    call = frame("lookup", encode(idl.LookupCall("big", 0.0)))
+    await sock.sendall(call * 200)
+    while not any(item.writers for item in server._served):
+        await curio.sleep(0.01)
+    await curio.sleep(0.2)  # until one of them is blocked
+    served = next(item for item in server._served if item.writers)
+    assert not server.counters.n_failed_calls
+    await sock.shutdown(socket.SHUT_WR)
+    while server.n_connections != 1 or served.n_calls:
+        await curio.sleep(0.01)
+    assert not served.writers
+    await sock.close()
