Renew a worker that registers again while its connections are closed

A worker that deregisters, is dropped and registers again while the placer closes the connections to its earlier address was not called until any other registration changed: the ending task of the worker was still listed, so no new one was started, and it was taken off the list afterwards. Nothing starts on such a worker, and leases that it still holds lapse.

The task now leaves the list before it waits.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -552,7 +552,6 @@
         while not self.ended:
             worker = self.placer.workers.get(worker_id)
             if worker is None:
-                await self._disconnect(address)
                 break
             address = worker.entry.address
             if not self.lease_s(boottime()):
@@ -560,10 +559,13 @@
                 continue
             if not await self._renew_once(worker):
                 await curio.sleep(RENEW_RETRY_S)
+        # First, since the worker gets a new task if it registers again meanwhile.
         self._renewers.pop(worker_id, None)
         queue = self._send_queues.pop(worker_id, None)
         if queue is not None:
             await queue.put(None)
+        if not self.ended:
+            await self._disconnect(address)
 
     async def _disconnect(self, address: str) -> None:
         """Close the connections to an address unless another worker uses it."""
--- a/tests/jobs/test_stalled_steps.py
+++ b/tests/jobs/test_stalled_steps.py
@@ -95,6 +95,9 @@
             await disconnect(address)
 
         await cluster.wait_for(lambda: workers["w0"].reachable)
+        for worker_id in ("w1", "w2"):  # all have one address
+            cluster.remove_worker(worker_id)
+        await cluster.wait_for(lambda: len(workers) == 1)
         leadership.calls.disconnect = register_meanwhile
         cluster.remove_worker("w0")
         await cluster.wait_for(lambda: "w0" not in workers)
