Leave out a job that cannot be taken in, and place the others

A job whose progress the placer could not add kept out all that it was told of at the same time, for the rest of the term: their names are cleared from the list of changes before. At the begin of a term it kept each VM in turn from beginning one.

Such a job is now left out with a log line, as one is whose records can't be read. No job is known that cannot be added; the path was found by reading.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -269,8 +269,7 @@
         n_jobs = 0
         self.job_index.pop_changed()
         for progress in self.job_index.live():
-            self.placer.add_job(progress, now)
-            n_jobs += 1
+            n_jobs += self._take_in(progress, now)
         self.set_members(members)
         logger.info(
             "term begun",
@@ -516,9 +515,24 @@
                 continue
             progress = self.job_index.load(job_id)
             if progress is not None:
-                self.placer.add_job(progress, now)
+                self._take_in(progress, now)
         await self._wake.set()
 
+    def _take_in(self, progress: Progress, now: float) -> bool:
+        """Add a job to the placer; return whether that succeeded.
+
+        One that cannot be added must not keep the others from being placed, in this
+        term or, if it has been in the journal before, in each later one.
+        """
+        try:
+            self.placer.add_job(progress, now)
+        except Exception as exc:
+            job_id = progress.job.job_id
+            self.placer.jobs.pop(job_id, None)
+            logger.error("job not taken in", job=job_id, exc_info=exc)
+            return False
+        return True
+
     async def workers_changed(
         self, entries: Iterable[WorkerEntry], deregistered: Iterable[str]
     ) -> None:
--- a/tests/jobs/test_stalled_steps.py
+++ b/tests/jobs/test_stalled_steps.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cuminhill.jobs.model import AdviceTerms, JobState
+from cuminhill.jobs.placer import Placer
 from cuminhill.util.kernel import run_to_end
 
 from .builders import JOB_ID, make_job, make_queue, make_step
@@ -104,3 +105,32 @@
         await cluster.wait_for(lambda: "w0" in workers and workers["w0"].reachable)
 
     run_to_end(scenario)
+
+
+# Guards against VMs that claim one term after the other, each of which ends before it
+# has begun, for one job that cannot be taken in.
+def test_a_job_that_cannot_be_taken_in_keeps_no_term_from_beginning(
+    cluster, monkeypatch
+):
+    add_job = Placer.add_job
+
+    def fail_one(placer, progress, now):
+        if progress.job.job_id == JOB_ID:
+            raise KeyError("unexpected")
+        add_job(placer, progress, now)
+
+    async def scenario():
+        first = await begin(cluster)
+        for worker in cluster.workers.workers.values():
+            worker.run_time_s = 2.0
+        for job_id in (JOB_ID, OTHER_ID):
+            await cluster.submit(first, make_job(make_step(), job_id=job_id))
+        await cluster.wait_for(lambda: len(cluster.workers.history()) == 2)
+        monkeypatch.setattr(Placer, "add_job", fail_one)
+        second = await cluster.start_node("b")
+        await first.drain()
+        await cluster.wait_for(lambda: second.leadership is not None)
+        assert second.leadership.leader_record.term == 2
+        await cluster.wait_for(partial(is_completed, cluster, second, OTHER_ID))
+
+    run_to_end(scenario)
