Tell for how long a job has had no run, across terms

The record of progress now says how long a job has had no run (`idle`, a key that earlier builds ignore), and a job without a record counts from its acceptance. idle_s and idle_from are in "step waits", in the start that ends the time and in the dump; cuminhill_idle_seconds counts it. A start without effect does not end it, and a lost run counts from the silence of its worker. As with away_s, the time until a record was read is missing, and jobs at several times are left out.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -1245,6 +1245,7 @@
         waited_s=round(now - wait.since, 3),
         gang=step.gang,
         cores=step.need.cores,
+        **placer.jobs[step_run.job.job_id].idle_fields(now),
         **wait.cause.fields(),
     )
 
@@ -1297,6 +1298,7 @@
         {
             "step": step_run.name,
             **step_run.wait.fields(now),
+            **placer.jobs[step_run.job.job_id].idle_fields(now),
             **(step_run.wait.cause.fields() if step_run.wait.cause else {}),
         }
         for step_run in waiting[:MAX_DUMPED_STEPS]
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -525,6 +525,7 @@
         term or, if it has been in the journal before, in each later one.
         """
         try:
+            progress.begin_idle(now, time.time())
             self.placer.add_job(progress, now)
         except Exception as exc:
             job_id = progress.job.job_id
@@ -699,12 +700,17 @@
             fence=order.fencing_token,
             config=self.placer.table.version,
             **self._absence(progress, order.key, now),
+            **progress.idle_fields(now),
             **progress.step_run(order.key.occurrence, order.key.step).take_waited(),
         )
         task = progress.task(order.key)
         away = (task.away_since, task.given_up_at) if task else (0.0, 0.0)
         reply = await self.calls.start(order, START_TIMEOUT_S)
+        idle_since = progress.idle_since
         result = self.placer.handle_start_reply(order, reply, boottime())
+        if idle_since and not progress.idle_since:
+            idle_s = boottime() - idle_since
+            self.metrics.observe("idle_seconds", idle_s, queue=progress.job.queue)
         if result is StartResult.STARTED:
             self._observe_return(progress, order.key, *away)
         else:
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -158,6 +158,13 @@
         "task, if over a second, by the reason of most of it, in seconds.",
         ("reason",),
     ),
+    Metric(
+        "idle_seconds",
+        HISTOGRAM,
+        "Time from when a job was accepted, or its last run ended, to its next start, "
+        "across changes of the placer, in seconds.",
+        ("queue",),
+    ),
     Metric(
         "away_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -671,6 +671,7 @@
         if not self._is_current_run(worker, row.key, row.run):
             self.stop(worker, slot, "superseded", now)
             return
+        self.jobs[row.key.job_id].note_running()
         if slot.long_running:
             self.note_back(row.key)
         note_progress(self, slot, now)
@@ -733,6 +734,7 @@
             progress.store_checkpoint(task, checkpoint)
         progress.unassign(end.key)
         progress.note_away(end.key, now, now)
+        progress.note_idle(now, now)
         self.mark_dirty(progress)
         if end.kind is EndKind.DONE:
             self._handle_done(worker, progress, end.key, slot, now)
@@ -760,6 +762,7 @@
                 if task.worker:
                     progress.unassign(step_run.key(index))
                 progress.finish_task(step_run.key(index))
+            progress.note_idle(now, now)
         else:
             self._finish_task(worker, progress, key, slot, now)
         if progress.state is JobState.COMPLETED:
@@ -878,6 +881,8 @@
             progress.store_checkpoint(task, slot.checkpoint)
         progress.unassign(slot.key)
         self._note_away(worker, slot, progress, task, now)
+        was_present = slot.present_at or unseen
+        progress.note_idle(now, task.away_since if was_present else 0.0)
         self.mark_dirty(progress)
         if step.gang:
             self.stop_runs(progress, "gang", now, slot.key.step)
@@ -1033,6 +1038,9 @@
         if result is StartResult.STARTED:
             slot.mark_present(reply.clock_ms, now, worker.entry.incarnation)
             worker.heard_at = now
+            progress = self.jobs.get(order.key.job_id)
+            if progress is not None:
+                progress.note_running()
             return
         if result is StartResult.UNKNOWN:
             # The report for a renewal with a higher token shows whether the call took
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -34,7 +34,7 @@
 # Rows of a task without its checkpoint, its worker's name, and its rows of crashes and
 # of the time away or without progress.
 ROW_BYTES = 128
-MAX_AWAY_MS = 10_000_000  # bounds the row of an absence
+MAX_AWAY_MS = 10_000_000  # bounds an absence and the time without a run
 # A step with more tasks has those that are done as bits in place of a list.
 MAX_LISTED_TASKS = 500
 
@@ -233,6 +233,15 @@
         rejected the record for its length.
     read_at : float, seconds
         When the record from which it was decoded was read; 0 if that is not known.
+    idle_since : float, seconds
+        Since when the job has had no run, across terms; 0 while a run is known to be
+        present. The journal keeps how long ago that was.
+    idle_from : str
+        What that counts from: ``"accepted"``, ``"last run"``, ``"earlier term"``, or
+        ``"record read"`` for a record of an earlier build, which tells less.
+    ended_at : float, seconds
+        When the newest run ended, or its worker stopped answering; 0 if that is not
+        known.
     """
 
     job: Job
@@ -246,6 +255,9 @@
     n_checkpoint_bytes: int = 0
     max_open: int = MAX_RECORD_BYTES // ROW_BYTES
     read_at: float = 0.0
+    idle_since: float = 0.0
+    idle_from: str = ""
+    ended_at: float = 0.0
     # Results of `n_open` and `_max_bytes` until a task changes.
     _n_open: int | None = None
     _n_bytes: int | None = None
@@ -410,6 +422,51 @@
         task.away_since = task.given_up_at = 0.0
         return was_away and step_run.step.long_running
 
+    def begin_idle(self, now: float, wall: float) -> None:
+        """Count the time without a run from what is known when a term takes the job in.
+
+        Between the times of a scheduled job no task waits, so it is not counted for
+        these.
+
+        Parameters
+        ----------
+        wall : float, seconds
+            Wall-clock time.
+        """
+        if self.n_assigned or self.idle_since or self.job.n_times:
+            return
+        if self.step_runs:
+            self.idle_since, self.idle_from = self.read_at or now, "record read"
+            return
+        self.idle_since = now - max(0.0, wall - self.job.accepted_at)
+        self.idle_from = "accepted"
+
+    def note_idle(self, now: float, ended_at: float) -> None:
+        """Note that a run was released; the job is idle if it has no other one.
+
+        Parameters
+        ----------
+        ended_at : float, seconds
+            When it ended, or its worker stopped answering; 0 if it was never present.
+        """
+        self.ended_at = max(self.ended_at, ended_at)
+        if self.n_assigned or self.idle_since or self.job.n_times:
+            return
+        self.idle_since, self.idle_from = self.ended_at or now, "last run"
+
+    def note_running(self) -> None:
+        """Note that a run is known to be present."""
+        self.idle_since, self.idle_from, self.ended_at = 0.0, "", 0.0
+
+    def idle_fields(self, now: float) -> dict[str, Any]:
+        """Return the fields of log lines and dumps about the time without a run."""
+        if not self.idle_since:
+            return {}
+        return {
+            "idle_s": round(now - self.idle_since, 3),
+            "idle_from": self.idle_from,
+        }
+
     def finish_task(self, key: TaskKey) -> bool:
         """Mark an unassigned task as done; return whether its step is now done."""
         step_run = self.step_runs[key.occurrence, key.step]
@@ -444,8 +501,8 @@
     Parameters
     ----------
     now : float, seconds
-        From which on the record counts the absences of tasks that last; None leaves
-        them out.
+        From which on the record counts the absences of tasks that last and the time
+        without a run; None leaves them out.
     """
     if progress.is_over():
         ended = progress.state in {JobState.COMPLETED, JobState.FAILED}
@@ -474,13 +531,20 @@
             rows.append(row)
         if step_run.n_done or rows:
             steps.append([occurrence, number, done, rows])
-    data = {"state": progress.state, "workers": list(workers), "steps": steps}
+    data: dict[str, Any] = {
+        "state": progress.state,
+        "workers": list(workers),
+        "steps": steps,
+    }
     crashes = crash_rows(progress)
     if crashes:
         data["crashes"] = crashes  # a key of its own: older builds ignore it
     away = away_rows(progress, now) if now is not None else []
     if away:
         data["away"] = away
+    if now is not None and 0 < progress.idle_since <= now:
+        idle_ms = int((now - progress.idle_since) * 1000)
+        data["idle"] = min(MAX_AWAY_MS, idle_ms)
     still = _still_rows(progress)
     if still:
         data["still"] = still
@@ -619,6 +683,7 @@
     crashes: tuple[tuple[_Number, _Number, _Number, _Number, _Number], ...] = ()
     away: tuple[tuple[_Number, _Number, _Number, _Number], ...] = ()
     still: tuple[tuple[_Number, _Number, _Number, _Percent, _Seconds], ...] = ()
+    idle: _Number | None = None
 
 
 def decode_job_state(value: bytes) -> JobState:
@@ -644,8 +709,8 @@
     Parameters
     ----------
     read_at : float, seconds
-        When the record was read; absences in it count from then, later than they were
-        written. None leaves them out.
+        When the record was read; absences in it and the time without a run count from
+        then, later than they were written. None leaves them out.
 
     Raises
     ------
@@ -685,15 +750,23 @@
         task.n_crashes, task.n_start_crashes = counts
         task.start_exposure_s = math.inf if task.n_start_crashes else 0.0
     if read_at is not None:
-        for occurrence, number, index, away_ms in data.away:
-            task = progress.step_run(occurrence, number).tasks[index]
-            task.away_since = read_at - away_ms / 1000
+        _decode_times(progress, data, read_at)
     for occurrence, number, index, percent, still_s in data.still:
         task = progress.step_run(occurrence, number).tasks[index]
         task.still_percent, task.still_s = percent, still_s
     return progress
 
 
+def _decode_times(progress: Progress, data: _ProgressBody, read_at: float) -> None:
+    """Decode since when tasks that last are away, and the job has had no run."""
+    for occurrence, number, index, away_ms in data.away:
+        task = progress.step_run(occurrence, number).tasks[index]
+        task.away_since = read_at - away_ms / 1000
+    if data.idle is not None:
+        progress.idle_since = read_at - data.idle / 1000
+        progress.idle_from = "earlier term"
+
+
 def _check_unseen(progress: Progress, occurrence: int, number: int) -> None:
     if occurrence >= progress.job.n_occurrences:
         raise ProtocolError("unknown occurrence", step="progress")
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -190,6 +190,7 @@
     progress.unassign(key)
     since = task.away_since or silent_since(placer, life)
     progress.note_away(key, since, now)
+    progress.note_idle(now, since)
     placer.mark_dirty(progress)
     if progress.job.steps[key.step].gang:
         placer.stop_runs(progress, "gang", now, key.step)
--- a/tests/jobs/test_waits.py
+++ b/tests/jobs/test_waits.py
@@ -9,6 +9,7 @@
 from cuminhill.jobs.decisions import longest_waits, note_unconsidered
 from cuminhill.jobs.headroom import HeadroomLimit
 from cuminhill.jobs.model import AdviceTerms, EndKind, QueueTable
+from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
 from cuminhill.jobs.records import task_need
 from cuminhill.jobs.waitcauses import explain_wait
 from cuminhill.jobs.waits import WaitReason
@@ -24,6 +25,7 @@
     make_queue,
     make_step,
     mark_started,
+    running_row,
     submit,
 )
 
@@ -315,3 +317,102 @@
     (row,) = dump
     assert row["reason"] == "no_workers"
     assert b"step_wait_seconds_count" in text
+
+
+def end_of(placer, placement, number, at):
+    """Have a worker report that a run is done."""
+    now = NOW + at
+    answer_renewal(
+        placer, placement.worker_id, now, ended=(ended_row(placement, number),)
+    )
+
+
+def two_steps():
+    """Return a placer with a job whose second step can't be placed yet."""
+    placer = make_placer()
+    steps = make_step(2, cores=9.0), make_step(cores=TOO_MANY, after=(0,))
+    progress = submit(placer, make_job(*steps))
+    placed, _ = placer.decide(NOW, WALL)
+    mark_started(placer, placed)
+    for placement in placed:
+        row = running_row(placement)
+        answer_renewal(placer, placement.worker_id, NOW + 0.5, running=(row,))
+    return placer, progress, placed
+
+
+# Guards against a margin before the rule LOST breaks that is read from a wait which
+# began anew with the term: the step may wait for a second, its job for ten.
+def test_the_time_without_a_run_counts_across_terms():
+    placer, progress, placed = two_steps()
+    end_of(placer, placed[0], 1, 1.0)
+    assert not progress.idle_fields(NOW + 1)
+    end_of(placer, placed[1], 2, 2.0)
+    stored = encode_progress(progress, NOW + 3)
+    later = make_placer(term=2)
+    copy = decode_progress(progress.job, stored, NOW + 8)
+    later.add_job(copy, NOW + 8)
+    with capture_logs() as logs:
+        for at in (8.0, 9.5):
+            later.decide(NOW + at, WALL + at)
+    (row,) = [row for row in logs if row["event"] == "step waits"]
+    assert row["waited_s"] == 1.5
+    assert row["idle_s"] == pytest.approx(2.5, abs=0.01)  # from the reading on
+    assert row["idle_from"] == "earlier term"
+    (row,) = longest_waits(later, NOW + 10)
+    assert row["idle_s"] == pytest.approx(3.0, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("kind", "expected"),
+    [
+        ("new", (5.0, "accepted")),
+        ("earlier build", (2.0, "record read")),
+        ("running", None),
+        ("timed", None),
+    ],
+)
+def test_the_time_without_a_run_names_what_it_counts_from(kind, expected):
+    """Guards against jobs that seem to have been taken in as they were accepted."""
+    _, progress, placed = two_steps()
+    if kind != "running":
+        progress.unassign(placed[0].key)
+        progress.unassign(placed[1].key)
+    if kind == "new":
+        progress = Progress(progress.job)
+    elif kind == "timed":
+        progress = Progress(make_job(first_due_at=WALL, period_s=9.0, n_times=2))
+    else:
+        progress = decode_progress(progress.job, encode_progress(progress), NOW - 2.0)
+    progress.read_at = NOW - 2.0
+    progress.begin_idle(NOW, WALL + 5.0)
+    fields = progress.idle_fields(NOW)
+    assert tuple(fields.values()) == (expected or ())
+
+
+# Guards against starts without effect that seem to end the time without a run, and
+# against one that goes on although a run is present.
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_only_a_run_that_is_present_ends_the_time_without_one(is_sent):
+    placer = make_placer()
+    progress = submit(placer, make_job(make_step(cores=2.0)))
+    progress.begin_idle(NOW + 4, WALL + 4)
+    (placement,), _ = placer.decide(NOW + 4, WALL + 4)
+    if is_sent:
+        row = running_row(placement)
+        answer_renewal(placer, placement.worker_id, NOW + 5, running=(row,))
+        assert progress.idle_fields(NOW + 5) == {}
+    else:
+        placer.release_unsent(placement, "ticket lapsed", NOW + 5)
+        assert progress.idle_fields(NOW + 5)["idle_s"] == 5.0
+
+
+# Guards against a job that counts as idle only from when the lease of its last run has
+# lapsed, and not from when its worker went silent.
+def test_the_time_without_a_run_counts_from_the_silence_of_a_worker():
+    placer, progress, placed = two_steps()
+    end_of(placer, placed[0], 1, 1.0)
+    worker = placer.workers[placed[1].worker_id]
+    placer.worker_unreachable(worker.worker_id, NOW + 2.0)
+    placer.tick(max(worker.lapse_at, NOW + 2.0) + 0.1)
+    assert progress.idle_fields(NOW + 12.0)["idle_s"] >= 10.0
+    assert progress.idle_from == "last run"
