Report the longest wait of each play, and of it the time on an idle site

checks.idlewaits listed waits by their length, whether the site was full or idle, and a wait whose begin lay in an earlier term or among dropped lines was too short. It now counts from idle_s of the start, and ends with one line for each log: the longest wait, and the longest time on end with under half of the cores in use. Where lines were dropped, the shares are those that the placer's lines about the job tell.

One test is extended, since its output has a line for each log now; it checks the ten listed waits as before.

--- a/checks/idlewaits.py
+++ b/checks/idlewaits.py
@@ -9,6 +9,12 @@
 Between the times of a scheduled job, only the wait that a start tells counts. Where log
 lines were dropped, the start of a run may be missing: a wait is marked if it ends with
 a start or the newest line of its job says that a step waits, and left out otherwise.
+The time without a run that a start tells (`idle_s`) counts across terms, and may begin
+a wait earlier than the lines that were kept.
+
+For each log it ends with the longest wait, and the longest time within one for which
+under half of the cores were in use: a job that stands still so long at the end of a day
+while its tasks would fit breaks the promise that accepted work is done.
 """
 
 from __future__ import annotations
@@ -32,6 +38,8 @@
 LOG_ENDS = "log ends"
 # A process tells within this time that it has dropped lines.
 DROPS_TOLD_S = 1.0
+# Share of the cores below which a site counts as idle.
+HALF = 0.5
 RUN_ENDS = frozenset({"run ended", "run lost"})
 # Lines that show that a worker may be used.
 WORKER_PRESENT = frozenset({"worker registered", "worker reachable"})
@@ -55,6 +63,11 @@
         Why the placer started nothing, as its lines say.
     used : tuple of (float, float) or None
         Least and largest share of the cores of all workers in use meanwhile.
+    below_half_s : float or None, seconds
+        Longest time on end, in any wait of the job, for which under half of the cores
+        were in use: those of all workers or, where log lines were dropped before the
+        end of the wait, those of the pool as the placer's lines about it say. None if
+        none does.
     is_sure : bool
         Whether no log lines were dropped meanwhile.
     """
@@ -68,6 +81,7 @@
     needs: str = ""
     reasons: tuple[str, ...] = ()
     used: tuple[float, float] | None = None
+    below_half_s: float | None = None
     is_sure: bool = True
 
     @property
@@ -89,6 +103,12 @@
         shares = self.shares[first : bisect_left(self.times, ended_at)]
         return (min(shares), max(shares)) if shares else None
 
+    def rows(self, began_at: float, ended_at: float) -> list[tuple[float, float]]:
+        """Return the times in some time from which on a share counts, and the share."""
+        first = max(0, bisect_right(self.times, began_at) - 1)
+        last = bisect_left(self.times, ended_at)
+        return list(zip(self.times[first:last], self.shares[first:last], strict=True))
+
 
 def find_idle_waits(rows: Sequence[Row]) -> list[IdleWait]:
     """Return the longest wait of each job, the longest first."""
@@ -106,8 +126,12 @@
             if (item := _check_dropped(each, own, dropped)) is not None
         ]
         if waits:
+            waits = [_add_context(item, own, dropped, used) for item in waits]
             longest = max(waits, key=lambda item: item.length_s)
-            found.append(_add_context(longest, own, dropped, used))
+            below = [
+                item.below_half_s for item in waits if item.below_half_s is not None
+            ]
+            found.append(replace(longest, below_half_s=max(below, default=None)))
     return sorted(found, key=lambda item: -item.length_s)
 
 
@@ -133,6 +157,11 @@
         if row.event == "start":
             if is_timed and run[0] > newest and began_at is not None:
                 began_at = row.at - row.fields.get("step_waited_s", 0.0)
+            elif not running and "idle_s" in row.fields:
+                told_at = row.at - row.fields["idle_s"]
+                if began_at is None:
+                    began_with = row.fields.get("idle_from", "")
+                began_at = told_at if began_at is None else min(began_at, told_at)
             if began_at is not None:
                 step = f"{run[0]}.{run[1]}"
                 yield IdleWait(job, began_at, row.at, began_with, "start", step)
@@ -230,14 +259,51 @@
             reasons.append("in all " + ", ".join(f"{why} {s} s" for why, s in times))
     # After a drop, runs may be counted that have ended.
     is_known = not any(at <= item.ended_at for at in dropped)
+    shares = used.rows(item.began_at, item.ended_at) if is_known else _told_shares(own)
     return replace(
         item,
         needs=_needs(taken_in),
         reasons=tuple(reasons),
         used=used.between(item.began_at, item.ended_at) if is_known else None,
+        below_half_s=_longest_below_half(shares, item.began_at, item.ended_at),
     )
 
 
+def _told_shares(own: Sequence[Row]) -> list[tuple[float, float]]:
+    """Return the shares of a pool's cores in use that lines about waits tell."""
+    return [
+        (row.at, row.fields["used_share"])
+        for row in own
+        if row.event == "step waits" and row.fields.get("used_share") is not None
+    ]
+
+
+def _longest_below_half(
+    shares: Sequence[tuple[float, float]], began_at: float, ended_at: float
+) -> float | None:
+    """Return the longest time on end with a share under a half; None if none is known.
+
+    A share counts until the next one, and the first one from the begin of the wait on.
+    """
+    in_time = [(at, share) for at, share in shares if at < ended_at]
+    before = [row for row in in_time if row[0] <= began_at][-1:]
+    in_time = before + [row for row in in_time if row[0] > began_at]
+    if not in_time:
+        return None
+    longest_s = 0.0
+    since: float | None = None
+    for number, (at, share) in enumerate(in_time):
+        begins_at = at if number else began_at
+        if share >= HALF:
+            since = None
+            continue
+        since = begins_at if since is None else since
+        is_last = number + 1 == len(in_time)
+        until = ended_at if is_last else in_time[number + 1][0]
+        longest_s = max(longest_s, until - since)
+    return longest_s
+
+
 def _needs(taken_in: Row) -> str:
     fields = taken_in.fields
     rows = zip(
@@ -295,6 +361,8 @@
     ]
     if item.used is not None:
         parts.append(f"cores in use {item.used[0]:.0%} to {item.used[1]:.0%}")
+    if item.below_half_s is not None:
+        parts.append(f"under half of them for {item.below_half_s:.3f} s")
     if item.reasons:
         parts.append("waits " + "; ".join(item.reasons))
     if not item.is_sure:
@@ -302,6 +370,29 @@
     return "  ".join(parts)
 
 
+def format_summary(name: str, found: Sequence[IdleWait]) -> str:
+    """Return one line about the longest waits in the log of a name.
+
+    Parameters
+    ----------
+    found : sequence of IdleWait
+        Longest wait of each job, the longest first.
+    """
+    if not found:
+        return f"{name}: no jobs"
+    text = f"{name}: longest {found[0].length_s:.3f} s ({found[0].job})"
+    known = [item for item in found if item.below_half_s is not None]
+    if known:
+        worst = max(known, key=lambda item: item.below_half_s or 0.0)
+        text += (
+            f"; with under half of the cores in use {worst.below_half_s:.3f} s "
+            f"({worst.job})"
+        )
+    if len(known) < len(found):
+        text += f"; cores in use not known for {len(found) - len(known)} jobs"
+    return text
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Print the longest waits in logs of plays; return the exit code."""
     parser = argparse.ArgumentParser(prog="checks.idlewaits", description=__doc__)
@@ -309,12 +400,13 @@
     logs = read_logs("checks.idlewaits", parser.parse_args(argv).logs)
     if logs is None:
         return 2
-    found = [(name, item) for name, rows in logs for item in find_idle_waits(rows)]
+    by_name = [(name, find_idle_waits(rows)) for name, rows in logs]
+    found = [(name, item) for name, items in by_name for item in items]
     found.sort(key=lambda pair: -pair[1].length_s)
     for name, item in found[:N_LISTED]:
         print(format_idle_wait(name, item))
-    if not found:
-        print("no jobs")
+    for name, items in by_name:
+        print(format_summary(name, items))
     return 0
 
 
--- a/tests/checks/test_idlewaits.py
+++ b/tests/checks/test_idlewaits.py
@@ -187,8 +187,64 @@
         paths.append(str(path))
     assert main(paths) == 0
     lines = capsys.readouterr().out.splitlines()
-    assert [float(line.split()[0]) for line in lines] == [12.0 - n for n in range(10)]
+    listed, summaries = lines[:10], lines[10:]
+    assert [float(line.split()[0]) for line in listed] == [12.0 - n for n in range(10)]
     assert f"11.log  {JOB}  step 0.0" in lines[0]
+    assert len(summaries) == 12
+    assert "3.log: longest 4.000 s" in summaries[3]
     path.write_text("rules broken: LOST 1\n")
     assert main([str(path)]) == 2
     assert str(path) in capsys.readouterr().err
+
+
+# Guards against a wait that is shorter than the placer says, since the lines of its
+# begin were dropped or it began in an earlier term.
+@pytest.mark.parametrize("assigned", [0, 2])
+def test_a_start_tells_how_long_its_job_had_no_run_across_terms(assigned):
+    (item,) = waits(
+        (0.0, "started", {}),
+        taken_in(20.0, assigned=assigned),
+        run(26.0, "start", idle_s=9.5, idle_from="earlier term"),
+        run(26.1, "start", (0, 0, 1), idle_s=9.6, idle_from="earlier term"),
+        END,
+    )
+    assert (item.began_at, item.ended_at) == (16.5, 26.0)
+
+
+# Guards against a margin that is read from the length of a wait alone: a wait on a full
+# site keeps the promise, and a short one on an idle site is near to breaking it.
+def test_the_longest_time_with_under_half_of_the_cores_in_use_is_told(tmp_path, capsys):
+    other = "00000000000000bb"
+    rows = [
+        (0.0, "worker registered", {"worker": "w1", "cores": 10.0}),
+        taken_in(0.0, job=other),
+        run(0.5, "start", job=other),
+        taken_in(1.0),
+        run(3.0, "start", (0, 0, 1), job=other),
+        run(6.0, "run ended", (0, 0, 1), job=other, how="done"),
+        run(9.5, "start"),
+        END,
+    ]
+    (item, _) = waits(*rows)
+    assert (item.length_s, item.below_half_s) == (8.5, 3.5)
+    path = tmp_path / "play.log"
+    path.write_text("\n".join(log(*rows)))
+    assert main([str(path)]) == 0
+    summary = capsys.readouterr().out.splitlines()[-1]
+    assert f"longest 8.500 s ({JOB})" in summary
+    assert f"under half of the cores in use 3.500 s ({JOB})" in summary
+
+
+# Guards against a margin that is unknown in each play that drops lines, which all do.
+def test_the_placer_tells_the_cores_in_use_where_lines_were_dropped():
+    dropped = (2.0, "log lines dropped", {"count": 9})
+    rows = [taken_in(1.0), dropped, run(12.0, "start"), END]
+    (item,) = waits(*rows)
+    assert item.below_half_s is None
+    told = [
+        step_waits(3.0, "headroom", 2.0, used_share=0.4),
+        step_waits(5.0, "headroom", 4.0, used_share=0.7),
+        step_waits(8.0, "headroom", 7.0, used_share=0.1),
+    ]
+    (item,) = waits(*rows[:2], *told, *rows[2:])
+    assert (item.length_s, item.below_half_s) == (11.0, 4.0)
