--- a/tests/jobs/test_stalled_steps.py
+++ b/tests/jobs/test_stalled_steps.py
@@ -2,16 +2,43 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 
 import curio
 import pytest
-
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cuminhill.jobs.advice import (
+    MAX_ADVISER_QUEUE_S,
+    MAX_EXCLUDE_S,
+    MAX_PING_PAUSE_S,
+    Adviser,
+    CallRank,
+    find_adviser,
+    make_advice_call,
+    next_ping,
+)
 from cuminhill.jobs.model import AdviceTerms, JobState
 from cuminhill.jobs.placer import Placer
+from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.util.kernel import run_to_end
 
-from .builders import JOB_ID, make_job, make_queue, make_step
+from .builders import (
+    BEGUN_AT,
+    JOB_ID,
+    WALL,
+    answer_renewal,
+    ended_row,
+    make_entry,
+    make_job,
+    make_placer,
+    make_queue,
+    make_step,
+    mark_started,
+    submit,
+)
 
 ADVICE = AdviceTerms(decide_s=0.02, per_worker_s=0.0, valid_s=2.5)
 OTHER_ID = "00000000000000bb"
@@ -134,3 +161,77 @@
         await cluster.wait_for(partial(is_completed, cluster, second, OTHER_ID))
 
     run_to_end(scenario)
+
+
+# Guards against a second step without a turn in a term that begins before the end of
+# the first one is in the journal: the worker reports that end again.
+@pytest.mark.parametrize("gang", [False, True])
+def test_an_end_that_the_journal_has_not_taken_counts_in_the_next_term(gang):
+    steps = make_step(2, gang=gang), make_step(3, after=(0,))
+    earlier = make_placer()
+    progress = submit(earlier, make_job(*steps))
+    placed, _ = earlier.decide(BEGUN_AT, WALL)
+    mark_started(earlier, placed)
+    stored = encode_progress(progress, BEGUN_AT + 1)
+    ends = {}
+    for number, item in enumerate(placed, 1):
+        ends.setdefault(item.worker_id, []).append(ended_row(item, number))
+    for worker_id, rows in ends.items():
+        answer_renewal(earlier, worker_id, BEGUN_AT + 2, ended=tuple(rows))
+    assert progress.is_ready(0, 1, WALL)
+    later = Placer(2, BEGUN_AT + 3)
+    later.table = earlier.table
+    copy = decode_progress(progress.job, stored, BEGUN_AT + 2.5)
+    later.add_job(copy, BEGUN_AT + 3)
+    for worker_id in ("w1", "w2"):
+        later.register_worker(make_entry(worker_id), BEGUN_AT + 3)
+        rows = tuple(ends.get(worker_id, ()))
+        answer_renewal(later, worker_id, BEGUN_AT + 3, ended=rows)
+    started, _ = later.decide(BEGUN_AT + 3, WALL + 3)
+    assert [item.key.step for item in started] == [1, 1, 1]
+    assert copy.idle_fields(BEGUN_AT + 3)["idle_from"] == "last run"
+
+
+HISTORY = st.lists(
+    st.tuples(
+        st.integers(0, 5),
+        st.sampled_from(["answer", "refuse", "unsent", "unanswered", "ping", "silent"]),
+        st.floats(0.0, 1.0),
+    ),
+    max_size=60,
+)
+
+
+# Guards against calls that no VM gets although all of them answer, after whatever has
+# happened to earlier calls.
+@settings(max_examples=300, deadline=None)
+@given(HISTORY, st.sampled_from(list(CallRank)))
+def test_a_call_finds_a_vm_soon_after_all_answer_again(history, rank):
+    advisers = [Adviser(f"vm{number}", is_local=not number) for number in range(6)]
+    terms = AdviceTerms(decide_s=0.4, per_worker_s=0.005, valid_s=2.5)
+    call = make_advice_call("s", {f"w{number}": 1 for number in range(30)}, terms, rank)
+    now = BEGUN_AT
+    for number, event, passed_s in history:
+        now += passed_s
+        adviser = find_adviser(advisers, call, now) or advisers[number]
+        if event == "answer":
+            adviser.record_answer(now, passed_s)
+        elif event == "refuse":
+            adviser.record_refusal(now, passed_s)
+        elif event == "unsent":
+            adviser.record_failure(now, call.cost_s, passed_s)
+        elif event == "unanswered":
+            adviser.record_failure(now, lost_s=passed_s)
+        else:
+            adviser.begin_ping(now)
+            adviser.record_ping(now, answered=event == "ping")
+    # Each ping out is answered, and no call is under way any more.
+    give_up_at = now + MAX_EXCLUDE_S + MAX_PING_PAUSE_S + MAX_ADVISER_QUEUE_S
+    call = replace(call, failed_at=now)
+    while find_adviser(advisers, call, now) is None:
+        assert now < give_up_at
+        now += 0.05
+        adviser = next_ping(advisers, now)
+        if adviser is not None:
+            adviser.begin_ping(now)
+            adviser.record_ping(now + 0.01, answered=True)
