Replace a task of the placer or a VM that a time-out has ended

curio's TaskTimeout is no Exception, so a time-out that a task does not handle ended the task without a word: a term that renews itself and places nothing, or a VM that no longer elects, delivers or follows a log. No such time-out is known; each timeout_after in jobs/, platform/ and the clients is handled where it stands. The two functions that replace failing tasks now handle it as any other error, as the RPC server does.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -402,7 +402,7 @@
         """Run a task of the term; a failure ends the term, and another one follows."""
         try:
             await run(*args)
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:  # a time-out is no Exception
             logger.error(
                 "task failed", task=name, term=self.leader_record.term, exc_info=exc
             )
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -868,9 +868,7 @@
     while True:
         try:
             await run()
-        except curio.CancelledError:
-            raise
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:  # a time-out is no Exception
             logger.error("task failed", task=name, exc_info=exc)
             await curio.sleep(ELECTION_TICK_S)
         else:
--- a/tests/jobs/test_stalled_steps.py
+++ b/tests/jobs/test_stalled_steps.py
@@ -235,3 +235,33 @@
         if adviser is not None:
             adviser.begin_ping(now)
             adviser.record_ping(now + 0.01, answered=True)
+
+
+# Guards against a VM that renews its term but no longer places tasks, or no longer
+# follows a log, since the task was ended by a time-out, which is no Exception.
+def test_a_task_that_a_time_out_ends_is_replaced(cluster):
+    async def scenario():
+        node = await begin(cluster)
+        leadership = node.leadership
+
+        def run_out_of_time(*_):
+            raise curio.TaskTimeout(0.0)
+
+        leadership.placer.tick = run_out_of_time
+        await cluster.wait_for(lambda: node.leadership not in {None, leadership})
+        deliver = node.leadership.jobs_changed
+        n_failed = []
+
+        async def fail_once(job_ids):
+            if not n_failed:
+                n_failed.append(1)
+                raise curio.TaskTimeout(0.0)
+            await deliver(job_ids)
+
+        node.leadership.jobs_changed = fail_once
+        await cluster.submit(node, make_job())
+        await cluster.wait_for(lambda: n_failed)
+        await cluster.submit(node, make_job(job_id=OTHER_ID))
+        await cluster.wait_for(partial(is_completed, cluster, node, OTHER_ID))
+
+    run_to_end(scenario)
