Leave out a worker that cannot be taken in, and register the others

It is left out with a log line now. No such registration is known. Test in tests/jobs/test_stalled_steps.py, both cases failed before.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -264,7 +264,7 @@
         self._reading = self.job_index.lease_reading
         self._load_speeds()
         for entry in entries:
-            self.placer.register_worker(entry, now)
+            self._register(entry, now)
         self.placer.look_up_speeds()
         n_jobs = 0
         self.job_index.pop_changed()
@@ -540,12 +540,19 @@
         """Apply changes of the registrations."""
         now = boottime()
         for entry in entries:
-            self.placer.register_worker(entry, now)
+            self._register(entry, now)
         for worker_id in deregistered:
             self.placer.deregister_worker(worker_id)
         await self._spawn_renewers()
         await self._wake.set()
 
+    def _register(self, entry: WorkerEntry, now: float) -> None:
+        """Register a worker; one that cannot be added keeps out no other."""
+        try:
+            self.placer.register_worker(entry, now)
+        except Exception as exc:
+            logger.error("worker not taken in", worker=entry.worker_id, exc_info=exc)
+
     async def _spawn_renewers(self) -> None:
         if self.ended:
             return  # tasks that are spawned now would not be cancelled
--- a/tests/jobs/test_stalled_steps.py
+++ b/tests/jobs/test_stalled_steps.py
@@ -265,3 +265,31 @@
         await cluster.wait_for(partial(is_completed, cluster, node, OTHER_ID))
 
     run_to_end(scenario)
+
+
+# Guards against registrations that are lost to a term, since it was told of them
+# together with one that it could not take in.
+@pytest.mark.parametrize("at_begin", [True, False])
+def test_a_worker_that_cannot_be_taken_in_keeps_out_no_other(
+    cluster, monkeypatch, at_begin
+):
+    register = Placer.register_worker
+
+    def fail_one(placer, entry, now):
+        if entry.worker_id == "w0":
+            raise KeyError("unexpected")
+        register(placer, entry, now)
+
+    async def scenario():
+        if at_begin:
+            monkeypatch.setattr(Placer, "register_worker", fail_one)
+        node = await begin(cluster)
+        monkeypatch.setattr(Placer, "register_worker", fail_one)
+        entries = [make_entry(worker_id) for worker_id in ("w0", "w9")]
+        cluster.add_worker("w9")
+        await node.leadership.workers_changed(entries, [])
+        workers = node.leadership.placer.workers
+        await cluster.wait_for(lambda: "w9" in workers and workers["w9"].reachable)
+        assert "w1" in workers
+
+    run_to_end(scenario)
