--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -264,13 +264,12 @@
         self._reading = self.job_index.lease_reading
         self._load_speeds()
         for entry in entries:
-            self.placer.register_worker(entry, now)
+            self._register(entry, now)
         self.placer.look_up_speeds()
         n_jobs = 0
         self.job_index.pop_changed()
         for progress in self.job_index.live():
-            self.placer.add_job(progress, now)
-            n_jobs += 1
+            n_jobs += self._take_in(progress, now)
         self.set_members(members)
         logger.info(
             "term begun",
@@ -403,7 +402,7 @@
         """Run a task of the term; a failure ends the term, and another one follows."""
         try:
             await run(*args)
-        except Exception as exc:
+        except (Exception, curio.TaskTimeout) as exc:  # a time-out is no Exception
             logger.error(
                 "task failed", task=name, term=self.leader_record.term, exc_info=exc
             )
@@ -516,21 +515,44 @@
                 continue
             progress = self.job_index.load(job_id)
             if progress is not None:
-                self.placer.add_job(progress, now)
+                self._take_in(progress, now)
         await self._wake.set()
 
+    def _take_in(self, progress: Progress, now: float) -> bool:
+        """Add a job to the placer; return whether that succeeded.
+
+        One that cannot be added must not keep the others from being placed, in this
+        term or, if it has been in the journal before, in each later one.
+        """
+        try:
+            progress.begin_idle(now, time.time())
+            self.placer.add_job(progress, now)
+        except Exception as exc:
+            job_id = progress.job.job_id
+            self.placer.jobs.pop(job_id, None)
+            logger.error("job not taken in", job=job_id, exc_info=exc)
+            return False
+        return True
+
     async def workers_changed(
         self, entries: Iterable[WorkerEntry], deregistered: Iterable[str]
     ) -> None:
         """Apply changes of the registrations."""
         now = boottime()
         for entry in entries:
-            self.placer.register_worker(entry, now)
+            self._register(entry, now)
         for worker_id in deregistered:
             self.placer.deregister_worker(worker_id)
         await self._spawn_renewers()
         await self._wake.set()
 
+    def _register(self, entry: WorkerEntry, now: float) -> None:
+        """Register a worker; one that cannot be added keeps out no other."""
+        try:
+            self.placer.register_worker(entry, now)
+        except Exception as exc:
+            logger.error("worker not taken in", worker=entry.worker_id, exc_info=exc)
+
     async def _spawn_renewers(self) -> None:
         if self.ended:
             return  # tasks that are spawned now would not be cancelled
@@ -552,7 +574,6 @@
         while not self.ended:
             worker = self.placer.workers.get(worker_id)
             if worker is None:
-                await self._disconnect(address)
                 break
             address = worker.entry.address
             if not self.lease_s(boottime()):
@@ -560,10 +581,13 @@
                 continue
             if not await self._renew_once(worker):
                 await curio.sleep(RENEW_RETRY_S)
+        # First, since the worker gets a new task if it registers again meanwhile.
         self._renewers.pop(worker_id, None)
         queue = self._send_queues.pop(worker_id, None)
         if queue is not None:
             await queue.put(None)
+        if not self.ended:
+            await self._disconnect(address)
 
     async def _disconnect(self, address: str) -> None:
         """Close the connections to an address unless another worker uses it."""
@@ -683,12 +707,17 @@
             fence=order.fencing_token,
             config=self.placer.table.version,
             **self._absence(progress, order.key, now),
+            **progress.idle_fields(now),
             **progress.step_run(order.key.occurrence, order.key.step).take_waited(),
         )
         task = progress.task(order.key)
         away = (task.away_since, task.given_up_at) if task else (0.0, 0.0)
         reply = await self.calls.start(order, START_TIMEOUT_S)
+        idle_since = progress.idle_since
         result = self.placer.handle_start_reply(order, reply, boottime())
+        if idle_since and not progress.idle_since:
+            idle_s = boottime() - idle_since
+            self.metrics.observe("idle_seconds", idle_s, queue=progress.job.queue)
         if result is StartResult.STARTED:
             self._observe_return(progress, order.key, *away)
         else:
@@ -1057,7 +1086,8 @@
         try:
             slack_s = max(ADVICE_SLACK_S, ADVICE_SLACK_FACTOR * call.cost_s)
             answer = await self.ask_advice(adviser.vm, call, planned_s + slack_s)
-        except CuminhillError as exc:
+        except (Exception, curio.TaskTimeout) as exc:
+            # Of any type: the step would get no further call in this term.
             now = boottime()
             cause = _record_failed_call(adviser, call, exc, now, now - sent_at)
             self.placer.counts[f"advice_{cause}"] += 1
@@ -1067,7 +1097,7 @@
                 cause=cause,
                 took_ms=round((now - sent_at) * 1000),
                 backlog_ms=round(max(0.0, adviser.busy_until - now) * 1000),
-                error=str(exc),
+                error=str(exc) if isinstance(exc, CuminhillError) else repr(exc),
             )
             advice.record_failure(now, refused=cause == "refused")
         else:
@@ -1111,7 +1141,7 @@
 def _record_failed_call(
     adviser: Adviser,
     call: AdviceCall,
-    error: CuminhillError,
+    error: BaseException,
     now: float,
     took_s: float,
 ) -> str:
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -4,6 +4,7 @@
 
 import functools
 import random
+import socket
 import struct
 
 import curio
@@ -14,6 +15,7 @@
 from cuminhill import rpc
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.rpc import RpcClient, RpcLimits, RpcServer, decode, encode, idl
+from cuminhill.util.kernel import run_to_end
 from cuminhill.util.listener import Listener
 from cuminhill.util.thriftcheck import MAX_ELEMENTS
 
@@ -363,3 +365,52 @@
 def test_impossible_address_is_an_unavailable_peer(address):
     with pytest.raises(UnavailableError):
         curio.run(lookup, RpcClient(address), "any")
+
+
+def test_a_connection_closed_under_a_blocked_write_disturbs_no_other():
+    """Guards against calls of others that fail since they get the closed descriptor."""
+
+    async def write(client):
+        call = idl.AppendCall(b"x" * 900_000, 1.0)
+        with pytest.raises(UnknownOutcomeError):
+            await client.call("append", call, timeout_s=2.0)
+
+    async def scenario():
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind((HOST, 0))
+        listener.listen()  # connections are made, but nothing is read from them
+        address = f"{HOST}:{listener.getsockname()[1]}"
+        client = RpcClient(address)
+        writers = [await curio.spawn(write, client) for _ in range(8)]
+        await curio.sleep(0.3)
+        number = client._sock.fileno()
+        await client.close()
+        other = RpcClient(address)
+        with pytest.raises(UnknownOutcomeError, match="TaskTimeout"):
+            await other.call("ping", idl.PingCall(), timeout_s=0.2)
+        assert number == other._sock.fileno()
+        for task in writers:
+            await task.join()
+        await other.close()
+        listener.close()
+
+    run_to_end(scenario)
+
+
+@with_server(RpcLimits(write_timeout_s=30.0))
+async def test_replies_to_a_peer_that_is_gone_do_not_stay_blocked(server, handlers):
+    """Guards against tasks that write to a closed connection without an end."""
+    sock = await curio.open_connection(HOST, server.port)
+    call = frame("lookup", encode(idl.LookupCall("big", 0.0)))
+    await sock.sendall(call * 200)
+    while not any(item.writers for item in server._served):
+        await curio.sleep(0.01)
+    await curio.sleep(0.2)  # until one of them is blocked
+    served = next(item for item in server._served if item.writers)
+    assert not server.counters.n_failed_calls
+    await sock.shutdown(socket.SHUT_WR)
+    while server.n_connections != 1 or served.n_calls:
+        await curio.sleep(0.01)
+    assert not served.writers
+    await sock.close()
