Render log lines only if they are written

Change: the output is asked first, by the first processor. Lines are rendered by orjson, without spaces between fields; values that it can't write are rendered as before. checks/lasting_judge.py looked for the text of a field with a space; it reads both forms now, and a test says so.

--- a/checks/lasting_judge.py
+++ b/checks/lasting_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections import defaultdict
 from dataclasses import dataclass, field
 from datetime import datetime
@@ -111,12 +112,17 @@
         return self.begun_at - self.ended_at
 
 
+# Earlier builds write a space before each value.
+EVENT = re.compile(
+    r'"event": ?"(worker unreachable|term begun|run lost|run ended|start)"'
+)
+
+
 def parse_lines(lines: Iterable[str]) -> list[dict[str, Any]]:
     """Return the log lines that matter for absences, with their times as ``at``."""
-    events = ("worker unreachable", "term begun", "run lost", "run ended", "start")
     rows = []
     for line in lines:
-        if not any(f'"event": "{event}"' in line for event in events):
+        if not EVENT.search(line):
             continue
         try:
             row = json.loads(line)
--- a/tests/checks/test_lasting.py
+++ b/tests/checks/test_lasting.py
@@ -208,3 +208,10 @@
 # Guards against gigabytes of memory for one error message that shows a handler.
 def test_the_stand_ins_have_a_short_representation(site):
     assert len(repr((site, site.advice, site.workers, site.advice.server))) < 2000
+
+
+def test_lines_without_spaces_are_read_like_those_of_earlier_builds():
+    """Guards against a judge that finds no event in the lines of a newer build."""
+    line = log_line("run lost", 12.0)
+    compact = json.dumps(json.loads(line), separators=(",", ":"))
+    assert parse_lines([compact]) == parse_lines([line]) != []
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import os
+import sys
 
-from cuminhill.logs import BoundedOutput
+import pytest
+import structlog
+
+from cuminhill.logs import BoundedOutput, _to_json, set_up_bounded_logging
 
 
 def test_a_reader_that_does_not_read_never_blocks_the_writer():
@@ -40,3 +45,37 @@
             output.write_line("x")
         assert output.n_written <= 20
         assert output.n_dropped >= 980
+
+
+def test_a_line_above_the_rate_is_never_rendered(monkeypatch):
+    """Guards against processor time for rendering lines that are dropped."""
+
+    class Text:
+        n_rendered = 0
+
+        def __repr__(self):
+            Text.n_rendered += 1
+            return "text"
+
+    with open(os.devnull, "wb") as sink:
+        monkeypatch.setattr(sys, "stdout", sink)
+        try:
+            output = set_up_bounded_logging("vm1")
+            output.max_lines_per_s = 10
+            logger = structlog.get_logger("test")
+            for _ in range(1000):
+                logger.info("line", text=Text())
+        finally:
+            structlog.reset_defaults()
+            structlog.contextvars.clear_contextvars()
+    assert output.n_written == Text.n_rendered <= 20
+    assert output.n_dropped == 1000 - output.n_written
+
+
+@pytest.mark.parametrize(
+    "value", ["plain", "\ud800", 1 << 70, {1: "key"}, ValueError("x"), ("a", 1), None]
+)
+def test_any_value_has_a_json_form(value):
+    """Guards against a log line that raises where it is written."""
+    fields = {"event": "line", "value": value}
+    assert json.loads(_to_json(fields)) == json.loads(json.dumps(fields, default=repr))
