Skip runs that have progressed when looking for stalled ones

Change: a run that has progressed lately is left out before its job is looked up, and a speed is computed once without objects.

--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -468,16 +468,17 @@
     def look_up_speeds(self) -> None:
         """Update the speeds of all workers, relative to the mean of their pool."""
         paces: dict[str, list[float]] = {}
+        speeds = []
         for worker in self.workers.values():
+            entry = worker.entry
+            speed = self.speeds.speed(worker.worker_id, entry.incarnation, worker.kind)
+            speeds.append(speed)
             if worker.registered:
-                speed = self.speeds.speed(
-                    worker.worker_id, worker.entry.incarnation, worker.kind
-                )
-                paces.setdefault(worker.entry.pool, []).append(1.0 / speed)
+                paces.setdefault(entry.pool, []).append(1.0 / speed)
         for pool, values in paces.items():
             self.mean_pace[pool] = sum(values) / len(values)
-        for worker in self.workers.values():
-            self._look_up_speed(worker)
+        for worker, speed in zip(self.workers.values(), speeds, strict=True):
+            worker.health.speed = speed * self.mean_pace.get(worker.entry.pool, 1.0)
 
     def run_times(self, progress: Progress, occurrence: int = 0) -> list[float]:
         """Return the run time of each step of a job, in seconds.
--- a/cuminhill/jobs/speeds.py
+++ b/cuminhill/jobs/speeds.py
@@ -143,7 +143,20 @@
 
     def speed(self, worker_id: str, incarnation: int, kind: str = "") -> float:
         """Return the estimated speed of a worker; 1 if there is no data on it."""
-        return math.exp(self._posterior(worker_id, incarnation, kind).mean)
+        # The mean of `_posterior`, without the objects: this is called for each worker
+        # at the end of each step.
+        of_kind = self.kinds.get(kind) if kind else None
+        mean, var = 0.0, PRIOR_SPEED_VAR
+        if of_kind is not None:
+            mean, var = of_kind.speed.mean, of_kind.speed.var + of_kind.spread
+        known = self.speeds.get(worker_id)
+        if (
+            known is not None
+            and known.incarnation == incarnation
+            and known.var != math.inf
+        ):
+            mean += var / (var + known.var) * (known.mean - mean)
+        return math.exp(mean)
 
     def _posterior(self, worker_id: str, incarnation: int, kind: str) -> Estimate:
         of_kind = self.kinds.get(kind) if kind else None
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -50,6 +50,8 @@
         if slot.stopping_at:
             placer.stop(worker, slot, "repeated", now)
             continue
+        if _has_progressed(slot, now):
+            continue
         if not _is_stalled(placer, slot, now):
             _store_time_without_progress(placer, slot)
             continue
@@ -66,6 +68,21 @@
         placer.stop(worker, slot, "stalled", now)
 
 
+def _has_progressed(slot: Slot, now: float) -> bool:
+    """Return whether a run has progressed so lately that there is nothing to do.
+
+    That is so for nearly all runs. The time without progress of its task is at most
+    that of the slot, and no run stalls or is written sooner than this.
+    """
+    if not slot.progressed_at:
+        return False
+    still_s = now - slot.progressed_at
+    return (
+        still_s < MIN_STALL_S
+        and still_s - slot.stored_still_s < STORED_FRACTION * MIN_STALL_S
+    )
+
+
 def _is_stalled(placer: Placer, slot: Slot, now: float) -> bool:
     """Return whether a run makes no progress although it should.
 
