Check the records of jobs without building the jobs

Only the queue and the time of acceptance were used.

Change: the record is checked as before, and the job is built by the placer only.

--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -34,6 +34,7 @@
     Member,
     check_job_id,
     decode_job,
+    decode_job_head,
     decode_leader_record,
     decode_lease_record,
     decode_member,
@@ -263,9 +264,9 @@
         entry = self.entries.get(job_id)
         if entry is not None and entry.job:
             return  # a repeated submission
-        job = decode_job(check_job_id(job_id), value)
+        head = decode_job_head(check_job_id(job_id), value)
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.queue, entry.accepted_at = job.queue, job.accepted_at
+        entry.queue, entry.accepted_at = head
         if entry.state not in FINAL_JOB_STATES:
             entry.job = value
         self.changed.add(job_id)
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -9,7 +9,7 @@
 import math
 import re
 from dataclasses import dataclass
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import orjson
 from pydantic import AfterValidator, Field
@@ -389,19 +389,11 @@
     return job_id
 
 
-def decode_job(job_id: str, value: bytes) -> Job:
-    """Return the job for its JSON form.
-
-    Raises
-    ------
-    ProtocolError
-        If a field is missing, malformed or out of range.
-    """
+def _validate_job(job_id: str, value: bytes) -> _JobBody:
     body = validate_json(_JobBody, value, step="job", peer=job_id[:MAX_LOGGED_ID])
     n_times = body.times[0]
     if max(1, n_times) * len(body.steps) > MAX_STEP_RUNS:
         raise ProtocolError("times: too many", step="job", peer=job_id[:MAX_LOGGED_ID])
-    steps = []
     for number, item in enumerate(body.steps):
         if any(earlier >= number for earlier in item.after):
             raise ProtocolError(
@@ -409,6 +401,47 @@
                 step="job",
                 peer=job_id[:MAX_LOGGED_ID],
             )
+    return body
+
+
+class JobHead(NamedTuple):
+    """What every VM keeps of a job.
+
+    Parameters
+    ----------
+    accepted_at : float, seconds
+        Wall-clock time of the acceptance.
+    """
+
+    queue: str
+    accepted_at: float
+
+
+def decode_job_head(job_id: str, value: bytes) -> JobHead:
+    """Check the JSON form of a job as `decode_job` does; return a part of it.
+
+    Every VM reads each record, while only the placer needs the job itself.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing, malformed or out of range.
+    """
+    body = _validate_job(job_id, value)
+    return JobHead(body.queue, body.accepted_at)
+
+
+def decode_job(job_id: str, value: bytes) -> Job:
+    """Return the job for its JSON form.
+
+    Raises
+    ------
+    ProtocolError
+        If a field is missing, malformed or out of range.
+    """
+    body = _validate_job(job_id, value)
+    steps = []
+    for item in body.steps:
         optional = {name: getattr(item, name) for name in _OPTIONAL}
         steps.append(Step(item.n, task_need(*item.need), item.time, **optional))
     return Job(
--- a/tests/jobs/test_jobindex.py
+++ b/tests/jobs/test_jobindex.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import orjson
+import pytest
 
+from cuminhill.errors import ProtocolError
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.model import JobState
 from cuminhill.jobs.progress import Progress, encode_progress
@@ -15,11 +17,13 @@
     RUN_PREFIX,
     JournalRecord,
     LeaderRecord,
+    decode_job,
+    decode_job_head,
     encode_job,
     encode_leader_record,
 )
 
-from .builders import JOB_ID, make_job, make_step
+from .builders import JOB_ID, make_job, make_queue, make_step
 
 
 def fold(index, *pairs, now=1.0):
@@ -172,3 +176,32 @@
     fold(restarted, (JOB_PREFIX + JOB_ID, encode_job(make_job())))
     assert restarted.load(JOB_ID) is None
     assert restarted.entries[JOB_ID].state is JobState.COMPLETED
+
+
+ODD_VALUES = [None, -1, 0, "", "x", [], [0], [2.5], True, 1e300, 1 << 40, {}]
+
+
+@pytest.mark.parametrize("value", ODD_VALUES)
+@pytest.mark.parametrize("path", [(), ("steps", 0), ("steps", 1), ("definition",)])
+def test_a_record_of_a_job_is_accepted_by_all_readers_or_by_none(path, value):
+    """Guards against a job that a VM shows to callers and the placer can't read."""
+    steps = make_step(3), make_step(2, after=(0,))
+    job = make_job(*steps, n_times=2, period_s=1.0, definition=make_queue())
+    data = orjson.loads(encode_job(job))
+    place = data
+    for part in path:
+        place = place[part]
+    for name in [*place, "after", "gang", "advice"]:
+        kept, place[name] = place.get(name), value
+        record = orjson.dumps(data)
+        place[name] = kept
+        outcomes = []
+        for decode in (decode_job, decode_job_head):
+            try:
+                found = decode(job.job_id, record)
+                outcomes.append((found.queue, found.accepted_at))
+            except ProtocolError as exc:
+                outcomes.append(str(exc))
+        assert outcomes[0] == outcomes[1]
+        if kept is None:
+            del place[name]
