Show that a done run is repeated after a change of the placer

The next term waited for the leases of the worker and ran the task again: step 1 had nothing running for 9.7 s on an idle site (limit 4.5 s). The same for a gang (9.8 s), and the end of a one-step job came as late (9.8 s).

--- a/tests/jobs/test_released_runs.py
+++ b/tests/jobs/test_released_runs.py
@@ -7,6 +7,7 @@
 
 from cuminhill.clock import boottime
 from cuminhill.jobs.leasebounds import ReleasedRun
+from cuminhill.jobs.model import JobState
 from cuminhill.jobs.placer import Placer
 from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.jobs.watch import release_gone
@@ -70,6 +71,44 @@
     run_to_end(scenario)
 
 
+# Guards against a step without a turn until the leases on a worker that has left have
+# lapsed, and the step before it has run again: its placer knew that it was done but
+# could not write it, and the worker was gone when the next term asked (rule LOST).
+@pytest.mark.parametrize(("n_steps", "gang"), [(2, False), (2, True), (1, False)])
+def test_the_next_term_learns_that_a_run_is_done(cluster, n_steps, gang):
+    async def scenario():
+        for worker in cluster.workers.workers.values():
+            worker.run_time_s = 1.5
+        for vm in ("vm0", "vm1", "vm2"):
+            await cluster.start_node(vm)
+        await cluster.wait_for(cluster.leader)
+        leader = cluster.leader()
+        vm = next(vm for vm, node in cluster.nodes.items() if node is leader)
+        steps = make_step(gang=gang), make_step(after=(0,))
+        job = make_job(*steps[:n_steps])
+        await cluster.submit(leader, job)
+        await cluster.wait_for(cluster.workers.history)
+        await curio.sleep(0.5)
+        (run,) = cluster.workers.history()
+        progress = leader.leadership.placer.jobs[job.job_id]
+        cluster.views[vm][0].faults.unresponsive = True
+        await cluster.wait_for(lambda: (0, 0) in progress.finished)
+        ended_at = boottime()
+        cluster.remove_worker(run.worker_id)
+
+        def is_next():
+            if n_steps > 1:
+                return any(item.key.step for item in cluster.workers.history())
+            other = cluster.leader()
+            return other and cluster.state(other, job.job_id) is JobState.COMPLETED
+
+        await cluster.wait_for(is_next, 20.0)
+        assert boottime() - ended_at < IN_TIME_S
+        assert [item.run for item in cluster.workers.history()] == [1] * n_steps
+
+    run_to_end(scenario)
+
+
 def next_term(long_running=True, registered=False):
     """Return a term that has not adopted run 1 of a task, and its task."""
     first = make_placer(n_workers=1)
