Tell the next term which runs were done

A worker that has left doesn't report its ends again, so the next term waited for the leases and repeated the task.

The process of the previous term already tells which runs of lasting tasks are gone; it now also tells which runs were done, of the jobs whose newest progress may not be stored (`done` in the answer to term_ended; earlier builds ignore it and send none). An end that the worker reports as well changes nothing.

Remains: a process that is killed tells nothing.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from itertools import islice
 from typing import TYPE_CHECKING, Any, Protocol
 
 import curio
@@ -35,6 +36,7 @@
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import (
+    DoneRun,
     LeaseJournal,
     ReleasedRun,
     latest_lapse_at,
@@ -219,6 +221,8 @@
     # lease and starts nothing, so that a term without a record has granted nothing.
     _recorded: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
+    # Progress that is being appended.
+    _unstored: dict[str, Progress] = field(default_factory=dict)
     # When a record was sent by which others see that the placer is alive: progress of
     # jobs or its claim. Earlier builds do not count records of leases.
     _shown_at: float = 0.0
@@ -323,6 +327,8 @@
                 self._told_ended_at = end.ended_at(now)
                 note_predecessor_ended(self.placer, self._told_ended_at)
                 release_gone(self.placer, end.released, now)
+                for item in end.done:
+                    self.placer.note_done(item.key, item.run, now)
                 await self._wake.set()
                 logger.info(
                     "predecessor ended",
@@ -331,6 +337,7 @@
                     after_s=round(now - self.placer.begun_at, 2),
                     for_s=round(end.for_s, 2),
                     released=len(end.released),
+                    done=len(end.done),
                 )
                 return
             await curio.sleep(ASK_INTERVAL_S)
@@ -440,6 +447,21 @@
                         assigned.append(ReleasedRun(key, task.run - 1, away_s))
         return tuple([*waiting, *assigned][:MAX_RELEASED_RUNS])
 
+    def done_runs(self) -> tuple[DoneRun, ...]:
+        """Return the runs known to be done that may not be in the journal.
+
+        A worker that has left does not report them again.
+        """
+        unstored = self._unstored | self.placer.unwritten()
+        found = (
+            DoneRun(step_run.key(index), task.run)
+            for progress in unstored.values()
+            for step_run in progress.step_runs.values()
+            for index, task in enumerate(step_run.tasks)
+            if task.done and task.run
+        )
+        return tuple(islice(found, MAX_RELEASED_RUNS))
+
     def _resignation(self) -> bytes:
         return encode_leader_record(replace(self.leader_record, resigned=True))
 
@@ -889,7 +911,7 @@
             self.placer.release_unsent(item, "worker gone", boottime())
 
     async def _journal_progress(self) -> None:
-        dirty = self.placer.take_dirty()
+        self._unstored = dirty = self.placer.take_dirty()
         lease_record = self.lease_journal.prepare(boottime())
         placements, self._unjournaled = self._unjournaled, []
         seen = {
@@ -914,6 +936,7 @@
         if records:
             sent_at = boottime()
             rejected = await self._append_records(records)
+            self._unstored = {}
             if dirty:
                 self._shown_at = sent_at
             self._observe_ends(dirty.values())
--- a/cuminhill/jobs/leasebounds.py
+++ b/cuminhill/jobs/leasebounds.py
@@ -10,7 +10,7 @@
 
 import math
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from .fleet import CLOCK_DRIFT
 from .records import LeaseBound, LeaseRecord
@@ -88,6 +88,13 @@
     away_s: float = 0.0
 
 
+class DoneRun(NamedTuple):
+    """Statement that a run of a task has ended as done."""
+
+    key: TaskKey
+    run: int
+
+
 @dataclass(frozen=True, slots=True)
 class TermEnd:
     """Statement that a process extends no lease for a term and never will.
@@ -99,10 +106,13 @@
     released : tuple of ReleasedRun
         Runs of lasting tasks that the term knew to be gone, whether or not it could
         write so to the journal.
+    done : tuple of DoneRun
+        Runs that the term knew to be done and may not have written so to the journal.
     """
 
     for_s: float = 0.0
     released: tuple[ReleasedRun, ...] = ()
+    done: tuple[DoneRun, ...] = ()
 
     def ended_at(self, answered_at: float) -> float:
         """Return when the term had ended at the latest, in seconds.
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -29,7 +29,7 @@
 from .jobindex import JobIndex
 from .journal import KeyedLog, LogWriter
 from .leadership import Leadership, WorkerCalls
-from .leasebounds import LeaseAges, LeaseQuery, ReleasedRun, TermEnd
+from .leasebounds import DoneRun, LeaseAges, LeaseQuery, ReleasedRun, TermEnd
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
@@ -165,9 +165,12 @@
     # Since when no earlier process at this address, and no term of this one that has
     # been removed, extends leases.
     _idle_since: float = 0.0
-    # Newest term led by this process that has ended, with the runs that it knew to be
-    # gone when it ended, and when that was.
-    _released: tuple[int, float, tuple[ReleasedRun, ...]] = (0, 0.0, ())
+    # Newest term led by this process that has ended, when that was, and the runs that
+    # it knew to be gone and to be done by then.
+    _led_term: int = 0
+    _led_until: float = 0.0
+    _released: tuple[ReleasedRun, ...] = ()
+    _done: tuple[DoneRun, ...] = ()
     _may_hand_over_at: float = 0.0
     _next_resign_at: float = 0.0
     _deregistered: set[str] = field(default_factory=set)
@@ -618,28 +621,31 @@
             if not leadership.ended:
                 return None
             self._note_released(leadership)
-            return TermEnd(0.0, self._released_in(term))
+            return TermEnd(0.0, *self._known_of(term))
         if self._claim is not None and self._claim.term <= term:
             self._claim = None
         for_s = max(0.0, boottime() - self._idle_since)
-        return TermEnd(for_s, self._released_in(term))
+        return TermEnd(for_s, *self._known_of(term))
 
     def _note_released(self, leadership: Leadership) -> None:
-        """Keep what a term that has ended knew of runs that are gone."""
+        """Keep what a term that has ended knew of runs that are gone or done."""
         now = boottime()
-        released = leadership.released_runs(now)
-        self._released = (leadership.leader_record.term, now, released)
-
-    def _released_in(self, term: int) -> tuple[ReleasedRun, ...]:
-        """Return the runs that this process knew to be gone in a term that it led."""
-        led, noted_at, released = self._released
-        if led != term:
-            return ()
-        for_s = boottime() - noted_at
-        return tuple(
+        self._led_term, self._led_until = leadership.leader_record.term, now
+        self._released = leadership.released_runs(now)
+        self._done = leadership.done_runs()
+
+    def _known_of(
+        self, term: int
+    ) -> tuple[tuple[ReleasedRun, ...], tuple[DoneRun, ...]]:
+        """Return the runs that this process knew to be gone, or done, in its term."""
+        if self._led_term != term:
+            return (), ()
+        for_s = boottime() - self._led_until
+        released = tuple(
             replace(item, away_s=item.away_s + for_s if item.away_s else 0.0)
-            for item in released
+            for item in self._released
         )
+        return released, self._done
 
     def _lease_ages(self, query: LeaseQuery) -> LeaseAges | None:
         return self.job_index.lease_ages(query, boottime())
--- a/cuminhill/jobs/peers.py
+++ b/cuminhill/jobs/peers.py
@@ -24,7 +24,7 @@
 from ..util.validation import MAX_COUNT, Count, Message, validate_json
 from .advice import AdviceAnswer
 from .advicequeue import AdviceQueue, AdviceRequest
-from .leasebounds import LeaseAges, LeaseQuery, ReleasedRun, TermEnd
+from .leasebounds import DoneRun, LeaseAges, LeaseQuery, ReleasedRun, TermEnd
 from .model import Outcome, TaskKey
 from .records import MAX_TIME_S
 
@@ -361,6 +361,8 @@
                 [*item.key, item.run, min(MAX_COUNT, int(max(0.0, item.away_s) * 1000))]
                 for item in end.released
             ]
+        if end.done:
+            data["done"] = [[*item.key, item.run] for item in end.done]
         return idl.Reply(STATUS_OK, orjson.dumps(data))
 
     async def _serve_lease_ages(self, call: Any) -> Any:
@@ -395,10 +397,12 @@
     for_s: Annotated[float, Field(ge=0, le=MAX_TIME_S)]
     # Job, occurrence, step, task, run, and the time away in milliseconds.
     released: tuple[tuple[str, Count, Count, Count, Count, Count], ...] = ()
+    # Job, occurrence, step, task and run.
+    done: tuple[tuple[str, Count, Count, Count, Count], ...] = ()
 
 
 def _decode_term_end(data: bytes) -> TermEnd:
-    """Decode since when a term has ended, and the runs that it knew to be gone.
+    """Decode since when a term has ended, and the runs that it knew to be over.
 
     Builds before the field give none, and a value out of range is not believed; the
     term has then ended by the time of the answer.
@@ -411,7 +415,11 @@
         ReleasedRun(TaskKey(job_id, occurrence, step, task), run, away_ms / 1000)
         for job_id, occurrence, step, task, run, away_ms in body.released
     )
-    return TermEnd(body.for_s, tuple(released))
+    done = (
+        DoneRun(TaskKey(job_id, occurrence, step, task), run)
+        for job_id, occurrence, step, task, run in body.done
+    )
+    return TermEnd(body.for_s, tuple(released), tuple(done))
 
 
 class _LeaseAgesBody(Message):
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -362,6 +362,10 @@
         dirty, self._dirty = self._dirty, {}
         return dirty
 
+    def unwritten(self) -> dict[str, Progress]:
+        """Return the jobs that `take_dirty` would return."""
+        return dict(self._dirty)
+
     def take_stops(self) -> list[StopOrder]:
         """Return and clear the stops to send."""
         stops, self._stops = self._stops, []
@@ -744,9 +748,40 @@
             self.stop_runs(progress, "gang", now, end.key.step)
         self.retire(progress)
 
+    def note_done(self, key: TaskKey, run: int, now: float) -> None:
+        """Process that the previous term knew a run to have ended as done.
+
+        It counts unless the journal names a later run. If its worker reports the end
+        as well, that changes nothing.
+        """
+        progress = self.jobs.get(key.job_id)
+        task = progress.task(key) if progress is not None else None
+        if progress is None or task is None or task.run != run or task.done:
+            return
+        if progress.state is not JobState.RUNNING or progress.cancelled:
+            return
+        if progress.job.steps[key.step].long_running:
+            return
+        worker = self.workers.get(task.worker)
+        logger.info(
+            "run done in an earlier term",
+            job=key.job_id,
+            task=tuple(key[1:]),
+            run=run,
+            worker=task.worker,
+        )
+        if worker is not None:
+            worker.release(key, run)
+        if task.worker:
+            progress.unassign(key)
+        progress.note_idle(now, now)
+        self.mark_dirty(progress)
+        self._handle_done(worker, progress, key, None, now)
+        self.retire(progress)
+
     def _handle_done(
         self,
-        worker: Worker,
+        worker: Worker | None,
         progress: Progress,
         key: TaskKey,
         slot: Slot | None,
@@ -755,7 +790,8 @@
         step = progress.job.steps[key.step]
         if step.long_running:
             return  # the task will be restarted
-        worker.health.record_success()
+        if worker is not None:
+            worker.health.record_success()
         if step.gang:
             step_run = progress.step_run(key.occurrence, key.step)
             for index, task in enumerate(step_run.tasks):
@@ -770,7 +806,7 @@
 
     def _finish_task(
         self,
-        worker: Worker,
+        worker: Worker | None,
         progress: Progress,
         key: TaskKey,
         slot: Slot | None,
@@ -779,7 +815,7 @@
         """Finish a task outside a gang; update the speeds if its step is done."""
         step = progress.job.steps[key.step]
         name = progress.step_run(key.occurrence, key.step).name
-        if slot is not None and slot.full_run:
+        if worker is not None and slot is not None and slot.full_run:
             actual_s = now - slot.started_at
             incarnation = worker.entry.incarnation
             self.speeds.observe(
--- a/tests/jobs/test_peers.py
+++ b/tests/jobs/test_peers.py
@@ -14,7 +14,13 @@
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from cuminhill.jobs.advice import AdviceCall
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.leasebounds import LeaseAges, LeaseQuery, ReleasedRun, TermEnd
+from cuminhill.jobs.leasebounds import (
+    DoneRun,
+    LeaseAges,
+    LeaseQuery,
+    ReleasedRun,
+    TermEnd,
+)
 from cuminhill.jobs.model import TaskKey
 from cuminhill.jobs.peers import (
     CONTACT_VALID_S,
@@ -195,6 +201,14 @@
     assert curio.run(ask_about_terms, peers.handlers(), 2) == [gone]
 
 
+# Guards against runs that were done in a term and are started again in the next one.
+def test_the_answer_about_a_term_names_the_runs_that_it_knew_to_be_done():
+    end = TermEnd(2.5, (), (DoneRun(TaskKey("00aa", 0, 1, 2), 3),))
+    peers = make_peers("")
+    peers.end_term = lambda _: end
+    assert curio.run(ask_about_terms, peers.handlers(), 2) == [end]
+
+
 # Guards against an answer that the asker rejects as a whole, for a task that has been
 # away for weeks: the wait for all leases then counted from the answer.
 def test_the_answer_about_a_term_is_readable_however_long_a_task_was_away():
