Add up the room that is kept for gangs without objects

Cause: for each gang that waits, each decision added up the room kept for all others twice, and the room that becomes free on each worker, with a new `Resources` for each sum; for each step it computed what the step leaves of this on each worker.

Ruled out: choosing the places of gangs less often, which changes what is decided.

Change: sums of cores, memory and accelerators as numbers, in the same order; kept room is only looked at on workers on which a task of the step fits.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -16,6 +16,7 @@
     make_advice_call,
 )
 from .crashes import starts_apart
+from .fleet import CAPACITY_EPSILON
 from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
 from .leasebounds import lapse_at
 from .model import JobState
@@ -57,7 +58,7 @@
     from .fleet import Worker
     from .lateness import Outlook
     from .model import AdviceTerms, Queue, TaskKey
-    from .packing import Candidates
+    from .packing import Amounts, Candidates
     from .placer import Placer
     from .progress import Progress, StepRun
 
@@ -294,9 +295,7 @@
         return True
     if run_s <= SHORT_RUN_S:
         return False
-    reserved = reserve(
-        step, workers, n_tasks, now, _sum_holds(placer.held, placer.reserved_room)
-    )
+    reserved = reserve(step, workers, n_tasks, now, _kept_amounts(placer))
     for worker_id, at in reserved.items():
         placer.reserved[worker_id] = min(at, placer.reserved.get(worker_id, math.inf))
     return True
@@ -386,18 +385,10 @@
     placer.reserved_room = _reserved_rooms(placer)
 
 
-def _reserved_rooms(placer: Placer, without: str = "") -> dict[str, HeldRoom]:
-    """Return the room that is kept for gangs, by worker.
-
-    Parameters
-    ----------
-    without : str, optional
-        Step that is left out.
-    """
+def _reserved_rooms(placer: Placer) -> dict[str, HeldRoom]:
+    """Return the room that is kept for gangs, by worker."""
     rooms: dict[str, HeldRoom] = {}
     for name, reservation in placer.reservations.items():
-        if name == without:
-            continue
         hold = Hold(reservation.step_run.step.need, reservation.at, name)
         for worker_id, n_tasks in reservation.places.items():
             if worker_id not in placer.workers:
@@ -454,7 +445,7 @@
         advice = placer.advice.for_step(step_run.name)
         workers = [item for item in workers if advice.permits(item.worker_id)]
     earlier = reservation if reservation.places else None
-    held = _sum_holds(placer.held, _reserved_rooms(placer, step_run.name))
+    held = _kept_amounts(placer, step_run.name)
     chosen = reserve_places(step_run.step, workers, now, held=held, earlier=earlier)
     if chosen is None:
         return False
@@ -488,18 +479,37 @@
         )
 
 
-def _sum_holds(
-    first: dict[str, HeldRoom], second: dict[str, HeldRoom]
-) -> dict[str, HeldRoom]:
-    """Return all room that is kept, by worker."""
-    if not (first and second):
-        return first or second
-    rooms = first | second
-    for worker_id in first.keys() & second.keys():
-        room = rooms[worker_id] = HeldRoom()
-        for hold in first[worker_id].holds + second[worker_id].holds:
-            room.add(hold)
-    return rooms
+def _kept_amounts(placer: Placer, without: str = "") -> dict[str, Amounts]:
+    """Return all room that is kept for lasting tasks and gangs, by worker.
+
+    Parameters
+    ----------
+    without : str, optional
+        Gang that is left out.
+    """
+    kept = _held_amounts(placer)
+    for name, reservation in placer.reservations.items():
+        if name == without:
+            continue
+        need = reservation.step_run.step.need
+        for worker_id, n_tasks in reservation.places.items():
+            if worker_id not in placer.workers:
+                continue
+            cores, memory_mb, accelerators = kept.get(worker_id, (0.0, 0.0, 0.0))
+            for _ in range(n_tasks):
+                cores += need.cores
+                memory_mb += need.memory_mb
+                accelerators += need.accelerators
+            kept[worker_id] = cores, memory_mb, accelerators
+    return kept
+
+
+def _held_amounts(placer: Placer) -> dict[str, Amounts]:
+    """Return the room that is kept for lasting tasks, by worker."""
+    return {
+        worker_id: (room.total.cores, room.total.memory_mb, room.total.accelerators)
+        for worker_id, room in placer.held.items()
+    }
 
 
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
@@ -551,7 +561,7 @@
         workers,
         n_tasks,
         now,
-        held=placer.held,
+        held=_held_amounts(placer),
         n_by_worker=_n_by_worker(step_run),
     )
     for worker_id, free_at in places:
@@ -568,37 +578,48 @@
 ) -> dict[str, Resources]:
     """Return the room on workers that a step leaves to lasting tasks.
 
-    Short urgent work may use all of it, other work what it gives back in time.
+    Short urgent work may use all of it, other work what it gives back in time. Workers
+    without room for a task are left out.
     """
     if not placer.held or _is_short_urgent(queue, run_s):
         return {}
-    if step_run.step.long_running:
-        run_s = math.inf
-    return {
-        worker_id: room.until(
-            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed
-        )
-        for worker_id, room in placer.held.items()
-    }
+    return _rooms_until(placer, placer.held, step_run, run_s, now=now)
 
 
 def _room_reserved_from(
     placer: Placer, step_run: StepRun, run_s: float, now: float
 ) -> dict[str, Resources]:
-    """Return the room on workers that a step leaves to gangs."""
-    if not placer.reserved_room:
-        return {}
+    """Return the room on workers that a step leaves to gangs.
+
+    Workers without room for a task are left out.
+    """
     name = step_run.name
     owner = name if name in placer.reservations else ""
+    rooms = placer.reserved_room
+    return _rooms_until(placer, rooms, step_run, run_s, now=now, owner=owner)
+
+
+def _rooms_until(
+    placer: Placer,
+    rooms: dict[str, HeldRoom],
+    step_run: StepRun,
+    run_s: float,
+    *,
+    now: float,
+    owner: str = "",
+) -> dict[str, Resources]:
+    """Return what a run of a step that starts now leaves of kept room, by worker."""
     if step_run.step.long_running:
         run_s = math.inf
-    return {
-        worker_id: room.until(
-            now + BACKFILL_FACTOR * run_s / placer.workers[worker_id].health.speed,
-            owner,
-        )
-        for worker_id, room in placer.reserved_room.items()
-    }
+    need, workers = step_run.step.need, placer.workers
+    kept = {}
+    for worker_id, room in rooms.items():
+        worker = workers[worker_id]
+        if worker.free.cores + CAPACITY_EPSILON < need.cores or not worker.fits(need):
+            continue
+        ends_at = now + BACKFILL_FACTOR * run_s / worker.health.speed
+        kept[worker_id] = room.until(ends_at, owner)
+    return kept
 
 
 def _kept_rooms(
@@ -621,9 +642,9 @@
         Whether the job waits idle while the pool is not busy.
     """
     held = {} if idle else _room_held_from(placer, step_run, queue, run_s, now)
-    reserved = _room_reserved_from(placer, step_run, run_s, now)
-    if not reserved:
+    if not placer.reserved_room:
         return [held]
+    reserved = _room_reserved_from(placer, step_run, run_s, now)
     kept = _sum_rooms(held, reserved)
     insists = idle or _is_short_urgent(queue, run_s)
     return [kept, held] if insists and not step_run.step.gang else [kept]
@@ -848,11 +869,13 @@
     """
     step = step_run.step
     if run_s > SHORT_RUN_S and placer.reserved:
+        reserved = placer.reserved
         pool = [
             worker
             for worker in pool
-            if now + BACKFILL_FACTOR * run_s / worker.health.speed
-            <= placer.reserved.get(worker.worker_id, math.inf)
+            if worker.worker_id not in reserved
+            or now + BACKFILL_FACTOR * run_s / worker.health.speed
+            <= reserved[worker.worker_id]
         ]
     if step.required_label:
         label = step.required_label
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterable, Iterator, Mapping
 
     from ..model import Resources
-    from .fleet import Slot, Worker
+    from .fleet import Worker
     from .lateness import Outlook
     from .model import Step
     from .progress import StepRun
@@ -304,6 +304,11 @@
     return placed
 
 
+# Cores, memory in megabytes and accelerators. Sums of these are built for each worker
+# and gang of a decision, which takes far longer with `Resources`.
+Amounts = tuple[float, float, float]
+
+
 class Hold(NamedTuple):
     """Room on a worker that is kept for a task until it starts.
 
@@ -394,7 +399,7 @@
     workers: Iterable[Worker],
     now: float,
     *,
-    held: Mapping[str, HeldRoom],
+    held: Mapping[str, Amounts],
     earlier: Reservation | None = None,
 ) -> tuple[dict[str, int], float] | None:
     """Return the places to keep for a gang, and when all are expected to be free.
@@ -406,7 +411,7 @@
     ----------
     workers : iterable of Worker
         Workers that may run the gang.
-    held : mapping of str to HeldRoom
+    held : mapping of str to Amounts
         Room that is kept for other tasks, by worker.
     earlier : Reservation, optional
         Places that have been kept for the gang so far.
@@ -419,7 +424,7 @@
     before = earlier.places if earlier is not None else {}
     rooms = {worker.worker_id: _Room(step, worker, held) for worker in workers}
     kept = [name for name in before if name in rooms]
-    by_room = sorted(rooms, key=lambda name: -rooms[name].free.cores)
+    by_room = sorted(rooms, key=lambda name: -rooms[name].free[0])
     free = [(name, min(before[name], rooms[name].n_now)) for name in kept]
     free += [(name, rooms[name].n_now) for name in by_room]
     places: dict[str, int] = {}
@@ -459,14 +464,11 @@
 class _Room:
     """Room on one worker that is not kept for other tasks."""
 
-    def __init__(
-        self, step: Step, worker: Worker, held: Mapping[str, HeldRoom]
-    ) -> None:
-        self.step, self.worker, self.free = step, worker, worker.free
-        if worker.worker_id in held:
-            self.free = self.free - held[worker.worker_id].total
+    def __init__(self, step: Step, worker: Worker, held: Mapping[str, Amounts]) -> None:
+        self.step, self.worker = step, worker
+        self.free = _unheld(worker, held)
         self.limit = step.max_per_worker or math.inf
-        self.n_now = int(min(self.limit, _n_fitting(step.need, self.free)))
+        self.n_now = int(min(self.limit, _n_within(step.need, *self.free)))
 
     def expected(self, now: float) -> Iterator[tuple[float, int]]:
         """Yield the times at which more tasks will fit, and how many."""
@@ -478,7 +480,7 @@
     workers: Iterable[Worker],
     n_tasks: int,
     now: float,
-    held: Mapping[str, HeldRoom] | None = None,
+    held: Mapping[str, Amounts] | None = None,
 ) -> dict[str, float]:
     """Return the workers to reserve for a blocked step until it fits.
 
@@ -487,7 +489,7 @@
 
     Parameters
     ----------
-    held : mapping of str to HeldRoom, optional
+    held : mapping of str to Amounts, optional
         Room that is kept for other tasks, by worker.
 
     Returns
@@ -511,14 +513,14 @@
     n_tasks: int,
     now: float,
     *,
-    held: Mapping[str, HeldRoom] | None = None,
+    held: Mapping[str, Amounts] | None = None,
     n_by_worker: Mapping[str, int] | None = None,
 ) -> list[tuple[str, float]]:
     """Return the workers on which tasks of a step are expected to fit soonest.
 
     Parameters
     ----------
-    held : mapping of str to HeldRoom, optional
+    held : mapping of str to Amounts, optional
         Room that is kept for other tasks, by worker.
     n_by_worker : mapping of str to int, optional
         Number of the step's tasks on each worker, if the step limits it.
@@ -532,18 +534,17 @@
     held, n_by_worker = held or {}, n_by_worker or {}
     chances, rooms = [], []
     for worker in workers:
-        name, free, limit = worker.worker_id, worker.free, math.inf
-        if name in held:
-            free = free - held[name].total
+        name, limit = worker.worker_id, math.inf
+        free = _unheld(worker, held)
         if step.max_per_worker:
             limit = step.max_per_worker - n_by_worker.get(name, 0)
-        n_fitting = int(min(limit, _n_fitting(step.need, free)))
+        n_fitting = int(min(limit, _n_within(step.need, *free)))
         if n_fitting > 0:
-            chances.append((now, -free.cores, name, n_fitting))
+            chances.append((now, -free[0], name, n_fitting))
         rooms.append((worker, free, limit, n_fitting))
     if sum(chance[-1] for chance in chances) < n_tasks:
         chances += [
-            (at, -free.cores, worker.worker_id, n_fitting)
+            (at, -free[0], worker.worker_id, n_fitting)
             for worker, free, limit, n_now in rooms
             for at, n_fitting in _expected_room(step, worker, now, free, limit)
             if n_fitting > n_now
@@ -560,33 +561,48 @@
     return places
 
 
+def _unheld(worker: Worker, held: Mapping[str, Amounts]) -> Amounts:
+    """Return the room on a worker that is not kept for other tasks."""
+    free = worker.free
+    room = held.get(worker.worker_id)
+    if room is None:
+        return free.cores, free.memory_mb, free.accelerators
+    return (
+        free.cores - room[0],
+        free.memory_mb - room[1],
+        free.accelerators - room[2],
+    )
+
+
 def _expected_room(
-    step: Step, worker: Worker, now: float, free: Resources, limit: float
+    step: Step, worker: Worker, now: float, free: Amounts, limit: float
 ) -> Iterator[tuple[float, int]]:
     """Yield the times at which more tasks of a step will fit, and how many.
 
     Parameters
     ----------
-    free : Resources
+    free : Amounts
         Free room that is not kept for other tasks.
     limit : float
         Most tasks of the step that may start on the worker.
     """
-    n_before = 0
-    ends = sorted(
-        (
-            (slot.expected_end(worker.health.speed), slot)
-            for slot in worker.slots.values()
-        ),
-        key=lambda row: row[0],
-    )
-    first: tuple[float, Slot | None] = (now, None)
-    for at, slot in [first, *ends]:
+    need, speed = step.need, worker.health.speed
+    cores, memory_mb, accelerators = free
+    n_before = int(min(limit, _n_within(need, *free)))
+    if n_before > 0:
+        yield now, n_before
+    else:
+        n_before = 0
+    ends = [(slot.expected_end(speed), slot.need) for slot in worker.slots.values()]
+    ends.sort(key=itemgetter(0))
+    for at, freed in ends:
         if at == math.inf:
             return
-        if slot is not None:
-            free = free + slot.need
-        n_fitting = int(min(limit, _n_fitting(step.need, free)))
+        cores += freed.cores
+        memory_mb += freed.memory_mb
+        accelerators += freed.accelerators
+        n_fitting = _n_within(need, cores, memory_mb, accelerators)
+        n_fitting = int(min(limit, n_fitting))
         if n_fitting > n_before:
             yield max(now, at), n_fitting
             n_before = n_fitting
@@ -755,15 +771,21 @@
 
 
 def _n_fitting(need: Resources, free: Resources) -> int:
+    return _n_within(need, free.cores, free.memory_mb, free.accelerators)
+
+
+def _n_within(
+    need: Resources, cores: float, memory_mb: float, accelerators: float
+) -> int:
     """Return how many tasks fit; `MAX_FITTING` if they need nothing."""
     fewest: float = math.inf
     if need.cores > 0:
-        fewest = free.cores // need.cores
+        fewest = cores // need.cores
     # Most steps that wait find no worker with enough cores.
     if fewest > 0 and need.memory_mb > 0:
-        fewest = min(fewest, free.memory_mb // need.memory_mb)
+        fewest = min(fewest, memory_mb // need.memory_mb)
     if fewest > 0 and need.accelerators > 0:
-        fewest = min(fewest, free.accelerators // need.accelerators)
+        fewest = min(fewest, accelerators // need.accelerators)
     if fewest == math.inf:
         return MAX_FITTING
     return int(fewest + CAPACITY_EPSILON) if fewest > 0 else 0
--- a/tests/jobs/test_packing_reference.py
+++ b/tests/jobs/test_packing_reference.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cuminhill.jobs.fleet import CAPACITY_EPSILON, Worker
+from cuminhill.jobs.fleet import CAPACITY_EPSILON, Slot, Worker
 from cuminhill.jobs.headroom import HeadroomLimit
 from cuminhill.jobs.lateness import Outlook
 from cuminhill.jobs.ordering import critical_path_s, path_lengths
@@ -30,12 +30,16 @@
     covering,
     make_candidates,
     n_fitting_tasks,
+    n_tasks_in,
+    reserve_places,
+    soonest_places,
     suitability,
     with_room,
 )
 from cuminhill.jobs.records import task_need
+from cuminhill.model import NO_RESOURCES
 
-from .builders import make_entry, make_job, make_step
+from .builders import make_entry, make_job, make_step, task_key
 
 # Few values, so that equal scores and needs that just fit are frequent.
 CORES = st.sampled_from([0.0, 0.5, 1.0, 2.9999999, 3.0, 7.5, 16.0])
@@ -248,3 +252,71 @@
         math.log(allowed_s * speed / (outlook.spread * length_s)) / sigma
     )
     assert margin == plain
+
+
+def plain_expected(step, worker, now, held, limit):
+    """Return when more tasks fit on a worker, by adding up resources."""
+    free = worker.free - held.get(worker.worker_id, NO_RESOURCES)
+    slots = sorted(
+        worker.slots.values(),
+        key=lambda slot: slot.expected_end(worker.health.speed),
+    )
+    rows, n_before = [], 0
+    for slot in [None, *slots]:
+        at = now if slot is None else slot.expected_end(worker.health.speed)
+        if at == math.inf:
+            break
+        free = free if slot is None else free + slot.need
+        n_fitting = n_tasks_in(step, free)
+        n_fitting = int(min(limit, n_fitting))
+        if n_fitting > n_before:
+            rows.append((max(now, at), n_fitting))
+            n_before = n_fitting
+    return rows
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    fleets(max_size=6),
+    steps(),
+    st.lists(
+        st.tuples(st.integers(0, 5), CORES, st.sampled_from([0.5, 3.0, math.inf])),
+        max_size=20,
+    ),
+    st.dictionaries(st.sampled_from(["w0", "w1", "w4"]), CORES),
+)
+def test_expected_places_are_those_of_sums_of_resources(workers, step, runs, kept):
+    """Guards against places that are expected at other times or in kept room."""
+    now = 10.0
+    for index, (number, cores, run_s) in enumerate(runs):
+        if number < len(workers):
+            lasts = run_s == math.inf
+            need = task_need(cores, 50.0, 0.0)
+            slot = Slot(task_key(index), 1, need, run_s, long_running=lasts)
+            slot.started_at = 9.0
+            workers[number].slots[slot.key, 1] = slot
+    held = {name: task_need(cores, 10.0, 0.0) for name, cores in kept.items()}
+    amounts = {name: (room.cores, room.memory_mb, 0.0) for name, room in held.items()}
+    limit = step.max_per_worker or math.inf
+    chances = []
+    for worker in workers:
+        rows = plain_expected(step, worker, now, held, limit)
+        chances += [(at, worker.worker_id, n_fitting) for at, n_fitting in rows]
+    n_tasks = step.n_tasks
+    places = soonest_places(step, workers, n_tasks, now, held=amounts)
+    most = {name: 0 for _, name, _ in chances}
+    for _, name, n_fitting in chances:
+        most[name] = max(most[name], n_fitting)
+    assert len(places) == min(n_tasks, sum(most.values()))
+    for at in {at for _, at in places}:
+        n_by = {name: 0 for name in most}
+        for chance_at, name, n_fitting in chances:
+            if chance_at <= at:
+                n_by[name] = max(n_by[name], n_fitting)
+        n_until = sum(chosen_at <= at for _, chosen_at in places)
+        assert n_until == min(n_tasks, sum(n_by.values()))
+    found = reserve_places(step, workers, now, held=amounts)
+    assert (found is not None) == (sum(most.values()) >= n_tasks)
+    if found is not None:
+        assert sum(found[0].values()) == n_tasks
+        assert found[1] == max(now, *(at for _, at in places))
