--- a/cuminhill/jobs/election.py
+++ b/cuminhill/jobs/election.py
@@ -125,13 +125,7 @@
         from term to term, so that a VM that fails repeatedly is not always first. A VM
         whose earlier incarnation was the placer does not wait, since it has ended.
         """
-        resigned = self.leader_record.resigned and not self.awaits_claim
-        if (
-            self.leader_record.vm == self.vm
-            and self.leader_record.term
-            and not self.leader_record.resigned
-            and not self.awaits_claim
-        ):
+        if self._follows_itself:
             return self.newest_record_at
         fitness = {
             vm: member.fitness
@@ -142,13 +136,28 @@
         order = rendezvous_order(str(self.leader_record.term), fitness)
         order.sort(key=lambda vm: -fitness[vm])
         delay_s = min(MAX_STAGGER_S, order.index(self.vm) * STAGGER_S)
-        timeout_s = PLACER_TIMEOUT_S + LATENCY_FACTOR * latency_s
-        if resigned:
-            timeout_s = UNFIT_DELAY_S * (1 - self.fitness)
+        return self._first_claim_at(latency_s) + delay_s
+
+    @property
+    def _follows_itself(self) -> bool:
+        """Whether the newest term is that of an earlier incarnation of this VM."""
+        return (
+            self.leader_record.vm == self.vm
+            and self.leader_record.term > 0
+            and not self.leader_record.resigned
+            and not self.awaits_claim
+        )
+
+    def _first_claim_at(self, latency_s: float) -> float:
+        """Return the time from which the first of the VMs may claim."""
+        if self._follows_itself:
+            return self.newest_record_at
+        if self.leader_record.resigned and not self.awaits_claim:
+            return self.newest_record_at + UNFIT_DELAY_S * (1 - self.fitness)
         since = self.newest_record_at
         if self.awaits_claim:
             since = max(since, self.refused_at)
-        return since + timeout_s + delay_s
+        return since + (PLACER_TIMEOUT_S + LATENCY_FACTOR * latency_s)
 
     def may_claim(
         self, members: Mapping[str, Member], now: float, journal: JournalView
@@ -158,10 +167,13 @@
         The election timeout runs only up to the newest complete read of the journal,
         and the placer gets time to write again after the journal was unreachable.
         """
+        resigned = self.leader_record.resigned and not self.awaits_claim
+        read_until = now if resigned else min(now, journal.read_at)
+        if read_until < self._first_claim_at(journal.latency_s):
+            return False  # without the order of all VMs, which each tick would compute
         claim_at = self.claim_at(members, journal.latency_s)
-        if self.leader_record.resigned and not self.awaits_claim:
+        if resigned:
             return now >= claim_at
-        read_until = min(now, journal.read_at)
         return read_until >= max(claim_at, journal.readable_since + RECOVERY_GRACE_S)
 
     def is_fitter(self, members: Mapping[str, Member]) -> bool:
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cuminhill.jobs.election import (
     PLACER_TIMEOUT_S,
@@ -127,3 +129,27 @@
     """Guards against changes of the placer that gain little or cannot succeed."""
     members = {"big": Member("b:1", 1.0), "small": Member("s:1", 0.1)}
     assert fitter_member(fitness, members, alive) == expected
+
+
+@given(
+    st.integers(0, 4),
+    st.sampled_from("abc"),
+    st.booleans(),
+    st.sampled_from([0, 5]),
+    st.tuples(st.floats(95.0, 106.0), st.floats(95.0, 106.0)),
+)
+def test_a_vm_claims_from_the_time_that_the_order_gives_it(
+    term, placer, resigned, refused_term, times
+):
+    """Guards against an early answer that differs from that of the whole order."""
+    now, read_at = times
+    leader_record = LeaderRecord(term, placer, "n", resigned=resigned)
+    election = make_election("a", leader_record)
+    election.note_refusal(refused_term, 101.0)
+    view = JournalView(read_at, 0.0, 0.2)
+    claim_at = election.claim_at(MEMBERS, view.latency_s)
+    if resigned and not election.awaits_claim:
+        expected = now >= claim_at
+    else:
+        expected = min(now, read_at) >= max(claim_at, RECOVERY_GRACE_S)
+    assert election.may_claim(MEMBERS, now, view) is expected
