Search a VM for a call only if a like call has found one

Ruled out: leaving these calls out of the decision, since the order of calls matters.

Change: after a search without result, calls of the same kind aren't searched for until another call has found a VM. A test plays both forms on the same VMs.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -492,6 +492,30 @@
     }
 
 
+class SearchKey(NamedTuple):
+    """What `find_adviser` knows of a call, beside its exact length.
+
+    If there is no VM for one call, there is none for others with the same key until a
+    call is made: in a long queue each decision repeats the calls of many steps.
+    """
+
+    is_pressing: bool
+    may_wait: bool
+    is_long: bool
+    failed_at: float | None
+
+
+def search_key(call: AdviceCall) -> SearchKey:
+    """Return the key of a call."""
+    is_long = call.cost_s > LONG_CALL_S
+    return SearchKey(
+        call.rank <= CallRank.RETURN,
+        call.rank <= CallRank.AHEAD or not is_long,
+        is_long,
+        call.failed_at,
+    )
+
+
 def find_adviser(
     advisers: Iterable[Adviser], call: AdviceCall, now: float
 ) -> Adviser | None:
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -30,6 +30,7 @@
     find_adviser,
     next_ping,
     ping_spacing_s,
+    search_key,
 )
 from .decisions import note_unconsidered
 from .fleet import may_extend
@@ -62,7 +63,7 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from ..metrics import MetricSet
-    from .advice import AdviceAnswer
+    from .advice import AdviceAnswer, SearchKey
     from .fleet import Worker
     from .jobindex import JobIndex
     from .journal import LogWriter
@@ -814,8 +815,9 @@
         if self.may_act() and not self.writer.failing_since:
             placements, calls = self.placer.decide(now, time.time())
             self._unjournaled.extend(placements)
+            unserved: set[SearchKey] = set()
             for call in calls:
-                await self._schedule_advice(call, now)
+                await self._schedule_advice(call, now, unserved)
             self._observe_waits()
         else:
             note_unconsidered(self.placer, now, time.time(), may_act=False)
@@ -1027,15 +1029,30 @@
         logger.info("adviser in reach again", vm=adviser.vm)
         await self._wake.set()
 
-    async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
+    async def _schedule_advice(
+        self, call: AdviceCall, now: float, unserved: set[SearchKey] | None = None
+    ) -> None:
+        """Make a call through a VM if one is free for it.
+
+        Parameters
+        ----------
+        unserved : set of SearchKey, optional
+            Calls of this decision for which no VM is free; updated.
+        """
+        unserved = set() if unserved is None else unserved
         call = replace(
             call,
             cost_s=call.cost_s * self.advice_pace,
             failed_at=self.placer.advice.for_step(call.step).failed_at,
         )
+        key = search_key(call)
+        if key in unserved:
+            return
         adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
+            unserved.add(key)
             return
+        unserved.clear()  # a busier VM may be a reason to try a doubtful one
         self.placer.advice.for_step(call.step).calling = True
         sent = replace(call, term=self.leader_record.term)
         await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
--- a/tests/jobs/test_adviceorder.py
+++ b/tests/jobs/test_adviceorder.py
@@ -6,14 +6,18 @@
 from dataclasses import dataclass, field
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cuminhill.jobs.advice import (
     LONG_CALL_S,
     MAX_ADVISER_QUEUE_S,
+    AdviceCall,
     Adviser,
     CallRank,
     find_adviser,
     make_advice_call,
+    search_key,
 )
 from cuminhill.jobs.decisions import FIRST_ANSWERS_S
 from cuminhill.jobs.model import AdviceTerms
@@ -276,3 +280,50 @@
     assert sim.placer.decide(now, WALL) == ([], [])
     now = sim.placer.begun_at + FIRST_ANSWERS_S + 0.01
     assert len(sim.placer.decide(now, WALL)[1]) == 2
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([0.0, 0.1, 0.31, 0.9]),  # how long the VM is busy
+            st.sampled_from([0, 0, 1]),  # failures
+            st.sampled_from([-9.0, -0.1, 0.0]),  # when it was last heard of
+        ),
+        max_size=7,
+    ),
+    st.lists(
+        st.tuples(
+            st.sampled_from(CallRank),
+            st.sampled_from([0.01, 0.15, 0.4, 0.7]),
+            st.sampled_from([None, -0.3]),
+        ),
+        max_size=25,
+    ),
+)
+def test_calls_with_a_key_that_found_no_vm_are_left_out_without_effect(states, calls):
+    """Guards against a step that isn't asked about since another one found no VM."""
+    fleets = [
+        [Adviser(f"vm{number}") for number in range(len(states))] for _ in range(2)
+    ]
+    for advisers in fleets:
+        for adviser, (busy_s, n_failures, heard_s) in zip(
+            advisers, states, strict=True
+        ):
+            adviser.busy_until, adviser.heard_at = NOW + busy_s, NOW + heard_s
+            adviser.n_failures = adviser.n_unanswered = n_failures
+            adviser.risk_s = 0.3 * n_failures
+            adviser.failed_at = NOW - 0.5 if n_failures else adviser.failed_at
+    unserved = set()
+    for rank, cost_s, failed_s in calls:
+        failed_at = None if failed_s is None else NOW + failed_s
+        call = AdviceCall("step", {}, cost_s, 2.0, rank=rank, failed_at=failed_at)
+        plain = find_adviser(fleets[0], call, NOW)
+        if search_key(call) in unserved:
+            assert plain is None
+            continue
+        found = find_adviser(fleets[1], call, NOW)
+        assert (found and found.vm) == (plain and plain.vm)
+        if found is None:
+            unserved.add(search_key(call))
+        else:
+            unserved.clear()
