Look for new places of a gang only if its places are not enough

Cause: for each gang that waits, each decision computed twice when room becomes free on all workers that may run it, though its places mostly stay.

Change: the workers with places come first, the others only if a place was lost.

--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -432,25 +432,33 @@
         _take(places, step.n_tasks, name, n_fitting)
     if sum(places.values()) == step.n_tasks:
         return places, now
-    later = [
-        (at, name, n_fitting)
-        for name in by_room
-        for at, n_fitting in rooms[name].expected(now)
-    ]
-    later.sort(key=lambda row: row[0])
-    soonest = [(at, name, min(n, before.get(name, 0))) for at, name, n in later]
     due = now
-    for at, name, n_fitting in soonest:
-        if _take(places, step.n_tasks, name, n_fitting):
+    # Mostly the workers with places are enough, and no others are looked at.
+    known = [name for name in by_room if name in before]
+    for at, name, n_fitting in _expected_rooms(rooms, known, now):
+        if _take(places, step.n_tasks, name, min(n_fitting, before[name])):
             due = max(due, at)
     if earlier is not None and sum(places.values()) == step.n_tasks:
         return places, min(earlier.at, due)
-    for at, name, n_fitting in later:
+    for at, name, n_fitting in _expected_rooms(rooms, by_room, now):
         if _take(places, step.n_tasks, name, n_fitting):
             due = max(due, at)
     return (places, due) if sum(places.values()) == step.n_tasks else None
 
 
+def _expected_rooms(
+    rooms: Mapping[str, _Room], names: Iterable[str], now: float
+) -> list[tuple[float, str, int]]:
+    """Return when more tasks will fit on some workers, and how many, soonest first."""
+    later = [
+        (at, name, n_fitting)
+        for name in names
+        for at, n_fitting in rooms[name].expected(now)
+    ]
+    later.sort(key=itemgetter(0))
+    return later
+
+
 def _take(places: dict[str, int], n_tasks: int, name: str, n_fitting: int) -> bool:
     """Take more places on a worker up to a number; return whether there were any."""
     n_here = places.get(name, 0)
--- a/tests/jobs/test_packing_reference.py
+++ b/tests/jobs/test_packing_reference.py
@@ -25,6 +25,7 @@
     PERMITTED_FACTOR,
     SUITABILITY_EXPONENT,
     UNASKED_FACTOR,
+    Reservation,
     by_suitability,
     choose_advised,
     covering,
@@ -36,6 +37,7 @@
     suitability,
     with_room,
 )
+from cuminhill.jobs.progress import Progress
 from cuminhill.jobs.records import task_need
 from cuminhill.model import NO_RESOURCES
 
@@ -320,3 +322,79 @@
     if found is not None:
         assert sum(found[0].values()) == n_tasks
         assert found[1] == max(now, *(at for _, at in places))
+
+
+def plain_reserve_places(step, workers, now, held, earlier):
+    """Return the places to keep for a gang by looking at all workers."""
+    before = earlier.places if earlier is not None else {}
+    limit = step.max_per_worker or math.inf
+    rooms = {worker.worker_id: worker for worker in workers}
+
+    def free(name):
+        return rooms[name].free - held.get(name, NO_RESOURCES)
+
+    def take(name, n_fitting):
+        n_here = places.get(name, 0)
+        n_more = min(n_fitting - n_here, step.n_tasks - sum(places.values()))
+        if n_more > 0:
+            places[name] = n_here + n_more
+        return n_more > 0
+
+    n_now = {name: int(min(limit, n_tasks_in(step, free(name)))) for name in rooms}
+    by_room = sorted(rooms, key=lambda name: -free(name).cores)
+    places = {}
+    for name in [name for name in before if name in rooms]:
+        take(name, min(before[name], n_now[name]))
+    for name in by_room:
+        take(name, n_now[name])
+    if sum(places.values()) == step.n_tasks:
+        return places, now
+    later = [
+        (at, name, n_fitting)
+        for name in by_room
+        for at, n_fitting in plain_expected(step, rooms[name], now, held, limit)
+    ]
+    later.sort(key=lambda row: row[0])
+    due = now
+    for at, name, n_fitting in later:
+        if take(name, min(n_fitting, before.get(name, 0))):
+            due = max(due, at)
+    if earlier is not None and sum(places.values()) == step.n_tasks:
+        return places, min(earlier.at, due)
+    for at, name, n_fitting in later:
+        if take(name, n_fitting):
+            due = max(due, at)
+    return (places, due) if sum(places.values()) == step.n_tasks else None
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    fleets(max_size=6),
+    steps(),
+    st.lists(
+        st.tuples(st.integers(0, 5), CORES, st.sampled_from([0.5, 3.0, math.inf])),
+        max_size=20,
+    ),
+    st.dictionaries(st.sampled_from(["w0", "w1", "w4"]), CORES),
+    st.none()
+    | st.dictionaries(st.sampled_from(["w0", "w2", "w3", "w9"]), st.integers(1, 9)),
+)
+def test_places_of_gangs_are_those_of_the_plain_rule(workers, step, runs, kept, before):
+    """Guards against a gang that keeps other places than the rule says."""
+    now = 10.0
+    for index, (number, cores, run_s) in enumerate(runs):
+        if number < len(workers):
+            lasts = run_s == math.inf
+            need = task_need(cores, 50.0, 0.0)
+            slot = Slot(task_key(index), 1, need, run_s, long_running=lasts)
+            slot.started_at = 9.0
+            workers[number].slots[slot.key, 1] = slot
+    held = {name: task_need(cores, 10.0, 0.0) for name, cores in kept.items()}
+    amounts = {name: (room.cores, room.memory_mb, 0.0) for name, room in held.items()}
+    earlier = None
+    if before is not None:
+        step_run = Progress(make_job(step)).step_run(0, 0)
+        earlier = Reservation(step_run, "pool", 1, before, 11.0)
+    expected = plain_reserve_places(step, workers, now, held, earlier)
+    found = reserve_places(step, workers, now, held=amounts, earlier=earlier)
+    assert found == expected
