--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -432,25 +432,33 @@
         _take(places, step.n_tasks, name, n_fitting)
     if sum(places.values()) == step.n_tasks:
         return places, now
-    later = [
-        (at, name, n_fitting)
-        for name in by_room
-        for at, n_fitting in rooms[name].expected(now)
-    ]
-    later.sort(key=lambda row: row[0])
-    soonest = [(at, name, min(n, before.get(name, 0))) for at, name, n in later]
     due = now
-    for at, name, n_fitting in soonest:
-        if _take(places, step.n_tasks, name, n_fitting):
+    # Mostly the workers with places are enough, and no others are looked at.
+    known = [name for name in by_room if name in before]
+    for at, name, n_fitting in _expected_rooms(rooms, known, now):
+        if _take(places, step.n_tasks, name, min(n_fitting, before[name])):
             due = max(due, at)
     if earlier is not None and sum(places.values()) == step.n_tasks:
         return places, min(earlier.at, due)
-    for at, name, n_fitting in later:
+    for at, name, n_fitting in _expected_rooms(rooms, by_room, now):
         if _take(places, step.n_tasks, name, n_fitting):
             due = max(due, at)
     return (places, due) if sum(places.values()) == step.n_tasks else None
 
 
+def _expected_rooms(
+    rooms: Mapping[str, _Room], names: Iterable[str], now: float
+) -> list[tuple[float, str, int]]:
+    """Return when more tasks will fit on some workers, and how many, soonest first."""
+    later = [
+        (at, name, n_fitting)
+        for name in names
+        for at, n_fitting in rooms[name].expected(now)
+    ]
+    later.sort(key=itemgetter(0))
+    return later
+
+
 def _take(places: dict[str, int], n_tasks: int, name: str, n_fitting: int) -> bool:
     """Take more places on a worker up to a number; return whether there were any."""
     n_here = places.get(name, 0)
@@ -714,6 +722,7 @@
         at_least=MIN_RENEWED_WORKERS,
     )
     if covered < n_wanted and unasked:
+        n_left = max(0, MAX_ADVISED_WORKERS - len(named))
         asked, _ = _cover(
             step,
             n_wanted,
@@ -721,6 +730,7 @@
             outlook,
             n_wanted * UNASKED_FACTOR,
             at_least=MIN_ASKED_WORKERS,
+            at_most=n_left,
         )
         return (named + asked)[:MAX_ADVISED_WORKERS]
     if len(named) <= len(with_ticket) or (step.gang and covered < n_wanted):
@@ -736,9 +746,15 @@
     n_needed: float,
     *,
     at_least: int,
+    at_most: int | None = None,
 ) -> tuple[list[Worker], int]:
     """Return the most suitable workers that together have capacity for some tasks.
 
+    Parameters
+    ----------
+    at_most : int, optional
+        Number of workers beyond which those without room may be left out.
+
     Returns
     -------
     chosen : list of Worker
@@ -754,7 +770,8 @@
             return chosen, covered
         chosen.append(worker)
         covered += n_fitting
-    n_more = max(0, at_least - len(chosen)) if covered >= n_needed else None
+    n_wished = at_least if covered >= n_needed else at_most
+    n_more = None if n_wished is None else max(0, n_wished - len(chosen))
     return chosen + list(islice(_rest(workers, chosen), n_more)), covered
 
 
