--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -456,7 +456,7 @@
 
     def note_running(self) -> None:
         """Note that a run is known to be present."""
-        self.idle_since, self.idle_from, self.ended_at = 0.0, "", 0.0
+        self.idle_since, self.idle_from = 0.0, ""
 
     def idle_fields(self, now: float) -> dict[str, Any]:
         """Return the fields of log lines and dumps about the time without a run."""
