--- a/tests/jobs/test_advicequeue.py
+++ b/tests/jobs/test_advicequeue.py
@@ -169,6 +169,7 @@
         UnavailableError("no", step="connect"),
         ProtocolError("odd", step="advise"),
         ValueError(),
+        curio.TaskTimeout(0.0),
     ],
 )
 def test_calls_are_served_after_one_that_failed(error):
