Keep starts whose tickets have lapsed, and ask for their tickets only

Cause: a placement used any ticket that was valid when it was decided. The start is sent after the append, the rest of the process's work and the worker's earlier starts; by then the ticket had often lapsed. The run was released, and everything began anew with a call on up to 100 workers and two records, which is the load that made the next tickets lapse.

Now the placer measures the time from a decision until its starts are written, uses and renews tickets for that time, and places nothing more that needs a ticket while the oldest unwritten start has waited for a ticket's time. A start whose ticket has lapsed keeps its place; one call per step names only the workers of such starts, and they are sent with the answer, or released after 3 s. Gangs no longer lose all members for one ticket.

test_a_start_whose_ticket_has_lapsed_is_not_sent asserted that the capacity is free at once. It now asserts that the start is not sent, that one call names its worker, and that the capacity is free after the limit.

Ruled out: starts without a bound on the wait, since capacity would be held while advice is away; tickets that must outlast the measured time whatever it is, since then nothing would be sent that could lower it.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -699,6 +699,32 @@
     return calls
 
 
+def late_start_call(
+    placer: Placer, waiting: Iterable[Placement], now: float
+) -> AdviceCall | None:
+    """Return a call for the tickets of starts of one step, None if none can be made.
+
+    Only the workers of these starts are named, so the call is short.
+    """
+    starts = list(waiting)
+    key = starts[0].key
+    progress = placer.jobs[key.job_id]
+    queue = placer.queue_of(progress)
+    step_run = progress.step_run(key.occurrence, key.step)
+    advice = placer.advice.for_step(step_run.name)
+    if queue is None or queue.advice is None:
+        return None
+    if advice.calling or now < advice.retry_at:
+        return None
+    names = list(dict.fromkeys(item.worker_id for item in starts))
+    incarnations = {
+        name: placer.workers[name].entry.incarnation
+        for name in names[:MAX_ADVISED_WORKERS]
+    }
+    rank = _waiting_rank(step_run, queue)
+    return make_advice_call(step_run.name, incarnations, queue.advice, rank)
+
+
 def _lost_rank(step_run: StepRun, queue: Queue) -> CallRank:
     """Return the rank of calls for a step of which tasks have been lost."""
     if queue.priority == 0:
@@ -881,7 +907,7 @@
     n_wanted : int
         Number of tasks to place.
     valid_at : float, seconds
-        When the tickets will be used.
+        When the starts that use the tickets will be decided.
     rank : CallRank
         Rank of the call if it can help to place a task now.
     pool : list of Worker, optional
@@ -892,9 +918,10 @@
         return workers, None
     advice = placer.advice.for_step(step_run.name)
     permitted = [item for item in workers if advice.permits(item.worker_id)]
-    if advice.calling or now < advice.retry_at:
+    if advice.calling or now < advice.retry_at or step_run.name in placer.late_starts:
         return permitted, None
     step = step_run.step
+    valid_at = placer.sent_at(valid_at, queue.advice)
     fitting = [item for item in permitted if item.fits(step.need)]
     with_ticket = [
         item
@@ -976,7 +1003,7 @@
         return by_suitability(step, step.n_tasks, unasked, outlook)[
             :MAX_ADVISED_WORKERS
         ]
-    valid_at = max(reservation.at, now + ahead_s)
+    valid_at = placer.sent_at(max(reservation.at, now + ahead_s), terms)
     kept = all(
         advice.ticket(name, placer.workers[name].entry.incarnation, valid_at)
         for name in reservation.places
@@ -1001,7 +1028,7 @@
     Parameters
     ----------
     valid_at : float, seconds
-        When the tickets will be used.
+        When the starts that use the tickets will be decided.
     restart : bool, default=False
         Whether the tasks last and were interrupted. They may use the headroom, and room
         that is kept for such tasks.
@@ -1012,10 +1039,13 @@
     queue = placer.queue_of(progress)
     if queue is not None and queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
+        valid_at = placer.sent_at(valid_at, queue.advice)
+        may_start = placer.may_decide_starts(queue.advice, now)
         workers = [
             worker
             for worker in workers
-            if advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
+            if may_start
+            and advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
         ]
     # The counter is checked first, since this runs for each worker and step.
     workers = [
@@ -1178,13 +1208,14 @@
     waits_for = "room"
     if queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
+        sent_at = placer.sent_at(now, queue.advice)
         for worker in workers:
             asked = worker.worker_id in advice.asked
             if asked and not advice.permits(worker.worker_id):
                 continue
             if not worker.fits(step_run.step.need):
                 continue
-            if not advice.ticket(worker.worker_id, worker.entry.incarnation, now):
+            if not advice.ticket(worker.worker_id, worker.entry.incarnation, sent_at):
                 waits_for = "advice"
                 break
     step_run.note_wait(waits_for, now)
@@ -1216,7 +1247,7 @@
         advice=placer.advice.for_step(step_run.name) if queue.advice else None,
         held={} if restarts else held,
         core_limit=core_limit,
-        now=now,
+        now=placer.sent_at(now, queue.advice) if queue.advice else now,
     )
     step_run.note_cause(cause, now)
     _tell_wait(placer, step_run, now)
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -219,6 +219,9 @@
     # lease and starts nothing, so that a term without a record has granted nothing.
     _recorded: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
+    # When the oldest of these was decided, and the oldest that are being written.
+    _unjournaled_since: float = math.inf
+    _writing_since: float = math.inf
     # When a record was sent by which others see that the placer is alive: progress of
     # jobs or its claim. Earlier builds do not count records of leases.
     _shown_at: float = 0.0
@@ -655,11 +658,13 @@
         slot = self.placer.sendable_slot(placement, now)
         if slot is None:
             return
+        decided_at = slot.started_at
         worker = self.placer.workers[placement.worker_id]
         progress = self.placer.jobs[placement.key.job_id]
         ticket = self.placer.ticket(placement, now)
         if ticket is None:
-            return  # it expired while the start was journaled
+            await self._wake.set()
+            return
         order = StartOrder(
             worker_id=worker.worker_id,
             address=worker.entry.address,
@@ -672,6 +677,7 @@
             ticket=ticket,
         )
         slot.sent, slot.fencing_token, slot.started_at = True, order.fencing_token, now
+        self.metrics.observe("send_seconds", now - decided_at)
         self._observe_first_start(progress)
         worker.record_lease(order.lease_until_ms)
         logger.info(
@@ -682,6 +688,7 @@
             worker=order.worker_id,
             fence=order.fencing_token,
             config=self.placer.table.version,
+            decided_s=round(now - decided_at, 3),
             **self._absence(progress, order.key, now),
             **progress.step_run(order.key.occurrence, order.key.step).take_waited(),
         )
@@ -809,11 +816,16 @@
         self._wake.clear()
         now = boottime()
         self.placer.tick(now)
+        await self._renew_tickets()
         # Placements made while nothing can be journaled would hold capacity and tickets
         # until they lapse.
         if self.may_act() and not self.writer.failing_since:
+            self.placer.unsent_since = min(self._writing_since, self._unjournaled_since)
             placements, calls = self.placer.decide(now, time.time())
+            self.metrics.observe("decision_seconds", boottime() - now)
             self._unjournaled.extend(placements)
+            if placements:
+                self._unjournaled_since = min(self._unjournaled_since, now)
             for call in calls:
                 await self._schedule_advice(call, now)
             self._observe_waits()
@@ -863,6 +875,7 @@
         dirty = self.placer.take_dirty()
         lease_record = self.lease_journal.prepare(boottime())
         placements, self._unjournaled = self._unjournaled, []
+        self._writing_since, self._unjournaled_since = self._unjournaled_since, math.inf
         seen = {
             worker.worker_id: (worker.entry.incarnation, worker.last_seen_end)
             for worker in self.placer.workers.values()
@@ -897,12 +910,40 @@
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
                 worker.last_acked_end = max(worker.last_acked_end, number)
-        for placement in placements:
-            await self._enqueue(placement.worker_id, placement)
+        await self._send_journaled(placements)
         await self._write_speeds()
         if not records:
             await self._expire_ended()
 
+    async def _send_journaled(self, placements: list[Placement]) -> None:
+        """Send the starts of placements; ask for new tickets for those that lapsed."""
+        now, decided_at = boottime(), self._writing_since
+        self._writing_since = math.inf
+        if not placements:
+            return
+        self.placer.note_send_time(now - decided_at)
+        for placement in placements:
+            if self.placer.sendable_slot(placement, now) is None:
+                continue
+            if self.placer.ticket(placement, now) is not None:
+                await self._enqueue(placement.worker_id, placement)
+        await self._renew_tickets()
+
+    async def _renew_tickets(self, step: str = "") -> None:
+        """Send the late starts that have new tickets; ask for those of the others.
+
+        Parameters
+        ----------
+        step : str, optional
+            Name of the only step to process.
+        """
+        now = boottime()
+        sendable, calls = self.placer.renew_tickets(now, step)
+        for placement in sendable:
+            await self._enqueue(placement.worker_id, placement)
+        for call in calls:
+            await self._schedule_advice(call, now)
+
     async def _append_records(self, records: list[tuple[str, bytes]]) -> set[str]:
         """Append records; return the keys of those that the journal rejects for good.
 
@@ -1028,15 +1069,18 @@
         await self._wake.set()
 
     async def _schedule_advice(self, call: AdviceCall, now: float) -> None:
+        advice = self.placer.advice.for_step(call.step)
+        if advice.calling:
+            return
         call = replace(
             call,
             cost_s=call.cost_s * self.advice_pace,
-            failed_at=self.placer.advice.for_step(call.step).failed_at,
+            failed_at=advice.failed_at,
         )
         adviser = find_adviser(self.advisers.values(), call, now)
         if adviser is None:
             return
-        self.placer.advice.for_step(call.step).calling = True
+        advice.calling = True
         sent = replace(call, term=self.leader_record.term)
         await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
 
@@ -1090,6 +1134,7 @@
                 took_ms=round((now - sent_at) * 1000),
                 waited_ms=round(answer.waited_s * 1000),
             )
+        await self._renew_tickets(call.step)
         await self._wake.set()
 
     def _observe_pace(self, call: AdviceCall, service_s: float) -> None:
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -172,6 +172,16 @@
         "the task, in seconds.",
         ("queue",),
     ),
+    Metric(
+        "decision_seconds",
+        HISTOGRAM,
+        "Time of a decision of the placer, in seconds.",
+    ),
+    Metric(
+        "send_seconds",
+        HISTOGRAM,
+        "Time from the decision on a start until it is sent, in seconds.",
+    ),
     Metric(
         "advice_seconds",
         HISTOGRAM,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -16,7 +16,7 @@
 import structlog
 
 from ..model import NO_RESOURCES
-from .advice import AdviceTable
+from .advice import TICKET_MARGIN_S, AdviceTable
 from .crashes import (
     clear_survivor,
     give_up,
@@ -25,7 +25,7 @@
     record_registration,
     starts_apart,
 )
-from .decisions import Placement, decide
+from .decisions import Placement, decide, late_start_call
 from .evacuation import Move, evacuate
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
@@ -44,6 +44,7 @@
     from .lateness import Outlook
     from .leasebounds import InheritedLeases
     from .model import (
+        AdviceTerms,
         EndedTask,
         Queue,
         RunningTask,
@@ -66,6 +67,15 @@
 # Delay before the next start on a worker that refused one for lack of capacity.
 CAPACITY_BACKOFF_S = 0.3
 UNHEALTHY_BACKOFF_S = 0.5
+# A start whose ticket has lapsed keeps its worker for this time: longer than two calls
+# for advice, while others may use the capacity if advice is not to be had.
+MAX_LATE_START_S = 3.0
+# Most of the validity of a ticket that may be left for the time until a start is sent;
+# a larger part would leave no ticket usable when its answer waits for a decision.
+MAX_SEND_FRACTION = 0.5
+# Weight of a shorter time in the expected time until a start is sent. A longer one
+# counts at once, since a ticket that has lapsed costs another call.
+SEND_WEIGHT = 0.25
 MAX_SILENT_TIMES = 1000  # more than stop answering within a restart
 MAX_ENDED_WAITS = 1000  # more than end in one decision
 
@@ -167,6 +177,14 @@
         Limits the log lines about waits.
     waits_noted_at : float, seconds
         When the waits of steps that are not considered were noted.
+    send_s : float, seconds
+        Expected time from a decision until the starts that it makes are sent.
+    unsent_since : float, seconds
+        When the oldest start was decided that is not in the journal yet; infinite if
+        there is none.
+    late_starts : dict
+        Starts in the journal that wait for a new ticket, by the names of their steps,
+        with the times in seconds since when.
     """
 
     term: int
@@ -200,6 +218,9 @@
     )
     wait_lines: LineLimit = field(default_factory=LineLimit)
     waits_noted_at: float = 0.0
+    send_s: float = 0.0
+    unsent_since: float = math.inf
+    late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -859,6 +880,7 @@
             fence=slot.fencing_token,
             current=current,
             sent=slot.sent,
+            decided_s=None if slot.sent else round(now - slot.started_at, 3),
             ran_s=round(worker.heard_at - slot.present_at, 3)
             if slot.present_at
             else None,
@@ -970,19 +992,88 @@
     def ticket(self, placement: Placement, now: float) -> str | None:
         """Return the ticket for a start, or an empty string if its queue needs none.
 
-        If the ticket has lapsed, the run is released and None is returned.
+        If the ticket has lapsed, the start waits for another one and None is returned.
+        The assignment stands: placing the task anew would take a longer call for advice
+        and two more records, which make the next tickets lapse as well.
         """
-        worker = self.workers[placement.worker_id]
-        key = placement.key
+        ticket = self._valid_ticket(placement, now)
+        if ticket is None:
+            self.counts["tickets_lapsed"] += 1
+            waiting = self.late_starts.setdefault(placement.key.step_name, {})
+            waiting.setdefault(placement, now)
+        return ticket
+
+    def _valid_ticket(self, placement: Placement, now: float) -> str | None:
+        """Return the ticket for a start; None if it needs one and has none."""
+        worker, key = self.workers[placement.worker_id], placement.key
         queue = self.queue_of(self.jobs[key.job_id])
         if queue is None or queue.advice is None:
             return ""
-        advice = self.advice.for_step(f"{key.job_id}.{key.occurrence}.{key.step}")
-        ticket = advice.ticket(worker.worker_id, worker.entry.incarnation, now)
-        if ticket:
-            return ticket
-        self.run_lost(worker, worker.slots[key, placement.run], "ticket lapsed", now)
-        return None
+        advice = self.advice.for_step(key.step_name)
+        return advice.ticket(worker.worker_id, worker.entry.incarnation, now) or None
+
+    def renew_tickets(
+        self, now: float, step: str = ""
+    ) -> tuple[list[Placement], list[AdviceCall]]:
+        """Process the starts that wait for a new ticket.
+
+        Parameters
+        ----------
+        step : str, optional
+            Name of the only step to process.
+
+        Returns
+        -------
+        sendable : list of Placement
+            Starts that have one now.
+        calls : list of AdviceCall
+            Calls for advice on the workers of the others, the most urgent first.
+        """
+        sendable, calls = [], []
+        for name in [step] if step else list(self.late_starts):
+            waiting = self.late_starts.get(name, {})
+            for placement, since in list(waiting.items()):
+                slot = self.sendable_slot(placement, now)
+                if slot is None:
+                    del waiting[placement]
+                elif self._valid_ticket(placement, now) is not None:
+                    del waiting[placement]
+                    sendable.append(placement)
+                elif now - since > MAX_LATE_START_S:
+                    del waiting[placement]
+                    self.release_unsent(placement, "ticket lapsed", now)
+            # The release of a member has released the other members of its gang.
+            for placement in [item for item in waiting if not self._is_unsent(item)]:
+                del waiting[placement]
+            if not waiting:
+                self.late_starts.pop(name, None)
+                continue
+            call = late_start_call(self, waiting, now)
+            if call is not None:
+                calls.append(call)
+        return sendable, sorted(calls, key=lambda call: call.rank)
+
+    def _is_unsent(self, placement: Placement) -> bool:
+        worker = self.workers.get(placement.worker_id)
+        slot = worker.slots.get((placement.key, placement.run)) if worker else None
+        return slot is not None and not slot.sent
+
+    def note_send_time(self, send_s: float) -> None:
+        """Update the expected time from a decision until its starts are sent."""
+        weight = 1.0 if send_s > self.send_s else SEND_WEIGHT
+        self.send_s += weight * (send_s - self.send_s)
+
+    def sent_at(self, decided_at: float, terms: AdviceTerms) -> float:
+        """Return when a start is expected to be sent, for the choice of its ticket."""
+        usable_s = max(0.0, terms.valid_s - TICKET_MARGIN_S)
+        return decided_at + min(self.send_s, MAX_SEND_FRACTION * usable_s)
+
+    def may_decide_starts(self, terms: AdviceTerms, now: float) -> bool:
+        """Return whether tickets outlast the starts that are not in the journal yet.
+
+        While they don't, further starts would hold capacity until all are written.
+        """
+        return now - self.unsent_since < terms.valid_s - TICKET_MARGIN_S
 
     def handle_start_reply(
         self, order: StartOrder, reply: StartReply, now: float
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -15,7 +15,7 @@
     StartReply,
     StartResult,
 )
-from cuminhill.jobs.placer import STOP_REPEAT_S, Placement
+from cuminhill.jobs.placer import MAX_LATE_START_S, STOP_REPEAT_S, Placement
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
 from cuminhill.jobs.records import JOB_PREFIX, RUN_PREFIX, JournalRecord, encode_job
 from cuminhill.jobs.watch import MIN_STALL_S, STALL_FRACTION, STORED_FRACTION
@@ -733,7 +733,14 @@
     placed, _ = placer.decide(NOW + 2.0, WALL)
     assert placer.ticket(placed[0], NOW + 2.0) == "t"
     assert placer.ticket(placed[0], NOW + 3.0) is None
+    sendable, calls = placer.renew_tickets(NOW + 3.0)
+    assert sendable == []
+    assert [list(call.workers) for call in calls] == [["w1"]]
+    # It keeps its worker, but not without end.
+    assert placer.workers["w1"].free.cores == 15.0
+    assert placer.renew_tickets(NOW + 3.1 + MAX_LATE_START_S) == ([], [])
     assert placer.workers["w1"].free.cores == 16.0
+    assert placer.decide(NOW + 7.0, WALL)[1]
 
 
 def test_a_start_that_is_not_sent_is_released():
