Count the validity of tickets from their issue though the answer waits

The placer counted tickets from 0.02 s before it processed the answer. Now they count at the latest from when the call was sent, plus its wait in the VM's queue, plus the time that the service states, which it takes at least.

The new test failed before (ticket taken as valid 0.28 s longer).

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -1072,9 +1072,10 @@
         advice = self.placer.advice.for_step(call.step)
         if advice.calling:
             return
+        stated_s = call.cost_s
         call = replace(
             call,
-            cost_s=call.cost_s * self.advice_pace,
+            cost_s=stated_s * self.advice_pace,
             failed_at=advice.failed_at,
         )
         adviser = find_adviser(self.advisers.values(), call, now)
@@ -1082,9 +1083,18 @@
             return
         advice.calling = True
         sent = replace(call, term=self.leader_record.term)
-        await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
+        await curio.spawn(self._fetch_advice, adviser, sent, stated_s, daemon=True)
 
-    async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
+    async def _fetch_advice(
+        self, adviser: Adviser, call: AdviceCall, stated_s: float
+    ) -> None:
+        """Make a call for advice and store its answer.
+
+        Parameters
+        ----------
+        stated_s : float, seconds
+            Time of the service for the call, as the service states it.
+        """
         sent_at = boottime()
         planned_s = max(0.0, adviser.busy_until - sent_at)
         advice = self.placer.advice.for_step(call.step)
@@ -1115,8 +1125,10 @@
             )
             advice.record_failure(now, refused=cause == "refused")
         else:
-            # Tickets count from their issue; the call took at least its own time.
             now = boottime()
+            # Tickets count from their issue. The service takes at least the time that
+            # it states; the answer may then have waited for other work of this process.
+            issued_at = sent_at + max(0.0, answer.waited_s) + stated_s
             adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             if answer.waited_s >= 0:
@@ -1125,7 +1137,10 @@
                 )
                 self._observe_pace(call, now - sent_at - answer.waited_s)
             advice.store_answer(
-                call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
+                call.workers,
+                answer.tickets,
+                max(sent_at, min(issued_at, now - 0.02)),
+                call.valid_s,
             )
             logger.info(
                 "advice",
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -266,3 +266,21 @@
     assert not calls
     placer.unsent_since = math.inf
     assert len(placer.decide(NOW + 0.2, WALL)[0]) == 1
+
+
+# Guards against starts that a worker rejects since the answer with their tickets has
+# waited for the process of the placer, which then counted their validity from too late.
+def test_tickets_count_from_their_issue_though_the_answer_waits_for_the_process(
+    cluster,
+):
+    async def scenario():
+        node = await _start(cluster)
+        _submit(cluster, n_jobs=1, n_tasks=1)
+        await cluster.wait_for(lambda: cluster.advice.named)
+        asked_at = boottime()
+        time.sleep(0.6)  # the answer, after 0.15 s, is not read meanwhile
+        advice = node.leadership.placer.advice.for_step(f"{1:016x}.0.0")
+        await cluster.wait_for(lambda: advice.ticket_until)
+        assert max(advice.ticket_until.values()) < asked_at + 0.3 + TERMS.valid_s
+
+    curio.run(scenario)
