Bound the time of decisions, and pause for as long between them

Cause: with many waiting steps a decision took longer than a ticket is valid, together with the pass of the process's other tasks between two of them. Then every ticket has lapsed when its start is sent, nothing starts, and the backlog, which makes decisions long, grows: the state does not come back when the store is well again.

Change: a decision over 0.25 s lets the next one consider fewer steps (20 at least), a short one more again, and the pause between two is as long as the newest one. A step whose advice has come since its last turn goes first.

--- a/cuminhill/jobs/advice.py
+++ b/cuminhill/jobs/advice.py
@@ -73,6 +73,8 @@
         with an outcome has failed.
     failed_at : float or None, seconds
         When the newest call failed; None if it did not.
+    is_new : bool
+        Whether no decision has considered the newest answer.
     """
 
     permitted: dict[str, str] = field(default_factory=dict)
@@ -82,6 +84,7 @@
     calling: bool = False
     retry_at: float = 0.0
     failed_at: float | None = None
+    is_new: bool = False
 
     def ticket(self, worker_id: str, incarnation: int, now: float) -> str:
         """Return a ticket that is valid for a start now, or an empty string."""
@@ -131,6 +134,7 @@
             Validity of the tickets.
         """
         self.calling, self.failed_at = False, None
+        self.is_new = True
         self.retry_at = 0.0
         self.asked.update(named)
         for worker_id, ticket in tickets:
@@ -229,6 +233,11 @@
             advice = self.steps[step] = StepAdvice()
         return advice
 
+    def is_new(self, step: str) -> bool:
+        """Return whether no decision has considered the newest answer for a step."""
+        advice = self.steps.get(step)
+        return advice is not None and advice.is_new
+
     def forget_job(self, job_id: str) -> None:
         """Drop the advice for all steps of a job."""
         prefix = f"{job_id}."
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -66,6 +66,11 @@
 # turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
 N_TURNS_PER_DECISION = 50
+# Fewer steps are considered if decisions take longer than this: nothing else is done
+# meanwhile, and tickets lapse between two of them.
+MAX_DECISION_S = 0.25
+MIN_STEPS_PER_DECISION = 20
+STEPS_GROWTH = 1.25
 # Blocked steps other than gangs with a reservation at a time; without one, steps that
 # need many workers would starve.
 MAX_RESERVATIONS = 2
@@ -161,14 +166,35 @@
     names : list of str
         All steps with tasks to place, the most urgent first.
     """
-    n_first = MAX_STEPS_PER_DECISION
-    if len(names) > MAX_STEPS_PER_DECISION:
-        n_first -= N_TURNS_PER_DECISION
+    n_first = n_most = min(placer.max_steps, MAX_STEPS_PER_DECISION)
+    n_turns = n_most * N_TURNS_PER_DECISION // MAX_STEPS_PER_DECISION
+    if len(names) > n_most:
+        n_first -= n_turns
     rest = dict.fromkeys(names[n_first:])
     queue = [name for name in placer.left_out if name in rest]
     queue += [name for name in rest if name not in placer.left_out]
-    placer.left_out = dict.fromkeys(queue[N_TURNS_PER_DECISION:])
-    return {*names[:n_first], *queue[:N_TURNS_PER_DECISION]}
+    # A step whose advice has come since its last turn may have tickets that lapse.
+    queue.sort(key=lambda name: not placer.advice.is_new(name))
+    placer.left_out = dict.fromkeys(queue[n_turns:])
+    return {*names[:n_first], *queue[:n_turns]}
+
+
+def limit_steps(n_considered: int, max_steps: int, took_s: float) -> int:
+    """Return how many steps the next decision may consider.
+
+    Parameters
+    ----------
+    n_considered, max_steps : int
+        Steps that the newest decision has considered, and those that it might have.
+    took_s : float, seconds
+        Time of that decision.
+    """
+    if took_s > MAX_DECISION_S:
+        n_steps = int(n_considered * MAX_DECISION_S / took_s)
+        return max(MIN_STEPS_PER_DECISION, min(max_steps, n_steps))
+    if n_considered < max_steps or took_s * STEPS_GROWTH > MAX_DECISION_S:
+        return max_steps
+    return min(MAX_STEPS_PER_DECISION, int(max_steps * STEPS_GROWTH))
 
 
 def decide(
@@ -190,6 +216,7 @@
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
+    placer.n_considered = len(waiting)
     hold_room(placer, waiting, pools, now)
     _deduct_reservations(placer, limits, now)
     busy = {name for name, pool in pools.items() if _is_busy(pool)}
@@ -917,6 +944,7 @@
     if queue.advice is None:
         return workers, None
     advice = placer.advice.for_step(step_run.name)
+    advice.is_new = False
     permitted = [item for item in workers if advice.permits(item.worker_id)]
     if advice.calling or now < advice.retry_at or step_run.name in placer.late_starts:
         return permitted, None
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -85,6 +85,9 @@
 STOP_TIMEOUT_S = 0.6
 # Pause between decisions; limits the rate of journal appends.
 DECIDE_PAUSE_S = 0.015
+# Pause as a multiple of the time of the decision before it. A decision holds up all
+# other tasks of the process, and a start needs several steps of them until it is sent.
+DECIDE_PAUSE_FACTOR = 1.0
 # Longest time without a decision; lapsed leases and stalled runs are detected then.
 TICK_S = 0.25
 # The placer writes at least at this interval, so that others see that it is alive.
@@ -801,8 +804,10 @@
 
     async def _place(self) -> None:
         while not self.ended and not self.writer.fenced:
+            begun_at = boottime()
             await self._place_once()
-            await curio.sleep(DECIDE_PAUSE_S)
+            took_s = boottime() - begun_at
+            await curio.sleep(max(DECIDE_PAUSE_S, DECIDE_PAUSE_FACTOR * took_s))
             async with curio.ignore_after(TICK_S):
                 await self._wake.wait()
         self.ended = True
@@ -822,7 +827,9 @@
         if self.may_act() and not self.writer.failing_since:
             self.placer.unsent_since = min(self._writing_since, self._unjournaled_since)
             placements, calls = self.placer.decide(now, time.time())
-            self.metrics.observe("decision_seconds", boottime() - now)
+            decided_s = boottime() - now
+            self.metrics.observe("decision_seconds", decided_s)
+            self.placer.note_decision_time(decided_s)
             self._unjournaled.extend(placements)
             if placements:
                 self._unjournaled_since = min(self._unjournaled_since, now)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -25,7 +25,13 @@
     record_registration,
     starts_apart,
 )
-from .decisions import Placement, decide, late_start_call
+from .decisions import (
+    MAX_STEPS_PER_DECISION,
+    Placement,
+    decide,
+    late_start_call,
+    limit_steps,
+)
 from .evacuation import Move, evacuate
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
@@ -177,6 +183,8 @@
         Limits the log lines about waits.
     waits_noted_at : float, seconds
         When the waits of steps that are not considered were noted.
+    max_steps, n_considered : int
+        Steps that a decision may consider, and that the newest one has considered.
     send_s : float, seconds
         Expected time from a decision until the starts that it makes are sent.
     unsent_since : float, seconds
@@ -218,6 +226,8 @@
     )
     wait_lines: LineLimit = field(default_factory=LineLimit)
     waits_noted_at: float = 0.0
+    max_steps: int = MAX_STEPS_PER_DECISION
+    n_considered: int = 0
     send_s: float = 0.0
     unsent_since: float = math.inf
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
@@ -1063,6 +1073,10 @@
         weight = 1.0 if send_s > self.send_s else SEND_WEIGHT
         self.send_s += weight * (send_s - self.send_s)
 
+    def note_decision_time(self, took_s: float) -> None:
+        """Limit the steps of the next decision by the time that one has taken."""
+        self.max_steps = limit_steps(self.n_considered, self.max_steps, took_s)
+
     def sent_at(self, decided_at: float, terms: AdviceTerms) -> float:
         """Return when a start is expected to be sent, for the choice of its ticket."""
         usable_s = max(0.0, terms.valid_s - TICKET_MARGIN_S)
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -10,6 +10,12 @@
 import pytest
 
 from cuminhill.clock import boottime
+from cuminhill.jobs import decisions
+from cuminhill.jobs.decisions import (
+    MAX_STEPS_PER_DECISION,
+    MIN_STEPS_PER_DECISION,
+    limit_steps,
+)
 from cuminhill.jobs.model import (
     AdviceTerms,
     JobState,
@@ -284,3 +290,52 @@
         assert max(advice.ticket_until.values()) < asked_at + 0.3 + TERMS.valid_s
 
     curio.run(scenario)
+
+
+# Guards against decisions that take so long, since many steps wait, that all tickets
+# have lapsed by the next one: nothing starts then, and ever more steps wait (issue 49).
+def test_tasks_start_though_a_decision_on_all_waiting_steps_outlasts_the_tickets(
+    cluster, monkeypatch
+):
+    find_waiting = decisions.waiting_steps
+
+    def slow_waiting_steps(placer, wall):
+        rows = find_waiting(placer, wall)
+        time.sleep(0.01 * len(rows))
+        return rows
+
+    async def scenario():
+        node = await _start(cluster, AdviceTerms(0.01, 0.001, TERMS.valid_s))
+        monkeypatch.setattr(decisions, "waiting_steps", slow_waiting_steps)
+        job_ids = _submit(cluster, n_jobs=120, n_tasks=1)
+        await _wait_until_completed(cluster, node, job_ids, 25.0)
+        assert node.leadership.placer.counts["placements"] <= 1.2 * len(job_ids)
+
+    curio.run(scenario)
+
+
+def test_a_decision_considers_as_many_steps_as_its_time_allows():
+    """Guards against long decisions, and few steps when they are short again."""
+    assert limit_steps(200, 200, 1.0) == 50
+    assert limit_steps(100, 200, 0.5) == 50
+    assert limit_steps(200, 200, 60.0) == MIN_STEPS_PER_DECISION
+    # The time is not that of the steps if few are considered.
+    assert limit_steps(10, 50, 0.1) == 50
+    n_steps = MIN_STEPS_PER_DECISION
+    for _ in range(20):
+        n_steps = limit_steps(n_steps, n_steps, 0.01)
+    assert n_steps == MAX_STEPS_PER_DECISION
+
+
+# Guards against calls for advice whose tickets lapse before the turn of their step.
+def test_steps_with_new_advice_have_their_turn_first():
+    placer = make_placer(make_queue(advice=TERMS))
+    for number in range(MAX_STEPS_PER_DECISION + 100):
+        submit(placer, make_job(job_id=f"{number:016x}"))
+    names = [row[0].name for row in decisions.waiting_steps(placer, WALL)]
+    left = list(placer.left_out)
+    placer.advice.for_step(left[-1]).store_answer({"w1": 1}, [], NOW, TERMS.valid_s)
+    names = [row[0].name for row in decisions.waiting_steps(placer, WALL)]
+    assert left[-1] in names
+    assert placer.decide(NOW, WALL)
+    assert not placer.advice.is_new(left[-1])
