--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -68,6 +68,11 @@
 # turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
 N_TURNS_PER_DECISION = 50
+# Fewer steps are considered if decisions take longer than this: nothing else is done
+# meanwhile, and tickets lapse between two of them.
+MAX_DECISION_S = 0.25
+MIN_STEPS_PER_DECISION = 20
+STEPS_GROWTH = 1.25
 # Blocked steps other than gangs with a reservation at a time; without one, steps that
 # need many workers would starve.
 MAX_RESERVATIONS = 2
@@ -163,14 +168,35 @@
     names : list of str
         All steps with tasks to place, the most urgent first.
     """
-    n_first = MAX_STEPS_PER_DECISION
-    if len(names) > MAX_STEPS_PER_DECISION:
-        n_first -= N_TURNS_PER_DECISION
+    n_first = n_most = min(placer.max_steps, MAX_STEPS_PER_DECISION)
+    n_turns = n_most * N_TURNS_PER_DECISION // MAX_STEPS_PER_DECISION
+    if len(names) > n_most:
+        n_first -= n_turns
     rest = dict.fromkeys(names[n_first:])
     queue = [name for name in placer.left_out if name in rest]
     queue += [name for name in rest if name not in placer.left_out]
-    placer.left_out = dict.fromkeys(queue[N_TURNS_PER_DECISION:])
-    return {*names[:n_first], *queue[:N_TURNS_PER_DECISION]}
+    # A step whose advice has come since its last turn may have tickets that lapse.
+    queue.sort(key=lambda name: not placer.advice.is_new(name))
+    placer.left_out = dict.fromkeys(queue[n_turns:])
+    return {*names[:n_first], *queue[:n_turns]}
+
+
+def limit_steps(n_considered: int, max_steps: int, took_s: float) -> int:
+    """Return how many steps the next decision may consider.
+
+    Parameters
+    ----------
+    n_considered, max_steps : int
+        Steps that the newest decision has considered, and those that it might have.
+    took_s : float, seconds
+        Time of that decision.
+    """
+    if took_s > MAX_DECISION_S:
+        n_steps = int(n_considered * MAX_DECISION_S / took_s)
+        return max(MIN_STEPS_PER_DECISION, min(max_steps, n_steps))
+    if n_considered < max_steps or took_s * STEPS_GROWTH > MAX_DECISION_S:
+        return max_steps
+    return min(MAX_STEPS_PER_DECISION, int(max_steps * STEPS_GROWTH))
 
 
 def decide(
@@ -192,6 +218,7 @@
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
+    placer.n_considered = len(waiting)
     hold_room(placer, waiting, pools, now)
     _deduct_reservations(placer, limits, now)
     busy = {name for name, pool in pools.items() if _is_busy(pool)}
@@ -722,6 +749,32 @@
     return calls
 
 
+def late_start_call(
+    placer: Placer, waiting: Iterable[Placement], now: float
+) -> AdviceCall | None:
+    """Return a call for the tickets of starts of one step, None if none can be made.
+
+    Only the workers of these starts are named, so the call is short.
+    """
+    starts = list(waiting)
+    key = starts[0].key
+    progress = placer.jobs[key.job_id]
+    queue = placer.queue_of(progress)
+    step_run = progress.step_run(key.occurrence, key.step)
+    advice = placer.advice.for_step(step_run.name)
+    if queue is None or queue.advice is None:
+        return None
+    if advice.calling or now < advice.retry_at:
+        return None
+    names = list(dict.fromkeys(item.worker_id for item in starts))
+    incarnations = {
+        name: placer.workers[name].entry.incarnation
+        for name in names[:MAX_ADVISED_WORKERS]
+    }
+    rank = _waiting_rank(step_run, queue)
+    return make_advice_call(step_run.name, incarnations, queue.advice, rank)
+
+
 def _lost_rank(step_run: StepRun, queue: Queue) -> CallRank:
     """Return the rank of calls for a step of which tasks have been lost."""
     if queue.priority == 0:
@@ -906,7 +959,7 @@
     n_wanted : int
         Number of tasks to place.
     valid_at : float, seconds
-        When the tickets will be used.
+        When the starts that use the tickets will be decided.
     rank : CallRank
         Rank of the call if it can help to place a task now.
     pool : list of Worker, optional
@@ -916,11 +969,13 @@
     if queue.advice is None:
         return workers, None
     advice = placer.advice.for_step(step_run.name)
+    advice.is_new = False
     known = advice.permitted
     permitted = [item for item in workers if item.worker_id in known]
-    if advice.calling or now < advice.retry_at:
+    if advice.calling or now < advice.retry_at or step_run.name in placer.late_starts:
         return permitted, None
     step = step_run.step
+    valid_at = placer.sent_at(valid_at, queue.advice)
     fitting = with_room(step.need, permitted)
     with_ticket = [
         item
@@ -1003,7 +1058,7 @@
         return by_suitability(step, step.n_tasks, unasked, outlook)[
             :MAX_ADVISED_WORKERS
         ]
-    valid_at = max(reservation.at, now + ahead_s)
+    valid_at = placer.sent_at(max(reservation.at, now + ahead_s), terms)
     kept = all(
         advice.ticket(name, placer.workers[name].entry.incarnation, valid_at)
         for name in reservation.places
@@ -1028,7 +1083,7 @@
     Parameters
     ----------
     valid_at : float, seconds
-        When the tickets will be used.
+        When the starts that use the tickets will be decided.
     restart : bool, default=False
         Whether the tasks last and were interrupted. They may use the headroom, and room
         that is kept for such tasks.
@@ -1039,10 +1094,13 @@
     queue = placer.queue_of(progress)
     if queue is not None and queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
+        valid_at = placer.sent_at(valid_at, queue.advice)
+        may_start = placer.may_decide_starts(queue.advice, now)
         workers = [
             worker
             for worker in workers
-            if advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
+            if may_start
+            and advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
         ]
     # The counter is checked first, since this runs for each worker and step.
     workers = [
@@ -1207,13 +1265,14 @@
     waits_for = "room"
     if queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
+        sent_at = placer.sent_at(now, queue.advice)
         for worker in workers:
             asked = worker.worker_id in advice.asked
             if asked and not advice.permits(worker.worker_id):
                 continue
             if not worker.fits(step_run.step.need):
                 continue
-            if not advice.ticket(worker.worker_id, worker.entry.incarnation, now):
+            if not advice.ticket(worker.worker_id, worker.entry.incarnation, sent_at):
                 waits_for = "advice"
                 break
     step_run.note_wait(waits_for, now)
@@ -1245,7 +1304,7 @@
         advice=placer.advice.for_step(step_run.name) if queue.advice else None,
         held={} if restarts else held,
         core_limit=core_limit,
-        now=now,
+        now=placer.sent_at(now, queue.advice) if queue.advice else now,
     )
     step_run.note_cause(cause, now)
     _tell_wait(placer, step_run, now)
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -88,6 +88,9 @@
 STOP_TIMEOUT_S = 0.6
 # Pause between decisions; limits the rate of journal appends.
 DECIDE_PAUSE_S = 0.015
+# Pause as a multiple of the time of the decision before it. A decision holds up all
+# other tasks of the process, and a start needs several steps of them until it is sent.
+DECIDE_PAUSE_FACTOR = 1.0
 # Longest time without a decision; lapsed leases and stalled runs are detected then.
 TICK_S = 0.25
 # The placer writes at least at this interval, so that others see that it is alive.
@@ -222,6 +225,9 @@
     # lease and starts nothing, so that a term without a record has granted nothing.
     _recorded: Any = field(default_factory=curio.Event)
     _unjournaled: list[Placement] = field(default_factory=list)
+    # When the oldest of these was decided, and the oldest that are being written.
+    _unjournaled_since: float = math.inf
+    _writing_since: float = math.inf
     # Progress that is being appended.
     _unstored: dict[str, Progress] = field(default_factory=dict)
     # When a record was sent by which others see that the placer is alive: progress of
@@ -702,11 +708,13 @@
         slot = self.placer.sendable_slot(placement, now)
         if slot is None:
             return
+        decided_at = slot.started_at
         worker = self.placer.workers[placement.worker_id]
         progress = self.placer.jobs[placement.key.job_id]
         ticket = self.placer.ticket(placement, now)
         if ticket is None:
-            return  # it expired while the start was journaled
+            await self._wake.set()
+            return
         order = StartOrder(
             worker_id=worker.worker_id,
             address=worker.entry.address,
@@ -719,6 +727,7 @@
             ticket=ticket,
         )
         slot.sent, slot.fencing_token, slot.started_at = True, order.fencing_token, now
+        self.metrics.observe("send_seconds", now - decided_at)
         self._observe_first_start(progress)
         worker.record_lease(order.lease_until_ms)
         logger.info(
@@ -729,6 +738,7 @@
             worker=order.worker_id,
             fence=order.fencing_token,
             config=self.placer.table.version,
+            decided_s=round(now - decided_at, 3),
             **self._absence(progress, order.key, now),
             **progress.idle_fields(now),
             **progress.step_run(order.key.occurrence, order.key.step).take_waited(),
@@ -846,8 +856,10 @@
 
     async def _place(self) -> None:
         while not self.ended and not self.writer.fenced:
+            begun_at = boottime()
             await self._place_once()
-            await curio.sleep(DECIDE_PAUSE_S)
+            took_s = boottime() - begun_at
+            await curio.sleep(max(DECIDE_PAUSE_S, DECIDE_PAUSE_FACTOR * took_s))
             async with curio.ignore_after(TICK_S):
                 await self._wake.wait()
         self.ended = True
@@ -861,11 +873,18 @@
         self._wake.clear()
         now = boottime()
         self.placer.tick(now)
+        await self._renew_tickets()
         # Placements made while nothing can be journaled would hold capacity and tickets
         # until they lapse.
         if self.may_act() and not self.writer.failing_since:
+            self.placer.unsent_since = min(self._writing_since, self._unjournaled_since)
             placements, calls = self.placer.decide(now, time.time())
+            decided_s = boottime() - now
+            self.metrics.observe("decision_seconds", decided_s)
+            self.placer.note_decision_time(decided_s)
             self._unjournaled.extend(placements)
+            if placements:
+                self._unjournaled_since = min(self._unjournaled_since, now)
             unserved: set[SearchKey] = set()
             for call in calls:
                 await self._schedule_advice(call, now, unserved)
@@ -916,6 +935,7 @@
         self._unstored = dirty = self.placer.take_dirty()
         lease_record = self.lease_journal.prepare(boottime())
         placements, self._unjournaled = self._unjournaled, []
+        self._writing_since, self._unjournaled_since = self._unjournaled_since, math.inf
         seen = {
             worker.worker_id: (worker.entry.incarnation, worker.last_seen_end)
             for worker in self.placer.workers.values()
@@ -951,12 +971,40 @@
             worker = self.placer.workers.get(worker_id)
             if worker is not None and worker.entry.incarnation == incarnation:
                 worker.last_acked_end = max(worker.last_acked_end, number)
-        for placement in placements:
-            await self._enqueue(placement.worker_id, placement)
+        await self._send_journaled(placements)
         await self._write_speeds()
         if not records:
             await self._expire_ended()
 
+    async def _send_journaled(self, placements: list[Placement]) -> None:
+        """Send the starts of placements; ask for new tickets for those that lapsed."""
+        now, decided_at = boottime(), self._writing_since
+        self._writing_since = math.inf
+        if not placements:
+            return
+        self.placer.note_send_time(now - decided_at)
+        for placement in placements:
+            if self.placer.sendable_slot(placement, now) is None:
+                continue
+            if self.placer.ticket(placement, now) is not None:
+                await self._enqueue(placement.worker_id, placement)
+        await self._renew_tickets()
+
+    async def _renew_tickets(self, step: str = "") -> None:
+        """Send the late starts that have new tickets; ask for those of the others.
+
+        Parameters
+        ----------
+        step : str, optional
+            Name of the only step to process.
+        """
+        now = boottime()
+        sendable, calls = self.placer.renew_tickets(now, step)
+        for placement in sendable:
+            await self._enqueue(placement.worker_id, placement)
+        for call in calls:
+            await self._schedule_advice(call, now)
+
     async def _append_records(self, records: list[tuple[str, bytes]]) -> set[str]:
         """Append records; return the keys of those that the journal rejects for good.
 
@@ -1091,11 +1139,15 @@
         unserved : set of SearchKey, optional
             Calls of this decision for which no VM is free; updated.
         """
+        advice = self.placer.advice.for_step(call.step)
+        if advice.calling:
+            return
         unserved = set() if unserved is None else unserved
+        stated_s = call.cost_s
         call = replace(
             call,
-            cost_s=call.cost_s * self.advice_pace,
-            failed_at=self.placer.advice.for_step(call.step).failed_at,
+            cost_s=stated_s * self.advice_pace,
+            failed_at=advice.failed_at,
         )
         key = search_key(call)
         if key in unserved:
@@ -1105,11 +1157,20 @@
             unserved.add(key)
             return
         unserved.clear()  # a busier VM may be a reason to try a doubtful one
-        self.placer.advice.for_step(call.step).calling = True
+        advice.calling = True
         sent = replace(call, term=self.leader_record.term)
-        await curio.spawn(self._fetch_advice, adviser, sent, daemon=True)
+        await curio.spawn(self._fetch_advice, adviser, sent, stated_s, daemon=True)
 
-    async def _fetch_advice(self, adviser: Adviser, call: AdviceCall) -> None:
+    async def _fetch_advice(
+        self, adviser: Adviser, call: AdviceCall, stated_s: float
+    ) -> None:
+        """Make a call for advice and store its answer.
+
+        Parameters
+        ----------
+        stated_s : float, seconds
+            Time of the service for the call, as the service states it.
+        """
         sent_at = boottime()
         planned_s = max(0.0, adviser.busy_until - sent_at)
         advice = self.placer.advice.for_step(call.step)
@@ -1141,8 +1202,10 @@
             )
             advice.record_failure(now, refused=cause == "refused")
         else:
-            # Tickets count from their issue; the call took at least its own time.
             now = boottime()
+            # Tickets count from their issue. The service takes at least the time that
+            # it states; the answer may then have waited for other work of this process.
+            issued_at = sent_at + max(0.0, answer.waited_s) + stated_s
             adviser.record_answer(now, answer.backlog_s)
             self.metrics.observe("advice_seconds", now - sent_at, through=adviser.vm)
             if answer.waited_s >= 0:
@@ -1151,7 +1214,10 @@
                 )
                 self._observe_pace(call, now - sent_at - answer.waited_s)
             advice.store_answer(
-                call.workers, answer.tickets, max(sent_at, now - 0.02), call.valid_s
+                call.workers,
+                answer.tickets,
+                max(sent_at, min(issued_at, now - 0.02)),
+                call.valid_s,
             )
             logger.info(
                 "advice",
@@ -1160,6 +1226,7 @@
                 took_ms=round((now - sent_at) * 1000),
                 waited_ms=round(answer.waited_s * 1000),
             )
+        await self._renew_tickets(call.step)
         await self._wake.set()
 
     def _observe_pace(self, call: AdviceCall, service_s: float) -> None:
