--- /dev/null
+++ b/tests/jobs/test_asking.py
@@ -0,0 +1,181 @@
+"""Tests of how long steps wait for advice on workers that they may use now.
+
+Pattern: 176 workers of 32 cores of which other work uses more than half, every second
+one slow. A third of them is permitted for a step, and tickets lapse after 2.5 s.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import replace
+
+import pytest
+
+from cuminhill.jobs.headroom import MAX_FRACTION, Headroom
+
+from .builders import BEGUN_AT, make_step
+from .test_gang_waits import NOW, TICK_S, call_s, make_pool, permits
+
+SLOW = 0.42
+ROOM_S = 0.5  # time for which a worker has room while others use the pool
+URGENT_STEP = make_step(4, 6.0, run_time_s=1.0)
+
+
+def is_slow(worker_id):
+    """Return whether a worker of the pool is slow."""
+    return int(worker_id[1:]) % 2 == 0
+
+
+def use(pool, worker_id, cores):
+    """Have other work use some more cores of a worker; fewer if negative."""
+    worker = pool.placer.workers[worker_id]
+    need = make_step(1, abs(cores), memory_mb=0.0).need
+    worker.free = worker.free - need if cores > 0 else worker.free + need
+
+
+def make_used_pool(fast_cores, slow_cores, **more):
+    """Return a pool of which other work uses some cores of each worker.
+
+    As much as possible of the fast workers is kept for urgent work.
+    """
+    pool = make_pool(n_vms=16, **more)
+    for worker in pool.placer.workers.values():
+        slow = is_slow(worker.worker_id)
+        worker.health.speed = SLOW if slow else 1.0
+        use(pool, worker.worker_id, slow_cores if slow else fast_cores)
+    pool.placer.headroom["pool"] = headroom = Headroom(1e6, BEGUN_AT)
+    assert headroom.target_cores(1.0) == MAX_FRACTION
+    return pool
+
+
+def first_start(pool, name, limit_s):
+    """Return how long a step waits for its first start from now on, in seconds."""
+    begun_at = pool.now
+    while name not in pool.started and pool.now < begun_at + limit_s:
+        pool.run_until(pool.now + TICK_S)
+    return pool.started.get(name, [math.inf])[0] - begun_at
+
+
+def named_bound_s(*n_named):
+    """Return the time of calls that name some workers, and of the decisions."""
+    return sum(call_s(n_workers) for n_workers in n_named) + 4 * TICK_S
+
+
+# Guards against a step that neither starts nor asks: the permitted workers with tickets
+# are fast ones, with room that is kept for urgent work, so it counted on them, while
+# unasked slow workers had room.
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    "more", [{}, {"max_per_worker": 1}, {"gang": True}, {"long_running": True}]
+)
+def test_a_step_asks_about_slow_workers_while_the_headroom_is_used(more, seed):
+    pool = make_used_pool(21.0, 16.0, seed=seed)
+    for number in range(2, 65, 2):
+        use(pool, f"w{number}", 16.0)
+    pool.n_jobs = 10 * seed  # other workers are permitted
+    name = pool.submit("p", make_step(7, 9.4, run_time_s=4.0, **more)) + ".0.0"
+    assert first_start(pool, name, 15.0) <= named_bound_s(40, 100)
+    # A call must be able to help.
+    pool.run_until(NOW + 15.0)
+    assert len(pool.calls) <= 15.0 / call_s(8) / 2
+
+
+# Guards against fast workers that are asked about first although the step may not use
+# them now.
+def test_the_first_call_names_workers_that_the_step_may_use():
+    pool = make_used_pool(21.0, 16.0)
+    step = make_step(7, 9.4, run_time_s=4.0)
+    name = pool.submit("p", step) + ".0.0"
+    assert first_start(pool, name, 15.0) <= named_bound_s(40)
+
+
+# The second shape: all fast workers are ejected, so slow ones count as fast.
+def test_a_step_asks_about_the_rest_while_all_fast_workers_are_ejected():
+    pool = make_used_pool(21.0, 21.0)
+    for worker in pool.placer.workers.values():
+        if not is_slow(worker.worker_id):
+            worker.health.ejected_until = NOW + 60.0
+        elif int(worker.worker_id[1:]) % 4 == 0:
+            worker.health.speed = SLOW / 2
+    name = pool.submit("p", make_step(7, 9.4, run_time_s=4.0)) + ".0.0"
+    assert first_start(pool, name, 15.0) <= named_bound_s(40, 88)
+
+
+def breathe(pool, n_workers):
+    """Have some workers at a time have room for a short while, each in its turn.
+
+    Calls for other steps keep all VMs busy in the meantime.
+    """
+    rng = random.Random(pool.seed)
+    names = list(pool.placer.workers)
+    opened = []
+
+    def on_tick(pool):
+        for adviser in pool.advisers:
+            until = max(pool.free_at[adviser.vm], pool.now + 0.25)
+            pool.free_at[adviser.vm] = adviser.busy_until = until
+        while opened and opened[0][0] <= pool.now:
+            use(pool, opened.pop(0)[1], 16.0)
+        taken = {name for _, name in opened}
+        while len(opened) < n_workers:
+            name = rng.choice([name for name in names if name not in taken])
+            taken.add(name)
+            use(pool, name, -16.0)
+            opened.append((pool.now + rng.uniform(0.5, 1.5) * ROOM_S, name))
+            opened.sort()
+
+    pool.on_tick = on_tick
+
+
+def answer_before(pool, name):
+    """Have advice on all workers for a step be known, with tickets that have lapsed."""
+    workers = dict.fromkeys(pool.placer.workers, 1)
+    tickets = [(item, "t") for item in workers if permits(name, item)]
+    advice = pool.placer.advice.for_step(name)
+    advice.store_answer(workers, tickets, pool.now - 5.0, 2.5)
+
+
+# Guards against tickets that only come for workers on which the room is used again by
+# then: a call named the few permitted workers that had room when it was made.
+@pytest.mark.parametrize("seed", range(1, 9))
+@pytest.mark.parametrize("more", [{}, {"max_per_worker": 1}])
+def test_a_step_has_tickets_for_workers_on_which_room_becomes_free(more, seed):
+    pool = make_used_pool(27.0, 27.0, seed=seed)
+    pool.placer.headroom.clear()
+    pool.placer.table.queues.pop("u")
+    pool.n_jobs = 20 * seed
+    breathe(pool, 4)
+    pool.run_until(NOW + 1.0)
+    name = pool.submit("p", make_step(7, 14.1, run_time_s=4.0)) + ".0.0"
+    answer_before(pool, name)
+    assert first_start(pool, name, 20.0) <= 5.0
+
+
+# Guards against a job that is lost (nothing runs for 3 s while less than half of the
+# capacity is in use): the headroom counts fast workers only, and the step may run on no
+# others.
+@pytest.mark.parametrize("queue", ["f", "p"])
+def test_a_job_that_waits_idle_may_start_one_task_in_the_headroom(queue):
+    pool = make_used_pool(21.0, 2.0)
+    for worker in pool.placer.workers.values():
+        if not is_slow(worker.worker_id):
+            worker.entry = replace(worker.entry, labels=("fast", "r1-1"))
+    step = make_step(7, 9.4, run_time_s=4.0, required_label="fast")
+    name = pool.submit(queue, step) + ".0.0"
+    assert first_start(pool, name, 10.0) <= 3.0
+    assert len(pool.started[name]) == 1
+    # Its other tasks leave the headroom to urgent work.
+    pool.run_until(pool.now + 2.0)
+    assert len(pool.started[name]) == 1
+
+
+# Guards against headroom that patient jobs use up while the pool is busy.
+def test_patient_jobs_leave_the_headroom_of_a_busy_pool():
+    pool = make_used_pool(21.0, 29.0)
+    for _ in range(20):
+        pool.submit("f", make_step(2, 9.4, run_time_s=4.0))
+    pool.run_until(NOW + 5.0)
+    assert not pool.started
+    name = pool.submit("u", URGENT_STEP) + ".0.0"
+    assert first_start(pool, name, 5.0) <= 0.5
