Count only room that a placement would use when advice is asked

A step with tickets for fast workers whose room is headroom counted on them: it neither started nor asked about slow workers with room. In turn with the lapse of the tickets it was logged as waiting for headroom and for lapsed tickets. The same held for room kept for lasting tasks and gangs beyond the first task, and for workers on which a suspect starts.

Ruled out: the order of the calls and busy VMs; in the test all VMs are idle and the step still never asks.

Allowance is what a step may use now, for the question whether to ask and for the choice of the workers to name; suspects and the limit of gangs are checked by the functions that the placement uses. Unasked workers are asked about if more tasks could start with them, or with the renewal of tickets that have lapsed, so a step whose pool is full makes fewer calls. Lost runs and advice that is asked ahead follow the same rule.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -25,6 +25,7 @@
     MIN_ASKED_WORKERS,
     PERMITTED_FACTOR,
     SHORT_RUN_S,
+    Allowance,
     HeldRoom,
     Hold,
     Reservation,
@@ -33,11 +34,11 @@
     choose_advised,
     covering,
     make_candidates,
-    n_fitting_tasks,
     place_gang,
     reserve,
     reserve_places,
     soonest_places,
+    takes_starts,
 )
 from .waitcauses import explain_wait
 from .waits import (
@@ -55,7 +56,7 @@
     from ..model import Resources
     from .fleet import Worker
     from .lateness import Outlook
-    from .model import AdviceTerms, Queue, TaskKey
+    from .model import AdviceTerms, Queue, Step, TaskKey
     from .packing import Candidates
     from .placer import Placer
     from .progress import Progress, StepRun
@@ -211,6 +212,7 @@
         if rooms[-1] and not restarts:
             workers = _with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
+        core_limit = limits.get(queue.name)
         advised, call = advise(
             placer,
             step_run,
@@ -222,6 +224,9 @@
             valid_at=now,
             rank=_waiting_rank(step_run, queue),
             pool=pool,
+            allowance=_make_allowance(
+                placer, step_run, core_limit, now, held=rooms[-1], restart=restarts
+            ),
         )
         if call is not None:
             calls.append(call)
@@ -231,7 +236,7 @@
             advised,
             outlook,
             now=now,
-            core_limit=limits.get(queue.name),
+            core_limit=core_limit,
             rooms=rooms,
         )
         placements.extend(placed)
@@ -246,21 +251,21 @@
                 n_wanted=n_startable,
                 run_s=run_s,
                 held=rooms[0],
-                core_limit=limits.get(queue.name),
+                core_limit=core_limit,
                 now=now,
             )
         _note_wait(placer, step_run, queue, workers, now=now)
         if placed:
             continue
         if step_run.step.gang:
-            _reserve_for_gang(placer, step_run, pool, limits.get(queue.name), now=now)
+            _reserve_for_gang(placer, step_run, pool, core_limit, now=now)
         elif advised and n_reservations < MAX_RESERVATIONS:
             n_reservations += _reserve_room(
                 placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
             )
     note_unconsidered(placer, now, wall)
-    calls.extend(_advise_lost_runs(placer, pools, now, wall))
-    calls.extend(_prefetch_advice(placer, pools, now, wall))
+    calls.extend(_advise_lost_runs(placer, pools, limits, now, wall))
+    calls.extend(_prefetch_advice(placer, pools, limits, now, wall))
     return placements, calls
 
 
@@ -660,7 +665,11 @@
 
 
 def _advise_lost_runs(
-    placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
+    placer: Placer,
+    pools: dict[str, list[Worker]],
+    limits: dict[str, HeadroomLimit],
+    now: float,
+    wall: float,
 ) -> list[AdviceCall]:
     """Return calls for steps whose runs on lost workers will be given up soon.
 
@@ -691,6 +700,13 @@
             n_wanted=n_runs,
             valid_at=max(now, lapse),
             rank=_lost_rank(step_run, queue),
+            allowance=_make_allowance(
+                placer,
+                step_run,
+                limits.get(queue.name),
+                now,
+                restart=step_run.step.long_running and not step_run.step.gang,
+            ),
         )
         if call is not None:
             calls.append(call)
@@ -738,7 +754,11 @@
 
 
 def _prefetch_advice(
-    placer: Placer, pools: dict[str, list[Worker]], now: float, wall: float
+    placer: Placer,
+    pools: dict[str, list[Worker]],
+    limits: dict[str, HeadroomLimit],
+    now: float,
+    wall: float,
 ) -> list[AdviceCall]:
     """Return calls for steps that will be ready while their tickets are still valid.
 
@@ -765,8 +785,15 @@
             outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
             eligible = eligible_workers(placer, step_run, pool, 0.0, now)
+            allowance = _make_allowance(placer, step_run, limits.get(queue.name), now)
             named = choose_advised(
-                step, step.n_tasks, [], eligible, [], outlook=outlook
+                step,
+                step.n_tasks,
+                [],
+                eligible,
+                [],
+                outlook=outlook,
+                allowance=allowance,
             )
             incarnations = {item.worker_id: item.entry.incarnation for item in named}
             if incarnations:
@@ -873,6 +900,7 @@
     valid_at: float,
     rank: CallRank,
     pool: list[Worker] | None = None,
+    allowance: Allowance | None = None,
 ) -> tuple[list[Worker], AdviceCall | None]:
     """Return the workers that advice permits, and a call if they are not enough.
 
@@ -887,6 +915,8 @@
     pool : list of Worker, optional
         All workers of the pool. A gang asks about those without room as well, since it
         may wait for room there.
+    allowance : Allowance, optional
+        Room that the step may use now; by default that of interrupted lasting tasks.
     """
     if queue.advice is None:
         return workers, None
@@ -895,13 +925,15 @@
     if advice.calling or now < advice.retry_at:
         return permitted, None
     step = step_run.step
-    fitting = [item for item in permitted if item.fits(step.need)]
+    if allowance is None:
+        allowance = _make_allowance(placer, step_run, None, now, restart=True)
+    fitting = [item for item in permitted if allowance.accepts(item)]
     with_ticket = [
         item
         for item in fitting
         if advice.ticket(item.worker_id, item.entry.incarnation, valid_at)
     ]
-    if n_fitting_tasks(step, with_ticket) >= n_wanted:
+    if allowance.n_startable(with_ticket) >= n_wanted:
         return permitted, None
     askable = workers
     if step.gang and pool is not None:
@@ -910,7 +942,14 @@
     reservation = placer.reservations.get(step_run.name)
     if reservation is None:
         named = choose_advised(
-            step, n_wanted, fitting, unasked, with_ticket, outlook=outlook
+            step,
+            n_wanted,
+            fitting,
+            unasked,
+            with_ticket,
+            outlook=outlook,
+            allowance=allowance,
+            only_usable=bool(permitted) and not step.gang,
         )
     else:
         named = _advised_for_reservation(
@@ -923,9 +962,12 @@
             now=now,
         )
     if not named and permitted and not with_ticket and not step.gang:
-        # No task fits now. With a few valid tickets at hand, a task can start as soon
-        # as capacity becomes free.
-        renewed = by_free_cores(permitted)[:MAX_RENEWED_WORKERS]
+        # No task may start now. With a few valid tickets at hand, a task can start as
+        # soon as capacity becomes free or the headroom is left.
+        renewed, blocked = _choose_renewed(step, permitted)
+        if unasked:
+            more = MAX_ADVISED_WORKERS - len(renewed)
+            renewed += by_free_cores(unasked)[:more]
         if rank is CallRank.RETURN:  # the next ones come before these lapse
             cost_s = queue.advice.decide_s + queue.advice.per_worker_s * len(renewed)
             valid_at += cost_s + MAX_DECISION_PAUSE_S
@@ -934,13 +976,74 @@
             for item in permitted
         )
         named = [] if kept else renewed
-        rank = RENEWAL_RANKS.get(rank, rank)
+        if not (blocked or unasked):
+            rank = RENEWAL_RANKS.get(rank, rank)
     if not named:
         return permitted, None
     incarnations = {item.worker_id: item.entry.incarnation for item in named}
     return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
 
 
+def _choose_renewed(
+    step: Step, permitted: list[Worker]
+) -> tuple[list[Worker], list[Worker]]:
+    """Return the workers for which tickets are renewed while no task may start.
+
+    Half of them have room that is kept for others if there are such workers.
+
+    Returns
+    -------
+    renewed, blocked : list of Worker
+        The workers to name, and all those with room that is kept.
+    """
+    by_room = by_free_cores(permitted)
+    blocked = [item for item in by_room if item.fits(step.need)]
+    others = [item for item in by_room if not item.fits(step.need)]
+    n_others = min(len(others), MAX_RENEWED_WORKERS // 2)
+    renewed = blocked[: MAX_RENEWED_WORKERS - n_others]
+    return renewed + others[: MAX_RENEWED_WORKERS - len(renewed)], blocked
+
+
+def _make_allowance(
+    placer: Placer,
+    step_run: StepRun,
+    core_limit: HeadroomLimit | None,
+    now: float,
+    *,
+    held: dict[str, Resources] | None = None,
+    restart: bool = False,
+) -> Allowance:
+    """Return the room that a step may use now.
+
+    Parameters
+    ----------
+    held : dict of str to Resources, optional
+        Room that other tasks leave to lasting tasks and gangs, by worker.
+    restart : bool, default=False
+        Whether the tasks last and were interrupted. They may use all free room.
+    """
+    limit = None if restart else _limit_for(placer, step_run, core_limit)
+    return Allowance(
+        step_run.step,
+        {} if restart else held or {},
+        _n_by_worker(step_run),
+        limit or HeadroomLimit(),
+        restart,
+        now,
+    )
+
+
+def _limit_for(
+    placer: Placer, step_run: StepRun, core_limit: HeadroomLimit | None
+) -> HeadroomLimit | None:
+    """Return the limit on the use of fast workers by a step, None for no limit."""
+    if core_limit is None or not step_run.step.gang:
+        return core_limit
+    # The limit of the others leaves a gang the places that are kept for it.
+    limited = core_limit.busy and step_run.name not in placer.reservations
+    return core_limit if limited else None
+
+
 def _advised_for_reservation(
     placer: Placer,
     reservation: Reservation,
@@ -1017,17 +1120,8 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
         ]
-    # The counter is checked first, since this runs for each worker and step.
-    workers = [
-        worker
-        for worker in workers
-        if not worker.n_suspects
-        or not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
-    ]
-    if core_limit is not None and step_run.step.gang:
-        # The limit of the others leaves it the places that are kept for it.
-        limited = core_limit.busy and step_run.name not in placer.reservations
-        core_limit = core_limit if limited else None
+    workers = [item for item in workers if takes_starts(item, now, restart=restart)]
+    core_limit = _limit_for(placer, step_run, core_limit)
     candidates = make_candidates(
         step_run.step,
         workers,
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -151,6 +151,89 @@
         return suits + FIT_WEIGHT * used
 
 
+@dataclass(eq=False, slots=True)
+class Allowance:
+    """Free room of workers that a step may use now, with tickets or without.
+
+    Whether advice on more workers is needed depends on the same room as a placement.
+
+    Parameters
+    ----------
+    held : mapping of str to Resources
+        Room that is kept for other tasks, by worker.
+    n_by_worker : mapping of str to int
+        Number of the step's tasks on each worker, if the step limits it.
+    core_limit : HeadroomLimit
+        Cores that the step may use on fast workers.
+    restart : bool
+        Whether the tasks last and were interrupted; they may start beside suspects.
+    now : float, seconds
+        Monotonic time.
+    """
+
+    step: Step
+    held: Mapping[str, Resources] = field(default_factory=dict)
+    n_by_worker: Mapping[str, int] = field(default_factory=dict)
+    core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
+    restart: bool = False
+    now: float = 0.0
+
+    def accepts(self, worker: Worker) -> bool:
+        """Return whether one task may start on a worker."""
+        step, name = self.step, worker.worker_id
+        if not self.core_limit.allows(name, step.need.cores):
+            return False
+        if not takes_starts(worker, self.now, restart=self.restart):
+            return False
+        bound = step.max_per_worker
+        if bound and self.n_by_worker.get(name, 0) >= bound:
+            return False
+        return worker.fits(step.need, unheld_room(worker, self.held))
+
+    def n_startable(self, workers: Iterable[Worker]) -> int:
+        """Return how many tasks may start on workers that accept one."""
+        step, fast = self.step, self.core_limit.fast
+        n_fast = n_slow = 0
+        for worker in workers:
+            name = worker.worker_id
+            n_fitting = _n_fitting(step.need, unheld_room(worker, self.held))
+            if step.max_per_worker:
+                left = step.max_per_worker - self.n_by_worker.get(name, 0)
+                n_fitting = min(n_fitting, left)
+            if name in fast:
+                n_fast += n_fitting
+            else:
+                n_slow += n_fitting
+        return n_slow + int(min(n_fast, self.n_limited))
+
+    @property
+    def n_limited(self) -> float:
+        """Most tasks that may start on fast workers."""
+        cores, left = self.step.need.cores, max(0.0, self.core_limit.cores)
+        return left // cores if cores > 0 and left < math.inf else math.inf
+
+
+def takes_starts(worker: Worker, now: float, *, restart: bool = False) -> bool:
+    """Return whether tasks may start on a worker beside the suspects on it.
+
+    Parameters
+    ----------
+    restart : bool, default=False
+        Whether the tasks last and were interrupted.
+    """
+    # The counter is checked first, since this runs for each worker and step.
+    if not worker.n_suspects:
+        return True
+    return not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
+
+
+def unheld_room(worker: Worker, held: Mapping[str, Resources]) -> Resources:
+    """Return the free room of a worker that is not kept for other tasks."""
+    if held and worker.worker_id in held:
+        return worker.free - held[worker.worker_id]
+    return worker.free
+
+
 def suitability(speed: float, outlook: Outlook) -> float:
     """Return how well a worker's speed suits a job with some outlook.
 
@@ -178,9 +261,7 @@
     """
     chosen, free_by_worker = [], {}
     for worker in workers:
-        free = worker.free
-        if held and worker.worker_id in held:
-            free = free - held[worker.worker_id]
+        free = unheld_room(worker, held or {})
         if worker.fits(step.need, free):
             chosen.append(worker)
             free_by_worker[worker.worker_id] = free
@@ -565,6 +646,8 @@
     with_ticket: list[Worker],
     *,
     outlook: Outlook = NO_OBJECTIVE,
+    allowance: Allowance | None = None,
+    only_usable: bool = False,
 ) -> list[Worker]:
     """Return the workers to name in a call for advice; empty if it would not help.
 
@@ -573,28 +656,78 @@
     n_wanted : int
         Number of tasks to place.
     permitted : list of Worker
-        Workers that may run the step and have capacity for a task.
+        Workers that may run the step and accept a task now.
     unasked : list of Worker
         Workers that no call for the step has named yet.
     with_ticket : list of Worker
-        Permitted workers with a valid ticket.
+        Those of `permitted` with a valid ticket.
     outlook : Outlook
         Chance that the job ends in time.
+    allowance : Allowance, optional
+        Room that the step may use now; by default all free room.
+    only_usable : bool, default=False
+        Whether to ask only if a task could start now on workers not asked about yet.
     """
+    allowance = allowance or Allowance(step)
     ranked = by_suitability(step, n_wanted, permitted, outlook)
-    named = covering(step, n_wanted * PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS)
-    if n_fitting_tasks(step, named) < n_wanted and unasked:
-        rest = n_wanted * UNASKED_FACTOR
-        suitable = by_suitability(step, n_wanted, unasked, outlook)
-        asked = covering(step, rest, suitable, MIN_ASKED_WORKERS)
-        return (named + asked)[:MAX_ADVISED_WORKERS]
-    if len(named) <= len(with_ticket) or (
-        step.gang and n_fitting_tasks(step, named) < n_wanted
-    ):
+    named = _covering_usable(
+        allowance, n_wanted, PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS
+    )
+    n_startable = allowance.n_startable(permitted)
+    if unasked and n_startable < n_wanted:
+        usable = [item for item in unasked if allowance.accepts(item)]
+        if not only_usable or allowance.n_startable(permitted + usable) > n_startable:
+            asked = _choose_asked(allowance, n_wanted, usable, unasked, outlook)
+            return (named + asked)[:MAX_ADVISED_WORKERS]
+    if step.gang and n_startable < n_wanted:
+        return []
+    if allowance.n_startable(named) <= allowance.n_startable(with_ticket):
         return []
     return named[:MAX_ADVISED_WORKERS]
 
 
+def _choose_asked(
+    allowance: Allowance,
+    n_wanted: int,
+    usable: list[Worker],
+    unasked: list[Worker],
+    outlook: Outlook,
+) -> list[Worker]:
+    """Return the workers to ask about, those that the step may use now first."""
+    step = allowance.step
+    suitable = by_suitability(step, n_wanted, usable, outlook)
+    asked = _covering_usable(allowance, n_wanted, UNASKED_FACTOR, suitable)
+    n_needed = n_wanted * UNASKED_FACTOR - n_fitting_tasks(step, asked)
+    n_more = MIN_ASKED_WORKERS - len(asked)
+    if n_needed <= 0 and n_more <= 0:
+        return asked
+    names = {item.worker_id for item in asked}
+    others = [item for item in unasked if item.worker_id not in names]
+    ranked = by_suitability(step, n_wanted, others, outlook)
+    return asked + covering(step, n_needed, ranked, n_more)
+
+
+def _covering_usable(
+    allowance: Allowance,
+    n_wanted: int,
+    factor: float,
+    ranked: list[Worker],
+    at_least: int = 0,
+) -> list[Worker]:
+    """Return the first workers on which a multiple of some tasks may start.
+
+    Fast workers are taken for as many tasks as the headroom leaves there.
+    """
+    step, n_fast = allowance.step, allowance.n_limited
+    if n_fast >= n_wanted:
+        return covering(step, n_wanted * factor, ranked, at_least)
+    fast = [item for item in ranked if item.worker_id in allowance.core_limit.fast]
+    slow = [item for item in ranked if item.worker_id not in allowance.core_limit.fast]
+    chosen = covering(step, n_fast * factor, fast)
+    n_slow = n_wanted - int(n_fast)
+    return chosen + covering(step, n_slow * factor, slow, at_least - len(chosen))
+
+
 def covering(
     step: Step, n_needed: float, workers: list[Worker], at_least: int = 0
 ) -> list[Worker]:
