Renew tickets for workers on which room may become free

A call for tickets named only the permitted workers that had room when it was made, on a busy pool one or two. It takes half a second for a large step, the room was used by then, and the next call named others. The fixed part of a call costs as much as 70 more workers.

Calls name at least 16 permitted workers if those with room are not enough. Urgent steps and lost lasting tasks ask about a full pool at once again; only patient ones wait for room or for the lapse of their tickets.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -96,6 +96,9 @@
 MAX_IDLE_WAIT_S = 2.0
 # Workers named in a call that only renews tickets while no task fits.
 MAX_RENEWED_WORKERS = 8
+# Least number of permitted workers in a call for tickets while few of them have room:
+# it takes half a second for a large step, and by then others may have room instead.
+MIN_NAMED_WORKERS = 16
 # Tickets of lost lasting tasks are renewed so early that the answer comes before they
 # lapse; decisions are at most this far apart.
 MAX_DECISION_PAUSE_S = 0.25
@@ -925,8 +928,7 @@
     if advice.calling or now < advice.retry_at:
         return permitted, None
     step = step_run.step
-    if allowance is None:
-        allowance = _make_allowance(placer, step_run, None, now, restart=True)
+    allowance = allowance or _make_allowance(placer, step_run, None, now, restart=True)
     fitting = [item for item in permitted if allowance.accepts(item)]
     with_ticket = [
         item
@@ -939,6 +941,8 @@
     if step.gang and pool is not None:
         askable = eligible_workers(placer, step_run, pool, 0.0, now)
     unasked = [item for item in askable if item.worker_id not in advice.asked]
+    # Patient steps leave the service to others while all room is in use.
+    only_usable = rank is CallRank.PLACE and bool(permitted) and not step.gang
     reservation = placer.reservations.get(step_run.name)
     if reservation is None:
         named = choose_advised(
@@ -949,8 +953,11 @@
             with_ticket,
             outlook=outlook,
             allowance=allowance,
-            only_usable=bool(permitted) and not step.gang,
+            only_usable=only_usable,
         )
+        n_startable = allowance.n_startable(fitting)
+        if not step.gang and n_startable < n_wanted * PERMITTED_FACTOR:
+            named = _with_spare(named, permitted)
     else:
         named = _advised_for_reservation(
             placer,
@@ -984,6 +991,16 @@
     return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
 
 
+def _with_spare(named: list[Worker], permitted: list[Worker]) -> list[Worker]:
+    """Add permitted workers to those named in a call, on which room may become free."""
+    n_spare = min(MIN_NAMED_WORKERS, len(permitted)) - len(named)
+    if not named or n_spare <= 0:
+        return named
+    names = {item.worker_id for item in named}
+    others = [item for item in permitted if item.worker_id not in names]
+    return named + by_free_cores(others)[:n_spare]
+
+
 def _choose_renewed(
     step: Step, permitted: list[Worker]
 ) -> tuple[list[Worker], list[Worker]]:
--- a/tests/jobs/test_asking.py
+++ b/tests/jobs/test_asking.py
@@ -179,3 +179,23 @@
     assert not pool.started
     name = pool.submit("u", URGENT_STEP) + ".0.0"
     assert first_start(pool, name, 5.0) <= 0.5
+
+
+# Guards against urgent steps that ask for advice only once a worker has room.
+def test_an_urgent_step_asks_about_all_workers_of_a_full_pool():
+    pool = make_used_pool(32.0, 32.0)
+    name = pool.submit("u", URGENT_STEP) + ".0.0"
+    pool.run_until(NOW + 1.0)
+    assert len(pool.placer.advice.for_step(name).asked) == len(pool.placer.workers)
+
+
+# Guards against calls of patient steps for workers without room, of which each takes a
+# second of the service, while its tickets are valid.
+def test_a_patient_step_with_tickets_does_not_ask_about_the_rest_of_a_full_pool():
+    pool = make_used_pool(32.0, 32.0)
+    pool.submit("p", make_step(7, 9.4, run_time_s=4.0))
+    pool.run_until(NOW + call_s(100) + 1.0)
+    assert [n_workers for _, _, n_workers in pool.calls] == [100]
+    # With the renewal of the tickets it does.
+    pool.run_until(NOW + 6.0)
+    assert sum(n_workers for _, _, n_workers in pool.calls) >= len(pool.placer.workers)
