Let a job that waits idle start one task in the headroom

Callers count a job as lost if nothing of it runs for 3 s while less than half of the service is in use. The headroom counts the fast workers only, so a job that may run on no others waited without end beside their free cores. Room that is kept for lasting tasks and gangs could be used already.

One task of such a job, 2 s after its acceptance and on a pool that is not busy, may use the headroom while jobs of this kind leave half of it. Gangs need no rule: they use the headroom unless the fast workers are busy, and then have a reservation.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -216,6 +216,8 @@
             workers = _with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
         core_limit = limits.get(queue.name)
+        if idle and core_limit is not None and not step_run.step.gang:
+            core_limit = core_limit.for_idle_job(step_run.step.need.cores)
         advised, call = advise(
             placer,
             step_run,
--- a/cuminhill/jobs/headroom.py
+++ b/cuminhill/jobs/headroom.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -28,6 +28,8 @@
 # While less than this fraction of the fast workers' cores is in use, gangs may use the
 # headroom: a gang that needs nearly all of them would never start otherwise.
 BUSY_FRACTION = 0.5
+# Share of the headroom that jobs which wait idle while the pool is not busy may use.
+IDLE_FRACTION = 0.5
 # Workers with at least this multiple of their pool's mean speed count as fast.
 FAST_FACTOR = 0.9
 
@@ -78,12 +80,33 @@
         Whether so much of the fast workers is in use that the limit applies to gangs.
     deducted : bool
         Whether the places kept for gangs have been deducted.
+    kept : float
+        Cores that are kept free on the fast workers.
+    common : HeadroomLimit or None
+        Limit of the other steps if this is one for a single job.
     """
 
     fast: set[str] = field(default_factory=set)
     cores: float = math.inf
     busy: bool = False
     deducted: bool = False
+    kept: float = 0.0
+    common: HeadroomLimit | None = None
+
+    def for_idle_job(self, cores: float) -> HeadroomLimit:
+        """Return the limit for a job without a run on a pool that is not busy.
+
+        Callers count it as lost though the free cores are headroom, so one task may use
+        these while jobs of this kind leave enough of them.
+
+        Parameters
+        ----------
+        cores : float
+            Cores of a task.
+        """
+        if self.cores >= cores or self.cores - cores < -IDLE_FRACTION * self.kept:
+            return self
+        return replace(self, cores=cores, common=self)
 
     def allows(self, worker_id: str, cores: float) -> bool:
         """Return whether a task of a lower-priority step may run on a worker."""
@@ -91,8 +114,11 @@
 
     def use_cores(self, worker_id: str, cores: float) -> None:
         """Deduct the cores of a task placed on a worker."""
-        if worker_id in self.fast:
-            self.cores -= cores
+        if worker_id not in self.fast:
+            return
+        self.cores -= cores
+        if self.common is not None:
+            self.common.cores -= cores
 
 
 def headroom_limit(
@@ -112,4 +138,5 @@
     free = sum(max(0.0, worker.free.cores) for worker in fast)
     kept = max(0.0, headroom.target_cores(fast_capacity) - urgent)
     busy = free < (1 - BUSY_FRACTION) * fast_capacity
-    return HeadroomLimit({worker.worker_id for worker in fast}, free - kept, busy)
+    names = {worker.worker_id for worker in fast}
+    return HeadroomLimit(names, free - kept, busy, kept=kept)
--- a/tests/jobs/test_asking.py
+++ b/tests/jobs/test_asking.py
@@ -163,13 +163,31 @@
             worker.entry = replace(worker.entry, labels=("fast", "r1-1"))
     step = make_step(7, 9.4, run_time_s=4.0, required_label="fast")
     name = pool.submit(queue, step) + ".0.0"
-    assert first_start(pool, name, 10.0) <= 3.0
+    assert first_start(pool, name, 10.0) <= 2.6
     assert len(pool.started[name]) == 1
     # Its other tasks leave the headroom to urgent work.
     pool.run_until(pool.now + 2.0)
     assert len(pool.started[name]) == 1
 
 
+# Guards against idle jobs that use up the headroom while the pool is not busy.
+def test_jobs_that_wait_idle_leave_half_of_the_headroom():
+    pool = make_used_pool(21.0, 2.0)
+    for worker in pool.placer.workers.values():
+        if not is_slow(worker.worker_id):
+            worker.entry = replace(worker.entry, labels=("fast", "r1-1"))
+    step = make_step(1, 9.4, run_time_s=400.0, required_label="fast")
+    for _ in range(100):
+        pool.submit("f", step)
+    pool.run_until(NOW + 10.0)
+    fast = [w for w in pool.placer.workers.values() if not is_slow(w.worker_id)]
+    kept = MAX_FRACTION * 32.0 * len(fast)
+    assert pool.started
+    assert sum(worker.free.cores for worker in fast) >= kept / 2
+    name = pool.submit("u", URGENT_STEP) + ".0.0"
+    assert first_start(pool, name, 5.0) <= 0.5
+
+
 # Guards against headroom that patient jobs use up while the pool is busy.
 def test_patient_jobs_leave_the_headroom_of_a_busy_pool():
     pool = make_used_pool(21.0, 29.0)
