Rank the workers to ask about once a call

The choice of the workers to ask about ranked those that accept a task and then all others again, and looked at each before that. They are ranked once and looked at as far as they are needed.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -957,9 +957,9 @@
             allowance=allowance,
             only_usable=only_usable,
         )
-        n_startable = allowance.n_startable(fitting)
-        if not step.gang and n_startable < n_wanted * PERMITTED_FACTOR:
-            named = _with_spare(named, permitted)
+        if named and not step.gang:
+            n_short = n_wanted * PERMITTED_FACTOR - allowance.n_startable(fitting)
+            named = _with_spare(named, permitted) if n_short > 0 else named
     else:
         named = _advised_for_reservation(
             placer,
@@ -996,7 +996,7 @@
 def _with_spare(named: list[Worker], permitted: list[Worker]) -> list[Worker]:
     """Add permitted workers to those named in a call, on which room may become free."""
     n_spare = min(MIN_NAMED_WORKERS, len(permitted)) - len(named)
-    if not named or n_spare <= 0:
+    if n_spare <= 0:
         return named
     names = {item.worker_id for item in named}
     others = [item for item in permitted if item.worker_id not in names]
@@ -1139,7 +1139,12 @@
             for worker in workers
             if advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
         ]
-    workers = [item for item in workers if takes_starts(item, now, restart=restart)]
+    # The counter is checked first, since this runs for each worker and step.
+    workers = [
+        worker
+        for worker in workers
+        if not worker.n_suspects or takes_starts(worker, now, restart=restart)
+    ]
     core_limit = _limit_for(placer, step_run, core_limit)
     candidates = make_candidates(
         step_run.step,
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field, replace
+from itertools import takewhile
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..model import NO_RESOURCES
@@ -12,7 +13,7 @@
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from ..model import Resources
     from .fleet import Slot, Worker
@@ -183,7 +184,10 @@
         step, name = self.step, worker.worker_id
         if not self.core_limit.allows(name, step.need.cores):
             return False
-        if not takes_starts(worker, self.now, restart=self.restart):
+        # The counter is checked first, since this runs for each worker and step.
+        if worker.n_suspects and not takes_starts(
+            worker, self.now, restart=self.restart
+        ):
             return False
         bound = step.max_per_worker
         if bound and self.n_by_worker.get(name, 0) >= bound:
@@ -221,10 +225,9 @@
     restart : bool, default=False
         Whether the tasks last and were interrupted.
     """
-    # The counter is checked first, since this runs for each worker and step.
-    if not worker.n_suspects:
-        return True
-    return not (worker.starts_apart(now) if restart else worker.suspect_starts(now))
+    return not worker.n_suspects or not (
+        worker.starts_apart(now) if restart else worker.suspect_starts(now)
+    )
 
 
 def unheld_room(worker: Worker, held: Mapping[str, Resources]) -> Resources:
@@ -674,11 +677,10 @@
         allowance, n_wanted, PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS
     )
     n_startable = allowance.n_startable(permitted)
-    if unasked and n_startable < n_wanted:
-        usable = [item for item in unasked if allowance.accepts(item)]
-        if not only_usable or allowance.n_startable(permitted + usable) > n_startable:
-            asked = _choose_asked(allowance, n_wanted, usable, unasked, outlook)
-            return (named + asked)[:MAX_ADVISED_WORKERS]
+    may_ask = bool(unasked) and n_startable < n_wanted
+    if may_ask and (not only_usable or _adds_room(allowance, permitted, unasked)):
+        asked = _choose_asked(allowance, n_wanted, unasked, outlook)
+        return (named + asked)[:MAX_ADVISED_WORKERS]
     if step.gang and n_startable < n_wanted:
         return []
     if allowance.n_startable(named) <= allowance.n_startable(with_ticket):
@@ -686,25 +688,43 @@
     return named[:MAX_ADVISED_WORKERS]
 
 
+def _adds_room(
+    allowance: Allowance, permitted: list[Worker], unasked: list[Worker]
+) -> bool:
+    """Return whether more tasks could start now with workers not asked about yet."""
+    n_startable, fast = allowance.n_startable(permitted), allowance.core_limit.fast
+    for is_fast in (False, True) if fast else (False,):
+        first = next(
+            (
+                item
+                for item in unasked
+                if (item.worker_id in fast) is is_fast and allowance.accepts(item)
+            ),
+            None,
+        )
+        if first and allowance.n_startable([*permitted, first]) > n_startable:
+            return True
+    return False
+
+
 def _choose_asked(
-    allowance: Allowance,
-    n_wanted: int,
-    usable: list[Worker],
-    unasked: list[Worker],
-    outlook: Outlook,
+    allowance: Allowance, n_wanted: int, unasked: list[Worker], outlook: Outlook
 ) -> list[Worker]:
     """Return the workers to ask about, those that the step may use now first."""
     step = allowance.step
-    suitable = by_suitability(step, n_wanted, usable, outlook)
-    asked = _covering_usable(allowance, n_wanted, UNASKED_FACTOR, suitable)
+    ranked = by_suitability(step, n_wanted, unasked, outlook)
+    # Those without any room come last.
+    with_room = list(takewhile(lambda worker: worker.fits(step.need), ranked))
+    asked = _covering_usable(
+        allowance, n_wanted, UNASKED_FACTOR, with_room, accepts=allowance.accepts
+    )
     n_needed = n_wanted * UNASKED_FACTOR - n_fitting_tasks(step, asked)
     n_more = MIN_ASKED_WORKERS - len(asked)
     if n_needed <= 0 and n_more <= 0:
         return asked
     names = {item.worker_id for item in asked}
-    others = [item for item in unasked if item.worker_id not in names]
-    ranked = by_suitability(step, n_wanted, others, outlook)
-    return asked + covering(step, n_needed, ranked, n_more)
+    others = (item for item in ranked if item.worker_id not in names)
+    return asked + covering(step, n_needed, others, n_more)
 
 
 def _covering_usable(
@@ -713,23 +733,34 @@
     factor: float,
     ranked: list[Worker],
     at_least: int = 0,
+    *,
+    accepts: Callable[[Worker], bool] | None = None,
 ) -> list[Worker]:
     """Return the first workers on which a multiple of some tasks may start.
 
     Fast workers are taken for as many tasks as the headroom leaves there.
+
+    Parameters
+    ----------
+    accepts : callable, optional
+        Tells whether a worker accepts a task; needed unless all of them do.
     """
     step, n_fast = allowance.step, allowance.n_limited
     if n_fast >= n_wanted:
-        return covering(step, n_wanted * factor, ranked, at_least)
-    fast = [item for item in ranked if item.worker_id in allowance.core_limit.fast]
-    slow = [item for item in ranked if item.worker_id not in allowance.core_limit.fast]
-    chosen = covering(step, n_fast * factor, fast)
+        usable = filter(accepts, ranked) if accepts else ranked
+        return covering(step, n_wanted * factor, usable, at_least)
+    names = allowance.core_limit.fast
+    fast: Iterable[Worker] = (item for item in ranked if item.worker_id in names)
+    slow: Iterable[Worker] = (item for item in ranked if item.worker_id not in names)
+    if accepts:
+        fast, slow = filter(accepts, fast), filter(accepts, slow)
+    chosen = covering(step, n_fast * factor, fast) if n_fast else []
     n_slow = n_wanted - int(n_fast)
     return chosen + covering(step, n_slow * factor, slow, at_least - len(chosen))
 
 
 def covering(
-    step: Step, n_needed: float, workers: list[Worker], at_least: int = 0
+    step: Step, n_needed: float, workers: Iterable[Worker], at_least: int = 0
 ) -> list[Worker]:
     """Return the first workers that together have capacity for some tasks."""
     chosen: list[Worker] = []
