--- a/tests/jobs/test_asking.py
+++ b/tests/jobs/test_asking.py
@@ -12,10 +12,12 @@
 
 import pytest
 
-from cuminhill.jobs.headroom import MAX_FRACTION, Headroom
+from cuminhill.jobs.headroom import MAX_FRACTION, Headroom, HeadroomLimit
+from cuminhill.jobs.packing import Allowance, make_candidates
 
 from .builders import BEGUN_AT, make_step
 from .test_gang_waits import NOW, TICK_S, call_s, make_pool, permits
+from .test_parts import make_worker
 
 SLOW = 0.42
 ROOM_S = 0.5  # time for which a worker has room while others use the pool
@@ -217,3 +219,41 @@
     # With the renewal of the tickets it does.
     pool.run_until(NOW + 6.0)
     assert sum(n_workers for _, _, n_workers in pool.calls) >= len(pool.placer.workers)
+
+
+# Guards against steps that don't ask for advice since they count on room that their
+# placement then refuses, and the other way round.
+@pytest.mark.parametrize("restart", [False, True])
+def test_as_many_tasks_count_as_startable_as_a_placement_starts(restart):
+    rng = random.Random(7)
+    for _ in range(200):
+        workers = [make_worker(f"w{number}") for number in range(8)]
+        held = {}
+        for worker in workers:
+            used = rng.choice((0.0, 4.0, 9.5, 13.0, 16.0))
+            worker.free = worker.free - make_step(1, used, memory_mb=0.0).need
+            if rng.random() < 0.3:
+                held[worker.worker_id] = make_step(1, rng.choice((2.0, 8.0))).need
+        step = make_step(200, rng.choice((1.5, 4.0, 7.0)), max_per_worker=2)
+        n_by_worker = {worker.worker_id: rng.randint(0, 2) for worker in workers}
+        fast = {item.worker_id for item in workers if rng.random() < 0.6}
+        limit = HeadroomLimit(fast, rng.choice((-3.0, 0.0, 2.0, 9.0, 40.0)))
+        if restart:
+            held, limit = {}, HeadroomLimit()
+        allowance = Allowance(step, held, n_by_worker, limit, restart)
+        accepting = [item for item in workers if allowance.accepts(item)]
+        n_startable = allowance.n_startable(accepting)
+        candidates = make_candidates(
+            step, workers, dict(n_by_worker), core_limit=limit, held=held
+        )
+        candidates.restart = restart
+        used_workers = set()
+        n_started = 0
+        while (worker := candidates.pick()) is not None:
+            used_workers.add(worker.worker_id)
+            n_started += 1
+        assert n_started == n_startable
+        # With too few cores left for all, some of the fast workers get none.
+        accepted = {item.worker_id for item in accepting}
+        assert used_workers <= accepted
+        assert accepted - used_workers <= fast
