--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -4,7 +4,7 @@
 
 import math
 from dataclasses import dataclass, field, replace
-from itertools import islice
+from itertools import takewhile
 from operator import itemgetter
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -14,7 +14,7 @@
 from .lateness import NO_OBJECTIVE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from ..model import Resources
     from .fleet import Worker
@@ -225,6 +225,91 @@
         return suits + FIT_WEIGHT * used
 
 
+@dataclass(eq=False, slots=True)
+class Allowance:
+    """Free room of workers that a step may use now, with tickets or without.
+
+    Whether advice on more workers is needed depends on the same room as a placement.
+
+    Parameters
+    ----------
+    held : mapping of str to Resources
+        Room that is kept for other tasks, by worker.
+    n_by_worker : mapping of str to int
+        Number of the step's tasks on each worker, if the step limits it.
+    core_limit : HeadroomLimit
+        Cores that the step may use on fast workers.
+    restart : bool
+        Whether the tasks last and were interrupted; they may start beside suspects.
+    now : float, seconds
+        Monotonic time.
+    """
+
+    step: Step
+    held: Mapping[str, Resources] = field(default_factory=dict)
+    n_by_worker: Mapping[str, int] = field(default_factory=dict)
+    core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
+    restart: bool = False
+    now: float = 0.0
+
+    def accepts(self, worker: Worker) -> bool:
+        """Return whether one task may start on a worker."""
+        step, name = self.step, worker.worker_id
+        if not self.core_limit.allows(name, step.need.cores):
+            return False
+        # The counter is checked first, since this runs for each worker and step.
+        if worker.n_suspects and not takes_starts(
+            worker, self.now, restart=self.restart
+        ):
+            return False
+        bound = step.max_per_worker
+        if bound and self.n_by_worker.get(name, 0) >= bound:
+            return False
+        return worker.fits(step.need, unheld_room(worker, self.held))
+
+    def n_startable(self, workers: Iterable[Worker]) -> int:
+        """Return how many tasks may start on workers that accept one."""
+        step, fast = self.step, self.core_limit.fast
+        n_fast = n_slow = 0
+        for worker in workers:
+            name = worker.worker_id
+            n_fitting = _n_fitting(step.need, unheld_room(worker, self.held))
+            if step.max_per_worker:
+                left = step.max_per_worker - self.n_by_worker.get(name, 0)
+                n_fitting = min(n_fitting, left)
+            if name in fast:
+                n_fast += n_fitting
+            else:
+                n_slow += n_fitting
+        return n_slow + int(min(n_fast, self.n_limited))
+
+    @property
+    def n_limited(self) -> float:
+        """Most tasks that may start on fast workers."""
+        cores, left = self.step.need.cores, max(0.0, self.core_limit.cores)
+        return left // cores if cores > 0 and left < math.inf else math.inf
+
+
+def takes_starts(worker: Worker, now: float, *, restart: bool = False) -> bool:
+    """Return whether tasks may start on a worker beside the suspects on it.
+
+    Parameters
+    ----------
+    restart : bool, default=False
+        Whether the tasks last and were interrupted.
+    """
+    return not worker.n_suspects or not (
+        worker.starts_apart(now) if restart else worker.suspect_starts(now)
+    )
+
+
+def unheld_room(worker: Worker, held: Mapping[str, Resources]) -> Resources:
+    """Return the free room of a worker that is not kept for other tasks."""
+    if held and worker.worker_id in held:
+        return worker.free - held[worker.worker_id]
+    return worker.free
+
+
 def suitability(speed: float, outlook: Outlook) -> float:
     """Return how well a worker's speed suits a job with some outlook.
 
@@ -252,9 +337,7 @@
     """
     chosen, free_by_worker = [], {}
     for worker in workers:
-        free = worker.free
-        if held and worker.worker_id in held:
-            free = free - held[worker.worker_id]
+        free = unheld_room(worker, held or {})
         if worker.fits(step.need, free):
             chosen.append(worker)
             free_by_worker[worker.worker_id] = free
@@ -697,6 +780,8 @@
     with_ticket: list[Worker],
     *,
     outlook: Outlook = NO_OBJECTIVE,
+    allowance: Allowance | None = None,
+    only_usable: bool = False,
 ) -> list[Worker]:
     """Return the workers to name in a call for advice; empty if it would not help.
 
@@ -705,86 +790,121 @@
     n_wanted : int
         Number of tasks to place.
     permitted : list of Worker
-        Workers that may run the step and have capacity for a task.
+        Workers that may run the step and accept a task now.
     unasked : list of Worker
         Workers that no call for the step has named yet.
     with_ticket : list of Worker
-        Permitted workers with a valid ticket.
+        Those of `permitted` with a valid ticket.
     outlook : Outlook
         Chance that the job ends in time.
+    allowance : Allowance, optional
+        Room that the step may use now; by default all free room.
+    only_usable : bool, default=False
+        Whether to ask only if a task could start now on workers not asked about yet.
     """
-    named, covered = _cover(
-        step,
-        n_wanted,
-        permitted,
-        outlook,
-        n_wanted * PERMITTED_FACTOR,
-        at_least=MIN_RENEWED_WORKERS,
+    allowance = allowance or Allowance(step)
+    ranked = by_suitability(step, n_wanted, permitted, outlook)
+    named = _covering_usable(
+        allowance, n_wanted, PERMITTED_FACTOR, ranked, MIN_RENEWED_WORKERS
     )
-    if covered < n_wanted and unasked:
-        n_left = max(0, MAX_ADVISED_WORKERS - len(named))
-        asked, _ = _cover(
-            step,
-            n_wanted,
-            unasked,
-            outlook,
-            n_wanted * UNASKED_FACTOR,
-            at_least=MIN_ASKED_WORKERS,
-            at_most=n_left,
-        )
+    n_startable = allowance.n_startable(permitted)
+    may_ask = bool(unasked) and n_startable < n_wanted
+    if may_ask and (not only_usable or _adds_room(allowance, permitted, unasked)):
+        asked = _choose_asked(allowance, n_wanted, unasked, outlook)
         return (named + asked)[:MAX_ADVISED_WORKERS]
-    if len(named) <= len(with_ticket) or (step.gang and covered < n_wanted):
+    if step.gang and n_startable < n_wanted:
+        return []
+    if allowance.n_startable(named) <= allowance.n_startable(with_ticket):
         return []
     return named[:MAX_ADVISED_WORKERS]
 
 
-def _cover(
-    step: Step,
+def _adds_room(
+    allowance: Allowance, permitted: list[Worker], unasked: list[Worker]
+) -> bool:
+    """Return whether more tasks could start now with workers not asked about yet."""
+    n_startable, fast = allowance.n_startable(permitted), allowance.core_limit.fast
+    roomy = with_room(allowance.step.need, unasked)
+    for is_fast in (False, True) if fast else (False,):
+        first = next(
+            (
+                item
+                for item in roomy
+                if (item.worker_id in fast) is is_fast and allowance.accepts(item)
+            ),
+            None,
+        )
+        if first and allowance.n_startable([*permitted, first]) > n_startable:
+            return True
+    return False
+
+
+def _choose_asked(
+    allowance: Allowance, n_wanted: int, unasked: list[Worker], outlook: Outlook
+) -> list[Worker]:
+    """Return the workers to ask about, those that the step may use now first."""
+    step = allowance.step
+    ranked = by_suitability(step, n_wanted, unasked, outlook)
+    # Those without any room come last.
+    roomy = list(takewhile(lambda worker: worker.fits(step.need), ranked))
+    asked = _covering_usable(
+        allowance, n_wanted, UNASKED_FACTOR, roomy, accepts=allowance.accepts
+    )
+    n_needed = n_wanted * UNASKED_FACTOR - n_fitting_tasks(step, asked)
+    n_more = MIN_ASKED_WORKERS - len(asked)
+    if n_needed <= 0 and n_more <= 0:
+        return asked
+    names = {item.worker_id for item in asked}
+    others = (item for item in ranked if item.worker_id not in names)
+    return asked + covering(step, n_needed, others, n_more)
+
+
+def _covering_usable(
+    allowance: Allowance,
     n_wanted: int,
-    workers: list[Worker],
-    outlook: Outlook,
-    n_needed: float,
+    factor: float,
+    ranked: list[Worker],
+    at_least: int = 0,
     *,
-    at_least: int,
-    at_most: int | None = None,
-) -> tuple[list[Worker], int]:
-    """Return the most suitable workers that together have capacity for some tasks.
+    accepts: Callable[[Worker], bool] | None = None,
+) -> list[Worker]:
+    """Return the first workers on which a multiple of some tasks may start.
+
+    Fast workers are taken for as many tasks as the headroom leaves there.
 
     Parameters
     ----------
-    at_most : int, optional
-        Number of workers beyond which those without room may be left out.
-
-    Returns
-    -------
-    chosen : list of Worker
-        Those of `covering` among the workers sorted by `by_suitability`.
-    covered : int
-        Number of tasks that fit on them.
+    accepts : callable, optional
+        Tells whether a worker accepts a task; needed unless all of them do.
     """
-    ranked = _rank(step, n_wanted, workers, outlook)
-    chosen: list[Worker] = []
-    covered = 0
-    for worker, n_fitting in ranked:
-        if covered >= n_needed and len(chosen) >= at_least:
-            return chosen, covered
-        chosen.append(worker)
-        covered += n_fitting
-    n_wished = at_least if covered >= n_needed else at_most
-    n_more = None if n_wished is None else max(0, n_wished - len(chosen))
-    return chosen + list(islice(_rest(workers, chosen), n_more)), covered
+    step, n_fast = allowance.step, allowance.n_limited
+    if n_fast >= n_wanted:
+        usable = filter(accepts, ranked) if accepts else ranked
+        return covering(step, n_wanted * factor, usable, at_least)
+    names = allowance.core_limit.fast
+    fast: Iterable[Worker] = (item for item in ranked if item.worker_id in names)
+    slow: Iterable[Worker] = (item for item in ranked if item.worker_id not in names)
+    if accepts:
+        fast, slow = filter(accepts, fast), filter(accepts, slow)
+    chosen = covering(step, n_fast * factor, fast) if n_fast else []
+    n_slow = n_wanted - int(n_fast)
+    return chosen + covering(step, n_slow * factor, slow, at_least - len(chosen))
 
 
 def covering(
-    step: Step, n_needed: float, workers: list[Worker], at_least: int = 0
+    step: Step, n_needed: float, workers: Iterable[Worker], at_least: int = 0
 ) -> list[Worker]:
     """Return the first workers that together have capacity for some tasks."""
+    need, bound = step.need, step.max_per_worker
+    chosen: list[Worker] = []
     covered = 0
-    for index, n_fitting in enumerate(fitting_counts(step, workers)):
-        if covered >= n_needed and index >= at_least:
-            return workers[:index]
-        covered += n_fitting
-    return workers
+    for worker in workers:
+        if covered >= n_needed and len(chosen) >= at_least:
+            break
+        chosen.append(worker)
+        n_fitting = _n_fitting(need, worker.free)
+        covered += min(n_fitting, bound) if bound else n_fitting
+    return chosen
 
 
 def _n_fitting(need: Resources, free: Resources) -> int:
