--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -71,6 +71,9 @@
 MAX_CHECKPOINT_CHARS = 4096
 MAX_TICKET_CHARS = 4096
 MAX_LOGGED_NAME = 80  # characters of a name in an error
+# Each report of a worker repeats the names of its tasks; more than run at a time on a
+# site with 270 workers.
+MAX_CACHED_NAMES = 4096
 _TASK_NAME = re.compile(
     r"([0-9A-Za-z_-]{1,64})\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})"
 )
@@ -308,6 +311,7 @@
     return f"{key.job_id}.{key.occurrence}.{key.step}.{key.task}"
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
 def decode_task_name(name: str) -> TaskKey:
     """Decode a task's name on the platform.
 
