Release a gang whose late member keeps the others waiting

A start whose ticket has lapsed keeps its worker for up to 3 s while a new ticket is asked for. The other members of a gang, whose tickets come from a later call, are sent at once, and workers end a member as `alone` that has waited 3 s for the others (gang_timeout_ms): rule GANG, if advice is not to be had meanwhile. Before starts were kept, a lapsed ticket stopped the gang at once.

Ruled out: a late start on a lost worker and one of a cancelled job release their gang in `renew_tickets` already, and members that are not sent yet wait without harm, so their limit stays.

A late member is now released 1.5 s after the first member that was sent, which stops the others. The new test failed before: 1.6 s after the others were sent, the late members were still kept and asked about.

--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -76,6 +76,9 @@
 # A start whose ticket has lapsed keeps its worker for this time: longer than two calls
 # for advice, while others may use the capacity if advice is not to be had.
 MAX_LATE_START_S = 3.0
+# The others of a gang wait for a late member for this time from the first that is sent.
+# Workers end a member that has waited 3 s for the others, and stops take time.
+MAX_GANG_WAIT_S = 1.5
 # Most of the validity of a ticket that may be left for the time until a start is sent;
 # a larger part would leave no ticket usable when its answer waits for a decision.
 MAX_SEND_FRACTION = 0.5
@@ -1091,7 +1094,7 @@
                 elif self._valid_ticket(placement, now) is not None:
                     del waiting[placement]
                     sendable.append(placement)
-                elif now - since > MAX_LATE_START_S:
+                elif now > self._late_until(placement.key, since):
                     del waiting[placement]
                     self.release_unsent(placement, "ticket lapsed", now)
             # The release of a member has released the other members of its gang.
@@ -1105,6 +1108,20 @@
                 calls.append(call)
         return sendable, sorted(calls, key=lambda call: call.rank)
 
+    def _late_until(self, key: TaskKey, since: float) -> float:
+        """Return when a start is released that has waited for a ticket since a time."""
+        until = since + MAX_LATE_START_S
+        progress = self.jobs[key.job_id]
+        if not progress.job.steps[key.step].gang:
+            return until
+        step_run = progress.step_run(key.occurrence, key.step)
+        for index, task in enumerate(step_run.tasks):
+            worker = self.workers.get(task.worker)
+            slot = worker.slots.get((step_run.key(index), task.run)) if worker else None
+            if slot is not None and slot.sent:
+                until = min(until, slot.started_at + MAX_GANG_WAIT_S)
+        return until
+
     def _is_unsent(self, placement: Placement) -> bool:
         worker = self.workers.get(placement.worker_id)
         slot = worker.slots.get((placement.key, placement.run)) if worker else None
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -41,6 +41,7 @@
 # A ticket is usable for 0.75 s, of which the call that brings it takes nothing.
 TERMS = AdviceTerms(0.15, 0.002, 1.0)
 N_JOBS = 3
+GANG_TIMEOUT_S = 3.0  # for which members of a gang wait for the others
 STEP = {"n_tasks": 12, "cores": 4.0, "run_time_s": 0.3}
 
 
@@ -224,6 +225,28 @@
     assert sendable == [item for item in placements if item.worker_id != gone]
 
 
+# Guards against a member of a gang that gives up its wait for the others (`alone`)
+# while one of them still waits for a new ticket.
+def test_a_gang_does_not_wait_on_its_workers_for_a_late_start():
+    placer, placements = _make_placed(gang=True)
+    early = {item.worker_id: 1 for item in placements[:1]}
+    advice = placer.advice.for_step(placements[0].key.step_name)
+    late = NOW + TERMS.valid_s
+    advice.store_answer(early, [(name, "t") for name in early], late, TERMS.valid_s)
+    for item in placements:
+        if placer.ticket(item, late) is not None:
+            slot = placer.sendable_slot(item, late)
+            slot.sent, slot.started_at = True, late
+    assert 0 < len(placer.late_starts[placements[0].key.step_name]) < 6
+    assert placer.renew_tickets(late + 1.0)[1]
+    assert placer.renew_tickets(late + GANG_TIMEOUT_S / 2 + 0.1) == ([], [])
+    assert not placer.late_starts
+    stops = {(item.key, item.reason) for item in placer.take_stops()}
+    assert stops == {
+        (item.key, "gang") for item in placements if item.worker_id in early
+    }
+
+
 def test_late_starts_of_a_cancelled_job_are_dropped():
     """Guards against calls for advice for a job that has ended."""
     placer, placements = _make_placed()
