Compare room that is kept only where a task fits

Cause: kept room was compared once more on workers without room for a task, and with a new `Resources` also where nothing has to be left.

Change: those are left out, as the rooms that are passed hold only workers on which a task fits.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from ..model import NO_RESOURCES
 from .advice import (
     TICKET_MARGIN_S,
     AdviceCall,
@@ -671,14 +672,19 @@
     """Leave out the workers whose room for a step is kept for other tasks.
 
     Otherwise the step would count on them and not ask for advice on others.
+
+    Parameters
+    ----------
+    held : dict of str to Resources
+        Kept room on workers that have room for a task.
     """
     need = step_run.step.need
     return [
         worker
         for worker in workers
-        if worker.worker_id not in held
-        or not worker.fits(need)
-        or worker.fits(need, worker.free - held[worker.worker_id])
+        if (room := held.get(worker.worker_id)) is None
+        or room is NO_RESOURCES
+        or worker.fits(need, worker.free - room)
     ]
 
 
