--- a/checks/idlewaits.py
+++ b/checks/idlewaits.py
@@ -140,8 +140,9 @@
 ) -> Iterator[IdleWait]:
     """Yield the times in which a job had nothing running."""
     taken_in = next((row for row in own if row.event == "job taken in"), None)
-    if taken_in is None:
-        return  # its steps are not known
+    if taken_in is None:  # its line was dropped
+        yield from _told_waits(own)
+        return
     job, failed, is_timed = taken_in.fields["job"], _failed_starts(own), _is_timed(own)
     end = next((row for row in own if row.event in JOB_ENDS), None)
     running: set[tuple[Any, ...]] = set()
@@ -177,6 +178,17 @@
         yield IdleWait(job, began_at, ended_at, began_with, ended_with)
 
 
+def _told_waits(own: Sequence[Row]) -> Iterator[IdleWait]:
+    """Yield the times without a run that the starts of a job tell."""
+    for row in own:
+        if row.event == "start" and "idle_s" in row.fields:
+            step = "{}.{}".format(*row.fields["task"])
+            began_at = row.at - row.fields["idle_s"]
+            began_with = row.fields.get("idle_from", "")
+            job = row.fields["job"]
+            yield IdleWait(job, began_at, row.at, began_with, "start", step)
+
+
 def _check_dropped(
     item: IdleWait, own: Sequence[Row], dropped: Sequence[float]
 ) -> IdleWait | None:
@@ -244,7 +256,7 @@
     item: IdleWait, own: Sequence[Row], dropped: Sequence[float], used: UsedCores
 ) -> IdleWait:
     """Return a wait with its reasons and the cores in use."""
-    taken_in = next(row for row in own if row.event == "job taken in")
+    taken_in = next((row for row in own if row.event == "job taken in"), None)
     reasons: list[str] = []
     for row in own:
         if not item.began_at <= row.at <= item.ended_at:
@@ -262,7 +274,7 @@
     shares = used.rows(item.began_at, item.ended_at) if is_known else _told_shares(own)
     return replace(
         item,
-        needs=_needs(taken_in),
+        needs=_needs(taken_in) if taken_in is not None else "",
         reasons=tuple(reasons),
         used=used.between(item.began_at, item.ended_at) if is_known else None,
         below_half_s=_longest_below_half(shares, item.began_at, item.ended_at),
--- a/tests/checks/test_idlewaits.py
+++ b/tests/checks/test_idlewaits.py
@@ -248,3 +248,17 @@
     ]
     (item,) = waits(*rows[:2], *told, *rows[2:])
     assert (item.length_s, item.below_half_s) == (11.0, 4.0)
+
+
+# Guards against the longest wait of a play that is missing, since the line of its job
+# was dropped.
+def test_a_job_whose_own_line_was_dropped_is_listed_as_its_starts_tell():
+    (item,) = waits(
+        (0.0, "log lines dropped", {"count": 9}),
+        run(3.0, "start", idle_s=1.0, idle_from="accepted"),
+        run(9.0, "start", (0, 1, 0), idle_s=5.0, idle_from="last run"),
+        run(9.1, "start", (0, 1, 1)),
+        END,
+    )
+    assert (item.began_at, item.ended_at, item.step) == (4.0, 9.0, "0.1")
+    assert item.began_with == "last run"
