--- a/tests/jobs/test_asking.py
+++ b/tests/jobs/test_asking.py
@@ -15,7 +15,7 @@
 from cuminhill.jobs.headroom import MAX_FRACTION, Headroom, HeadroomLimit
 from cuminhill.jobs.packing import Allowance, make_candidates
 
-from .builders import BEGUN_AT, make_step
+from .builders import BEGUN_AT, WALL, make_job, make_step, submit
 from .test_gang_waits import NOW, TICK_S, call_s, make_pool, permits
 from .test_parts import make_worker
 
@@ -92,6 +92,26 @@
     assert first_start(pool, name, 15.0) <= named_bound_s(40)
 
 
+# The same for advice that is asked while the step before still runs.
+def test_advice_asked_ahead_is_for_workers_that_the_step_may_use():
+    pool = make_used_pool(2.0, 16.0)
+    first = make_step(1, 1.0, run_time_s=1.5)
+    second = make_step(7, 9.4, run_time_s=4.0, after=(0,))
+    job = make_job(first, second, queue="p", accepted_at=WALL)
+    submit(pool.placer, job, pool.now)
+    assert first_start(pool, f"{job.job_id}.0.0", 5.0) < 5.0
+    begun_at = pool.now
+    for worker_id in pool.placer.workers:
+        if not is_slow(worker_id):
+            use(pool, worker_id, 19.0)
+    pool.run_until(begun_at + 1.0)
+    name = f"{job.job_id}.0.1"
+    assert name in [step for _, step, _ in pool.calls]
+    pool.run_until(begun_at + 1.0 + call_s(40))
+    asked = pool.placer.advice.for_step(name).asked
+    assert asked and all(is_slow(worker_id) for worker_id in asked)
+
+
 # The second shape: all fast workers are ejected, so slow ones count as fast.
 def test_a_step_asks_about_the_rest_while_all_fast_workers_are_ejected():
     pool = make_used_pool(21.0, 21.0)
