Move tasks with new tickets though starts take long to be sent

Lasting tasks stayed on leaving workers until these exited, and advice was asked for at each decision, while starts took long to be sent. The expected time until a start is sent was added to times that look ahead already: the time of a move, which has an append in it, the end of a lease, and the answer to the next call of a gang with places. The sum left nearly no ticket usable. The send time is lowered only by further starts, so this also lasted.

Ruled out: the age of the ticket.

The send time now counts up to half of the validity from now on, beside the other times. The new test failed before.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -1008,7 +1008,7 @@
     if advice.calling or now < advice.retry_at or step_run.name in placer.late_starts:
         return permitted, None
     step = step_run.step
-    valid_at = placer.sent_at(valid_at, queue.advice)
+    valid_at = placer.sent_at(valid_at, queue.advice, now)
     allowance = allowance or _make_allowance(placer, step_run, None, now, restart=True)
     fitting = with_room(step.need, permitted)
     fitting = [item for item in fitting if allowance.accepts(item)]
@@ -1194,7 +1194,7 @@
         return by_suitability(step, step.n_tasks, unasked, outlook)[
             :MAX_ADVISED_WORKERS
         ]
-    valid_at = placer.sent_at(max(reservation.at, now + ahead_s), terms)
+    valid_at = placer.sent_at(max(reservation.at, now + ahead_s), terms, now)
     kept = all(
         advice.ticket(name, placer.workers[name].entry.incarnation, valid_at)
         for name in reservation.places
@@ -1230,7 +1230,7 @@
     queue = placer.queue_of(progress)
     if queue is not None and queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
-        valid_at = placer.sent_at(valid_at, queue.advice)
+        valid_at = placer.sent_at(valid_at, queue.advice, now)
         may_start = placer.may_decide_starts(queue.advice, now)
         workers = [
             worker
@@ -1397,7 +1397,7 @@
     waits_for = "room"
     if queue.advice is not None:
         advice = placer.advice.for_step(step_run.name)
-        sent_at = placer.sent_at(now, queue.advice)
+        sent_at = placer.sent_at(now, queue.advice, now)
         for worker in workers:
             asked = worker.worker_id in advice.asked
             if asked and not advice.permits(worker.worker_id):
@@ -1436,7 +1436,7 @@
         advice=placer.advice.for_step(step_run.name) if queue.advice else None,
         held={} if restarts else held,
         core_limit=core_limit,
-        now=placer.sent_at(now, queue.advice) if queue.advice else now,
+        now=placer.sent_at(now, queue.advice, now) if queue.advice else now,
     )
     step_run.note_cause(cause, now)
     _tell_wait(placer, step_run, now)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -79,8 +79,9 @@
 # The others of a gang wait for a late member for this time from the first that is sent.
 # Workers end a member that has waited 3 s for the others, and stops take time.
 MAX_GANG_WAIT_S = 1.5
-# Most of the validity of a ticket that may be left for the time until a start is sent;
-# a larger part would leave no ticket usable when its answer waits for a decision.
+# The time that starts take to be sent is added to the time until they are decided up to
+# this part of the validity of a ticket. With more, no ticket would be usable when its
+# answer waits for a decision.
 MAX_SEND_FRACTION = 0.5
 # Weight of a shorter time in the expected time until a start is sent. A longer one
 # counts at once, since a ticket that has lapsed costs another call.
@@ -1136,10 +1137,17 @@
         """Limit the steps of the next decision by the time that one has taken."""
         self.max_steps = limit_steps(self.n_considered, self.max_steps, took_s)
 
-    def sent_at(self, decided_at: float, terms: AdviceTerms) -> float:
-        """Return when a start is expected to be sent, for the choice of its ticket."""
+    def sent_at(self, decided_at: float, terms: AdviceTerms, now: float) -> float:
+        """Return when a start is expected to be sent, for the choice of its ticket.
+
+        Parameters
+        ----------
+        decided_at : float, seconds
+            When it will be decided.
+        """
         usable_s = max(0.0, terms.valid_s - TICKET_MARGIN_S)
-        return decided_at + min(self.send_s, MAX_SEND_FRACTION * usable_s)
+        latest = now + MAX_SEND_FRACTION * usable_s
+        return max(decided_at, min(decided_at + self.send_s, latest))
 
     def may_decide_starts(self, terms: AdviceTerms, now: float) -> bool:
         """Return whether tickets outlast the starts that are not in the journal yet.
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -146,6 +146,22 @@
     assert [set(call.workers) for call in calls] == [{target}]
 
 
+# Guards against a task that stays until its worker exits since starts take long to be
+# sent: that time was added to the one of the move, and no ticket outlasted both.
+def test_a_task_is_moved_with_a_new_ticket_though_starts_take_long_to_be_sent():
+    placer = make_placer(make_queue(advice=ADVICE))
+    step = make_step(long_running=True)
+    submit(placer, make_job(step))
+    advice = placer.advice.for_step(f"{JOB_ID}.0.0")
+    advice.store_answer({"w1": 1}, [("w1", "t")], NOW, ADVICE.valid_s)
+    placed, _ = placer.decide(NOW, WALL)
+    mark_started(placer, placed, NOW)
+    drain(placer, "w1", NOW + 10)
+    placer.note_send_time(30.0)
+    advice.store_answer({"w2": 1}, [("w2", "t")], NOW + 10, ADVICE.valid_s)
+    assert evacuated(placer, NOW + 10.6) == [("w1", placed[0].key, 1)]
+
+
 # Guards against a whole service that is stopped at once.
 @pytest.mark.parametrize(("may_miss", "n_moved"), [(0, 1), (1, 1), (2, 2), (9, 4)])
 def test_the_tasks_of_a_step_move_a_few_at_a_time(may_miss, n_moved):
