Release starts whose new tickets lapse as well

A start whose ticket lapsed again behind the earlier starts on its worker, after a new one had come, was counted as late from then on.

Ruled out: a start that is both queued for its worker and late; it leaves the list when it is queued.

--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -76,6 +76,8 @@
         can no longer take effect. 0 for a run adopted from an earlier term.
     sent : bool
         Whether the start call has been sent.
+    late_since : float, seconds
+        When the ticket first lapsed before the start was sent; 0 if it did not.
     confirmed : bool
         Whether the worker has reported the run or acknowledged its start.
     confirmed_ms : int, milliseconds
@@ -121,6 +123,7 @@
     run_time_s: float
     fencing_token: int = 0
     sent: bool = False
+    late_since: float = 0.0
     confirmed: bool = False
     confirmed_ms: int = 0
     started_at: float = 0.0
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -196,7 +196,7 @@
         there is none.
     late_starts : dict
         Starts in the journal that wait for a new ticket, by the names of their steps,
-        with the times in seconds since when.
+        with the times in seconds at which their first ones lapsed.
     """
 
     term: int
@@ -1055,8 +1055,10 @@
         ticket = self._valid_ticket(placement, now)
         if ticket is None:
             self.counts["tickets_lapsed"] += 1
+            slot = self.workers[placement.worker_id].slots[placement.key, placement.run]
+            slot.late_since = slot.late_since or now
             waiting = self.late_starts.setdefault(placement.key.step_name, {})
-            waiting.setdefault(placement, now)
+            waiting[placement] = slot.late_since
         return ticket
 
     def _valid_ticket(self, placement: Placement, now: float) -> str | None:
@@ -1110,7 +1112,7 @@
         return sendable, sorted(calls, key=lambda call: call.rank)
 
     def _late_until(self, key: TaskKey, since: float) -> float:
-        """Return when a start is released that has waited for a ticket since a time."""
+        """Return when a start is released whose first ticket lapsed at a time."""
         until = since + MAX_LATE_START_S
         progress = self.jobs[key.job_id]
         if not progress.job.steps[key.step].gang:
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -22,6 +22,7 @@
     StartReply,
     StartResult,
 )
+from cuminhill.jobs.placer import MAX_LATE_START_S
 from cuminhill.jobs.records import JOB_PREFIX, encode_job
 from standins.job_platform import MemoryAdvice, MemoryWorkers
 
@@ -247,6 +248,21 @@
     }
 
 
+# Guards against a start that keeps its worker without end, since each new ticket lapses
+# behind the earlier starts on that worker: another one may be free.
+def test_a_start_whose_new_tickets_lapse_as_well_is_released():
+    placer, placements = _make_placed(n_workers=1, n_tasks=1)
+    first_late = at = NOW + TERMS.valid_s
+    while at <= first_late + MAX_LATE_START_S:
+        assert placer.ticket(placements[0], at) is None
+        _answer(placer, placer.renew_tickets(at)[1], at)
+        assert placer.renew_tickets(at) == (placements, [])
+        at += TERMS.valid_s
+    assert placer.ticket(placements[0], at) is None
+    assert placer.renew_tickets(at) == ([], [])
+    assert placer.workers["w1"].free.cores == 16.0
+
+
 def test_late_starts_of_a_cancelled_job_are_dropped():
     """Guards against calls for advice for a job that has ended."""
     placer, placements = _make_placed()
