Ask for no new tickets after the end of a term

Each answer to a call for advice asks for the tickets of the late starts of its step that it has not brought. A call that is under way when a term ends went on with that: in the new test five more calls in 0.5 s after the end. They stop after 3 s at the latest, when the starts are released.

Ruled out: starts that are sent after the end; the tasks that send them stop.

Nothing is done about late starts once the term has ended. The test failed before.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -998,6 +998,8 @@
         step : str, optional
             Name of the only step to process.
         """
+        if self.ended:
+            return
         now = boottime()
         sendable, calls = self.placer.renew_tickets(now, step)
         for placement in sendable:
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -11,6 +11,7 @@
 
 from cuminhill.clock import boottime
 from cuminhill.jobs import decisions
+from cuminhill.jobs.advice import AdviceAnswer
 from cuminhill.jobs.decisions import (
     MAX_STEPS_PER_DECISION,
     MIN_STEPS_PER_DECISION,
@@ -353,6 +354,32 @@
     curio.run(scenario)
 
 
+# Guards against calls for advice of a term that has ended, beside the next one's.
+def test_a_term_that_has_ended_asks_for_no_new_tickets(cluster):
+    async def scenario():
+        node = await _start(cluster)
+        leadership = node.leadership
+        asked, ask = [], leadership.ask_advice
+
+        async def permit_no_late_start(vm, call, timeout_s):
+            if call.step not in leadership.placer.late_starts:
+                return await ask(vm, call, timeout_s)
+            asked.append(call)
+            await curio.sleep(0.1)
+            return AdviceAnswer([])
+
+        leadership.ask_advice = permit_no_late_start
+        _slow_journal(cluster, node)
+        _submit(cluster, n_jobs=1, n_tasks=1)
+        await cluster.wait_for(lambda: asked)
+        await leadership.end()
+        n_asked = len(asked)
+        await curio.sleep(0.5)
+        assert len(asked) == n_asked
+
+    curio.run(scenario)
+
+
 def test_a_decision_considers_as_many_steps_as_its_time_allows():
     """Guards against long decisions, and few steps when they are short again."""
     assert limit_steps(200, 200, 1.0) == 50
