--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -79,8 +79,9 @@
 # The others of a gang wait for a late member for this time from the first that is sent.
 # Workers end a member that has waited 3 s for the others, and stops take time.
 MAX_GANG_WAIT_S = 1.5
-# Most of the validity of a ticket that may be left for the time until a start is sent;
-# a larger part would leave no ticket usable when its answer waits for a decision.
+# The time that starts take to be sent is added to the time until they are decided up to
+# this part of the validity of a ticket. With more, no ticket would be usable when its
+# answer waits for a decision.
 MAX_SEND_FRACTION = 0.5
 # Weight of a shorter time in the expected time until a start is sent. A longer one
 # counts at once, since a ticket that has lapsed costs another call.
@@ -195,7 +196,7 @@
         there is none.
     late_starts : dict
         Starts in the journal that wait for a new ticket, by the names of their steps,
-        with the times in seconds since when.
+        with the times in seconds at which their first ones lapsed.
     """
 
     term: int
@@ -1054,8 +1055,10 @@
         ticket = self._valid_ticket(placement, now)
         if ticket is None:
             self.counts["tickets_lapsed"] += 1
+            slot = self.workers[placement.worker_id].slots[placement.key, placement.run]
+            slot.late_since = slot.late_since or now
             waiting = self.late_starts.setdefault(placement.key.step_name, {})
-            waiting.setdefault(placement, now)
+            waiting[placement] = slot.late_since
         return ticket
 
     def _valid_ticket(self, placement: Placement, now: float) -> str | None:
@@ -1109,7 +1112,7 @@
         return sendable, sorted(calls, key=lambda call: call.rank)
 
     def _late_until(self, key: TaskKey, since: float) -> float:
-        """Return when a start is released that has waited for a ticket since a time."""
+        """Return when a start is released whose first ticket lapsed at a time."""
         until = since + MAX_LATE_START_S
         progress = self.jobs[key.job_id]
         if not progress.job.steps[key.step].gang:
@@ -1136,10 +1139,17 @@
         """Limit the steps of the next decision by the time that one has taken."""
         self.max_steps = limit_steps(self.n_considered, self.max_steps, took_s)
 
-    def sent_at(self, decided_at: float, terms: AdviceTerms) -> float:
-        """Return when a start is expected to be sent, for the choice of its ticket."""
+    def sent_at(self, decided_at: float, terms: AdviceTerms, now: float) -> float:
+        """Return when a start is expected to be sent, for the choice of its ticket.
+
+        Parameters
+        ----------
+        decided_at : float, seconds
+            When it will be decided.
+        """
         usable_s = max(0.0, terms.valid_s - TICKET_MARGIN_S)
-        return decided_at + min(self.send_s, MAX_SEND_FRACTION * usable_s)
+        latest = now + MAX_SEND_FRACTION * usable_s
+        return max(decided_at, min(decided_at + self.send_s, latest))
 
     def may_decide_starts(self, terms: AdviceTerms, now: float) -> bool:
         """Return whether tickets outlast the starts that are not in the journal yet.
