Go on probing the log after unexpected errors

Each error of another type ended one of the ten tasks that probe a log out of reach, and none is replaced. After ten, nothing probes it any more, and the VM stays unready though the log answers again.

Ruled out: the other tasks of the reader. The one that catches up is replaced when it has ended, and `run` is called again by the node.

A probe now fails on an error of any type. The new test failed before: the log was still unreachable 3 s after it answered again.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -280,7 +280,8 @@
         try:
             async with curio.timeout_after(timeout_s):
                 await self._find_end(timeout_s)
-        except (CuminhillError, curio.TaskTimeout):
+        except (Exception, curio.TaskTimeout):
+            # Of any type: a task that ends is not replaced.
             self.n_errors += 1
             return False
         return True
--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -293,3 +293,42 @@
         assert link.n_transferred < 2 * 3 * RECORD_BYTES
 
     curio.run(scenario)
+
+
+class _OddLog(LogView):
+    """Log that fails reads, and the questions for its end by an unexpected error."""
+
+    broken = False
+    n_asked = 0
+
+    async def read(self, offset, wait_s, timeout_s):
+        """Return records, or fail as an unreachable log does."""
+        if self.broken:
+            raise UnknownOutcomeError("no", step="read")
+        return await super().read(offset, wait_s, timeout_s)
+
+    async def end(self, timeout_s):
+        """Return the end of the log, or fail unexpectedly."""
+        self.n_asked += 1
+        if self.broken:
+            raise ValueError("odd")
+        return await super().end(timeout_s)
+
+
+def test_a_log_is_read_again_after_any_number_of_unexpected_errors():
+    """Guards against a VM that stays unready since all tasks that probe have ended."""
+
+    async def scenario():
+        view = _OddLog(MemoryLog(), LogFaults())
+        follower = await _follow(view)
+        view.broken = True
+        give_up_at = boottime() + 8.0
+        while view.n_asked <= logreader.N_PROBERS and boottime() < give_up_at:
+            await curio.sleep(TICK_S)
+        view.broken = False
+        give_up_at = boottime() + 3.0
+        while not follower.reachable and boottime() < give_up_at:
+            await curio.sleep(TICK_S)
+        assert follower.reachable
+
+    curio.run(scenario)
