Ask for the tickets of late starts in the order of ranks

The calls for late starts were made before those of the decision.

Ruled out: calls of one step twice, which the decision leaves to the late starts already.

Both kinds of call are now made in the order of their ranks, late starts first within a rank. The new test failed before.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -873,24 +873,25 @@
         self._wake.clear()
         now = boottime()
         self.placer.tick(now)
-        await self._renew_tickets()
+        calls = await self._send_late_starts()
         # Placements made while nothing can be journaled would hold capacity and tickets
         # until they lapse.
         if self.may_act() and not self.writer.failing_since:
             self.placer.unsent_since = min(self._writing_since, self._unjournaled_since)
-            placements, calls = self.placer.decide(now, time.time())
+            placements, more = self.placer.decide(now, time.time())
+            calls = sorted([*calls, *more], key=lambda call: call.rank)
             decided_s = boottime() - now
             self.metrics.observe("decision_seconds", decided_s)
             self.placer.note_decision_time(decided_s)
             self._unjournaled.extend(placements)
             if placements:
                 self._unjournaled_since = min(self._unjournaled_since, now)
-            unserved: set[SearchKey] = set()
-            for call in calls:
-                await self._schedule_advice(call, now, unserved)
             self._observe_waits()
         else:
             note_unconsidered(self.placer, now, time.time(), may_act=False)
+        unserved: set[SearchKey] = set()
+        for call in calls:
+            await self._schedule_advice(call, now, unserved)
         if self._recorded.is_set():
             # Before that they would be dropped, and repeated only after a while.
             for stop in self.placer.take_stops():
@@ -998,14 +999,18 @@
         step : str, optional
             Name of the only step to process.
         """
-        if self.ended:
-            return
         now = boottime()
-        sendable, calls = self.placer.renew_tickets(now, step)
+        for call in await self._send_late_starts(step):
+            await self._schedule_advice(call, now)
+
+    async def _send_late_starts(self, step: str = "") -> list[AdviceCall]:
+        """Send the late starts that have new tickets; return calls for the others."""
+        if self.ended:
+            return []
+        sendable, calls = self.placer.renew_tickets(boottime(), step)
         for placement in sendable:
             await self._enqueue(placement.worker_id, placement)
-        for call in calls:
-            await self._schedule_advice(call, now)
+        return calls
 
     async def _append_records(self, records: list[tuple[str, bytes]]) -> set[str]:
         """Append records; return the keys of those that the journal rejects for good.
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -11,7 +11,7 @@
 
 from cuminhill.clock import boottime
 from cuminhill.jobs import decisions
-from cuminhill.jobs.advice import AdviceAnswer
+from cuminhill.jobs.advice import AdviceAnswer, CallRank
 from cuminhill.jobs.decisions import (
     MAX_STEPS_PER_DECISION,
     MIN_STEPS_PER_DECISION,
@@ -380,6 +380,34 @@
     curio.run(scenario)
 
 
+# Guards against an urgent step whose call waits behind those for the late starts of
+# patient ones, since these took the VMs that were free.
+def test_calls_for_late_starts_have_the_rank_of_their_steps(cluster):
+    async def scenario():
+        node = await _start(cluster)
+        tables = make_table(
+            make_queue(advice=TERMS, priority=1), make_queue("urgent", advice=TERMS)
+        )
+        leadership, ranks = node.leadership, []
+        placer = leadership.placer
+        placer.table = tables
+        submit(placer, make_job(make_step(1, 4.0)), boottime())
+        _answer(placer, placer.decide(boottime(), time.time())[1], boottime())
+        (late,), _ = placer.decide(boottime(), time.time())
+        placer.advice.for_step(late.key.step_name).drop_ticket(late.worker_id)
+        assert placer.ticket(late, boottime()) is None
+        submit(placer, make_job(queue="urgent", job_id="b" * 16), boottime())
+
+        async def note_call(call, now, unserved=None):
+            ranks.append(call.rank)
+
+        leadership._schedule_advice = note_call
+        await leadership._place_once()
+        assert ranks == [CallRank.URGENT, CallRank.PLACE]
+
+    curio.run(scenario)
+
+
 def test_a_decision_considers_as_many_steps_as_its_time_allows():
     """Guards against long decisions, and few steps when they are short again."""
     assert limit_steps(200, 200, 1.0) == 50
