--- a/cuminhill/coordination/membership.py
+++ b/cuminhill/coordination/membership.py
@@ -72,6 +72,7 @@
     def update_me(self, **changes: object) -> Member:
         """Change the own entry and increase its counter."""
         old = self.me
+        # Fields that are given by name have no common type.
         self.me = replace(old, counter=old.counter + 1, **changes)  # type: ignore[arg-type]
         if self.me.is_update_of(old):
             # Repeated so that every watched peer gets the change even if calls fail.
