Let a job that waits idle use workers reserved for a blocked step

What callers saw: an accepted job had nothing running for longer than 3 s beside workers with room, with under half of the pool's cores in use.

Cause: a blocked step that is no gang reserves whole workers, and the exception for jobs that wait idle applied to room that is kept, not to reserved workers. A run longer than half of the wait is kept from them. Besides, a pool counted as busy by the workers that accept starts, so beside draining workers the exception did not apply at all.

Change: `eligible_workers` ignores reservations for a job that waits idle on a pool that is not busy; a pool is busy by its reachable workers.

Result: test_a_blocked_step_does_not_keep_a_long_job_idle failed before in both shapes and passes; tests of the placer, gangs, lasting tasks, headroom and waits pass.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from heapq import nsmallest
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -226,7 +226,7 @@
     placer.n_considered = len(waiting)
     hold_room(placer, waiting, pools, now)
     _deduct_reservations(placer, limits, now)
-    busy = {name for name, pool in pools.items() if _is_busy(pool)}
+    busy = _busy_pools(placer)
     patient = False
     explained = _steps_to_explain(waiting, now)
     for step_run, queue, run_times in waiting:
@@ -238,9 +238,10 @@
         n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
-        expected_s = 0.0 if step_run.name in placer.reservations else run_s
-        workers = eligible_workers(placer, step_run, pool, expected_s, now)
         idle = queue.pool not in busy and _waits_idle(placer, step_run, wall)
+        may_use_reserved = idle or step_run.name in placer.reservations
+        expected_s = 0.0 if may_use_reserved else run_s
+        workers = eligible_workers(placer, step_run, pool, expected_s, now)
         rooms = _kept_rooms(placer, step_run, queue, run_s, idle=idle, now=now)
         if rooms[-1] and not restarts:
             workers = _with_unheld_room(step_run, workers, rooms[-1])
@@ -337,11 +338,25 @@
     return True
 
 
-def _is_busy(pool: list[Worker]) -> bool:
-    """Return whether half of the cores of some workers are in use."""
-    capacity = sum(worker.entry.capacity.cores for worker in pool)
-    free = sum(max(0.0, worker.free.cores) for worker in pool)
-    return free <= (1 - BUSY_FRACTION) * capacity
+def _busy_pools(placer: Placer) -> set[str]:
+    """Return the pools with half of the cores of their reachable workers in use.
+
+    Workers that drain or are ejected count as well: callers count a job without a run
+    as lost by the use of the whole pool.
+    """
+    capacity: defaultdict[str, float] = defaultdict(float)
+    free: defaultdict[str, float] = defaultdict(float)
+    for worker in placer.workers.values():
+        if not (worker.registered and worker.reachable):
+            continue
+        pool = worker.entry.pool
+        capacity[pool] += worker.entry.capacity.cores
+        free[pool] += max(0.0, worker.free.cores)
+    return {
+        pool
+        for pool, cores in capacity.items()
+        if free[pool] <= (1 - BUSY_FRACTION) * cores
+    }
 
 
 def _waits_idle(placer: Placer, step_run: StepRun, wall: float) -> bool:
--- a/tests/jobs/test_placer.py
+++ b/tests/jobs/test_placer.py
@@ -409,6 +409,31 @@
     assert [item.key.job_id for item in placed] == ["c" * 16]
 
 
+# Guards against long jobs that a blocked step keeps waiting with nothing running beside
+# idle workers (rule LOST): their runs do not end before the reservation begins.
+@pytest.mark.parametrize("n_leaving", [0, 4])
+def test_a_blocked_step_does_not_keep_a_long_job_idle(n_leaving):
+    fill, plain = make_queue("fill", priority=1), make_queue("plain", priority=2)
+    n_workers = 4 + n_leaving
+    placer = make_placer(fill, plain, n_workers=n_workers)
+    cores = 14.0 if n_leaving else 7.0  # under half of the whole pool
+    held_step = make_step(4, cores=cores, max_per_worker=1, run_time_s=60.0)
+    for number in range(4 + 1, n_workers + 1):
+        placer.register_worker(make_entry(f"w{number}", draining=True), NOW)
+    submit(placer, make_job(held_step, queue="fill"))
+    held, _ = placer.decide(NOW, WALL)
+    assert {item.worker_id for item in held} == {"w1", "w2", "w3", "w4"}
+    mark_started(placer, held)
+    blocked = make_step(4, cores=12.0, run_time_s=10.0)
+    submit(placer, make_job(blocked, queue="fill", job_id="b" * 16))
+    placer.decide(NOW + 0.1, WALL + 0.1)
+    long = make_step(1, cores=2.0, run_time_s=40.0)
+    job = make_job(long, queue="plain", job_id="c" * 16, accepted_at=WALL + 0.1)
+    submit(placer, job)
+    placed, _ = placer.decide(NOW + 2.2, WALL + 2.2)
+    assert [item.key.job_id for item in placed] == ["c" * 16]
+
+
 # Guards against a gang that never starts since other jobs take what becomes free.
 def test_a_blocked_gang_keeps_the_workers_that_will_soon_be_free():
     urgent, plain = make_queue("urgent"), make_queue("plain", priority=2)
