--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -60,8 +60,9 @@
         JSON forms of the job and of its progress; empty if not read yet.
     state : JobState
         State shown to callers.
-    queue : str
-        Name of the queue; empty until the job's own record has been read.
+    queue, team : str
+        Names of the queue and of the team; empty until the job's own record has been
+        read, and for a job without a team.
     cancelled : bool
         Whether a caller cancelled it before it ended.
     run_read_at : float, seconds
@@ -74,6 +75,7 @@
     run: bytes = b""
     state: JobState = JobState.PENDING
     queue: str = ""
+    team: str = ""
     cancelled: bool = False
     accepted_at: float = 0.0
     run_read_at: float = 0.0
@@ -266,7 +268,7 @@
             return  # a repeated submission
         head = decode_job_head(check_job_id(job_id), value)
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.queue, entry.accepted_at = head
+        entry.queue, entry.accepted_at, entry.team = head
         if entry.state not in FINAL_JOB_STATES:
             entry.job = value
         self.changed.add(job_id)
--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -10,6 +10,27 @@
     from ..model import Resources
 
 
+@dataclass(frozen=True, slots=True)
+class Team:
+    """Team on whose behalf callers submit jobs.
+
+    Parameters
+    ----------
+    name : str
+        Name, unique among teams.
+    weight : float
+        Share relative to the other teams when not everything can run; also the number
+        of jobs a second up to which the team has a claim to be served.
+    cap : Resources
+        Most resources that the team's runs may hold over all workers; an amount of 0
+        is no limit.
+    """
+
+    name: str
+    weight: float
+    cap: Resources
+
+
 class JobState(StrEnum):
     """State of a job, as shown to its caller."""
 
@@ -126,6 +147,9 @@
     definition : Queue or None
         The queue as it was when the job was accepted, by which the job goes on if the
         queue is removed; None if an earlier build accepted the job.
+    team : Team or None
+        The team as it was when the job was accepted, for good; its newest weight and
+        cap are in the configuration. None where the configuration has no teams.
     """
 
     job_id: str
@@ -137,6 +161,7 @@
     first_due_at: float = 0.0
     period_s: float = 0.0
     definition: Queue | None = None
+    team: Team | None = None
 
     @property
     def n_occurrences(self) -> int:
@@ -191,6 +216,8 @@
         Constant part of a job's objective.
     advice : AdviceTerms or None
         Set if placement needs tickets.
+    public : bool
+        Whether callers need no key of a team.
     """
 
     name: str
@@ -202,15 +229,23 @@
     stretch: float
     target_s: float
     advice: AdviceTerms | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class QueueTable:
-    """All queues of one version of the configuration."""
+    """All queues and teams of one version of the configuration.
+
+    Parameters
+    ----------
+    teams : dict of str to Team, or None
+        Teams by name; None if the configuration has none, so that callers need no keys.
+    """
 
     version: int = 0
     queues: dict[str, Queue] = field(default_factory=dict)
     max_body_bytes: int = 1 << 18
+    teams: dict[str, Team] | None = None
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix, None if none matches."""
@@ -222,6 +257,12 @@
                 best = queue
         return best
 
+    def team(self, job: Job) -> Team | None:
+        """Return the team of a job; as the job was accepted if it was removed."""
+        if job.team is None or self.teams is None:
+            return job.team
+        return self.teams.get(job.team.name, job.team)
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -18,7 +18,7 @@
 from ..model import Resources
 from ..util.addresses import check_address
 from ..util.validation import MAX_INTEGER, Count, Message, Name, validate_json
-from .model import AdviceTerms, Job, Queue, Step
+from .model import AdviceTerms, Job, Queue, Step, Team
 
 JOB_PREFIX, RUN_PREFIX, CANCEL_PREFIX, LEADER_KEY, MEMBER_PREFIX = (
     "job/",
@@ -49,6 +49,7 @@
 MAX_TERM = 1 << 40
 MAX_LATENCY_S = 60.0  # beyond it, a claim would delay the next election without end
 MAX_LOGGED_ID = 40  # characters of an id in an error
+MAX_WEIGHT = 1e9  # of a team
 MAX_TIME_S = 1e11  # of times and durations; the year 5138
 
 
@@ -320,11 +321,23 @@
     }
     if job.definition is not None:
         data["definition"] = job.definition
+    if job.team is not None:
+        data["team"] = _team_to_dict(job.team)
     return orjson.dumps(data)
 
 
+def _team_to_dict(team: Team) -> dict[str, Any]:
+    cap = team.cap
+    return {
+        "name": team.name,
+        "weight": team.weight,
+        "cap": [cap.cores, cap.memory_mb, cap.accelerators],
+    }
+
+
 _JOB_ID = re.compile(r"[0-9A-Za-z_-]{1,64}", re.ASCII)
 _Amount = Annotated[float, Field(ge=0, le=1 << 31)]
+_TeamAmount = Annotated[float, Field(ge=0, le=MAX_INTEGER)]  # over all workers
 _Time = Annotated[float, Field(ge=-MAX_TIME_S, le=MAX_TIME_S)]
 _Duration = Annotated[float, Field(ge=0, le=MAX_TIME_S)]
 
@@ -362,6 +375,13 @@
     stretch: _Duration
     target_s: _Duration
     advice: _AdviceBody | None = None
+    public: bool = False
+
+
+class _TeamBody(Message):
+    name: Name
+    weight: Annotated[float, Field(ge=0, le=MAX_WEIGHT)]
+    cap: tuple[_TeamAmount, _TeamAmount, _TeamAmount]
 
 
 class _JobBody(Message):
@@ -371,6 +391,7 @@
     times: tuple[Count, _Time, _Duration]
     steps: Annotated[list[_StepBody], Field(min_length=1, max_length=MAX_STEPS)]
     definition: _QueueBody | None = None
+    team: _TeamBody | None = None
 
 
 def check_job_id(job_id: str) -> str:
@@ -411,10 +432,13 @@
     ----------
     accepted_at : float, seconds
         Wall-clock time of the acceptance.
+    team : str
+        Name of the team; empty for a job without one.
     """
 
     queue: str
     accepted_at: float
+    team: str = ""
 
 
 def decode_job_head(job_id: str, value: bytes) -> JobHead:
@@ -428,7 +452,8 @@
         If a field is missing, malformed or out of range.
     """
     body = _validate_job(job_id, value)
-    return JobHead(body.queue, body.accepted_at)
+    team = body.team.name if body.team else ""
+    return JobHead(body.queue, body.accepted_at, team)
 
 
 def decode_job(job_id: str, value: bytes) -> Job:
@@ -452,9 +477,14 @@
         body.accepted_at,
         *body.times,
         definition=_make_queue(body.definition) if body.definition else None,
+        team=_make_team(body.team) if body.team else None,
     )
 
 
+def _make_team(body: _TeamBody) -> Team:
+    return Team(body.name, body.weight, task_need(*body.cap))
+
+
 def _make_queue(body: _QueueBody) -> Queue:
     values = dict(body)
     advice = values.pop("advice")
