--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -10,7 +10,7 @@
 
 from ..clock import boottime
 from ..errors import CuminhillError, UnavailableError, UnknownOutcomeError
-from .model import FINAL_JOB_STATES, Outcome
+from .model import FINAL_JOB_STATES, JobState, Outcome
 from .nodemetrics import make_node_metrics
 from .records import CANCEL_PREFIX, JOB_PREFIX, JournalRecord, encode_job
 
@@ -21,7 +21,7 @@
     from .jobindex import JobEntry, JobIndex
     from .journal import LogWriter
     from .logreader import LogFollower
-    from .model import Job, JobState, Queue
+    from .model import Job, Queue
 
 logger = structlog.get_logger(__name__)
 
@@ -31,6 +31,12 @@
 PEER_APPEND_TIMEOUT_S = 0.6
 # Time for reading the journal up to its end when the job of a look-up is unknown.
 CATCH_UP_TIMEOUT_S = 1.0
+# A state that is not final may be this old, as a fraction of the constant part of the
+# queue's objective: callers ask right after a job's last task has ended, and only see
+# that it has when they ask again.
+MAX_STALE_FRACTION = 0.1
+# Time for reading the journal up to its end for such a look-up.
+REFRESH_TIMEOUT_S = 0.3
 # Retry-After of a rejected call. Callers wait for a few seconds in total, so after a
 # short outage a longer pause would cost them their answer.
 RETRY_AFTER_S = 1
@@ -115,8 +121,26 @@
     async def state(self, job_id: str) -> JobState | Outcome:
         """Return the state of a job."""
         entry = await self._find(job_id)
+        if entry is not None and self._is_stale(entry):
+            self.counts["refreshed"] += 1
+            await self.follower.catch_up(REFRESH_TIMEOUT_S)
+            entry = self.job_index.entries.get(job_id)
         return self._unknown_outcome() if entry is None else entry.state
 
+    def _is_stale(self, entry: JobEntry) -> bool:
+        """Return whether the state of a job should be read anew for a look-up.
+
+        Only a started job can have ended in the meantime, and an unreachable journal
+        does not answer in time.
+        """
+        if entry.state is not JobState.RUNNING or not self.follower.reachable:
+            return False
+        queue = self.find_queue(entry.queue)
+        if queue is None:
+            return False
+        max_age_s = MAX_STALE_FRACTION * queue.target_s
+        return self.follower.age(boottime()) > max_age_s
+
     def n_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue without a started task."""
         return self.job_index.n_waiting(queue)
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import curio
+import orjson
 import pytest
 
 from cuminhill.clock import boottime
@@ -10,11 +11,12 @@
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
 from cuminhill.jobs.logreader import LogFollower
-from cuminhill.jobs.model import Outcome
+from cuminhill.jobs.model import JobState, Outcome
+from cuminhill.jobs.records import JOB_PREFIX, RUN_PREFIX, encode_job
 from cuminhill.jobs.service import JobService
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
-from .builders import make_job
+from .builders import make_job, make_queue
 
 
 def answers(value):
@@ -90,3 +92,51 @@
             await writer.append([("l", b"x")], boottime() + 1)
 
     curio.run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("target_s", "reachable", "expected"),
+    [
+        (0.25, True, JobState.COMPLETED),
+        (3600.0, True, JobState.RUNNING),
+        (0.25, False, JobState.RUNNING),
+    ],
+)
+def test_a_look_up_of_a_started_job_reads_its_end(target_s, reachable, expected):
+    """Guards against callers of short jobs that see the end one look-up too late.
+
+    The index was read with pauses of 0.25 s, as long as the constant part of an urgent
+    objective, and callers ask again only after seconds. A queue with a long objective
+    needs no such read, and an unreachable journal must not delay the answer.
+    """
+
+    async def scenario():
+        log, index = MemoryLog(), JobIndex()
+        follower = LogFollower(
+            "t",
+            LogView(log),
+            lambda rows, _: [index.fold(row, boottime()) for row in rows],
+            0.1,
+            0.1,
+        )
+        job = make_job()
+        run_key = RUN_PREFIX + job.job_id
+        running = orjson.dumps({"state": JobState.RUNNING})
+        log.append_records([(JOB_PREFIX + job.job_id, encode_job(job))])
+        log.append_records([(run_key, running)])
+        follower.synced = True
+        await follower.read(0.0)
+        log.append_records([(run_key, orjson.dumps({"state": JobState.COMPLETED}))])
+        follower.read_at = boottime() - 0.2
+        follower.reachable = reachable
+        service = JobService(
+            index,
+            follower,
+            LogWriter(LogView(log), "a", 1),
+            answers(None),
+            answers(None),
+            lambda name: make_queue(target_s=target_s),
+        )
+        assert await service.state(job.job_id) is expected
+
+    curio.run(scenario)
