Check keys of teams in requests of callers

Where the configuration has tenants, each request of a caller needs the key of a team unless its queue is public: 401 without one, 403 for a job of another team. The team of a submission is stored with the job. Queues, teams and keys are in one table, so that a version comes into force as a whole.

Records of jobs without a team are those of earlier builds again: `public` is written only if set, and is read only beside tenants.

--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from ..model import Resources
+    from .teamkeys import KeyTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,12 +241,15 @@
     ----------
     teams : dict of str to Team, or None
         Teams by name; None if the configuration has none, so that callers need no keys.
+    keys : KeyTable or None
+        Keys of the teams; in one object with them, so that both change at once.
     """
 
     version: int = 0
     queues: dict[str, Queue] = field(default_factory=dict)
     max_body_bytes: int = 1 << 18
     teams: dict[str, Team] | None = None
+    keys: KeyTable | None = field(default=None, repr=False, compare=False)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix, None if none matches."""
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -313,6 +313,7 @@
                 version=table.version,
                 before=self.table.version,
                 queues=len(table.queues),
+                teams=None if table.teams is None else len(table.teams),
             )
             self.table = table
             if self.leadership is not None:
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -8,7 +8,7 @@
 
 import math
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Annotated, Any, NamedTuple
 
 import orjson
@@ -320,12 +320,20 @@
         "steps": [_step_to_dict(step) for step in job.steps],
     }
     if job.definition is not None:
-        data["definition"] = job.definition
+        data["definition"] = _queue_to_dict(job.definition)
     if job.team is not None:
         data["team"] = _team_to_dict(job.team)
     return orjson.dumps(data)
 
 
+def _queue_to_dict(queue: Queue) -> dict[str, Any]:
+    data = {item.name: getattr(queue, item.name) for item in fields(queue)}
+    if not queue.public:
+        # Without teams, records have the same bytes as those of earlier builds.
+        del data["public"]
+    return data
+
+
 def _team_to_dict(team: Team) -> dict[str, Any]:
     cap = team.cap
     return {
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from ..errors import ValidationError
 from ..jobs.model import Outcome
 from ..jobs.service import RETRY_AFTER_S
+from ..jobs.teamkeys import find_team, is_foreign
 from ..util.http import HttpRequest, HttpResponse
 from .wire import decode_job_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..jobs.model import Team
     from ..jobs.node import JobNode
 
 JOB_ID = re.compile(r"[0-9a-f]{16}", re.ASCII)
@@ -50,6 +52,11 @@
         queue = self.node.table.find(host, req.path)
         if queue is None:
             return _error_response(404, "no such queue")
+        table = self.node.table
+        team = find_team(table, req.headers.get("authorization", ""))
+        if table.teams is not None and team is None and not queue.public:
+            self.node.service.counts["unauthorized"] += 1
+            return _unauthorized_response()
         job_id = req.path[len(queue.path_prefix) :]
         if not job_id:
             if req.method != "GET":
@@ -62,29 +69,54 @@
                 404 if req.method == "GET" else 400, "id: 16 hex digits"
             )
         if req.method == "POST":
-            return await self._submit(job_id, queue.name, req)
+            return await self._submit(job_id, queue.name, team, req)
         if req.method == "GET":
-            return await self._get_state(job_id)
+            return await self._get_state(job_id, team)
         if req.method == "DELETE":
-            return await self._cancel(job_id, req)
+            return await self._cancel(job_id, team, req)
         return _error_response(405, "POST, GET or DELETE")
 
-    async def _submit(self, job_id: str, queue: str, req: HttpRequest) -> HttpResponse:
+    def _refuse_foreign(self, job_id: str, team: Team | None) -> HttpResponse | None:
+        """Return the response if a job is another team's, None otherwise."""
+        entry = self.node.job_index.entries.get(job_id)
+        if not is_foreign(self.node.table, team, entry):
+            return None
+        self.node.service.counts["forbidden"] += 1
+        return _error_response(403, "the job belongs to another team")
+
+    async def _submit(
+        self, job_id: str, queue: str, team: Team | None, req: HttpRequest
+    ) -> HttpResponse:
+        refusal = self._refuse_foreign(job_id, team)
+        if refusal is not None:
+            return refusal
         try:
             job = decode_job_body(job_id, queue, req.body, self.wall())
         except ValidationError as exc:
             self.node.service.counts["invalid"] += 1
             return _error_response(400, exc.message)
+        job = replace(job, team=team)
         outcome = await self.node.service.submit(job, _deadline_s(req))
         return self._response(outcome)
 
-    async def _get_state(self, job_id: str) -> HttpResponse:
+    async def _get_state(self, job_id: str, team: Team | None) -> HttpResponse:
         state = await self.node.service.state(job_id)
         if isinstance(state, Outcome):
             return self._response(state)
-        return HttpResponse(200, {"state": str(state)})
-
-    async def _cancel(self, job_id: str, req: HttpRequest) -> HttpResponse:
+        refusal = self._refuse_foreign(job_id, team)
+        return refusal or HttpResponse(200, {"state": str(state)})
+
+    async def _cancel(
+        self, job_id: str, team: Team | None, req: HttpRequest
+    ) -> HttpResponse:
+        if self.node.table.teams is not None:
+            # The look-up reads the journal to its end if the job is unknown.
+            state = await self.node.service.state(job_id)
+            if isinstance(state, Outcome):
+                return self._response(state)
+            refusal = self._refuse_foreign(job_id, team)
+            if refusal is not None:
+                return refusal
         outcome = await self.node.service.cancel(job_id, _deadline_s(req))
         return self._response(outcome)
 
@@ -119,6 +151,12 @@
     return deadline_ms / 1000 * DEADLINE_FRACTION
 
 
+def _unauthorized_response() -> HttpResponse:
+    message = "send a valid key of a team: Authorization: Bearer KEY"
+    headers = (("www-authenticate", "Bearer"),)
+    return HttpResponse(401, {"error": message}, headers=headers)
+
+
 def _unavailable_response(message: str) -> HttpResponse:
     headers = (("retry-after", str(RETRY_AFTER_S)),)
     return HttpResponse(503, {"error": message}, headers=headers)
--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import pydantic
-from pydantic import AfterValidator, Field
+from pydantic import AfterValidator, ConfigDict, Field
 
 from ..errors import ProtocolError, ValidationError
 from ..jobs.model import (
@@ -28,6 +28,7 @@
     RunningTask,
     Step,
     TaskKey,
+    Team,
     WorkerEntry,
     WorkerReport,
 )
@@ -37,9 +38,11 @@
     MAX_STEPS,
     MAX_TASKS,
     MAX_TIME_S,
+    MAX_WEIGHT,
     JournalRecord,
     task_need,
 )
+from ..jobs.teamkeys import KeyTable, make_key_table
 from ..util.addresses import check_address
 from ..util.validation import (
     MAX_COUNT,
@@ -61,6 +64,8 @@
 MAX_BORN_MS = 4_102_444_800_000  # the year 2100
 MAX_DRAIN_MS = 1e10
 MAX_STRETCH = 1e6
+MAX_TEAMS = 10_000
+MAX_TEAM_KEYS = 1000
 # Capacity of one worker, far above any machine.
 MAX_WORKER_MILLICORES = 1 << 24
 MAX_WORKER_MEMORY_MB = 1 << 28
@@ -215,6 +220,25 @@
     stretch: Annotated[float, Field(ge=0, le=MAX_STRETCH)] = 1.0
     target_duration_ms: _Duration = 0.0
     advice: _AdviceBody | None = None
+    public: bool = False
+
+
+class _CapBody(Message):
+    # Of a team's runs over all workers; 0 is no limit.
+    cpu: _Number = 0  # millicores
+    mem_mb: _Number = 0
+    gpu: _Number = 0
+
+
+# A header can carry no other characters.
+_ApiKey = Annotated[str, Field(pattern=r"^[!-~]{1,200}$")]
+
+
+class _TeamBody(Message):
+    name: Name
+    api_keys: Annotated[tuple[_ApiKey, ...], Field(max_length=MAX_TEAM_KEYS)] = ()
+    weight: Annotated[float, Field(ge=0, le=MAX_WEIGHT)] = 1.0
+    cap: _CapBody = _CapBody()
 
 
 class _LimitsBody(Message):
@@ -222,20 +246,30 @@
 
 
 class _ConfigBody(Message):
+    # The text of a validation error would quote keys.
+    model_config = ConfigDict(hide_input_in_errors=True)
+
     version: _Number
     routes: list[_RouteBody]
     limits: _LimitsBody = _LimitsBody()
+    # Teams. No teams (an empty list) differs from no list: callers then need keys, and
+    # there are none. Null is malformed, so that it can't turn the check off.
+    tenants: Annotated[tuple[_TeamBody, ...], Field(max_length=MAX_TEAMS)] = ()
 
 
 def decode_queue_table(value: bytes) -> QueueTable:
-    """Decode the queues of an operator's configuration.
+    """Decode the queues and teams of an operator's configuration.
 
     Raises
     ------
     ProtocolError
-        If the configuration is malformed.
+        If the configuration is malformed, a team is named twice or two teams have the
+        same key; the message contains no key.
     """
     message = validate_json(_ConfigBody, value, step="config", peer="op/config")
+    teams, keys = None, None
+    if "tenants" in message.model_fields_set:
+        teams, keys = _make_teams(message.tenants)
     queues = {}
     for route in message.routes:
         advice = route.advice
@@ -255,8 +289,31 @@
                 advice.each_ms / MS_PER_S,
                 advice.valid_ms / MS_PER_S,
             ),
+            public=teams is not None and route.public,
         )
-    return QueueTable(message.version, queues, message.limits.max_body_bytes)
+    return QueueTable(
+        message.version, queues, message.limits.max_body_bytes, teams, keys
+    )
+
+
+def _make_teams(items: tuple[_TeamBody, ...]) -> tuple[dict[str, Team], KeyTable]:
+    teams: dict[str, Team] = {}
+    for number, item in enumerate(items):
+        if item.name in teams:
+            raise ProtocolError(
+                f"tenants.{number}.name: repeated", step="config", peer="op/config"
+            )
+        cap = task_need(
+            item.cap.cpu / MILLICORES_PER_CORE,
+            float(item.cap.mem_mb),
+            float(item.cap.gpu),
+        )
+        teams[item.name] = Team(item.name, item.weight, cap)
+    try:
+        keys = make_key_table((item.name, item.api_keys) for item in items)
+    except ValidationError as exc:
+        raise ProtocolError(exc.message, step="config", peer="op/config") from exc
+    return teams, keys
 
 
 class _CapacityBody(Message):
--- a/tests/jobs/builders.py
+++ b/tests/jobs/builders.py
@@ -13,12 +13,14 @@
     RunningTask,
     Step,
     TaskKey,
+    Team,
     WorkerEntry,
     WorkerReport,
 )
 from cuminhill.jobs.placer import Placement, Placer
 from cuminhill.jobs.progress import Progress
 from cuminhill.jobs.records import task_need
+from cuminhill.jobs.teamkeys import make_key_table
 
 WALL = 1000.0
 BEGUN_AT = 100.0
@@ -57,9 +59,28 @@
     return Queue(name, **(values | more))
 
 
-def make_table(*queues: Queue, version: int = 1) -> QueueTable:
-    """Return a table of queues."""
-    return QueueTable(version, {queue.name: queue for queue in queues})
+def make_table(
+    *queues: Queue,
+    version: int = 1,
+    teams: dict[str, tuple[str, ...]] | None = None,
+) -> QueueTable:
+    """Return a table of queues, and of teams with their keys."""
+    by_name = {queue.name: queue for queue in queues}
+    if teams is None:
+        return QueueTable(version, by_name)
+    return QueueTable(
+        version,
+        by_name,
+        teams={name: make_team(name) for name in teams},
+        keys=make_key_table(teams.items()),
+    )
+
+
+def make_team(name: str = "t1", **more: Any) -> Team:
+    """Return a team without a cap."""
+    return Team(
+        name, more.pop("weight", 1.0), more.pop("cap", task_need(0.0, 0.0, 0.0))
+    )
 
 
 def make_entry(worker_id: str = "w1", **more: Any) -> WorkerEntry:
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -89,9 +89,10 @@
         self.registry.append_records([(worker_id, b"")])
         return worker
 
-    def publish(self, *queues) -> None:
+    def publish(self, *queues, teams=None) -> None:
         """Publish a configuration."""
-        self.tables.append(make_table(*queues, version=len(self.tables) + 1))
+        version = len(self.tables) + 1
+        self.tables.append(make_table(*queues, version=version, teams=teams))
         self.config.append_records([("config", str(len(self.tables) - 1).encode())])
 
     def _decode_table(self, value: bytes):
