Let look-ups of started jobs wait shortly for the end of the job

Its record takes 0.05 to 0.1 s to be stored (an append takes 34 ms, and waits for the one before).

The test failed before, with the end read too late.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -53,7 +53,8 @@
     wait_s : float, seconds
         How long a read waits for a record.
     pause_s : float, seconds
-        Pause between reads; limits the rate of calls under load.
+        Pause between reads; limits the rate of calls under load. There is none while a
+        caller of `await_records` waits.
     unreachable_since : float, seconds
         When a read failed for the first time since the log last answered; 0 while it is
         reachable.
@@ -86,6 +87,8 @@
     _catch_up_read_ended: Any = field(default_factory=curio.Event)
     _catch_up_asked_at: float = 0.0
     _catch_up_failed_at: float = 0.0
+    _unpaused_until: float = 0.0
+    _unpause: Any = field(default_factory=curio.Event)
 
     def age(self, now: float) -> float:
         """Return the age of the newest complete read, in seconds."""
@@ -146,7 +149,28 @@
             if not self.reachable:
                 self._note_reachable(boottime())
             if at_end:
-                await curio.sleep(self.pause_s)
+                await self._pause()
+
+    async def _pause(self) -> None:
+        if boottime() < self._unpaused_until:
+            return
+        self._unpause.clear()
+        async with curio.ignore_after(self.pause_s):
+            await self._unpause.wait()
+
+    async def await_records(self, timeout_s: float) -> None:
+        """Wait for the next read of `run` up to the end, without pauses between reads.
+
+        Parameters
+        ----------
+        timeout_s : float, seconds
+            Longest wait; also how long reads are not paused.
+        """
+        until = boottime() + timeout_s
+        self._unpaused_until = max(self._unpaused_until, until)
+        await self._unpause.set()
+        async with curio.ignore_after(timeout_s):
+            await self._catch_up_read_ended.wait()
 
     async def _read_on(self) -> bool:
         self._is_reading = True
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -31,12 +31,13 @@
 PEER_APPEND_TIMEOUT_S = 0.6
 # Time for reading the journal up to its end when the job of a look-up is unknown.
 CATCH_UP_TIMEOUT_S = 1.0
-# A state that is not final may be this old, as a fraction of the constant part of the
-# queue's objective: callers ask right after a job's last task has ended, and only see
-# that it has when they ask again.
-MAX_STALE_FRACTION = 0.1
-# Time for reading the journal up to its end for such a look-up.
-REFRESH_TIMEOUT_S = 0.3
+# Callers ask right after a job's last task has ended, before that is in the journal,
+# and ask again only later. A look-up of a started job waits this long for its end:
+# longer than the record of an end takes to be stored and read in calm.
+LOOK_UP_WAIT_S = 0.2
+# The wait is for queues with a constant part of the objective below this: for others it
+# makes no difference.
+MAX_WAITING_TARGET_S = 2.0
 # Retry-After of a rejected call. Callers wait for a few seconds in total, so after a
 # short outage a longer pause would cost them their answer.
 RETRY_AFTER_S = 1
@@ -121,25 +122,30 @@
     async def state(self, job_id: str) -> JobState | Outcome:
         """Return the state of a job."""
         entry = await self._find(job_id)
-        if entry is not None and self._is_stale(entry):
-            self.counts["refreshed"] += 1
-            await self.follower.catch_up(REFRESH_TIMEOUT_S)
+        if entry is not None and self._may_wait_for_end(entry):
+            await self._await_end(entry)
             entry = self.job_index.entries.get(job_id)
         return self._unknown_outcome() if entry is None else entry.state
 
-    def _is_stale(self, entry: JobEntry) -> bool:
-        """Return whether the state of a job should be read anew for a look-up.
+    def _may_wait_for_end(self, entry: JobEntry) -> bool:
+        """Return whether a look-up may wait a little for a job to end.
 
-        Only a started job can have ended in the meantime, and an unreachable journal
-        does not answer in time.
+        An unreachable journal would not show the end in time.
         """
         if entry.state is not JobState.RUNNING or not self.follower.reachable:
             return False
         queue = self.find_queue(entry.queue)
-        if queue is None:
-            return False
-        max_age_s = MAX_STALE_FRACTION * queue.target_s
-        return self.follower.age(boottime()) > max_age_s
+        return queue is not None and queue.target_s < MAX_WAITING_TARGET_S
+
+    async def _await_end(self, entry: JobEntry) -> None:
+        """Wait until a job has ended, or for the longest time of a look-up."""
+        self.counts["awaited"] += 1
+        give_up_at = boottime() + LOOK_UP_WAIT_S
+        while entry.state is JobState.RUNNING:
+            left_s = give_up_at - boottime()
+            if left_s <= 0:
+                return
+            await self.follower.await_records(left_s)
 
     def n_waiting(self, queue: str) -> int:
         """Return the number of accepted jobs of a queue without a started task."""
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -102,12 +102,12 @@
         (0.25, False, JobState.RUNNING),
     ],
 )
-def test_a_look_up_of_a_started_job_reads_its_end(target_s, reachable, expected):
+def test_a_look_up_of_a_started_job_awaits_its_end(target_s, reachable, expected):
     """Guards against callers of short jobs that see the end one look-up too late.
 
-    The index was read with pauses of 0.25 s, as long as the constant part of an urgent
-    objective, and callers ask again only after seconds. A queue with a long objective
-    needs no such read, and an unreachable journal must not delay the answer.
+    They ask when the last task has ended, while its record is on its way, and ask again
+    after 0.25 s, as long as the constant part of an urgent objective. A queue with a
+    long objective needs no wait, and an unreachable journal would not end one.
     """
 
     async def scenario():
@@ -116,18 +116,18 @@
             "t",
             LogView(log),
             lambda rows, _: [index.fold(row, boottime()) for row in rows],
-            0.1,
-            0.1,
+            0.5,
+            3600.0,  # the wait must end the pause between reads
         )
         job = make_job()
         run_key = RUN_PREFIX + job.job_id
         running = orjson.dumps({"state": JobState.RUNNING})
         log.append_records([(JOB_PREFIX + job.job_id, encode_job(job))])
         log.append_records([(run_key, running)])
-        follower.synced = True
-        await follower.read(0.0)
-        log.append_records([(run_key, orjson.dumps({"state": JobState.COMPLETED}))])
-        follower.read_at = boottime() - 0.2
+        await curio.spawn(follower.run, daemon=True)
+        while job.job_id not in index.entries or not follower.read_at:
+            await curio.sleep(0.01)
+        await curio.sleep(0.6)  # the first read has ended; the pause has begun
         follower.reachable = reachable
         service = JobService(
             index,
@@ -137,6 +137,9 @@
             answers(None),
             lambda name: make_queue(target_s=target_s),
         )
-        assert await service.state(job.job_id) is expected
+        look_up = await curio.spawn(service.state, job.job_id)
+        await curio.sleep(0)
+        log.append_records([(run_key, orjson.dumps({"state": JobState.COMPLETED}))])
+        assert await look_up.join() is expected
 
     curio.run(scenario)
