Keep each team's running usage within its cap

The placer had no notion of teams, so a team's runs could hold more than its cap. `TeamUsage` sums anew in each decision what each team may have running: all slots, runs not adopted in this term, and tasks that were stopped to be moved. Sums kept up to date by events were ruled out, since a missed event would make them drift.

Steps that the cap admits no task of are not considered, so they take no turn, ask for no advice and reserve nothing. A gang is admitted only as a whole. A slot names its team, since a retired job's runs may go on. A cap lowered below the usage stops nothing and moves nothing. Reasons `team_cap` and `over_team_cap` tell of the wait.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -43,6 +43,7 @@
     takes_starts,
     with_room,
 )
+from .teamusage import TeamAmounts, TeamUsage
 from .waitcauses import explain_wait
 from .waits import (
     EXPLAIN_INTERVAL_S,
@@ -54,7 +55,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
 
     from ..model import Resources
     from .fleet import Worker
@@ -152,7 +153,7 @@
         if queue is None:
             continue
         for step_run in progress.ready_steps(wall):
-            if not progress.n_startable(step_run):
+            if not _n_startable(placer, step_run):
                 continue
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
@@ -160,7 +161,8 @@
                 key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
     rows.sort(key=lambda row: row[0])
-    chosen = _take_turns(placer, [row[1].name for row in rows])
+    names = placer.team_usage.turn_order(placer, [row[1] for row in rows])
+    chosen = _take_turns(placer, names)
     chosen.update(placer.reservations)  # their places may be free now
     return [row[1:] for row in rows if row[1].name in chosen]
 
@@ -218,7 +220,7 @@
     """
     placements: list[Placement] = []
     calls: list[AdviceCall] = []
-    placer.reserved = {}
+    placer.reserved, placer.team_usage = {}, TeamUsage()
     n_reservations = 0
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
@@ -229,13 +231,13 @@
     busy = _busy_pools(placer)
     patient = False
     explained = _steps_to_explain(waiting, now)
-    for step_run, queue, run_times in waiting:
+    for step_run, queue, run_times in _still_admitted(placer, waiting, now):
         restarts = _is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
             if placements:  # they may use room that was kept
                 hold_room(placer, waiting, pools, now)
-        n_startable = placer.jobs[step_run.job.job_id].n_startable(step_run)
+        n_startable = _n_startable(placer, step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         idle = queue.pool not in busy and _waits_idle(placer, step_run, wall)
@@ -304,6 +306,26 @@
     return placements, calls
 
 
+def _n_startable(placer: Placer, step_run: StepRun) -> int:
+    """Return how many tasks of a step its job and the cap of its team admit now."""
+    n_tasks = placer.jobs[step_run.job.job_id].n_startable(step_run)
+    return placer.team_usage.limit(placer, step_run, n_tasks)
+
+
+def _still_admitted(
+    placer: Placer, waiting: Iterable[tuple[StepRun, Queue, list[float]]], now: float
+) -> Iterator[tuple[StepRun, Queue, list[float]]]:
+    """Yield the steps that the caps of their teams admit when it is their turn.
+
+    The placements of a decision may take a team to its cap.
+    """
+    for row in waiting:
+        if _n_startable(placer, row[0]):
+            yield row
+        else:
+            row[0].wait.since = row[0].wait.since or now
+
+
 def _reserve_room(
     placer: Placer,
     step_run: StepRun,
@@ -429,6 +451,7 @@
             and not progress.cancelled
             and progress.state is not JobState.FAILED
             and progress.n_startable(step_run) >= step_run.step.n_tasks
+            and placer.team_usage.limit(placer, step_run, step_run.step.n_tasks)
         )
         pool = pools.get(reservation.pool, [])
         if not (wanted and _choose_places(placer, reservation, pool, now)):
@@ -566,11 +589,12 @@
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
     """Return the number of interrupted tasks for which room is still kept."""
     waiting = (step_run.tasks[index] for index in step_run.waiting())
-    return sum(
+    n_tasks = sum(
         now - max(task.away_since, placer.begun_at) <= MAX_HOLD_S
         for task in waiting
         if task.run
     )
+    return placer.team_usage.limit(placer, step_run, n_tasks)
 
 
 def _n_holdable(
@@ -850,7 +874,18 @@
         step_run = progress.step_run(key.occurrence, key.step)
         n_runs, first = steps.get(step_run, (0, lapse))
         steps[step_run] = (n_runs + 1, min(first, lapse))
-    return steps
+    return {
+        step_run: (n_admitted, lapse)
+        for step_run, (n_runs, lapse) in steps.items()
+        if (n_admitted := _n_replaceable(placer, step_run, n_runs))
+    }
+
+
+def _n_replaceable(placer: Placer, step_run: StepRun, n_runs: int) -> int:
+    """Return how many lost runs of a step the cap of its team admits again."""
+    n_freed = step_run.n_assigned if step_run.step.gang else n_runs
+    freed = TeamAmounts().plus(step_run.step.need, n_freed)
+    return placer.team_usage.limit(placer, step_run, n_runs, freed)
 
 
 def _prefetch_advice(
@@ -882,13 +917,16 @@
             left_s = _time_left_s(placer, step_run, run_times, now)
             if left_s > PREFETCH_FRACTION * queue.advice.valid_s:
                 continue
+            n_wanted = _n_admitted_next(placer, step_run)
+            if not n_wanted:
+                continue
             outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
             eligible = eligible_workers(placer, step_run, pool, 0.0, now)
             allowance = _make_allowance(placer, step_run, limits.get(queue.name), now)
             named = choose_advised(
                 step,
-                step.n_tasks,
+                n_wanted,
                 [],
                 eligible,
                 [],
@@ -906,6 +944,16 @@
     return calls
 
 
+def _n_admitted_next(placer: Placer, step_run: StepRun) -> int:
+    """Return how many tasks of a step a cap admits once the steps before it end."""
+    freed = TeamAmounts()
+    for number in step_run.step.after:
+        earlier = placer.jobs[step_run.job.job_id].step_run(step_run.occurrence, number)
+        freed = freed.plus(earlier.step.need, earlier.n_assigned)
+    n_tasks = step_run.step.n_tasks
+    return placer.team_usage.limit(placer, step_run, n_tasks, freed)
+
+
 def _time_left_s(
     placer: Placer, step_run: StepRun, run_times: list[float], now: float
 ) -> float:
@@ -1336,6 +1384,8 @@
     n_tasks = step_run.step.n_tasks
     if len(indexes) < n_tasks or progress.n_startable(step_run) < n_tasks:
         return []
+    if not placer.team_usage.limit(placer, step_run, n_tasks):
+        return []
     chosen = place_gang(candidates)
     if chosen is None:
         return []
@@ -1359,9 +1409,12 @@
     now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
-    placed = []
+    placed: list[Placement] = []
     n_new = progress.n_startable(step_run) - step_run.n_interrupted
+    n_admitted = placer.team_usage.limit(placer, step_run, len(indexes))
     for index in indexes:
+        if len(placed) >= n_admitted:
+            break
         task = step_run.tasks[index]
         if not task.run and n_new <= 0:
             continue
@@ -1516,14 +1569,24 @@
                 reason = WaitReason.QUEUE_GONE
             elif not n_wanted:
                 reason = WaitReason.RECORD_LIMIT
+            elif cause := placer.team_usage.explain(placer, step_run, n_wanted):
+                _note_cause_due(placer, step_run, cause, now)
+                continue
             elif step_run.name in placer.left_out:
                 reason = WaitReason.NOT_CONSIDERED
             else:
                 continue
-            step_run.wait.since = step_run.wait.since or now
-            if step_run.wait.is_due(now):
-                step_run.note_cause(WaitCause(reason, n_wanted), now)
-                _tell_wait(placer, step_run, now)
+            _note_cause_due(placer, step_run, WaitCause(reason, n_wanted), now)
+
+
+def _note_cause_due(
+    placer: Placer, step_run: StepRun, cause: WaitCause, now: float
+) -> None:
+    """Note why a step that was not considered waits if an explanation is due."""
+    step_run.wait.since = step_run.wait.since or now
+    if step_run.wait.is_due(now):
+        step_run.note_cause(cause, now)
+        _tell_wait(placer, step_run, now)
 
 
 def longest_waits(placer: Placer, now: float) -> list[dict[str, Any]]:
@@ -1562,6 +1625,7 @@
     slot.checkpoint = step_run.tasks[index].checkpoint
     slot.full_run = not slot.checkpoint
     worker.add(slot)
+    placer.team_usage.add(slot)
     progress.assign(key, worker.worker_id, worker.entry.incarnation, run)
     placer.mark_dirty(progress)
     placer.counts["placements"] += 1
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -22,6 +22,7 @@
 )
 from .lateness import NO_OBJECTIVE
 from .model import JobState
+from .teamusage import TeamAmounts
 
 if TYPE_CHECKING:
     from ..model import Resources
@@ -92,6 +93,10 @@
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None:
             continue
+        # Above a cap that was lowered, a task that is stopped would not start again.
+        need = TeamAmounts().plus(step_run.step.need)
+        if not placer.team_usage.n_admitted(placer, step_run, need):
+            continue
         call = _move_step(
             placer,
             step_run,
--- a/cuminhill/jobs/fleet.py
+++ b/cuminhill/jobs/fleet.py
@@ -115,6 +115,9 @@
         Whether nothing may be started beside the run until it has survived its start.
     long_running : bool
         Whether the run goes on until it is stopped.
+    team : str
+        Name of the team of the job, which may be retired before the run has ended;
+        empty for none.
     """
 
     key: TaskKey
@@ -143,6 +146,7 @@
     suspect: bool = False
     starts_apart: bool = False
     long_running: bool = False
+    team: str = ""
 
     def expected_end(self, speed: float) -> float:
         """Return when the run is expected to end, infinite if it lasts.
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -39,6 +39,7 @@
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .speeds import SpeedModel
+from .teamusage import TeamUsage
 from .waits import LineLimit
 from .watch import inherit_progress, note_progress, watch_runs
 
@@ -197,6 +198,8 @@
     late_starts : dict
         Starts in the journal that wait for a new ticket, by the names of their steps,
         with the times in seconds at which their first ones lapsed.
+    team_usage : TeamUsage
+        Usage of the teams in the newest decision.
     """
 
     term: int
@@ -235,6 +238,7 @@
     send_s: float = 0.0
     unsent_since: float = math.inf
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
+    team_usage: TeamUsage = field(default_factory=TeamUsage)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -341,6 +345,7 @@
             suspect=suspect,
             starts_apart=task is not None and starts_apart(step, task),
             long_running=step.long_running,
+            team=progress.job.team.name if progress.job.team is not None else "",
         )
 
     def cancel_job(self, job_id: str, now: float) -> None:
--- /dev/null
+++ b/cuminhill/jobs/teamusage.py
@@ -0,0 +1,263 @@
+"""What each team has running, and how much more its cap admits.
+
+All capacity that a run of a team may hold counts: runs that are being stopped, starts
+of unknown outcome, runs on workers out of reach, runs that an earlier term assigned to
+workers that have not registered in this one, and tasks that were stopped to be moved
+and have not started again. The sums are made anew for each decision, so that no event
+that was missed makes them drift.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from .model import JobState
+from .waits import TeamCounts, WaitCause, WaitReason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..model import Resources
+    from .fleet import Slot
+    from .model import TaskKey, Team
+    from .placer import Placer
+    from .progress import StepRun
+
+UNLIMITED = 1 << 30  # tasks; more than all steps have
+# Tolerance for the rounding of sums, as a fraction of a cap.
+ROUNDING = 1e-9
+
+
+class TeamAmounts(NamedTuple):
+    """TeamAmounts of the resources that have a cap."""
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+
+    def plus(self, need: Resources, n_tasks: int = 1) -> TeamAmounts:
+        """Return the amounts with those of some tasks added."""
+        return TeamAmounts(
+            self.cores + n_tasks * need.cores,
+            self.memory_mb + n_tasks * need.memory_mb,
+            self.accelerators + n_tasks * need.accelerators,
+        )
+
+
+NOTHING = TeamAmounts()
+
+
+@dataclass(eq=False, slots=True)
+class TeamUsage:
+    """Usage of all teams in one decision.
+
+    It is summed when it is first needed; without a team with a cap it never is.
+
+    Parameters
+    ----------
+    moving : dict
+        Tasks that were stopped to be moved and have not started again; they keep their
+        part of the cap.
+    """
+
+    moving: dict[TaskKey, Resources] = field(default_factory=dict)
+    _used: dict[str, TeamAmounts] | None = None
+
+    def n_admitted(
+        self, placer: Placer, step_run: StepRun, freed: TeamAmounts = NOTHING
+    ) -> int:
+        """Return how many more tasks of a step the cap of its team admits now.
+
+        Parameters
+        ----------
+        freed : TeamAmounts, optional
+            TeamAmounts that the team will no longer use when the tasks start.
+        """
+        cap = _cap_of(placer, step_run)
+        if cap is None:
+            return UNLIMITED
+        used = self.used_for(placer, step_run)
+        taken = TeamAmounts(*(a - b for a, b in zip(used, freed, strict=True)))
+        return _n_within(cap, taken, step_run.step.need)
+
+    def limit(
+        self,
+        placer: Placer,
+        step_run: StepRun,
+        n_tasks: int,
+        freed: TeamAmounts = NOTHING,
+    ) -> int:
+        """Return how many of some tasks of a step the cap of its team admits now.
+
+        That is 0 for a gang that it does not admit as a whole.
+        """
+        if step_run.job.team is None:
+            return n_tasks
+        n_admitted = self.n_admitted(placer, step_run, freed)
+        if step_run.step.gang:
+            return n_tasks if n_admitted >= step_run.step.n_tasks else 0
+        return min(n_tasks, n_admitted)
+
+    def used_for(self, placer: Placer, step_run: StepRun) -> TeamAmounts:
+        """Return what the team of a step uses, without what is kept for its moves."""
+        team = step_run.job.team
+        if team is None:
+            return NOTHING
+        used = self.by_team(placer).get(team.name, NOTHING)
+        for key, need in self.moving.items():
+            if key.step_name == step_run.name:
+                used = used.plus(need, -1)
+        return used
+
+    def by_team(self, placer: Placer) -> dict[str, TeamAmounts]:
+        """Return what each team uses, by name."""
+        if self._used is None:
+            self._used = self._sum(placer)
+        return self._used
+
+    def add(self, slot: Slot) -> None:
+        """Add a run that was placed in this decision."""
+        if self._used is None or not slot.team:
+            return
+        used = self._used.get(slot.team, NOTHING).plus(slot.need)
+        moved = self.moving.pop(slot.key, None)
+        self._used[slot.team] = used if moved is None else used.plus(moved, -1)
+
+    def turn_order(self, placer: Placer, step_runs: list[StepRun]) -> list[str]:
+        """Return the names of waiting steps in the order in which they get a turn.
+
+        Those that a cap admits only if the team's steps before them do not start come
+        last. Otherwise the many steps of a team that is about to reach its cap would
+        take the turns of others.
+        """
+        if self._used is None:
+            return [step_run.name for step_run in step_runs]
+        first, last = [], []
+        planned: dict[str, TeamAmounts] = {}
+        for step_run in step_runs:
+            cap, team = _cap_of(placer, step_run), step_run.job.team
+            if cap is None or team is None:
+                first.append(step_run.name)
+                continue
+            step = step_run.step
+            used = planned.get(team.name)
+            if used is None:
+                used = self.used_for(placer, step_run)
+            n_tasks = min(_n_within(cap, used, step.need), step_run.n_waiting)
+            if n_tasks < (step.n_tasks if step.gang else 1):
+                last.append(step_run.name)
+                continue
+            first.append(step_run.name)
+            planned[team.name] = used.plus(step.need, n_tasks)
+        return first + last
+
+    def explain(
+        self, placer: Placer, step_run: StepRun, n_wanted: int
+    ) -> WaitCause | None:
+        """Return why a step waits if that is the cap of its team, otherwise None."""
+        team = placer.table.team(step_run.job)
+        if team is None or self.limit(placer, step_run, n_wanted):
+            return None
+        step = step_run.step
+        n_needed = step.n_tasks if step.gang else 1
+        fits = _n_within(team.cap, NOTHING, step.need) >= n_needed
+        reason = WaitReason.TEAM_CAP if fits else WaitReason.OVER_TEAM_CAP
+        return WaitCause(reason, n_wanted, self._counts(placer, team))
+
+    def _counts(self, placer: Placer, team: Team) -> TeamCounts:
+        used = self.by_team(placer).get(team.name, NOTHING)
+        return TeamCounts(
+            team.name,
+            round(used.cores, 3),
+            round(used.memory_mb, 1),
+            round(used.accelerators, 3),
+            team.cap.cores,
+            team.cap.memory_mb,
+            team.cap.accelerators,
+        )
+
+    def _sum(self, placer: Placer) -> dict[str, TeamAmounts]:
+        """Return what each team uses, from the state of the placer."""
+        sums: dict[str, list[float]] = {}
+        for worker in placer.workers.values():
+            for slot in worker.slots.values():
+                if slot.team:
+                    _add(sums, slot.team, slot.need)
+        for team, need in _not_adopted(placer):
+            _add(sums, team, need)
+        self.moving = {}
+        for team, key, need in _moving(placer):
+            self.moving[key] = need
+            _add(sums, team, need)
+        return {name: TeamAmounts(*amounts) for name, amounts in sums.items()}
+
+
+def _cap_of(placer: Placer, step_run: StepRun) -> Resources | None:
+    """Return the cap of the team of a step, None without a limit."""
+    job = step_run.job
+    if job.team is None:
+        return None
+    team = placer.table.team(job)
+    return team.cap if team is not None and has_cap(team) else None
+
+
+def has_cap(team: Team) -> bool:
+    """Return whether the cap of a team limits any resource."""
+    cap = team.cap
+    return cap.cores > 0 or cap.memory_mb > 0 or cap.accelerators > 0
+
+
+def _n_within(cap: Resources, used: TeamAmounts, need: Resources) -> int:
+    """Return how many more tasks a cap admits; 0 if any usage is above it already."""
+    n_tasks = UNLIMITED
+    for limit, taken, amount in (
+        (cap.cores, used.cores, need.cores),
+        (cap.memory_mb, used.memory_mb, need.memory_mb),
+        (cap.accelerators, used.accelerators, need.accelerators),
+    ):
+        if limit <= 0:
+            continue
+        left = limit - taken + ROUNDING * limit
+        if left < 0:
+            return 0
+        if amount > 0:
+            n_tasks = min(n_tasks, int(left // amount))
+    return n_tasks
+
+
+def _add(sums: dict[str, list[float]], team: str, need: Resources) -> None:
+    row = sums.get(team)
+    if row is None:
+        row = sums[team] = [0.0, 0.0, 0.0]
+    row[0] += need.cores
+    row[1] += need.memory_mb
+    row[2] += need.accelerators
+
+
+def _not_adopted(placer: Placer) -> Iterator[tuple[str, Resources]]:
+    """Yield the runs on workers that have not registered in this term."""
+    for key, task in placer.not_adopted.items():
+        progress = placer.jobs.get(key.job_id)
+        if progress is None or progress.job.team is None:
+            continue
+        step = progress.job.steps[key.step]
+        worker = placer.workers.get(task.worker)
+        if worker is not None and (key, task.run) in worker.slots:
+            continue
+        # The first end of a gang's member completes all, though others may still run.
+        if task.worker or step.gang:
+            yield progress.job.team.name, step.need
+
+
+def _moving(placer: Placer) -> Iterator[tuple[str, TaskKey, Resources]]:
+    """Yield the tasks whose run has ended for a move and that have no new one."""
+    for key, move in placer.moves.items():
+        progress = placer.jobs.get(key.job_id)
+        if progress is None or progress.job.team is None or progress.cancelled:
+            continue
+        task = progress.task(key)
+        if progress.state is not JobState.RUNNING or task is None:
+            continue
+        if task.run == move.run and not task.worker and not task.done:
+            yield progress.job.team.name, key, move.need
--- a/cuminhill/jobs/waits.py
+++ b/cuminhill/jobs/waits.py
@@ -34,6 +34,9 @@
     LABEL = "label"  # none of them has the label that the step requires
     MAX_PER_WORKER = "max_per_worker"  # workers hold the most tasks that they may
     NO_ROOM = "no_room"
+    TEAM_CAP = "team_cap"  # the cap of the team admits no more now
+    # The gang, or a single task, needs more than the whole cap of its team.
+    OVER_TEAM_CAP = "over_team_cap"
     RESERVED = "reserved"  # the room is reserved for other steps
     HELD = "held"  # the room is kept for lasting tasks
     HEADROOM = "headroom"  # the room is headroom for urgent work
@@ -101,6 +104,19 @@
     used_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class TeamCounts:
+    """Usage and cap of a team behind a reason; an amount of 0 is no limit."""
+
+    team: str
+    team_cores: float
+    team_memory_mb: float
+    team_accelerators: float
+    cap_cores: float
+    cap_memory_mb: float
+    cap_accelerators: float
+
+
 @dataclass(frozen=True, slots=True)
 class WaitCause:
     """Why a step waits.
@@ -113,7 +129,7 @@
 
     reason: WaitReason
     n_wanted: int
-    counts: WaitCounts | None = None
+    counts: WaitCounts | TeamCounts | None = None
 
     def fields(self) -> dict[str, Any]:
         """Return the fields of log lines and dumps."""
