Place the surplus of teams last, and share busy pools by weight

One team could take what the others need: the order of waiting steps knew only priorities and objectives. Jobs beyond `weight` a second are now placed after all other steps, in the order of acceptance. On a busy pool a team above its share of what the teams with waiting steps use comes after the others of the same rank. Both end 30 s after acceptance.

So surplus jobs leave a tenth of a pool's cores free unless the pool is under half in use, reserve nothing, and have the headroom limit and advice rank of work that is not urgent.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -144,7 +144,7 @@
 
     Each step comes with its queue and the expected run times of all steps of its job.
     """
-    rows = []
+    rows: list[tuple[tuple[Any, ...], StepRun, Queue, list[float]]] = []
     moving = {key.step_name for key in placer.moves}
     for progress in placer.jobs.values():
         if progress.cancelled or progress.state is JobState.FAILED:
@@ -153,14 +153,18 @@
         if queue is None:
             continue
         for step_run in progress.ready_steps(wall):
-            if not _n_startable(placer, step_run):
+            n_tasks = progress.n_startable(step_run)
+            if not placer.team_usage.limit(placer, step_run, n_tasks):
                 continue
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
             if moving and step_run.name in moving:
                 key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
-    rows.sort(key=lambda row: row[0])
+    if placer.shares.buckets:
+        rows = placer.shares.order(placer, rows, _busy_pools(placer), wall)
+    else:
+        rows.sort(key=lambda row: row[0])
     names = placer.team_usage.turn_order(placer, [row[1] for row in rows])
     chosen = _take_turns(placer, names)
     chosen.update(placer.reservations)  # their places may be free now
@@ -248,7 +252,9 @@
         if rooms[-1] and not restarts:
             workers = _with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
-        core_limit = _core_limit_of(step_run, limits.get(queue.name), idle=idle)
+        core_limit = _core_limit_of(
+            step_run, _limit_of(placer, limits, step_run, queue), idle=idle
+        )
         advised, call = advise(
             placer,
             step_run,
@@ -292,7 +298,7 @@
                 now=now,
             )
         _note_wait(placer, step_run, queue, workers, now=now)
-        if placed:
+        if placed or step_run.name in placer.shares.surplus_steps:
             continue
         if step_run.step.gang:
             _reserve_for_gang(placer, step_run, pool, core_limit, now=now)
@@ -309,7 +315,8 @@
 def _n_startable(placer: Placer, step_run: StepRun) -> int:
     """Return how many tasks of a step its job and the cap of its team admit now."""
     n_tasks = placer.jobs[step_run.job.job_id].n_startable(step_run)
-    return placer.team_usage.limit(placer, step_run, n_tasks)
+    n_tasks = placer.team_usage.limit(placer, step_run, n_tasks)
+    return placer.shares.limit(placer, step_run, n_tasks)
 
 
 def _still_admitted(
@@ -935,7 +942,9 @@
             )
             incarnations = {item.worker_id: item.entry.incarnation for item in named}
             if incarnations:
-                rank = CallRank.AHEAD if queue.priority else CallRank.URGENT
+                surplus = placer.shares.is_surplus(placer, step_run.job, wall)
+                ahead = queue.priority or surplus
+                rank = CallRank.AHEAD if ahead else CallRank.URGENT
                 calls.append(
                     make_advice_call(step_run.name, incarnations, queue.advice, rank)
                 )
@@ -1202,6 +1211,20 @@
     )
 
 
+def _limit_of(
+    placer: Placer, limits: dict[str, HeadroomLimit], step_run: StepRun, queue: Queue
+) -> HeadroomLimit | None:
+    """Return the limit for a step in this decision, None for none.
+
+    Surplus work of an urgent queue has the limit of the other queues of its pool.
+    """
+    limit = limits.get(queue.name)
+    if limit is not None or step_run.name not in placer.shares.surplus_steps:
+        return limit
+    names = (it.name for it in placer.table.queues.values() if it.pool == queue.pool)
+    return next((limits[name] for name in names if name in limits), None)
+
+
 def _core_limit_of(
     step_run: StepRun, core_limit: HeadroomLimit | None, *, idle: bool
 ) -> HeadroomLimit | None:
@@ -1412,6 +1435,7 @@
     placed: list[Placement] = []
     n_new = progress.n_startable(step_run) - step_run.n_interrupted
     n_admitted = placer.team_usage.limit(placer, step_run, len(indexes))
+    n_admitted = placer.shares.limit(placer, step_run, n_admitted)
     for index in indexes:
         if len(placed) >= n_admitted:
             break
@@ -1572,6 +1596,8 @@
             elif cause := placer.team_usage.explain(placer, step_run, n_wanted):
                 _note_cause_due(placer, step_run, cause, now)
                 continue
+            elif step_run.name in placer.shares.held:
+                reason = WaitReason.SURPLUS
             elif step_run.name in placer.left_out:
                 reason = WaitReason.NOT_CONSIDERED
             else:
@@ -1626,6 +1652,7 @@
     slot.full_run = not slot.checkpoint
     worker.add(slot)
     placer.team_usage.add(slot)
+    placer.shares.use_room(worker.entry.pool, slot.need.cores)
     progress.assign(key, worker.worker_id, worker.entry.incarnation, run)
     placer.mark_dirty(progress)
     placer.counts["placements"] += 1
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -278,6 +278,9 @@
             self._register(entry, now)
         self.placer.look_up_speeds()
         n_jobs = 0
+        for job_id, job in self.job_index.entries.items():
+            if job.team:  # of jobs that have ended as well
+                self.placer.shares.note_accepted(job.team, job_id, job.accepted_at)
         self.job_index.pop_changed()
         for progress in self.job_index.live():
             n_jobs += self._take_in(progress, now)
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -39,6 +39,7 @@
     PATIENT = 4
     PATIENT_LATE = 5
     STALE = 6
+    SURPLUS = 7  # beyond the rate to which the team is entitled
 
 
 def critical_path_s(
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -38,6 +38,7 @@
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
+from .shares import Shares
 from .speeds import SpeedModel
 from .teamusage import TeamUsage
 from .waits import LineLimit
@@ -200,6 +201,8 @@
         with the times in seconds at which their first ones lapsed.
     team_usage : TeamUsage
         Usage of the teams in the newest decision.
+    shares : Shares
+        Surplus jobs and shares of the teams.
     """
 
     term: int
@@ -239,6 +242,7 @@
     unsent_since: float = math.inf
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
     team_usage: TeamUsage = field(default_factory=TeamUsage)
+    shares: Shares = field(default_factory=Shares)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -251,6 +255,8 @@
         if job_id in self.jobs:
             return
         self.jobs[job_id] = progress
+        if job.team is not None:
+            self.shares.note_accepted(job.team.name, job_id, job.accepted_at)
         queue = self.queue_of(progress)
         if job.definition is None:  # accepted by an earlier build
             job = progress.job = replace(job, definition=queue)
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -22,7 +22,7 @@
     from .fleet import Slot
     from .model import TaskKey, Team
     from .placer import Placer
-    from .progress import StepRun
+    from .progress import Progress, StepRun
 
 UNLIMITED = 1 << 30  # tasks; more than all steps have
 # Tolerance for the rounding of sums, as a fraction of a cap.
@@ -63,6 +63,7 @@
 
     moving: dict[TaskKey, Resources] = field(default_factory=dict)
     _used: dict[str, TeamAmounts] | None = None
+    _cores: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def n_admitted(
         self, placer: Placer, step_run: StepRun, freed: TeamAmounts = NOTHING
@@ -116,6 +117,11 @@
             self._used = self._sum(placer)
         return self._used
 
+    def cores_by_pool(self, placer: Placer) -> dict[tuple[str, str], float]:
+        """Return the cores that each team uses at the start of a decision, by pool."""
+        self.by_team(placer)
+        return self._cores
+
     def add(self, slot: Slot) -> None:
         """Add a run that was placed in this decision."""
         if self._used is None or not slot.team:
@@ -179,18 +185,25 @@
 
     def _sum(self, placer: Placer) -> dict[str, TeamAmounts]:
         """Return what each team uses, from the state of the placer."""
-        sums: dict[str, list[float]] = {}
+        sums: dict[tuple[str, str], list[float]] = {}
         for worker in placer.workers.values():
+            pool = worker.entry.pool
             for slot in worker.slots.values():
                 if slot.team:
-                    _add(sums, slot.team, slot.need)
-        for team, need in _not_adopted(placer):
-            _add(sums, team, need)
+                    _add(sums, pool, slot.team, slot.need)
+        for pool, team, need in _not_adopted(placer):
+            _add(sums, pool, team, need)
         self.moving = {}
-        for team, key, need in _moving(placer):
+        for pool, team, key, need in _moving(placer):
             self.moving[key] = need
-            _add(sums, team, need)
-        return {name: TeamAmounts(*amounts) for name, amounts in sums.items()}
+            _add(sums, pool, team, need)
+        self._cores = {name: amounts[0] for name, amounts in sums.items()}
+        totals: dict[str, TeamAmounts] = {}
+        for (_, team), amounts in sums.items():
+            earlier = totals.get(team, NOTHING)
+            pairs = zip(earlier, amounts, strict=True)
+            totals[team] = TeamAmounts(*(a + b for a, b in pairs))
+        return totals
 
 
 def _cap_of(placer: Placer, step_run: StepRun) -> Resources | None:
@@ -226,16 +239,18 @@
     return n_tasks
 
 
-def _add(sums: dict[str, list[float]], team: str, need: Resources) -> None:
-    row = sums.get(team)
+def _add(
+    sums: dict[tuple[str, str], list[float]], pool: str, team: str, need: Resources
+) -> None:
+    row = sums.get((pool, team))
     if row is None:
-        row = sums[team] = [0.0, 0.0, 0.0]
+        row = sums[pool, team] = [0.0, 0.0, 0.0]
     row[0] += need.cores
     row[1] += need.memory_mb
     row[2] += need.accelerators
 
 
-def _not_adopted(placer: Placer) -> Iterator[tuple[str, Resources]]:
+def _not_adopted(placer: Placer) -> Iterator[tuple[str, str, Resources]]:
     """Yield the runs on workers that have not registered in this term."""
     for key, task in placer.not_adopted.items():
         progress = placer.jobs.get(key.job_id)
@@ -247,10 +262,10 @@
             continue
         # The first end of a gang's member completes all, though others may still run.
         if task.worker or step.gang:
-            yield progress.job.team.name, step.need
+            yield _pool_of(placer, progress), progress.job.team.name, step.need
 
 
-def _moving(placer: Placer) -> Iterator[tuple[str, TaskKey, Resources]]:
+def _moving(placer: Placer) -> Iterator[tuple[str, str, TaskKey, Resources]]:
     """Yield the tasks whose run has ended for a move and that have no new one."""
     for key, move in placer.moves.items():
         progress = placer.jobs.get(key.job_id)
@@ -260,4 +275,10 @@
         if progress.state is not JobState.RUNNING or task is None:
             continue
         if task.run == move.run and not task.worker and not task.done:
-            yield progress.job.team.name, key, move.need
+            pool = _pool_of(placer, progress)
+            yield pool, progress.job.team.name, key, move.need
+
+
+def _pool_of(placer: Placer, progress: Progress) -> str:
+    queue = placer.queue_of(progress)
+    return queue.pool if queue is not None else ""
--- a/cuminhill/jobs/waits.py
+++ b/cuminhill/jobs/waits.py
@@ -37,6 +37,7 @@
     TEAM_CAP = "team_cap"  # the cap of the team admits no more now
     # The gang, or a single task, needs more than the whole cap of its team.
     OVER_TEAM_CAP = "over_team_cap"
+    SURPLUS = "surplus"  # the free cores are left to jobs that are not surplus
     RESERVED = "reserved"  # the room is reserved for other steps
     HELD = "held"  # the room is kept for lasting tasks
     HEADROOM = "headroom"  # the room is headroom for urgent work
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -37,7 +37,8 @@
 ADVICE = AdviceTerms(0.4, 0.01, 2.5)
 
 
-def make_team(name="t", cores=0.0, memory_mb=0.0, accelerators=0.0, weight=1.0):
+def make_team(name="t", cores=0.0, memory_mb=0.0, accelerators=0.0, weight=1e3):
+    """Return a team, by default with so much weight that no job is surplus."""
     return Team(name, weight, Resources(cores, memory_mb, accelerators))
 
 
@@ -440,7 +441,9 @@
         self.set_caps()
 
     def set_caps(self):
-        teams = [make_team(n, c) for n, c in zip("ab", self.caps, strict=True)]
+        teams = [
+            make_team(n, c, weight=1.0) for n, c in zip("ab", self.caps, strict=True)
+        ]
         with_teams(self.placer, *teams)
 
     def used(self, name):
