Show usage, caps, waiting and surplus jobs by team

The dump of the placer and its metrics tell for each team what its runs may hold, its cap, and how many of its jobs have no run and are surplus. Teams that were removed appear while they have jobs or runs. The sums are made at the dump, not by the decision, which may not need them.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -49,6 +49,7 @@
     make_claim,
 )
 from .service import JobService
+from .shares import dump_teams
 
 if TYPE_CHECKING:
     import random
@@ -816,6 +817,7 @@
         },
         "moving": [[*key, move.target] for key, move in placer.moves.items()],
         "waiting": longest_waits(placer, now),
+        "teams": dump_teams(placer, time.time()),
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -9,11 +9,14 @@
 
 import math
 from bisect import insort
+from collections import Counter
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
 from typing import TYPE_CHECKING, Any
 
+from ..model import NO_RESOURCES
 from .ordering import Rank
+from .teamusage import NOTHING, TeamUsage
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -223,6 +226,46 @@
         return room
 
 
+def dump_teams(placer: Placer, wall: float) -> dict[str, dict[str, float]]:
+    """Return what each team uses, its cap, and its jobs without a run, by name.
+
+    Teams that were removed are included as long as they have jobs or runs.
+
+    Parameters
+    ----------
+    wall : float, seconds
+        Current wall-clock time.
+    """
+    teams = dict(placer.table.teams or {})
+    waiting: Counter[str] = Counter()
+    surplus: Counter[str] = Counter()
+    for progress in placer.jobs.values():
+        team = placer.table.team(progress.job)
+        if team is None:
+            continue
+        teams.setdefault(team.name, team)
+        if progress.n_assigned or progress.is_over():
+            continue
+        waiting[team.name] += 1
+        surplus[team.name] += placer.shares.is_surplus(placer, progress.job, wall)
+    usage = TeamUsage().by_team(placer)
+    rows = {}
+    for name in [*teams, *(name for name in usage if name not in teams)]:
+        used, team = usage.get(name, NOTHING), teams.get(name)
+        cap = team.cap if team is not None else NO_RESOURCES
+        rows[name] = {
+            "cores": round(used.cores, 3),
+            "memory_mb": round(used.memory_mb, 1),
+            "accelerators": round(used.accelerators, 3),
+            "cap_cores": cap.cores,
+            "cap_memory_mb": cap.memory_mb,
+            "cap_accelerators": cap.accelerators,
+            "n_waiting": waiting[name],
+            "n_surplus": surplus[name],
+        }
+    return rows
+
+
 @lru_cache(maxsize=256)
 def _demoted(queue: Queue) -> Queue:
     """Return a queue whose steps have no privilege of urgent work."""
--- a/tests/jobs/test_team_shares.py
+++ b/tests/jobs/test_team_shares.py
@@ -14,7 +14,8 @@
 from cuminhill.jobs.decisions import waiting_steps
 from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.model import AdviceTerms, EndKind
-from cuminhill.jobs.shares import HISTORY_S, MAX_SHARE_WAIT_S, Bucket
+from cuminhill.jobs.nodemetrics import make_node_metrics
+from cuminhill.jobs.shares import HISTORY_S, MAX_SHARE_WAIT_S, Bucket, dump_teams
 
 from .builders import (
     BEGUN_AT,
@@ -336,3 +337,26 @@
     # A burst of others may need more than what surplus jobs leave free.
     assert len(later) <= (0 if n_workers == 12 else 0.01 * len(usual))
     assert max(later, default=0.0) <= 0.2  # two decisions
+
+
+# Guards against a dump that does not show which team holds what, or forgets the runs
+# of a team that was removed.
+def test_the_dump_shows_usage_cap_and_waiting_jobs_of_each_team():
+    placer = make_placer(n_workers=1)
+    team = make_team(cores=4.0, weight=2.0)
+    with_teams(placer, team, make_team("idle"))
+    use_cores(placer, "w1", 1.5, "gone")
+    submit(placer, make_job(make_step(6), job_id="a" * 16, team=team))
+    placer.decide(NOW, WALL)
+    submit_some(placer, team, "bcd")
+    rows = dump_teams(placer, WALL)
+    assert list(rows) == ["t", "idle", "gone"]
+    row = rows["t"]
+    assert (row["cores"], row["memory_mb"], row["cap_cores"]) == (4.0, 400.0, 4.0)
+    assert (row["n_waiting"], row["n_surplus"]) == (3, 2)
+    assert rows["gone"]["cores"] == 1.5
+    metrics = make_node_metrics()
+    metrics.update_from({"leading": {"teams": rows}})
+    text = metrics.render()
+    assert b'team_surplus_jobs{team="t"} 2' in text
+    assert b'team_cores{team="gone"} 1.5' in text
