--- a/bench/jobdecisions.py
+++ b/bench/jobdecisions.py
@@ -53,7 +53,7 @@
 
 
 @contextmanager
-def _quiet() -> Iterator[None]:
+def quiet() -> Iterator[None]:
     """Leave out log lines, whose cost is not that of a decision."""
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
@@ -71,7 +71,13 @@
         for priority, (name, *_) in enumerate(MIX)
     ]
     placer.table = QueueTable(1, {queue.name: queue for queue in queues})
-    for number in range(N_WORKERS):
+    register_workers(placer, rng, N_WORKERS)
+    return placer
+
+
+def register_workers(placer: Placer, rng: random.Random, n_workers: int) -> None:
+    """Register workers of 64 cores that have answered a renewal."""
+    for number in range(n_workers):
         name = f"w{number}"
         capacity = task_need(64.0, 131_072.0, 0.0)
         labels = ("ab"[number % 2], f"r{number // 12}")
@@ -82,7 +88,6 @@
             name, token, WorkerReport(int(BEGUN_AT * 1000), 1, (), ()), BEGUN_AT
         )
         placer.workers[name].health.speed = rng.lognormvariate(0.0, 0.3)
-    return placer
 
 
 def _add_jobs(placer: Placer, rng: random.Random, n_jobs: int) -> None:
@@ -142,7 +147,7 @@
 def run() -> list[dict[str, Any]]:
     """Return the times of decisions with few and with many waiting jobs."""
     rows = []
-    with _quiet():
+    with quiet():
         for n_jobs in BACKLOGS:
             rng = random.Random(n_jobs)
             placer = _make_placer(rng)
--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -16,7 +16,7 @@
 
 from ..model import NO_RESOURCES
 from .ordering import Rank
-from .teamusage import NOTHING, TeamUsage
+from .teamusage import TeamUsage
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -248,10 +248,13 @@
             continue
         waiting[team.name] += 1
         surplus[team.name] += placer.shares.is_surplus(placer, progress.job, wall)
-    usage = TeamUsage().by_team(placer)
+    usage = TeamUsage()
+    names = dict.fromkeys(teams)
+    for sums in usage.by_pool(placer).values():
+        names.update(dict.fromkeys(sums))
     rows = {}
-    for name in [*teams, *(name for name in usage if name not in teams)]:
-        used, team = usage.get(name, NOTHING), teams.get(name)
+    for name in names:
+        used, team = usage.used(placer, name), teams.get(name)
         cap = team.cap if team is not None else NO_RESOURCES
         rows[name] = {
             "cores": round(used.cores, 3),
@@ -300,4 +303,5 @@
 
 
 def _pool_use(placer: Placer, pool: str, team: str) -> float:
-    return placer.team_usage.cores_by_pool(placer).get((pool, team), 0.0)
+    row = placer.team_usage.by_pool(placer).get(pool, {}).get(team)
+    return row[0] if row is not None else 0.0
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
+from ..model import NO_RESOURCES
 from .model import JobState
 from .waits import TeamCounts, WaitCause, WaitReason
 
@@ -62,8 +64,9 @@
     """
 
     moving: dict[TaskKey, Resources] = field(default_factory=dict)
-    _used: dict[str, TeamAmounts] | None = None
-    _cores: dict[tuple[str, str], float] = field(default_factory=dict)
+    # Amounts in the order of `TeamAmounts`, by pool and team; lists, since building
+    # thousands of tuples takes as long as the sums.
+    _pools: defaultdict[str, dict[str, list[float]]] | None = None
 
     def n_admitted(
         self, placer: Placer, step_run: StepRun, freed: TeamAmounts = NOTHING
@@ -79,8 +82,9 @@
         if cap is None:
             return UNLIMITED
         used = self.used_for(placer, step_run)
-        taken = TeamAmounts(*(a - b for a, b in zip(used, freed, strict=True)))
-        return _n_within(cap, taken, step_run.step.need)
+        if freed is not NOTHING:
+            used = TeamAmounts(*(a - b for a, b in zip(used, freed, strict=True)))
+        return _n_within(cap, used, step_run.step.need)
 
     def limit(
         self,
@@ -105,30 +109,40 @@
         team = step_run.job.team
         if team is None:
             return NOTHING
-        used = self.by_team(placer).get(team.name, NOTHING)
+        used = self.used(placer, team.name)
         for key, need in self.moving.items():
             if key.step_name == step_run.name:
                 used = used.plus(need, -1)
         return used
 
-    def by_team(self, placer: Placer) -> dict[str, TeamAmounts]:
-        """Return what each team uses, by name."""
-        if self._used is None:
-            self._used = self._sum(placer)
-        return self._used
-
-    def cores_by_pool(self, placer: Placer) -> dict[tuple[str, str], float]:
-        """Return the cores that each team uses at the start of a decision, by pool."""
-        self.by_team(placer)
-        return self._cores
+    def used(self, placer: Placer, team: str) -> TeamAmounts:
+        """Return what a team uses in all pools."""
+        cores = memory_mb = accelerators = 0.0
+        for sums in self.by_pool(placer).values():
+            row = sums.get(team)
+            if row is not None:
+                cores += row[0]
+                memory_mb += row[1]
+                accelerators += row[2]
+        return TeamAmounts(cores, memory_mb, accelerators)
+
+    def by_pool(self, placer: Placer) -> dict[str, dict[str, list[float]]]:
+        """Return the amounts that teams use, by pool and team.
+
+        Those of runs that were placed in this decision are under an empty name.
+        """
+        if self._pools is None:
+            self._pools = self._sum(placer)
+        return self._pools
 
     def add(self, slot: Slot) -> None:
         """Add a run that was placed in this decision."""
-        if self._used is None or not slot.team:
+        if self._pools is None or not slot.team:
             return
-        used = self._used.get(slot.team, NOTHING).plus(slot.need)
+        _add(self._pools[""], slot.team, slot.need)
         moved = self.moving.pop(slot.key, None)
-        self._used[slot.team] = used if moved is None else used.plus(moved, -1)
+        if moved is not None:
+            _add(self._pools[""], slot.team, NO_RESOURCES - moved)
 
     def turn_order(self, placer: Placer, step_runs: list[StepRun]) -> list[str]:
         """Return the names of waiting steps in the order in which they get a turn.
@@ -137,7 +151,7 @@
         last. Otherwise the many steps of a team that is about to reach its cap would
         take the turns of others.
         """
-        if self._used is None:
+        if self._pools is None:
             return [step_run.name for step_run in step_runs]
         first, last = [], []
         planned: dict[str, TeamAmounts] = {}
@@ -172,7 +186,7 @@
         return WaitCause(reason, n_wanted, self._counts(placer, team))
 
     def _counts(self, placer: Placer, team: Team) -> TeamCounts:
-        used = self.by_team(placer).get(team.name, NOTHING)
+        used = self.used(placer, team.name)
         return TeamCounts(
             team.name,
             round(used.cores, 3),
@@ -183,27 +197,21 @@
             team.cap.accelerators,
         )
 
-    def _sum(self, placer: Placer) -> dict[str, TeamAmounts]:
+    def _sum(self, placer: Placer) -> defaultdict[str, dict[str, list[float]]]:
         """Return what each team uses, from the state of the placer."""
-        sums: dict[tuple[str, str], list[float]] = {}
+        pools: defaultdict[str, dict[str, list[float]]] = defaultdict(dict)
         for worker in placer.workers.values():
-            pool = worker.entry.pool
+            sums = pools[worker.entry.pool]
             for slot in worker.slots.values():
                 if slot.team:
-                    _add(sums, pool, slot.team, slot.need)
+                    _add(sums, slot.team, slot.need)
         for pool, team, need in _not_adopted(placer):
-            _add(sums, pool, team, need)
+            _add(pools[pool], team, need)
         self.moving = {}
         for pool, team, key, need in _moving(placer):
             self.moving[key] = need
-            _add(sums, pool, team, need)
-        self._cores = {name: amounts[0] for name, amounts in sums.items()}
-        totals: dict[str, TeamAmounts] = {}
-        for (_, team), amounts in sums.items():
-            earlier = totals.get(team, NOTHING)
-            pairs = zip(earlier, amounts, strict=True)
-            totals[team] = TeamAmounts(*(a + b for a, b in pairs))
-        return totals
+            _add(pools[pool], team, need)
+        return pools
 
 
 def _cap_of(placer: Placer, step_run: StepRun) -> Resources | None:
@@ -239,12 +247,11 @@
     return n_tasks
 
 
-def _add(
-    sums: dict[tuple[str, str], list[float]], pool: str, team: str, need: Resources
-) -> None:
-    row = sums.get((pool, team))
+def _add(sums: dict[str, list[float]], team: str, need: Resources) -> None:
+    row = sums.get(team)
     if row is None:
-        row = sums[pool, team] = [0.0, 0.0, 0.0]
+        sums[team] = [need.cores, need.memory_mb, need.accelerators]
+        return
     row[0] += need.cores
     row[1] += need.memory_mb
     row[2] += need.accelerators
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -104,7 +104,7 @@
     placer = make_placer()
     submit(placer, make_job(make_step(10), team=team))
     assert len(start(placer)) == 10
-    assert placer.team_usage._used is None
+    assert placer.team_usage._pools is None
 
 
 # Guards against a gang of which a part is started, and against one that keeps room
@@ -245,9 +245,9 @@
     assert len(start(second, NOW + 1)) == 6
     if not registered:  # its registration comes late, and nothing counts twice
         second.register_worker(make_entry("w1"), NOW + 1)
-        assert second.team_usage.by_team(second)["t"].cores == 16.0
+        assert second.team_usage.used(second, "t").cores == 16.0
         start(second, NOW + 1)
-        assert second.team_usage.by_team(second)["t"].cores == 16.0
+        assert second.team_usage.used(second, "t").cores == 16.0
 
 
 # Guards against a part of the cap that is lost with a job of an earlier term.
@@ -334,7 +334,7 @@
     end(placer, placed, 1, kind=EndKind.STOPPED)
     (moved,) = start(placer)
     assert moved.key == placed.key
-    assert placer.team_usage.by_team(placer)["t"].cores == 2.0
+    assert placer.team_usage.used(placer, "t").cores == 2.0
 
 
 def test_the_part_of_a_moved_task_is_given_back_if_it_does_not_start():
