--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -145,7 +145,8 @@
     def is_surplus(self, placer: Placer, job: Job, wall: float) -> bool:
         """Return whether a job is placed after all jobs that are not surplus."""
         team = placer.table.team(job)
-        if team is None or wall - job.accepted_at > MAX_SHARE_WAIT_S:
+        # A VM whose clock is ahead must not keep a job surplus for longer.
+        if team is None or abs(wall - job.accepted_at) > MAX_SHARE_WAIT_S:
             return False
         bucket = self.buckets.get(team.name)
         return bucket is not None and bucket.has_surplus(job.job_id, team.weight)
@@ -179,7 +180,7 @@
             defers = (
                 job.team is not None
                 and (queue.pool, job.team.name) in over
-                and wall - begun_at <= MAX_SHARE_WAIT_S
+                and abs(wall - begun_at) <= MAX_SHARE_WAIT_S
             )
             shared = (key[0], defers, *key[1:])
             ordered.append((shared, step_run, queue, run_times))
--- a/tests/jobs/test_team_shares.py
+++ b/tests/jobs/test_team_shares.py
@@ -72,6 +72,15 @@
     assert order_at(placer, MAX_SHARE_WAIT_S + 1) == ["a", "b", "c", "d"]
 
 
+# Guards against jobs that are surplus for as long as the clock of their VM is ahead.
+def test_a_job_from_a_vm_whose_clock_is_far_ahead_is_not_surplus():
+    placer = make_placer()
+    with_teams(placer, TEAM)
+    submit_some(placer, TEAM, "abcd", at=3600.0)
+    order_at(placer)
+    assert not placer.shares.surplus_steps
+
+
 # Guards against a rate of another version of the configuration.
 def test_the_newest_weight_decides_which_jobs_are_surplus():
     placer = make_placer()
