Make the placer's records when its writer is free

Each append takes 34 ms (median; 33 a second, so one is always in flight). The placer encoded the progress of jobs when it was due, and the records then waited for the append in flight: what changed meanwhile waited for both, 0.10 s (median) from a decision to its starts, and as long from an end to its record.

Ruled out: several appends in flight, which changes what a lost answer means for each of them.

Change: progress is encoded when no append is in flight and joins the next one together with the callers' records that were queued meanwhile.

Result: tests/jobs/test_journal.py passes (24); the two new tests fail without the change.

--- a/cuminhill/jobs/journal.py
+++ b/cuminhill/jobs/journal.py
@@ -217,6 +217,8 @@
     _n_queued: int = 0
     _n_abandoned: int = 0  # attempts of the batch, while the log answered reads
     _wake: Any = field(default_factory=curio.Event)
+    _batch_ended: Any = field(default_factory=curio.Event)
+    _is_awaited: bool = False  # whether the end of the batch is awaited
     _caller: Any = None
     _to_call: Any = field(default_factory=curio.Queue)
 
@@ -296,6 +298,12 @@
         if item.error is not None:
             raise item.error
 
+    async def await_free(self) -> None:
+        """Wait until no append is in flight; what is appended then is sent at once."""
+        while self._batch and not self.fenced:
+            self._is_awaited = True
+            await self._batch_ended.wait()
+
     async def _check(self) -> None:
         """Probe the log with a read, unless an append succeeded a moment ago.
 
@@ -326,6 +334,10 @@
                     await self._finish_batch(await self._append_batch())
                 continue
             await self._finish_batch(error)
+            if self._is_awaited:
+                # Callers of `await_free` add their records to the next batch.
+                self._is_awaited = False
+                await curio.sleep(0)
         await self.close()
 
     async def _finish_batch(self, error: CuminhillError | None) -> None:
@@ -333,6 +345,11 @@
             item.error = error
             await item.done.set()
         self._batch = []
+        await self._note_batch_ended()
+
+    async def _note_batch_ended(self) -> None:
+        await self._batch_ended.set()
+        self._batch_ended.clear()
 
     async def finish(self, timeout_s: float) -> None:
         """Reject further appends and those still queued; await the one in flight.
@@ -357,6 +374,7 @@
                 )
                 await item.done.set()
         self._batch = []
+        await self._note_batch_ended()
 
     async def _reject_queued(self) -> None:
         self.fenced = True
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -908,6 +908,8 @@
             while not self.ended:
                 await self._to_journal.wait()
                 self._to_journal.clear()
+                # Progress made while another append is in flight is in the next one.
+                await self.writer.await_free()
                 await self._journal_progress()
         except CuminhillError as exc:
             logger.warning(
--- a/tests/jobs/test_journal.py
+++ b/tests/jobs/test_journal.py
@@ -51,6 +51,50 @@
     curio.run(scenario)
 
 
+def test_records_made_when_an_append_ends_join_the_next_one():
+    """Guards against progress that waits for two appends in flight.
+
+    The placer encodes its records when the writer is free; they share the next call
+    with the records that callers have queued meanwhile.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        writer = await make_writer(log, LogFaults(delay_s=0.05))
+
+        async def append_when_free():
+            await writer.await_free()
+            assert keys(log)[:1] == ["first"]
+            await writer.append([("progress", b"x")], boottime() + 5)
+
+        first = await curio.spawn(writer.append, [("first", b"x")], boottime() + 5)
+        await curio.sleep(0.01)
+        queued = await curio.spawn(writer.append, [("queued", b"x")], boottime() + 5)
+        progress = await curio.spawn(append_when_free)
+        for task in (first, queued, progress):
+            await task.join()
+        assert keys(log) == ["first", "queued", "progress"]
+        assert log.n_appends == 2
+
+    curio.run(scenario)
+
+
+def test_a_closed_writer_is_free():
+    """Guards against a term that can't end since it waits for its own append."""
+
+    async def scenario():
+        writer = await make_writer(MemoryLog(), LogFaults(unresponsive=True))
+        append = await curio.spawn(writer.append, [("a", b"x")], math.inf, daemon=True)
+        await curio.sleep(0.01)
+        waiter = await curio.spawn(writer.await_free)
+        await curio.sleep(0.01)
+        await writer.close()
+        await waiter.join()
+        await append.cancel()
+
+    curio.run(scenario)
+
+
 def test_a_refused_append_has_had_no_effect_and_never_will():
     """Guards against a refused record that is stored later."""
 
