Leave the malformed line out of the error for a request

h11 quotes a line of the head that it can't read, and the error sent it back. It may be the line with the caller's key. The error names the kind of problem only. Ruled out: masking keys in the text, since the line is not parsed.

Measured: the new test fails without the change; tests/util/test_http.py passed with it.

--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -231,7 +231,9 @@
             return False
         except h11.RemoteProtocolError as exc:
             self.counters.n_bad_requests += 1
-            await self._send_error(exchange, exc.error_status_hint, str(exc))
+            # Without the line that is wrong: it may be the one with the caller's key.
+            problem = str(exc).partition(": ")[0]
+            await self._send_error(exchange, exc.error_status_hint, problem)
             return False
         if req is None:
             return False
