Show teams in the dump and the metrics, and test keys further

The dump has weight, cap, number of keys and jobs by state of each team of the configuration; removed teams are left out, which bounds the series of cuminhill_team_jobs. 401 and 403 are counted in cuminhill_callers_total as `unauthorized` and `forbidden`.

The keys are texts now.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -49,6 +49,7 @@
     make_claim,
 )
 from .service import JobService
+from .teamkeys import dump_teams
 
 if TYPE_CHECKING:
     import random
@@ -735,7 +736,8 @@
         now = boottime()
         states: dict[str, int] = {}
         for entry in self.job_index.entries.values():
-            states[entry.state] = states.get(entry.state, 0) + 1
+            state = entry.state.value  # keys of JSON objects must be of type str
+            states[state] = states.get(state, 0) + 1
         value: dict[str, Any] = {
             "vm": self.options.vm,
             "ready": self.is_ready(),
@@ -774,6 +776,8 @@
             "is_leading": self.leadership is not None,
             "writers": {"own": _dump_writer(self.writer)},
         }
+        if self.table.teams is not None:
+            value["teams"] = dump_teams(self.table, self.job_index.entries.values())
         if self.log_output is not None:
             value["log_lines"] = {
                 "written": self.log_output.n_written,
--- a/cuminhill/jobs/teamkeys.py
+++ b/cuminhill/jobs/teamkeys.py
@@ -9,7 +9,7 @@
 import secrets
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from ..errors import ValidationError
 
@@ -20,7 +20,8 @@
     from .model import QueueTable, Team
 
 DIGEST_BYTES = 16
-MAX_LOGGED_NAME = 24  # characters of each of two names in an error
+# Characters of each of two names in an error, of which 120 characters are logged.
+MAX_LOGGED_NAME = 32
 # Known only to this process, so that nobody can choose keys whose digests share a
 # prefix with a valid one's, and the time of a look-up tells nothing about valid keys.
 _SECRET = secrets.token_bytes(32)
@@ -73,8 +74,8 @@
             other = table._names.setdefault(_digest(key), name)
             if other != name:
                 raise ValidationError(
-                    f"a key of both {other[:MAX_LOGGED_NAME]!r} "
-                    f"and {name[:MAX_LOGGED_NAME]!r}",
+                    f"a key of both {ascii(other)[:MAX_LOGGED_NAME]} "
+                    f"and {ascii(name)[:MAX_LOGGED_NAME]}",
                     step="config",
                 )
     table.n_keys.update(table._names.values())
@@ -110,3 +111,29 @@
     # of a public queue must not give access to the jobs of other queues.
     queue = table.queues.get(entry.queue)
     return queue is None or not queue.public
+
+
+def dump_teams(table: QueueTable, entries: Iterable[JobEntry]) -> dict[str, Any]:
+    """Return the teams of the configuration and their jobs by state, for a dump.
+
+    Jobs of removed teams are left out, so that teams that come and go add no series to
+    the metrics.
+    """
+    jobs: dict[str, Counter[str]] = {name: Counter() for name in table.teams or ()}
+    for entry in entries:
+        if entry.team in jobs:
+            jobs[entry.team][entry.state.value] += 1
+    n_keys = table.keys.n_keys if table.keys is not None else Counter[str]()
+    return {
+        name: {
+            "weight": team.weight,
+            "cap": {
+                "cores": team.cap.cores,
+                "memory_mb": team.cap.memory_mb,
+                "accelerators": team.cap.accelerators,
+            },
+            "n_keys": n_keys[name],
+            "jobs": dict(jobs[name]),
+        }
+        for name, team in (table.teams or {}).items()
+    }
--- a/tests/platform/test_team_keys.py
+++ b/tests/platform/test_team_keys.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import curio
+import orjson
 import pytest
 from jobs.builders import make_queue, make_team
 from jobs.conftest import Cluster
+from structlog.testing import capture_logs
 from test_jobapi import BODY, JOB_ID, make_need, request, start_job_api
 
 from cuminhill.jobs.model import JobState
+from cuminhill.jobs.node import FOLLOW_WAIT_S
 from cuminhill.jobs.records import decode_job
+from cuminhill.platform.jobapi import JobApi
 from cuminhill.util.http import HttpServer
 from cuminhill.util.kernel import run_to_end
 
@@ -272,3 +276,87 @@
         await server.close()
 
     run_to_end(scenario)
+
+
+def test_a_vm_that_is_cut_off_goes_on_with_the_newest_version_it_has_read(cluster):
+    """Guards against a VM that refuses or serves all callers while it is cut off."""
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        faults = cluster.views["a"][1].faults
+        other = await cluster.start_node("b")
+        faults.unresponsive = True
+        await republish(cluster, other, {"other": (OTHER_KEY,)})
+        assert api.node.table.version == 2
+        assert (await api.handle(with_key("GET", "/q/", KEY))).status == 200
+        assert (await api.handle(with_key("GET", "/q/", "unknown"))).status == 401
+        faults.unresponsive = False
+        await cluster.wait_for(lambda: api.node.table.version == 3)
+        assert (await api.handle(with_key("GET", "/q/", KEY))).status == 401
+
+    run_to_end(scenario)
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+def test_a_vm_that_has_not_read_a_job_yet_reads_its_team_first(cluster, method):
+    """Guards against a cancellation through a VM whose index is behind."""
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        other = await cluster.start_node("b")
+        await cluster.wait_for(other.is_ready)
+        other.journal.pause_s = 60.0
+        await curio.sleep(FOLLOW_WAIT_S + 0.3)  # a read may have been waiting
+        post = await api.handle(with_key("POST", f"/q/{JOB_ID}", KEY, BODY))
+        assert post.status == 200
+        assert JOB_ID not in other.job_index.entries
+        behind = JobApi(other, lambda: 1000.0)
+        path = f"/q/{JOB_ID}"
+        response = await behind.handle(with_key(method, path, OTHER_KEY))
+        assert response.status == 403
+        assert cluster.stored(f"cancel/{JOB_ID}") is None
+
+    run_to_end(scenario)
+
+
+def test_keys_appear_nowhere(cluster):
+    """Guards against keys in logs, metrics, dumps, responses and the journal."""
+
+    async def scenario():
+        with capture_logs() as logs:
+            api = await start_job_api(cluster)
+            responses = []
+            for method, path in (
+                ("POST", f"/q/{JOB_ID}"),
+                ("GET", f"/q/{JOB_ID}"),
+                ("POST", "/q/xyz"),
+                ("DELETE", f"/q/{JOB_ID}"),
+                ("DELETE", "/q/00000000000000b1"),
+            ):
+                for key in (KEY, OTHER_KEY, f"{KEY}x", f"x{KEY}"):
+                    req = with_key(method, path, key, BODY)
+                    responses.append(await api.handle(req))
+            cluster.config.append_records([("config", b"99")])
+            await cluster.wait_for(lambda: api.node.n_bad_configs == 1)
+        node = api.node
+        node.metrics.update_from(node.dump())
+        metrics = node.metrics.render().decode()
+        assert 'cuminhill_team_keys{team="kaje80"} 1' in metrics
+        assert 'cuminhill_team_jobs{state="cancelled",team="kaje80"} 1' in metrics
+        assert 'cuminhill_callers_total{outcome="unauthorized"} 10' in metrics
+        journal = [(record.key, record.value) for record in cluster.journal.records]
+        texts = [
+            str(logs),
+            metrics,
+            orjson.dumps(node.dump()).decode(),
+            str([(item.status, item.headers, item.value) for item in responses]),
+            str(journal),
+        ]
+        secrets = [KEY, OTHER_KEY, *(str(item)[2:-1] for item in digests(node))]
+        assert not [text for text in texts for item in secrets if item in text]
+
+    run_to_end(scenario)
+
+
+def digests(node):
+    return node.table.keys._names
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -4,6 +4,8 @@
 
 import json
 import struct
+import traceback
+import tracemalloc
 
 import orjson
 import pytest
@@ -11,8 +13,9 @@
 from hypothesis import strategies as st
 
 from cuminhill.errors import ProtocolError, ValidationError
-from cuminhill.jobs.model import EndKind, TaskKey
-from cuminhill.jobs.records import decode_job, encode_job
+from cuminhill.jobs.model import EndKind, TaskKey, Team
+from cuminhill.jobs.records import decode_job, encode_job, task_need
+from cuminhill.jobs.teamkeys import find_team
 from cuminhill.platform.wire import (
     decode_job_body,
     decode_page,
@@ -223,6 +226,14 @@
 
 ROUTE = {"name": "r", "host": "h", "path_prefix": "/a/", "service": "s"}
 ADVICE = {"decide_ms": 1, "each_ms": 1, "valid_ms": 1}
+KEY = "gkcuyj8pjbvk9m68k7b2"
+TEAM = {
+    "name": "kaje80",
+    "api_keys": [KEY],
+    "priority": 1,
+    "weight": 35,
+    "cap": {"cpu": 3274112, "mem_mb": 5186107, "gpu": 0},
+}
 ODD_CONFIGS = {
     "100000 levels": b"[" * 100_000 + b"]" * 100_000,
     "1000 levels in a field": b'{"version":7,"routes":' + b"[" * 1000 + b"]" * 1000,
@@ -245,6 +256,29 @@
     },
     "advice NaN": {"routes": [ROUTE | {"advice": ADVICE | {"each_ms": float("nan")}}]},
     "advice negative": {"routes": [ROUTE | {"advice": ADVICE | {"valid_ms": -1}}]},
+    "tenants null": {"tenants": None},
+    "tenants a text": {"tenants": "gkcuyj8pjbvk9m68k7b2"},
+    "tenants an object": {"tenants": {"gkcuyj8pjbvk9m68k7b2": 1}},
+    "a key in place of a team": {"tenants": ["gkcuyj8pjbvk9m68k7b2"]},
+    "team without a name": {"tenants": [{"api_keys": ["gkcuyj8pjbvk9m68k7b2"]}]},
+    "team with an empty name": {"tenants": [TEAM | {"name": ""}]},
+    "two teams of one name": {"tenants": [TEAM, {"name": "kaje80"}]},
+    "a key of two teams": {"tenants": [TEAM, TEAM | {"name": "other"}]},
+    "keys a text": {"tenants": [TEAM | {"api_keys": "gkcuyj8pjbvk9m68k7b2"}]},
+    "key a number": {"tenants": [TEAM | {"api_keys": [7]}]},
+    "key empty": {"tenants": [TEAM | {"api_keys": [""]}]},
+    "key with a space": {"tenants": [TEAM | {"api_keys": ["gkcuyj8pjbvk9m68k7b2 "]}]},
+    "key with a line end": {
+        "tenants": [TEAM | {"api_keys": ["gkcuyj8pjbvk9m68k7b2\n"]}]
+    },
+    "weight negative": {"tenants": [TEAM | {"weight": -1}]},
+    "weight NaN": {"tenants": [TEAM | {"weight": float("nan")}]},
+    "weight infinite": {"tenants": [TEAM | {"weight": float("inf")}]},
+    "weight a text": {"tenants": [TEAM | {"weight": "35"}]},
+    "cap null": {"tenants": [TEAM | {"cap": None}]},
+    "cap negative": {"tenants": [TEAM | {"cap": {"cpu": -1}}]},
+    "cap of 62 bits": {"tenants": [TEAM | {"cap": {"mem_mb": 1 << 62}}]},
+    "public a text": {"routes": [ROUTE | {"public": "true"}], "tenants": [TEAM]},
     "body limit zero": {"limits": {"max_body_bytes": 0}},
     "body limit over 64 bits": {"limits": {"max_body_bytes": 1 << 64}},
 }
@@ -260,3 +294,57 @@
     with pytest.raises(ProtocolError) as caught:
         decode_queue_table(value)
     assert len(str(caught.value)) < 300
+    # No key may be in the error or in those that caused it, as a traceback shows them.
+    assert KEY not in "".join(traceback.format_exception(caught.value))
+
+
+# Guards against a key that the error of an incomplete configuration quotes.
+@pytest.mark.parametrize("end", ["", '"', '"]}', '"]}]', '\\x"]}]}', "\xff"])
+def test_a_configuration_that_is_cut_off_shows_no_key(end):
+    value = '{"version":7,"routes":[],"tenants":[{"name":"t","api_keys":["' + KEY
+    with pytest.raises(ProtocolError) as caught:
+        decode_queue_table((value + end).encode("latin-1"))
+    assert KEY not in "".join(traceback.format_exception(caught.value))
+
+
+def test_the_teams_of_a_configuration():
+    """Guards against millicores taken for cores in a cap, and a lost key or weight."""
+    body = {"version": 7, "routes": [ROUTE, ROUTE | {"name": "o", "public": True}]}
+    tenants = [TEAM, {"name": "bare"}]
+    table = decode_queue_table(orjson.dumps(body | {"tenants": tenants}))
+    assert table.teams == {
+        "kaje80": Team("kaje80", 35.0, task_need(3274.112, 5186107.0, 0.0)),
+        "bare": Team("bare", 1.0, task_need(0.0, 0.0, 0.0)),
+    }
+    assert find_team(table, f"Bearer {KEY}").name == "kaje80"
+    assert [table.queues[name].public for name in ("r", "o")] == [False, True]
+    assert KEY not in repr(table)
+
+
+def test_an_empty_list_of_teams_differs_from_none():
+    """Guards against a check that ends with the removal of the last team."""
+    body = {"version": 7, "routes": [ROUTE | {"public": True}]}
+    table = decode_queue_table(orjson.dumps(body))
+    assert (table.teams, table.keys) == (None, None)
+    # It would be written to the journal, whose records stay as they were.
+    assert not table.queues["r"].public
+    assert decode_queue_table(orjson.dumps(body | {"tenants": []})).teams == {}
+
+
+def test_the_keys_of_75_teams_take_less_than_a_megabyte():
+    """Guards against a table of keys that is large for a VM of 160 MB."""
+    tenants = [
+        TEAM
+        | {"name": f"t{team}", "api_keys": [f"{team:04}{n:016}" for n in range(20)]}
+        for team in range(75)
+    ]
+    value = orjson.dumps({"version": 7, "routes": [], "tenants": tenants})
+    decode_queue_table(value)  # what the first call caches is not counted
+    tracemalloc.start()
+    try:
+        table = decode_queue_table(value)
+        size = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert table.keys.n_keys.total() == 1500
+    assert size < 1 << 20
