Keep the table of keys out of the placer's imports

The model names the type of the table, and the check of a job's team names the index and the model, so one module for both was in a cycle with the placer by its imports for types. The checks are in jobs/teamaccess.py, which only the node and the HTTP API import.

A property test reads random versions, malformed ones among them, in any order and compares each key's team with the newest usable version.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -49,7 +49,7 @@
     make_claim,
 )
 from .service import JobService
-from .teamkeys import dump_teams
+from .teamaccess import dump_teams
 
 if TYPE_CHECKING:
     import random
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -9,7 +9,7 @@
 from ..errors import ValidationError
 from ..jobs.model import Outcome
 from ..jobs.service import RETRY_AFTER_S
-from ..jobs.teamkeys import find_team, is_foreign
+from ..jobs.teamaccess import find_team, is_foreign
 from ..util.http import HttpRequest, HttpResponse
 from .wire import decode_job_body
 
--- a/tests/jobs/test_teamkeys.py
+++ b/tests/jobs/test_teamkeys.py
@@ -10,12 +10,8 @@
 from cuminhill.jobs.jobindex import JobEntry
 from cuminhill.jobs.model import JobState
 from cuminhill.jobs.records import decode_job, decode_job_head, encode_job
-from cuminhill.jobs.teamkeys import (
-    dump_teams,
-    find_team,
-    is_foreign,
-    make_key_table,
-)
+from cuminhill.jobs.teamaccess import dump_teams, find_team, is_foreign
+from cuminhill.jobs.teamkeys import make_key_table
 
 from .builders import JOB_ID, make_job, make_queue, make_table, make_team
 
--- a/tests/platform/test_team_keys.py
+++ b/tests/platform/test_team_keys.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
+import random
+
 import curio
 import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from jobs.builders import make_queue, make_team
 from jobs.conftest import Cluster
 from structlog.testing import capture_logs
 from test_jobapi import BODY, JOB_ID, make_need, request, start_job_api
 
 from cuminhill.jobs.model import JobState
-from cuminhill.jobs.node import FOLLOW_WAIT_S
-from cuminhill.jobs.records import decode_job
+from cuminhill.jobs.node import FOLLOW_WAIT_S, Backends, JobNode, NodeOptions
+from cuminhill.jobs.placer import PlacerTimes
+from cuminhill.jobs.records import JournalRecord, decode_job
+from cuminhill.jobs.teamaccess import find_team
 from cuminhill.platform.jobapi import JobApi
+from cuminhill.platform.wire import decode_queue_table, decode_worker_entry
 from cuminhill.util.http import HttpServer
 from cuminhill.util.kernel import run_to_end
+from standins.job_platform import LogView, MemoryAdvice, MemoryLog, MemoryWorkers
 
 KEY, OTHER_KEY = "gkcuyj8pjbvk9m68k7b2", "p2w3hx0d5m1n8q7r6s4t"
 TEAMS = {"kaje80": (KEY,), "other": (OTHER_KEY,)}
@@ -360,3 +368,75 @@
 
 def digests(node):
     return node.table.keys._names
+
+
+VERSIONS = st.fixed_dictionaries(
+    {
+        "version": st.integers(0, 6),
+        "tenants": st.one_of(
+            st.none(),  # the field is left out
+            st.lists(
+                st.fixed_dictionaries(
+                    {
+                        "name": st.sampled_from(["a", "b", "c"]),
+                        "api_keys": st.lists(
+                            st.sampled_from(["k1", "k2", "k3"]), max_size=2
+                        ),
+                    }
+                ),
+                max_size=3,
+            ),
+            st.sampled_from(["k1", [7], [{"name": "a", "api_keys": [""]}]]),
+        ),
+    }
+)
+
+
+def owners_of(body):
+    """Return the team of each key, None without teams; False if malformed."""
+    tenants = body["tenants"]
+    if tenants is None:
+        return None
+    if not all(isinstance(item, dict) for item in tenants):
+        return False
+    names = [item["name"] for item in tenants]
+    pairs = {(key, item["name"]) for item in tenants for key in item["api_keys"]}
+    owners = dict(pairs)
+    if len(set(names)) < len(names) or len(owners) < len(pairs) or "" in owners:
+        return False
+    return owners
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(VERSIONS, max_size=8))
+def test_the_newest_usable_version_decides_alone(bodies):
+    """Guards against keys left of other versions, in whatever order they are read."""
+    node = make_table_node()
+    newest, expected = 0, None
+    for body in bodies:
+        fields = {key: value for key, value in body.items() if value is not None}
+        value = orjson.dumps({"routes": []} | fields)
+        node._fold_config([JournalRecord(0, "config", value)], False)
+        owners = owners_of(body)
+        if owners is not False and body["version"] > newest:
+            newest, expected = body["version"], owners
+        assert node.table.version == newest
+        assert (node.table.teams is None) is (expected is None)
+        for key in ("k1", "k2", "k3"):
+            team = find_team(node.table, f"Bearer {key}")
+            assert (team and team.name) == (expected or {}).get(key)
+
+
+def make_table_node():
+    """Return a node that decodes configurations as on the platform, not started."""
+    log = LogView(MemoryLog())
+    backends = Backends(
+        *(log, log, log),
+        calls=MemoryWorkers(),
+        advice=MemoryAdvice(),
+        decode_table=decode_queue_table,
+        decode_worker=decode_worker_entry,
+        config_key="config",
+    )
+    options = NodeOptions("a", "127.0.0.1:1", PlacerTimes(), 120.0)
+    return JobNode(options, backends, random.Random(1))
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -15,7 +15,7 @@
 from cuminhill.errors import ProtocolError, ValidationError
 from cuminhill.jobs.model import EndKind, TaskKey, Team
 from cuminhill.jobs.records import decode_job, encode_job, task_need
-from cuminhill.jobs.teamkeys import find_team
+from cuminhill.jobs.teamaccess import find_team
 from cuminhill.platform.wire import (
     decode_job_body,
     decode_page,
