--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -49,7 +49,8 @@
     make_claim,
 )
 from .service import JobService
-from .shares import dump_teams
+from .shares import dump_team_usage
+from .teamaccess import dump_teams
 
 if TYPE_CHECKING:
     import random
@@ -736,7 +737,8 @@
         now = boottime()
         states: dict[str, int] = {}
         for entry in self.job_index.entries.values():
-            states[entry.state] = states.get(entry.state, 0) + 1
+            state = entry.state.value  # keys of JSON objects must be of type str
+            states[state] = states.get(state, 0) + 1
         value: dict[str, Any] = {
             "vm": self.options.vm,
             "ready": self.is_ready(),
@@ -775,6 +777,8 @@
             "is_leading": self.leadership is not None,
             "writers": {"own": _dump_writer(self.writer)},
         }
+        if self.table.teams is not None:
+            value["teams"] = dump_teams(self.table, self.job_index.entries.values())
         if self.log_output is not None:
             value["log_lines"] = {
                 "written": self.log_output.n_written,
@@ -818,7 +822,7 @@
         },
         "moving": [[*key, move.target] for key, move in placer.moves.items()],
         "waiting": longest_waits(placer, now),
-        "teams": dump_teams(placer, time.time()),
+        "teams": dump_team_usage(placer, time.time()),
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -227,7 +227,7 @@
         return room
 
 
-def dump_teams(placer: Placer, wall: float) -> dict[str, dict[str, float]]:
+def dump_team_usage(placer: Placer, wall: float) -> dict[str, dict[str, float]]:
     """Return what each team uses, its cap, and its jobs without a run, by name.
 
     Teams that were removed are included as long as they have jobs or runs.
--- a/cuminhill/jobs/teamkeys.py
+++ b/cuminhill/jobs/teamkeys.py
@@ -1,4 +1,4 @@
-"""API keys of teams, and which jobs a caller may ask for or cancel.
+"""API keys of teams; `teamaccess` decides by them.
 
 Keys appear in no log, metric, dump, record or error; a table keeps only digests.
 """
@@ -16,11 +16,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .jobindex import JobEntry
-    from .model import QueueTable, Team
-
 DIGEST_BYTES = 16
-MAX_LOGGED_NAME = 24  # characters of each of two names in an error
+# Characters of each of two names in an error, of which 120 characters are logged.
+MAX_LOGGED_NAME = 32
 # Known only to this process, so that nobody can choose keys whose digests share a
 # prefix with a valid one's, and the time of a look-up tells nothing about valid keys.
 _SECRET = secrets.token_bytes(32)
@@ -73,40 +71,9 @@
             other = table._names.setdefault(_digest(key), name)
             if other != name:
                 raise ValidationError(
-                    f"a key of both {other[:MAX_LOGGED_NAME]!r} "
-                    f"and {name[:MAX_LOGGED_NAME]!r}",
+                    f"a key of both {ascii(other)[:MAX_LOGGED_NAME]} "
+                    f"and {ascii(name)[:MAX_LOGGED_NAME]}",
                     step="config",
                 )
     table.n_keys.update(table._names.values())
     return table
-
-
-def find_team(table: QueueTable, authorization: str) -> Team | None:
-    """Return the team of a caller's ``Authorization`` header.
-
-    Without teams in the configuration, the header is not read.
-    """
-    if table.teams is None or table.keys is None:
-        return None
-    return table.teams.get(table.keys.find_name(authorization))
-
-
-def is_foreign(table: QueueTable, team: Team | None, entry: JobEntry | None) -> bool:
-    """Return whether a job is another team's than the caller's.
-
-    Parameters
-    ----------
-    team : Team or None
-        The caller's team; None if the caller has sent no valid key, which only public
-        queues permit.
-    entry : JobEntry or None
-        The job. If it, or its team, is not known to this VM, nothing is refused.
-    """
-    if table.teams is None or entry is None or not entry.team:
-        return False
-    if team is not None:
-        return team.name != entry.team
-    # The queue in the path of the request may be another one than the job's: the path
-    # of a public queue must not give access to the jobs of other queues.
-    queue = table.queues.get(entry.queue)
-    return queue is None or not queue.public
--- a/tests/jobs/test_team_shares.py
+++ b/tests/jobs/test_team_shares.py
@@ -15,7 +15,7 @@
 from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.model import AdviceTerms, EndKind
 from cuminhill.jobs.nodemetrics import make_node_metrics
-from cuminhill.jobs.shares import HISTORY_S, MAX_SHARE_WAIT_S, Bucket, dump_teams
+from cuminhill.jobs.shares import HISTORY_S, MAX_SHARE_WAIT_S, Bucket, dump_team_usage
 
 from .builders import (
     BEGUN_AT,
@@ -358,7 +358,7 @@
     submit(placer, make_job(make_step(6), job_id="a" * 16, team=team))
     placer.decide(NOW, WALL)
     submit_some(placer, team, "bcd")
-    rows = dump_teams(placer, WALL)
+    rows = dump_team_usage(placer, WALL)
     assert list(rows) == ["t", "idle", "gone"]
     row = rows["t"]
     assert (row["cores"], row["memory_mb"], row["cap_cores"]) == (4.0, 400.0, 4.0)
