--- /dev/null
+++ b/tests/door/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a node's process with many clients at once."""
