Bound what a node receives and has not handled

Suspended tasks and tracebacks of refusals kept up to 128 KB besides the body, the C library's heap fragmented with buffers that grow, and one connection's small chunks were parsed in one turn.

Change: one budget for unfinished requests at all listeners, derived from memory_mb; the connections with the most bytes times age are closed first. Requests in handling are bounded for callers (503 with Retry-After) and for peers. Bodies follow the configuration's limit; heads, chunks, framing and connections of each listener are bounded; work of one connection in a turn is limited. Large buffers are mapped one by one, and free memory is returned after peaks.

Ruled out: a lower limit of bodies alone (the buffers of 200 bodies stay), and malloc_trim alone (the peak stays).

--- a/cuminhill/cmd/node.py
+++ b/cuminhill/cmd/node.py
@@ -22,6 +22,7 @@
     make_node,
 )
 from ..util.kernel import run_to_end
+from ..util.receiving import limit_fragmentation
 
 logger = structlog.get_logger(__name__)
 
@@ -51,6 +52,7 @@
         await server.start(host, int(port))
     logger.info("started", front=cfg.front_address, store=cfg.store_address)
     await curio.spawn(_log_reloads, reload_requested, cfg, path, daemon=True)
+    await curio.spawn(node.budget.trim_after_peaks, daemon=True)
     await stop_requested.wait()
     stop_at = time.monotonic() + cfg.grace_s * SERVE_FRACTION
     logger.info(
@@ -103,6 +105,7 @@
     if check:
         click.echo(f"{path}: valid")
         return
+    limit_fragmentation()
     run_to_end(serve, cfg, path, set_up_bounded_logging(cfg.vm))
 
 
--- a/cuminhill/frames.py
+++ b/cuminhill/frames.py
@@ -11,7 +11,7 @@
 import struct
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import curio
 import thriftpy2
@@ -23,8 +23,15 @@
 from .util.listener import ListenerCounters
 from .util.thriftcheck import check_struct
 
+if TYPE_CHECKING:
+    from .util.receiving import Holding, ReceiveBudget
+
 MAX_FRAME_BYTES = 4 << 20
 MAX_CALLS_PER_CONNECTION = 4096
+MAX_TOTAL_CALLS = 1 << 20
+MAX_CALLS_WHEN_BUSY = 16
+READS_PER_TURN = 4
+FIRST_READ_SIZE = 16384  # bytes
 
 idl = thriftpy2.load(
     str(Path(__file__).parent / "idl" / "peer.thrift"), module_name="peer_thrift"
@@ -108,6 +115,9 @@
         Larger frames are not sent; receiving one closes the connection.
     max_calls : int
         Calls in progress on one connection; further calls are not read until one ends.
+    max_total_calls : int
+        Beyond this number of calls in progress on all connections, ``max_calls`` is
+        `MAX_CALLS_WHEN_BUSY`.
     frame_timeout_s : float, seconds
         Time limit for receiving a frame, counted from its first byte.
     write_timeout_s : float, seconds
@@ -119,6 +129,7 @@
     max_connections: int = 1024
     max_frame_bytes: int = MAX_FRAME_BYTES
     max_calls: int = MAX_CALLS_PER_CONNECTION
+    max_total_calls: int = MAX_TOTAL_CALLS
     frame_timeout_s: float = 5.0
     write_timeout_s: float = 5.0
     idle_timeout_s: float = 600.0
@@ -145,14 +156,25 @@
     """Reads and writes length-prefixed frames on one socket."""
 
     def __init__(
-        self, sock: Any, peer: str, counters: RpcCounters, limits: RpcLimits
+        self,
+        sock: Any,
+        peer: str,
+        counters: RpcCounters,
+        limits: RpcLimits,
+        *,
+        budget: ReceiveBudget | None = None,
+        holding: Holding | None = None,
     ) -> None:
         self._sock = sock
         self._peer = peer
         self._counters = counters
         self._limits = limits
         self._write_lock = curio.Lock()
-        self._buffer = bytearray()
+        self._buffer = bytearray() if holding is None else holding.buffer
+        # Both are given for a stream from a process outside of this one's control.
+        self._budget = budget
+        self._holding = holding
+        self._n_reads = 0
         self.broken = False
 
     @property
@@ -214,8 +236,10 @@
             try:
                 async with curio.timeout_after(self._limits.frame_timeout_s):
                     while (frame := self._pop_frame()) is None:
+                        await self._hold()
                         if not await self._receive():
                             return None
+                        self._check_holding()
             except curio.TaskTimeout:
                 self._counters.n_read_timeouts += 1
                 raise ProtocolError(
@@ -223,8 +247,30 @@
                 ) from None
         return decode(idl.Envelope, frame, self._peer)
 
+    async def _hold(self) -> None:
+        """Count the frame that is arriving; let others run during a long one.
+
+        Raises
+        ------
+        ProtocolError
+            If the connection has to be closed for lack of memory.
+        """
+        if self._budget is None or self._holding is None:
+            return
+        await self._budget.hold(self._holding, len(self._buffer))
+        self._n_reads += 1
+        if self._n_reads % READS_PER_TURN == 0:
+            await self._budget.take_turn()
+        self._check_holding()
+
+    def _check_holding(self) -> None:
+        if self._holding is not None and self._holding.revoked:
+            raise ProtocolError("frame given up", step="read", peer=self._peer)
+
     async def _receive(self) -> bool:
-        data = await self._sock.recv(65536)
+        # Of a peer that may not be one, little is kept beyond the frame that is read.
+        size = 65536 if self._buffer or self._holding is None else FIRST_READ_SIZE
+        data = await self._sock.recv(size)
         self._counters.n_received_bytes += len(data)
         self._buffer += data
         return bool(data)
@@ -241,6 +287,9 @@
         end = _LENGTH.size + length
         if len(self._buffer) < end:
             return None
-        frame = bytes(self._buffer[_LENGTH.size : end])
+        with memoryview(self._buffer) as view:
+            frame = bytes(view[_LENGTH.size : end])
         del self._buffer[:end]
+        if self._budget is not None and self._holding is not None:
+            self._budget.release(self._holding)
         return frame
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -13,8 +13,9 @@
 
 from ..clock import boottime
 from ..errors import CuminhillError
-from ..rpc import RpcServer
+from ..rpc import RpcLimits, RpcServer
 from ..util.http_client import byte_counts
+from ..util.receiving import ReceiveBudget
 from .advice import adviser_states
 from .decisions import longest_waits
 from .election import (
@@ -104,6 +105,10 @@
         Boot time by which this process had started. Any earlier process at the same
         address had ended by then. None if the process has other nodes: then it counts
         from the creation of the node.
+    rpc_limits : RpcLimits
+        Bounds of the calls between VMs.
+    budget : ReceiveBudget or None
+        Memory for unfinished requests at all listeners of the process; None: unbounded.
     """
 
     vm: str
@@ -112,6 +117,8 @@
     keep_ended_s: float
     fitness: float = 1.0
     started_at: float | None = None
+    rpc_limits: RpcLimits = field(default_factory=RpcLimits)
+    budget: ReceiveBudget | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,7 +238,8 @@
             boottime(),
             fitness=options.fitness,
         )
-        self.rpc = RpcServer(self.peers.handlers())
+        self.budget = options.budget or ReceiveBudget()
+        self.rpc = RpcServer(self.peers.handlers(), options.rpc_limits, self.budget)
 
     async def start(self) -> None:
         """Begin to follow the logs and to serve other VMs."""
@@ -770,6 +778,7 @@
                 for item in (self.journal, self.config, self.registry)
             },
             "http_bytes": dict(zip(("sent", "received"), byte_counts(), strict=True)),
+            "receiving": self.budget.dump(),
             "is_leading": self.leadership is not None,
             "writers": {"own": _dump_writer(self.writer)},
         }
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -6,11 +6,15 @@
 
 from ..metrics import CONTENT_TYPE, MetricSet
 from ..metrictable import COUNTER, GAUGE, HISTOGRAM, Metric
-from ..util.http import HttpRequest, HttpResponse, HttpServer
+from ..util.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
 
 if TYPE_CHECKING:
     from .node import JobNode
 
+# Requests for metrics and the dump: few bytes, from few processes. A response takes up
+# to some megabytes.
+INSPECTION_LIMITS = HttpLimits(max_connections=16, max_body_bytes=4096)
+
 NODE_METRICS = (
     Metric(
         "callers_total",
@@ -82,6 +86,70 @@
         ("direction",),
         "http_bytes.*",
     ),
+    Metric(
+        "receiving_limit_bytes",
+        GAUGE,
+        "Limit of the memory for unfinished requests at all listeners.",
+        (),
+        "receiving.limit_bytes",
+    ),
+    Metric(
+        "receiving_used_bytes",
+        GAUGE,
+        "Memory that unfinished requests take.",
+        (),
+        "receiving.used_bytes",
+    ),
+    Metric(
+        "receiving_peak_bytes",
+        GAUGE,
+        "Most memory that unfinished requests have taken.",
+        (),
+        "receiving.peak_bytes",
+    ),
+    Metric(
+        "receiving_refused_total",
+        COUNTER,
+        "Requests that were refused or given up before they were handled, and "
+        "connections closed because a response was not read, by reason.",
+        ("reason",),
+        "receiving.refused.*",
+    ),
+    Metric(
+        "handling_used_bytes",
+        GAUGE,
+        "Memory that requests take which are being handled.",
+        ("listener",),
+        "receiving.handling.*.used_bytes",
+    ),
+    Metric(
+        "handling_limit_bytes",
+        GAUGE,
+        "Limit of the memory of requests that are being handled.",
+        ("listener",),
+        "receiving.handling.*.limit_bytes",
+    ),
+    Metric(
+        "listener_connections",
+        GAUGE,
+        "Open connections.",
+        ("listener",),
+        "receiving.listeners.*.connections",
+    ),
+    Metric(
+        "listener_evicted_total",
+        COUNTER,
+        "Idle or unfinished connections that were closed in favor of new ones.",
+        ("listener",),
+        "receiving.listeners.*.n_evicted",
+    ),
+    Metric(
+        "listener_refused_total",
+        COUNTER,
+        "New connections that were closed because all others were in use.",
+        ("listener",),
+        "receiving.listeners.*.n_refused",
+    ),
     Metric(
         "appends_total",
         COUNTER,
@@ -230,4 +298,4 @@
             )
         return HttpResponse(404, {"error": "/metrics or /dump"})
 
-    return HttpServer(handle)
+    return HttpServer(handle, INSPECTION_LIMITS, node.budget, "inspection")
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -7,16 +7,18 @@
 
 import random
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, field_validator
 
 from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
 from ..jobs.fleet import LeaseTimes
 from ..jobs.node import Backends, JobNode, NodeOptions
 from ..jobs.placer import PlacerTimes
-from ..util.http import HttpLimits, HttpServer
+from ..rpc import RpcLimits
+from ..util.http import MAX_HEADER_BYTES, HttpLimits, HttpServer
+from ..util.receiving import HANDLING_COST, RECEIVING_COST, ReceiveBudget
 from ..util.tables import describe_problems, read_toml, validate_model
 from .jobapi import JobApi
 from .store import CONFIG_TOPIC, JOURNAL_TOPIC, WORKERS_TOPIC, make_topic
@@ -38,6 +40,26 @@
 # File descriptors left for connections to the store, workers and other VMs.
 RESERVED_DESCRIPTORS = 400
 CALLER_IDLE_TIMEOUT_S = 120.0
+# An open connection takes about 22 KB, and up to 16 KB of a further request.
+CALLERS_PER_MB = 4
+MIN_CALLER_CONNECTIONS = 50
+# The smallest VM of a known deployment, if the settings don't tell the memory.
+DEFAULT_MEMORY_MB = 160.0
+MAX_MEMORY_MB = 1e9
+# Fraction of the memory for requests that are received and not yet handled, of which
+# a half is for unfinished ones and a quarter each for callers' and peers' requests.
+BUDGET_FRACTION = 0.1
+# Full-size bodies that must fit besides each other.
+MIN_FULL_BODIES = 4
+# Records above 256 KB are refused by the journal, so no larger body has a use.
+FULL_BODY_BYTES = 1 << 18
+MAX_BODY_BYTES = 1 << 20  # whatever the configuration permits
+# One connection for each other VM, twice after a partition. A frame contains a record
+# of 250 KB at most, which doubles if all of its characters are escaped.
+RPC_LIMITS = RpcLimits(
+    max_connections=128, max_frame_bytes=1 << 20, max_calls=512, max_total_calls=1024
+)
+READY_LIMITS = HttpLimits(max_connections=16, max_body_bytes=4096)
 
 
 class PlatformSettings(BaseModel):
@@ -61,6 +83,21 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    receive_budget_mb: float = 0.0
+
+    @field_validator("memory_mb", mode="before")
+    @classmethod
+    def _default_memory(cls, value: Any) -> Any:
+        """Return the default for the text that a template gives without a value."""
+        return DEFAULT_MEMORY_MB if value == "" else value
+
+    @field_validator("memory_mb", "receive_budget_mb")
+    @classmethod
+    def _check_size(cls, value: float) -> float:
+        if not 0 <= value < MAX_MEMORY_MB:
+            raise ValueError(f"from 0 to {MAX_MEMORY_MB}")
+        return value
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -88,6 +125,18 @@
     return round(fitness, 1)
 
 
+def make_budget(cfg: PlatformSettings) -> ReceiveBudget:
+    """Return the memory for requests that are received and not yet handled."""
+    total = int((cfg.receive_budget_mb or cfg.memory_mb * BUDGET_FRACTION) * (1 << 20))
+    full_body = FULL_BODY_BYTES + MAX_HEADER_BYTES
+    budget = ReceiveBudget(
+        max(total // 2, MIN_FULL_BODIES * RECEIVING_COST * full_body)
+    )
+    for name in ("callers", "peers"):
+        budget.share(name).limit_bytes = max(total // 4, HANDLING_COST * full_body)
+    return budget
+
+
 def make_node(cfg: PlatformSettings) -> JobNode:
     """Return a node built from the settings."""
     rng = random.Random(f"{cfg.vm}.{time.time_ns()}")
@@ -110,6 +159,8 @@
         keep_ended_s=cfg.keep_state_s,
         fitness=placer_fitness(cfg),
         started_at=PROCESS_STARTED_AT,
+        rpc_limits=RPC_LIMITS,
+        budget=make_budget(cfg),
     )
     return JobNode(options, backends, rng)
 
@@ -119,10 +170,20 @@
 ) -> tuple[HttpServer, HttpServer]:
     """Return the servers for callers and for the platform's readiness probe."""
     api = JobApi(node, time.time)
-    max_connections = max(
-        50, min(MAX_CALLER_CONNECTIONS, cfg.max_descriptors - RESERVED_DESCRIPTORS)
+    max_connections = min(
+        MAX_CALLER_CONNECTIONS,
+        cfg.max_descriptors - RESERVED_DESCRIPTORS,
+        int(cfg.memory_mb * CALLERS_PER_MB),
     )
     limits = HttpLimits(
-        max_connections=max_connections, idle_timeout_s=CALLER_IDLE_TIMEOUT_S
+        max_connections=max(MIN_CALLER_CONNECTIONS, max_connections),
+        max_body_bytes=MAX_BODY_BYTES,
+        idle_timeout_s=CALLER_IDLE_TIMEOUT_S,
+    )
+    budget = node.budget
+    return (
+        HttpServer(
+            api.handle, limits, budget, "callers", lambda: node.table.max_body_bytes
+        ),
+        HttpServer(api.handle_ready, READY_LIMITS, budget, "readiness"),
     )
-    return HttpServer(api.handle, limits), HttpServer(api.handle_ready)
--- a/cuminhill/rpc.py
+++ b/cuminhill/rpc.py
@@ -12,6 +12,7 @@
 from .errors import ProtocolError, UnavailableError, UnknownOutcomeError
 from .frames import (
     CALL_TYPES,
+    MAX_CALLS_WHEN_BUSY,
     REPLY_TYPES,
     FrameStream,
     RpcCounters,
@@ -23,11 +24,16 @@
 from .util.addresses import BAD_ADDRESS_ERRORS, check_port
 from .util.http_client import source_address
 from .util.listener import Connection, Listener
+from .util.receiving import HandlingShare, Holding, ReceiveBudget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 CONNECT_TIMEOUT_S = 0.5
+# Calls of one connection that are started before others have their turn.
+CALLS_PER_TURN = 16
+# Smaller calls, such as pings, are not refused while others fill the memory for calls.
+SMALL_CALL_BYTES = 1024
 # Closes a connection whose peer is gone or partitioned away, so that calls after the
 # partition use a new one instead of waiting for the kernel's retransmission backoff.
 TCP_USER_TIMEOUT_MS = 5000
@@ -47,6 +53,7 @@
 
     conn: Connection
     stream: FrameStream
+    holding: Holding
     call_finished: Any = field(default_factory=curio.Event)
     n_calls: int = 0
     last_used_at: float = field(default_factory=time.monotonic)
@@ -64,12 +71,17 @@
         returns the reply struct.
     limits : RpcLimits
         Bounds of the server.
+    budget : ReceiveBudget
+        Memory for unfinished frames, shared with other servers of the process.
     """
 
     handlers: dict[str, Callable[[Any], Awaitable[Any]]]
     limits: RpcLimits = field(default_factory=RpcLimits)
+    budget: ReceiveBudget = field(default_factory=ReceiveBudget)
     counters: RpcCounters = field(default_factory=RpcCounters)
     listener: Listener = field(init=False)
+    n_calls: int = 0  # in progress
+    _share: HandlingShare = field(init=False)
     _served: set[_ServedConnection] = field(default_factory=set)
     _sweeper: Any = None
 
@@ -77,6 +89,8 @@
         self.listener = Listener(
             self._serve, self.limits.max_connections, self.counters.connections
         )
+        self.budget.listeners["peers"] = self.listener
+        self._share = self.budget.share("peers")
 
     @property
     def host(self) -> str:
@@ -106,36 +120,63 @@
         await self.listener.close_all()
 
     async def _serve(self, conn: Connection) -> None:
-        stream = FrameStream(conn.sock, conn.peer, self.counters, self.limits)
-        served = _ServedConnection(conn, stream)
+        holding = Holding(conn)
+        stream = FrameStream(
+            conn.sock,
+            conn.peer,
+            self.counters,
+            self.limits,
+            budget=self.budget,
+            holding=holding,
+        )
+        served = _ServedConnection(conn, stream, holding)
         self._served.add(served)
+        n_started = 0
         try:
             while (envelope := await stream.read()) is not None and not stream.broken:
+                if conn not in self.listener.conns:
+                    break  # being closed in favor of a new connection
                 await self._start_call(served, envelope)
+                n_started += 1
+                if n_started % CALLS_PER_TURN == 0:
+                    await self.budget.take_turn()
         except ProtocolError:
             self.counters.n_bad_frames += 1
         except OSError:
             pass  # the peer disconnected; its client reports the lost reply
         finally:
             self._served.discard(served)
+            self.budget.release(holding)
             await stream.close()
 
     async def _start_call(self, served: _ServedConnection, envelope: Any) -> None:
         """Start a call once fewer than ``max_calls`` are in progress."""
         if envelope.is_reply:
             raise ProtocolError("unexpected reply", step="read", peer=served.conn.peer)
-        while served.n_calls >= self.limits.max_calls:
+        while served.n_calls >= self._max_calls():
+            if not await self.budget.hold(served.holding, len(envelope.body)):
+                raise ProtocolError("call given up", step="wait", peer=served.conn.peer)
             served.call_finished.clear()
             await served.call_finished.wait()
+        if served.holding.revoked:
+            raise ProtocolError("call given up", step="wait", peer=served.conn.peer)
+        self.budget.release(served.holding)
         served.n_calls += 1
+        self.n_calls += 1
         self.listener.mark_busy(served.conn)
         await curio.spawn(self._run_call, served, envelope, daemon=True)
 
+    def _max_calls(self) -> int:
+        if self.n_calls < self.limits.max_total_calls:
+            return self.limits.max_calls
+        return min(MAX_CALLS_WHEN_BUSY, self.limits.max_calls)
+
     async def _run_call(self, served: _ServedConnection, envelope: Any) -> None:
         try:
             await self._handle_call(served, envelope)
         finally:
             served.n_calls -= 1
+            self.n_calls -= 1
             served.last_used_at = time.monotonic()
             if not served.n_calls:
                 self.listener.mark_idle(served.conn)
@@ -172,7 +213,9 @@
     async def _handle_call(self, served: _ServedConnection, envelope: Any) -> None:
         self.counters.n_calls += 1
         reply = idl.Envelope(envelope.call_id, True, envelope.method, b"", "", False)
+        n_admitted = 0
         try:
+            n_admitted = self._admit(envelope, served.conn.peer)
             handler, call = self._decode_call(envelope, served.conn.peer)
             reply.body = encode(await handler(call))
         except _RefusedError as exc:
@@ -180,6 +223,9 @@
         except (Exception, curio.TaskTimeout) as exc:
             self.counters.n_failed_calls += 1
             reply.error = repr(exc)
+        finally:
+            self._share.release(n_admitted)
+        envelope.body = b""  # not needed while the reply is written
         task = await curio.current_task()
         served.writers[task] = time.monotonic()
         try:
@@ -189,6 +235,23 @@
         finally:
             del served.writers[task]
 
+    def _admit(self, envelope: Any, peer: str) -> int:
+        """Return the bytes that a call counts for until it is handled.
+
+        Raises
+        ------
+        _RefusedError
+            If too many calls are being handled.
+        """
+        n_bytes = len(envelope.body)
+        if n_bytes <= SMALL_CALL_BYTES:
+            return 0
+        n_admitted = self._share.admit(n_bytes)
+        if not n_admitted:
+            self.budget.counts["busy_peers"] += 1
+            raise _RefusedError("too many calls", step="admit", peer=peer)
+        return n_admitted
+
     def _decode_call(self, envelope: Any, peer: str) -> tuple[Any, Any]:
         """Return the handler of a call and its decoded struct.
 
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -17,6 +17,7 @@
 from .http_client import HttpClient, byte_counts, make_http_client
 from .json_input import load_json
 from .listener import Connection, Listener, ListenerCounters
+from .receiving import HandlingShare, Holding, ReceiveBudget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,6 +26,16 @@
 
 READ_SIZE = 65536  # bytes
 MAX_HEADER_BYTES = 16384
+# Of the first read of a request: many connections may stop after it.
+FIRST_READ_SIZE = 16384
+# Events of the parser within one turn; a chunk of one byte takes 7 µs.
+EVENTS_PER_TURN = 32
+# Beyond this number of chunks, they must have `MIN_MEAN_CHUNK_BYTES` on average.
+FREE_CHUNKS = 2048
+MIN_MEAN_CHUNK_BYTES = 32
+# Of a body with its chunk headers, besides twice the body's limit.
+MAX_FRAMING_BYTES = 65536
+RETRY_AFTER_S = 1  # of a request that is refused because others are being handled
 # After an error response the rest of the request is read for this long, since closing
 # a socket with unread input resets the connection and can discard the response.
 LINGER_S = 1.0
@@ -119,16 +130,95 @@
     """The request body exceeds `HttpLimits.max_body_bytes`."""
 
 
+class _SmallChunksError(Exception):
+    """The body consists of many very small chunks."""
+
+
+class _LongHeadError(Exception):
+    """The head exceeds `MAX_HEADER_BYTES`."""
+
+
+class _RevokedError(Exception):
+    """The request has been given up for lack of memory; it must not be handled."""
+
+
 class _BadTargetError(Exception):
     """The request target cannot be parsed."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Rejection:
+    """Why a request is refused."""
+
+    status: int
+    message: str
+
+
+@dataclass(eq=False, slots=True)
+class _Body:
+    """Body that is arriving, within its bounds.
+
+    Parameters
+    ----------
+    max_bytes : int, bytes
+        Limit of its length.
+    n_declared : int, bytes
+        Its length by the head; 0 if it is sent in chunks.
+    """
+
+    max_bytes: int
+    content: bytearray
+    n_declared: int = 0
+    n_chunks: int = 0
+
+    def begin(self, head: h11.Request) -> None:
+        """Take in the head.
+
+        Raises
+        ------
+        _LongHeadError, _TooLargeError
+            If the head is too long, or announces a body that is.
+        """
+        if _head_length(head) > MAX_HEADER_BYTES:
+            raise _LongHeadError
+        self.n_declared = _declared_length(head)
+        if self.n_declared > self.max_bytes:
+            raise _TooLargeError
+
+    def add(self, event: h11.Data) -> None:
+        """Add a part.
+
+        Raises
+        ------
+        _TooLargeError, _SmallChunksError
+            If the body is too long or its chunks are too small.
+        """
+        self.content += event.data
+        if len(self.content) > self.max_bytes:
+            raise _TooLargeError
+        self.n_chunks += event.chunk_start
+        if self.n_chunks > FREE_CHUNKS and (
+            len(self.content) < self.n_chunks * MIN_MEAN_CHUNK_BYTES
+        ):
+            raise _SmallChunksError
+
+    def read_size(self) -> int:
+        """Return how much to read next.
+
+        What follows a request stays in the parser's buffer while it is handled, so no
+        more than a head is read beyond its end.
+        """
+        n_left = self.n_declared - len(self.content)
+        return max(FIRST_READ_SIZE, min(READ_SIZE, n_left))
+
+
 @dataclass(eq=False, slots=True)
 class _Exchange:
     """Parser state of one connection and the method of its current request."""
 
     conn: Connection
     h11_conn: h11.Connection
+    holding: Holding
     method: str = ""
 
 
@@ -143,19 +233,38 @@
         `HttpResponse`, or None to close the connection without a response.
     limits : HttpLimits
         Bounds of the server.
+    budget : ReceiveBudget
+        Memory for unfinished requests, shared with other servers of the process.
+    name : str
+        Name of the server in the budget's dump.
+    max_body : callable or None
+        Returns the limit of a body now, in bytes; at most that of ``limits`` is used.
     """
 
     handler: Callable[[HttpRequest], Awaitable[HttpResponse | None]]
     limits: HttpLimits = field(default_factory=HttpLimits)
+    budget: ReceiveBudget = field(default_factory=ReceiveBudget)
+    name: str = "http"
+    max_body: Callable[[], int] | None = None
     counters: HttpCounters = field(default_factory=HttpCounters)
     n_busy: int = 0
     listener: Listener = field(init=False)
+    _share: HandlingShare = field(init=False)
     _closing: bool = False
 
     def __post_init__(self) -> None:
         self.listener = Listener(
             self._serve, self.limits.max_connections, self.counters.connections
         )
+        self.budget.listeners[self.name] = self.listener
+        self._share = self.budget.share(self.name)
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Limit of a request's body."""
+        if self.max_body is None:
+            return self.limits.max_body_bytes
+        return min(self.max_body(), self.limits.max_body_bytes)
 
     @property
     def host(self) -> str:
@@ -199,43 +308,35 @@
         h11_conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
         )
-        exchange = _Exchange(conn, h11_conn)
+        exchange = _Exchange(conn, h11_conn, Holding(conn))
         try:
             while await self._serve_request(exchange):
                 h11_conn.start_next_cycle()
                 if h11_conn.trailing_data[0]:
-                    await curio.sleep(
-                        0
-                    )  # lets other tasks run between pipelined requests
+                    # Lets other tasks run between pipelined requests.
+                    await self.budget.take_turn()
         except curio.TaskTimeout:
             self.counters.n_write_timeouts += 1
-        except (OSError, h11.LocalProtocolError):
-            pass  # the caller has disconnected
+            self.budget.counts["slow_reader"] += 1
+        except (OSError, h11.LocalProtocolError, _RevokedError):
+            pass  # the caller has disconnected, or the request was given up
+        finally:
+            self.budget.release(exchange.holding)
 
     async def _serve_request(self, exchange: _Exchange) -> bool:
         """Serve one request; return whether the connection can serve another."""
-        try:
-            req = await self._read_request(exchange)
-        except curio.TaskTimeout:
-            self.counters.n_read_timeouts += 1
-            await self._send_error(exchange, 408, "request did not arrive in time")
-            return False
-        except _TooLargeError:
-            self.counters.n_too_large += 1
-            limit = self.limits.max_body_bytes
-            await self._send_error(exchange, 413, f"body exceeds {limit} bytes")
-            return False
-        except _BadTargetError as exc:
-            self.counters.n_bad_requests += 1
-            await self._send_error(exchange, 400, str(exc))
-            return False
-        except h11.RemoteProtocolError as exc:
-            self.counters.n_bad_requests += 1
-            await self._send_error(exchange, exc.error_status_hint, str(exc))
-            return False
-        if req is None:
+        req = await self._receive_request(exchange)
+        if isinstance(req, _Rejection):
+            await self._send_error(exchange, req.status, req.message)
             return False
+        if req is None or exchange.conn not in self.listener.conns:
+            return False  # being closed in favor of a new connection
         self.counters.n_requests += 1
+        n_admitted = self._share.admit(len(req.body))
+        if not n_admitted:
+            self.budget.counts["busy"] += 1
+            await self._send(exchange, _busy_response(), True)
+            return False
         self.n_busy += 1
         self.listener.mark_busy(exchange.conn)
         try:
@@ -245,10 +346,48 @@
             await self._send(exchange, response, self._closing)
         finally:
             self.n_busy -= 1
+            self._share.release(n_admitted)
             self.listener.mark_idle(exchange.conn)
         states = {exchange.h11_conn.our_state, exchange.h11_conn.their_state}
         return not self._closing and states == {h11.DONE}
 
+    async def _receive_request(
+        self, exchange: _Exchange
+    ) -> HttpRequest | _Rejection | None:
+        """Return the next request, why it is refused, or None to close.
+
+        Refusals are sent after the exception is gone: its frames hold what was read.
+        """
+        counters, counts = self.counters, self.budget.counts
+        try:
+            return await self._read_request(exchange)
+        except curio.TaskTimeout:
+            counters.n_read_timeouts += 1
+            counts["slow_request"] += 1
+            return _Rejection(408, "request did not arrive in time")
+        except _TooLargeError:
+            counters.n_too_large += 1
+            counts["large_body"] += 1
+            return _Rejection(413, f"body exceeds {self.max_body_bytes} bytes")
+        except _SmallChunksError:
+            counters.n_bad_requests += 1
+            counts["small_chunks"] += 1
+            return _Rejection(
+                400,
+                f"over {FREE_CHUNKS} chunks of fewer than {MIN_MEAN_CHUNK_BYTES} bytes "
+                "on average",
+            )
+        except _LongHeadError:
+            counters.n_bad_requests += 1
+            counts["long_head"] += 1
+            return _Rejection(431, f"head exceeds {MAX_HEADER_BYTES} bytes")
+        except _BadTargetError as exc:
+            counters.n_bad_requests += 1
+            return _Rejection(400, str(exc))
+        except h11.RemoteProtocolError as exc:
+            counters.n_bad_requests += 1
+            return _Rejection(exc.error_status_hint, str(exc))
+
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         try:
             return await self.handler(req)
@@ -265,46 +404,93 @@
             return
         response = HttpResponse(status, {"error": message, "step": "read"})
         await self._send(exchange, response, True)
-        await _linger(exchange.conn.sock)
+        # Nothing more is parsed: what has arrived need not be kept.
+        exchange.h11_conn = h11.Connection(h11.SERVER)
+        exchange.holding.buffer = bytearray()
+        self.budget.release(exchange.holding)
+        await self._linger(exchange.conn.sock)
 
     async def _read_request(self, exchange: _Exchange) -> HttpRequest | None:
         """Return the next request, or None if the connection closed or idled out."""
-        if exchange.h11_conn.trailing_data[0] == b"":
+        n_read = len(exchange.h11_conn.trailing_data[0])
+        if not n_read:
             try:
                 async with curio.timeout_after(self.limits.idle_timeout_s):
-                    data = await exchange.conn.sock.recv(READ_SIZE)
+                    data = await exchange.conn.sock.recv(FIRST_READ_SIZE)
             except curio.TaskTimeout:
                 self.counters.n_idle_closed += 1
                 return None
             exchange.h11_conn.receive_data(data)
+            n_read = len(data)
+            del data  # would be kept while the rest of the request arrives
         async with curio.timeout_after(self.limits.read_timeout_s):
-            return await self._read_events(exchange)
+            return await self._read_events(exchange, n_read)
 
-    async def _read_events(self, exchange: _Exchange) -> HttpRequest | None:
-        h11_conn, sock = exchange.h11_conn, exchange.conn.sock
+    async def _read_events(
+        self, exchange: _Exchange, n_read: int
+    ) -> HttpRequest | None:
+        h11_conn, holding = exchange.h11_conn, exchange.holding
+        body = _Body(self.max_body_bytes, holding.buffer)
         head: h11.Request | None = None
-        body = bytearray()
+        n_events = 0
         while True:
+            n_events += 1
+            if n_events % EVENTS_PER_TURN == 0:
+                await self.budget.take_turn()
+                _check_holding(holding)
             event = h11_conn.next_event()
             if event is h11.NEED_DATA:
-                if h11_conn.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    await sock.sendall(h11_conn.send(interim))
-                h11_conn.receive_data(await sock.recv(READ_SIZE))
+                n_read += await self._read_more(exchange, body.read_size(), n_read)
+                if n_read > 2 * body.max_bytes + MAX_FRAMING_BYTES:
+                    raise _TooLargeError
             elif isinstance(event, h11.Request):
                 head = event
                 exchange.method = head.method.decode("ascii")
-                if _declared_length(head) > self.limits.max_body_bytes:
-                    raise _TooLargeError
+                body.begin(head)
             elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.max_body_bytes:
-                    raise _TooLargeError
+                body.add(event)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _make_request(head, bytes(body), exchange.conn.peer)
+                self.budget.release(holding)
+                holding.buffer = bytearray()
+                return _make_request(head, bytes(body.content), exchange.conn.peer)
             else:
                 return None
 
+    async def _read_more(self, exchange: _Exchange, size: int, n_read: int) -> int:
+        """Pass more data to the parser; return how much.
+
+        Raises
+        ------
+        _RevokedError
+            If the request has been given up.
+        """
+        h11_conn, sock = exchange.h11_conn, exchange.conn.sock
+        # Most requests are complete with the first read and do not get here.
+        if not await self.budget.hold(exchange.holding, n_read):
+            raise _RevokedError
+        if h11_conn.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await sock.sendall(h11_conn.send(interim))
+        data = await sock.recv(size)
+        _check_holding(exchange.holding)
+        h11_conn.receive_data(data)
+        return len(data)
+
+    async def _linger(self, sock: Any) -> None:
+        """Discard what the caller still sends, within limits, before the close."""
+        n_read = 0
+        try:
+            await sock.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_S):
+                while n_read < MAX_LINGER_BYTES and (
+                    data := await sock.recv(READ_SIZE)
+                ):
+                    n_read += len(data)
+                    del data
+                    await self.budget.take_turn()
+        except OSError:
+            pass  # the caller has closed the connection too
+
     async def _send(
         self, exchange: _Exchange, response: HttpResponse, close: bool
     ) -> None:
@@ -332,16 +518,27 @@
     return values[0] if values else 0
 
 
-async def _linger(sock: Any) -> None:
-    """Discard what the caller still sends, within limits, before the close."""
-    n_read = 0
-    try:
-        await sock.shutdown(socket.SHUT_WR)
-        async with curio.ignore_after(LINGER_S):
-            while n_read < MAX_LINGER_BYTES and (data := await sock.recv(READ_SIZE)):
-                n_read += len(data)
-    except OSError:
-        pass  # the caller has closed the connection too
+def _head_length(head: h11.Request) -> int:
+    fields = sum(len(key) + len(value) + 4 for key, value in head.headers)
+    return len(head.method) + len(head.target) + fields
+
+
+def _check_holding(holding: Holding) -> None:
+    """Check that a request may still be received.
+
+    Raises
+    ------
+    _RevokedError
+        If its connection is being closed.
+    """
+    if holding.revoked:
+        raise _RevokedError
+
+
+def _busy_response() -> HttpResponse:
+    message = "too many requests are being handled; this one had no effect"
+    headers = (("retry-after", str(RETRY_AFTER_S)),)
+    return HttpResponse(503, {"error": message, "step": "handle"}, headers=headers)
 
 
 def _make_request(head: h11.Request, body: bytes, peer: str) -> HttpRequest:
--- a/cuminhill/util/listener.py
+++ b/cuminhill/util/listener.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from itertools import islice
+from itertools import chain, islice
 from typing import TYPE_CHECKING, Any
 
 import curio
 from curio import socket
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
 
 LISTEN_BACKLOG = 1024
 ACCEPT_RETRY_DELAY_S = 0.05
 N_EVICTED_ON_ERROR = 16
+# Fraction of all connections beyond which new ones are closed before served ones.
+MAX_NEW_FRACTION = 0.5
 
 
 @dataclass(eq=False, slots=True)
@@ -51,7 +53,9 @@
     """Accepts connections and, at the limit, closes the one idle the longest.
 
     A connection is idle if it is new or was passed to `mark_idle`. Closing idle
-    connections prevents callers that hold many of them from locking out others.
+    connections prevents callers that hold many of them from locking out others. While
+    most connections are new, only these are closed: many callers that connect and send
+    nothing do not end the connections of those that have been served.
 
     Parameters
     ----------
@@ -68,6 +72,7 @@
     port: int = 0
     conns: set[Connection] = field(default_factory=set)
     _idle: dict[Connection, None] = field(default_factory=dict)
+    _new: dict[Connection, None] = field(default_factory=dict)
     _sock: Any = None
     _task: Any = None
 
@@ -101,6 +106,7 @@
     def mark_busy(self, conn: Connection) -> None:
         """Protect the connection until `mark_idle` is called again."""
         self._idle.pop(conn, None)
+        self._new.pop(conn, None)
 
     async def _accept(self) -> None:
         while True:
@@ -112,10 +118,14 @@
                 await self._evict(N_EVICTED_ON_ERROR)
                 await curio.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            if len(self.conns) >= self.max_connections and not await self._evict(1):
-                self.counters.n_refused += 1
-                await sock.close()
-                continue
+            if len(self.conns) >= self.max_connections:
+                if not await self._evict(1):
+                    self.counters.n_refused += 1
+                    await sock.close()
+                    continue
+                # Its task closes the socket before the next one is accepted: in a
+                # burst of connections, the descriptors would exceed the limit.
+                await curio.sleep(0)
             await self._start_serving(Connection(sock, f"{address[0]}:{address[1]}"))
 
     async def _start_serving(self, conn: Connection) -> None:
@@ -126,7 +136,7 @@
             return
         self.counters.n_accepted += 1
         self.conns.add(conn)
-        self.mark_idle(conn)
+        self._new[conn] = None
         conn.task = await curio.spawn(self._run, conn, daemon=True)
 
     async def _run(self, conn: Connection) -> None:
@@ -139,7 +149,7 @@
     async def _evict(self, n_wanted: int) -> int:
         """Close up to ``n_wanted`` connections idle the longest; return how many."""
         n_evicted = 0
-        for conn in list(islice(self._idle, n_wanted)):
+        for conn in list(islice(self._evictable(), n_wanted)):
             self._untrack(conn)
             n_evicted += 1
             if conn.task is not None:
@@ -147,6 +157,11 @@
         self.counters.n_evicted += n_evicted
         return n_evicted
 
+    def _evictable(self) -> Iterator[Connection]:
+        if len(self._new) > self.max_connections * MAX_NEW_FRACTION:
+            return chain(self._new, self._idle)
+        return chain(self._idle, self._new)
+
     def _untrack(self, conn: Connection) -> None:
         self.conns.discard(conn)
-        self._idle.pop(conn, None)
+        self.mark_busy(conn)
