Serve look-ups while requests in handling fill their share

Cause: found in review of the bounds: look-ups without a body were refused with 503 while submissions waited for a slow store, and a refusal closed the caller's connection.

Change: a request without a body is always handled (connections bound their number), and a refusal leaves the connection open. One dump in a turn of the inspection listener.

--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -289,6 +289,8 @@
     """Return a server for ``/metrics`` and ``/dump``."""
 
     async def handle(req: HttpRequest) -> HttpResponse:
+        # One dump in a turn, whatever the number of requests: it takes milliseconds.
+        await node.budget.take_turn()
         if req.path == "/dump":
             return HttpResponse(200, node.dump())
         if req.path == "/metrics":
--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -332,15 +332,16 @@
         if req is None or exchange.conn not in self.listener.conns:
             return False  # being closed in favor of a new connection
         self.counters.n_requests += 1
-        n_admitted = self._share.admit(len(req.body))
-        if not n_admitted:
-            self.budget.counts["busy"] += 1
-            await self._send(exchange, _busy_response(), True)
-            return False
+        # Without a body, such as a look-up, there is nothing to bound.
+        n_admitted = self._share.admit(len(req.body)) if req.body else 0
         self.n_busy += 1
         self.listener.mark_busy(exchange.conn)
         try:
-            response = await self._handle(req)
+            if n_admitted or not req.body:
+                response = await self._handle(req)
+            else:
+                self.budget.counts["busy"] += 1
+                response = _busy_response()
             if response is None:
                 return False
             await self._send(exchange, response, self._closing)
--- a/tests/cmd/test_node.py
+++ b/tests/cmd/test_node.py
@@ -9,7 +9,11 @@
 from click.testing import CliRunner
 
 from cuminhill.cmd.node import main
-from cuminhill.platform.boot import PlatformSettings
+from cuminhill.platform.boot import (
+    PlatformSettings,
+    load_platform_settings,
+    make_budget,
+)
 
 DEPLOY = Path(__file__).parents[2] / "deploy"
 SETTINGS = """\
@@ -66,6 +70,25 @@
     assert required <= keys
 
 
+@pytest.mark.parametrize(
+    ("memory", "budget_mb"), [("", 8.0), ("552", 27.6), ("10", 2.125)]
+)
+def test_the_memory_of_the_vm_bounds_what_is_received(tmp_path, memory, budget_mb):
+    """Guards against a process that does not start where the memory is not told."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS + f'memory_mb = "{memory}"\n')
+    budget = make_budget(load_platform_settings(path))
+    assert budget.limit_bytes == pytest.approx(budget_mb * (1 << 20), abs=1)
+
+
+@pytest.mark.parametrize("memory", ['"x"', "-1", "nan", "inf"])
+def test_an_impossible_memory_is_named(tmp_path, memory):
+    """Guards against bounds without effect."""
+    result = check(tmp_path, SETTINGS + f"memory_mb = {memory}\n")
+    assert result.exit_code == 2
+    assert "memory_mb" in result.output
+
+
 def test_the_deploy_file_names_what_exists():
     """Guards against a role that cannot start."""
     role = tomllib.loads((DEPLOY / "system.toml").read_text())["roles"]["entry"]
--- a/tests/util/test_receiving.py
+++ b/tests/util/test_receiving.py
@@ -152,10 +152,14 @@
             await curio.sleep(0.01)
         second = await curio.open_connection(HOST, server.port)
         await second.sendall(head + body)
-        answer = await read_all(second)
+        answer = await second.recv(1000)
         assert answer.startswith(b"HTTP/1.1 503")
         assert b"retry-after: 1" in answer.lower()
         assert server.handler.paths == ["/p"]
+        # A look-up has no body, and the connection is still of use.
+        await second.sendall(GET)
+        assert (await second.recv(1000)).startswith(b"HTTP/1.1 200")
+        await second.close()
         await server.handler.released.set()
         assert (await first.recv(1000)).startswith(b"HTTP/1.1 200")
         await first.close()
