--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -8,6 +8,7 @@
 import structlog
 
 from ..errors import ProtocolError
+from .jobload import JobLoad, WaitingGroup
 from .leasebounds import (
     NO_INHERITED_LEASES,
     InheritedLeases,
@@ -69,6 +70,8 @@
         When this VM read its progress.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
+    waits_in : WaitingGroup or None
+        Group in which the job is counted while it waits.
     """
 
     job: bytes = b""
@@ -80,6 +83,7 @@
     accepted_at: float = 0.0
     run_read_at: float = 0.0
     ended_at: float = 0.0
+    waits_in: WaitingGroup | None = None
 
 
 @dataclass(eq=False)
@@ -118,6 +122,8 @@
     predecessor_read_at : float, seconds
         The same for the records before the first claim that has won after the newest
         term that can have extended leases.
+    job_load : JobLoad
+        Counters of accepted, waiting and begun jobs.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
@@ -135,6 +141,7 @@
     placer_read_at: float = 0.0
     recorded_since: int = 0
     predecessor_read_at: float = 0.0
+    job_load: JobLoad = field(default_factory=JobLoad)
 
     def note_snapshot(self, now: float) -> None:
         """Note that records of placers may have been left out until now."""
@@ -150,6 +157,7 @@
         now : float, seconds
             Used to expire ended jobs.
         """
+        term = self.leader_record.term
         try:
             self._fold(record, now)
         except Exception as exc:
@@ -164,6 +172,7 @@
         if is_placer_key(record.key):
             # Also an unreadable one: it may have confirmed the term that wrote it.
             self.placer_read_at = now
+            self.job_load.note_placer(now, is_new_term=self.leader_record.term > term)
 
     def fold_snapshot(self, records: Sequence[JournalRecord], now: float) -> None:
         """Apply the newest record of each key; drop the jobs that have none.
@@ -177,6 +186,7 @@
             self.leases = NO_LEASES
         for record in records:
             self.fold(record, now)
+        self.job_load.note_snapshot(now)
         if not records:
             return
         held = {
@@ -185,7 +195,7 @@
             if record.value and record.key.startswith(JOB_RECORD_PREFIXES)
         }
         for job_id in self.entries.keys() - held:
-            del self.entries[job_id]
+            self._end_wait(self.entries.pop(job_id), now, begun=False)
         # Its records may be old, so they do not show that a VM is alive.
         self.heard_at.clear()
 
@@ -209,7 +219,7 @@
         elif key.startswith(RUN_PREFIX):
             self._fold_run(key.removeprefix(RUN_PREFIX), value, now)
         elif key.startswith(JOB_PREFIX):
-            self._fold_job(key.removeprefix(JOB_PREFIX), value)
+            self._fold_job(key.removeprefix(JOB_PREFIX), value, now)
         elif key.startswith(CANCEL_PREFIX):
             self._fold_cancel(key.removeprefix(CANCEL_PREFIX), value, now)
 
@@ -260,7 +270,7 @@
             self.members.pop(vm, None)
         self.heard_at[vm] = now
 
-    def _fold_job(self, job_id: str, value: bytes) -> None:
+    def _fold_job(self, job_id: str, value: bytes, now: float) -> None:
         if not value:
             return  # the job has ended; its state stays until its run record is deleted
         entry = self.entries.get(job_id)
@@ -268,7 +278,11 @@
             return  # a repeated submission
         head = decode_job_head(check_job_id(job_id), value)
         entry = self.entries.setdefault(job_id, JobEntry())
-        entry.queue, entry.accepted_at, entry.team = head
+        if not entry.queue:  # otherwise its record was stored twice
+            self.job_load.note_accepted(head.team, now)
+        entry.queue, entry.accepted_at, entry.team = head[:3]
+        if entry.state is JobState.PENDING and head.starts_at_once:
+            entry.waits_in = self.job_load.begin_wait(head.queue, head.team, now)
         if entry.state not in FINAL_JOB_STATES:
             entry.job = value
         self.changed.add(job_id)
@@ -284,12 +298,16 @@
             raise
         self.n_placer_records += 1
         if state is None:
-            self.entries.pop(job_id, None)
+            entry = self.entries.pop(job_id, None)
+            if entry is not None:
+                self._end_wait(entry, now, begun=False)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
         entry.run, entry.run_read_at = value, now
         if not entry.cancelled:
             entry.state = state
+        if state is not JobState.PENDING:
+            self._end_wait(entry, now, begun=True)
         if state in FINAL_JOB_STATES:
             self._end(entry, now)
 
@@ -302,12 +320,21 @@
         if not value or entry.state in {JobState.COMPLETED, JobState.FAILED}:
             return
         entry.cancelled, entry.state = True, JobState.CANCELLED
+        self._end_wait(entry, now, begun=False)
         self.changed.add(job_id)
 
     def _end(self, entry: JobEntry, now: float) -> None:
         entry.ended_at = now
         entry.job = entry.run = b""
 
+    def _end_wait(self, entry: JobEntry, now: float, *, begun: bool) -> None:
+        if entry.waits_in is None:
+            return
+        self.job_load.end_wait(entry.waits_in)
+        entry.waits_in = None
+        if begun:
+            self.job_load.begun.add(entry.queue, now)
+
     def inherited_leases(self) -> InheritedLeases:
         """Return what the terms before the newest have left about leases."""
         reading = self.lease_reading
--- a/cuminhill/jobs/records.py
+++ b/cuminhill/jobs/records.py
@@ -434,11 +434,15 @@
         Wall-clock time of the acceptance.
     team : str
         Name of the team; empty for a job without one.
+    starts_at_once : bool
+        Whether the job begins as soon as there is room: not one that runs at set times
+        or on spare capacity only.
     """
 
     queue: str
     accepted_at: float
     team: str = ""
+    starts_at_once: bool = True
 
 
 def decode_job_head(job_id: str, value: bytes) -> JobHead:
@@ -453,7 +457,8 @@
     """
     body = _validate_job(job_id, value)
     team = body.team.name if body.team else ""
-    return JobHead(body.queue, body.accepted_at, team)
+    starts_at_once = not body.times[0] and not body.steps[0].fills
+    return JobHead(body.queue, body.accepted_at, team, starts_at_once)
 
 
 def decode_job(job_id: str, value: bytes) -> Job:
