Refuse a team's jobs beyond its weight while the pool is busy

Cause: every job was accepted, so one team's surplus delayed all others.

Ruled out: a token bucket over all VMs alone (each VM reads of the others' acceptances 0.3 s late, so all accept and refuse in turn and starve a team of what it is entitled to), and refusing by the index alone (a job that another VM accepted a moment ago would be told that it never runs).

--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -51,6 +51,8 @@
     UNKNOWN_JOB = "unknown_job"
     # The call had no effect and never will.
     NOT_DONE = "not_done"
+    # The job was not accepted and never runs; it may be submitted again later.
+    REFUSED = "refused"
     # The call may have taken effect; it is safe to repeat it.
     UNCERTAIN = "uncertain"
 
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -15,6 +15,7 @@
 from ..errors import CuminhillError
 from ..rpc import RpcServer
 from ..util.http_client import byte_counts
+from .admission import Admission
 from .advice import adviser_states
 from .decisions import longest_waits
 from .election import (
@@ -104,6 +105,9 @@
         Boot time by which this process had started. Any earlier process at the same
         address had ended by then. None if the process has other nodes: then it counts
         from the creation of the node.
+    max_waiting : float
+        New jobs whose estimated wait is longer than this multiple of their objective
+        are refused; 0 refuses none for that reason.
     """
 
     vm: str
@@ -112,6 +116,7 @@
     keep_ended_s: float
     fitness: float = 1.0
     started_at: float | None = None
+    max_waiting: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +229,8 @@
             self.peers.append,
             self._find_queue,
             self.metrics,
+            admission=Admission(self.job_index.job_load, options.max_waiting),
+            find_table=lambda: self.table,
         )
         self.election = Election(
             options.vm,
@@ -286,8 +293,11 @@
         if snapshot:
             self.job_index.fold_snapshot(records, now)
         else:
+            self.job_index.job_load.begin_read(self.journal.read_at, now)
             for record in records:
                 self.job_index.fold(record, now)
+            self.job_index.job_load.end_read()
+        self.service.log_refusals(now)
         self.peers.members = self.job_index.members
         self.election.observe(
             self.job_index.leader_record, self.job_index.n_placer_records, now
@@ -753,6 +763,7 @@
             },
             "workers": len(self.workers),
             "callers": dict(self.service.counts),
+            "admission": self.service.admission.dump(self.table, now),
             "bad": {
                 "records": self.job_index.n_bad_records,
                 "registrations": self.n_bad_registrations,
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -6,11 +6,14 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+import curio
 import structlog
 
 from ..clock import boottime
 from ..errors import CuminhillError, UnavailableError, UnknownOutcomeError
-from .model import FINAL_JOB_STATES, Outcome
+from .admission import Admission, IndexState
+from .jobload import JobLoad
+from .model import FINAL_JOB_STATES, Outcome, QueueTable
 from .nodemetrics import make_node_metrics
 from .records import CANCEL_PREFIX, JOB_PREFIX, JournalRecord, encode_job
 
@@ -18,6 +21,7 @@
     from collections.abc import Awaitable, Callable
 
     from ..metrics import MetricSet
+    from .admission import Refusal
     from .jobindex import JobEntry, JobIndex
     from .journal import LogWriter
     from .logreader import LogFollower
@@ -34,6 +38,13 @@
 # Retry-After of a rejected call. Callers wait for a few seconds in total, so after a
 # short outage a longer pause would cost them their answer.
 RETRY_AFTER_S = 1
+# Before a job is refused, the journal is read up to its end, since another VM may have
+# accepted the job a moment ago. Refusals in this interval share one read: a team far
+# above its rate would otherwise cause a read for each of its jobs.
+REFUSAL_READ_TIMEOUT_S = 0.5
+REFUSAL_READ_INTERVAL_S = 0.1
+# Ids of submissions with an uncertain outcome that are remembered, 100 bytes each.
+MAX_UNCERTAIN_IDS = 10_000
 
 
 @dataclass(eq=False)
@@ -55,6 +66,10 @@
         Coroutine function that appends through any other VM.
     find_queue : callable
         Returns the queue of a name in the newest configuration.
+    admission : Admission
+        Decides which new jobs are refused.
+    find_table : callable
+        Returns the newest configuration.
     """
 
     job_index: JobIndex
@@ -67,10 +82,19 @@
     find_queue: Callable[[str], Queue | None]
     metrics: MetricSet = field(default_factory=make_node_metrics)
     counts: Counter[str] = field(default_factory=Counter)
+    admission: Admission = field(default_factory=lambda: Admission(JobLoad()))
+    find_table: Callable[[], QueueTable] = QueueTable
+    # Submissions of a job that this VM may have stored already, so that it must not be
+    # refused: the number of appends under way, and those with an uncertain outcome.
+    _in_flight: Counter[str] = field(default_factory=Counter)
+    _uncertain: dict[str, None] = field(default_factory=dict)
+    _refusal_read_at: float = 0.0
 
     async def submit(self, job: Job, wait_s: float) -> Outcome:
         """Accept a job; it is durable once the outcome is `Outcome.OK`.
 
+        The outcome `Outcome.REFUSED` means that the job is not stored and never runs.
+
         Parameters
         ----------
         wait_s : float, seconds
@@ -80,10 +104,13 @@
             self.counts["repeated"] += 1
             return Outcome.OK
         asked_at = boottime()
+        refused = await self._refuse(job, wait_s)
+        if refused is not None:
+            return refused
         # The queue may be removed before the job has ended, and any VM may restart.
         job = replace(job, definition=self.find_queue(job.queue))
-        outcome, way = await self._append(
-            JOB_PREFIX + job.job_id, encode_job(job), wait_s
+        outcome, way = await self._store(
+            job, max(0.0, wait_s - (boottime() - asked_at))
         )
         self.counts[f"submit_{outcome}"] += 1
         self.metrics.observe("submit_seconds", boottime() - asked_at, outcome=outcome)
@@ -98,6 +125,94 @@
         )
         return outcome
 
+    def retry_after_s(self, job: Job) -> int:
+        """Return after how many seconds a job that was refused may be accepted."""
+        refusal = self._decide(job)
+        return RETRY_AFTER_S if refusal is None else refusal.retry_after_s
+
+    def log_refusals(self, now: float) -> None:
+        """Log for which teams refusals have begun or ceased."""
+        for change in self.admission.pop_changes(now):
+            if change.begins:
+                logger.info("refusals begin", team=change.team, reason=change.reason)
+            else:
+                logger.info(
+                    "refusals ceased",
+                    team=change.team,
+                    reason=change.reason,
+                    refused=change.n_refused,
+                    lasted_s=round(change.lasted_s, 1),
+                )
+
+    def _index_state(self, now: float) -> IndexState:
+        return IndexState(
+            self.follower.age(now),
+            self.job_index.leader_record.latency_s,
+            max(1, len(self.job_index.members)),
+        )
+
+    async def _refuse(self, job: Job, wait_s: float) -> Outcome | None:
+        """Return the outcome of a job that is not to be stored, None for the others.
+
+        A job is refused only after a read of the journal up to its end, sent after the
+        submission, has not shown it. If the read fails, the outcome is uncertain, since
+        another VM may have accepted the job.
+        """
+        if self._may_be_stored(job.job_id) or self._decide(job) is None:
+            return None
+        is_current = await self._read_before_refusal(wait_s)
+        if job.job_id in self.job_index.entries:
+            self.counts["repeated"] += 1
+            return Outcome.OK
+        now = boottime()
+        refusal = self._decide(job)
+        if refusal is None or self._may_be_stored(job.job_id):
+            return None
+        outcome = Outcome.REFUSED if is_current else Outcome.UNCERTAIN
+        self.counts[f"submit_{outcome}"] += 1
+        if is_current:
+            self.admission.note_refusal(job, refusal, now)
+            self.log_refusals(now)
+        return outcome
+
+    def _decide(self, job: Job) -> Refusal | None:
+        now = boottime()
+        state = self._index_state(now)
+        return self.admission.decide(job, self.find_table(), state, now)
+
+    def _may_be_stored(self, job_id: str) -> bool:
+        return job_id in self._in_flight or job_id in self._uncertain
+
+    async def _read_before_refusal(self, wait_s: float) -> bool:
+        """Read the journal up to its end; return whether that succeeded."""
+        asked_at = boottime()
+        read_at = max(asked_at, self._refusal_read_at + REFUSAL_READ_INTERVAL_S)
+        if read_at > asked_at:
+            await curio.sleep(read_at - asked_at)
+        self._refusal_read_at = max(self._refusal_read_at, read_at)
+        return await self.follower.catch_up(min(wait_s, REFUSAL_READ_TIMEOUT_S))
+
+    async def _store(self, job: Job, wait_s: float) -> tuple[Outcome, str]:
+        """Append the record of a job that is not refused."""
+        now = boottime()
+        self.admission.begin_append(job, self.find_table(), self._index_state(now), now)
+        self._in_flight[job.job_id] += 1
+        outcome = Outcome.UNCERTAIN  # also if the caller's task is cancelled
+        try:
+            outcome, way = await self._append(
+                JOB_PREFIX + job.job_id, encode_job(job), wait_s
+            )
+        finally:
+            self.admission.end_append(job)
+            self._in_flight[job.job_id] -= 1
+            if not self._in_flight[job.job_id]:
+                del self._in_flight[job.job_id]
+            if outcome is Outcome.UNCERTAIN:
+                self._uncertain[job.job_id] = None
+                if len(self._uncertain) > MAX_UNCERTAIN_IDS:
+                    del self._uncertain[next(iter(self._uncertain))]
+        return outcome, way
+
     async def cancel(self, job_id: str, wait_s: float) -> Outcome:
         """Cancel a job unless it has ended."""
         entry = await self._find(job_id)
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -61,6 +61,7 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
+    max_waiting_s: float = 0.0
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -110,6 +111,7 @@
         keep_ended_s=cfg.keep_state_s,
         fitness=placer_fitness(cfg),
         started_at=PROCESS_STARTED_AT,
+        max_waiting=cfg.max_waiting_s,
     )
     return JobNode(options, backends, rng)
 
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -76,6 +76,8 @@
             self.node.service.counts["invalid"] += 1
             return _error_response(400, exc.message)
         outcome = await self.node.service.submit(job, _deadline_s(req))
+        if outcome is Outcome.REFUSED:
+            return _refused_response(self.node.service.retry_after_s(job))
         return self._response(outcome)
 
     async def _get_state(self, job_id: str) -> HttpResponse:
@@ -124,5 +126,14 @@
     return HttpResponse(503, {"error": message}, headers=headers)
 
 
+def _refused_response(retry_after_s: int) -> HttpResponse:
+    headers = (("retry-after", str(retry_after_s)),)
+    message = (
+        "too many jobs for the current load; this one was not accepted and never runs; "
+        "submit it again after the time in Retry-After"
+    )
+    return HttpResponse(429, {"error": message}, headers=headers)
+
+
 def _error_response(status: int, message: str, **more: Any) -> HttpResponse:
     return HttpResponse(status, {"error": message, **more})
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -7,14 +7,16 @@
 
 from cuminhill.clock import boottime
 from cuminhill.errors import FencedError, UnavailableError, UnknownOutcomeError
+from cuminhill.jobs.admission import Admission, Reason, Refusal
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
 from cuminhill.jobs.logreader import LogFollower
 from cuminhill.jobs.model import Outcome
+from cuminhill.jobs.records import JOB_PREFIX, encode_job
 from cuminhill.jobs.service import JobService
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
-from .builders import make_job
+from .builders import JOB_ID, make_job
 
 
 def answers(value):
@@ -90,3 +92,154 @@
             await writer.append([("l", b"x")], boottime() + 1)
 
     curio.run(scenario)
+
+
+class RefuseAll(Admission):
+    """Admission that refuses every job, as beyond a team's weight on a busy pool."""
+
+    def decide(self, job, table, state, now):
+        return Refusal(Reason.SURPLUS, 3)
+
+
+async def make_refusing_service(log, append=None):
+    """Return a service that refuses all jobs and follows a log."""
+    view, index = LogView(log), JobIndex()
+
+    def fold(records, snapshot):
+        for record in records:
+            index.fold(record, boottime())
+
+    follower = LogFollower("t", view, fold, 0.1, 0.1)
+    await follower._load()
+    service = JobService(
+        index,
+        follower,
+        LogWriter(view, "a", 1),
+        append or answers(Outcome.OK),
+        answers(UNAVAILABLE),
+        lambda name: None,
+        admission=RefuseAll(index.job_load),
+    )
+    return service, view
+
+
+def test_a_refused_job_is_not_stored():
+    """Guards against a job that runs although its caller was told that it never does.
+
+    Load: a job of a team beyond its weight.
+    """
+
+    async def scenario():
+        log, sent = MemoryLog(), []
+
+        async def append(records, wait_s):
+            sent.extend(records)
+            return Outcome.OK
+
+        service, _ = await make_refusing_service(log, append)
+        assert await service.submit(make_job(), 2.0) is Outcome.REFUSED
+        assert service.retry_after_s(make_job()) == 3
+        assert not sent
+        assert JOB_ID not in service.job_index.entries
+        assert service.counts["submit_refused"] == 1
+
+    curio.run(scenario)
+
+
+def test_a_job_that_another_vm_has_just_accepted_is_not_refused():
+    """Guards against "never runs" for an accepted job that the index does not show yet.
+
+    Load: a caller repeats, at a VM whose index is a moment old, what another VM has
+    accepted, and the VM refuses new jobs of the team.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        service, _ = await make_refusing_service(log)
+        log.append_records([(JOB_PREFIX + JOB_ID, encode_job(make_job()))])
+        assert JOB_ID not in service.job_index.entries
+        assert await service.submit(make_job(), 2.0) is Outcome.OK
+        other = make_job(job_id="00000000000000bb")
+        assert await service.submit(other, 2.0) is Outcome.REFUSED
+
+    curio.run(scenario)
+
+
+@pytest.mark.parametrize("fault", ["unresponsive", "down"])
+def test_without_the_journal_a_job_beyond_the_weight_is_uncertain(fault):
+    """Guards against "never runs" where the VM cannot know what was accepted.
+
+    Load: a team beyond its weight on a VM that is cut off from the journal.
+    """
+
+    async def scenario():
+        service, view = await make_refusing_service(MemoryLog())
+        setattr(view.faults, fault, True)
+        assert await service.submit(make_job(), 2.0) is Outcome.UNCERTAIN
+        assert not service.admission.refused
+
+    curio.run(scenario)
+
+
+@pytest.mark.parametrize("first", [Outcome.OK, Outcome.UNCERTAIN, Outcome.NOT_DONE])
+def test_a_job_that_this_vm_may_have_stored_is_not_refused(first):
+    """Guards against "never runs" for a job whose first submission is under way.
+
+    Load: a caller repeats a submission while the append of the first one has no answer
+    yet, or after an uncertain outcome.
+    """
+
+    async def scenario():
+        outcomes, answered = [first, Outcome.OK], curio.Event()
+
+        async def append(records, wait_s):
+            outcome = outcomes.pop(0)
+            if len(outcomes) == 1:
+                await answered.wait()
+            return outcome
+
+        service, _ = await make_refusing_service(MemoryLog(), append)
+        admission = service.admission
+        service.admission = Admission(service.job_index.job_load)
+        task = await curio.spawn(service.submit, make_job(), 2.0)
+        await curio.sleep(0.01)
+        service.admission = admission
+        if first is Outcome.UNCERTAIN:
+            await answered.set()
+            assert await task.join() is first
+        assert await service.submit(make_job(), 2.0) is Outcome.OK
+        await answered.set()
+        await task.join()
+        other = make_job(job_id="00000000000000bb")
+        assert await service.submit(other, 2.0) is Outcome.REFUSED
+        assert not service._in_flight
+
+    curio.run(scenario)
+
+
+def test_refusals_share_reads_of_the_journal():
+    """Guards against a read of the journal for each job of a team beyond its weight.
+
+    Load: 50 such jobs at once, and 50 more during the read.
+    """
+
+    async def scenario():
+        service, view = await make_refusing_service(MemoryLog())
+        n_reads, end = 0, view.end
+
+        async def count(timeout_s):
+            nonlocal n_reads
+            n_reads += 1
+            return await end(timeout_s)
+
+        view.end = count
+        tasks = []
+        for number in range(100):
+            job = make_job(job_id=f"{number:016x}")
+            tasks.append(await curio.spawn(service.submit, job, 2.0))
+            if number == 49:
+                await curio.sleep(0.02)
+        assert [await task.join() for task in tasks] == [Outcome.REFUSED] * 100
+        assert n_reads <= 4
+
+    curio.run(scenario)
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from dataclasses import replace
+
 import orjson
 import pytest
 from jobs.builders import make_queue
 from jobs.conftest import Cluster
 
-from cuminhill.jobs.model import JobState
+from cuminhill.jobs.model import JobState, Team
 from cuminhill.jobs.records import task_need
 from cuminhill.platform.jobapi import (
     DEADLINE_FRACTION,
@@ -120,6 +123,52 @@
     run_to_end(scenario)
 
 
+def test_a_job_beyond_the_weight_of_its_team_gets_429(cluster):
+    """Guards against a refusal without Retry-After, or one whose job runs.
+
+    Load: one team submits ten jobs at once while jobs of two others wait for long.
+    """
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        cluster.needs["payload"] = make_need()
+        node, service = api.node, api.node.service
+        team = Team("t", 1.0, task_need(0.0, 0.0, 0.0))
+        node.table = replace(node.table, teams={"t": team})
+        submit = service.submit
+        service.submit = lambda job, wait_s: submit(replace(job, team=team), wait_s)
+        decide = service._decide
+        service._decide = lambda job: decide(replace(job, team=team))
+        node.job_index.job_load.late = lambda bound_s, now: {
+            "q": Counter({"a": 5, "b": 5})
+        }
+        ids = [f"{number:016x}" for number in range(10)]
+        responses = [
+            await api.handle(request("POST", f"/q/{job_id}", BODY)) for job_id in ids
+        ]
+        statuses = Counter(response.status for response in responses)
+        assert set(statuses) == {200, 429}
+        assert statuses[200] <= 3
+        for job_id, response in zip(ids, responses, strict=True):
+            stored = cluster.stored(f"job/{job_id}") is not None
+            assert stored == (response.status == 200)
+            if response.status == 429:
+                ((name, value),) = response.headers
+                assert name == "retry-after"
+                assert int(value) >= 1
+        # A repeated submission of an accepted job is not refused.
+        repeated = await api.handle(request("POST", f"/q/{ids[0]}", BODY))
+        assert repeated.status == 200
+        dump = node.dump()["admission"]
+        assert dump["refused"] == {"surplus": {"t": statuses[429]}}
+        node.metrics.update_from(node.dump())
+        text = node.metrics.render()
+        assert b'cuminhill_refused_total{reason="surplus",team="t"}' in text
+        assert b"cuminhill_estimated_wait_seconds" in text
+
+    run_to_end(scenario)
+
+
 def test_a_draining_node_is_not_ready_and_still_serves(cluster):
     """Guards against requests that are rejected during a planned stop."""
 
