--- a/cuminhill/jobs/admission.py
+++ b/cuminhill/jobs/admission.py
@@ -27,13 +27,14 @@
 # With slower appends, waits in the index show the journal and not the pool. Besides, an
 # earlier submission of the same job may still be on its way through another VM.
 MAX_LATENCY_S = 0.5
-# A pool is under pressure if this many jobs have waited for longer than this. Single
-# jobs also wait in an idle pool, for advice or for a gang's places.
-LATE_S = 2.0
+# A job is late once it has waited for this part of the constant part of its queue's
+# objective, within bounds: a few seconds are no sign of pressure where work is patient,
+# and under 2 s a job may wait for advice or for a change of the placer.
+LATE_FRACTION = 0.5
+MIN_LATE_S, MAX_LATE_S = 2.0, 10.0
+# A pool is under pressure with this many late jobs: single ones are late in an idle
+# pool as well, for a label or for a gang's places.
 MIN_LATE_JOBS = 5
-# Jobs of one team may all wait for that team's cap, so those of a single other team do
-# not show that the pool is busy.
-MIN_OTHER_TEAMS = 2
 # Rate at which a team of weight 0 may submit under pressure, in jobs per second. No job
 # should wait for longer than 30 s because of shares alone.
 MIN_RATE = 1 / 30
@@ -126,8 +127,11 @@
         return max(0.0, self.used - rate * (now - self.at))
 
     def take(self, rate: float, size: float, now: float) -> None:
-        """Take a token if there is one."""
-        self.used, self.at = min(size, self.used_at(rate, now) + 1), now
+        """Take a token if there is one; a job that finds none takes none later."""
+        used = self.used_at(rate, now)
+        if used + 1 <= size + _TOLERANCE:
+            used += 1
+        self.used, self.at = used, now
 
 
 @dataclass(slots=True)
@@ -274,12 +278,15 @@
         now: float,
         team: str,
     ) -> bool:
-        """Return whether a pool is under pressure as far as a team is concerned."""
+        """Return whether a pool is under pressure as far as a team is concerned.
+
+        Late jobs of one other team do not count, the one with the most of them: they
+        may all wait because that team has reached its cap.
+        """
         by_team = self._late_jobs(pool, table, state, now)
-        if by_team.total() < MIN_LATE_JOBS:
-            return False
-        n_others = len(by_team.keys() - {team})
-        return team in by_team or n_others >= MIN_OTHER_TEAMS
+        n_late = by_team.total()
+        others = [n for name, n in by_team.items() if name != team]
+        return n_late - max(others, default=0) >= MIN_LATE_JOBS
 
     def dump(self, table: QueueTable, now: float) -> dict[str, Any]:
         """Return the state as a JSON-serialisable dict."""
@@ -365,16 +372,22 @@
     def _late_jobs(
         self, pool: str, table: QueueTable, state: IndexState, now: float
     ) -> Counter[str]:
-        """Return the number of jobs by team that have waited for long in a pool."""
-        by_queue = self.load.late(LATE_S + round(state.latency_s, 1), now)
+        """Return the number of late jobs of a pool by team."""
+        bounds_s = {
+            queue.name: _late_after_s(queue) + round(state.latency_s, 1)
+            for queue in table.queues.values()
+        }
         by_team: Counter[str] = Counter()
-        for name, counts in by_queue.items():
-            queue = table.queues.get(name)
-            if queue is not None and queue.pool == pool:
+        for name, counts in self.load.late(bounds_s, now).items():
+            if table.queues[name].pool == pool:
                 by_team.update(counts)
         return by_team
 
 
+def _late_after_s(queue: Queue) -> float:
+    return min(MAX_LATE_S, max(MIN_LATE_S, LATE_FRACTION * queue.target_s))
+
+
 def _rate(team: Team) -> float:
     return max(MIN_RATE, team.weight)
 
--- a/cuminhill/jobs/jobload.py
+++ b/cuminhill/jobs/jobload.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -22,7 +23,7 @@
 # Records of a read after a longer gap count as accepted when the gap began: they came
 # in over that time, not all at once.
 MAX_READ_GAP_S = 1.5
-LATE_CACHE_S = 0.1  # how long the counts of late jobs are reused
+LATE_CACHE_S = 0.25  # how long the counts of late jobs are reused
 
 
 @dataclass(eq=False, slots=True)
@@ -117,7 +118,8 @@
     _open_slot: int = 0
     _read_from: float | None = None
     _late: dict[str, Counter[str]] = field(default_factory=dict)
-    _late_key: tuple[float, float] = (0.0, 0.0)
+    _late_bounds: dict[str, float] = field(default_factory=dict)
+    _late_at: float = -math.inf
 
     def begin_read(self, complete_at: float, now: float) -> None:
         """Note that the records to be folded are all newer than an earlier read.
@@ -174,33 +176,41 @@
         self.begun.clear()
         self.resumed_at = now
 
-    def late(self, bound_s: float, now: float) -> dict[str, Counter[str]]:
+    def late(self, bounds_s: dict[str, float], now: float) -> dict[str, Counter[str]]:
         """Return the number of jobs that wait for longer than a bound.
 
         A wait counts up to the newest record of the placer, since a silent placer says
         nothing about the room in its pools.
 
+        Parameters
+        ----------
+        bounds_s : dict of str to float, seconds
+            Bound of each queue; jobs of other queues are not counted.
+
         Returns
         -------
         late : dict of str to Counter
             Number of jobs by team, by queue.
         """
-        computed_at, computed_for = self._late_key
-        if computed_for == bound_s and 0 <= now - computed_at < LATE_CACHE_S:
+        if self._late_bounds == bounds_s and 0 <= now - self._late_at < LATE_CACHE_S:
             return self._late
-        self._late_key = now, bound_s
-        self._late = {}
-        oldest = self.placer_at - MAX_WAIT_SHOWN_S
-        # An open group gets more jobs, also if it has none now.
-        self._groups = deque(
-            group
-            for group in self._groups
-            if group.read_at >= oldest
-            and (group.n_jobs or self._open.get((group.queue, group.team)) is group)
-        )
+        shortest_s = min(bounds_s.values(), default=0.0)
+        self._late_at, self._late_bounds, self._late = now, bounds_s, {}
+        self._drop_old_groups()
         for group in self._groups:
             waited_s = self.placer_at - max(group.read_at, self.resumed_at)
-            if group.n_jobs and waited_s > bound_s:
+            if waited_s <= shortest_s:
+                break  # the others were read later, or in the same slot
+            if group.n_jobs and waited_s > bounds_s.get(group.queue, math.inf):
                 by_team = self._late.setdefault(group.queue, Counter())
                 by_team[group.team] += group.n_jobs
         return self._late
+
+    def _drop_old_groups(self) -> None:
+        oldest = self.placer_at - MAX_WAIT_SHOWN_S
+        while self._groups:
+            group = self._groups[0]
+            is_open = self._open.get((group.queue, group.team)) is group
+            if is_open or (group.n_jobs and group.read_at >= oldest):
+                break
+            self._groups.popleft()
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -9,7 +9,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, Field
 
 from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
@@ -61,7 +61,7 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
-    max_waiting_s: float = 0.0
+    max_waiting_s: float = Field(0.0, ge=0.0)
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -198,6 +198,24 @@
     assert all(1 <= item <= 30 for item in site.retry_after_s)
 
 
+def test_a_team_gets_its_rate_from_the_begin_of_refusals_on():
+    """Guards against a time without any acceptance for what was accepted before.
+
+    Load: one team of weight 10 at eight times its usual rate for ten seconds on a pool
+    with room, which is busy from then on.
+    """
+    site = Site(starts_per_s=150.0, table=make_team_table(weight=10.0))
+    rates = {team: 5 * rate for team, rate in usual_rates(flood=8.0).items()}
+    site.run(10.0, rates)
+    assert not site.n_refused
+    site.starts_per_s = 5.0
+    while not site.n_refused:
+        site.run(STEP_S, rates)
+    site.mark()
+    site.run(4.0, rates)
+    assert site.accepted[FLOOD] >= 0.8 * 4 * 10
+
+
 def test_a_team_far_above_its_rate_through_one_vm_gets_its_rate():
     """Guards against a share for each VM that starves callers of a single one.
 
@@ -282,18 +300,19 @@
     assert not site.n_refused
 
 
-def test_a_second_without_a_placer_refuses_nothing():
+@pytest.mark.parametrize("silent_s", [1.0, 2.3])
+def test_a_second_without_a_placer_refuses_nothing(silent_s):
     """Guards against waits for a placer that look like a busy pool.
 
-    Load: one team at eight times its usual rate; no placer for a second, then a new
-    term, on a pool with room.
+    Load: one team at eight times its usual rate; no placer for a second or two, then a
+    new term, on a pool with room.
     """
     site = Site()
     rates = usual_rates(flood=8.0)
     for _ in range(3):
         site.run(6.0, rates)
         site.places = False
-        site.run(1.0, rates)
+        site.run(silent_s, rates)
         site.places, site.term = True, site.term + 1
     site.run(3.0, rates)
     assert not site.n_refused
@@ -336,6 +355,23 @@
     assert 5 * WEIGHT <= site.accepted[FLOOD] <= 7 * WEIGHT
 
 
+@pytest.mark.parametrize("age_s", [1.9, 2.1])
+def test_an_index_older_than_2_s_refuses_no_surplus(age_s):
+    """Guards against refusals from an index that is a moment too old.
+
+    Load: a team of weight 2 whose jobs other VMs have accepted, on a busy pool.
+    """
+    site = busy_site()
+    for _ in range(10):
+        site.indexes[0].job_load.note_accepted(FLOOD, site.now)
+    admission, state = site.admissions[0], IndexState(age_s, n_vms=100)
+    job = make_job(team=TABLE.teams[FLOOD])
+    admission.begin_append(job, TABLE, state, site.now)
+    refusal = admission.decide(job, TABLE, state, site.now)
+    is_surplus = refusal is not None and refusal.reason is Reason.SURPLUS
+    assert is_surplus == (age_s <= 2.0)
+
+
 def test_jobs_that_cannot_be_placed_are_no_pressure():
     """Guards against refusals in an idle pool beside jobs that never begin.
 
@@ -357,9 +393,13 @@
 def test_waits_of_one_other_team_are_no_pressure():
     """Guards against refusals in an idle pool beside a team that has reached its cap.
 
-    Load: 30 jobs of one team wait; another one submits eight times its usual rate.
+    Load: 30 jobs of one team wait, and four of others; another one submits eight times
+    its usual rate.
     """
     site = Site()
+    for number in range(4):
+        job = make_job(job_id=f"few{number}", team=TABLE.teams[f"team{2 + number}"])
+        site.store(JOB_PREFIX + job.job_id, encode_job(job))
     for number in range(30):
         job = make_job(job_id=f"capped{number}", team=TABLE.teams["team1"])
         site.store(JOB_PREFIX + job.job_id, encode_job(job))
@@ -368,6 +408,20 @@
     assert {team for team, _ in site.refused} <= {"team1"}
 
 
+def test_a_few_seconds_are_no_pressure_where_work_is_patient():
+    """Guards against refusals under normal load, where patient jobs wait for seconds.
+
+    Load: all teams as usual on a pool that is 3 s behind, one at eight times its rate.
+    """
+    patient = make_queue(target_s=20.0, priority=1)
+    site = Site(starts_per_s=20.0, table=make_team_table(patient))
+    site.run(1.0, dict.fromkeys(usual_rates(), 4.0))
+    site.run(1.0, usual_rates())
+    site.mark()
+    site.run(3.0, usual_rates(flood=8.0))
+    assert not site.n_refused
+
+
 @pytest.mark.parametrize("kind", ["scheduled", "fills"])
 def test_jobs_that_wait_by_themselves_are_no_pressure(kind):
     """Guards against refusals because of jobs that do not start at once by design."""
@@ -486,7 +540,7 @@
     assert len(load._groups) <= MAX_GROUPS
     assert sum(len(slots) for slots in load.accepted._slots.values()) <= 100
     assert load.n_waiting.total() == 20_000
-    load.late(2.0, 3600.0)
+    load.late({}, 3600.0)
     assert len(load._groups) <= 200
 
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -4,16 +4,17 @@
 
 import curio
 import pytest
+from structlog.testing import capture_logs
 
 from cuminhill.clock import boottime
 from cuminhill.errors import FencedError, UnavailableError, UnknownOutcomeError
-from cuminhill.jobs.admission import Admission, Reason, Refusal
+from cuminhill.jobs.admission import CEASE_S, Admission, Reason, Refusal
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
 from cuminhill.jobs.logreader import LogFollower
-from cuminhill.jobs.model import Outcome
-from cuminhill.jobs.records import JOB_PREFIX, encode_job
-from cuminhill.jobs.service import JobService
+from cuminhill.jobs.model import Outcome, Team
+from cuminhill.jobs.records import JOB_PREFIX, encode_job, task_need
+from cuminhill.jobs.service import REFUSAL_READ_INTERVAL_S, JobService
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
 from .builders import JOB_ID, make_job
@@ -220,7 +221,7 @@
 def test_refusals_share_reads_of_the_journal():
     """Guards against a read of the journal for each job of a team beyond its weight.
 
-    Load: 50 such jobs at once, and 50 more during the read.
+    Load: 100 such jobs, one every 4 ms.
     """
 
     async def scenario():
@@ -233,13 +234,37 @@
             return await end(timeout_s)
 
         view.end = count
-        tasks = []
+        tasks, begun_at = [], boottime()
         for number in range(100):
             job = make_job(job_id=f"{number:016x}")
             tasks.append(await curio.spawn(service.submit, job, 2.0))
-            if number == 49:
-                await curio.sleep(0.02)
+            await curio.sleep(0.004)
         assert [await task.join() for task in tasks] == [Outcome.REFUSED] * 100
-        assert n_reads <= 4
+        assert n_reads <= 2 + (boottime() - begun_at) / REFUSAL_READ_INTERVAL_S
 
     curio.run(scenario)
+
+
+def test_refusals_are_logged_by_their_begin_and_end():
+    """Guards against a log line for each refusal, and an end that is not logged.
+
+    Load: 20 jobs of a team beyond its weight, then none.
+    """
+
+    async def scenario():
+        service, _ = await make_refusing_service(MemoryLog())
+        team = Team("t", 1.0, task_need(0.0, 0.0, 0.0))
+        for number in range(20):
+            job = make_job(job_id=f"{number:016x}", team=team)
+            service.admission.note_refusal(job, service._decide(job), boottime())
+            service.log_refusals(boottime())
+        service.log_refusals(boottime() + 2 * CEASE_S)
+
+    with capture_logs() as lines:
+        curio.run(scenario)
+    lines = [line for line in lines if line["event"].startswith("refus")]
+    assert [(line["event"], line["team"]) for line in lines] == [
+        ("refusals begin", "t"),
+        ("refusals ceased", "t"),
+    ]
+    assert lines[1]["refused"] == 20
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -139,7 +139,7 @@
         service.submit = lambda job, wait_s: submit(replace(job, team=team), wait_s)
         decide = service._decide
         service._decide = lambda job: decide(replace(job, team=team))
-        node.job_index.job_load.late = lambda bound_s, now: {
+        node.job_index.job_load.late = lambda bounds_s, now: {
             "q": Counter({"a": 5, "b": 5})
         }
         ids = [f"{number:016x}" for number in range(10)]
