--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -16,6 +16,7 @@
 from ..rpc import RpcLimits, RpcServer
 from ..util.http_client import byte_counts
 from ..util.receiving import ReceiveBudget
+from .admission import Admission
 from .advice import adviser_states
 from .decisions import longest_waits
 from .election import (
@@ -111,6 +112,9 @@
         Bounds of the calls between VMs.
     budget : ReceiveBudget or None
         Memory for unfinished requests at all listeners of the process; None: unbounded.
+    max_wait_factor : float
+        New jobs whose estimated wait is longer than this multiple of their objective
+        are refused; 0 refuses none for that reason.
     """
 
     vm: str
@@ -121,6 +125,7 @@
     started_at: float | None = None
     rpc_limits: RpcLimits = field(default_factory=RpcLimits)
     budget: ReceiveBudget | None = None
+    max_wait_factor: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,6 +238,8 @@
             self.peers.append,
             self._find_queue,
             self.metrics,
+            admission=Admission(self.job_index.job_load, options.max_wait_factor),
+            find_table=lambda: self.table,
         )
         self.election = Election(
             options.vm,
@@ -296,8 +303,11 @@
         if snapshot:
             self.job_index.fold_snapshot(records, now)
         else:
+            self.job_index.job_load.begin_read(self.journal.read_at, now)
             for record in records:
                 self.job_index.fold(record, now)
+            self.job_index.job_load.end_read()
+        self.service.log_refusals(now)
         self.peers.members = self.job_index.members
         self.election.observe(
             self.job_index.leader_record, self.job_index.n_placer_records, now
@@ -765,6 +775,7 @@
             },
             "workers": len(self.workers),
             "callers": dict(self.service.counts),
+            "admission": self.service.admission.dump(self.table, now),
             "bad": {
                 "records": self.job_index.n_bad_records,
                 "registrations": self.n_bad_registrations,
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -29,6 +29,20 @@
         "Time from a submission to its answer, in seconds.",
         ("outcome",),
     ),
+    Metric(
+        "refused_total",
+        COUNTER,
+        "Jobs refused by reason and team.",
+        ("reason", "team"),
+        "admission.refused.*.*",
+    ),
+    Metric(
+        "estimated_wait_seconds",
+        GAUGE,
+        "Estimated wait of a new job until it begins, in seconds.",
+        ("queue",),
+        "admission.estimated_wait_s.*",
+    ),
     Metric("jobs", GAUGE, "Jobs in the journal by state.", ("state",), "jobs.*"),
     Metric(
         "team_jobs",
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -9,7 +9,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from pydantic import BaseModel, ConfigDict, field_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator
 
 from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
@@ -84,6 +84,7 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
+    max_wait_factor: float = Field(0.0, ge=0.0)
     memory_mb: float = DEFAULT_MEMORY_MB
     receive_budget_mb: float = 0.0
 
@@ -162,6 +163,7 @@
         started_at=PROCESS_STARTED_AT,
         rpc_limits=RPC_LIMITS,
         budget=make_budget(cfg),
+        max_wait_factor=cfg.max_wait_factor,
     )
     return JobNode(options, backends, rng)
 
