--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import replace
 
 import orjson
 import pytest
-from jobs.builders import make_queue
+from jobs.builders import make_queue, make_table
 from jobs.conftest import Cluster
 
-from cuminhill.jobs.model import JobState, Team
-from cuminhill.jobs.records import task_need
+from cuminhill.jobs.model import JobState
 from cuminhill.platform.jobapi import (
     DEADLINE_FRACTION,
     DEFAULT_DEADLINE_MS,
@@ -42,6 +40,9 @@
     return HttpRequest(method, path, {}, names, body, "caller")
 
 
+KEYS = ("a-key",)
+
+
 async def start_job_api(cluster):
     node = await cluster.start_node("a")
     await cluster.wait_for(lambda: node.is_ready() and cluster.leader())
@@ -132,19 +133,19 @@
     async def scenario():
         api = await start_job_api(cluster)
         cluster.needs["payload"] = make_need()
-        node, service = api.node, api.node.service
-        team = Team("t", 1.0, task_need(0.0, 0.0, 0.0))
-        node.table = replace(node.table, teams={"t": team})
-        submit = service.submit
-        service.submit = lambda job, wait_s: submit(replace(job, team=team), wait_s)
-        decide = service._decide
-        service._decide = lambda job: decide(replace(job, team=team))
+        node = api.node
+        node.table = make_table(
+            *node.table.queues.values(), version=node.table.version, teams={"t": KEYS}
+        )
         node.job_index.job_load.late = lambda bounds_s, now: {
             "q": Counter({"a": 5, "b": 5})
         }
         ids = [f"{number:016x}" for number in range(10)]
         responses = [
-            await api.handle(request("POST", f"/q/{job_id}", BODY)) for job_id in ids
+            await api.handle(
+                request("POST", f"/q/{job_id}", BODY, authorization="Bearer a-key")
+            )
+            for job_id in ids
         ]
         statuses = Counter(response.status for response in responses)
         assert set(statuses) == {200, 429}
