Accept caps with a fraction

A cap that is computed as a share of a pool may not be a whole number, and one such number would have made the whole configuration unusable. Bounds and the refusal of other types stay.

--- a/cuminhill/platform/wire.py
+++ b/cuminhill/platform/wire.py
@@ -223,11 +223,15 @@
     public: bool = False
 
 
+# Also one with a fraction: a cap may be computed as a share of a pool.
+_CapAmount = Annotated[float, Field(ge=0, le=MAX_INTEGER)]
+
+
 class _CapBody(Message):
     # Of a team's runs over all workers; 0 is no limit.
-    cpu: _Number = 0  # millicores
-    mem_mb: _Number = 0
-    gpu: _Number = 0
+    cpu: _CapAmount = 0.0  # millicores
+    mem_mb: _CapAmount = 0.0
+    gpu: _CapAmount = 0.0
 
 
 # A header can carry no other characters.
@@ -304,9 +308,7 @@
                 f"tenants.{number}.name: repeated", step="config", peer="op/config"
             )
         cap = task_need(
-            item.cap.cpu / MILLICORES_PER_CORE,
-            float(item.cap.mem_mb),
-            float(item.cap.gpu),
+            item.cap.cpu / MILLICORES_PER_CORE, item.cap.mem_mb, item.cap.gpu
         )
         teams[item.name] = Team(item.name, item.weight, cap)
     try:
