Keep a part of a team's cap for a gang that waits

A gang behind a steady stream of its team's small steps never started: they used what became free of the cap in each decision, and places reserved for the gang were given up when they did. A gang that has waited over 5 s has its part of the cap kept now.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -154,6 +154,8 @@
             continue
         for step_run in progress.ready_steps(wall):
             n_tasks = progress.n_startable(step_run)
+            if step_run.step.gang and n_tasks:
+                placer.team_usage.keep_part(placer, step_run, wall)
             if not placer.team_usage.limit(placer, step_run, n_tasks):
                 continue
             run_times = placer.run_times(progress, step_run.occurrence)
@@ -161,6 +163,8 @@
             if moving and step_run.name in moving:
                 key = (Rank.MOVING, *key[1:])
             rows.append((key, step_run, queue, run_times))
+    if placer.team_usage.kept:  # some came before the gang
+        rows = [row for row in rows if _n_startable(placer, row[1])]
     if placer.shares.buckets:
         rows = placer.shares.order(placer, rows, _busy_pools(placer), wall)
     else:
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -13,20 +13,24 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from ..model import NO_RESOURCES
+from ..model import NO_RESOURCES, Resources
 from .model import JobState
 from .waits import TeamCounts, WaitCause, WaitReason
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from ..model import Resources
     from .fleet import Slot
     from .model import TaskKey, Team
     from .placer import Placer
     from .progress import Progress, StepRun
 
 UNLIMITED = 1 << 30  # tasks; more than all steps have
+# After this time since its job was accepted, a gang that waits has its part of the cap
+# kept for it: the smaller steps of its team would fill what becomes free.
+GANG_WAIT_S = 5.0
+# A team that uses less than this fraction of its cap is never held back for a gang.
+FREE_FRACTION = 0.5
 # Tolerance for the rounding of sums, as a fraction of a cap.
 ROUNDING = 1e-9
 
@@ -50,6 +54,24 @@
 NOTHING = TeamAmounts()
 
 
+class KeptPart(NamedTuple):
+    """Part of a team's cap that is kept for a gang.
+
+    Parameters
+    ----------
+    since : float, seconds
+        Wall-clock time at which the job of the gang was accepted or became due.
+    step : str
+        Name of the step.
+    cap : Resources
+        What the other steps of the team may use together.
+    """
+
+    since: float
+    step: str
+    cap: Resources
+
+
 @dataclass(eq=False, slots=True)
 class TeamUsage:
     """Usage of all teams in one decision.
@@ -61,9 +83,12 @@
     moving : dict
         Tasks that were stopped to be moved and have not started again; they keep their
         part of the cap.
+    kept : dict of str to KeptPart
+        What is kept for gangs, by team: for the one that has waited for longest.
     """
 
     moving: dict[TaskKey, Resources] = field(default_factory=dict)
+    kept: dict[str, KeptPart] = field(default_factory=dict)
     # Amounts in the order of `TeamAmounts`, by pool and team; lists, since building
     # thousands of tuples takes as long as the sums.
     _pools: defaultdict[str, dict[str, list[float]]] | None = None
@@ -84,7 +109,46 @@
         used = self.used_for(placer, step_run)
         if freed is not NOTHING:
             used = TeamAmounts(*(a - b for a, b in zip(used, freed, strict=True)))
-        return _n_within(cap, used, step_run.step.need)
+        step, n_tasks = step_run.step, _n_within(cap, used, step_run.step.need)
+        kept = self._kept_from(step_run)
+        if kept is None:
+            return n_tasks
+        n_least = min(n_tasks, step.n_tasks if step.gang else 1)
+        if not _is_below(FREE_FRACTION, cap, used):
+            n_least = 0
+        return max(n_least, min(n_tasks, _n_within(kept.cap, used, step.need)))
+
+    def _kept_from(self, step_run: StepRun) -> KeptPart | None:
+        """Return what a step leaves to a gang of its team."""
+        team = step_run.job.team
+        kept = self.kept.get(team.name) if self.kept and team is not None else None
+        return None if kept is None or kept.step == step_run.name else kept
+
+    def keep_part(self, placer: Placer, step_run: StepRun, wall: float) -> None:
+        """Keep a part of the cap for a gang that has waited for long.
+
+        Parameters
+        ----------
+        wall : float, seconds
+            Current wall-clock time.
+        """
+        job, step = step_run.job, step_run.step
+        cap = _cap_of(placer, step_run)
+        since = max(job.accepted_at, job.due_at(step_run.occurrence))
+        if cap is None or job.team is None or wall - since < GANG_WAIT_S:
+            return
+        if _n_within(cap, NOTHING, step.need) < step.n_tasks:
+            return  # it never starts
+        earlier = self.kept.get(job.team.name)
+        if earlier is not None and earlier[:2] <= (since, step_run.name):
+            return
+        need = NOTHING.plus(step.need, step.n_tasks)
+        left = Resources(
+            max(FREE_FRACTION * cap.cores, cap.cores - need.cores),
+            max(FREE_FRACTION * cap.memory_mb, cap.memory_mb - need.memory_mb),
+            max(FREE_FRACTION * cap.accelerators, cap.accelerators - need.accelerators),
+        )
+        self.kept[job.team.name] = KeptPart(since, step_run.name, left)
 
     def limit(
         self,
@@ -247,6 +311,18 @@
     return n_tasks
 
 
+def _is_below(fraction: float, cap: Resources, used: TeamAmounts) -> bool:
+    """Return whether each usage is below a fraction of its cap."""
+    return all(
+        limit <= 0 or taken < fraction * limit
+        for limit, taken in (
+            (cap.cores, used.cores),
+            (cap.memory_mb, used.memory_mb),
+            (cap.accelerators, used.accelerators),
+        )
+    )
+
+
 def _add(sums: dict[str, list[float]], team: str, need: Resources) -> None:
     row = sums.get(team)
     if row is None:
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -631,3 +632,69 @@
     for name, pick in ops:
         getattr(site, name)(pick)
     assert site.finish() == []
+
+
+def play_stream(gang_cores, seconds=20):
+    """Have a team submit small steps all the time, and a gang.
+
+    Returns
+    -------
+    started_s : float, seconds
+        When the gang started; infinite if it did not.
+    least : float
+        Least usage of the team while it had steps waiting, from the third second on.
+    """
+    team = make_team(cores=16.0)
+    placer = capped_placer(team, n_workers=2)
+    gang = make_step(4, cores=gang_cores / 4, gang=True)
+    submit(placer, make_job(gang, job_id="f" * 16, team=team))
+    ends, numbers, least = [], {"w1": 0, "w2": 0}, 16.0
+    submit(placer, make_job(make_step(13, run_time_s=1.0), job_id="e" * 16, team=team))
+    for tick in range(10 * seconds):
+        now = NOW + tick / 10
+        job_id = f"{tick:016x}"
+        small = make_step(2, run_time_s=1.0)
+        job = make_job(small, job_id=job_id, team=team, accepted_at=WALL + tick / 10)
+        submit(placer, job, now)
+        for name, n_ended in numbers.items():
+            rows = []
+            for row in [row for until, row in ends if until <= now]:
+                if row.worker_id == name:
+                    rows.append(ended_row(row, n_ended + len(rows) + 1))
+            numbers[name] += len(rows)
+            running = [r for until, r in ends if until > now and r.worker_id == name]
+            answer_renewal(
+                placer,
+                name,
+                now,
+                running=tuple(running_row(row, 50.0) for row in running),
+                ended=tuple(rows),
+            )
+        ends = [item for item in ends if item[0] > now]
+        placed = start(placer, now)
+        if any(row.key.job_id == "f" * 16 for row in placed):
+            return tick / 10, least
+        ends += [(now + 0.95 + 0.01 * (tick % 10), row) for row in placed]
+        if tick > 30:
+            least = min(least, placer.team_usage.used(placer, "t").cores)
+    return math.inf, least
+
+
+# Guards against a gang that never starts because the small steps of its team fill what
+# becomes free of the cap, and against a team that is held back below half of its cap.
+@pytest.mark.parametrize("gang_cores", [4.0, 8.0, 12.0])
+def test_a_gang_starts_beside_a_stream_of_small_steps(gang_cores, monkeypatch):
+    # The order alone would place the gang, which is the oldest, as soon as it may.
+    monkeypatch.setattr(
+        decisions,
+        "order_key",
+        lambda step_run, *_: (
+            decisions.Rank.PATIENT,
+            step_run.step.gang,
+            step_run.job.accepted_at,
+            step_run.name,
+        ),
+    )
+    started_s, least = play_stream(gang_cores)
+    assert least >= 8.0
+    assert (started_s < 10.0) == (gang_cores <= 8.0)
