Test a team's cap across a change of the placer in a cluster

The property test drives the placer alone. This one runs two nodes with stand-in workers and kills the placer while the team is at its cap.

--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -13,11 +13,12 @@
 from cuminhill.jobs import decisions
 from cuminhill.jobs.decisions import longest_waits
 from cuminhill.jobs.evacuation import HOLD_S
-from cuminhill.jobs.model import AdviceTerms, EndKind, Team
+from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, Team
 from cuminhill.jobs.placer import Placer
 from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.jobs.records import task_need
 from cuminhill.model import Resources
+from cuminhill.util.kernel import run_to_end
 
 from .builders import (
     BEGUN_AT,
@@ -698,3 +699,47 @@
     started_s, least = play_stream(gang_cores)
     assert least >= 8.0
     assert (started_s < 10.0) == (gang_cores <= 8.0)
+
+
+def most_at_a_time(history):
+    """Return the most runs that were present at a time."""
+    times = [(item.begun_at, 1) for item in history]
+    times += [(item.ended_at or math.inf, -1) for item in history]
+    n_runs = most = 0
+    for _, change in sorted(times):
+        n_runs += change
+        most = max(most, n_runs)
+    return most
+
+
+# Guards against a team that exceeds its cap on real messages, between the decision on a
+# start and its end, or while another placer takes over, and against a new placer that
+# does not count the jobs that have ended against the team's rate.
+def test_a_change_of_the_placer_keeps_a_team_within_its_cap(cluster):
+    team = make_team(cores=3.0, weight=2.0)
+    cluster.tables[0] = replace(cluster.tables[0], teams={team.name: team})
+    jobs = [make_job(make_step(4), job_id=f"{n:016x}", team=team) for n in range(4)]
+
+    def has_ended(job):
+        node = cluster.leader()
+        return node and cluster.state(node, job.job_id) is JobState.COMPLETED
+
+    async def scenario():
+        for vm in ("vm0", "vm1"):
+            await cluster.start_node(vm)
+        await cluster.wait_for(cluster.leader)
+        first = cluster.leader()
+        for job in jobs:
+            await cluster.submit(first, job)
+        await cluster.wait_for(lambda: has_ended(jobs[0]))
+        vm = next(vm for vm, node in cluster.nodes.items() if node is first)
+        await cluster.kill_node(vm)
+        await cluster.wait_for(cluster.leader)
+        bucket = cluster.leader().leadership.placer.shares.buckets["t"]
+        assert {job_id for _, job_id in bucket.times} == {job.job_id for job in jobs}
+        await cluster.wait_for(lambda: all(map(has_ended, jobs)), 30.0)
+        history = cluster.workers.history()
+        assert len({item.key for item in history}) == 16
+        assert most_at_a_time(history) == 3
+
+    run_to_end(scenario)
