--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -154,9 +154,11 @@
             continue
         for step_run in progress.ready_steps(wall):
             n_tasks = progress.n_startable(step_run)
-            if step_run.step.gang and n_tasks:
-                placer.team_usage.keep_part(placer, step_run, wall)
-            if not placer.team_usage.limit(placer, step_run, n_tasks):
+            if n_tasks and progress.job.team is not None:
+                if step_run.step.gang:
+                    placer.team_usage.keep_part(placer, step_run, wall)
+                n_tasks = placer.team_usage.limit(placer, step_run, n_tasks)
+            if not n_tasks:
                 continue
             run_times = placer.run_times(progress, step_run.occurrence)
             key = order_key(step_run, queue, wall, run_times)
@@ -239,13 +241,13 @@
     busy = _busy_pools(placer)
     patient = False
     explained = _steps_to_explain(waiting, now)
-    for step_run, queue, run_times in _still_admitted(placer, waiting, now):
+    admitted = _still_admitted(placer, waiting, now)
+    for step_run, queue, run_times, n_startable in admitted:
         restarts = _is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
             if placements:  # they may use room that was kept
                 hold_room(placer, waiting, pools, now)
-        n_startable = _n_startable(placer, step_run)
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         idle = queue.pool not in busy and _waits_idle(placer, step_run, wall)
@@ -325,14 +327,16 @@
 
 def _still_admitted(
     placer: Placer, waiting: Iterable[tuple[StepRun, Queue, list[float]]], now: float
-) -> Iterator[tuple[StepRun, Queue, list[float]]]:
+) -> Iterator[tuple[StepRun, Queue, list[float], int]]:
     """Yield the steps that the caps of their teams admit when it is their turn.
 
-    The placements of a decision may take a team to its cap.
+    Each comes with the number of its tasks that may start. The placements of a decision
+    may take a team to its cap.
     """
     for row in waiting:
-        if _n_startable(placer, row[0]):
-            yield row
+        n_tasks = _n_startable(placer, row[0])
+        if n_tasks:
+            yield *row, n_tasks
         else:
             row[0].wait.since = row[0].wait.since or now
 
