Keep no part of a cap for a gang that waits for something else

A gang that the cap admits but that finds no worker, for its label or its size, had its part kept for as long as it waited, and the team's other steps could not use it. The part is kept now while the gang waits for the cap, by its usage or the wait that was explained last, or has reserved places, and not for a surplus gang. Keeping it only while the usage does not admit the gang was ruled out: in the test with a stream of small steps these were placed first as soon as it did, and the gang did not start.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -155,7 +155,7 @@
         for step_run in progress.ready_steps(wall):
             n_tasks = progress.n_startable(step_run)
             if n_tasks and progress.job.team is not None:
-                if step_run.step.gang:
+                if step_run.step.gang and n_tasks == step_run.step.n_tasks:
                     placer.team_usage.keep_part(placer, step_run, wall)
                 n_tasks = placer.team_usage.limit(placer, step_run, n_tasks)
             if not n_tasks:
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -30,7 +30,7 @@
 # kept for it: the smaller steps of its team would fill what becomes free.
 GANG_WAIT_S = 5.0
 # A team that uses less than this fraction of its cap is never held back for a gang.
-FREE_FRACTION = 0.5
+OPEN_FRACTION = 0.5
 # Tolerance for the rounding of sums, as a fraction of a cap.
 ROUNDING = 1e-9
 
@@ -101,7 +101,7 @@
         Parameters
         ----------
         freed : TeamAmounts, optional
-            TeamAmounts that the team will no longer use when the tasks start.
+            Amounts that the team will no longer use when the tasks start.
         """
         cap = _cap_of(placer, step_run)
         if cap is None:
@@ -114,7 +114,7 @@
         if kept is None:
             return n_tasks
         n_least = min(n_tasks, step.n_tasks if step.gang else 1)
-        if not _is_below(FREE_FRACTION, cap, used):
+        if not _is_below(OPEN_FRACTION, cap, used):
             n_least = 0
         return max(n_least, min(n_tasks, _n_within(kept.cap, used, step.need)))
 
@@ -127,6 +127,9 @@
     def keep_part(self, placer: Placer, step_run: StepRun, wall: float) -> None:
         """Keep a part of the cap for a gang that has waited for long.
 
+        None is kept for a gang that waits for something else: the cap admits it, its
+        wait was last explained otherwise, and no places are reserved for it either.
+
         Parameters
         ----------
         wall : float, seconds
@@ -139,14 +142,22 @@
             return
         if _n_within(cap, NOTHING, step.need) < step.n_tasks:
             return  # it never starts
+        cause = step_run.wait.cause
+        waits_for_cap = cause is not None and cause.reason is WaitReason.TEAM_CAP
+        if not waits_for_cap and step_run.name not in placer.reservations:
+            used = self.used_for(placer, step_run)
+            if _n_within(cap, used, step.need) >= step.n_tasks:
+                return
+        if placer.shares.is_surplus(placer, job, wall):
+            return
         earlier = self.kept.get(job.team.name)
         if earlier is not None and earlier[:2] <= (since, step_run.name):
             return
         need = NOTHING.plus(step.need, step.n_tasks)
         left = Resources(
-            max(FREE_FRACTION * cap.cores, cap.cores - need.cores),
-            max(FREE_FRACTION * cap.memory_mb, cap.memory_mb - need.memory_mb),
-            max(FREE_FRACTION * cap.accelerators, cap.accelerators - need.accelerators),
+            max(OPEN_FRACTION * cap.cores, cap.cores - need.cores),
+            max(OPEN_FRACTION * cap.memory_mb, cap.memory_mb - need.memory_mb),
+            max(OPEN_FRACTION * cap.accelerators, cap.accelerators - need.accelerators),
         )
         self.kept[job.team.name] = KeptPart(since, step_run.name, left)
 
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -701,6 +701,17 @@
     assert (started_s < 10.0) == (gang_cores <= 8.0)
 
 
+# Guards against a team that is held back for a gang which can't be placed anyway.
+def test_no_part_of_the_cap_is_kept_for_a_gang_that_waits_for_something_else():
+    team = make_team(cores=8.0)
+    placer = capped_placer(team)
+    gang = make_step(4, gang=True, required_label="none")
+    submit(placer, make_job(gang, job_id="f" * 16, team=team))
+    submit(placer, make_job(make_step(12), job_id="a" * 16, team=team))
+    placed, _ = placer.decide(NOW + 6, WALL + 6)
+    assert len(placed) == 8
+
+
 def most_at_a_time(history):
     """Return the most runs that were present at a time."""
     times = [(item.begun_at, 1) for item in history]
