Ignore acceptances that a team's bucket has summed up already

A new term notes all jobs of its index and then those that it takes in. A live job older than the history was noted a second time after it had been summed up, took another token, and could make a job of a team of low weight surplus.

Measured: the new test fails without the change; 19 tests of shares pass.

--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -60,13 +60,15 @@
     _known: set[str] = field(default_factory=set)
     _rate: float = 0.0
     _stale: bool = True
+    # Time before which all acceptances are summed up.
+    _since: float = -math.inf
     # Level and time before the first of `times`, and after the last.
     _first: tuple[float, float] = (math.inf, -math.inf)
     _last: tuple[float, float] = (math.inf, -math.inf)
 
     def note(self, job_id: str, accepted_at: float) -> None:
         """Note that a job was accepted."""
-        if job_id in self._known:
+        if job_id in self._known or accepted_at < self._since:
             return
         self._known.add(job_id)
         row = (accepted_at, job_id)
@@ -106,6 +108,7 @@
 
     def _forget(self, before: float) -> None:
         """Sum up the acceptances before a time."""
+        self._since = before
         n_old = next(i for i, row in enumerate(self.times) if row[0] >= before)
         old, self.times = self.times[:n_old], self.times[n_old:]
         if self._rate:
--- a/tests/jobs/test_team_shares.py
+++ b/tests/jobs/test_team_shares.py
@@ -143,6 +143,18 @@
     assert n_surplus == pytest.approx(9_000, abs=3)
 
 
+# Guards against a long-running job that takes a second token when a new term takes it
+# in after it has read the whole journal: a team of low weight lacks it for minutes.
+def test_an_old_acceptance_that_is_noted_again_takes_no_token():
+    bucket = Bucket()
+    bucket.note("lasting", 0.0)
+    bucket.note("recent", 1000.0)
+    bucket.note("lasting", 0.0)
+    assert bucket.has_surplus("recent", 0.0005) is False
+    bucket.note("next", 1000.5)
+    assert bucket.has_surplus("next", 0.0005) is True
+
+
 # Guards against jobs that stop to be surplus when the placer changes.
 def test_a_new_placer_arrives_at_the_same_surplus():
     first = make_placer()
