--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -10,6 +10,7 @@
 from jobs.conftest import Cluster
 
 from cuminhill.jobs.model import JobState
+from cuminhill.jobs.records import task_need
 from cuminhill.platform.jobapi import (
     DEADLINE_FRACTION,
     DEFAULT_DEADLINE_MS,
