--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -141,11 +141,10 @@
         node.job_index.job_load.late = lambda bounds_s, now: {
             "q": Counter({"a": 5, "b": 5})
         }
+        authorized = {"authorization": "Bearer a-key"}
         ids = [f"{number:016x}" for number in range(10)]
         responses = [
-            await api.handle(
-                request("POST", f"/q/{job_id}", BODY, authorization="Bearer a-key")
-            )
+            await api.handle(request("POST", f"/q/{job_id}", BODY, **authorized))
             for job_id in ids
         ]
         statuses = Counter(response.status for response in responses)
@@ -159,7 +158,7 @@
                 assert name == "retry-after"
                 assert int(value) >= 1
         # A repeated submission of an accepted job is not refused.
-        repeated = await api.handle(request("POST", f"/q/{ids[0]}", BODY))
+        repeated = await api.handle(request("POST", f"/q/{ids[0]}", BODY, **authorized))
         assert repeated.status == 200
         dump = node.dump()["admission"]
         assert dump["refused"] == {"surplus": {"t": statuses[429]}}
