Give a request's memory back before its response is sent

A caller that does not take its response kept the request's body and its part of the share for requests in handling for up to 10 s, so that others were refused; a refused request kept the parser's buffer meanwhile.

Change: the share and the request are released once the handler has returned, the body's buffer before a refusal is sent.

--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -305,14 +305,15 @@
         await self.listener.close_all()
 
     async def _serve(self, conn: Connection) -> None:
-        h11_conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        exchange = _Exchange(
+            conn,
+            h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES),
+            Holding(conn),
         )
-        exchange = _Exchange(conn, h11_conn, Holding(conn))
         try:
             while await self._serve_request(exchange):
-                h11_conn.start_next_cycle()
-                if h11_conn.trailing_data[0]:
+                exchange.h11_conn.start_next_cycle()
+                if exchange.h11_conn.trailing_data[0]:
                     # Lets other tasks run between pipelined requests.
                     await self.budget.take_turn()
         except curio.TaskTimeout:
@@ -332,22 +333,16 @@
         if req is None or exchange.conn not in self.listener.conns:
             return False  # being closed in favor of a new connection
         self.counters.n_requests += 1
-        # Without a body, such as a look-up, there is nothing to bound.
-        n_admitted = self._share.admit(len(req.body)) if req.body else 0
         self.n_busy += 1
         self.listener.mark_busy(exchange.conn)
         try:
-            if n_admitted or not req.body:
-                response = await self._handle(req)
-            else:
-                self.budget.counts["busy"] += 1
-                response = _busy_response()
+            response = await self._admit_and_handle(req)
+            del req  # not needed while a caller that reads slowly takes the response
             if response is None:
                 return False
             await self._send(exchange, response, self._closing)
         finally:
             self.n_busy -= 1
-            self._share.release(n_admitted)
             self.listener.mark_idle(exchange.conn)
         states = {exchange.h11_conn.our_state, exchange.h11_conn.their_state}
         return not self._closing and states == {h11.DONE}
@@ -389,6 +384,18 @@
             counters.n_bad_requests += 1
             return _Rejection(exc.error_status_hint, str(exc))
 
+    async def _admit_and_handle(self, req: HttpRequest) -> HttpResponse | None:
+        if not req.body:  # such as a look-up; there is nothing to bound
+            return await self._handle(req)
+        n_admitted = self._share.admit(len(req.body))
+        if not n_admitted:
+            self.budget.counts["busy"] += 1
+            return _busy_response()
+        try:
+            return await self._handle(req)
+        finally:
+            self._share.release(n_admitted)
+
     async def _handle(self, req: HttpRequest) -> HttpResponse | None:
         try:
             return await self.handler(req)
@@ -404,10 +411,10 @@
         if exchange.h11_conn.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         response = HttpResponse(status, {"error": message, "step": "read"})
-        await self._send(exchange, response, True)
         # Nothing more is parsed: what has arrived need not be kept.
-        exchange.h11_conn = h11.Connection(h11.SERVER)
         exchange.holding.buffer = bytearray()
+        await self._send(exchange, response, True)
+        exchange.h11_conn = h11.Connection(h11.SERVER)
         self.budget.release(exchange.holding)
         await self._linger(exchange.conn.sock)
 
--- a/cuminhill/util/receiving.py
+++ b/cuminhill/util/receiving.py
@@ -176,6 +176,8 @@
         for holding in order:
             if self.used_bytes <= KEPT_FRACTION * self.limit_bytes:
                 break
+            if holding not in self._holdings:
+                continue  # complete meanwhile
             holding.revoked = True
             holding.buffer.clear()
             self.release(holding)
