Test that peers' calls are bounded in bytes and in number

Guards against calls that pile up behind a slow handler, and against a refusal that the caller takes for an unknown outcome.

--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -14,6 +14,7 @@
 
 from cuminhill import rpc
 from cuminhill.errors import ProtocolError, UnavailableError, UnknownOutcomeError
+from cuminhill.frames import MAX_CALLS_WHEN_BUSY
 from cuminhill.rpc import RpcClient, RpcLimits, RpcServer, decode, encode, idl
 from cuminhill.util.kernel import run_to_end
 from cuminhill.util.listener import Listener
@@ -38,6 +39,7 @@
 
 
 LOOKUP = frame("lookup", encode(idl.LookupCall("r", 0.0)))
+LARGE_HELD_CALL = frame("lookup", encode(idl.LookupCall("hold" + "x" * 3000, 0.0)))
 
 
 class Handlers:
@@ -53,7 +55,7 @@
         self.n_running += 1
         self.max_running = max(self.max_running, self.n_running)
         try:
-            if call.request_id == "hold":
+            if call.request_id.startswith("hold"):
                 await self.release.wait()
             if call.request_id == "error":
                 raise KeyError("bug")
@@ -287,6 +289,42 @@
     assert handlers.max_running == LIMITS.max_calls
 
 
+# Guards against large calls that pile up behind a slow handler, and against a refusal
+# that the caller takes for an unknown outcome. Small calls, such as pings, are served.
+@with_server()
+async def test_large_calls_beyond_the_share_are_refused_without_effect(
+    server, handlers
+):
+    server.budget.share("peers").limit_bytes = 10_000
+    client = RpcClient(f"{HOST}:{server.port}", limits=LIMITS)
+    task = await curio.spawn(exchange, server, LARGE_HELD_CALL)
+    while not handlers.n_running:
+        await curio.sleep(0.01)
+    with pytest.raises(ProtocolError, match="too many calls"):
+        await lookup(client, "x" * 4000)
+    assert handlers.max_running == 1
+    assert await lookup(client, "ok") == "ok"
+    await handlers.release.set()
+    await task.join()
+    assert await lookup(client, "x" * 4000) == "x" * 4000
+    assert server.budget.share("peers").used_bytes == 0
+    await client.close()
+
+
+# Guards against many connections that each start as many calls as one may.
+@with_server(RpcLimits(max_calls=40, max_total_calls=40, idle_timeout_s=0.3))
+async def test_calls_of_all_connections_are_bounded(server, handlers):
+    calls = [frame("lookup", encode(idl.LookupCall("hold", 0.0)), n) for n in range(40)]
+    tasks = [await curio.spawn(exchange, server, b"".join(calls)) for _ in range(3)]
+    while handlers.n_running < 40 + 2 * MAX_CALLS_WHEN_BUSY:
+        await curio.sleep(0.01)
+    await curio.sleep(0.1)
+    assert handlers.n_running <= 40 + 3 * MAX_CALLS_WHEN_BUSY
+    await handlers.release.set()
+    for task in tasks:
+        assert len(await task.join()) == 40
+
+
 @with_server(RpcLimits(write_timeout_s=0.2))
 async def test_peer_that_reads_no_replies_is_cut_off(server, handlers):
     """Guards against replies that accumulate for a peer that does not read them."""
