Let steps wait for a local place where that is worthwhile

Cause: a task whose data rack was full started elsewhere at once and took remote_slowdown times as long, also where a place there was free a moment later; gangs with same_rack were spread likewise. Besides, patient work preferred places far from its data: the distance was taken for a low speed, which it seeks.

Change: jobs/placewait.py decides from expected ends, the objective and the room that a gang keeps; it is bounded by 2 s for a job without a run, across terms. Setting remote_slowdown, reason near_place, place_waits. Calls for advice name local workers first. The plain rule in tests/jobs/test_packing_reference.py knew no order by rack for steps with near_rack; it has the new one, and the old one for all other steps.

Result: tests/jobs/test_placewait.py, test_placer.py, test_parts.py, test_waits.py, test_gang_waits.py, test_headroom.py, test_asking.py, test_packing_reference.py and tests/cmd/test_node.py pass.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -19,9 +19,10 @@
 from .crashes import starts_apart
 from .fleet import CAPACITY_EPSILON
 from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
+from .lateness import NO_OBJECTIVE
 from .leasebounds import lapse_at
 from .model import JobState
-from .ordering import Rank, order_key
+from .ordering import STALE_FACTOR, Rank, objective_s, order_key
 from .packing import (
     MAX_ADVISED_WORKERS,
     MIN_ASKED_WORKERS,
@@ -35,7 +36,9 @@
     by_suitability,
     choose_advised,
     covering,
+    is_near,
     make_candidates,
+    n_fitting_tasks,
     place_gang,
     reserve,
     reserve_places,
@@ -43,6 +46,15 @@
     takes_starts,
     with_room,
 )
+from .placewait import (
+    FULL_FRACTION,
+    WaitBounds,
+    is_local,
+    is_worthwhile,
+    local_groups,
+    plan_gang,
+    plan_tasks,
+)
 from .waitcauses import explain_wait
 from .waits import (
     EXPLAIN_INTERVAL_S,
@@ -62,6 +74,7 @@
     from .model import AdviceTerms, Queue, Step, TaskKey
     from .packing import Amounts, Candidates
     from .placer import Placer
+    from .placewait import PlaceWait
     from .progress import Progress, StepRun
 
 logger = structlog.get_logger(__name__)
@@ -239,31 +252,47 @@
         run_s = run_times[step_run.number]
         pool = pools.get(queue.pool, [])
         idle = queue.pool not in busy and _waits_idle(placer, step_run, wall)
-        may_use_reserved = idle or step_run.name in placer.reservations
-        expected_s = 0.0 if may_use_reserved else run_s
+        # It may use reserved workers.
+        expected_s = 0.0 if idle or step_run.name in placer.reservations else run_s
         workers = eligible_workers(placer, step_run, pool, expected_s, now)
         rooms = _kept_rooms(placer, step_run, queue, run_s, idle=idle, now=now)
         if rooms[-1] and not restarts:
             workers = _with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
         core_limit = _core_limit_of(step_run, limits.get(queue.name), idle=idle)
-        advised, call = advise(
+        allowance = _make_allowance(
+            placer, step_run, core_limit, now, held=rooms[-1], restart=restarts
+        )
+        place_wait = (
+            _plan_wait(
+                placer,
+                step_run,
+                queue,
+                workers,
+                n_wanted=n_startable,
+                run_times=run_times,
+                allowance=allowance,
+                outlook=outlook,
+                busy=queue.pool in busy,
+                now=now,
+                wall=wall,
+            )
+            if is_local(step_run.step)
+            else None
+        )
+        advised, call = _advise_waiting(
             placer,
             step_run,
             queue,
             workers,
+            place_wait,
             outlook=outlook,
             now=now,
             n_wanted=n_startable,
-            valid_at=now,
-            rank=_waiting_rank(step_run, queue),
             pool=pool,
-            allowance=_make_allowance(
-                placer, step_run, core_limit, now, held=rooms[-1], restart=restarts
-            ),
+            allowance=allowance,
         )
-        if call is not None:
-            calls.append(call)
+        calls += [call] if call is not None else []
         placed = _place(
             placer,
             step_run,
@@ -273,6 +302,7 @@
             now=now,
             core_limit=core_limit,
             rooms=rooms,
+            n_far=math.inf if place_wait is None else place_wait.n_far,
         )
         placements.extend(placed)
         if placed:
@@ -287,14 +317,15 @@
                 run_s=run_s,
                 held=rooms[0],
                 core_limit=core_limit,
+                for_place=place_wait is not None,
                 now=now,
             )
-        _note_wait(placer, step_run, queue, workers, now=now)
+        _note_wait(placer, step_run, queue, workers, place_wait=place_wait, now=now)
         if placed:
             continue
         if step_run.step.gang:
             _reserve_for_gang(placer, step_run, pool, core_limit, now=now)
-        elif advised and n_reservations < MAX_RESERVATIONS:
+        elif advised and not place_wait and n_reservations < MAX_RESERVATIONS:
             n_reservations += _reserve_room(
                 placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
             )
@@ -339,7 +370,12 @@
 
 
 def _busy_pools(placer: Placer) -> set[str]:
-    """Return the pools with half of the cores of their reachable workers in use.
+    """Return the pools with half of the cores of their reachable workers in use."""
+    return _pools_in_use(placer, BUSY_FRACTION)
+
+
+def _pools_in_use(placer: Placer, fraction: float) -> set[str]:
+    """Return the pools with a fraction of their reachable workers' cores in use.
 
     Workers that drain or are ejected count as well: callers count a job without a run
     as lost by the use of the whole pool.
@@ -353,9 +389,7 @@
         capacity[pool] += worker.entry.capacity.cores
         free[pool] += max(0.0, worker.free.cores)
     return {
-        pool
-        for pool, cores in capacity.items()
-        if free[pool] <= (1 - BUSY_FRACTION) * cores
+        pool for pool, cores in capacity.items() if free[pool] <= (1 - fraction) * cores
     }
 
 
@@ -367,6 +401,195 @@
     return idle and wall - begun_at > MAX_IDLE_WAIT_S
 
 
+def _plan_wait(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    *,
+    n_wanted: int,
+    run_times: list[float],
+    allowance: Allowance,
+    outlook: Outlook,
+    busy: bool,
+    now: float,
+    wall: float,
+) -> PlaceWait | None:
+    """Return whether tasks wait for a local placement instead of starting elsewhere.
+
+    Tasks that were interrupted don't wait: how much of their work is left is not known.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers that may run the step, regardless of advice.
+    """
+    step, slowdown = step_run.step, placer.remote_slowdown
+    if slowdown <= 1.0 or step_run.n_interrupted:
+        return None
+    if step.gang and n_wanted < step.n_tasks:
+        return None
+    usable, ask_s = _permitted_or_unasked(placer, step_run, queue, workers, now)
+    roomy = with_room(step.need, usable)
+    far = roomy if step.gang else [item for item in roomy if not is_near(step, item)]
+    if not far or (step.gang and n_fitting_tasks(step, far) < step.n_tasks):
+        return None  # there is no room to leave unused
+    # Room that the step may not use now, such as headroom, is no place to wait for.
+    closed = {item.worker_id for item in roomy if not allowance.accepts(item)}
+    usable = [item for item in usable if item.worker_id not in closed]
+    run_s = run_times[step_run.number]
+    bounds = _wait_bounds(placer, step_run, queue, run_times, now=now, wall=wall)
+    until = bounds.until()
+    held = _kept_amounts(placer, step_run.name)
+    if step.gang:
+        return plan_gang(
+            step,
+            local_groups(step, usable),
+            ask_s=ask_s,
+            run_s=run_s,
+            slowdown=slowdown,
+            outlook=outlook,
+            until=until,
+            now=now,
+            held=held,
+            busy=busy,
+        )
+    return plan_tasks(
+        step,
+        [item for item in usable if is_near(step, item)],
+        n_wanted,
+        ask_s=ask_s,
+        run_s=run_s,
+        far_s=slowdown * run_s / max(item.health.speed for item in far),
+        outlook=outlook,
+        until=until,
+        now=now,
+        held=held,
+        n_by_worker=_n_by_worker(step_run),
+    )
+
+
+def _permitted_or_unasked(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    now: float,
+) -> tuple[list[Worker], dict[str, float]]:
+    """Return the workers that advice does not forbid, and when they have tickets.
+
+    Returns
+    -------
+    usable : list of Worker
+        The permitted workers and those that no call has named yet.
+    ask_s : dict of str to float, seconds
+        Expected time of a call, for each of them without a valid ticket.
+    """
+    if queue.advice is None:
+        return workers, {}
+    advice = placer.advice.for_step(step_run.name)
+    sent_at = placer.sent_at(now, queue.advice, now)
+    call_s = _call_s(queue.advice)
+    usable, ask_s = [], {}
+    for worker in workers:
+        name = worker.worker_id
+        if name in advice.asked and not advice.permits(name):
+            continue
+        usable.append(worker)
+        if not advice.ticket(name, worker.entry.incarnation, sent_at):
+            ask_s[name] = call_s
+    return usable, ask_s
+
+
+def _call_s(terms: AdviceTerms) -> float:
+    """Return the expected time until a call for advice is answered and used."""
+    cost_s = terms.decide_s + terms.per_worker_s * MIN_ASKED_WORKERS
+    return cost_s + MAX_DECISION_PAUSE_S
+
+
+def _wait_bounds(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    run_times: list[float],
+    *,
+    now: float,
+    wall: float,
+) -> WaitBounds:
+    """Return what bounds the wait of a step for a local placement."""
+    job, progress = step_run.job, placer.jobs[step_run.job.job_id]
+    begun_at = now - (wall - max(job.accepted_at, job.due_at(step_run.occurrence)))
+    # The times of scheduled jobs without a run are not counted; they have their due
+    # time instead.
+    idle_since = 0.0
+    if not progress.n_assigned:
+        idle_since = progress.idle_since or begun_at
+    return WaitBounds(
+        placer.begun_at,
+        step_run.wait.place_since or now,
+        idle_since,
+        begun_at + STALE_FACTOR * objective_s(job, queue, run_times),
+        step_run.n_assigned > 0,
+        queue.pool in _pools_in_use(placer, FULL_FRACTION),
+    )
+
+
+def _advise_waiting(
+    placer: Placer,
+    step_run: StepRun,
+    queue: Queue,
+    workers: list[Worker],
+    place_wait: PlaceWait | None,
+    *,
+    outlook: Outlook,
+    now: float,
+    n_wanted: int,
+    pool: list[Worker],
+    allowance: Allowance,
+) -> tuple[list[Worker], AdviceCall | None]:
+    """Return the workers that advice permits, and a call, as `advise` does.
+
+    While tasks wait for local places, tickets for the workers there are kept valid, as
+    tickets for workers elsewhere would do for all tasks. Those are asked about again in
+    time for the end of the wait.
+    """
+    local, n_local = None, n_wanted
+    if place_wait is not None and queue.advice is not None:
+        advice = placer.advice.for_step(step_run.name)
+        ends_soon = place_wait.until - now <= _call_s(queue.advice)
+        n_ready = allowance.n_startable(
+            item
+            for item in with_room(step_run.step.need, workers)
+            if item.worker_id not in place_wait.local
+            and advice.ticket(item.worker_id, item.entry.incarnation, now)
+        )
+        if advice.asked and not ends_soon and n_ready >= place_wait.n_far:
+            local = set(place_wait.local)
+            n_local = n_wanted - place_wait.n_far
+            reservation = placer.reservations.get(step_run.name)
+            local.update(reservation.places if reservation is not None else ())
+    permitted, call = advise(
+        placer,
+        step_run,
+        queue,
+        workers if local is None else _named(workers, local),
+        outlook=outlook,
+        now=now,
+        n_wanted=n_local,
+        valid_at=now,
+        rank=_waiting_rank(step_run, queue),
+        pool=pool if local is None else _named(pool, local),
+        allowance=allowance,
+    )
+    if local is not None:
+        permitted = [item for item in workers if advice.permits(item.worker_id)]
+    return permitted, call
+
+
+def _named(workers: list[Worker], names: set[str]) -> list[Worker]:
+    return [item for item in workers if item.worker_id in names]
+
+
 def _is_restart(step_run: StepRun) -> bool:
     """Return whether tasks of a step wait that last and were interrupted."""
     step = step_run.step
@@ -500,10 +723,73 @@
     chosen = reserve_places(step_run.step, workers, now, held=held, earlier=earlier)
     if chosen is None:
         return False
+    if is_local(step_run.step) and queue is not None:
+        local = _local_places(
+            placer, reservation, queue, workers, spread_at=chosen[1], now=now
+        )
+        chosen = local or chosen
     reservation.places, reservation.at = chosen
     return True
 
 
+def _local_places(
+    placer: Placer,
+    reservation: Reservation,
+    queue: Queue,
+    workers: list[Worker],
+    *,
+    spread_at: float,
+    now: float,
+) -> tuple[dict[str, int], float] | None:
+    """Return local places for a gang if these are worth a longer wait, or None.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers that may run the gang.
+    spread_at : float, seconds
+        When places on any racks are expected to be free.
+    """
+    step_run, slowdown = reservation.step_run, placer.remote_slowdown
+    if slowdown <= 1.0 or step_run.n_interrupted:
+        return None
+    held = _kept_amounts(placer, step_run.name)
+    best: tuple[dict[str, int], float] | None = None
+    for group in local_groups(step_run.step, workers):
+        names = {worker.worker_id for worker in group}
+        kept = bool(reservation.places) and names >= reservation.places.keys()
+        found = reserve_places(
+            step_run.step,
+            group,
+            now,
+            held=held,
+            earlier=reservation if kept else None,
+        )
+        if found is None or (best is not None and found[1] >= best[1]):
+            continue
+        best = found
+    if best is None:
+        return None
+    progress = placer.jobs[step_run.job.job_id]
+    since = max(now, spread_at)
+    idle_since = 0.0
+    if not progress.n_assigned:
+        idle_since = progress.idle_since or step_run.wait.since or now
+    bounds = WaitBounds(
+        placer.begun_at,
+        step_run.wait.place_since or since,
+        idle_since,
+        math.inf,
+        full=queue.pool in _pools_in_use(placer, FULL_FRACTION),
+    )
+    run_s = placer.run_times(progress, step_run.occurrence)[step_run.number]
+    wait_s, limit_s = best[1] - since, bounds.until() - since
+    if wait_s <= 0:
+        return best
+    worthwhile = is_worthwhile(NO_OBJECTIVE, wait_s, limit_s, run_s, run_s * slowdown)
+    return best if worthwhile else None
+
+
 def _deduct_reservations(
     placer: Placer, limits: dict[str, HeadroomLimit], now: float
 ) -> None:
@@ -1275,6 +1561,7 @@
         held=None if restart else held,
     )
     candidates.restart = restart
+    candidates.remote_slowdown = placer.remote_slowdown
     return candidates
 
 
@@ -1287,11 +1574,15 @@
     now: float,
     core_limit: HeadroomLimit | None,
     rooms: list[dict[str, Resources]],
+    n_far: float = math.inf,
 ) -> list[Placement]:
     """Assign waiting tasks of a step, those that last and were interrupted first.
 
     Parameters
     ----------
+    n_far : float, optional
+        Most tasks that may be placed away from the rack of their data; a gang with none
+        is not spread over racks either.
     rooms : list of dict
         Room on workers that the step leaves to others: in the first attempt, and in a
         second one for tasks that found no place.
@@ -1319,9 +1610,12 @@
             restart=restart,
             held=held,
         )
+        if n_far < math.inf:
+            candidates.limit_far(n_far)
         if candidates.workers:
             place = _place_gang if step_run.step.gang else _place_tasks
             placed += place(placer, step_run, indexes, candidates, now)
+        n_far = candidates.n_far
     return placed
 
 
@@ -1398,6 +1692,7 @@
     queue: Queue,
     workers: list[Worker],
     *,
+    place_wait: PlaceWait | None,
     now: float,
 ) -> None:
     """Note that the tasks of a step that were not placed wait, and what for.
@@ -1410,6 +1705,9 @@
         return
     wait = step_run.wait
     wait.since = wait.since or now
+    if place_wait is not None and not wait.place_since:
+        wait.place_since = now
+        placer.counts["place_waits"] += 1
     if not step_run.step.long_running:
         return
     if wait.cause is not None:
@@ -1442,8 +1740,15 @@
     held: dict[str, Resources],
     core_limit: HeadroomLimit | None,
     now: float,
+    for_place: bool = False,
 ) -> None:
-    """Find and note why no task of a step was placed."""
+    """Find and note why no task of a step was placed.
+
+    Parameters
+    ----------
+    for_place : bool, default=False
+        Whether it leaves room unused for a local placement.
+    """
     step, restarts = step_run.step, _is_restart(step_run)
     if restarts or (step.gang and core_limit is not None and not core_limit.busy):
         core_limit = None
@@ -1458,6 +1763,7 @@
         held={} if restarts else held,
         core_limit=core_limit,
         now=placer.sent_at(now, queue.advice, now) if queue.advice else now,
+        for_place=for_place,
     )
     step_run.note_cause(cause, now)
     _tell_wait(placer, step_run, now)
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -33,6 +33,7 @@
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
+from .packing import REMOTE_SLOWDOWN
 from .peers import JobPeers
 from .placer import Placer, PlacerTimes
 from .progress import crash_rows
@@ -104,6 +105,8 @@
         Boot time by which this process had started. Any earlier process at the same
         address had ended by then. None if the process has other nodes: then it counts
         from the creation of the node.
+    remote_slowdown : float
+        Run time of a task away from its data, relative to one near it.
     """
 
     vm: str
@@ -112,6 +115,7 @@
     keep_ended_s: float
     fitness: float = 1.0
     started_at: float | None = None
+    remote_slowdown: float = REMOTE_SLOWDOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -669,6 +673,7 @@
             reader=self.journal,
         )
         placer = Placer(claim.term, now, self.options.times)
+        placer.remote_slowdown = self.options.remote_slowdown
         leadership = Leadership(
             claim,
             placer,
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -24,8 +24,13 @@
 
 # Weight of how full a worker is in its score; a result in time weighs 1.
 FIT_WEIGHT = 0.05
-# Speed of a task outside the rack of its input data, relative to one inside it.
-REMOTE_SPEED_FACTOR = 0.5
+# Run time of a task outside the rack of its input data, relative to one inside it, and
+# of a gang that is spread over racks although it should not be.
+REMOTE_SLOWDOWN = 2.0
+# Price in the score of a worker for a unit of the logarithm of the slowdown there: a
+# slowed-down task holds its capacity for longer. It is above the price of speed, for
+# which patient work would choose a slow worker near its data before a fast one.
+REMOTE_PRICE = 0.3
 # Workers for a call are ranked by the number of tasks that fit on them times their
 # suitability to this power: a fast worker counts as much as two slow ones.
 SUITABILITY_EXPONENT = 2
@@ -69,6 +74,11 @@
     restart : bool
         Whether the tasks last and were interrupted. The limit does not apply to them,
         though they count against it, and they may start beside suspects.
+    remote_slowdown : float
+        Run time of a task that is not near its data, relative to one that is.
+    n_far : float
+        Most tasks that may be placed away from the rack of their data. A gang with none
+        is not spread over racks either.
     """
 
     step: Step
@@ -78,6 +88,8 @@
     outlook: Outlook = NO_OBJECTIVE
     core_limit: HeadroomLimit = field(default_factory=HeadroomLimit)
     restart: bool = False
+    remote_slowdown: float = REMOTE_SLOWDOWN
+    n_far: float = math.inf
     _suitability: dict[str, float] = field(default_factory=dict)
     _suspects_on: set[str] = field(default_factory=set)
     _apart_on: set[str] = field(default_factory=set)
@@ -196,6 +208,15 @@
         self.core_limit.use_cores(name, self.step.need.cores)
         if self._scores:
             self._scores[self._indexes[name]] = self._room_score(worker)
+        if self.n_far < math.inf and not is_near(self.step, worker):
+            self.limit_far(self.n_far - 1)
+
+    def limit_far(self, n_far: float) -> None:
+        """Limit the tasks that may be placed away from the rack of their data."""
+        self.n_far = n_far
+        if n_far <= 0:
+            self.workers = [item for item in self.workers if is_near(self.step, item)]
+            self._scores = []
 
     def _fits(self, worker: Worker) -> bool:
         allowed = self.core_limit.allows(worker.worker_id, self.step.need.cores)
@@ -215,10 +236,10 @@
         """Return a score that prefers workers on which the job is in time."""
         suits = self._suitability.get(worker.worker_id)
         if suits is None:
-            speed = worker.health.speed
-            if self.step.near_rack and self.step.near_rack not in worker.entry.labels:
-                speed *= REMOTE_SPEED_FACTOR
-            suits = suitability(speed, self.outlook)
+            slowdown = 1.0
+            if self.step.near_rack and not is_near(self.step, worker):
+                slowdown = self.remote_slowdown
+            suits = suitability(worker.health.speed, self.outlook, slowdown)
             self._suitability[worker.worker_id] = suits
         free, capacity = self.free_by_worker[worker.worker_id], worker.entry.capacity
         used = 1.0 - free.cores / capacity.cores if capacity.cores else 0.0
@@ -310,13 +331,25 @@
     return worker.free
 
 
-def suitability(speed: float, outlook: Outlook) -> float:
+def is_near(step: Step, worker: Worker) -> bool:
+    """Return whether a worker is on the rack of a step's data, if that has one."""
+    return not step.near_rack or step.near_rack in worker.entry.labels
+
+
+def suitability(speed: float, outlook: Outlook, slowdown: float = 1.0) -> float:
     """Return how well a worker's speed suits a job with some outlook.
 
     On workers of different speeds, work that can wait leaves the fast workers to
-    urgent work that ends in time only there.
+    urgent work that ends in time only there. A slowdown by the distance of the data
+    is no reason to prefer a worker, unlike one by its speed.
+
+    Parameters
+    ----------
+    slowdown : float, default=1.0
+        Run time there relative to that near the data.
     """
-    return outlook.worth(speed) - outlook.speed_price * math.log(speed)
+    suits = outlook.worth(speed / slowdown) - outlook.speed_price * math.log(speed)
+    return suits - REMOTE_PRICE * math.log(slowdown) if slowdown > 1.0 else suits
 
 
 def make_candidates(
@@ -353,12 +386,17 @@
 
 def place_gang(candidates: Candidates) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None if not all of them fit."""
-    if candidates.step.same_rack:
-        for rack in sorted({worker.rack for worker in candidates.workers}):
+    step = candidates.step
+    if step.same_rack:
+        racks = sorted({worker.rack for worker in candidates.workers})
+        racks.sort(key=lambda rack: rack != step.near_rack)
+        for rack in racks:
             in_rack = [worker for worker in candidates.workers if worker.rack == rack]
             placed = _place_all(candidates, in_rack)
             if placed is not None:
                 return placed
+        if candidates.n_far <= 0:
+            return None
     return _place_all(candidates, candidates.workers)
 
 
@@ -375,6 +413,7 @@
         dict(candidates.n_by_worker),
         candidates.outlook,
         core_limit,
+        remote_slowdown=candidates.remote_slowdown,
         _suitability=candidates._suitability,
     )
     placed = []
@@ -741,9 +780,25 @@
     """Return workers sorted by how many tasks fit on them and how well they suit."""
     ranked = _rank(step, n_wanted, workers, outlook)
     chosen = [worker for worker, _ in ranked]
+    if step.near_rack:  # a call names them first, and waits for places count on them
+        chosen.sort(key=lambda worker: not is_near(step, worker))
+    if step.gang and step.same_rack:
+        chosen = _by_rack(ranked)
     return chosen + list(_rest(workers, chosen))
 
 
+def _by_rack(ranked: list[tuple[Worker, int]]) -> list[Worker]:
+    """Return ranked workers by rack, the rack on which most tasks fit first.
+
+    Advice on some workers of each rack would leave none on which a gang fits.
+    """
+    n_in_rack: dict[str, int] = {}
+    for worker, n_fitting in ranked:
+        n_in_rack[worker.rack] = n_in_rack.get(worker.rack, 0) + n_fitting
+    chosen = [worker for worker, _ in ranked]
+    return sorted(chosen, key=lambda worker: (-n_in_rack[worker.rack], worker.rack))
+
+
 def _rank(
     step: Step, n_wanted: int, workers: list[Worker], outlook: Outlook
 ) -> list[tuple[Worker, int]]:
@@ -855,7 +910,9 @@
     if n_needed <= 0 and n_more <= 0:
         return asked
     names = {item.worker_id for item in asked}
-    others = (item for item in ranked if item.worker_id not in names)
+    others = [item for item in ranked if item.worker_id not in names]
+    if step.near_rack:  # one without room may be a place to wait for
+        others.sort(key=lambda worker: not is_near(step, worker))
     return asked + covering(step, n_needed, others, n_more)
 
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -38,6 +38,7 @@
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
+from .packing import REMOTE_SLOWDOWN
 from .speeds import SpeedModel
 from .waits import LineLimit
 from .watch import inherit_progress, note_progress, watch_runs
@@ -197,6 +198,9 @@
     late_starts : dict
         Starts in the journal that wait for a new ticket, by the names of their steps,
         with the times in seconds at which their first ones lapsed.
+    remote_slowdown : float
+        Run time of a task away from its data, or in a gang that is spread over racks
+        although it should not be, relative to a local one.
     """
 
     term: int
@@ -235,6 +239,7 @@
     send_s: float = 0.0
     unsent_since: float = math.inf
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
+    remote_slowdown: float = REMOTE_SLOWDOWN
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
--- a/cuminhill/jobs/waitcauses.py
+++ b/cuminhill/jobs/waitcauses.py
@@ -55,6 +55,7 @@
     held: Mapping[str, Resources],
     core_limit: HeadroomLimit | None,
     now: float,
+    for_place: bool = False,
 ) -> WaitCause:
     """Return why no task of a step was placed.
 
@@ -74,6 +75,8 @@
         Room on workers that the step leaves to lasting tasks.
     core_limit : HeadroomLimit or None
         Cores that the step may use on fast workers.
+    for_place : bool, default=False
+        Whether the step leaves room unused for a local placement.
     """
     tally = _Tally()
     counts = tally.counts
@@ -108,7 +111,10 @@
         n_allowed = max(0.0, core_limit.cores) // step.need.cores
         tally.n_fast = int(min(tally.n_fast, n_allowed))
     counts.used_share = round(1 - free_cores / capacity, 3) if capacity else 0.0
-    return WaitCause(_find_reason(step, tally, advice, n_wanted), n_wanted, counts)
+    reason = WaitReason.NEAR_PLACE
+    if not for_place:
+        reason = _find_reason(step, tally, advice, n_wanted)
+    return WaitCause(reason, n_wanted, counts)
 
 
 def _count_permitted(
--- a/cuminhill/jobs/waits.py
+++ b/cuminhill/jobs/waits.py
@@ -37,6 +37,7 @@
     RESERVED = "reserved"  # the room is reserved for other steps
     HELD = "held"  # the room is kept for lasting tasks
     HEADROOM = "headroom"  # the room is headroom for urgent work
+    NEAR_PLACE = "near_place"  # a local place is worth leaving other room unused
     GANG_ENDING = "gang_ending"  # other tasks of the gang have not been stopped yet
     RECORD_LIMIT = "record_limit"  # the record of the job has no row for more tasks
     NOT_CONSIDERED = "not_considered"  # other steps had their turn
@@ -135,6 +136,8 @@
         Up to when the times by reason count, and when the cause was found.
     by_reason : dict of str to float
         Seconds by reason.
+    place_since : float, seconds
+        When room was first left unused for a local placement; 0 if it was not.
     told_reason, told_level, told_at
         Reason and number of `WAIT_LEVELS_S` in the newest log line, and when it was
         written.
@@ -145,6 +148,7 @@
     counted_at: float = 0.0
     explained_at: float = 0.0
     by_reason: dict[str, float] = field(default_factory=dict)
+    place_since: float = 0.0
     told_reason: str = ""
     told_level: int = 0
     told_at: float = 0.0
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -9,12 +9,13 @@
 import time
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, Field
 
 from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
 from ..jobs.fleet import LeaseTimes
 from ..jobs.node import Backends, JobNode, NodeOptions
+from ..jobs.packing import REMOTE_SLOWDOWN
 from ..jobs.placer import PlacerTimes
 from ..util.http import HttpLimits, HttpServer
 from ..util.tables import describe_problems, read_toml, validate_model
@@ -61,6 +62,7 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
+    remote_slowdown: float = Field(default=REMOTE_SLOWDOWN, ge=1.0, le=100.0)
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -110,6 +112,7 @@
         keep_ended_s=cfg.keep_state_s,
         fitness=placer_fitness(cfg),
         started_at=PROCESS_STARTED_AT,
+        remote_slowdown=cfg.remote_slowdown,
     )
     return JobNode(options, backends, rng)
 
--- a/tests/jobs/test_packing_reference.py
+++ b/tests/jobs/test_packing_reference.py
@@ -102,8 +102,16 @@
     return min(found, step.max_per_worker or found)
 
 
+def is_far(step, worker):
+    """Return whether a worker is on another rack than the data of a step."""
+    return bool(step.near_rack) and step.near_rack not in worker.entry.labels
+
+
 def plain_by_suitability(step, n_wanted, workers, outlook):
-    """Return workers sorted by how many tasks fit and how well they suit."""
+    """Return workers sorted by how many tasks fit and how well they suit.
+
+    Those without room come last, of the others those near the data of the step first.
+    """
 
     def value(worker):
         n_held = min(plain_n_fitting(step, worker), n_wanted)
@@ -113,7 +121,11 @@
         suits = max(MIN_SUITABILITY, suitability(speed, outlook))
         return n_held * suits**SUITABILITY_EXPONENT
 
-    return sorted(workers, key=lambda worker: -value(worker))
+    def key(worker):
+        found = value(worker)
+        return not found, found > 0 and is_far(step, worker), -found
+
+    return sorted(workers, key=key)
 
 
 def plain_covering(step, n_needed, workers, at_least=0):
@@ -140,7 +152,18 @@
     if n_startable < n_wanted and unasked:
         suitable = plain_by_suitability(step, n_wanted, unasked, outlook)
         rest = n_wanted * UNASKED_FACTOR
-        asked = plain_covering(step, rest, suitable, MIN_ASKED_WORKERS)
+        if not step.near_rack:
+            asked = plain_covering(step, rest, suitable, MIN_ASKED_WORKERS)
+            return (named + asked)[:MAX_ADVISED_WORKERS]
+        # Enough room comes first, then workers near the data, also without room.
+        roomy = [worker for worker in suitable if plain_n_fitting(step, worker)]
+        asked = plain_covering(step, rest, roomy)
+        others = [worker for worker in suitable if worker not in asked]
+        others.sort(key=lambda worker: is_far(step, worker))
+        n_covered = n_fitting(asked)
+        asked += plain_covering(
+            step, rest - n_covered, others, MIN_ASKED_WORKERS - len(asked)
+        )
         return (named + asked)[:MAX_ADVISED_WORKERS]
     if step.gang and n_startable < n_wanted:
         return []
