Look at the use of pools once a decision, and keep the rack of a gang

Change: both shares come from one pass at the start of a decision, the bounds are checked first, racks too small for a gang are left out, and the rack whose places are kept is not left while these are expected as before.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -237,9 +237,9 @@
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
     placer.n_considered = len(waiting)
+    busy, placer.full_pools = _pools_in_use(placer)
     hold_room(placer, waiting, pools, now)
     _deduct_reservations(placer, limits, now)
-    busy = _busy_pools(placer)
     patient = False
     explained = _steps_to_explain(waiting, now)
     for step_run, queue, run_times in waiting:
@@ -369,16 +369,16 @@
     return True
 
 
-def _busy_pools(placer: Placer) -> set[str]:
-    """Return the pools with half of the cores of their reachable workers in use."""
-    return _pools_in_use(placer, BUSY_FRACTION)
-
-
-def _pools_in_use(placer: Placer, fraction: float) -> set[str]:
-    """Return the pools with a fraction of their reachable workers' cores in use.
+def _pools_in_use(placer: Placer) -> tuple[set[str], set[str]]:
+    """Return the pools with much of their reachable workers' cores in use.
 
     Workers that drain or are ejected count as well: callers count a job without a run
     as lost by the use of the whole pool.
+
+    Returns
+    -------
+    busy, full : set of str
+        Those with half of the cores in use, and with `FULL_FRACTION` of them.
     """
     capacity: defaultdict[str, float] = defaultdict(float)
     free: defaultdict[str, float] = defaultdict(float)
@@ -388,9 +388,15 @@
         pool = worker.entry.pool
         capacity[pool] += worker.entry.capacity.cores
         free[pool] += max(0.0, worker.free.cores)
-    return {
-        pool for pool, cores in capacity.items() if free[pool] <= (1 - fraction) * cores
-    }
+    busy, full = (
+        {
+            pool
+            for pool, cores in capacity.items()
+            if free[pool] <= (1 - fraction) * cores
+        }
+        for fraction in (BUSY_FRACTION, FULL_FRACTION)
+    )
+    return busy, full
 
 
 def _waits_idle(placer: Placer, step_run: StepRun, wall: float) -> bool:
@@ -429,6 +435,10 @@
         return None
     if step.gang and n_wanted < step.n_tasks:
         return None
+    bounds = _wait_bounds(placer, step_run, queue, run_times, now=now, wall=wall)
+    until = bounds.until()
+    if now >= until:
+        return None
     usable, ask_s = _permitted_or_unasked(placer, step_run, queue, workers, now)
     roomy = with_room(step.need, usable)
     far = roomy if step.gang else [item for item in roomy if not is_near(step, item)]
@@ -438,8 +448,6 @@
     closed = {item.worker_id for item in roomy if not allowance.accepts(item)}
     usable = [item for item in usable if item.worker_id not in closed]
     run_s = run_times[step_run.number]
-    bounds = _wait_bounds(placer, step_run, queue, run_times, now=now, wall=wall)
-    until = bounds.until()
     held = _kept_amounts(placer, step_run.name)
     if step.gang:
         return plan_gang(
@@ -530,7 +538,7 @@
         idle_since,
         begun_at + STALE_FACTOR * objective_s(job, queue, run_times),
         step_run.n_assigned > 0,
-        queue.pool in _pools_in_use(placer, FULL_FRACTION),
+        queue.pool in placer.full_pools,
     )
 
 
@@ -753,23 +761,6 @@
     step_run, slowdown = reservation.step_run, placer.remote_slowdown
     if slowdown <= 1.0 or step_run.n_interrupted:
         return None
-    held = _kept_amounts(placer, step_run.name)
-    best: tuple[dict[str, int], float] | None = None
-    for group in local_groups(step_run.step, workers):
-        names = {worker.worker_id for worker in group}
-        kept = bool(reservation.places) and names >= reservation.places.keys()
-        found = reserve_places(
-            step_run.step,
-            group,
-            now,
-            held=held,
-            earlier=reservation if kept else None,
-        )
-        if found is None or (best is not None and found[1] >= best[1]):
-            continue
-        best = found
-    if best is None:
-        return None
     progress = placer.jobs[step_run.job.job_id]
     since = max(now, spread_at)
     idle_since = 0.0
@@ -780,16 +771,56 @@
         step_run.wait.place_since or since,
         idle_since,
         math.inf,
-        full=queue.pool in _pools_in_use(placer, FULL_FRACTION),
+        full=queue.pool in placer.full_pools,
     )
-    run_s = placer.run_times(progress, step_run.occurrence)[step_run.number]
-    wait_s, limit_s = best[1] - since, bounds.until() - since
-    if wait_s <= 0:
+    limit_s = bounds.until() - since
+    if limit_s <= 0:
+        return None
+    best = _soonest_local(placer, reservation, workers, now)
+    if best is None or best[1] <= since:
         return best
-    worthwhile = is_worthwhile(NO_OBJECTIVE, wait_s, limit_s, run_s, run_s * slowdown)
+    run_s = placer.run_times(progress, step_run.occurrence)[step_run.number]
+    worthwhile = is_worthwhile(
+        NO_OBJECTIVE, best[1] - since, limit_s, run_s, run_s * slowdown
+    )
     return best if worthwhile else None
 
 
+def _soonest_local(
+    placer: Placer, reservation: Reservation, workers: list[Worker], now: float
+) -> tuple[dict[str, int], float] | None:
+    """Return the local places for a gang that are free soonest; None if there are none.
+
+    The group of those that are kept already is not left while its places are expected
+    as before, so that what becomes free adds up.
+    """
+    step_run = reservation.step_run
+    step, held = step_run.step, _kept_amounts(placer, step_run.name)
+    needed = step.n_tasks * step.need.cores
+    before = reservation.places.keys()
+    best: tuple[dict[str, int], float] | None = None
+    groups = [
+        group
+        for group in local_groups(step, workers)
+        if sum(worker.entry.capacity.cores for worker in group) >= needed
+    ]
+    names = [{worker.worker_id for worker in group} for group in groups]
+    kept = next((i for i, known in enumerate(names) if before and known >= before), -1)
+    if kept >= 0:
+        best = reserve_places(step, groups[kept], now, held=held, earlier=reservation)
+        if best is not None and best[1] <= reservation.at:
+            return best
+    for number, group in enumerate(groups):
+        found = None
+        if number != kept:
+            found = reserve_places(step, group, now, held=held)
+        if found is not None and (best is None or found[1] < best[1]):
+            best = found
+        if best is not None and best[1] <= now:
+            break
+    return best
+
+
 def _deduct_reservations(
     placer: Placer, limits: dict[str, HeadroomLimit], now: float
 ) -> None:
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -201,6 +201,8 @@
     remote_slowdown : float
         Run time of a task away from its data, or in a gang that is spread over racks
         although it should not be, relative to a local one.
+    full_pools : set of str
+        Pools that were nearly full at the newest decision (`placewait.FULL_FRACTION`).
     """
 
     term: int
@@ -240,6 +242,7 @@
     unsent_since: float = math.inf
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
     remote_slowdown: float = REMOTE_SLOWDOWN
+    full_pools: set[str] = field(default_factory=set)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
