Count a run far from its data as longer, and test the bounds with drawn loads

Cause: the placer expected runs far from their data, and spread gangs, to end as soon as local ones, and learned from their ends that the worker is slow.

Change: the expected run time of such a run and the time that the speeds learn from count the slowdown.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -42,6 +42,7 @@
     place_gang,
     reserve,
     reserve_places,
+    slowdown_on,
     soonest_places,
     takes_starts,
     with_room,
@@ -49,11 +50,13 @@
 from .placewait import (
     FULL_FRACTION,
     WaitBounds,
+    gang_slowdown,
     is_local,
     is_worthwhile,
     local_groups,
     plan_gang,
     plan_tasks,
+    soonest_local,
 )
 from .waitcauses import explain_wait
 from .waits import (
@@ -776,7 +779,8 @@
     limit_s = bounds.until() - since
     if limit_s <= 0:
         return None
-    best = _soonest_local(placer, reservation, workers, now)
+    held = _kept_amounts(placer, step_run.name)
+    best = soonest_local(reservation, workers, now, held)
     if best is None or best[1] <= since:
         return best
     run_s = placer.run_times(progress, step_run.occurrence)[step_run.number]
@@ -786,41 +790,6 @@
     return best if worthwhile else None
 
 
-def _soonest_local(
-    placer: Placer, reservation: Reservation, workers: list[Worker], now: float
-) -> tuple[dict[str, int], float] | None:
-    """Return the local places for a gang that are free soonest; None if there are none.
-
-    The group of those that are kept already is not left while its places are expected
-    as before, so that what becomes free adds up.
-    """
-    step_run = reservation.step_run
-    step, held = step_run.step, _kept_amounts(placer, step_run.name)
-    needed = step.n_tasks * step.need.cores
-    before = reservation.places.keys()
-    best: tuple[dict[str, int], float] | None = None
-    groups = [
-        group
-        for group in local_groups(step, workers)
-        if sum(worker.entry.capacity.cores for worker in group) >= needed
-    ]
-    names = [{worker.worker_id for worker in group} for group in groups]
-    kept = next((i for i, known in enumerate(names) if before and known >= before), -1)
-    if kept >= 0:
-        best = reserve_places(step, groups[kept], now, held=held, earlier=reservation)
-        if best is not None and best[1] <= reservation.at:
-            return best
-    for number, group in enumerate(groups):
-        found = None
-        if number != kept:
-            found = reserve_places(step, group, now, held=held)
-        if found is not None and (best is None or found[1] < best[1]):
-            best = found
-        if best is not None and best[1] <= now:
-            break
-    return best
-
-
 def _deduct_reservations(
     placer: Placer, limits: dict[str, HeadroomLimit], now: float
 ) -> None:
@@ -1670,8 +1639,18 @@
         placer.reserved_room = _reserved_rooms(placer)
     for task in step_run.tasks:
         progress.store_checkpoint(task, checkpoint)
+    slowdown = gang_slowdown(step_run.step, chosen, placer.remote_slowdown)
     return [
-        _assign(placer, progress, step_run, index, worker, run=run, now=now)
+        _assign(
+            placer,
+            progress,
+            step_run,
+            index,
+            worker,
+            run=run,
+            now=now,
+            slowdown=slowdown,
+        )
         for index, worker in enumerate(chosen)
     ]
 
@@ -1703,8 +1682,18 @@
             break
         n_new -= not task.run
         run = task.run + 1
+        slowdown = slowdown_on(step_run.step, worker, placer.remote_slowdown)
         placed.append(
-            _assign(placer, progress, step_run, index, worker, run=run, now=now)
+            _assign(
+                placer,
+                progress,
+                step_run,
+                index,
+                worker,
+                run=run,
+                now=now,
+                slowdown=slowdown,
+            )
         )
     return placed
 
@@ -1892,9 +1881,11 @@
     *,
     run: int,
     now: float,
+    slowdown: float,
 ) -> Placement:
     key = step_run.key(index)
     slot = placer.make_slot(progress, key, run)
+    slot.run_time_s *= slowdown
     slot.started_at = now
     slot.checkpoint = step_run.tasks[index].checkpoint
     slot.full_run = not slot.checkpoint
--- a/cuminhill/jobs/packing.py
+++ b/cuminhill/jobs/packing.py
@@ -236,9 +236,7 @@
         """Return a score that prefers workers on which the job is in time."""
         suits = self._suitability.get(worker.worker_id)
         if suits is None:
-            slowdown = 1.0
-            if self.step.near_rack and not is_near(self.step, worker):
-                slowdown = self.remote_slowdown
+            slowdown = slowdown_on(self.step, worker, self.remote_slowdown)
             suits = suitability(worker.health.speed, self.outlook, slowdown)
             self._suitability[worker.worker_id] = suits
         free, capacity = self.free_by_worker[worker.worker_id], worker.entry.capacity
@@ -336,6 +334,11 @@
     return not step.near_rack or step.near_rack in worker.entry.labels
 
 
+def slowdown_on(step: Step, worker: Worker, remote_slowdown: float) -> float:
+    """Return the run time of a task on a worker relative to that near its data."""
+    return 1.0 if is_near(step, worker) else remote_slowdown
+
+
 def suitability(speed: float, outlook: Outlook, slowdown: float = 1.0) -> float:
     """Return how well a worker's speed suits a job with some outlook.
 
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -38,7 +38,7 @@
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
-from .packing import REMOTE_SLOWDOWN
+from .packing import REMOTE_SLOWDOWN, slowdown_on
 from .speeds import SpeedModel
 from .waits import LineLimit
 from .watch import inherit_progress, note_progress, watch_runs
@@ -307,6 +307,8 @@
         not know of that incarnation when it sent the start.
         """
         slot = self.make_slot(progress, key, task.run)
+        step = progress.job.steps[key.step]
+        slot.run_time_s *= slowdown_on(step, worker, self.remote_slowdown)
         slot.sent, slot.started_at = True, self.begun_at
         slot.incarnation = task.incarnation
         slot.checkpoint = task.checkpoint
@@ -860,7 +862,9 @@
         step = progress.job.steps[key.step]
         name = progress.step_run(key.occurrence, key.step).name
         if worker is not None and slot is not None and slot.full_run:
-            actual_s = now - slot.started_at
+            # The distance of the data says nothing about the worker's speed.
+            slowdown = slowdown_on(step, worker, self.remote_slowdown)
+            actual_s = (now - slot.started_at) / slowdown
             incarnation = worker.entry.incarnation
             self.speeds.observe(
                 worker.worker_id, incarnation, name, actual_s, worker.kind
--- a/cuminhill/jobs/placewait.py
+++ b/cuminhill/jobs/placewait.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, NamedTuple
 
-from .packing import soonest_places
+from .packing import is_near, reserve_places, soonest_places
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -20,7 +20,7 @@
     from .fleet import Worker
     from .lateness import Outlook
     from .model import Step
-    from .packing import Amounts
+    from .packing import Amounts, Reservation
 
 # Longest wait of a step of which no task runs. Callers count a job as lost if it has
 # had nothing running for 3 s; the start and its call for advice take the rest.
@@ -123,6 +123,18 @@
     return [by_rack[rack] for rack in sorted(by_rack)]
 
 
+def gang_slowdown(
+    step: Step, workers: Iterable[Worker], remote_slowdown: float
+) -> float:
+    """Return the run time of a gang on some workers relative to a local placement."""
+    if not is_local(step):
+        return 1.0
+    placed = list(workers)
+    n_racks = len({worker.rack for worker in placed})
+    local = all(is_near(step, worker) for worker in placed)
+    return 1.0 if local and (n_racks == 1 or not step.same_rack) else remote_slowdown
+
+
 def is_worthwhile(
     outlook: Outlook,
     wait_s: float,
@@ -268,6 +280,55 @@
     return best[1] if best is not None else None
 
 
+def soonest_local(
+    reservation: Reservation,
+    workers: Iterable[Worker],
+    now: float,
+    held: Mapping[str, Amounts],
+) -> tuple[dict[str, int], float] | None:
+    """Return the local places for a gang that are free soonest; None if there are none.
+
+    The group of those that are kept already is not left while its places are expected
+    as before, so that what becomes free adds up.
+
+    Parameters
+    ----------
+    workers : iterable of Worker
+        Workers that may run the gang.
+    held : mapping of str to Amounts
+        Room that is kept for others, by worker.
+
+    Returns
+    -------
+    places : (dict of str to int, float) or None
+        Number of tasks by worker, and when all places are expected to be free.
+    """
+    step, before = reservation.step_run.step, reservation.places.keys()
+    needed = step.n_tasks * step.need.cores
+    groups = [
+        group
+        for group in local_groups(step, workers)
+        if sum(worker.entry.capacity.cores for worker in group) >= needed
+    ]
+    best: tuple[dict[str, int], float] | None = None
+    kept = -1
+    for number, group in enumerate(groups):
+        if before and before <= {worker.worker_id for worker in group}:
+            kept = number
+            best = reserve_places(step, group, now, held=held, earlier=reservation)
+            if best is not None and best[1] <= reservation.at:
+                return best
+    for number, group in enumerate(groups):
+        if best is not None and best[1] <= now:
+            break
+        found = None
+        if number != kept:
+            found = reserve_places(step, group, now, held=held)
+        if found is not None and (best is None or found[1] < best[1]):
+            best = found
+    return best
+
+
 def _wait_s(
     step: Step, worker: Worker, at: float, now: float, held: Mapping[str, Amounts]
 ) -> float:
--- a/tests/jobs/test_placewait.py
+++ b/tests/jobs/test_placewait.py
@@ -28,6 +28,7 @@
     JOB_ID,
     WALL,
     answer_renewal,
+    ended_row,
     make_entry,
     make_job,
     make_placer,
@@ -35,6 +36,7 @@
     make_step,
     make_table,
     mark_started,
+    running_row,
     submit,
     task_key,
 )
@@ -203,6 +205,48 @@
     assert decide_until(placer, 5.0, 4.5) == [(4.5, "w1-1")]
 
 
+def test_the_wait_in_a_full_pool_is_bounded_from_when_room_was_left():
+    """Guards against a job of a full pool that leaves room unused without an end."""
+    placer = make_racks(n_racks=2)
+    keys = {
+        name: fill(placer, name, ends_in_s=ends_in_s)
+        for name, ends_in_s in (("w1-1", 4.5), ("w1-2", 4.5), ("w2-1", 9), ("w2-2", 9))
+    }
+    submit(placer, near_job(run_time_s=20.0))
+    assert decide_until(placer, 3.0) == []
+    end(placer, "w2-1", keys["w2-1"])
+    ((at, worker),) = decide_until(placer, 9.0, 3.25)
+    assert worker == "w2-1"
+    assert 4.5 < at <= 3.25 + MAX_WAIT_S
+
+
+def test_a_step_of_a_job_that_runs_waits_within_its_bound():
+    """Guards against a second step that nothing starts while the first one runs."""
+    placer = make_racks(n_racks=2)
+    for number in (1, 2):
+        fill(placer, f"w1-{number}", ends_in_s=1.0)  # but they go on
+    first = make_step(1, CORES, run_time_s=30.0)
+    second = make_step(1, CORES, run_time_s=30.0, near_rack="r1")
+    submit(placer, make_job(first, second))
+    (begun, (at, worker)) = decide_until(placer, 9.0)
+    assert begun[0] == 0.0
+    assert 1.0 < at <= MAX_WAIT_S
+    assert worker.startswith("w2")
+
+
+def test_the_other_tasks_of_a_step_wait_longer_but_not_without_a_bound():
+    """Guards against a wide step whose last tasks never start."""
+    placer = make_racks(n_racks=2)
+    key = fill(placer, "w1-1", ends_in_s=60.0)
+    fill(placer, "w1-2", ends_in_s=1.0)  # but it goes on
+    end(placer, "w1-1", key)
+    submit(placer, near_job(n_tasks=2, run_time_s=30.0))
+    (first, (at, worker)) = decide_until(placer, 15.0)
+    assert first == (0.0, "w1-1")
+    assert MAX_WAIT_S < at <= MAX_PARTIAL_WAIT_S
+    assert worker.startswith("w2")
+
+
 # Load: the data rack is full with runs that end late.
 
 
@@ -441,16 +485,77 @@
 
 def test_a_gang_keeps_tickets_for_the_rack_that_it_waits_for():
     """Guards against a rack that becomes free while its tickets have lapsed."""
-    placer = make_racks(ADVISED)
+    terms = AdviceTerms(decide_s=0.1, per_worker_s=0.002, valid_s=1.25)
+    placer = make_racks(make_queue(priority=2, stretch=9.0, advice=terms), n_racks=20)
     keys = {
-        name: fill(placer, name, ends_in_s=ends_in_s)
-        for name, ends_in_s in (("w1-2", 60.0), ("w2-2", 1.0), ("w3-2", 60.0))
+        f"w{rack}-2": fill(placer, f"w{rack}-2", ends_in_s=1.5 if rack == 20 else 60.0)
+        for rack in range(1, 21)
     }
-    submit(placer, gang_job())
-    assert decide_until(placer, 0.75) == []
-    end(placer, "w2-2", keys["w2-2"])
-    started = decide_until(placer, 1.5, 1.0)
-    assert racks_of(started) == {"w2"}
+    progress = submit(placer, gang_job())
+    assert decide_until(placer, 1.25) == []
+    end(placer, "w20-2", keys["w20-2"])
+    advice = placer.advice.for_step(progress.step_run(0, 0).name)
+    assert advice.ticket("w20-1", 1, NOW + 1.5)
+    assert advice.ticket("w20-2", 1, NOW + 1.5)
+    started = decide_until(placer, 1.5, 1.5)
+    assert racks_of(started) == {"w20"}
+
+
+# What is known of runs that are not local.
+
+
+def test_a_run_far_from_its_data_is_expected_to_take_longer():
+    """Guards against steps that wait for the end of a run that takes twice as long."""
+    placer = make_racks()
+    for number in (1, 2):
+        fill(placer, f"w1-{number}", ends_in_s=60.0)
+    submit(placer, near_job(run_time_s=4.0))
+    ((_, name),) = decide_until(placer, 0.0)
+    worker = placer.workers[name]
+    (slot,) = worker.slots.values()
+    assert slot.expected_end(1.0) == NOW + 8.0
+
+
+def test_a_spread_gang_is_expected_to_take_longer():
+    """Guards against a reservation for the time at which a spread gang goes on."""
+    placer = make_racks()
+    submit(placer, gang_job(n_tasks=3, run_time_s=4.0))
+    decide_until(placer, 0.0)
+    ends = {
+        slot.expected_end(1.0)
+        for worker in placer.workers.values()
+        for slot in worker.slots.values()
+    }
+    assert ends == {NOW + 8.0}
+    placer = make_racks()
+    submit(placer, gang_job(n_tasks=2, run_time_s=4.0))
+    decide_until(placer, 0.0)
+    ends = {
+        slot.expected_end(1.0)
+        for worker in placer.workers.values()
+        for slot in worker.slots.values()
+    }
+    assert ends == {NOW + 4.0}
+
+
+def test_a_worker_does_not_count_as_slow_for_a_run_far_from_its_data():
+    """Guards against speeds that fall with the number of runs far from their data."""
+    placer = make_racks()
+    for number in (1, 2):
+        fill(placer, f"w1-{number}", ends_in_s=60.0)
+    submit(placer, near_job(n_tasks=2, run_time_s=4.0))
+    placements, _ = placer.decide(NOW, WALL)
+    mark_started(placer, placements, NOW)
+    first, second = placements
+    answer_renewal(
+        placer,
+        first.worker_id,
+        NOW + 8.0,
+        running=() if second.worker_id != first.worker_id else (running_row(second),),
+        ended=(ended_row(first, 1),),
+    )
+    ((observed,),) = placer.speeds.ends.values()
+    assert observed.actual_s == pytest.approx(4.0)
 
 
 # What operators see.
@@ -543,7 +648,7 @@
 )
 
 
-def play(placer, runs, jobs):
+def play(placer, runs, jobs, begin_tick=0):
     """Play 6 s of a load; return when and where each task of the jobs started.
 
     Runs end at their own times, which are other ones than the placer expects.
@@ -555,7 +660,7 @@
     for job in jobs:
         submit(placer, job)
     started = []
-    for tick in range(25):
+    for tick in range(begin_tick, begin_tick + 25):
         at = tick * TICK_S
         for (name, key), end_s in list(ends.items()):
             if end_s <= at:
@@ -595,6 +700,50 @@
     assert started <= without + MAX_WAIT_S
 
 
+@settings(max_examples=60, deadline=None)
+@given(
+    RUNS,
+    st.lists(STEPS, min_size=1, max_size=5),
+    st.sampled_from([PATIENT, URGENT, ADVISED]),
+    st.integers(0, 24),
+)
+def test_idle_jobs_wait_for_places_within_the_bound_across_terms(
+    runs, steps, queue, change_tick
+):
+    """Guards against waits beside each other, or in two terms, that add up.
+
+    The placer changes once; the jobs that have not started are taken in again.
+    """
+    waits = {}
+    plan = decisions._plan_wait
+
+    def spy(placer, step_run, *args, **more):
+        found = plan(placer, step_run, *args, **more)
+        if found is not None and not step_run.n_assigned:
+            waits.setdefault(step_run.name, []).append(more["now"])
+            if queue.pool not in placer.full_pools:
+                assert more["now"] < NOW + MAX_WAIT_S
+        return found
+
+    jobs = [
+        make_job(step, job_id=f"{number:016x}") for number, step in enumerate(steps)
+    ]
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(decisions, "_plan_wait", spy)
+        begun = set()
+        for at, started in play(make_racks(queue), runs, jobs):
+            begun = {item[2].job_id for item in started}
+            if at >= change_tick * TICK_S:
+                break
+        later = make_racks(queue, term=2)
+        later.begun_at = NOW + at + TICK_S
+        left = [job for job in jobs if job.job_id not in begun]
+        for _ in play(later, runs, left, begin_tick=change_tick + 1):
+            pass
+    for times in waits.values():
+        assert max(times) - min(times) < MAX_WAIT_S
+
+
 @settings(max_examples=40, deadline=None)
 @given(
     RUNS,
