Count the wait for room of a step without a run towards that for its place

Cause: a step without a run whose job has one could wait for room and then 2 s for its place, also in a pool with room. Room that is headroom elsewhere was taken for room that the step leaves unused.

Change: below .75 of the pool in use, the bound counts from when the step first waited; room that the step may not use is left out.

Result: tests/jobs/test_placewait.py passes, with a test for each.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -444,12 +444,15 @@
         return None
     usable, ask_s = _permitted_or_unasked(placer, step_run, queue, workers, now)
     roomy = with_room(step.need, usable)
+    # Room that the step may not use now, such as headroom, is no place to wait for, nor
+    # one to leave unused.
+    closed = {item.worker_id for item in roomy if not allowance.accepts(item)}
+    if closed:
+        roomy = [item for item in roomy if item.worker_id not in closed]
+        usable = [item for item in usable if item.worker_id not in closed]
     far = roomy if step.gang else [item for item in roomy if not is_near(step, item)]
     if not far or (step.gang and n_fitting_tasks(step, far) < step.n_tasks):
-        return None  # there is no room to leave unused
-    # Room that the step may not use now, such as headroom, is no place to wait for.
-    closed = {item.worker_id for item in roomy if not allowance.accepts(item)}
-    usable = [item for item in usable if item.worker_id not in closed]
+        return None
     run_s = run_times[step_run.number]
     held = _kept_amounts(placer, step_run.name)
     if step.gang:
@@ -537,6 +540,7 @@
         idle_since = progress.idle_since or begun_at
     return WaitBounds(
         placer.begun_at,
+        step_run.wait.since or now,
         step_run.wait.place_since or now,
         idle_since,
         begun_at + STALE_FACTOR * objective_s(job, queue, run_times),
@@ -771,6 +775,7 @@
         idle_since = progress.idle_since or step_run.wait.since or now
     bounds = WaitBounds(
         placer.begun_at,
+        step_run.wait.since or now,
         step_run.wait.place_since or since,
         idle_since,
         math.inf,
--- a/cuminhill/jobs/placewait.py
+++ b/cuminhill/jobs/placewait.py
@@ -52,6 +52,8 @@
     ----------
     begun_at : float, seconds
         When the term began.
+    waits_since : float, seconds
+        Since when the step has waited, in this term and since its newest placement.
     held_since : float, seconds
         Since when, in this term and since the newest placement, room elsewhere was left
         unused for the step.
@@ -67,6 +69,7 @@
     """
 
     begun_at: float
+    waits_since: float
     held_since: float
     idle_since: float
     stale_at: float
@@ -77,6 +80,8 @@
         """Return until when the step may wait for a local placement."""
         longest_s = MAX_PARTIAL_WAIT_S if self.partial else MAX_WAIT_S
         until = min(self.stale_at, self.held_since + longest_s)
+        if not (self.partial or self.full):
+            until = min(until, self.waits_since + MAX_WAIT_S)
         if not self.idle_since:
             return until
         # What an earlier term has waited is not known, but it began with the idle time.
--- a/tests/jobs/test_placewait.py
+++ b/tests/jobs/test_placewait.py
@@ -234,6 +234,24 @@
     assert worker.startswith("w2")
 
 
+def test_a_step_of_a_job_that_runs_counts_its_wait_for_room():
+    """Guards against a step without a run for 2 s for room and 2 s for its place."""
+    placer = make_racks()
+    keys = {
+        name: fill(placer, name, ends_in_s=1.9 if name.startswith("w1") else 9.0)
+        for name in ("w1-1", "w1-2", "w2-1", "w2-2", "w3-1")
+    }
+    first = make_step(1, CORES, run_time_s=30.0)
+    second = make_step(1, CORES, run_time_s=30.0, near_rack="r1")
+    submit(placer, make_job(first, second))
+    assert decide_until(placer, 1.0) == [(0.0, "w3-2")]
+    for name in ("w2-1", "w2-2", "w3-1"):  # less than .75 of the pool is left in use
+        end(placer, name, keys[name])
+    ((at, worker),) = decide_until(placer, 9.0, 1.25)
+    assert 1.25 < at <= MAX_WAIT_S
+    assert not worker.startswith("w1")
+
+
 def test_the_other_tasks_of_a_step_wait_longer_but_not_without_a_bound():
     """Guards against a wide step whose last tasks never start."""
     placer = make_racks(n_racks=2)
@@ -432,6 +450,22 @@
     assert racks_of(decide_until(placer, 0.0)) == {"w3"}
 
 
+# Load: a pool whose free room is headroom for urgent work.
+
+
+def test_headroom_is_neither_waited_for_nor_left_unused():
+    """Guards against a wait that names a place, while the step may not use any room."""
+    placer = make_racks(PATIENT, make_queue("u", priority=0))
+    for name in list(placer.workers)[1:]:
+        fill(placer, name, ends_in_s=60.0, cores=15.0)
+    fill(placer, "w1-1", ends_in_s=1.0, cores=12.0)
+    progress = submit(placer, near_job(cores=1.0))
+    assert decide_until(placer, 1.0) == []
+    wait = progress.step_run(0, 0).wait
+    assert wait.place_since == 0.0
+    assert wait.cause.reason == "headroom"
+
+
 # Load: placement that needs advice.
 
 
@@ -607,6 +641,7 @@
     WaitBounds,
     TIMES,
     TIMES,
+    TIMES,
     st.just(0.0) | TIMES,
     TIMES,
     st.booleans(),
@@ -621,6 +656,8 @@
     longest_s = MAX_PARTIAL_WAIT_S if bounds.partial else MAX_WAIT_S
     assert until <= bounds.stale_at
     assert until <= bounds.held_since + longest_s
+    if not (bounds.partial or bounds.full):
+        assert until <= bounds.waits_since + MAX_WAIT_S
     inherited = bounds.idle_since < bounds.begun_at
     if bounds.idle_since and (inherited or not bounds.full):
         assert until <= bounds.idle_since + MAX_WAIT_S
