--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -35,6 +35,7 @@
 from .logreader import LogFollower
 from .model import Outcome, Queue, QueueTable, WorkerEntry
 from .nodemetrics import make_node_metrics
+from .packing import REMOTE_SLOWDOWN
 from .peers import JobPeers
 from .placer import Placer, PlacerTimes
 from .progress import crash_rows
@@ -115,6 +116,8 @@
     max_wait_factor : float
         New jobs whose estimated wait is longer than this multiple of their objective
         are refused; 0 refuses none for that reason.
+    remote_slowdown : float
+        Run time of a task away from its data, relative to one near it.
     """
 
     vm: str
@@ -126,6 +129,7 @@
     rpc_limits: RpcLimits = field(default_factory=RpcLimits)
     budget: ReceiveBudget | None = None
     max_wait_factor: float = 0.0
+    remote_slowdown: float = REMOTE_SLOWDOWN
 
 
 @dataclass(frozen=True, slots=True)
@@ -690,6 +694,7 @@
             reader=self.journal,
         )
         placer = Placer(claim.term, now, self.options.times)
+        placer.remote_slowdown = self.options.remote_slowdown
         leadership = Leadership(
             claim,
             placer,
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -38,6 +38,7 @@
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
+from .packing import REMOTE_SLOWDOWN, slowdown_on
 from .shares import Shares
 from .speeds import SpeedModel
 from .teamusage import TeamUsage
@@ -203,6 +204,11 @@
         Usage of the teams in the newest decision.
     shares : Shares
         Surplus jobs and shares of the teams.
+    remote_slowdown : float
+        Run time of a task away from its data, or in a gang that is spread over racks
+        although it should not be, relative to a local one.
+    full_pools : set of str
+        Pools that were nearly full at the newest decision (`placewait.FULL_FRACTION`).
     """
 
     term: int
@@ -243,6 +249,8 @@
     late_starts: dict[str, dict[Placement, float]] = field(default_factory=dict)
     team_usage: TeamUsage = field(default_factory=TeamUsage)
     shares: Shares = field(default_factory=Shares)
+    remote_slowdown: float = REMOTE_SLOWDOWN
+    full_pools: set[str] = field(default_factory=set)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -309,6 +317,8 @@
         not know of that incarnation when it sent the start.
         """
         slot = self.make_slot(progress, key, task.run)
+        step = progress.job.steps[key.step]
+        slot.run_time_s *= slowdown_on(step, worker, self.remote_slowdown)
         slot.sent, slot.started_at = True, self.begun_at
         slot.incarnation = task.incarnation
         slot.checkpoint = task.checkpoint
@@ -863,7 +873,9 @@
         step = progress.job.steps[key.step]
         name = progress.step_run(key.occurrence, key.step).name
         if worker is not None and slot is not None and slot.full_run:
-            actual_s = now - slot.started_at
+            # The distance of the data says nothing about the worker's speed.
+            slowdown = slowdown_on(step, worker, self.remote_slowdown)
+            actual_s = (now - slot.started_at) / slowdown
             incarnation = worker.entry.incarnation
             self.speeds.observe(
                 worker.worker_id, incarnation, name, actual_s, worker.kind
--- a/cuminhill/platform/boot.py
+++ b/cuminhill/platform/boot.py
@@ -9,12 +9,13 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from pydantic import BaseModel, ConfigDict, Field, field_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationInfo, field_validator
 
 from ..clock import PROCESS_STARTED_AT
 from ..errors import SettingsError
 from ..jobs.fleet import LeaseTimes
 from ..jobs.node import Backends, JobNode, NodeOptions
+from ..jobs.packing import REMOTE_SLOWDOWN
 from ..jobs.placer import PlacerTimes
 from ..rpc import RpcLimits
 from ..util.http import MAX_HEADER_BYTES, HttpLimits, HttpServer
@@ -84,15 +85,18 @@
     max_lease_ms: float = 6000.0
     keep_state_s: float = 120.0
     grace_s: float = 6.0
+    remote_slowdown: float = Field(default=REMOTE_SLOWDOWN, ge=1.0, le=100.0)
     max_wait_factor: float = Field(0.0, ge=0.0)
     memory_mb: float = DEFAULT_MEMORY_MB
     receive_budget_mb: float = 0.0
 
-    @field_validator("memory_mb", mode="before")
+    @field_validator("memory_mb", "remote_slowdown", mode="before")
     @classmethod
-    def _default_memory(cls, value: Any) -> Any:
+    def _default_for_no_text(cls, value: Any, info: ValidationInfo) -> Any:
         """Return the default for the text that a template gives without a value."""
-        return DEFAULT_MEMORY_MB if value == "" else value
+        if value == "" and info.field_name is not None:
+            return cls.model_fields[info.field_name].default
+        return value
 
     @field_validator("memory_mb", "receive_budget_mb")
     @classmethod
@@ -164,6 +168,7 @@
         rpc_limits=RPC_LIMITS,
         budget=make_budget(cfg),
         max_wait_factor=cfg.max_wait_factor,
+        remote_slowdown=cfg.remote_slowdown,
     )
     return JobNode(options, backends, rng)
 
