--- a/cuminhill/jobs/jobload.py
+++ b/cuminhill/jobs/jobload.py
@@ -17,7 +17,7 @@
 # worker can hold, so it does not show that the pool is busy.
 MAX_WAIT_SHOWN_S = 30.0
 MAX_GROUPS = 5000  # bounds memory, and the time to find the jobs that wait for long
-# The placer renews its term every second at least, and a VM that is not the placer
+# The placer renews its term every 0.75 s at least, and a VM that is not the placer
 # reads the journal with a pause. A longer silence means that nothing was placed.
 MAX_PLACER_SILENCE_S = 2.5
 # Records of a read after a longer gap count as accepted when the gap began: they came
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -335,6 +335,20 @@
     assert not site.n_refused
 
 
+def test_a_wait_counts_up_to_the_newest_record_of_the_placer():
+    """Guards against jobs that become late because the placer is silent.
+
+    Load: jobs of two teams wait while the placer is silent for 2.4 s, and on after it.
+    """
+    load = JobLoad()
+    load.note_placer(100.0, is_new_term=True)
+    for team in ("a", "b"):
+        load.begin_wait("q", team, 100.0)
+    assert not load.late({"q": 2.0}, 102.4)
+    load.note_placer(102.4, is_new_term=False)
+    assert load.late({"q": 2.0}, 102.7) == {"q": {"a": 1, "b": 1}}
+
+
 def test_waits_without_a_placer_do_not_count_once_there_is_one():
     """Guards against a new term that begins with refusals.
 
