Give the node of tests/door ports outside of the ephemeral range

Cause: one start of the node failed with "Address already in use": the ports were found one after the other among those that the system also gives to the node's own connections from the same address. Client load and bounds are unchanged.

--- a/tests/door/conftest.py
+++ b/tests/door/conftest.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import random
 import subprocess
 import sys
 import threading
@@ -15,7 +16,7 @@
 
 import pytest
 
-from review.harness.nodes import free_host, free_port
+from review.harness.nodes import free_host
 from review.harness.store import Store
 from standins.processes import wait_until
 
@@ -26,6 +27,9 @@
 # The settings that are lowered exist in all builds, so that the same tests can be run
 # on an older one. No setting tells the memory of the VM: the smallest one is assumed.
 MAX_DESCRIPTORS = 700
+# Below the ports that the system gives to connections: the node connects to the store
+# from the same address before all of its listeners are open.
+LISTENER_PORTS = range(20_000, 32_000)
 
 
 class StallingStore(Store):
@@ -98,8 +102,8 @@
         target=_run_store, args=(store, host, addresses, listening), daemon=True
     ).start()
     assert listening.wait(10)
-    front, ready, inspection = (f"{host}:{free_port(host)}" for _ in range(3))
-    port = free_port(host)
+    *others, port = random.sample(LISTENER_PORTS, 4)
+    front, ready, inspection = (f"{host}:{other}" for other in others)
     settings = {
         "vm": "front-1",
         "failure_domain": "z1",
