Serve a single body in chunks of any size

A body within the limits in over 2,048 chunks of fewer than 32 bytes was answered 400, and one of full size in chunks of one byte 413, also in calm: the interface sets no least size of a chunk, and a single request inside the limits is to be served.

Change: the bound on the size of chunks holds while more than 8 requests are unfinished; the bound on framing grows by 16 bytes a chunk. Work in a turn stays bounded, so others are served meanwhile.

The test of refused small chunks has the other requests now; a further one sends 60,000 chunks of one byte and failed before. tests/door and tests/util/test_receiving.py pass.

--- a/cuminhill/util/http.py
+++ b/cuminhill/util/http.py
@@ -30,11 +30,15 @@
 FIRST_READ_SIZE = 16384
 # Events of the parser within one turn; a chunk of one byte takes 7 µs.
 EVENTS_PER_TURN = 32
-# Beyond this number of chunks, they must have `MIN_MEAN_CHUNK_BYTES` on average.
+# Beyond this number of chunks, they must have `MIN_MEAN_CHUNK_BYTES` on average while
+# more than `MAX_CALM_REQUESTS` are unfinished; otherwise they may have any size.
 FREE_CHUNKS = 2048
 MIN_MEAN_CHUNK_BYTES = 32
-# Of a body with its chunk headers, besides twice the body's limit.
+MAX_CALM_REQUESTS = 8
+# Of a body with its chunk headers, besides twice the body's limit: in all, and for each
+# chunk.
 MAX_FRAMING_BYTES = 65536
+FRAMING_BYTES_PER_CHUNK = 16
 RETRY_AFTER_S = 1  # of a request that is refused because others are being handled
 # After an error response the rest of the request is read for this long, since closing
 # a socket with unread input resets the connection and can discard the response.
@@ -185,7 +189,12 @@
         if self.n_declared > self.max_bytes:
             raise _TooLargeError
 
-    def add(self, event: h11.Data) -> None:
+    def max_framed_bytes(self) -> int:
+        """Return how many bytes may have been read of the request so far."""
+        framing = MAX_FRAMING_BYTES + self.n_chunks * FRAMING_BYTES_PER_CHUNK
+        return 2 * self.max_bytes + framing
+
+    def add(self, event: h11.Data, *, calm: bool) -> None:
         """Add a part.
 
         Raises
@@ -197,9 +206,8 @@
         if len(self.content) > self.max_bytes:
             raise _TooLargeError
         self.n_chunks += event.chunk_start
-        if self.n_chunks > FREE_CHUNKS and (
-            len(self.content) < self.n_chunks * MIN_MEAN_CHUNK_BYTES
-        ):
+        least = self.n_chunks * MIN_MEAN_CHUNK_BYTES
+        if not calm and self.n_chunks > FREE_CHUNKS and len(self.content) < least:
             raise _SmallChunksError
 
     def read_size(self) -> int:
@@ -451,14 +459,15 @@
             event = h11_conn.next_event()
             if event is h11.NEED_DATA:
                 n_read += await self._read_more(exchange, body.read_size(), n_read)
-                if n_read > 2 * body.max_bytes + MAX_FRAMING_BYTES:
+                if n_read > body.max_framed_bytes():
                     raise _TooLargeError
             elif isinstance(event, h11.Request):
                 head = event
                 exchange.method = head.method.decode("ascii")
                 body.begin(head, n_read)
             elif isinstance(event, h11.Data):
-                body.add(event)
+                calm = self.budget.n_unfinished <= MAX_CALM_REQUESTS
+                body.add(event, calm=calm)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 self.budget.release(holding)
                 holding.buffer = bytearray()
--- a/cuminhill/util/receiving.py
+++ b/cuminhill/util/receiving.py
@@ -161,6 +161,11 @@
             self.used_bytes -= holding.n_bytes
             holding.n_bytes = 0
 
+    @property
+    def n_unfinished(self) -> int:
+        """Number of requests that are arriving."""
+        return len(self._holdings)
+
     async def take_turn(self) -> None:
         """Let other tasks run before a connection continues with a long request."""
         async with self.turns:
