Move kept room and eligible workers out of decisions.py

decisions.py had grown to 2,010 lines with several jobs in one module. Room kept for lasting tasks and gangs is now in keptrooms.py. What it shares with the other parts is below it: the workers and the room that a step may use in eligibility.py, and the steps with lost runs in lostruns.py.

Code is only moved: names that other modules use lose their underscore. An import of decisions.py by the new modules was ruled out, since it would be a cycle. Two tests follow their names: one import, and one patch of `_local_places`, which is now looked up in keptrooms.py.

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, defaultdict
+from collections import defaultdict
 from heapq import nsmallest
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import structlog
 
-from ..model import NO_RESOURCES
 from .advice import (
     TICKET_MARGIN_S,
     AdviceCall,
@@ -17,35 +16,46 @@
     make_advice_call,
 )
 from .crashes import starts_apart
-from .fleet import CAPACITY_EPSILON
-from .headroom import BUSY_FRACTION, Headroom, HeadroomLimit, headroom_limit
-from .lateness import NO_OBJECTIVE
-from .leasebounds import lapse_at
+from .eligibility import (
+    available_workers,
+    core_limit_of,
+    eligible_workers,
+    headroom_limits,
+    is_restart,
+    limit_of,
+    make_allowance,
+    n_by_worker,
+    step_candidates,
+)
+from .headroom import BUSY_FRACTION, HeadroomLimit
+from .keptrooms import (
+    deduct_reservations,
+    hold_room,
+    kept_amounts,
+    kept_rooms,
+    reserve_for_gang,
+    reserve_room,
+    reserved_rooms,
+    with_unheld_room,
+)
+from .lostruns import lost_steps
 from .model import JobState
 from .ordering import STALE_FACTOR, Rank, objective_s, order_key
 from .packing import (
     MAX_ADVISED_WORKERS,
     MIN_ASKED_WORKERS,
     PERMITTED_FACTOR,
-    SHORT_RUN_S,
     Allowance,
-    HeldRoom,
-    Hold,
     Reservation,
     by_free_cores,
     by_suitability,
     choose_advised,
     covering,
     is_near,
-    make_candidates,
     min_asked_workers,
     n_fitting_tasks,
     place_gang,
-    reserve,
-    reserve_places,
     slowdown_on,
-    soonest_places,
-    takes_starts,
     with_room,
 )
 from .placewait import (
@@ -53,11 +63,9 @@
     WaitBounds,
     gang_slowdown,
     is_local,
-    is_worthwhile,
     local_groups,
     plan_gang,
     plan_tasks,
-    soonest_local,
 )
 from .teamusage import TeamAmounts, TeamUsage
 from .waitcauses import explain_wait
@@ -77,7 +85,7 @@
     from .fleet import Worker
     from .lateness import Outlook
     from .model import AdviceTerms, Queue, Step, TaskKey
-    from .packing import Amounts, Candidates
+    from .packing import Candidates
     from .placer import Placer
     from .placewait import PlaceWait
     from .progress import Progress, StepRun
@@ -96,27 +104,6 @@
 # Blocked steps other than gangs with a reservation at a time; without one, steps that
 # need many workers would starve.
 MAX_RESERVATIONS = 2
-# Tasks covered by the reservation of a step that is not a gang: they can start one by
-# one.
-MAX_RESERVED_TASKS = 4
-# A run that is not short may use a reserved worker if this multiple of its expected run
-# time fits before the reservation begins: expected run times are rough.
-BACKFILL_FACTOR = 2.0
-# Share of a pool's cores that may be kept for lasting tasks, though room for one task
-# always may: batches go on when many workers are lost.
-MAX_HELD_FRACTION = 0.25
-# Share of a pool's cores that may be kept for gangs of the same or a higher priority,
-# though one gang always may have all that it needs.
-MAX_RESERVED_FRACTION = 0.25
-# Places of gangs that are expected to be free within this time are deducted from the
-# room beside the headroom; before that, short runs may use them.
-RESERVED_AHEAD_S = BACKFILL_FACTOR * SHORT_RUN_S
-# Steps for which room is kept in one decision, those with the earliest start first; it
-# bounds the time of a decision after the loss of many workers.
-MAX_HELD_STEPS = 50
-# Room is kept for an interrupted task for this long: longer than a wait for leases and
-# for batches to end, while a task that can't start for another reason holds none.
-MAX_HOLD_S = 30.0
 # While a pool is not busy, a job without a run may use kept room after this wait, since
 # callers count it as lost after 3 s.
 MAX_IDLE_WAIT_S = 2.0
@@ -255,12 +242,12 @@
     placer.n_considered = len(waiting)
     busy, placer.full_pools = _pools_in_use(placer)
     hold_room(placer, waiting, pools, now)
-    _deduct_reservations(placer, limits, now)
+    deduct_reservations(placer, limits, now)
     patient = False
     explained = _steps_to_explain(waiting, now)
     admitted = _still_admitted(placer, waiting, now)
     for step_run, queue, run_times, n_startable in admitted:
-        restarts = _is_restart(step_run)
+        restarts = is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
             if placements:  # they may use room that was kept
@@ -271,14 +258,14 @@
         # It may use reserved workers.
         expected_s = 0.0 if idle or step_run.name in placer.reservations else run_s
         workers = eligible_workers(placer, step_run, pool, expected_s, now)
-        rooms = _kept_rooms(placer, step_run, queue, run_s, idle=idle, now=now)
+        rooms = kept_rooms(placer, step_run, queue, run_s, idle=idle, now=now)
         if rooms[-1] and not restarts:
-            workers = _with_unheld_room(step_run, workers, rooms[-1])
+            workers = with_unheld_room(step_run, workers, rooms[-1])
         outlook = placer.outlook(step_run, queue, wall, run_times)
-        core_limit = _core_limit_of(
-            step_run, _limit_of(placer, limits, step_run, queue), idle=idle
+        core_limit = core_limit_of(
+            step_run, limit_of(placer, limits, step_run, queue), idle=idle
         )
-        allowance = _make_allowance(
+        allowance = make_allowance(
             placer, step_run, core_limit, now, held=rooms[-1], restart=restarts
         )
         place_wait = (
@@ -342,9 +329,9 @@
         if placed or step_run.name in placer.shares.surplus_steps:
             continue
         if step_run.step.gang:
-            _reserve_for_gang(placer, step_run, pool, core_limit, now=now)
+            reserve_for_gang(placer, step_run, pool, core_limit, now=now)
         elif advised and not place_wait and n_reservations < MAX_RESERVATIONS:
-            n_reservations += _reserve_room(
+            n_reservations += reserve_room(
                 placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
             )
     note_unconsidered(placer, now, wall)
@@ -376,40 +363,6 @@
             row[0].wait.since = row[0].wait.since or now
 
 
-def _reserve_room(
-    placer: Placer,
-    step_run: StepRun,
-    pool: list[Worker],
-    workers: list[Worker],
-    n_startable: int,
-    *,
-    run_s: float,
-    now: float,
-) -> bool:
-    """Reserve workers for a blocked step; return whether it counts as a reservation.
-
-    Parameters
-    ----------
-    workers : list of Worker
-        Workers of the pool that may run the step.
-    """
-    step = step_run.step
-    n_tasks = min(n_startable, MAX_RESERVED_TASKS)
-    if step.long_running:
-        # For restarts room is kept already.
-        if _is_restart(step_run) or any(item.fits(step.need) for item in workers):
-            return False
-        n_tasks = _n_holdable(placer, step_run, pool, n_tasks)
-        _hold_places(placer, step_run, workers, n_tasks, at=now, now=now)
-        return True
-    if run_s <= SHORT_RUN_S:
-        return False
-    reserved = reserve(step, workers, n_tasks, now, _kept_amounts(placer))
-    for worker_id, at in reserved.items():
-        placer.reserved[worker_id] = min(at, placer.reserved.get(worker_id, math.inf))
-    return True
-
-
 def _pools_in_use(placer: Placer) -> tuple[set[str], set[str]]:
     """Return the pools with much of their reachable workers' cores in use.
 
@@ -492,7 +445,7 @@
     if not far or (step.gang and n_fitting_tasks(step, far) < step.n_tasks):
         return None
     run_s = run_times[step_run.number]
-    held = _kept_amounts(placer, step_run.name)
+    held = kept_amounts(placer, step_run.name)
     if step.gang:
         return plan_gang(
             step,
@@ -517,7 +470,7 @@
         until=until,
         now=now,
         held=held,
-        n_by_worker=_n_by_worker(step_run),
+        n_by_worker=n_by_worker(step_run),
     )
 
 
@@ -643,432 +596,6 @@
     return [item for item in workers if item.worker_id in names]
 
 
-def _is_restart(step_run: StepRun) -> bool:
-    """Return whether tasks of a step wait that last and were interrupted."""
-    step = step_run.step
-    return step.long_running and not step.gang and step_run.n_interrupted > 0
-
-
-def hold_room(
-    placer: Placer,
-    waiting: Iterable[tuple[StepRun, Queue, list[float]]],
-    pools: dict[str, list[Worker]],
-    now: float,
-) -> None:
-    """Keep room for lasting tasks that were interrupted or will be given up as lost.
-
-    While such a task waits, for leases or advice, batches would take the room on the
-    few workers that may run it. The same holds for tasks that are being moved, which
-    were stopped because their target had room.
-    """
-    placer.held = {}
-    for move in placer.moves.values():
-        if move.target in placer.workers:
-            hold = Hold(move.need, now)
-            placer.held.setdefault(move.target, HeldRoom()).add(hold)
-    claims = [
-        (now, step_run, _n_held_for(placer, step_run, now))
-        for step_run, _, _ in waiting
-        if _is_restart(step_run)
-    ]
-    claims += [
-        (max(now, lapse), step_run, n_runs)
-        for step_run, (n_runs, lapse) in _lost_steps(placer).items()
-        if step_run.step.long_running and not step_run.step.gang
-    ]
-    claims.sort(key=lambda claim: claim[0])
-    for at, step_run, n_tasks in claims[:MAX_HELD_STEPS]:
-        queue = placer.queue_of(placer.jobs[step_run.job.job_id])
-        if queue is None or queue.pool not in pools:
-            continue
-        pool = pools[queue.pool]
-        n_allowed = _n_holdable(placer, step_run, pool, n_tasks)
-        if not n_allowed:
-            continue
-        workers = eligible_workers(placer, step_run, pool, 0.0, now)
-        if queue.advice is not None:
-            advice = placer.advice.for_step(step_run.name)
-            workers = [item for item in workers if advice.permits(item.worker_id)]
-        _hold_places(placer, step_run, workers, n_allowed, at=at, now=now)
-    _renew_reservations(placer, pools, now)
-
-
-def _renew_reservations(
-    placer: Placer, pools: dict[str, list[Worker]], now: float
-) -> None:
-    """Keep the places of gangs; replace those that can no longer be used."""
-    for name, reservation in list(placer.reservations.items()):
-        step_run = reservation.step_run
-        progress = placer.jobs.get(step_run.job.job_id)
-        wanted = (
-            progress is not None
-            and not progress.cancelled
-            and progress.state is not JobState.FAILED
-            and progress.n_startable(step_run) >= step_run.step.n_tasks
-            and placer.team_usage.limit(placer, step_run, step_run.step.n_tasks)
-        )
-        pool = pools.get(reservation.pool, [])
-        if not (wanted and _choose_places(placer, reservation, pool, now)):
-            del placer.reservations[name]
-    placer.reserved_room = _reserved_rooms(placer)
-
-
-def _reserved_rooms(placer: Placer) -> dict[str, HeldRoom]:
-    """Return the room that is kept for gangs, by worker."""
-    rooms: dict[str, HeldRoom] = {}
-    for name, reservation in placer.reservations.items():
-        hold = Hold(reservation.step_run.step.need, reservation.at, name)
-        for worker_id, n_tasks in reservation.places.items():
-            if worker_id not in placer.workers:
-                continue
-            room = rooms.setdefault(worker_id, HeldRoom())
-            for _ in range(n_tasks):
-                room.add(hold)
-    return rooms
-
-
-def _reserve_for_gang(
-    placer: Placer,
-    step_run: StepRun,
-    pool: list[Worker],
-    core_limit: HeadroomLimit | None,
-    *,
-    now: float,
-) -> None:
-    """Keep places for a blocked gang until it starts.
-
-    They are kept from decision to decision, however urgent the steps are that come
-    later: what becomes free would never add up otherwise.
-    """
-    name, progress = step_run.name, placer.jobs[step_run.job.job_id]
-    queue = placer.queue_of(progress)
-    if queue is None or name in placer.reservations:
-        return
-    if progress.n_startable(step_run) < step_run.step.n_tasks:
-        return
-    reservation = Reservation(step_run, queue.pool, queue.priority, {}, now)
-    others = [
-        item.cores
-        for item in placer.reservations.values()
-        if item.pool == queue.pool and item.priority <= queue.priority
-    ]
-    capacity = sum(worker.entry.capacity.cores for worker in pool)
-    if others and sum(others) + reservation.cores > MAX_RESERVED_FRACTION * capacity:
-        return
-    if _choose_places(placer, reservation, pool, now):
-        placer.reservations[name] = reservation
-        placer.reserved_room = _reserved_rooms(placer)
-        if core_limit is not None:
-            _deduct_reservation(placer, reservation, core_limit, now)
-
-
-def _choose_places(
-    placer: Placer, reservation: Reservation, pool: list[Worker], now: float
-) -> bool:
-    """Choose the places of a gang anew; return whether it will fit."""
-    step_run = reservation.step_run
-    workers = eligible_workers(placer, step_run, pool, 0.0, now)
-    queue = placer.queue_of(placer.jobs[step_run.job.job_id])
-    if queue is not None and queue.advice is not None:
-        advice = placer.advice.for_step(step_run.name)
-        workers = [item for item in workers if advice.permits(item.worker_id)]
-    earlier = reservation if reservation.places else None
-    held = _kept_amounts(placer, step_run.name)
-    chosen = reserve_places(step_run.step, workers, now, held=held, earlier=earlier)
-    if chosen is None:
-        return False
-    if is_local(step_run.step) and queue is not None:
-        local = _local_places(
-            placer, reservation, queue, workers, spread_at=chosen[1], now=now
-        )
-        chosen = local or chosen
-    reservation.places, reservation.at = chosen
-    return True
-
-
-def _local_places(
-    placer: Placer,
-    reservation: Reservation,
-    queue: Queue,
-    workers: list[Worker],
-    *,
-    spread_at: float,
-    now: float,
-) -> tuple[dict[str, int], float] | None:
-    """Return local places for a gang if these are worth a longer wait, or None.
-
-    Parameters
-    ----------
-    workers : list of Worker
-        Workers that may run the gang.
-    spread_at : float, seconds
-        When places on any racks are expected to be free.
-    """
-    step_run, slowdown = reservation.step_run, placer.remote_slowdown
-    if slowdown <= 1.0 or step_run.n_interrupted:
-        return None
-    progress = placer.jobs[step_run.job.job_id]
-    since = max(now, spread_at)
-    idle_since = 0.0
-    if not progress.n_assigned:
-        idle_since = progress.idle_since or step_run.wait.since or now
-    bounds = WaitBounds(
-        placer.begun_at,
-        step_run.wait.since or now,
-        step_run.wait.place_since or since,
-        idle_since,
-        math.inf,
-        full=queue.pool in placer.full_pools,
-    )
-    limit_s = bounds.until() - since
-    if limit_s <= 0:
-        return None
-    held = _kept_amounts(placer, step_run.name)
-    best = soonest_local(reservation, workers, now, held)
-    if best is None or best[1] <= since:
-        return best
-    run_s = placer.run_times(progress, step_run.occurrence)[step_run.number]
-    worthwhile = is_worthwhile(
-        NO_OBJECTIVE, best[1] - since, limit_s, run_s, run_s * slowdown
-    )
-    return best if worthwhile else None
-
-
-def _deduct_reservations(
-    placer: Placer, limits: dict[str, HeadroomLimit], now: float
-) -> None:
-    """Deduct the places of gangs from what other steps may use on fast workers."""
-    for queue in placer.table.queues.values():
-        limit = limits.get(queue.name)
-        if limit is None:
-            continue
-        for reservation in placer.reservations.values():
-            if reservation.pool == queue.pool and not limit.deducted:
-                _deduct_reservation(placer, reservation, limit, now)
-        limit.deducted = True
-
-
-def _deduct_reservation(
-    placer: Placer, reservation: Reservation, limit: HeadroomLimit, now: float
-) -> None:
-    if reservation.at - now > RESERVED_AHEAD_S:
-        return
-    for worker_id, n_tasks in reservation.places.items():
-        free = max(0.0, placer.workers[worker_id].free.cores)
-        limit.use_cores(
-            worker_id, min(free, n_tasks * reservation.step_run.step.need.cores)
-        )
-
-
-def _kept_amounts(placer: Placer, without: str = "") -> dict[str, Amounts]:
-    """Return all room that is kept for lasting tasks and gangs, by worker.
-
-    Parameters
-    ----------
-    without : str, optional
-        Gang that is left out.
-    """
-    kept = _held_amounts(placer)
-    for name, reservation in placer.reservations.items():
-        if name == without:
-            continue
-        need = reservation.step_run.step.need
-        for worker_id, n_tasks in reservation.places.items():
-            if worker_id not in placer.workers:
-                continue
-            cores, memory_mb, accelerators = kept.get(worker_id, (0.0, 0.0, 0.0))
-            for _ in range(n_tasks):
-                cores += need.cores
-                memory_mb += need.memory_mb
-                accelerators += need.accelerators
-            kept[worker_id] = cores, memory_mb, accelerators
-    return kept
-
-
-def _held_amounts(placer: Placer) -> dict[str, Amounts]:
-    """Return the room that is kept for lasting tasks, by worker."""
-    return {
-        worker_id: (room.total.cores, room.total.memory_mb, room.total.accelerators)
-        for worker_id, room in placer.held.items()
-    }
-
-
-def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
-    """Return the number of interrupted tasks for which room is still kept."""
-    waiting = (step_run.tasks[index] for index in step_run.waiting())
-    n_tasks = sum(
-        now - max(task.away_since, placer.begun_at) <= MAX_HOLD_S
-        for task in waiting
-        if task.run
-    )
-    return placer.team_usage.limit(placer, step_run, n_tasks)
-
-
-def _n_holdable(
-    placer: Placer, step_run: StepRun, pool: list[Worker], n_tasks: int
-) -> int:
-    """Return for how many tasks of a step room may still be kept in a pool."""
-    cores = step_run.step.need.cores
-    if cores <= 0:
-        return n_tasks
-    held = [
-        placer.held[worker.worker_id].total.cores
-        for worker in pool
-        if worker.worker_id in placer.held
-    ]
-    capacity = sum(worker.entry.capacity.cores for worker in pool)
-    left = max(0.0, MAX_HELD_FRACTION * capacity - sum(held))
-    return min(n_tasks, max(int(left // cores), not held))
-
-
-def _hold_places(
-    placer: Placer,
-    step_run: StepRun,
-    workers: list[Worker],
-    n_tasks: int,
-    *,
-    at: float,
-    now: float,
-) -> None:
-    """Keep room for tasks of a step where it is free soonest.
-
-    Parameters
-    ----------
-    at : float, seconds
-        Time from which the tasks may start.
-    """
-    step = step_run.step
-    places = soonest_places(
-        step,
-        workers,
-        n_tasks,
-        now,
-        held=_held_amounts(placer),
-        n_by_worker=_n_by_worker(step_run),
-    )
-    for worker_id, free_at in places:
-        hold = Hold(step.need, max(at, free_at))
-        placer.held.setdefault(worker_id, HeldRoom()).add(hold)
-
-
-def _room_held_from(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    run_s: float,
-    now: float,
-) -> dict[str, Resources]:
-    """Return the room on workers that a step leaves to lasting tasks.
-
-    Short urgent work may use all of it, other work what it gives back in time. Workers
-    without room for a task are left out.
-    """
-    if not placer.held or _is_short_urgent(queue, run_s):
-        return {}
-    return _rooms_until(placer, placer.held, step_run, run_s, now=now)
-
-
-def _room_reserved_from(
-    placer: Placer, step_run: StepRun, run_s: float, now: float
-) -> dict[str, Resources]:
-    """Return the room on workers that a step leaves to gangs.
-
-    Workers without room for a task are left out.
-    """
-    name = step_run.name
-    owner = name if name in placer.reservations else ""
-    rooms = placer.reserved_room
-    return _rooms_until(placer, rooms, step_run, run_s, now=now, owner=owner)
-
-
-def _rooms_until(
-    placer: Placer,
-    rooms: dict[str, HeldRoom],
-    step_run: StepRun,
-    run_s: float,
-    *,
-    now: float,
-    owner: str = "",
-) -> dict[str, Resources]:
-    """Return what a run of a step that starts now leaves of kept room, by worker."""
-    if step_run.step.long_running:
-        run_s = math.inf
-    need, workers = step_run.step.need, placer.workers
-    kept = {}
-    for worker_id, room in rooms.items():
-        worker = workers[worker_id]
-        if worker.free.cores + CAPACITY_EPSILON < need.cores or not worker.fits(need):
-            continue
-        ends_at = now + BACKFILL_FACTOR * run_s / worker.health.speed
-        kept[worker_id] = room.until(ends_at, owner)
-    return kept
-
-
-def _kept_rooms(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    run_s: float,
-    *,
-    idle: bool,
-    now: float,
-) -> list[dict[str, Resources]]:
-    """Return the room on workers that a step leaves to others, by attempt.
-
-    Short urgent work, and a job that waits idle, may use the places of gangs where
-    nothing else is left. Other gangs may not: they would starve one another.
-
-    Parameters
-    ----------
-    idle : bool
-        Whether the job waits idle while the pool is not busy.
-    """
-    held = {} if idle else _room_held_from(placer, step_run, queue, run_s, now)
-    if not placer.reserved_room:
-        return [held]
-    reserved = _room_reserved_from(placer, step_run, run_s, now)
-    kept = _sum_rooms(held, reserved)
-    insists = idle or _is_short_urgent(queue, run_s)
-    return [kept, held] if insists and not step_run.step.gang else [kept]
-
-
-def _sum_rooms(
-    first: dict[str, Resources], second: dict[str, Resources]
-) -> dict[str, Resources]:
-    if not (first and second):
-        return first or second
-    total = dict(first)
-    for worker_id, room in second.items():
-        total[worker_id] = total[worker_id] + room if worker_id in total else room
-    return total
-
-
-def _is_short_urgent(queue: Queue, run_s: float) -> bool:
-    return queue.priority == 0 and run_s <= SHORT_RUN_S
-
-
-def _with_unheld_room(
-    step_run: StepRun, workers: list[Worker], held: dict[str, Resources]
-) -> list[Worker]:
-    """Leave out the workers whose room for a step is kept for other tasks.
-
-    Otherwise the step would count on them and not ask for advice on others.
-
-    Parameters
-    ----------
-    held : dict of str to Resources
-        Kept room on workers that have room for a task.
-    """
-    need = step_run.step.need
-    return [
-        worker
-        for worker in workers
-        if (room := held.get(worker.worker_id)) is None
-        or room is NO_RESOURCES
-        or worker.fits(need, worker.free - room)
-    ]
-
-
 def _advise_lost_runs(
     placer: Placer,
     pools: dict[str, list[Worker]],
@@ -1083,7 +610,7 @@
     calls: list[AdviceCall] = []
     if now - max(placer.begun_at, placer.calls_since) < FIRST_ANSWERS_S:
         return calls
-    lost = sorted(_lost_steps(placer).items(), key=lambda row: row[1][1])
+    lost = sorted(lost_steps(placer).items(), key=lambda row: row[1][1])
     for step_run, (n_runs, lapse) in lost:
         queue = placer.queue_of(placer.jobs[step_run.job.job_id])
         if queue is None or queue.advice is None or step_run.n_waiting:
@@ -1105,7 +632,7 @@
             n_wanted=n_runs,
             valid_at=max(now, lapse),
             rank=_lost_rank(step_run, queue),
-            allowance=_make_allowance(
+            allowance=make_allowance(
                 placer,
                 step_run,
                 limits.get(queue.name),
@@ -1160,41 +687,6 @@
     return CallRank.URGENT if queue.priority == 0 else CallRank.PLACE
 
 
-def _lost_steps(placer: Placer) -> dict[StepRun, tuple[int, float]]:
-    """Return the steps with runs on workers that are not reached.
-
-    Each step comes with the number of these runs and when the first is given up.
-    """
-    lost = [
-        (key, lapse_at(placer, task.life)) for key, task in placer.not_adopted.items()
-    ]
-    for worker in placer.workers.values():
-        if not worker.reachable:
-            lost.extend((slot.key, worker.lapse_at) for slot in worker.slots.values())
-    steps: dict[StepRun, tuple[int, float]] = {}
-    for key, lapse in lost:
-        progress = placer.jobs.get(key.job_id)
-        if progress is None or progress.cancelled or progress.task(key) is None:
-            continue
-        if progress.state is not JobState.RUNNING:
-            continue
-        step_run = progress.step_run(key.occurrence, key.step)
-        n_runs, first = steps.get(step_run, (0, lapse))
-        steps[step_run] = (n_runs + 1, min(first, lapse))
-    return {
-        step_run: (n_admitted, lapse)
-        for step_run, (n_runs, lapse) in steps.items()
-        if (n_admitted := _n_replaceable(placer, step_run, n_runs))
-    }
-
-
-def _n_replaceable(placer: Placer, step_run: StepRun, n_runs: int) -> int:
-    """Return how many lost runs of a step the cap of its team admits again."""
-    n_freed = step_run.n_assigned if step_run.step.gang else n_runs
-    freed = TeamAmounts().plus(step_run.step.need, n_freed)
-    return placer.team_usage.limit(placer, step_run, n_runs, freed)
-
-
 def _prefetch_advice(
     placer: Placer,
     pools: dict[str, list[Worker]],
@@ -1230,7 +722,7 @@
             outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
             eligible = eligible_workers(placer, step_run, pool, 0.0, now)
-            allowance = _make_allowance(placer, step_run, limits.get(queue.name), now)
+            allowance = make_allowance(placer, step_run, limits.get(queue.name), now)
             named = choose_advised(
                 step,
                 n_wanted,
@@ -1284,70 +776,6 @@
     return left_s
 
 
-def available_workers(placer: Placer, now: float) -> dict[str, list[Worker]]:
-    """Return the workers that accept starts now, by pool."""
-    pools: dict[str, list[Worker]] = {}
-    for worker in placer.workers.values():
-        if worker.accepts_starts() and worker.health.accepts_runs(now):
-            pools.setdefault(worker.entry.pool, []).append(worker)
-    return pools
-
-
-def headroom_limits(
-    placer: Placer, pools: dict[str, list[Worker]], now: float
-) -> dict[str, HeadroomLimit]:
-    """Return the limit for the steps of each lower-priority queue, by queue.
-
-    Headroom is kept only in pools that urgent and lower-priority queues share.
-    """
-    urgent: dict[str, bool] = {}
-    for queue in placer.table.queues.values():
-        urgent[queue.pool] = urgent.get(queue.pool, False) or queue.priority == 0
-    by_pool = {
-        pool: headroom_limit(placer.headroom.setdefault(pool, Headroom()), workers, now)
-        for pool, workers in pools.items()
-        if urgent.get(pool)
-    }
-    return {
-        queue.name: by_pool[queue.pool]
-        for queue in placer.table.queues.values()
-        if queue.priority > 0 and queue.pool in by_pool
-    }
-
-
-def eligible_workers(
-    placer: Placer, step_run: StepRun, pool: list[Worker], run_s: float, now: float
-) -> list[Worker]:
-    """Return the workers of a pool that a step may run on, regardless of advice.
-
-    Runs may use workers reserved for a blocked step if they are short or will end well
-    before that step is expected to start there (backfill). Workers that already hold
-    the step's maximum of tasks per worker are left out.
-
-    Parameters
-    ----------
-    run_s : float, seconds
-        Expected run time of a task at a speed of 1.
-    """
-    step = step_run.step
-    if run_s > SHORT_RUN_S and placer.reserved:
-        reserved = placer.reserved
-        pool = [
-            worker
-            for worker in pool
-            if worker.worker_id not in reserved
-            or now + BACKFILL_FACTOR * run_s / worker.health.speed
-            <= reserved[worker.worker_id]
-        ]
-    if step.required_label:
-        label = step.required_label
-        pool = [worker for worker in pool if label in worker.entry.labels]
-    if step.max_per_worker:
-        taken, bound = _n_by_worker(step_run), step.max_per_worker
-        pool = [worker for worker in pool if taken.get(worker.worker_id, 0) < bound]
-    return pool
-
-
 def advise(
     placer: Placer,
     step_run: StepRun,
@@ -1388,7 +816,7 @@
         return permitted, None
     step = step_run.step
     valid_at = placer.sent_at(valid_at, queue.advice, now)
-    allowance = allowance or _make_allowance(placer, step_run, None, now, restart=True)
+    allowance = allowance or make_allowance(placer, step_run, None, now, restart=True)
     fitting = with_room(step.need, permitted)
     fitting = [item for item in fitting if allowance.accepts(item)]
     with_ticket = [
@@ -1484,75 +912,6 @@
     return renewed + others[: MAX_RENEWED_WORKERS - len(renewed)], blocked
 
 
-def _make_allowance(
-    placer: Placer,
-    step_run: StepRun,
-    core_limit: HeadroomLimit | None,
-    now: float,
-    *,
-    held: dict[str, Resources] | None = None,
-    restart: bool = False,
-) -> Allowance:
-    """Return the room that a step may use now.
-
-    Parameters
-    ----------
-    held : dict of str to Resources, optional
-        Room that other tasks leave to lasting tasks and gangs, by worker.
-    restart : bool, default=False
-        Whether the tasks last and were interrupted. They may use all free room.
-    """
-    limit = None if restart else _limit_for(placer, step_run, core_limit)
-    return Allowance(
-        step_run.step,
-        {} if restart else held or {},
-        _n_by_worker(step_run),
-        limit or HeadroomLimit(),
-        restart,
-        now,
-    )
-
-
-def _limit_of(
-    placer: Placer, limits: dict[str, HeadroomLimit], step_run: StepRun, queue: Queue
-) -> HeadroomLimit | None:
-    """Return the limit for a step in this decision, None for none.
-
-    Surplus work of an urgent queue has the limit of the other queues of its pool.
-    """
-    limit = limits.get(queue.name)
-    if limit is not None or step_run.name not in placer.shares.surplus_steps:
-        return limit
-    names = (it.name for it in placer.table.queues.values() if it.pool == queue.pool)
-    return next((limits[name] for name in names if name in limits), None)
-
-
-def _core_limit_of(
-    step_run: StepRun, core_limit: HeadroomLimit | None, *, idle: bool
-) -> HeadroomLimit | None:
-    """Return the limit on the use of fast workers by a step in this decision.
-
-    Parameters
-    ----------
-    idle : bool
-        Whether the job waits idle while the pool is not busy.
-    """
-    if core_limit is None or not idle or step_run.step.gang:
-        return core_limit
-    return core_limit.for_idle_job(step_run.step.need.cores)
-
-
-def _limit_for(
-    placer: Placer, step_run: StepRun, core_limit: HeadroomLimit | None
-) -> HeadroomLimit | None:
-    """Return the limit on the use of fast workers by a step, None for no limit."""
-    if core_limit is None or not step_run.step.gang:
-        return core_limit
-    # The limit of the others leaves a gang the places that are kept for it.
-    limited = core_limit.busy and step_run.name not in placer.reservations
-    return core_limit if limited else None
-
-
 def _advised_for_reservation(
     placer: Placer,
     reservation: Reservation,
@@ -1596,62 +955,6 @@
     return [] if kept else named
 
 
-def step_candidates(
-    placer: Placer,
-    step_run: StepRun,
-    workers: Iterable[Worker],
-    outlook: Outlook,
-    *,
-    now: float,
-    core_limit: HeadroomLimit | None,
-    valid_at: float,
-    restart: bool = False,
-    held: dict[str, Resources] | None = None,
-) -> Candidates:
-    """Return the workers that can be sent tasks of a step.
-
-    Parameters
-    ----------
-    valid_at : float, seconds
-        When the starts that use the tickets will be decided.
-    restart : bool, default=False
-        Whether the tasks last and were interrupted. They may use the headroom, and room
-        that is kept for such tasks.
-    held : dict of str to Resources, optional
-        Room that other tasks leave to those, by worker.
-    """
-    progress = placer.jobs[step_run.job.job_id]
-    queue = placer.queue_of(progress)
-    if queue is not None and queue.advice is not None:
-        advice = placer.advice.for_step(step_run.name)
-        valid_at = placer.sent_at(valid_at, queue.advice, now)
-        may_start = placer.may_decide_starts(queue.advice, now)
-        workers = [
-            worker
-            for worker in workers
-            if may_start
-            and advice.ticket(worker.worker_id, worker.entry.incarnation, valid_at)
-        ]
-    # The counter is checked first, since this runs for each worker and step.
-    workers = [
-        worker
-        for worker in workers
-        if not worker.n_suspects or takes_starts(worker, now, restart=restart)
-    ]
-    core_limit = _limit_for(placer, step_run, core_limit)
-    candidates = make_candidates(
-        step_run.step,
-        workers,
-        _n_by_worker(step_run),
-        outlook,
-        core_limit,
-        held=None if restart else held,
-    )
-    candidates.restart = restart
-    candidates.remote_slowdown = placer.remote_slowdown
-    return candidates
-
-
 def _place(
     placer: Placer,
     step_run: StepRun,
@@ -1725,7 +1028,7 @@
     run = max(task.run for task in step_run.tasks) + 1
     checkpoint = max(task.checkpoint for task in step_run.tasks)
     if placer.reservations.pop(step_run.name, None) is not None:
-        placer.reserved_room = _reserved_rooms(placer)
+        placer.reserved_room = reserved_rooms(placer)
     for task in step_run.tasks:
         progress.store_checkpoint(task, checkpoint)
     slowdown = gang_slowdown(step_run.step, chosen, placer.remote_slowdown)
@@ -1862,7 +1165,7 @@
     for_place : bool, default=False
         Whether it leaves room unused for a local placement.
     """
-    step, restarts = step_run.step, _is_restart(step_run)
+    step, restarts = step_run.step, is_restart(step_run)
     if restarts or (step.gang and core_limit is not None and not core_limit.busy):
         core_limit = None
     unreserved = eligible_workers(placer, step_run, pool, run_s, now)
@@ -1870,7 +1173,7 @@
         step,
         pool,
         {worker.worker_id for worker in unreserved},
-        _n_by_worker(step_run),
+        n_by_worker(step_run),
         n_wanted=n_wanted,
         advice=placer.advice.for_step(step_run.name) if queue.advice else None,
         held={} if restarts else held,
@@ -2001,10 +1304,3 @@
     placer.mark_dirty(progress)
     placer.counts["placements"] += 1
     return Placement(worker.worker_id, key, run)
-
-
-def _n_by_worker(step_run: StepRun) -> dict[str, int]:
-    """Return the number of a step's tasks on each worker; empty if it has no bound."""
-    if not step_run.step.max_per_worker:
-        return {}
-    return dict(Counter(task.worker for task in step_run.tasks if task.worker))
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -13,8 +13,8 @@
 import structlog
 
 from .advice import CallRank
-from .decisions import (
-    advise,
+from .decisions import advise
+from .eligibility import (
     available_workers,
     eligible_workers,
     headroom_limits,
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -11,8 +11,9 @@
 
 import pytest
 
-from cuminhill.jobs.decisions import MAX_HOLD_S, MAX_IDLE_WAIT_S
+from cuminhill.jobs.decisions import MAX_IDLE_WAIT_S
 from cuminhill.jobs.fleet import PROBATION_S, Slot
+from cuminhill.jobs.keptrooms import MAX_HOLD_S
 from cuminhill.jobs.model import AdviceTerms, EndKind
 
 from .builders import (
--- a/tests/jobs/test_placewait.py
+++ b/tests/jobs/test_placewait.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
 
-from cuminhill.jobs import decisions
+from cuminhill.jobs import decisions, keptrooms
 from cuminhill.jobs.decisions import longest_waits
 from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.lateness import NO_OBJECTIVE, Outlook
@@ -805,7 +805,7 @@
     found = []
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(decisions, "_plan_wait", None)  # a call would fail
-        patch.setattr(decisions, "_local_places", None)
+        patch.setattr(keptrooms, "_local_places", None)
         for slowdown in (1.0, 2.0, 10.0):
             placer = make_racks(queue, slowdown=slowdown)
             *_, (_, started) = play(placer, runs, jobs)
