Move calls for advice and local waits out of decisions.py

Which workers a call for advice names is now decided in adviceplans.py, and which steps wait for local places in localwaits.py; decisions.py keeps the order in which they are asked. localwaits.py imports adviceplans.py, not the other way round.

Code is only moved: names that other modules use lose their underscore. `late_start_call` names `Placement` in an annotation alone, so decisions.py is imported for type checks there and not at run time. Moving `Placement` as well was ruled out, since its meaning belongs to `decide`. Tests follow the names that they import or patch (`choose_advised`, `plan_wait`, `FIRST_ANSWERS_S`).

--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -1,4 +1,4 @@
-"""Assigns waiting tasks to workers and selects the calls for placement advice."""
+"""Chooses the steps to consider and assigns their tasks to workers."""
 
 from __future__ import annotations
 
@@ -9,12 +9,7 @@
 
 import structlog
 
-from .advice import (
-    TICKET_MARGIN_S,
-    AdviceCall,
-    CallRank,
-    make_advice_call,
-)
+from .adviceplans import advise_lost_runs, prefetch_advice
 from .crashes import starts_apart
 from .eligibility import (
     available_workers,
@@ -31,43 +26,18 @@
 from .keptrooms import (
     deduct_reservations,
     hold_room,
-    kept_amounts,
     kept_rooms,
     reserve_for_gang,
     reserve_room,
     reserved_rooms,
     with_unheld_room,
 )
-from .lostruns import lost_steps
+from .localwaits import advise_waiting, plan_wait
 from .model import JobState
-from .ordering import STALE_FACTOR, Rank, objective_s, order_key
-from .packing import (
-    MAX_ADVISED_WORKERS,
-    MIN_ASKED_WORKERS,
-    PERMITTED_FACTOR,
-    Allowance,
-    Reservation,
-    by_free_cores,
-    by_suitability,
-    choose_advised,
-    covering,
-    is_near,
-    min_asked_workers,
-    n_fitting_tasks,
-    place_gang,
-    slowdown_on,
-    with_room,
-)
-from .placewait import (
-    FULL_FRACTION,
-    WaitBounds,
-    gang_slowdown,
-    is_local,
-    local_groups,
-    plan_gang,
-    plan_tasks,
-)
-from .teamusage import TeamAmounts, TeamUsage
+from .ordering import Rank, order_key
+from .packing import place_gang, slowdown_on, with_room
+from .placewait import FULL_FRACTION, gang_slowdown, is_local
+from .teamusage import TeamUsage
 from .waitcauses import explain_wait
 from .waits import (
     EXPLAIN_INTERVAL_S,
@@ -82,9 +52,10 @@
     from collections.abc import Iterable, Iterator
 
     from ..model import Resources
+    from .advice import AdviceCall
     from .fleet import Worker
     from .lateness import Outlook
-    from .model import AdviceTerms, Queue, Step, TaskKey
+    from .model import Queue, TaskKey
     from .packing import Candidates
     from .placer import Placer
     from .placewait import PlaceWait
@@ -107,30 +78,6 @@
 # While a pool is not busy, a job without a run may use kept room after this wait, since
 # callers count it as lost after 3 s.
 MAX_IDLE_WAIT_S = 2.0
-# Workers named in a call that only renews tickets while no task fits.
-MAX_RENEWED_WORKERS = 8
-# Least number of permitted workers in a call for tickets while few of them have room:
-# it takes half a second for a large step, and by then others may have room instead.
-MIN_NAMED_WORKERS = 16
-# Tickets of lost lasting tasks are renewed so early that the answer comes before they
-# lapse; decisions are at most this far apart.
-MAX_DECISION_PAUSE_S = 0.25
-# Steps for which advice is prefetched in one decision.
-MAX_PREFETCHED_STEPS = 20
-# Advice is prefetched if the step is expected to be ready within this fraction of the
-# validity of its tickets.
-PREFETCH_FRACTION = 0.5
-# Advice for runs on lost workers is asked for early enough that many steps have it when
-# their leases lapse, and its tickets stay valid for this time after that.
-USE_LOST_TICKET_S = 0.75
-# Rank of a call that only renews tickets.
-RENEWAL_RANKS = {
-    CallRank.RETURN: CallRank.RENEW_RETURN,
-    CallRank.PLACE: CallRank.RENEW,
-}
-# Time in which the workers answer the first renewals of a term; until then they are not
-# lost.
-FIRST_ANSWERS_S = 0.3
 
 
 class Placement(NamedTuple):
@@ -269,7 +216,7 @@
             placer, step_run, core_limit, now, held=rooms[-1], restart=restarts
         )
         place_wait = (
-            _plan_wait(
+            plan_wait(
                 placer,
                 step_run,
                 queue,
@@ -285,7 +232,7 @@
             if is_local(step_run.step)
             else None
         )
-        advised, call = _advise_waiting(
+        advised, call = advise_waiting(
             placer,
             step_run,
             queue,
@@ -335,8 +282,8 @@
                 placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
             )
     note_unconsidered(placer, now, wall)
-    calls.extend(_advise_lost_runs(placer, pools, limits, now, wall))
-    calls.extend(_prefetch_advice(placer, pools, limits, now, wall))
+    calls.extend(advise_lost_runs(placer, pools, limits, now, wall))
+    calls.extend(prefetch_advice(placer, pools, limits, now, wall))
     return placements, calls
 
 
@@ -401,560 +348,6 @@
     return idle and wall - begun_at > MAX_IDLE_WAIT_S
 
 
-def _plan_wait(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    workers: list[Worker],
-    *,
-    n_wanted: int,
-    run_times: list[float],
-    allowance: Allowance,
-    outlook: Outlook,
-    busy: bool,
-    now: float,
-    wall: float,
-) -> PlaceWait | None:
-    """Return whether tasks wait for a local placement instead of starting elsewhere.
-
-    Tasks that were interrupted don't wait: how much of their work is left is not known.
-
-    Parameters
-    ----------
-    workers : list of Worker
-        Workers that may run the step, regardless of advice.
-    """
-    step, slowdown = step_run.step, placer.remote_slowdown
-    if slowdown <= 1.0 or step_run.n_interrupted:
-        return None
-    if step.gang and n_wanted < step.n_tasks:
-        return None
-    bounds = _wait_bounds(placer, step_run, queue, run_times, now=now, wall=wall)
-    until = bounds.until()
-    if now >= until:
-        return None
-    usable, ask_s = _permitted_or_unasked(placer, step_run, queue, workers, now)
-    roomy = with_room(step.need, usable)
-    # Room that the step may not use now, such as headroom, is no place to wait for, nor
-    # one to leave unused.
-    closed = {item.worker_id for item in roomy if not allowance.accepts(item)}
-    if closed:
-        roomy = [item for item in roomy if item.worker_id not in closed]
-        usable = [item for item in usable if item.worker_id not in closed]
-    far = roomy if step.gang else [item for item in roomy if not is_near(step, item)]
-    if not far or (step.gang and n_fitting_tasks(step, far) < step.n_tasks):
-        return None
-    run_s = run_times[step_run.number]
-    held = kept_amounts(placer, step_run.name)
-    if step.gang:
-        return plan_gang(
-            step,
-            local_groups(step, usable),
-            ask_s=ask_s,
-            run_s=run_s,
-            slowdown=slowdown,
-            outlook=outlook,
-            until=until,
-            now=now,
-            held=held,
-            busy=busy,
-        )
-    return plan_tasks(
-        step,
-        [item for item in usable if is_near(step, item)],
-        n_wanted,
-        ask_s=ask_s,
-        run_s=run_s,
-        far_s=slowdown * run_s / max(item.health.speed for item in far),
-        outlook=outlook,
-        until=until,
-        now=now,
-        held=held,
-        n_by_worker=n_by_worker(step_run),
-    )
-
-
-def _permitted_or_unasked(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    workers: list[Worker],
-    now: float,
-) -> tuple[list[Worker], dict[str, float]]:
-    """Return the workers that advice does not forbid, and when they have tickets.
-
-    Returns
-    -------
-    usable : list of Worker
-        The permitted workers and those that no call has named yet.
-    ask_s : dict of str to float, seconds
-        Expected time of a call, for each of them without a valid ticket.
-    """
-    if queue.advice is None:
-        return workers, {}
-    advice = placer.advice.for_step(step_run.name)
-    sent_at = placer.sent_at(now, queue.advice, now)
-    call_s = _call_s(queue.advice)
-    usable, ask_s = [], {}
-    for worker in workers:
-        name = worker.worker_id
-        if name in advice.asked and not advice.permits(name):
-            continue
-        usable.append(worker)
-        if not advice.ticket(name, worker.entry.incarnation, sent_at):
-            ask_s[name] = call_s
-    return usable, ask_s
-
-
-def _call_s(terms: AdviceTerms) -> float:
-    """Return the expected time until a call for advice is answered and used."""
-    cost_s = terms.decide_s + terms.per_worker_s * MIN_ASKED_WORKERS
-    return cost_s + MAX_DECISION_PAUSE_S
-
-
-def _wait_bounds(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    run_times: list[float],
-    *,
-    now: float,
-    wall: float,
-) -> WaitBounds:
-    """Return what bounds the wait of a step for a local placement."""
-    job, progress = step_run.job, placer.jobs[step_run.job.job_id]
-    begun_at = now - (wall - max(job.accepted_at, job.due_at(step_run.occurrence)))
-    # The times of scheduled jobs without a run are not counted; they have their due
-    # time instead.
-    idle_since = 0.0
-    if not progress.n_assigned:
-        idle_since = progress.idle_since or begun_at
-    return WaitBounds(
-        placer.begun_at,
-        step_run.wait.since or now,
-        step_run.wait.place_since or now,
-        idle_since,
-        begun_at + STALE_FACTOR * objective_s(job, queue, run_times),
-        step_run.n_assigned > 0,
-        queue.pool in placer.full_pools,
-    )
-
-
-def _advise_waiting(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    workers: list[Worker],
-    place_wait: PlaceWait | None,
-    *,
-    outlook: Outlook,
-    now: float,
-    n_wanted: int,
-    pool: list[Worker],
-    allowance: Allowance,
-) -> tuple[list[Worker], AdviceCall | None]:
-    """Return the workers that advice permits, and a call, as `advise` does.
-
-    While tasks wait for local places, tickets for the workers there are kept valid, as
-    tickets for workers elsewhere would do for all tasks. Those are asked about again in
-    time for the end of the wait.
-    """
-    local, n_local = None, n_wanted
-    if place_wait is not None and queue.advice is not None:
-        advice = placer.advice.for_step(step_run.name)
-        ends_soon = place_wait.until - now <= _call_s(queue.advice)
-        n_ready = allowance.n_startable(
-            item
-            for item in with_room(step_run.step.need, workers)
-            if item.worker_id not in place_wait.local
-            and advice.ticket(item.worker_id, item.entry.incarnation, now)
-        )
-        if advice.asked and not ends_soon and n_ready >= place_wait.n_far:
-            local = set(place_wait.local)
-            n_local = n_wanted - place_wait.n_far
-            reservation = placer.reservations.get(step_run.name)
-            local.update(reservation.places if reservation is not None else ())
-    permitted, call = advise(
-        placer,
-        step_run,
-        queue,
-        workers if local is None else _named(workers, local),
-        outlook=outlook,
-        now=now,
-        n_wanted=n_local,
-        valid_at=now,
-        rank=_waiting_rank(step_run, queue),
-        pool=pool if local is None else _named(pool, local),
-        allowance=allowance,
-    )
-    if local is not None:
-        permitted = [item for item in workers if advice.permits(item.worker_id)]
-    return permitted, call
-
-
-def _named(workers: list[Worker], names: set[str]) -> list[Worker]:
-    return [item for item in workers if item.worker_id in names]
-
-
-def _advise_lost_runs(
-    placer: Placer,
-    pools: dict[str, list[Worker]],
-    limits: dict[str, HeadroomLimit],
-    now: float,
-    wall: float,
-) -> list[AdviceCall]:
-    """Return calls for steps whose runs on lost workers will be given up soon.
-
-    The end of their leases is known, so the tickets can be at hand by then.
-    """
-    calls: list[AdviceCall] = []
-    if now - max(placer.begun_at, placer.calls_since) < FIRST_ANSWERS_S:
-        return calls
-    lost = sorted(lost_steps(placer).items(), key=lambda row: row[1][1])
-    for step_run, (n_runs, lapse) in lost:
-        queue = placer.queue_of(placer.jobs[step_run.job.job_id])
-        if queue is None or queue.advice is None or step_run.n_waiting:
-            continue  # the decision on waiting tasks has made its own call
-        kept_s = queue.advice.valid_s - TICKET_MARGIN_S - USE_LOST_TICKET_S
-        if lapse - now > kept_s + queue.advice.decide_s:
-            continue
-        run_times = placer.run_times(
-            placer.jobs[step_run.job.job_id], step_run.occurrence
-        )
-        pool = pools.get(queue.pool, [])
-        _, call = advise(
-            placer,
-            step_run,
-            queue,
-            eligible_workers(placer, step_run, pool, 0.0, now),
-            outlook=placer.outlook(step_run, queue, wall, run_times),
-            now=now,
-            n_wanted=n_runs,
-            valid_at=max(now, lapse),
-            rank=_lost_rank(step_run, queue),
-            allowance=make_allowance(
-                placer,
-                step_run,
-                limits.get(queue.name),
-                now,
-                restart=step_run.step.long_running and not step_run.step.gang,
-            ),
-        )
-        if call is not None:
-            calls.append(call)
-        if len(calls) >= MAX_PREFETCHED_STEPS:
-            break
-    return calls
-
-
-def late_start_call(
-    placer: Placer, waiting: Iterable[Placement], now: float
-) -> AdviceCall | None:
-    """Return a call for the tickets of starts of one step, None if none can be made.
-
-    Only the workers of these starts are named, so the call is short.
-    """
-    starts = list(waiting)
-    key = starts[0].key
-    progress = placer.jobs[key.job_id]
-    queue = placer.queue_of(progress)
-    step_run = progress.step_run(key.occurrence, key.step)
-    advice = placer.advice.for_step(step_run.name)
-    if queue is None or queue.advice is None:
-        return None
-    if advice.calling or now < advice.retry_at:
-        return None
-    names = list(dict.fromkeys(item.worker_id for item in starts))
-    incarnations = {
-        name: placer.workers[name].entry.incarnation
-        for name in names[:MAX_ADVISED_WORKERS]
-    }
-    rank = _waiting_rank(step_run, queue)
-    return make_advice_call(step_run.name, incarnations, queue.advice, rank)
-
-
-def _lost_rank(step_run: StepRun, queue: Queue) -> CallRank:
-    """Return the rank of calls for a step of which tasks have been lost."""
-    if queue.priority == 0:
-        return CallRank.URGENT
-    return CallRank.RETURN if step_run.step.long_running else CallRank.PLACE
-
-
-def _waiting_rank(step_run: StepRun, queue: Queue) -> CallRank:
-    """Return the rank of calls for a step with waiting tasks."""
-    if step_run.n_interrupted:
-        return _lost_rank(step_run, queue)
-    return CallRank.URGENT if queue.priority == 0 else CallRank.PLACE
-
-
-def _prefetch_advice(
-    placer: Placer,
-    pools: dict[str, list[Worker]],
-    limits: dict[str, HeadroomLimit],
-    now: float,
-    wall: float,
-) -> list[AdviceCall]:
-    """Return calls for steps that will be ready while their tickets are still valid.
-
-    This matters for urgent jobs of several short steps: if the call were made only
-    once a step is ready, nothing of the job would run during the call.
-    """
-    calls: list[AdviceCall] = []
-    for progress in placer.jobs.values():
-        queue = placer.queue_of(progress)
-        if queue is None or queue.advice is None or not progress.n_assigned:
-            continue
-        pool = pools.get(queue.pool)
-        if len(progress.job.steps) < 2 or progress.cancelled or not pool:
-            continue
-        for occurrence, number in list(progress.upcoming_steps(wall)):
-            run_times = placer.run_times(progress, occurrence)
-            advice = placer.advice.for_step(progress.step_run(occurrence, number).name)
-            if advice.calling or advice.asked or now < advice.retry_at:
-                continue
-            step_run = progress.step_run(occurrence, number)
-            left_s = _time_left_s(placer, step_run, run_times, now)
-            if left_s > PREFETCH_FRACTION * queue.advice.valid_s:
-                continue
-            n_wanted = _n_admitted_next(placer, step_run)
-            if not n_wanted:
-                continue
-            outlook = placer.outlook(step_run, queue, wall, run_times)
-            step = step_run.step
-            eligible = eligible_workers(placer, step_run, pool, 0.0, now)
-            allowance = make_allowance(placer, step_run, limits.get(queue.name), now)
-            named = choose_advised(
-                step,
-                n_wanted,
-                [],
-                eligible,
-                [],
-                outlook=outlook,
-                allowance=allowance,
-                min_asked=min_asked_workers(step, queue.advice),
-            )
-            incarnations = {item.worker_id: item.entry.incarnation for item in named}
-            if incarnations:
-                surplus = placer.shares.is_surplus(placer, step_run.job, wall)
-                ahead = queue.priority or surplus
-                rank = CallRank.AHEAD if ahead else CallRank.URGENT
-                calls.append(
-                    make_advice_call(step_run.name, incarnations, queue.advice, rank)
-                )
-            if len(calls) >= MAX_PREFETCHED_STEPS:
-                return calls
-    return calls
-
-
-def _n_admitted_next(placer: Placer, step_run: StepRun) -> int:
-    """Return how many tasks of a step a cap admits once the steps before it end."""
-    freed = TeamAmounts()
-    for number in step_run.step.after:
-        earlier = placer.jobs[step_run.job.job_id].step_run(step_run.occurrence, number)
-        freed = freed.plus(earlier.step.need, earlier.n_assigned)
-    n_tasks = step_run.step.n_tasks
-    return placer.team_usage.limit(placer, step_run, n_tasks, freed)
-
-
-def _time_left_s(
-    placer: Placer, step_run: StepRun, run_times: list[float], now: float
-) -> float:
-    """Return the expected time until all predecessors of a step are done."""
-    progress = placer.jobs[step_run.job.job_id]
-    left_s = 0.0
-    for number in step_run.step.after:
-        if (step_run.occurrence, number) in progress.finished:
-            continue
-        earlier = progress.step_run(step_run.occurrence, number)
-        for index, task in enumerate(earlier.tasks):
-            worker = placer.workers.get(task.worker)
-            slot = worker.slots.get((earlier.key(index), task.run)) if worker else None
-            if worker is None or slot is None:
-                continue
-            whole_s = run_times[number] / worker.health.speed
-            left_s = max(left_s, whole_s - (now - slot.started_at))
-    return left_s
-
-
-def advise(
-    placer: Placer,
-    step_run: StepRun,
-    queue: Queue,
-    workers: list[Worker],
-    *,
-    outlook: Outlook,
-    now: float,
-    n_wanted: int,
-    valid_at: float,
-    rank: CallRank,
-    pool: list[Worker] | None = None,
-    allowance: Allowance | None = None,
-) -> tuple[list[Worker], AdviceCall | None]:
-    """Return the workers that advice permits, and a call if they are not enough.
-
-    Parameters
-    ----------
-    n_wanted : int
-        Number of tasks to place.
-    valid_at : float, seconds
-        When the starts that use the tickets will be decided.
-    rank : CallRank
-        Rank of the call if it can help to place a task now.
-    pool : list of Worker, optional
-        All workers of the pool. A gang asks about those without room as well, since it
-        may wait for room there.
-    allowance : Allowance, optional
-        Room that the step may use now; by default that of interrupted lasting tasks.
-    """
-    if queue.advice is None:
-        return workers, None
-    advice = placer.advice.for_step(step_run.name)
-    advice.is_new = False
-    known = advice.permitted
-    permitted = [item for item in workers if item.worker_id in known]
-    if advice.calling or now < advice.retry_at or step_run.name in placer.late_starts:
-        return permitted, None
-    step = step_run.step
-    valid_at = placer.sent_at(valid_at, queue.advice, now)
-    allowance = allowance or make_allowance(placer, step_run, None, now, restart=True)
-    fitting = with_room(step.need, permitted)
-    fitting = [item for item in fitting if allowance.accepts(item)]
-    with_ticket = [
-        item
-        for item in fitting
-        if advice.ticket(item.worker_id, item.entry.incarnation, valid_at)
-    ]
-    if allowance.n_startable(with_ticket) >= n_wanted:
-        return permitted, None
-    askable = workers
-    if step.gang and pool is not None:
-        askable = eligible_workers(placer, step_run, pool, 0.0, now)
-    asked = advice.asked
-    unasked = [item for item in askable if item.worker_id not in asked]
-    # Patient steps leave the service to others while all room is in use.
-    only_usable = rank is CallRank.PLACE and bool(permitted) and not step.gang
-    reservation = placer.reservations.get(step_run.name)
-    if reservation is None:
-        named = choose_advised(
-            step,
-            n_wanted,
-            fitting,
-            unasked,
-            with_ticket,
-            outlook=outlook,
-            allowance=allowance,
-            only_usable=only_usable,
-            min_asked=min_asked_workers(step, queue.advice),
-        )
-        if named and not step.gang:
-            n_short = n_wanted * PERMITTED_FACTOR - allowance.n_startable(fitting)
-            named = _with_spare(named, permitted) if n_short > 0 else named
-    else:
-        named = _advised_for_reservation(
-            placer,
-            reservation,
-            queue.advice,
-            fitting,
-            unasked,
-            outlook=outlook,
-            now=now,
-        )
-    if not named and permitted and not with_ticket and not step.gang:
-        # No task may start now. With a few valid tickets at hand, a task can start as
-        # soon as capacity becomes free or the headroom is left.
-        renewed, blocked = _choose_renewed(step, permitted)
-        if unasked:
-            more = MAX_ADVISED_WORKERS - len(renewed)
-            renewed += by_free_cores(unasked)[:more]
-        if rank is CallRank.RETURN:  # the next ones come before these lapse
-            cost_s = queue.advice.decide_s + queue.advice.per_worker_s * len(renewed)
-            valid_at += cost_s + MAX_DECISION_PAUSE_S
-        kept = any(
-            advice.ticket(item.worker_id, item.entry.incarnation, valid_at)
-            for item in permitted
-        )
-        named = [] if kept else renewed
-        if not (blocked or unasked):
-            rank = RENEWAL_RANKS.get(rank, rank)
-    if not named:
-        return permitted, None
-    incarnations = {item.worker_id: item.entry.incarnation for item in named}
-    return permitted, make_advice_call(step_run.name, incarnations, queue.advice, rank)
-
-
-def _with_spare(named: list[Worker], permitted: list[Worker]) -> list[Worker]:
-    """Add permitted workers to those named in a call, on which room may become free."""
-    n_spare = min(MIN_NAMED_WORKERS, len(permitted)) - len(named)
-    if n_spare <= 0:
-        return named
-    names = {item.worker_id for item in named}
-    others = [item for item in permitted if item.worker_id not in names]
-    return named + by_free_cores(others)[:n_spare]
-
-
-def _choose_renewed(
-    step: Step, permitted: list[Worker]
-) -> tuple[list[Worker], list[Worker]]:
-    """Return the workers for which tickets are renewed while no task may start.
-
-    Half of them have room that is kept for others if there are such workers.
-
-    Returns
-    -------
-    renewed, blocked : list of Worker
-        The workers to name, and all those with room that is kept.
-    """
-    by_room = by_free_cores(permitted)
-    blocked = [item for item in by_room if item.fits(step.need)]
-    others = [item for item in by_room if not item.fits(step.need)]
-    n_others = min(len(others), MAX_RENEWED_WORKERS // 2)
-    renewed = blocked[: MAX_RENEWED_WORKERS - n_others]
-    return renewed + others[: MAX_RENEWED_WORKERS - len(renewed)], blocked
-
-
-def _advised_for_reservation(
-    placer: Placer,
-    reservation: Reservation,
-    terms: AdviceTerms,
-    fitting: list[Worker],
-    unasked: list[Worker],
-    *,
-    outlook: Outlook,
-    now: float,
-) -> list[Worker]:
-    """Return the workers to name for a gang for which places are kept.
-
-    Its tickets are at hand from when all places are expected to be free until it
-    starts. Before that it asks about the workers that no call has named.
-
-    Parameters
-    ----------
-    fitting : list of Worker
-        Permitted workers with room for a task now; some are named as well, since a
-        place may be replaced.
-    """
-    step_run = reservation.step_run
-    step, advice = step_run.step, placer.advice.for_step(step_run.name)
-    ranked = by_suitability(step, step.n_tasks, fitting, outlook)
-    spare = covering(step, step.n_tasks * PERMITTED_FACTOR, ranked)
-    names = dict.fromkeys([*reservation.places, *(item.worker_id for item in spare)])
-    named = [placer.workers[name] for name in names][:MAX_ADVISED_WORKERS]
-    cost_s = terms.decide_s + terms.per_worker_s * len(named)
-    ahead_s = cost_s + MAX_DECISION_PAUSE_S
-    if reservation.at - now > ahead_s:
-        if len(unasked) < MIN_ASKED_WORKERS:
-            return []
-        return by_suitability(step, step.n_tasks, unasked, outlook)[
-            :MAX_ADVISED_WORKERS
-        ]
-    valid_at = placer.sent_at(max(reservation.at, now + ahead_s), terms, now)
-    kept = all(
-        advice.ticket(name, placer.workers[name].entry.incarnation, valid_at)
-        for name in reservation.places
-    )
-    return [] if kept else named
-
-
 def _place(
     placer: Placer,
     step_run: StepRun,
--- a/cuminhill/jobs/eligibility.py
+++ b/cuminhill/jobs/eligibility.py
@@ -6,12 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .headroom import Headroom, HeadroomLimit, headroom_limit
-from .packing import (
-    SHORT_RUN_S,
-    Allowance,
-    make_candidates,
-    takes_starts,
-)
+from .packing import SHORT_RUN_S, Allowance, make_candidates, takes_starts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -13,7 +13,7 @@
 import structlog
 
 from .advice import CallRank
-from .decisions import advise
+from .adviceplans import advise
 from .eligibility import (
     available_workers,
     eligible_workers,
--- a/cuminhill/jobs/keptrooms.py
+++ b/cuminhill/jobs/keptrooms.py
@@ -20,12 +20,7 @@
     reserve_places,
     soonest_places,
 )
-from .placewait import (
-    WaitBounds,
-    is_local,
-    is_worthwhile,
-    soonest_local,
-)
+from .placewait import WaitBounds, is_local, is_worthwhile, soonest_local
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -17,6 +17,7 @@
 
 from ..model import NO_RESOURCES
 from .advice import TICKET_MARGIN_S, AdviceTable
+from .adviceplans import late_start_call
 from .crashes import (
     clear_survivor,
     give_up,
@@ -29,7 +30,6 @@
     MAX_STEPS_PER_DECISION,
     Placement,
     decide,
-    late_start_call,
     limit_steps,
 )
 from .evacuation import Move, evacuate
--- a/tests/jobs/test_adviceorder.py
+++ b/tests/jobs/test_adviceorder.py
@@ -19,7 +19,7 @@
     make_advice_call,
     search_key,
 )
-from cuminhill.jobs.decisions import FIRST_ANSWERS_S
+from cuminhill.jobs.adviceplans import FIRST_ANSWERS_S
 from cuminhill.jobs.model import AdviceTerms
 
 from .builders import (
--- a/tests/jobs/test_placewait.py
+++ b/tests/jobs/test_placewait.py
@@ -752,7 +752,7 @@
     The placer changes once; the jobs that have not started are taken in again.
     """
     waits = {}
-    plan = decisions._plan_wait
+    plan = decisions.plan_wait
 
     def spy(placer, step_run, *args, **more):
         found = plan(placer, step_run, *args, **more)
@@ -766,7 +766,7 @@
         make_job(step, job_id=f"{number:016x}") for number, step in enumerate(steps)
     ]
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(decisions, "_plan_wait", spy)
+        patch.setattr(decisions, "plan_wait", spy)
         begun = set()
         for at, started in play(make_racks(queue), runs, jobs):
             begun = {item[2].job_id for item in started}
@@ -804,7 +804,7 @@
     ]
     found = []
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(decisions, "_plan_wait", None)  # a call would fail
+        patch.setattr(decisions, "plan_wait", None)  # a call would fail
         patch.setattr(keptrooms, "_local_places", None)
         for slowdown in (1.0, 2.0, 10.0):
             placer = make_racks(queue, slowdown=slowdown)
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
 
-from cuminhill.jobs import decisions
+from cuminhill.jobs import adviceplans, decisions
 from cuminhill.jobs.decisions import longest_waits
 from cuminhill.jobs.evacuation import HOLD_S
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, Team
@@ -392,9 +392,9 @@
     assert calls == []
     with_teams(placer, replace(team, cap=Resources(3.0)))
     wanted = []
-    choose = decisions.choose_advised
+    choose = adviceplans.choose_advised
     monkeypatch.setattr(
-        decisions,
+        adviceplans,
         "choose_advised",
         lambda *args, **more: wanted.append(args[1]) or choose(*args, **more),
     )
