Move the notes of why steps wait out of decisions.py

Code is only moved: names that other modules use lose their underscore. Log lines do not carry the name of a logger, so they stay the same. Three test modules import from waitnotes.py.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -33,7 +33,6 @@
     ping_spacing_s,
     search_key,
 )
-from .decisions import note_unconsidered
 from .fleet import may_extend
 from .journal import MAX_BATCH_BYTES, split_records
 from .leasebounds import (
@@ -59,6 +58,7 @@
     encode_lease_record,
 )
 from .speeds import encode_speeds, load_speeds
+from .waitnotes import note_unconsidered
 from .watch import release_gone
 
 if TYPE_CHECKING:
--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -18,7 +18,6 @@
 from ..util.receiving import ReceiveBudget
 from .admission import Admission
 from .advice import adviser_states
-from .decisions import longest_waits
 from .election import (
     ALIVE_TIMEOUT_S,
     HANDOVER_COOLDOWN_S,
@@ -54,6 +53,7 @@
 from .service import JobService
 from .shares import dump_team_usage
 from .teamaccess import dump_teams
+from .waitnotes import longest_waits
 
 if TYPE_CHECKING:
     import random
--- a/tests/jobs/test_placewait.py
+++ b/tests/jobs/test_placewait.py
@@ -10,7 +10,6 @@
 from structlog.testing import capture_logs
 
 from cuminhill.jobs import decisions, keptrooms
-from cuminhill.jobs.decisions import longest_waits
 from cuminhill.jobs.fleet import Slot
 from cuminhill.jobs.lateness import NO_OBJECTIVE, Outlook
 from cuminhill.jobs.model import AdviceTerms
@@ -22,6 +21,7 @@
     is_worthwhile,
 )
 from cuminhill.jobs.records import task_need
+from cuminhill.jobs.waitnotes import longest_waits
 
 from .builders import (
     BEGUN_AT,
--- a/tests/jobs/test_team_caps.py
+++ b/tests/jobs/test_team_caps.py
@@ -11,12 +11,12 @@
 from structlog.testing import capture_logs
 
 from cuminhill.jobs import adviceplans, decisions
-from cuminhill.jobs.decisions import longest_waits
 from cuminhill.jobs.evacuation import HOLD_S
 from cuminhill.jobs.model import AdviceTerms, EndKind, JobState, Team
 from cuminhill.jobs.placer import Placer
 from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.jobs.records import task_need
+from cuminhill.jobs.waitnotes import longest_waits
 from cuminhill.model import Resources
 from cuminhill.util.kernel import run_to_end
 
--- a/tests/jobs/test_waits.py
+++ b/tests/jobs/test_waits.py
@@ -6,12 +6,12 @@
 from structlog.testing import capture_logs
 
 from cuminhill.jobs import decisions, waits
-from cuminhill.jobs.decisions import longest_waits, note_unconsidered
 from cuminhill.jobs.headroom import HeadroomLimit
 from cuminhill.jobs.model import AdviceTerms, EndKind, QueueTable
 from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
 from cuminhill.jobs.records import task_need
 from cuminhill.jobs.waitcauses import explain_wait
+from cuminhill.jobs.waitnotes import longest_waits, note_unconsidered
 from cuminhill.jobs.waits import WaitReason
 from cuminhill.util.kernel import run_to_end
 
