--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -36,7 +36,7 @@
 
 
 class TeamAmounts(NamedTuple):
-    """TeamAmounts of the resources that have a cap."""
+    """Amounts of the resources that have a cap."""
 
     cores: float = 0.0
     memory_mb: float = 0.0
