--- a/review/parts2/platform.py
+++ b/review/parts2/platform.py
@@ -57,10 +57,22 @@
     return status, json.dumps({} if value is None else value).encode(), JSON
 
 
-async def serve(handler: Callable[[Call], Awaitable[Reply]], address: str) -> Any:
-    """Serve HTTP/1.1 at ``"host:port"``; port 0 picks a free one."""
+async def serve(
+    handler: Callable[[Call], Awaitable[Reply]],
+    address: str,
+    open_writers: set[asyncio.StreamWriter] | None = None,
+) -> Any:
+    """Serve HTTP/1.1 at ``"host:port"``; port 0 picks a free one.
+
+    Parameters
+    ----------
+    open_writers : set or None
+        Updated to hold the open connections.
+    """
+    writers = set() if open_writers is None else open_writers
 
     async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.add(writer)
         source = writer.get_extra_info("peername")[0]
         try:
             while True:
@@ -86,6 +98,7 @@
         except (Drop, OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
     host, _, port = address.rpartition(":")
@@ -263,6 +276,8 @@
     up: bool = True
     unhealthy: bool = False
     kind: str = "a"
+    server: Any = None
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     def entry(self, seq: int, state: str = "ready") -> dict[str, Any]:
         """Return the registration."""
@@ -280,19 +295,32 @@
             "labels": [self.kind, self.rack],
         }
 
+    async def listen(self) -> None:
+        """Serve at the worker's address; the first time at a free port."""
+        address = self.address or "127.0.0.1:0"
+        self.server = await serve(self.handle, address, self.writers)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
     def crash(self) -> None:
-        """End the incarnation; runs are gone and nothing is reported."""
+        """End the incarnation; runs are gone and nothing is reported.
+
+        Its connections are reset and new ones are refused, as when a process dies.
+        """
         self.up = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
         for run in self.running.values():
             run.ended_at, run.how = time.monotonic(), "crash"
         self.running.clear()
 
-    def restart(self) -> None:
-        """Start a new incarnation under the same id."""
+    async def restart(self) -> None:
+        """Start a new incarnation under the same id, at the same address."""
         self.born, self.created_at = int(time.time() * 1000), time.monotonic()
         self.fence = self.deadline_ms = self.n_ends = 0
         self.running, self.ended, self.highest = {}, [], {}
         self.up = True
+        await self.listen()
 
     def clock_ms(self) -> int:
         """Return the worker's steady clock."""
@@ -436,9 +464,7 @@
                 self.history,
                 rack=f"r{number % len(zones)}-{number // 8}",
             )
-            server = await serve(worker.handle, "127.0.0.1:0")
-            self.servers.append(server)
-            worker.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            await worker.listen()
             self.workers.append(worker)
         self._beat_task = asyncio.create_task(self._beat())
 
