Count a job as waiting until one of its tasks has started

Cause: `Progress.assign` set the state to running when a task was assigned, before the start was sent, and nothing took that back when the start was refused, not sent, or lost. All VMs fold that record, so all told the same wrong count; the waits that admission counts ended with it as well.

Ruled out: indexes that lag (they held the newest records). Taking the state back at a refusal would not have been enough: the task is assigned again half a second later, and a start without an answer stays open for seconds.

Change: a job is running from the first start that a worker has shown, by its answer or by a report, in any term. Records say `unstarted`, the number of assigned tasks, until then; builds without the field still read `running`. The next record of the job shows the start, or one that is written a second later; a new placer writes earlier starts that it learns of at once. Admission's waits end with an assignment, as before, and go on from the acceptance if it comes to nothing. Look-ups wait for the end of a job with a place. `first_start_seconds` is observed when a start is acknowledged.

--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -21,7 +21,6 @@
     step_candidates,
 )
 from .lateness import NO_OBJECTIVE
-from .model import JobState
 from .teamusage import TeamAmounts
 
 if TYPE_CHECKING:
@@ -142,7 +141,7 @@
     progress = placer.jobs.get(key.job_id)
     if not slot.confirmed or slot.stopping_at or progress is None:
         return None
-    if progress.cancelled or progress.state is not JobState.RUNNING:
+    if progress.cancelled or progress.has_ended:
         return None
     step = progress.job.steps[key.step]
     task = progress.task(key)
--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -17,7 +17,7 @@
     LeaseReading,
 )
 from .model import FINAL_JOB_STATES, JobState
-from .progress import Progress, decode_job_state, decode_progress
+from .progress import Progress, decode_job_status, decode_progress
 from .records import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -45,6 +45,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
+    from .progress import JobStatus
+
 logger = structlog.get_logger(__name__)
 
 MAX_LOGGED_CHARS = 120  # of a text from another writer
@@ -70,8 +72,12 @@
         When this VM read its progress.
     ended_at : float, seconds
         When this VM read its end; 0 while it has not ended.
-    waits_in : WaitingGroup or None
-        Group in which the job is counted while it waits.
+    waiting_group : WaitingGroup or None
+        Group in which the job is counted while it waits; None if its waits are not
+        counted, or it has ended.
+    placed_at : float or None, seconds
+        When this VM read that a task has started or is assigned to a worker; None
+        while the job waits for a place, also again because all starts were refused.
     """
 
     job: bytes = b""
@@ -83,7 +89,13 @@
     accepted_at: float = 0.0
     run_read_at: float = 0.0
     ended_at: float = 0.0
-    waits_in: WaitingGroup | None = None
+    waiting_group: WaitingGroup | None = None
+    placed_at: float | None = None
+
+    @property
+    def is_placed(self) -> bool:
+        """Whether a task has started or is assigned to a worker."""
+        return self.placed_at is not None
 
 
 @dataclass(eq=False)
@@ -195,7 +207,7 @@
             if record.value and record.key.startswith(JOB_RECORD_PREFIXES)
         }
         for job_id in self.entries.keys() - held:
-            self._end_wait(self.entries.pop(job_id), now, begun=False)
+            self._forget_wait(self.entries.pop(job_id))
         # Its records may be old, so they do not show that a VM is alive.
         self.heard_at.clear()
 
@@ -282,7 +294,10 @@
             self.job_load.note_accepted(head.team, now)
         entry.queue, entry.accepted_at, entry.team = head[:3]
         if entry.state is JobState.PENDING and head.starts_at_once:
-            entry.waits_in = self.job_load.begin_wait(head.queue, head.team, now)
+            group = self.job_load.begin_wait(head.queue, head.team, now)
+            entry.waiting_group = group
+            if entry.is_placed:
+                self.job_load.end_wait(group)
         if entry.state not in FINAL_JOB_STATES:
             entry.job = value
         self.changed.add(job_id)
@@ -290,25 +305,27 @@
     def _fold_run(self, job_id: str, value: bytes, now: float) -> None:
         check_job_id(job_id)
         try:
-            state = decode_job_state(value) if value else None
+            status = decode_job_status(value) if value else None
         except ProtocolError:
             entry = self.entries.get(job_id)
             if entry is not None and entry.job and not entry.run:
                 entry.run = value  # keeps `load` from starting the job anew
             raise
         self.n_placer_records += 1
-        if state is None:
+        if status is None:
             entry = self.entries.pop(job_id, None)
             if entry is not None:
-                self._end_wait(entry, now, begun=False)
+                self._forget_wait(entry)
             return
         entry = self.entries.setdefault(job_id, JobEntry())
         entry.run, entry.run_read_at = value, now
-        if not entry.cancelled:
-            entry.state = state
-        if state is not JobState.PENDING:
-            self._end_wait(entry, now, begun=True)
-        if state in FINAL_JOB_STATES:
+        # After a snapshot, older records may be read again. A job that has started does
+        # not wait again meanwhile.
+        is_older = status.state is JobState.PENDING and entry.state is not status.state
+        if not entry.cancelled and not is_older:
+            entry.state = status.state
+            self._note_placed(entry, status, now)
+        if status.state in FINAL_JOB_STATES:
             self._end(entry, now)
 
     def _fold_cancel(self, job_id: str, value: bytes, now: float) -> None:
@@ -320,20 +337,32 @@
         if not value or entry.state in {JobState.COMPLETED, JobState.FAILED}:
             return
         entry.cancelled, entry.state = True, JobState.CANCELLED
-        self._end_wait(entry, now, begun=False)
+        self._forget_wait(entry)
         self.changed.add(job_id)
 
     def _end(self, entry: JobEntry, now: float) -> None:
         entry.ended_at = now
         entry.job = entry.run = b""
-
-    def _end_wait(self, entry: JobEntry, now: float, *, begun: bool) -> None:
-        if entry.waits_in is None:
-            return
-        self.job_load.end_wait(entry.waits_in)
-        entry.waits_in = None
-        if begun:
-            self.job_load.begun.add(entry.queue, now)
+        self._forget_wait(entry)
+
+    def _note_placed(self, entry: JobEntry, status: JobStatus, now: float) -> None:
+        """Count that the job has a place, or waits for one again."""
+        placed_at, group = entry.placed_at, entry.waiting_group
+        if status.is_placed and placed_at is None:
+            entry.placed_at = now
+            if group is not None:
+                self.job_load.end_wait(group)
+                self.job_load.begun.add(entry.queue, now)
+        elif not status.is_placed and placed_at is not None:
+            entry.placed_at = None
+            if group is not None:
+                self.job_load.resume_wait(group)
+                self.job_load.begun.discard(entry.queue, placed_at)
+
+    def _forget_wait(self, entry: JobEntry) -> None:
+        group, entry.waiting_group = entry.waiting_group, None
+        if group is not None and not entry.is_placed:
+            self.job_load.end_wait(group)
 
     def inherited_leases(self) -> InheritedLeases:
         """Return what the terms before the newest have left about leases."""
--- a/cuminhill/jobs/jobload.py
+++ b/cuminhill/jobs/jobload.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from bisect import insort
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -36,12 +37,15 @@
         When this VM read the newest of them.
     n_jobs : int
         Number of those that still wait.
+    is_listed : bool
+        Whether the group is among those whose waits are counted.
     """
 
     queue: str
     team: str
     read_at: float
     n_jobs: int = 0
+    is_listed: bool = True
 
 
 @dataclass(eq=False)
@@ -61,6 +65,12 @@
             self._prune(at)
         self._slots.setdefault(key, Counter())[int(at / SLOT_S)] += 1
 
+    def discard(self, key: str, at: float) -> None:
+        """Take back an event that was counted at a time, if it is still counted."""
+        slots, slot = self._slots.get(key), int(at / SLOT_S)
+        if slots is not None and slots[slot] > 0:
+            slots[slot] -= 1
+
     def _prune(self, now: float) -> None:
         self._pruned_at = now
         first = int((now - RECENT_S) / SLOT_S)
@@ -151,7 +161,7 @@
             group = self._open[queue, team] = WaitingGroup(queue, team, now)
             self._groups.append(group)
             if len(self._groups) > MAX_GROUPS:
-                self._groups.popleft()
+                self._drop_oldest_group()
         group.read_at = now
         group.n_jobs += 1
         self.n_waiting[queue] += 1
@@ -164,6 +174,14 @@
         if not self.n_waiting[group.queue]:
             del self.n_waiting[group.queue]
 
+    def resume_wait(self, group: WaitingGroup) -> None:
+        """Count a job that waits again, from when its wait began at first."""
+        group.n_jobs += 1
+        self.n_waiting[group.queue] += 1
+        if not group.is_listed and len(self._groups) < MAX_GROUPS:
+            group.is_listed = True
+            insort(self._groups, group, key=lambda item: item.read_at)
+
     def note_placer(self, now: float, *, is_new_term: bool) -> None:
         """Note that a record of a placer was read."""
         if is_new_term or now - self.placer_at > MAX_PLACER_SILENCE_S:
@@ -213,4 +231,7 @@
             is_open = self._open.get((group.queue, group.team)) is group
             if is_open or (group.n_jobs and group.read_at >= oldest):
                 break
-            self._groups.popleft()
+            self._drop_oldest_group()
+
+    def _drop_oldest_group(self) -> None:
+        self._groups.popleft().is_listed = False
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -731,7 +731,6 @@
         )
         slot.sent, slot.fencing_token, slot.started_at = True, order.fencing_token, now
         self.metrics.observe("send_seconds", now - decided_at)
-        self._observe_first_start(progress)
         worker.record_lease(order.lease_until_ms)
         logger.info(
             "start",
@@ -762,13 +761,14 @@
             # The renewal in flight has the older token; this one resolves the outcome.
             await curio.spawn(self._renew_once, worker, daemon=True)
 
-    def _observe_first_start(self, progress: Progress) -> None:
-        job = progress.job
-        if progress.has_started or job.n_times:
-            return
-        progress.has_started = True
-        waited_s = max(0.0, time.time() - job.accepted_at)
-        self.metrics.observe("first_start_seconds", waited_s, queue=job.queue)
+    def _observe_first_starts(self) -> None:
+        for start in self.placer.first_starts.pop_new():
+            job = start.progress.job
+            if job.n_times:
+                continue
+            wall = time.time() - (boottime() - start.at)
+            waited_s = max(0.0, wall - job.accepted_at)
+            self.metrics.observe("first_start_seconds", waited_s, queue=job.queue)
 
     def _absence(
         self, progress: Progress, key: TaskKey, now: float
@@ -876,6 +876,7 @@
         self._wake.clear()
         now = boottime()
         self.placer.tick(now)
+        self._observe_first_starts()
         calls = await self._send_late_starts()
         # Placements made while nothing can be journaled would hold capacity and tickets
         # until they lapse.
--- a/cuminhill/jobs/lostruns.py
+++ b/cuminhill/jobs/lostruns.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from .leasebounds import lapse_at
-from .model import JobState
 from .teamusage import TeamAmounts
 
 if TYPE_CHECKING:
@@ -29,7 +28,7 @@
         progress = placer.jobs.get(key.job_id)
         if progress is None or progress.cancelled or progress.task(key) is None:
             continue
-        if progress.state is not JobState.RUNNING:
+        if progress.has_ended:
             continue
         step_run = progress.step_run(key.occurrence, key.step)
         n_runs, first = steps.get(step_run, (0, lapse))
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -33,6 +33,7 @@
     limit_steps,
 )
 from .evacuation import Move, evacuate
+from .firststarts import FirstStarts
 from .fleet import LeaseTimes, Slot, Worker, first_fencing_token, lapse_after_s
 from .lateness import make_outlook
 from .leasebounds import NO_INHERITED_LEASES, lapse_at, lapse_bound, silent_since
@@ -209,6 +210,8 @@
         although it should not be, relative to a local one.
     full_pools : set of str
         Pools that were nearly full at the newest decision (`placewait.FULL_FRACTION`).
+    first_starts : FirstStarts
+        First starts of jobs that the journal does not show yet.
     """
 
     term: int
@@ -251,6 +254,7 @@
     shares: Shares = field(default_factory=Shares)
     remote_slowdown: float = REMOTE_SLOWDOWN
     full_pools: set[str] = field(default_factory=set)
+    first_starts: FirstStarts = field(default_factory=FirstStarts)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -406,8 +410,7 @@
 
     def retire(self, progress: Progress) -> None:
         """Remove a job that has ended or was cancelled and has no runs left."""
-        ended = progress.state in {JobState.COMPLETED, JobState.FAILED}
-        if progress.n_assigned or not (ended or progress.cancelled):
+        if progress.n_assigned or not (progress.has_ended or progress.cancelled):
             return
         job_id = progress.job.job_id
         if self.jobs.pop(job_id, None) is not None:
@@ -416,6 +419,7 @@
     def take_dirty(self) -> dict[str, Progress]:
         """Return and clear the jobs whose progress is to be written to the journal."""
         dirty, self._dirty = self._dirty, {}
+        self.first_starts.forget(dirty)
         return dirty
 
     def unwritten(self) -> dict[str, Progress]:
@@ -726,6 +730,7 @@
                     StopOrder(worker.worker_id, row.key, row.run, "unknown")
                 )
                 return
+        self._note_started(row.key.job_id, now, is_old=slot.is_unseen)
         worker.update_run(row, now, clock_ms)
         if slot.suspect:
             clear_survivor(self, worker, slot, clock_ms)
@@ -782,7 +787,10 @@
             seen_s=_seconds_since(slot.seen_at, now) if slot else None,
         )
         self.counts[f"ends_{end.kind}"] += 1
-        if progress is None or task is None or not (current or late):
+        if progress is None or task is None:
+            return
+        self._note_started(end.key.job_id, now, is_old=True)
+        if not (current or late):
             return
         if late:
             self.counts["late_ends"] += 1
@@ -815,10 +823,11 @@
         task = progress.task(key) if progress is not None else None
         if progress is None or task is None or task.run != run or task.done:
             return
-        if progress.state is not JobState.RUNNING or progress.cancelled:
+        if progress.has_ended or progress.cancelled:
             return
         if progress.job.steps[key.step].long_running:
             return
+        self._note_started(key.job_id, now, is_old=True)
         worker = self.workers.get(task.worker)
         logger.info(
             "run done in an earlier term",
@@ -1033,7 +1042,7 @@
             return None
         progress = self.jobs.get(placement.key.job_id)
         wanted = progress is not None and not progress.cancelled
-        running = progress is not None and progress.state is JobState.RUNNING
+        running = progress is not None and not progress.has_ended
         # The capacity may have shrunk while the start was journaled.
         fits = worker.fits(NO_RESOURCES)
         if wanted and running and fits and worker.accepts_starts():
@@ -1191,6 +1200,9 @@
         result : StartResult
             Result of the call; unknown if it is not known which incarnation replied.
         """
+        if reply.result is StartResult.STARTED:
+            # Whichever incarnation has replied, and also if the run was given up.
+            self._note_started(order.key.job_id, now)
         worker = self.workers.get(order.worker_id)
         if worker is None:
             self.counts[f"starts_{reply.result}"] += 1
@@ -1266,9 +1278,26 @@
         advice = self.advice.for_step(f"{key.job_id}.{key.occurrence}.{key.step}")
         advice.drop_ticket(order.worker_id)
 
+    def _note_started(self, job_id: str, now: float, *, is_old: bool = False) -> None:
+        """Note that a run of a job is, or has been, present on a worker.
+
+        Parameters
+        ----------
+        is_old : bool, default=False
+            Whether it may have started long ago, in an earlier term.
+        """
+        progress = self.jobs.get(job_id)
+        if progress is not None and progress.note_started():
+            self.first_starts.note(progress, now, is_old=is_old)
+
     def tick(self, now: float) -> None:
-        """Release runs on lost workers, stop stalled runs and repeat stops."""
+        """Release runs on lost workers, stop stalled runs and repeat stops.
+
+        Jobs whose first start the journal does not show for a while are written to it.
+        """
         watch_runs(self, now)
+        for progress in self.first_starts.due(now):
+            self.mark_dirty(progress)
 
     def decide(
         self, now: float, wall: float
@@ -1305,7 +1334,7 @@
         and not task.done
         and task.run == end.run
         and not (step.long_running or step.gang)
-        and progress.state is JobState.RUNNING
+        and not progress.has_ended
         and not progress.cancelled
     )
 
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -5,7 +5,7 @@
 import base64
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any, NamedTuple
 
 import orjson
 from pydantic import Field
@@ -113,7 +113,7 @@
     n_done, n_assigned : int
         Number of tasks that are done, and of those that a worker may be running.
     n_open : int
-        Number of tasks that have started at least once and are not done.
+        Number of tasks that were assigned at least once and are not done.
     waits_for : str
         What tasks of a long-running step waited for after the newest decision:
         ``"advice"`` or ``"room"``; empty if none waited.
@@ -225,6 +225,9 @@
 
     Parameters
     ----------
+    state : JobState
+        State shown to callers. An assignment alone does not change it: its start may
+        still be refused.
     lengths : dict
         Observed length of steps that are done, in seconds at a speed of 1; not kept
         in the journal.
@@ -253,7 +256,6 @@
     finished: set[tuple[int, int]] = field(default_factory=set)
     lengths: dict[tuple[int, int], float] = field(default_factory=dict)
     n_assigned: int = 0
-    has_started: bool = False
     n_checkpoint_bytes: int = 0
     max_open: int = MAX_RECORD_BYTES // ROW_BYTES
     read_at: float = 0.0
@@ -303,7 +305,7 @@
 
     @property
     def n_open(self) -> int:
-        """Number of tasks that have started at least once and are not done."""
+        """Number of tasks that were assigned at least once and are not done."""
         if self._n_open is None:
             self._n_open = sum(item.n_open for item in self.step_runs.values())
         return self._n_open
@@ -355,11 +357,21 @@
             self.step_runs[occurrence, number] = step_run
         return step_run
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the job is completed or failed; runs of it may be present still."""
+        return self.state in {JobState.COMPLETED, JobState.FAILED}
+
     def is_over(self) -> bool:
         """Return whether the job has ended and its final state can be journaled."""
-        if self.state in {JobState.COMPLETED, JobState.FAILED}:
-            return True
-        return self.cancelled and not self.n_assigned
+        return self.has_ended or (self.cancelled and not self.n_assigned)
+
+    def note_started(self) -> bool:
+        """Note that a run has been present; return whether it is the job's first."""
+        if self.state is not JobState.PENDING:
+            return False
+        self.state = JobState.RUNNING
+        return True
 
     def task(self, key: TaskKey) -> TaskState | None:
         """Return the state of a task, None if its step is finished or unknown."""
@@ -378,8 +390,6 @@
         task.still_percent, task.still_s = -1.0, 0.0
         step_run.n_assigned += 1
         self.n_assigned += 1
-        if self.state is JobState.PENDING:
-            self.state = JobState.RUNNING
 
     def withdraw(self, key: TaskKey) -> None:
         """Take back an assignment that is not in the journal and was not sent."""
@@ -511,13 +521,40 @@
         without a run; None leaves them out.
     """
     if progress.is_over():
-        ended = progress.state in {JobState.COMPLETED, JobState.FAILED}
-        state = progress.state if ended else JobState.CANCELLED
+        state = progress.state if progress.has_ended else JobState.CANCELLED
         return orjson.dumps({"state": state})
-    steps: list[list[Any]] = []
     # Every VM reads each record, so records are kept small: each worker is listed once
     # and referred to by index, and the trailing defaults of a row are left out.
     workers: dict[tuple[str, int], int] = {("", 0): 0}
+    steps = _step_rows(progress, workers)
+    data: dict[str, Any] = {
+        # Builds without `unstarted` take a job with an assigned task for running.
+        "state": JobState.RUNNING,
+        "workers": list(workers),
+        "steps": steps,
+    }
+    if progress.state is JobState.PENDING:
+        data["unstarted"] = progress.n_assigned
+    crashes = crash_rows(progress)
+    if crashes:
+        data["crashes"] = crashes  # a key of its own: older builds ignore it
+    away = away_rows(progress, now) if now is not None else []
+    if away:
+        data["away"] = away
+    if now is not None and 0 < progress.idle_since <= now:
+        idle_ms = int((now - progress.idle_since) * 1000)
+        data["idle"] = min(MAX_AWAY_MS, idle_ms)
+    still = _still_rows(progress)
+    if still:
+        data["still"] = still
+    return orjson.dumps(data)
+
+
+def _step_rows(
+    progress: Progress, workers: dict[tuple[str, int], int]
+) -> list[list[Any]]:
+    """Return the steps that have begun; number the workers that they refer to."""
+    steps: list[list[Any]] = []
     for (occurrence, number), step_run in progress.step_runs.items():
         if (occurrence, number) in progress.finished and not step_run.n_assigned:
             steps.append([occurrence, number])
@@ -537,24 +574,7 @@
             rows.append(row)
         if step_run.n_done or rows:
             steps.append([occurrence, number, done, rows])
-    data: dict[str, Any] = {
-        "state": progress.state,
-        "workers": list(workers),
-        "steps": steps,
-    }
-    crashes = crash_rows(progress)
-    if crashes:
-        data["crashes"] = crashes  # a key of its own: older builds ignore it
-    away = away_rows(progress, now) if now is not None else []
-    if away:
-        data["away"] = away
-    if now is not None and 0 < progress.idle_since <= now:
-        idle_ms = int((now - progress.idle_since) * 1000)
-        data["idle"] = min(MAX_AWAY_MS, idle_ms)
-    still = _still_rows(progress)
-    if still:
-        data["still"] = still
-    return orjson.dumps(data)
+    return steps
 
 
 def min_record_bytes(job: Job) -> int:
@@ -690,23 +710,51 @@
     away: tuple[tuple[_Number, _Number, _Number, _Number], ...] = ()
     still: tuple[tuple[_Number, _Number, _Number, _Percent, _Seconds], ...] = ()
     idle: _Number | None = None
+    # Number of assigned tasks as long as no run of the job is known to have started.
+    unstarted: _Number | None = None
 
 
-def decode_job_state(value: bytes) -> JobState:
-    """Return the state of a job for the JSON form of its progress.
+class JobStatus(NamedTuple):
+    """What the progress of a job says to VMs other than its placer.
+
+    Parameters
+    ----------
+    state : JobState
+        State shown to callers.
+    is_placed : bool
+        Whether a task has started, or is assigned to a worker that may start it.
+    """
+
+    state: JobState
+    is_placed: bool
+
+
+def decode_job_status(value: bytes) -> JobStatus:
+    """Return the status of a job for the JSON form of its progress.
 
     Every VM reads each record, so the rest of it is not checked.
 
     Raises
     ------
     ProtocolError
-        If it has no valid state.
+        If it has no valid state, or no valid number of assigned tasks.
     """
     data = load_json(value, step="progress")
     try:
-        return JobState(data["state"])
+        state, n_unstarted = JobState(data["state"]), data.get("unstarted")
     except (KeyError, TypeError, ValueError) as exc:
         raise ProtocolError(f"state: {exc}", step="progress") from exc
+    if n_unstarted is not None and (type(n_unstarted) is not int or n_unstarted < 0):
+        raise ProtocolError("unstarted: not a number of tasks", step="progress")
+    state = _shown_state(state, n_unstarted)
+    return JobStatus(state, state is not JobState.PENDING or bool(n_unstarted))
+
+
+def _shown_state(state: JobState, n_unstarted: int | None) -> JobState:
+    """Return the state shown for that of a record."""
+    if state is JobState.RUNNING and n_unstarted is not None:
+        return JobState.PENDING
+    return state
 
 
 def decode_progress(job: Job, value: bytes, read_at: float | None = None) -> Progress:
@@ -725,7 +773,7 @@
         task or worker.
     """
     data = validate_json(_ProgressBody, value, step="progress", peer=job.job_id)
-    progress = Progress(job, data.state)
+    progress = Progress(job, _shown_state(data.state, data.unstarted))
     step_rows: tuple[Any, ...] = data.steps
     for occurrence, number, *rest in step_rows:
         _check_unseen(progress, occurrence, number)
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -247,7 +247,7 @@
 
         An unreachable journal would not show the end in time.
         """
-        if entry.state is not JobState.RUNNING or not self.follower.reachable:
+        if not _may_end_soon(entry) or not self.follower.reachable:
             return False
         queue = self.find_queue(entry.queue)
         return queue is not None and queue.target_s < MAX_WAITING_TARGET_S
@@ -256,7 +256,7 @@
         """Wait until a job has ended, or for the longest time of a look-up."""
         self.counts["awaited"] += 1
         give_up_at = boottime() + LOOK_UP_WAIT_S
-        while entry.state is JobState.RUNNING:
+        while _may_end_soon(entry):
             left_s = give_up_at - boottime()
             if left_s <= 0:
                 return
@@ -358,3 +358,11 @@
         self, records: list[tuple[str, bytes]], left_s: float
     ) -> None:
         await self.append_by_peer(records, min(left_s, PEER_APPEND_TIMEOUT_S))
+
+
+def _may_end_soon(entry: JobEntry) -> bool:
+    """Return whether a job has a place and has not ended.
+
+    A short one may end before the journal shows that it has started.
+    """
+    return entry.is_placed and entry.state not in FINAL_JOB_STATES
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -14,7 +14,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from ..model import NO_RESOURCES, Resources
-from .model import JobState
 from .waits import TeamCounts, WaitCause, WaitReason
 
 if TYPE_CHECKING:
@@ -366,7 +365,7 @@
         if progress is None or progress.job.team is None or progress.cancelled:
             continue
         task = progress.task(key)
-        if progress.state is not JobState.RUNNING or task is None:
+        if progress.has_ended or task is None:
             continue
         if task.run == move.run and not task.worker and not task.done:
             pool = _pool_of(placer, progress)
--- a/standins/job_platform.py
+++ b/standins/job_platform.py
@@ -240,6 +240,8 @@
         Runs make no progress and do not end by themselves.
     fail : bool
         Runs end as failed.
+    unhealthy : bool
+        Starts are refused and have no effect.
     n_lost_start_replies : int
         Number of further starts that take effect but whose reply is lost.
     """
@@ -258,6 +260,7 @@
     unresponsive: bool = False
     hang: bool = False
     fail: bool = False
+    unhealthy: bool = False
     n_lost_start_replies: int = 0
     max_used_cores: float = 0.0
 
@@ -417,6 +420,8 @@
             return StartReply(StartResult.UNHEALTHY)
         except UnknownOutcomeError:
             return StartReply(StartResult.UNKNOWN)
+        if worker.unhealthy:
+            return StartReply(StartResult.UNHEALTHY)
         result = worker.start_run(order)
         if worker.n_lost_start_replies:
             worker.n_lost_start_replies -= 1
--- a/tests/jobs/test_jobindex.py
+++ b/tests/jobs/test_jobindex.py
@@ -205,3 +205,17 @@
         assert outcomes[0] == outcomes[1]
         if kept is None:
             del place[name]
+
+
+def test_a_record_that_is_read_again_does_not_make_a_started_job_wait():
+    """Guards against a count that rises while records before a snapshot are read."""
+    index = JobIndex()
+    placed = orjson.dumps({"state": "running", "unstarted": 1})
+    fold(
+        index,
+        (JOB_PREFIX + JOB_ID, encode_job(make_job())),
+        (RUN_PREFIX + JOB_ID, run_value("running")),
+        (RUN_PREFIX + JOB_ID, placed),
+    )
+    assert index.entries[JOB_ID].state is JobState.RUNNING
+    assert index.n_waiting("q") == 0
--- a/tests/jobs/test_odd_records.py
+++ b/tests/jobs/test_odd_records.py
@@ -149,6 +149,10 @@
     {"still": [[0, 0, 0, 50.0, 1e300]]},
     {"still": [[0, 0, 9, 50.0, 1.0]]},
     {"still": [[0, 0, 0, "x", 1.0]]},
+    {"unstarted": -1},
+    {"unstarted": "1"},
+    {"unstarted": True},
+    {"unstarted": NESTED},
 ]
 BAD_ID = "b" * 16
 # Pairs of key and value that no reader may use.
@@ -165,6 +169,8 @@
     ("run/" + BAD_ID, change(RUN, **ODD_RUNS[0])),
     ("run/" + BAD_ID, change(RUN, **ODD_RUNS[1])),
     ("run/" + BAD_ID, change(RUN, **ODD_RUNS[2])),
+    ("run/" + BAD_ID, change(RUN, unstarted=-1)),
+    ("run/" + BAD_ID, change(RUN, unstarted="1")),
     *[
         (f"{kind}/{job_id}", value)
         for kind, value in (("job", JOB), ("run", RUN), ("cancel", b"{}"))
