Answer 503 for the length of a queue that a VM cannot know

Cause: `JobService.n_waiting` counted the entries of the index, whatever its age. Ruled out: a cut for look-ups as well; these know whether the index is fresh.

--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -42,6 +42,8 @@
 # The wait is for queues with a constant part of the objective below this: for others it
 # makes no difference.
 MAX_WAITING_TARGET_S = 2.0
+# Age up to which the index may tell the length of a queue, as promised to callers.
+MAX_COUNT_AGE_S = 2.0
 # Retry-After of a rejected call. Callers wait for a few seconds in total, so after a
 # short outage a longer pause would cost them their answer.
 RETRY_AFTER_S = 1
@@ -262,8 +264,17 @@
                 return
             await self.follower.await_records(left_s)
 
-    def n_waiting(self, queue: str) -> int:
-        """Return the number of accepted jobs of a queue without a started task."""
+    def n_waiting(self, queue: str) -> int | Outcome:
+        """Return the number of accepted jobs of a queue without a started task.
+
+        Returns
+        -------
+        n_waiting : int or Outcome
+            `Outcome.NOT_DONE` if the index is too old to tell.
+        """
+        age_s = self.follower.age(boottime())
+        if not self.follower.synced or age_s > MAX_COUNT_AGE_S:
+            return Outcome.NOT_DONE
         return self.job_index.n_waiting(queue)
 
     async def _find(self, job_id: str) -> JobEntry | None:
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -61,9 +61,10 @@
         if not job_id:
             if req.method != "GET":
                 return _error_response(405, "GET asks for the length of a queue")
-            return HttpResponse(
-                200, {"waiting": self.node.service.n_waiting(queue.name)}
-            )
+            n_waiting = self.node.service.n_waiting(queue.name)
+            if isinstance(n_waiting, Outcome):
+                return self._response(n_waiting)
+            return HttpResponse(200, {"waiting": n_waiting})
         if JOB_ID.fullmatch(job_id) is None:
             return _error_response(
                 404 if req.method == "GET" else 400, "id: 16 hex digits"
--- a/tests/jobs/conftest.py
+++ b/tests/jobs/conftest.py
@@ -110,10 +110,17 @@
         )
 
     async def start_node(
-        self, vm: str, seed: int = 1, fitness: float = 1.0, address: str = ""
+        self,
+        vm: str,
+        seed: int = 1,
+        fitness: float = 1.0,
+        address: str = "",
+        *,
+        journal_down: bool = False,
     ) -> JobNode:
         """Start a node, by default at an address of its own."""
         views = [LogView(log) for log in (self.journal, self.config, self.registry)]
+        views[0].faults.down = journal_down
         self.views[vm] = views
         backends = Backends(
             *views,
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -4,12 +4,13 @@
 
 from collections import Counter
 
+import curio
 import orjson
 import pytest
-from jobs.builders import make_queue, make_table
+from jobs.builders import make_job, make_queue, make_step, make_table
 from jobs.conftest import Cluster
 
-from cuminhill.jobs.model import JobState
+from cuminhill.jobs.model import JobState, Outcome
 from cuminhill.jobs.records import task_need
 from cuminhill.platform.jobapi import (
     DEADLINE_FRACTION,
@@ -214,3 +215,32 @@
         DEFAULT_DEADLINE_MS / 1000 * DEADLINE_FRACTION
     )
     run_to_end(scenario)
+
+
+def test_a_node_tells_no_length_of_a_queue_that_it_cannot_know(cluster):
+    """Guards against 0 from a node that has not read the journal, and old counts.
+
+    A count may be 2 s old.
+    """
+    job = make_job(make_step(cores=99.0))  # no worker holds it
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        assert await cluster.submit(api.node, job) is Outcome.OK
+        other = await cluster.start_node("b", journal_down=True)
+        await cluster.wait_for(lambda: other.table.version)
+        new_api = JobApi(other, lambda: 1000.0)
+        response = await new_api.handle(request("GET", "/q/"))
+        assert response.status == 503
+        assert ("retry-after", "1") in response.headers
+        cluster.views["b"][0].faults.down = False
+        await cluster.wait_for(other.is_ready)
+        for item in (api, new_api):
+            response = await item.handle(request("GET", "/q/"))
+            assert (response.status, response.value) == (200, {"waiting": 1})
+        cluster.views["b"][0].faults.down = True
+        await curio.sleep(2.5)
+        assert (await new_api.handle(request("GET", "/q/"))).status == 503
+        assert (await api.handle(request("GET", "/q/"))).value == {"waiting": 1}
+
+    run_to_end(scenario)
