Call a job unknown only after a read that began after the call

Ruled out: reads that were sent before the call; `catch_up` counts only later ones.

Change: `_find` returns the entry or the outcome: unknown only if that read succeeded, otherwise the answer is 503 with Retry-After, at once where the store refuses at once. Look-ups and cancels share it.

--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -225,8 +225,8 @@
     async def cancel(self, job_id: str, wait_s: float) -> Outcome:
         """Cancel a job unless it has ended."""
         entry = await self._find(job_id)
-        if entry is None:
-            return self._unknown_outcome()
+        if isinstance(entry, Outcome):
+            return entry
         if entry.state in FINAL_JOB_STATES:
             return Outcome.OK
         outcome, way = await self._append(CANCEL_PREFIX + job_id, b"{}", wait_s)
@@ -239,10 +239,11 @@
     async def state(self, job_id: str) -> JobState | Outcome:
         """Return the state of a job."""
         entry = await self._find(job_id)
-        if entry is not None and self._may_wait_for_end(entry):
+        if isinstance(entry, Outcome):
+            return entry
+        if self._may_wait_for_end(entry):
             await self._await_end(entry)
-            entry = self.job_index.entries.get(job_id)
-        return self._unknown_outcome() if entry is None else entry.state
+        return entry.state
 
     def _may_wait_for_end(self, entry: JobEntry) -> bool:
         """Return whether a look-up may wait a little for a job to end.
@@ -277,29 +278,29 @@
             return Outcome.NOT_DONE
         return self.job_index.n_waiting(queue)
 
-    async def _find(self, job_id: str) -> JobEntry | None:
-        entry = self.job_index.entries.get(job_id)
-        if entry is None:
-            asked_at = boottime()
-            await self.follower.catch_up(CATCH_UP_TIMEOUT_S)
-            entry = self.job_index.entries.get(job_id)
-            logger.info(
-                "look-up of an unknown job",
-                job=job_id,
-                found=entry is not None,
-                journal_age_s=round(self.follower.age(asked_at), 2),
-            )
-        return entry
+    async def _find(self, job_id: str) -> JobEntry | Outcome:
+        """Return the entry of a job, or the outcome of a call about it without one.
 
-    def _unknown_outcome(self) -> Outcome:
-        """Return the outcome for a job that is not in the index.
-
-        It certainly does not exist only if the index is up to date.
+        A job does not exist only if a read of the journal up to its end, sent after the
+        call came, has not shown it: another VM may have accepted it a moment ago.
         """
-        fresh = (
-            self.follower.synced and self.follower.age(boottime()) < CATCH_UP_TIMEOUT_S
+        entry = self.job_index.entries.get(job_id)
+        if entry is not None:
+            return entry
+        asked_at = boottime()
+        is_current = await self.follower.catch_up(CATCH_UP_TIMEOUT_S)
+        entry = self.job_index.entries.get(job_id)
+        logger.info(
+            "look-up of an unknown job",
+            job=job_id,
+            found=entry is not None,
+            current=is_current,
+            journal_age_s=round(self.follower.age(asked_at), 2),
         )
-        return Outcome.UNKNOWN_JOB if fresh else Outcome.NOT_DONE
+        if entry is not None:
+            return entry
+        self.counts["unknown" if is_current else "not_looked_up"] += 1
+        return Outcome.UNKNOWN_JOB if is_current else Outcome.NOT_DONE
 
     async def _append(
         self, key: str, value: bytes, wait_s: float
--- a/tests/jobs/test_node.py
+++ b/tests/jobs/test_node.py
@@ -25,7 +25,7 @@
     encode_member,
 )
 from cuminhill.util.kernel import run_to_end
-from standins.job_platform import overlapping_runs
+from standins.job_platform import LogFaults, overlapping_runs
 
 from .builders import make_job, make_queue, make_step
 
@@ -247,6 +247,57 @@
     run_to_end(scenario)
 
 
+@pytest.mark.parametrize("call", ["state", "cancel"])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"down": True},
+        {"unresponsive": True},
+        {"reset": True},
+        {"delay_s": 1.5},
+        {"delay_s": 0.3, "page_size": 1},
+    ],
+    ids=["refuses", "is silent", "resets", "is slow", "is read in pages"],
+)
+def test_a_job_that_another_node_has_just_accepted_is_not_unknown(cluster, fault, call):
+    """Guards against a cancel that is answered 410 while the job runs (review/9).
+
+    A node has read the journal to its end, then the log fails for it alone. A moment
+    later another node accepts a job.
+    """
+    job = make_job(make_step(cores=99.0))  # no worker holds it
+
+    async def scenario():
+        node = await cluster.start_node("a")
+        await cluster.wait_for(cluster.leader)
+        other = await cluster.start_node("b", fitness=0.5)
+        await cluster.wait_for(other.is_ready)
+        await other.journal.catch_up(1.0)
+        for name, value in fault.items():
+            setattr(cluster.views["b"][0].faults, name, value)
+        assert await cluster.submit(node, job) is Outcome.OK
+        asked_at = boottime()
+        if call == "state":
+            answer = await other.service.state(job.job_id)
+        else:
+            answer = await other.service.cancel(job.job_id, 0.5)
+        if fault.keys() & {"down", "reset"}:
+            assert boottime() - asked_at < 0.5  # at once where the log refuses at once
+        assert answer is not Outcome.UNKNOWN_JOB
+        if "delay_s" not in fault:  # otherwise a read may have been in time
+            assert answer is Outcome.NOT_DONE
+            assert cluster.state(node, job.job_id) is JobState.PENDING
+        for name, value in vars(LogFaults()).items():
+            setattr(cluster.views["b"][0].faults, name, value)
+        await cluster.wait_for(other.is_ready)
+        assert await other.service.cancel(job.job_id, 0.5) is Outcome.OK
+        await cluster.wait_for(
+            lambda: cluster.state(node, job.job_id) is JobState.CANCELLED
+        )
+
+    run_to_end(scenario)
+
+
 def test_a_new_configuration_takes_effect_and_never_regresses(cluster):
     """Guards against an old version that is read again after a newer one."""
 
