Call a queue unknown only after a read that began after the request

A VM that could not read the configuration answered 404 for a queue that had been added meanwhile.

A final answer about what is missing was given from the newest reading, whatever its age.

Change: an unknown queue is looked up again after a read of the configuration up to its end; if that fails, the answer is 503 with Retry-After. Clients can cause such reads at any rate, so those within 0.1 s share one, as the reads before refusals already did; `LogFollower.catch_up_in_turn` serves both.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -34,6 +34,8 @@
 # A waiting read that is answered within this time shows the log's latency; a later
 # answer may have waited for a record.
 QUICK_READ_S = 0.1
+# Reads up to the end that clients can cause at any rate have this distance.
+CATCH_UP_INTERVAL_S = 0.1
 # Reads of a slow log have this multiple of the newest read's time as their timeout.
 SLOW_READ_FACTOR = 3.0
 
@@ -88,6 +90,7 @@
     _catch_up_asked_at: float = 0.0
     _catch_up_failed_at: float = 0.0
     _unpaused_until: float = 0.0
+    _turn_at: float = 0.0  # when the newest read of `catch_up_in_turn` was due
     _unpause: Any = field(default_factory=curio.Event)
 
     def age(self, now: float) -> float:
@@ -244,6 +247,18 @@
             return False
         return self.synced
 
+    async def catch_up_in_turn(self, timeout_s: float) -> bool:
+        """Read up to the current end, for calls that clients can cause at any rate.
+
+        Those within `CATCH_UP_INTERVAL_S` share one read.
+        """
+        asked_at = boottime()
+        read_at = max(asked_at, self._turn_at + CATCH_UP_INTERVAL_S)
+        if read_at > asked_at:
+            await curio.sleep(read_at - asked_at)
+        self._turn_at = max(self._turn_at, read_at)
+        return await self.catch_up(timeout_s)
+
     async def _start_catch_up_task(self) -> None:
         if self._catch_up_task is None or self._catch_up_task.terminated:
             self._catch_up_task = await curio.spawn(
--- a/cuminhill/jobs/service.py
+++ b/cuminhill/jobs/service.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-import curio
 import structlog
 
 from ..clock import boottime
@@ -48,10 +47,8 @@
 # short outage a longer pause would cost them their answer.
 RETRY_AFTER_S = 1
 # Before a job is refused, the journal is read up to its end, since another VM may have
-# accepted the job a moment ago. Refusals in this interval share one read: a team far
-# above its rate would otherwise cause a read for each of its jobs.
+# accepted the job a moment ago.
 REFUSAL_READ_TIMEOUT_S = 0.5
-REFUSAL_READ_INTERVAL_S = 0.1
 # Ids of submissions with an uncertain outcome that are remembered, 100 bytes each.
 MAX_UNCERTAIN_IDS = 10_000
 
@@ -97,7 +94,6 @@
     # refused: the number of appends under way, and those with an uncertain outcome.
     _in_flight: Counter[str] = field(default_factory=Counter)
     _uncertain: dict[str, None] = field(default_factory=dict)
-    _refusal_read_at: float = 0.0
 
     async def submit(self, job: Job, wait_s: float) -> Outcome:
         """Accept a job; it is durable once the outcome is `Outcome.OK`.
@@ -169,7 +165,8 @@
         """
         if self._may_be_stored(job.job_id) or self._decide(job) is None:
             return None
-        is_current = await self._read_before_refusal(wait_s)
+        timeout_s = min(wait_s, REFUSAL_READ_TIMEOUT_S)
+        is_current = await self.follower.catch_up_in_turn(timeout_s)
         if job.job_id in self.job_index.entries:
             self.counts["repeated"] += 1
             return Outcome.OK
@@ -192,15 +189,6 @@
     def _may_be_stored(self, job_id: str) -> bool:
         return job_id in self._in_flight or job_id in self._uncertain
 
-    async def _read_before_refusal(self, wait_s: float) -> bool:
-        """Read the journal up to its end; return whether that succeeded."""
-        asked_at = boottime()
-        read_at = max(asked_at, self._refusal_read_at + REFUSAL_READ_INTERVAL_S)
-        if read_at > asked_at:
-            await curio.sleep(read_at - asked_at)
-        self._refusal_read_at = max(self._refusal_read_at, read_at)
-        return await self.follower.catch_up(min(wait_s, REFUSAL_READ_TIMEOUT_S))
-
     async def _store(self, job: Job, wait_s: float) -> tuple[Outcome, str]:
         """Append the record of a job that is not refused."""
         now = boottime()
--- a/cuminhill/platform/jobapi.py
+++ b/cuminhill/platform/jobapi.py
@@ -26,6 +26,8 @@
 # Fraction of a caller's deadline that the service may use; the rest is left for the
 # response to reach the caller.
 DEADLINE_FRACTION = 0.7
+# Time for reading the configuration when a queue is unknown.
+CONFIG_READ_TIMEOUT_S = 0.5
 READY_PATH = "/-/ready"
 
 
@@ -50,6 +52,11 @@
             return _unavailable_response("no configuration yet")
         host = req.headers.get("host", "").partition(":")[0]
         queue = self.node.table.find(host, req.path)
+        if queue is None:
+            # It may have been added a moment ago.
+            if not await self.node.config.catch_up_in_turn(CONFIG_READ_TIMEOUT_S):
+                return _unavailable_response("the configuration cannot be read")
+            queue = self.node.table.find(host, req.path)
         if queue is None:
             return _error_response(404, "no such queue")
         table = self.node.table
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -12,10 +12,10 @@
 from cuminhill.jobs.admission import CEASE_S, Admission, Reason, Refusal
 from cuminhill.jobs.jobindex import JobIndex
 from cuminhill.jobs.journal import LogWriter
-from cuminhill.jobs.logreader import LogFollower
+from cuminhill.jobs.logreader import CATCH_UP_INTERVAL_S, LogFollower
 from cuminhill.jobs.model import JobState, Outcome, Team
 from cuminhill.jobs.records import JOB_PREFIX, RUN_PREFIX, encode_job, task_need
-from cuminhill.jobs.service import REFUSAL_READ_INTERVAL_S, JobService
+from cuminhill.jobs.service import JobService
 from standins.job_platform import LogFaults, LogView, MemoryLog
 
 from .builders import JOB_ID, make_job, make_queue
@@ -297,7 +297,7 @@
             tasks.append(await curio.spawn(service.submit, job, 2.0))
             await curio.sleep(0.004)
         assert [await task.join() for task in tasks] == [Outcome.REFUSED] * 100
-        assert n_reads <= 2 + (boottime() - begun_at) / REFUSAL_READ_INTERVAL_S
+        assert n_reads <= 2 + (boottime() - begun_at) / CATCH_UP_INTERVAL_S
 
     curio.run(scenario)
 
--- a/tests/platform/test_jobapi.py
+++ b/tests/platform/test_jobapi.py
@@ -10,6 +10,8 @@
 from jobs.builders import make_job, make_queue, make_step, make_table
 from jobs.conftest import Cluster
 
+from cuminhill.clock import boottime
+from cuminhill.jobs.logreader import CATCH_UP_INTERVAL_S
 from cuminhill.jobs.model import JobState, Outcome
 from cuminhill.jobs.records import task_need
 from cuminhill.platform.jobapi import (
@@ -244,3 +246,53 @@
         assert (await api.handle(request("GET", "/q/"))).value == {"waiting": 1}
 
     run_to_end(scenario)
+
+
+@pytest.mark.parametrize("fault", ["down", "unresponsive"])
+def test_a_queue_that_was_just_added_is_not_unknown(cluster, fault):
+    """Guards against 404 for a queue that exists, from a node that is cut off."""
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        faults = cluster.views["a"][1].faults
+        setattr(faults, fault, True)
+        cluster.publish(make_queue(), make_queue("new"))
+        await curio.sleep(0.1)
+        response = await api.handle(request("GET", "/new/"))
+        assert response.status == 503
+        assert ("retry-after", "1") in response.headers
+        assert (await api.handle(request("GET", "/q/"))).status == 200
+        setattr(faults, fault, False)
+        await cluster.wait_for(lambda: api.node.config.reachable)
+        assert (await api.handle(request("GET", "/new/"))).value == {"waiting": 0}
+        assert (await api.handle(request("GET", "/none/"))).status == 404
+
+    run_to_end(scenario)
+
+
+def test_requests_for_unknown_queues_share_reads(cluster):
+    """Guards against a call of the store for each request with any path.
+
+    Load: 40 requests one after the other, from a client outside control.
+    """
+
+    async def scenario():
+        api = await start_job_api(cluster)
+        view, n_calls = cluster.views["a"][1], 0
+        end = view.end
+
+        async def count(timeout_s):
+            nonlocal n_calls
+            n_calls += 1
+            return await end(timeout_s)
+
+        view.end = count
+        begun_at = boottime()
+        tasks = [
+            await curio.spawn(api.handle, request("GET", f"/none{number}/"))
+            for number in range(40)
+        ]
+        assert {(await task.join()).status for task in tasks} == {404}
+        assert n_calls <= 2 + (boottime() - begun_at) / CATCH_UP_INTERVAL_S
+
+    run_to_end(scenario)
