Name the jobs with a place as such, and bound a list of first starts

Cause: since a wait ends with an assignment and a job begins with its first start, `JobLoad.begun` no longer named what it counts. It is `placed` now, and so is the figure in the estimate of waits. The list of first starts that the metrics have not seen had no bound; it has one, like that of ended waits.

--- a/cuminhill/jobs/admission.py
+++ b/cuminhill/jobs/admission.py
@@ -267,8 +267,8 @@
         )
         if not n_ahead:
             return 0.0
-        n_begun = sum(self.load.begun.total(item.name, now) for item in pool)
-        return n_ahead * RECENT_S / max(1, n_begun)
+        n_placed = sum(self.load.placed.total(item.name, now) for item in pool)
+        return n_ahead * RECENT_S / max(1, n_placed)
 
     def is_under_pressure(
         self,
--- a/cuminhill/jobs/firststarts.py
+++ b/cuminhill/jobs/firststarts.py
@@ -1,13 +1,15 @@
 """First starts of jobs that the journal does not show yet.
 
 A job counts as waiting until the journal says that one of its tasks has started. Its
-placer learns so from the worker a moment after the assignment is journaled. A record of
-its own for each job would add as much to the journal as all VMs read of short jobs, so
-the next record of the job shows it, or one that is written after a while.
+placer learns of that from the worker, a moment after the assignment was journaled.
+Every VM reads each record, and a further one for each start would nearly double what
+the journal holds of a short job. So the next record of the job shows the start, or one
+that is written after `RECORD_DELAY_S`.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +21,7 @@
 # Callers may be told of a start up to 2 s late. The rest is for the decision after the
 # delay, the append, and the pause between reads of the journal.
 RECORD_DELAY_S = 1.0
+MAX_NEW_STARTS = 1000  # more than are known between two decisions
 
 
 class FirstStart(NamedTuple):
@@ -46,7 +49,9 @@
     """
 
     unrecorded: dict[str, tuple[Progress, float]] = field(default_factory=dict)
-    _new: list[FirstStart] = field(default_factory=list)
+    _new: deque[FirstStart] = field(
+        default_factory=lambda: deque(maxlen=MAX_NEW_STARTS)
+    )
 
     def note(self, progress: Progress, now: float, *, is_old: bool = False) -> None:
         """Note the first start of a job.
@@ -73,5 +78,6 @@
 
     def pop_new(self) -> list[FirstStart]:
         """Return and clear the starts that were noted since the last call."""
-        new, self._new = self._new, []
+        new = list(self._new)
+        self._new.clear()
         return new
--- a/cuminhill/jobs/jobindex.py
+++ b/cuminhill/jobs/jobindex.py
@@ -135,7 +135,7 @@
         The same for the records before the first claim that has won after the newest
         term that can have extended leases.
     job_load : JobLoad
-        Counters of accepted, waiting and begun jobs.
+        Counters of accepted, waiting and placed jobs.
     """
 
     entries: dict[str, JobEntry] = field(default_factory=dict)
@@ -352,12 +352,12 @@
             entry.placed_at = now
             if group is not None:
                 self.job_load.end_wait(group)
-                self.job_load.begun.add(entry.queue, now)
+                self.job_load.placed.add(entry.queue, now)
         elif not status.is_placed and placed_at is not None:
             entry.placed_at = None
             if group is not None:
                 self.job_load.resume_wait(group)
-                self.job_load.begun.discard(entry.queue, placed_at)
+                self.job_load.placed.discard(entry.queue, placed_at)
 
     def _forget_wait(self, entry: JobEntry) -> None:
         group, entry.waiting_group = entry.waiting_group, None
--- a/cuminhill/jobs/jobload.py
+++ b/cuminhill/jobs/jobload.py
@@ -1,4 +1,7 @@
-"""Counters of accepted, waiting and begun jobs, updated as the journal is folded.
+"""Counters of accepted, waiting and placed jobs, updated as the journal is folded.
+
+A job has a place as soon as a task is assigned. If all its starts come to nothing, it
+waits again.
 
 All times are those at which this VM read a record. The acceptance time in a record is
 the wall clock of another VM, which can differ by seconds and jump.
@@ -29,7 +32,7 @@
 
 @dataclass(eq=False, slots=True)
 class WaitingGroup:
-    """Jobs of one queue and team that were read within one slot and have not begun.
+    """Jobs of one queue and team that were read within one slot and have no place.
 
     Parameters
     ----------
@@ -106,10 +109,10 @@
     ----------
     accepted : RecentCounts
         Accepted jobs by team.
-    begun : RecentCounts
-        Jobs that began by queue.
+    placed : RecentCounts
+        Jobs that got a place, by queue.
     n_waiting : Counter
-        Jobs by queue that have not begun.
+        Jobs by queue that have no place.
     placer_at : float, seconds
         When the newest record under a placer's key was read.
     resumed_at : float, seconds
@@ -118,7 +121,7 @@
     """
 
     accepted: RecentCounts = field(default_factory=RecentCounts)
-    begun: RecentCounts = field(default_factory=RecentCounts)
+    placed: RecentCounts = field(default_factory=RecentCounts)
     n_waiting: Counter[str] = field(default_factory=Counter)
     placer_at: float = 0.0
     resumed_at: float = 0.0
@@ -175,7 +178,7 @@
             del self.n_waiting[group.queue]
 
     def resume_wait(self, group: WaitingGroup) -> None:
-        """Count a job that waits again, from when its wait began at first."""
+        """Count a job that waits again; its wait is counted from its acceptance."""
         group.n_jobs += 1
         self.n_waiting[group.queue] += 1
         if not group.is_listed and len(self._groups) < MAX_GROUPS:
@@ -191,7 +194,7 @@
     def note_snapshot(self, now: float) -> None:
         """Forget recent events: a snapshot does not tell when its records were made."""
         self.accepted.clear()
-        self.begun.clear()
+        self.placed.clear()
         self.resumed_at = now
 
     def late(self, bounds_s: dict[str, float], now: float) -> dict[str, Counter[str]]:
--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -34,7 +34,7 @@
 # A waiting read that is answered within this time shows the log's latency; a later
 # answer may have waited for a record.
 QUICK_READ_S = 0.1
-# Reads up to the end that clients can cause at any rate have this distance.
+# Least time between two reads up to the end that clients can cause at any rate.
 CATCH_UP_INTERVAL_S = 0.1
 # Reads of a slow log have this multiple of the newest read's time as their timeout.
 SLOW_READ_FACTOR = 3.0
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -521,7 +521,7 @@
     for _ in range(100):
         load.begin_wait("p", "", 100.0)
     for _ in range(10):
-        load.begun.add("p", 100.0)
+        load.placed.add("p", 100.0)
     job = make_job(queue="p")  # objective: 2 x 2 s + 1 s; estimated wait: 50 s
     assert Admission(load).decide(job, table, FRESH, 100.0) is None
     limited = Admission(load, max_wait_factor=8.0)
@@ -655,7 +655,7 @@
         load.late({"q": 2.0}, now)  # drops the groups without a waiting job
         assert index.n_waiting("q") == 20
         assert load.n_waiting["q"] == (0 if step % 2 else 20)
-        assert load.begun.total("q", now) == (20 if step % 2 else 0)
+        assert load.placed.total("q", now) == (20 if step % 2 else 0)
     assert load.late({"q": 5.0}, now) == {}
     index.fold(JournalRecord(16, f"{RUN_PREFIX}j3", REFUSED), now)
     load.note_placer(now, is_new_term=False)
