--- a/tests/jobs/test_firststarts.py
+++ b/tests/jobs/test_firststarts.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+import random
+from dataclasses import dataclass, field, replace
 
 import curio
 import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cuminhill.clock import boottime
 from cuminhill.jobs.firststarts import RECORD_DELAY_S
@@ -36,6 +39,7 @@
     send_start,
     submit,
 )
+from .plays import Play
 
 NOW = BEGUN_AT + 60.0
 LIFE = 1
@@ -372,3 +376,174 @@
         assert_all_tell(cluster, 0, JobState.RUNNING)
 
     run_to_end(scenario)
+
+
+@dataclass
+class Reader:
+    """VM that reads the journal.
+
+    Parameters
+    ----------
+    lag_s : float, seconds
+        How late it reads a record.
+    started : set of str
+        Jobs that it has shown as started.
+    """
+
+    lag_s: float
+    index: JobIndex = field(default_factory=JobIndex)
+    unread: list = field(default_factory=list)
+    started: set = field(default_factory=set)
+
+    def read(self, now):
+        """Read the records that it reads by now."""
+        while self.unread and self.unread[0][0] <= now - self.lag_s:
+            self.index.fold(self.unread.pop(0)[1], now)
+
+    def restart(self, journal, now):
+        """Begin anew with a snapshot of the journal."""
+        self.index, self.unread = JobIndex(), []
+        self.index.fold_snapshot(list(journal.values()), now)
+
+
+@dataclass
+class WaitingPlay(Play):
+    """Play of short jobs on workers that refuse starts or leave.
+
+    Parameters
+    ----------
+    begun : set of str
+        Jobs of which a worker has begun a task.
+    known_at : dict
+        When the present placer was first shown a run of each job, in seconds.
+    ends_at : dict
+        When each run ends, in seconds.
+    """
+
+    readers: list = field(default_factory=lambda: [Reader(0.0), Reader(0.3)])
+    journal: dict = field(default_factory=dict)
+    begun: set = field(default_factory=set)
+    known_at: dict = field(default_factory=dict)
+    ends_at: dict = field(default_factory=dict)
+    refusing: set = field(default_factory=set)
+    n_jobs: int = 0
+    n_refused: int = 0
+
+    def add_jobs(self):
+        """Submit a job of one or two steps."""
+        job_id = f"{self.n_jobs:016x}"
+        self.n_jobs += 1
+        steps = [make_step(self.rng.randint(1, 3), cores=self.rng.choice([2.0, 6.0]))]
+        if self.rng.random() < 0.3:
+            steps.append(make_step(1, after=(0,)))
+        self.store(JOB_PREFIX + job_id, encode_job(make_job(*steps, job_id=job_id)))
+        self.placer.add_job(self.readers[0].index.load(job_id), self.now)
+
+    def store(self, key, value):
+        """Append a record to the journal."""
+        self.journal[key] = JournalRecord(len(self.journal), key, value)
+        for reader in self.readers:
+            reader.unread.append((self.now, self.journal[key]))
+            reader.read(self.now)
+
+    def write(self):
+        """Write the changed progress; acknowledge the ends that it contains."""
+        for job_id, progress in self.placer.take_dirty().items():
+            self.store(RUN_PREFIX + job_id, encode_progress(progress, self.now))
+        for view in self.placer.workers.values():
+            view.last_acked_end = view.last_seen_end
+        n_waiting = sum(
+            progress.state is JobState.PENDING and not progress.n_assigned
+            for progress in self.placer.jobs.values()
+        )
+        assert self.readers[0].index.job_load.n_waiting["q"] == n_waiting
+
+    def note_shown(self, job_ids):
+        """Note when the present placer was first shown a run of some jobs."""
+        for job_id in job_ids:
+            self.known_at.setdefault(job_id, self.now)
+
+    def acknowledge(self, view):
+        """Leave the acknowledgement to `write`."""
+
+    def read_jobs(self, old):
+        """Return the jobs that the journal holds."""
+        self.known_at.clear()
+        return list(self.readers[0].index.live())
+
+    def start(self, order, until):
+        """Have a worker begin a run, or refuse it."""
+        if order.worker_id in self.refusing:
+            self.n_refused += 1
+            return StartResult.UNHEALTHY
+        result = super().start(order, until)
+        if result is StartResult.STARTED:
+            self.begun.add(order.key.job_id)
+            length_s = self.rng.choice([0.3, 1.0, 4.0])
+            self.ends_at[order.key, order.run] = self.now + length_s
+        return result
+
+    def tick(self, *, calm):
+        """Play a moment; then compare what is told with what is true."""
+        if calm:
+            self.refusing.clear()
+        elif self.rng.random() < 0.1:
+            names = [worker.worker_id for worker in self.alive()]
+            n_refusing = self.rng.choice([0, 1, len(names)])
+            self.refusing = set(self.rng.sample(names, n_refusing))
+        if not calm and self.rng.random() < 0.2:
+            self.add_jobs()
+        for worker in self.alive():
+            worker.advance(self.now)
+            for key, run in list(worker.running.items()):
+                if self.now >= self.ends_at[key, run]:
+                    worker.end(key, EndKind.DONE)
+        super().tick(calm=calm)
+        if self.rng.random() < 0.05:
+            self.readers[1].restart(self.journal, self.now)
+        for reader in self.readers:
+            reader.read(self.now)
+            self.check(reader)
+
+    def check(self, reader):
+        """Check what a VM tells of all jobs."""
+        shown = {job_id: entry.state for job_id, entry in reader.index.entries.items()}
+        waiting = {job for job, state in shown.items() if state is JobState.PENDING}
+        assert reader.index.n_waiting("q") == len(waiting)
+        assert shown.keys() - self.begun <= waiting
+        assert not reader.started & waiting
+        reader.started |= shown.keys() - waiting
+        late_s = RECORD_DELAY_S + 0.25 + reader.lag_s
+        known = {job for job, at in self.known_at.items() if at < self.now - late_s}
+        assert not known & waiting
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(seed=st.integers(0, 1 << 30))
+def test_vms_tell_which_jobs_have_started(seed):
+    """Guards against a count that leaves out jobs, or adds some, after any history.
+
+    Load: starts that are refused, late or without an answer, workers that leave or end
+    beside changes of the placer, and VMs that begin with a snapshot.
+    """
+    play = WaitingPlay(random.Random(seed))
+    play.run()
+    give_up_at = play.now + 60.0
+    while play.placer.jobs and play.now < give_up_at:
+        play.tick(calm=True)
+    for reader in play.readers:
+        reader.read(play.now + 1.0)
+        states = {entry.state for entry in reader.index.entries.values()}
+        assert states == {JobState.COMPLETED}
+        assert reader.index.n_waiting("q") == 0
+        assert not reader.index.job_load.n_waiting
+
+
+def test_the_plays_refuse_starts():
+    """Guards against plays without refusals or changes, which would show nothing."""
+    plays = [WaitingPlay(random.Random(seed)) for seed in range(5)]
+    for play in plays:
+        play.run()
+    assert sum(play.n_refused for play in plays) > 100
+    assert sum(play.n_changes for play in plays) > 10
+    assert sum(play.n_jobs for play in plays) > 100
