Let callers that wake up late share the read of their turn

Cause: `catch_up_in_turn` asked for a read newer than the end of its pause in place of its call. Callers of one turn that the kernel wakes up after the read was sent asked for another one, so a turn cost as many reads as there were wake-ups.

Ruled out: a turn that is taken twice; `_turn_at` grows by the interval at each turn, whichever caller comes first.

Change: a caller of a turn is served by any read that was sent after its call.

--- a/cuminhill/jobs/logreader.py
+++ b/cuminhill/jobs/logreader.py
@@ -231,7 +231,10 @@
         Concurrent callers share a read that was sent after each of them asked. It goes
         on when a caller gives up, so that the next one need not begin it anew.
         """
-        asked_at = boottime()
+        return await self._catch_up_since(boottime(), timeout_s)
+
+    async def _catch_up_since(self, asked_at: float, timeout_s: float) -> bool:
+        """Read up to the end at some time after `asked_at`; see `catch_up`."""
         try:
             async with curio.timeout_after(timeout_s):
                 while self.synced and self.read_at < asked_at:
@@ -257,7 +260,8 @@
         if read_at > asked_at:
             await curio.sleep(read_at - asked_at)
         self._turn_at = max(self._turn_at, read_at)
-        return await self.catch_up(timeout_s)
+        # Those that wake up later than the first share the read that it asks for.
+        return await self._catch_up_since(asked_at, timeout_s)
 
     async def _start_catch_up_task(self) -> None:
         if self._catch_up_task is None or self._catch_up_task.terminated:
--- a/tests/jobs/test_logreader.py
+++ b/tests/jobs/test_logreader.py
@@ -164,6 +164,41 @@
     curio.run(scenario)
 
 
+def test_callers_of_a_turn_share_one_read_though_they_wake_up_apart(monkeypatch):
+    """Guards against a read of the log for each caller that wakes up later than others.
+
+    Load: ten callers that wait for the same turn and wake up 4 ms apart.
+    """
+    sleep, n_reads, n_waits = curio.sleep, 0, 0
+
+    async def sleep_late(seconds):
+        nonlocal n_waits
+        n_waits += 1
+        await sleep(seconds + 0.004 * n_waits)
+
+    async def main():
+        view = LogView(MemoryLog())
+        follower = LogFollower("t", view, lambda rows, _: None, 0.1, 0.01)
+        follower.synced = True
+        await follower.catch_up_in_turn(1.0)
+        end = view.end
+
+        async def count(timeout_s):
+            nonlocal n_reads
+            n_reads += 1
+            return await end(timeout_s)
+
+        view.end = count
+        monkeypatch.setattr(curio, "sleep", sleep_late)
+        callers = [await curio.spawn(follower.catch_up_in_turn, 1.0) for _ in range(10)]
+        assert all([await caller.join() for caller in callers])
+        monkeypatch.undo()
+
+    run_to_end(main)
+    assert n_waits == 10
+    assert n_reads == 1
+
+
 async def _serve_slowly(n_parts, pause_s, stall_after=math.inf):
     """Serve one page of one record in parts; return the address."""
     content = b"\x01k" + b"x" * 1000 * n_parts
