Keep states only of tasks that were assigned and are not done

Cause: `ready_steps` made the state of every task of each step that might start, about 377 bytes apiece. The limits of a request bound the tasks of a step and the steps, and nothing their product. Reading the record of such a job back made the same states, so each later placer was killed as well.

Change: `TaskStates` has a state from the first assignment of a task until it is done, and then a byte. The waiting tasks are walked, not listed. Of a scheduled job, 400 steps are considered at a time, the earliest of each number. Steps of one time share the list of their run times. Jobs that can't be taken in are counted.

Two existing tests changed in form only: one reversed the list of tasks to make the second the one that has run, and assigns that one now; one called `done_indexes`, which has moved.

--- a/cuminhill/jobs/adviceplans.py
+++ b/cuminhill/jobs/adviceplans.py
@@ -229,7 +229,7 @@
         if (step_run.occurrence, number) in progress.finished:
             continue
         earlier = progress.step_run(step_run.occurrence, number)
-        for index, task in enumerate(earlier.tasks):
+        for index, task in earlier.tasks.known():
             worker = placer.workers.get(task.worker)
             slot = worker.slots.get((earlier.key(index), task.run)) if worker else None
             if worker is None or slot is None:
--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -42,7 +42,8 @@
     from .fleet import Slot, Worker
     from .model import Step, TaskKey, WorkerEntry
     from .placer import Placer
-    from .progress import Progress, TaskState
+    from .progress import Progress
+    from .taskstates import TaskState
 
 logger = structlog.get_logger(__name__)
 
@@ -180,7 +181,7 @@
     """Add a task to the suspects, each gang once."""
     if progress.job.steps[key.step].gang:
         step_run = progress.step_run(key.occurrence, key.step)
-        suspects[key[:3]] = _Suspect(progress, key, step_run.tasks, exposed_s)
+        suspects[key[:3]] = _Suspect(progress, key, list(step_run.tasks), exposed_s)
     else:
         suspects[key] = _Suspect(progress, key, [task], exposed_s)
 
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -94,6 +94,7 @@
         queue = placer.queue_of(progress)
         if queue is None:
             continue
+        occurrence, run_times = -1, []
         for step_run in progress.ready_steps(wall):
             n_tasks = progress.n_startable(step_run)
             if n_tasks and progress.job.team is not None:
@@ -102,7 +103,9 @@
                 n_tasks = placer.team_usage.limit(placer, step_run, n_tasks)
             if not n_tasks:
                 continue
-            run_times = placer.run_times(progress, step_run.occurrence)
+            if step_run.occurrence != occurrence:  # the steps of one share the list
+                occurrence = step_run.occurrence
+                run_times = placer.run_times(progress, occurrence)
             key = order_key(step_run, queue, wall, run_times)
             if moving and step_run.name in moving:
                 key = (Rank.MOVING, *key[1:])
@@ -366,12 +369,8 @@
     if not workers:
         return placed
     for held, restart in [(held, again) for held in rooms for again in (True, False)]:
-        indexes = [
-            index
-            for index in step_run.waiting()
-            if (lasts and step_run.tasks[index].run > 0) is restart
-        ]
-        if not indexes:
+        n_again = step_run.n_interrupted if lasts else 0
+        if not (n_again if restart else step_run.n_waiting - n_again):
             continue
         candidates = step_candidates(
             placer,
@@ -388,7 +387,7 @@
             candidates.limit_far(n_far)
         if candidates.workers:
             place = _place_gang if step_run.step.gang else _place_tasks
-            placed += place(placer, step_run, indexes, candidates, now)
+            placed += place(placer, step_run, candidates, restart=restart, now=now)
         n_far = candidates.n_far
     return placed
 
@@ -396,13 +395,18 @@
 def _place_gang(
     placer: Placer,
     step_run: StepRun,
-    indexes: list[int],
     candidates: Candidates,
+    *,
+    restart: bool,
     now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
     n_tasks = step_run.step.n_tasks
-    if len(indexes) < n_tasks or progress.n_startable(step_run) < n_tasks:
+    if (
+        restart
+        or step_run.n_waiting < n_tasks
+        or progress.n_startable(step_run) < n_tasks
+    ):
         return []
     if not placer.team_usage.limit(placer, step_run, n_tasks):
         return []
@@ -434,19 +438,34 @@
 def _place_tasks(
     placer: Placer,
     step_run: StepRun,
-    indexes: list[int],
     candidates: Candidates,
+    *,
+    restart: bool,
     now: float,
 ) -> list[Placement]:
+    """Assign waiting tasks.
+
+    Parameters
+    ----------
+    restart : bool
+        Whether to assign tasks of a step that lasts that have run before, in place of
+        those that have not.
+    """
     progress = placer.jobs[step_run.job.job_id]
     placed: list[Placement] = []
-    n_new = progress.n_startable(step_run) - step_run.n_interrupted
-    n_admitted = placer.team_usage.limit(placer, step_run, len(indexes))
+    n_again = step_run.n_interrupted
+    n_new = progress.n_startable(step_run) - n_again
+    tasks, n_waiting = step_run.tasks, step_run.n_waiting
+    indexes = tasks.waiting() if n_new > 0 else tasks.interrupted()
+    if step_run.step.long_running:
+        n_waiting = n_again if restart else n_waiting - n_again
+        indexes = tasks.interrupted() if restart else tasks.unstarted()
+    n_admitted = placer.team_usage.limit(placer, step_run, n_waiting)
     n_admitted = placer.shares.limit(placer, step_run, n_admitted)
     for index in indexes:
         if len(placed) >= n_admitted:
             break
-        task = step_run.tasks[index]
+        task = tasks[index]
         if not task.run and n_new <= 0:
             continue
         suspect = task.n_crashes > 0
--- a/cuminhill/jobs/eligibility.py
+++ b/cuminhill/jobs/eligibility.py
@@ -223,4 +223,6 @@
     """Return the number of a step's tasks on each worker; empty if it has no bound."""
     if not step_run.step.max_per_worker:
         return {}
-    return dict(Counter(task.worker for task in step_run.tasks if task.worker))
+    return dict(
+        Counter(task.worker for _, task in step_run.tasks.known() if task.worker)
+    )
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -208,7 +208,7 @@
 def _n_away(placer: Placer, step_run: StepRun) -> int:
     """Return how many tasks of a step do not run, or are being stopped."""
     n_away = step_run.n_waiting
-    for index, task in enumerate(step_run.tasks):
+    for index, task in step_run.tasks.known():
         worker = placer.workers.get(task.worker)
         slot = worker.slots.get((step_run.key(index), task.run)) if worker else None
         if task.worker and (slot is None or slot.stopping_at or not slot.confirmed):
--- a/cuminhill/jobs/keptrooms.py
+++ b/cuminhill/jobs/keptrooms.py
@@ -333,11 +333,10 @@
 
 def _n_held_for(placer: Placer, step_run: StepRun, now: float) -> int:
     """Return the number of interrupted tasks for which room is still kept."""
-    waiting = (step_run.tasks[index] for index in step_run.waiting())
+    tasks = step_run.tasks
     n_tasks = sum(
-        now - max(task.away_since, placer.begun_at) <= MAX_HOLD_S
-        for task in waiting
-        if task.run
+        now - max(tasks[index].away_since, placer.begun_at) <= MAX_HOLD_S
+        for index in tasks.interrupted()
     )
     return placer.team_usage.limit(placer, step_run, n_tasks)
 
--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -448,7 +448,7 @@
             for step_run in progress.step_runs.values():
                 if not step_run.step.long_running:
                     continue
-                for index, task in enumerate(step_run.tasks):
+                for index, task in step_run.tasks.known():
                     key = step_run.key(index)
                     away_s = now - task.away_since if task.away_since else 0.0
                     if task.run and not task.worker:
@@ -464,11 +464,10 @@
         """
         unstored = self._unstored | self.placer.unwritten()
         found = (
-            DoneRun(step_run.key(index), task.run)
+            DoneRun(step_run.key(index), run)
             for progress in unstored.values()
             for step_run in progress.step_runs.values()
-            for index, task in enumerate(step_run.tasks)
-            if task.done and task.run
+            for index, run in step_run.tasks.done_runs()
         )
         return tuple(islice(found, MAX_RELEASED_RUNS))
 
@@ -562,6 +561,7 @@
         except Exception as exc:
             job_id = progress.job.job_id
             self.placer.jobs.pop(job_id, None)
+            self.placer.counts["jobs_not_taken_in"] += 1
             logger.error("job not taken in", job=job_id, exc_info=exc)
             return False
         return True
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -129,5 +129,6 @@
 
     It is 0 if an earlier term has left no word of when that was.
     """
-    waiting = (step_run.tasks[index] for index in step_run.waiting())
-    return min((task.away_since for task in waiting if task.run), default=0.0)
+    tasks = step_run.tasks
+    away = (tasks[index].away_since for index in tasks.interrupted())
+    return min(away, default=0.0)
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -65,7 +65,8 @@
         WorkerReport,
     )
     from .packing import HeldRoom, Reservation
-    from .progress import Progress, StepRun, TaskState
+    from .progress import Progress, StepRun
+    from .taskstates import TaskState
 
 logger = structlog.get_logger(__name__)
 
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -15,10 +15,11 @@
 from ..util.validation import MAX_COUNT, MAX_INTEGER, Message, validate_json
 from .model import Job, JobState, TaskKey
 from .records import MAX_RECORD_BYTES
+from .taskstates import TaskState, TaskStates
 from .waits import EXPLAINED_AFTER_S, StepWait
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Sequence
 
     from .model import Step
     from .waits import WaitCause
@@ -35,83 +36,21 @@
 # of the time away or without progress.
 ROW_BYTES = 128
 MAX_AWAY_MS = 10_000_000  # bounds an absence and the time without a run
+# Steps of a scheduled job that are considered at a time, the earliest of each number; a
+# step of a later time differs only in when it was due.
+MAX_READY_STEPS = 400
 # A step with more tasks has those that are done as bits in place of a list.
 MAX_LISTED_TASKS = 500
 
 
-@dataclass(slots=True)
-class TaskState:
-    """State of one task.
-
-    Parameters
-    ----------
-    run : int
-        Highest run number used so far; run numbers increase by one.
-    n_failed : int
-        Number of runs that ended as failed.
-    worker : str
-        Worker on which the run may be present; empty if the task is not assigned.
-    incarnation : int
-        Incarnation of that worker.
-    checkpoint : str
-        Newest checkpoint; empty if there is none.
-    done : bool
-        Whether a run has ended as done.
-    failed_run : int
-        Number of the newest run that ended as failed.
-    failed_on : set of str
-        Workers on which runs failed; not kept in the journal.
-    n_crashes : int
-        Crashes of workers that the task may have caused.
-    n_start_crashes : int
-        Those at its start, since a run last survived it.
-    start_exposure_s : float, seconds
-        Longest time for which a run had been present at one of those; not kept in the
-        journal, infinite if it is not known.
-    away_since : float, seconds
-        When the last run ended, or its worker stopped answering; 0 while the task runs
-        and before its first run. The journal keeps how long ago that was, for tasks
-        that last.
-    given_up_at : float, seconds
-        When that run was given up, so that the task might start again; 0 if it was not
-        in this term. Not kept in the journal.
-    still_percent : float
-        Share of the work that its run had done at the newest report; negative if none
-        is known, or if that report has shown more than the one before.
-    still_s : float, seconds
-        How long that share had not risen at that report.
-    """
-
-    run: int = 0
-    n_failed: int = 0
-    worker: str = ""
-    incarnation: int = 0
-    checkpoint: str = ""
-    done: bool = False
-    failed_run: int = 0
-    failed_on: set[str] = field(default_factory=set)
-    n_crashes: int = 0
-    n_start_crashes: int = 0
-    start_exposure_s: float = 0.0
-    away_since: float = 0.0
-    given_up_at: float = 0.0
-    still_percent: float = -1.0
-    still_s: float = 0.0
-
-    @property
-    def life(self) -> tuple[str, int]:
-        """Worker on which the run may be present, with its incarnation."""
-        return self.worker, self.incarnation
-
-
 @dataclass(eq=False, slots=True)
 class StepRun:
     """One step of one occurrence.
 
     Parameters
     ----------
-    n_done, n_assigned : int
-        Number of tasks that are done, and of those that a worker may be running.
+    n_assigned : int
+        Number of tasks that a worker may be running.
     n_open : int
         Number of tasks that were assigned at least once and are not done.
     waits_for : str
@@ -133,8 +72,7 @@
     job: Job
     occurrence: int
     number: int
-    tasks: list[TaskState]
-    n_done: int = 0
+    tasks: TaskStates
     n_assigned: int = 0
     n_open: int = 0
     waits_for: str = ""
@@ -149,10 +87,16 @@
     def __post_init__(self) -> None:
         self.name = f"{self.job.job_id}.{self.occurrence}.{self.number}"
 
+    @property
+    def n_done(self) -> int:
+        """Number of tasks that are done."""
+        return self.tasks.n_done
+
     @property
     def is_open(self) -> bool:
         """Whether the journal lists tasks of the step one by one."""
-        return self.n_done + self.n_open > 0 and self.n_done < len(self.tasks)
+        n_done = self.tasks.n_done
+        return n_done + self.n_open > 0 and n_done < self.tasks.n_tasks
 
     @property
     def step(self) -> Step:
@@ -162,19 +106,13 @@
     @property
     def n_waiting(self) -> int:
         """Number of tasks that are neither done nor assigned."""
-        return len(self.tasks) - self.n_done - self.n_assigned
+        return self.tasks.n_tasks - self.tasks.n_done - self.n_assigned
 
     @property
     def n_interrupted(self) -> int:
         """Number of waiting tasks that have run before."""
         return self.n_open - self.n_assigned
 
-    def waiting(self) -> Iterator[int]:
-        """Yield the indexes of the tasks that are neither done nor assigned."""
-        for index, task in enumerate(self.tasks):
-            if not task.done and not task.worker:
-                yield index
-
     def note_wait(self, waits_for: str, now: float) -> None:
         """Note what tasks wait for after a decision; empty if none waits."""
         waited_s = now - self.waits_since
@@ -207,10 +145,6 @@
         waited, self.waited = self.waited, {}
         return waited
 
-    def done_indexes(self) -> list[int]:
-        """Return the indexes of the tasks that are done."""
-        return [index for index, task in enumerate(self.tasks) if task.done]
-
     def key(self, index: int) -> TaskKey:
         """Return the identity of a task."""
         return TaskKey(self.job.job_id, self.occurrence, self.number, index)
@@ -277,16 +211,19 @@
         """Yield the steps with tasks that may start now."""
         # Each decision looks at all jobs, so this repeats `is_ready` without its calls.
         job, finished = self.job, self.finished
+        n_most = max(2, MAX_READY_STEPS // len(job.steps))
+        n_ready = [0] * len(job.steps)
         for occurrence in range(job.n_occurrences):
             if job.due_at(occurrence) > wall:
                 return
             for number, step in enumerate(job.steps):
-                if (occurrence, number) in finished:
+                if (occurrence, number) in finished or n_ready[number] >= n_most:
                     continue
                 if step.after and not self.is_ready(occurrence, number, wall):
                     continue
                 step_run = self.step_run(occurrence, number)
                 if step_run.n_waiting:
+                    n_ready[number] += 1
                     yield step_run
 
     def n_startable(self, step_run: StepRun) -> int:
@@ -352,7 +289,7 @@
         """Return the state of a step, created if missing."""
         step_run = self.step_runs.get((occurrence, number))
         if step_run is None:
-            tasks = [TaskState() for _ in range(self.job.steps[number].n_tasks)]
+            tasks = TaskStates(self.job.steps[number].n_tasks)
             step_run = StepRun(self.job, occurrence, number, tasks)
             self.step_runs[occurrence, number] = step_run
         return step_run
@@ -376,7 +313,7 @@
     def task(self, key: TaskKey) -> TaskState | None:
         """Return the state of a task, None if its step is finished or unknown."""
         step_run = self.step_runs.get((key.occurrence, key.step))
-        if step_run is None or not 0 <= key.task < len(step_run.tasks):
+        if step_run is None or not 0 <= key.task < step_run.tasks.n_tasks:
             return None
         return step_run.tasks[key.task]
 
@@ -489,12 +426,11 @@
         task = step_run.tasks[key.task]
         if task.done:
             return False
-        task.done = True
         self._n_open = self._n_bytes = None
-        step_run.n_done += 1
         step_run.n_open -= task.run > 0
         self.store_checkpoint(task, "")
-        if step_run.n_done < len(step_run.tasks):
+        step_run.tasks.mark_done(key.task)
+        if step_run.n_done < step_run.tasks.n_tasks:
             return False
         self.finished.add((key.occurrence, key.step))
         if len(self.finished) == self.job.n_occurrences * len(self.job.steps):
@@ -506,7 +442,7 @@
         for step_run in self.step_runs.values():
             if not step_run.n_assigned:
                 continue
-            for index, task in enumerate(step_run.tasks):
+            for index, task in step_run.tasks.known():
                 if task.worker:
                     yield step_run.key(index), task
 
@@ -559,12 +495,12 @@
         if (occurrence, number) in progress.finished and not step_run.n_assigned:
             steps.append([occurrence, number])
             continue
-        done_indexes = step_run.done_indexes()
+        done_indexes = step_run.tasks.done_indexes()
         done: list[int] | str = done_indexes
-        if len(step_run.tasks) > MAX_LISTED_TASKS:
-            done = _encode_bits(done_indexes, len(step_run.tasks))
+        if step_run.tasks.n_tasks > MAX_LISTED_TASKS:
+            done = _encode_bits(done_indexes, step_run.tasks.n_tasks)
         rows = []
-        for index, task in enumerate(step_run.tasks):
+        for index, task in step_run.tasks.known():
             if not task.run or (task.done and not task.worker):
                 continue
             where = workers.setdefault((task.worker, task.incarnation), len(workers))
@@ -637,7 +573,7 @@
     return [
         [*step_run.key(index)[1:], task.n_crashes, task.n_start_crashes]
         for step_run in progress.step_runs.values()
-        for index, task in enumerate(step_run.tasks)
+        for index, task in step_run.tasks.known()
         if task.n_crashes and not task.done
     ]
 
@@ -656,7 +592,7 @@
         [*step_run.key(index)[1:], min(MAX_AWAY_MS, int((now - since) * 1000))]
         for step_run in progress.step_runs.values()
         if step_run.step.long_running
-        for index, task in enumerate(step_run.tasks)
+        for index, task in step_run.tasks.known()
         if task.run and not task.done and 0 < (since := task.away_since) <= now
     ]
 
@@ -678,7 +614,7 @@
         ]
         for step_run in progress.step_runs.values()
         if step_run.n_assigned
-        for index, task in enumerate(step_run.tasks)
+        for index, task in step_run.tasks.known()
         if task.worker and task.still_percent >= 0
     ]
 
@@ -778,26 +714,11 @@
     for occurrence, number, *rest in step_rows:
         _check_unseen(progress, occurrence, number)
         step_run = progress.step_run(occurrence, number)
-        done, rows = rest or (range(len(step_run.tasks)), ())
-        if isinstance(done, str):
-            done = _decode_bits(done, len(step_run.tasks))
-        for index in done:
-            step_run.tasks[index].done = True
-        step_run.n_done = sum(task.done for task in step_run.tasks)
-        for index, run, where, *failures in rows:
-            task = step_run.tasks[index]
-            if task.run:
-                raise ProtocolError("task listed twice", step="progress")
-            task.run = run
-            task.worker, task.incarnation = data.workers[where]
-            step_run.n_open += not task.done
-            if failures:
-                task.n_failed, task.failed_run, task.checkpoint = failures
-                progress.n_checkpoint_bytes += _checkpoint_bytes(task.checkpoint)
-            if task.worker:
-                step_run.n_assigned += 1
-                progress.n_assigned += 1
-        if step_run.n_done == len(step_run.tasks):
+        if rest:
+            _decode_tasks(progress, step_run, *rest, workers=data.workers)
+        else:
+            step_run.tasks.mark_all_done()
+        if step_run.n_done == step_run.tasks.n_tasks:
             progress.finished.add((occurrence, number))
     for occurrence, number, index, *counts in data.crashes:
         task = progress.step_run(occurrence, number).tasks[index]
@@ -811,6 +732,43 @@
     return progress
 
 
+def _decode_tasks(
+    progress: Progress,
+    step_run: StepRun,
+    done: Iterable[int] | str,
+    rows: Iterable[Any],
+    *,
+    workers: Sequence[tuple[str, int]],
+) -> None:
+    """Decode the tasks of a step that is not finished.
+
+    Parameters
+    ----------
+    done : iterable of int, or str
+        Indexes of the tasks that are done, or the form that has them as bits.
+    workers : sequence of (str, int)
+        Workers that the rows refer to.
+    """
+    tasks = step_run.tasks
+    for index, run, where, *failures in rows:
+        task = tasks[index]
+        if task.run:
+            raise ProtocolError("task listed twice", step="progress")
+        task.run = run
+        task.worker, task.incarnation = workers[where]
+        if failures:
+            task.n_failed, task.failed_run, task.checkpoint = failures
+            progress.n_checkpoint_bytes += _checkpoint_bytes(task.checkpoint)
+        if task.worker:
+            step_run.n_assigned += 1
+            progress.n_assigned += 1
+    if isinstance(done, str):
+        done = _decode_bits(done, tasks.n_tasks)
+    for index in done:
+        tasks.mark_done(index)
+    step_run.n_open = sum(not tasks.is_done(row[0]) for row in rows)
+
+
 def _decode_times(progress: Progress, data: _ProgressBody, read_at: float) -> None:
     """Decode since when tasks that last are away, and the job has had no run."""
     for occurrence, number, index, away_ms in data.away:
--- a/cuminhill/jobs/watch.py
+++ b/cuminhill/jobs/watch.py
@@ -17,7 +17,7 @@
     from .leasebounds import ReleasedRun
     from .model import TaskKey
     from .placer import Placer
-    from .progress import TaskState
+    from .taskstates import TaskState
 
 logger = structlog.get_logger(__name__)
 
--- a/tests/jobs/test_decisions_lasting.py
+++ b/tests/jobs/test_decisions_lasting.py
@@ -187,7 +187,8 @@
     runs = start_lasting(placer, n_tasks=2, cores=12.0)
     progress = placer.jobs[LASTING_ID]
     step_run = progress.step_run(0, 0)
-    step_run.tasks.reverse()  # the task that has run is the second one now
+    progress.withdraw(runs[0].key)  # the task that has run is the second one now
+    progress.assign(step_run.key(1), "w1", 1, 1)
     worker = placer.workers["w1"]
     slot = worker.release(runs[0].key, runs[0].run)
     slot.key = step_run.key(1)
--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -140,8 +140,8 @@
     copy = decode_progress(job, encode_progress(progress))
     assert encode_progress(copy) == encode_progress(progress)
     assert copy.n_open == progress.n_open > 0
-    assert [run.done_indexes() for run in copy.step_runs.values()] == [
-        run.done_indexes() for run in progress.step_runs.values()
+    assert [run.tasks.done_indexes() for run in copy.step_runs.values()] == [
+        run.tasks.done_indexes() for run in progress.step_runs.values()
     ]
 
 
--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -34,7 +34,7 @@
     note_predecessor_ended,
 )
 from cuminhill.jobs.placer import Placer, PlacerTimes
-from cuminhill.jobs.progress import TaskState, decode_progress, encode_progress
+from cuminhill.jobs.progress import decode_progress, encode_progress
 from cuminhill.jobs.records import (
     LEADER_KEY,
     LEASES_KEY,
@@ -49,6 +49,7 @@
     is_placer_key,
     make_claim,
 )
+from cuminhill.jobs.taskstates import TaskState
 
 from .builders import (
     BEGUN_AT,
