Bound the processor time of a decision, and walk the graph of a job once

Cause: the time of a decision was bounded by the number of its steps, and nothing bounded the work for one. `path_lengths` visits each entry of `after` for each waiting step, twice or more in each decision; steps that will be ready soon were found from all entries as well.

Ruled out: that repeated entries are all of it. 80 jobs of 200 steps without a repeat took 7.0 s a decision, those of the case 2.2 s (270 workers).

Change: a step names each predecessor once. The lengths of paths are kept until run times change, the open steps until one is finished. A decision has 0.25 s of processor time: then it ends, and what it did not get to comes next, jobs of urgent queues and others in turns, beside the most urgent steps.

--- a/bench/jobdecisions.py
+++ b/bench/jobdecisions.py
@@ -64,14 +64,15 @@
         structlog.reset_defaults()
 
 
-def _make_placer(rng: random.Random) -> Placer:
+def make_placer(rng: random.Random, n_workers: int) -> Placer:
+    """Return a placer with the queues of the mix and idle workers."""
     placer = Placer(1, BEGUN_AT)
     queues = [
         Queue(name, "h", f"/{name}/", "pool", priority, 3, 2.0, 1.0, TERMS[name])
         for priority, (name, *_) in enumerate(MIX)
     ]
     placer.table = QueueTable(1, {queue.name: queue for queue in queues})
-    register_workers(placer, rng, N_WORKERS)
+    register_workers(placer, rng, n_workers)
     return placer
 
 
@@ -90,7 +91,7 @@
         placer.workers[name].health.speed = rng.lognormvariate(0.0, 0.3)
 
 
-def _add_jobs(placer: Placer, rng: random.Random, n_jobs: int) -> None:
+def add_jobs(placer: Placer, rng: random.Random, n_jobs: int) -> None:
     """Add jobs of the mix, with advice on some of the workers."""
     for number in range(n_jobs):
         name, _, n_tasks, cores, run_s, permitted, gang = rng.choices(
@@ -107,7 +108,7 @@
         advice.store_answer(dict.fromkeys(named, 1), tickets, BEGUN_AT, 2.0)
 
 
-def _decision_times(
+def decision_times(
     placer: Placer, n_decisions: int, begun_at: float = BEGUN_AT
 ) -> tuple[list[float], int]:
     """Return the processor time of each decision in milliseconds, and the placements.
@@ -150,13 +151,13 @@
     with quiet():
         for n_jobs in BACKLOGS:
             rng = random.Random(n_jobs)
-            placer = _make_placer(rng)
-            _add_jobs(placer, rng, n_jobs)
+            placer = make_placer(rng, N_WORKERS)
+            add_jobs(placer, rng, n_jobs)
             baseline = _yardstick_ms()
             label = f"{N_WORKERS} workers, {n_jobs} waiting jobs"
-            times, n_placed = _decision_times(placer, N_DECISIONS)
+            times, n_placed = decision_times(placer, N_DECISIONS)
             later = BEGUN_AT + 10.0  # the tickets have lapsed
-            blocked, _ = _decision_times(placer, N_DECISIONS, later)
+            blocked, _ = decision_times(placer, N_DECISIONS, later)
             for name, values, more in (
                 ("with tickets", times, f"{n_placed} placements"),
                 ("without tickets", blocked, "calls are not answered"),
--- a/cuminhill/jobs/adviceplans.py
+++ b/cuminhill/jobs/adviceplans.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .advice import TICKET_MARGIN_S, AdviceCall, CallRank, make_advice_call
+from .decisionbudget import AHEAD_SHARE
 from .eligibility import eligible_workers, make_allowance
 from .lostruns import lost_steps
 from .packing import (
@@ -167,6 +168,8 @@
         queue = placer.queue_of(progress)
         if queue is None or queue.advice is None or not progress.n_assigned:
             continue
+        if placer.budget.is_used(AHEAD_SHARE):
+            return calls
         pool = pools.get(queue.pool)
         if len(progress.job.steps) < 2 or progress.cancelled or not pool:
             continue
--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -8,6 +8,7 @@
 
 from .adviceplans import advise_lost_runs, prefetch_advice
 from .crashes import starts_apart
+from .decisionbudget import MAX_DECISION_S, jobs_in_turn, steps_in_turn
 from .eligibility import (
     available_workers,
     core_limit_of,
@@ -60,7 +61,6 @@
 N_TURNS_PER_DECISION = 50
 # Fewer steps are considered if decisions take longer than this: nothing else is done
 # meanwhile, and tickets lapse between two of them.
-MAX_DECISION_S = 0.25
 MIN_STEPS_PER_DECISION = 20
 STEPS_GROWTH = 1.25
 # Blocked steps other than gangs with a reservation at a time; without one, steps that
@@ -88,7 +88,7 @@
     """
     rows: list[tuple[tuple[Any, ...], StepRun, Queue, list[float]]] = []
     moving = {key.step_name for key in placer.moves}
-    for progress in placer.jobs.values():
+    for progress in jobs_in_turn(placer):
         if progress.cancelled or progress.state is JobState.FAILED:
             continue
         queue = placer.queue_of(progress)
@@ -139,7 +139,10 @@
     queue += [name for name in rest if name not in placer.left_out]
     # A step whose advice has come since its last turn may have tickets that lapse.
     queue.sort(key=lambda name: not placer.advice.is_new(name))
-    placer.left_out = dict.fromkeys(queue[n_turns:])
+    # Steps of jobs that were not looked at keep their places.
+    unseen = placer.budget.unseen_jobs
+    kept = [name for name in placer.left_out if name.partition(".")[0] in unseen]
+    placer.left_out = dict.fromkeys([*queue[n_turns:], *kept])
     return {*names[:n_first], *queue[:n_turns]}
 
 
@@ -180,14 +183,14 @@
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
     waiting = waiting_steps(placer, wall)
-    placer.n_considered = len(waiting)
     busy, placer.full_pools = _pools_in_use(placer)
     hold_room(placer, waiting, pools, now)
     deduct_reservations(placer, limits, now)
     patient = False
     explained = steps_to_explain(waiting, now)
-    admitted = _still_admitted(placer, waiting, now)
-    for step_run, queue, run_times, n_startable in admitted:
+    for step_run, queue, run_times, n_startable in _still_admitted(
+        placer, steps_in_turn(placer, waiting), now
+    ):
         restarts = is_restart(step_run)
         if not (patient or restarts or queue.priority == 0):
             patient = True
@@ -275,9 +278,10 @@
             n_reservations += reserve_room(
                 placer, step_run, pool, advised, n_startable, run_s=run_s, now=now
             )
+    placer.n_considered = len(waiting) - len(placer.budget.unreached_steps)
     note_unconsidered(placer, now, wall)
-    calls.extend(advise_lost_runs(placer, pools, limits, now, wall))
-    calls.extend(prefetch_advice(placer, pools, limits, now, wall))
+    calls += advise_lost_runs(placer, pools, limits, now, wall)
+    calls += prefetch_advice(placer, pools, limits, now, wall)
     return placements, calls
 
 
--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -85,7 +85,7 @@
     run_time_s : float, seconds
         Declared run time of a task; a rough estimate.
     after : tuple of int
-        Numbers of the steps that must be done first.
+        Numbers of the steps that must be done first, each once and in order.
     checkpoints : bool
         Whether an interrupted task can continue from a checkpoint.
     gang : bool
@@ -124,6 +124,10 @@
     may_miss: int = 0
     fills: bool = False
 
+    def __post_init__(self) -> None:
+        if len(self.after) > 1:
+            object.__setattr__(self, "after", tuple(sorted(set(self.after))))
+
 
 @dataclass(frozen=True, slots=True)
 class Job:
@@ -153,6 +157,9 @@
     team : Team or None
         The team as it was when the job was accepted, for good; its newest weight and
         cap are in the configuration. None where the configuration has no teams.
+    paths : dict
+        Results of `path_lengths` by the run times of the steps: they take a walk over
+        the whole graph, and each decision needs them.
     """
 
     job_id: str
@@ -165,6 +172,9 @@
     period_s: float = 0.0
     definition: Queue | None = None
     team: Team | None = None
+    paths: dict[tuple[float, ...], tuple[float, ...]] = field(
+        default_factory=dict, init=False, compare=False, repr=False
+    )
 
     @property
     def n_occurrences(self) -> int:
--- a/cuminhill/jobs/ordering.py
+++ b/cuminhill/jobs/ordering.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from .model import Job, Queue
+    from .model import Job, Queue, Step
     from .progress import StepRun
 
 # A step counts as late once its latest start time has passed by this fraction of the
@@ -27,6 +27,8 @@
 LATE_FRACTION = 0.15
 # After this multiple of its objective, the result of a job is of no use to its caller.
 STALE_FACTOR = 3.0
+# Of a job: by declared run times and by expected ones, of mean and of longest tasks.
+MAX_CACHED_PATHS = 4
 
 
 class Rank(IntEnum):
@@ -63,7 +65,9 @@
     return lengths[first] if first_only else max(lengths)
 
 
-def path_lengths(job: Job, run_times: Sequence[float] | None = None) -> list[float]:
+def path_lengths(
+    job: Job, run_times: Sequence[float] | None = None
+) -> tuple[float, ...]:
     """Return the length of the longest path from each step on, in seconds.
 
     Parameters
@@ -71,16 +75,27 @@
     run_times : sequence of float, seconds, or None
         Expected run time of each step; the declared run times if None.
     """
-    steps = job.steps
     if run_times is None:
-        run_times = [step.run_time_s for step in steps]
+        run_times = [step.run_time_s for step in job.steps]
+    key = tuple(run_times)
+    lengths = job.paths.get(key)
+    if lengths is None:
+        if len(job.paths) >= MAX_CACHED_PATHS:
+            job.paths.clear()
+        lengths = job.paths[key] = _find_path_lengths(job.steps, key)
+    return lengths
+
+
+def _find_path_lengths(
+    steps: Sequence[Step], run_times: Sequence[float]
+) -> tuple[float, ...]:
     # The paths behind each step grow while the later steps are visited.
     behind = [0.0] * len(steps)
     for number in range(len(steps) - 1, -1, -1):
         length = behind[number] = run_times[number] + behind[number]
         for earlier in steps[number].after:
             behind[earlier] = max(behind[earlier], length)
-    return behind
+    return tuple(behind)
 
 
 def objective_s(
--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -26,6 +26,7 @@
     record_registration,
     starts_apart,
 )
+from .decisionbudget import DecisionBudget
 from .decisions import (
     MAX_STEPS_PER_DECISION,
     Placement,
@@ -192,6 +193,8 @@
         Limits the log lines about waits.
     waits_noted_at : float, seconds
         When the waits of steps that are not considered were noted.
+    budget : DecisionBudget
+        Processor time of a decision, and what the newest one did not get to.
     max_steps, n_considered : int
         Steps that a decision may consider, and that the newest one has considered.
     send_s : float, seconds
@@ -246,6 +249,7 @@
     )
     wait_lines: LineLimit = field(default_factory=LineLimit)
     waits_noted_at: float = 0.0
+    budget: DecisionBudget = field(default_factory=DecisionBudget)
     max_steps: int = MAX_STEPS_PER_DECISION
     n_considered: int = 0
     send_s: float = 0.0
@@ -1312,7 +1316,9 @@
         calls : list of AdviceCall
             Calls for advice, the most urgent first.
         """
+        self.budget.begin()
         placements, calls = decide(self, now, wall)
+        self.budget.end()
         calls += evacuate(self, now)
         return placements, sorted(calls, key=lambda call: call.rank)
 
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -150,6 +150,21 @@
         return TaskKey(self.job.job_id, self.occurrence, self.number, index)
 
 
+class _Frontier(NamedTuple):
+    """Steps of an occurrence that are not finished and next to those that are.
+
+    Parameters
+    ----------
+    open : tuple of int
+        Steps whose predecessors are finished.
+    behind : tuple of (int, tuple of int)
+        Steps that wait only for open ones, with these.
+    """
+
+    open: tuple[int, ...]
+    behind: tuple[tuple[int, tuple[int, ...]], ...]
+
+
 @dataclass(eq=False, slots=True)
 class Progress:
     """State of a job as its placer keeps it.
@@ -199,6 +214,8 @@
     # Results of `n_open` and `_max_bytes` until a task changes.
     _n_open: int | None = None
     _n_bytes: int | None = None
+    # By occurrence, until one of its steps is finished.
+    _frontiers: dict[int, _Frontier] = field(default_factory=dict)
 
     def is_ready(self, occurrence: int, number: int, wall: float) -> bool:
         """Return whether the tasks of a step may start."""
@@ -209,17 +226,14 @@
 
     def ready_steps(self, wall: float) -> Iterator[StepRun]:
         """Yield the steps with tasks that may start now."""
-        # Each decision looks at all jobs, so this repeats `is_ready` without its calls.
-        job, finished = self.job, self.finished
+        job = self.job
         n_most = max(2, MAX_READY_STEPS // len(job.steps))
         n_ready = [0] * len(job.steps)
         for occurrence in range(job.n_occurrences):
             if job.due_at(occurrence) > wall:
                 return
-            for number, step in enumerate(job.steps):
-                if (occurrence, number) in finished or n_ready[number] >= n_most:
-                    continue
-                if step.after and not self.is_ready(occurrence, number, wall):
+            for number in self._frontier(occurrence).open:
+                if n_ready[number] >= n_most:
                     continue
                 step_run = self.step_run(occurrence, number)
                 if step_run.n_waiting:
@@ -272,15 +286,36 @@
         for occurrence in range(self.job.n_occurrences):
             if self.job.due_at(occurrence) > wall:
                 return
-            for number, step in enumerate(self.job.steps):
-                before = [
-                    (occurrence, earlier)
-                    for earlier in step.after
-                    if (occurrence, earlier) not in self.finished
-                ]
-                if before and all(self._is_fully_assigned(*item) for item in before):
+            for number, before in self._frontier(occurrence).behind:
+                if all(self._is_fully_assigned(occurrence, item) for item in before):
                     yield occurrence, number
 
+    def _frontier(self, occurrence: int) -> _Frontier:
+        """Return the open steps of an occurrence; found anew once one is finished."""
+        found = self._frontiers.get(occurrence)
+        if found is None:
+            found = self._frontiers[occurrence] = self._find_frontier(occurrence)
+        return found
+
+    def _find_frontier(self, occurrence: int) -> _Frontier:
+        steps: list[int] = []
+        behind: list[tuple[int, tuple[int, ...]]] = []
+        is_open = [False] * len(self.job.steps)
+        for number, step in enumerate(self.job.steps):
+            if (occurrence, number) in self.finished:
+                continue
+            before = [
+                earlier
+                for earlier in step.after
+                if (occurrence, earlier) not in self.finished
+            ]
+            if not before:
+                steps.append(number)
+                is_open[number] = True
+            elif all(is_open[earlier] for earlier in before):
+                behind.append((number, tuple(before)))
+        return _Frontier(tuple(steps), tuple(behind))
+
     def _is_fully_assigned(self, occurrence: int, number: int) -> bool:
         step_run = self.step_runs.get((occurrence, number))
         return step_run is not None and not step_run.n_waiting
@@ -433,6 +468,7 @@
         if step_run.n_done < step_run.tasks.n_tasks:
             return False
         self.finished.add((key.occurrence, key.step))
+        self._frontiers.pop(key.occurrence, None)
         if len(self.finished) == self.job.n_occurrences * len(self.job.steps):
             self.state = JobState.COMPLETED
         return True
--- a/cuminhill/jobs/waitnotes.py
+++ b/cuminhill/jobs/waitnotes.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from .decisionbudget import AHEAD_SHARE, is_postponed
 from .eligibility import eligible_workers, is_restart, n_by_worker
 from .model import JobState
 from .waitcauses import explain_wait
@@ -165,6 +166,8 @@
         return
     placer.waits_noted_at = now
     for progress in placer.jobs.values():
+        if placer.budget.is_used(AHEAD_SHARE):
+            break  # the others were accepted later
         if progress.cancelled or progress.state is JobState.FAILED:
             continue
         queue = placer.queue_of(progress)
@@ -181,7 +184,7 @@
                 continue
             elif step_run.name in placer.shares.held:
                 reason = WaitReason.SURPLUS
-            elif step_run.name in placer.left_out:
+            elif step_run.name in placer.left_out or is_postponed(placer, step_run):
                 reason = WaitReason.NOT_CONSIDERED
             else:
                 continue
