--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -1001,6 +1001,36 @@
         return max(self.placer.times.lease.lapse_s, max(bounds) - self.now)
 
 
+def test_no_task_runs_twice_after_a_cut_off_term_whose_successor_reads_late():
+    """Guards against a second run while the lease of the first has not lapsed.
+
+    The placer loses the store, and its successor, told that it has ended, reads the
+    records 5 s late, while the worker of the run is cut off.
+    """
+    machine = LeaseMachine()
+    machine.begin()
+    machine.crash(worker_id="w2")
+    steps = {
+        "answer_s": 0.0,
+        "change": "",
+        "cut": ((), True),
+        "duration_s": 0.5,
+        "earlier_build": False,
+        "late_s": None,
+        "n_unbegun": 0,
+        "other_reads": True,
+        "store_up": True,
+    }
+    plays = [
+        *[steps] * 7,
+        {**steps, "change": "isolated", "store_up": False},
+        {**steps, "change": "ended", "cut": (("w1",), True), "late_s": 5.0},
+    ]
+    for play in plays:
+        machine.play(**play)
+        machine.no_task_runs_twice()
+
+
 TestLeases = LeaseMachine.TestCase
 TestLeases.settings = settings(max_examples=150, stateful_step_count=15, deadline=None)
 
