Ask the process of the inherited term in the plays of leases

A term that could not reach the store extends no lease and is not inherited from. Its end was told to the next term as that of the inherited one, whose process was alive and went on renewing. The product asks the process of the inherited term at its address (`_ask_predecessor`).

Change: the plays keep the end of each term's process, and a term is told of the end of the one it inherits from, also if that ended some terms earlier, which was never told before.

--- a/tests/jobs/test_leasebounds.py
+++ b/tests/jobs/test_leasebounds.py
@@ -720,8 +720,8 @@
         self.confirmed_at: dict[int, float] = {}
         self.earlier_builds: set[int] = set()
         self.recorded: set[int] = set()  # terms with a record of leases
-        # When the predecessor has ended, and from when on that is known.
-        self.predecessor_end = (math.inf, math.inf)
+        # When the process of a term has ended, and from when on it says so.
+        self.ends: dict[int, tuple[float, float]] = {}
         self._begin_term(self.placer)
         job = make_job(make_step(2, cores=10.0, long_running=True))
         submit(self.placer, job)
@@ -859,8 +859,11 @@
             self.now += STEP_S
             for earlier in self.isolated:
                 self._renew(earlier)
-            ended_at, known_at = self.predecessor_end
-            if self.now >= known_at and self.placer.inherited.term:
+            # The process of the inherited term is asked, which need not be the newest:
+            # terms between them may have extended no lease.
+            inherited_term = self.placer.inherited.term
+            ended_at, known_at = self.ends.get(inherited_term, (math.inf, math.inf))
+            if self.now >= known_at:
                 note_predecessor_ended(self.placer, ended_at)
             self._ask_reader()
             self._renew(self.placer)
@@ -942,7 +945,7 @@
         if change == "isolated":
             self.isolated.append(before)
         known_s = {"ended": 0.0, "restarted": START_S}.get(change, math.inf)
-        self.predecessor_end = (self.now, self.now + known_s)
+        self.ends[before.term] = self.now, self.now + known_s
         term = before.term + 1 + n_unbegun
         for unbegun in range(before.term + 1, term):
             self._claim(unbegun, self.index)
