--- a/cuminhill/jobs/decisions.py
+++ b/cuminhill/jobs/decisions.py
@@ -59,8 +59,8 @@
 # turn, for in a fixed order steps that can't be placed would keep out all behind them.
 MAX_STEPS_PER_DECISION = 200
 N_TURNS_PER_DECISION = 50
-# Fewer steps are considered if decisions take longer than this: nothing else is done
-# meanwhile, and tickets lapse between two of them.
+# Fewer steps are considered, this many at least, if decisions take longer than
+# `MAX_DECISION_S`: tickets lapse between two of them.
 MIN_STEPS_PER_DECISION = 20
 STEPS_GROWTH = 1.25
 # Blocked steps other than gangs with a reservation at a time; without one, steps that
@@ -390,8 +390,12 @@
         if n_far < math.inf:
             candidates.limit_far(n_far)
         if candidates.workers:
-            place = _place_gang if step_run.step.gang else _place_tasks
-            placed += place(placer, step_run, candidates, restart=restart, now=now)
+            if step_run.step.gang:
+                placed += _place_gang(placer, step_run, candidates, now)
+            else:
+                placed += _place_tasks(
+                    placer, step_run, candidates, restart=restart, now=now
+                )
         n_far = candidates.n_far
     return placed
 
@@ -400,17 +404,11 @@
     placer: Placer,
     step_run: StepRun,
     candidates: Candidates,
-    *,
-    restart: bool,
     now: float,
 ) -> list[Placement]:
     progress = placer.jobs[step_run.job.job_id]
     n_tasks = step_run.step.n_tasks
-    if (
-        restart
-        or step_run.n_waiting < n_tasks
-        or progress.n_startable(step_run) < n_tasks
-    ):
+    if step_run.n_waiting < n_tasks or progress.n_startable(step_run) < n_tasks:
         return []
     if not placer.team_usage.limit(placer, step_run, n_tasks):
         return []
