--- a/review/parts3/world.py
+++ b/review/parts3/world.py
@@ -263,16 +263,16 @@
             for key, row in newest.items()
             if row[1] and key > req.query.get("after", "")
         )
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(newest[key][1]).decode(),
-                "offset": newest[key][0],
-            }
-            for key in names[:500]
-        ]
-        end = len(topic.records)
-        return 200, {"items": items, "more": len(names) > 500, "end": end}
+        items, n_bytes = [], 0
+        for key in names[:500]:
+            offset, value = newest[key]
+            n_bytes += len(value)
+            if items and n_bytes > 1 << 20:
+                break
+            data = base64.b64encode(value).decode()
+            items.append({"key": key, "value": data, "offset": offset})
+        more = len(items) < len(names)
+        return 200, {"items": items, "more": more, "end": len(topic.records)}
 
     def write_key(self, topic: str, key: str, value: Any) -> None:
         """Write a record as the operator or a worker does; None deletes the key."""
