--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -15,6 +15,7 @@
 from ..errors import CuminhillError
 from ..rpc import RpcLimits, RpcServer
 from ..util.http_client import byte_counts
+from ..util.looplag import LoopLag
 from ..util.receiving import ReceiveBudget
 from .admission import Admission
 from .advice import adviser_states
@@ -174,6 +175,7 @@
     leadership: Leadership | None = None
     draining: bool = False
     metrics: MetricSet = field(default_factory=make_node_metrics)
+    loop_lag: LoopLag = field(default_factory=LoopLag)
     log_output: BoundedOutput | None = None
     n_bad_registrations: int = 0
     n_bad_configs: int = 0
@@ -269,6 +271,7 @@
             ("announce", self._announce),
             ("elect", self._elect),
             ("deliver", self._deliver),
+            ("loop lag", self.loop_lag.run),
         ):
             await curio.spawn(_supervise, name, run, daemon=True)
 
@@ -799,6 +802,7 @@
             },
             "http_bytes": dict(zip(("sent", "received"), byte_counts(), strict=True)),
             "receiving": self.budget.dump(),
+            "loop": self.loop_lag.dump(),
             "is_leading": self.leadership is not None,
             "writers": {"own": _dump_writer(self.writer)},
         }
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..clock import boottime
 from ..metrics import CONTENT_TYPE, MetricSet
 from ..metrictable import COUNTER, GAUGE, HISTOGRAM, Metric
 from ..util.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
@@ -106,6 +107,20 @@
         ("log",),
         "logs.*.newest_read_s",
     ),
+    Metric(
+        "held_up_seconds_total",
+        COUNTER,
+        "Time by which the event loop was late, in seconds.",
+        (),
+        "loop.held_up_s",
+    ),
+    Metric(
+        "inspection_seconds",
+        HISTOGRAM,
+        "Time of the answers to readings of the metrics and the dump, in seconds; "
+        "nothing else is done meanwhile.",
+        ("path",),
+    ),
     Metric(
         "http_bytes_total",
         COUNTER,
@@ -361,13 +376,20 @@
     async def handle(req: HttpRequest) -> HttpResponse:
         # One dump in a turn, whatever the number of requests: it takes milliseconds.
         await node.budget.take_turn()
-        if req.path == "/dump":
-            return HttpResponse(200, node.dump())
-        if req.path == "/metrics":
-            node.metrics.update_from(node.dump())
-            return HttpResponse(
-                200, raw=node.metrics.render(), content_type=CONTENT_TYPE
-            )
-        return HttpResponse(404, {"error": "/metrics or /dump"})
+        begun_at = boottime()
+        response = _inspect(node, req.path)
+        if response.status == 200:
+            took_s = boottime() - begun_at
+            node.metrics.observe("inspection_seconds", took_s, path=req.path)
+        return response
 
     return HttpServer(handle, INSPECTION_LIMITS, node.budget, "inspection")
+
+
+def _inspect(node: JobNode, path: str) -> HttpResponse:
+    if path == "/dump":
+        return HttpResponse(200, node.dump())
+    if path == "/metrics":
+        node.metrics.update_from(node.dump())
+        return HttpResponse(200, raw=node.metrics.render(), content_type=CONTENT_TYPE)
+    return HttpResponse(404, {"error": "/metrics or /dump"})
