--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -377,7 +377,7 @@
         # One dump in a turn, whatever the number of requests: it takes milliseconds.
         await node.budget.take_turn()
         begun_at = boottime()
-        response = _inspect(node, req.path)
+        response = inspect(node, req.path)
         if response.status == 200:
             took_s = boottime() - begun_at
             node.metrics.observe("inspection_seconds", took_s, path=req.path)
@@ -386,7 +386,8 @@
     return HttpServer(handle, INSPECTION_LIMITS, node.budget, "inspection")
 
 
-def _inspect(node: JobNode, path: str) -> HttpResponse:
+def inspect(node: JobNode, path: str) -> HttpResponse:
+    """Return the answer to a request for the metrics or the dump."""
     if path == "/dump":
         return HttpResponse(200, node.dump())
     if path == "/metrics":
