Make the metrics from a summary without the placer's rows

Cause: each reading of the metrics of the placer also listed each of its jobs, with a look at all of their tasks, its longest waits and each worker, though no metric shows them: work that grows with the backlog, every few seconds, in the process that decides. Change: JobNode.summary has what the metrics show; the dump adds the rows. Result: test_every_metric_comes_from_the_summary. No fault has been seen from it; its time with many jobs was not measured.

--- a/cuminhill/jobs/node.py
+++ b/cuminhill/jobs/node.py
@@ -760,6 +760,17 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the node as a JSON-serialisable dict."""
+        value = self.summary()
+        if self.leadership is not None:
+            value["leading"] |= _dump_rows(self.leadership.placer, boottime())
+        return value
+
+    def summary(self) -> dict[str, Any]:
+        """Return the dump without the rows of the placer's jobs and workers.
+
+        The metrics come from it: they are read every few seconds, and nothing else is
+        done meanwhile.
+        """
         now = boottime()
         states: dict[str, int] = {}
         for entry in self.job_index.entries.values():
@@ -814,7 +825,7 @@
                 "dropped": self.log_output.n_dropped,
             }
         if self.leadership is not None:
-            value["leading"] = _dump_leadership(self.leadership, now)
+            value["leading"] = _summarize_leadership(self.leadership, now)
             value["writers"]["placer"] = _dump_writer(self.leadership.writer)
         return value
 
@@ -830,7 +841,7 @@
     }
 
 
-def _dump_leadership(leadership: Leadership, now: float) -> dict[str, Any]:
+def _summarize_leadership(leadership: Leadership, now: float) -> dict[str, Any]:
     placer = leadership.placer
     return {
         "term": placer.term,
@@ -841,6 +852,13 @@
         ),
         "adviser_states": adviser_states(leadership.advisers.values(), now),
         "confirmed_age_s": round(now - leadership.confirmed_at, 3),
+        "teams": dump_team_usage(placer, time.time()),
+    }
+
+
+def _dump_rows(placer: Placer, now: float) -> dict[str, Any]:
+    """Return the rows of a placer's jobs and workers."""
+    return {
         "jobs": {
             job_id: {
                 "state": item.state,
@@ -851,7 +869,6 @@
         },
         "moving": [[*key, move.target] for key, move in placer.moves.items()],
         "waiting": longest_waits(placer, now),
-        "teams": dump_team_usage(placer, time.time()),
         "workers": {
             worker.worker_id: {
                 "free_cores": round(worker.free.cores, 3),
--- a/cuminhill/jobs/nodemetrics.py
+++ b/cuminhill/jobs/nodemetrics.py
@@ -391,6 +391,6 @@
     if path == "/dump":
         return HttpResponse(200, node.dump())
     if path == "/metrics":
-        node.metrics.update_from(node.dump())
+        node.metrics.update_from(node.summary())
         return HttpResponse(200, raw=node.metrics.render(), content_type=CONTENT_TYPE)
     return HttpResponse(404, {"error": "/metrics or /dump"})
--- a/tests/jobs/test_nodemetrics.py
+++ b/tests/jobs/test_nodemetrics.py
@@ -15,6 +15,8 @@
 from cuminhill.jobs.admission import Admission
 from cuminhill.jobs.jobload import RECENT_S, JobLoad, RecentCounts
 from cuminhill.jobs.model import QueueTable
+from cuminhill.jobs.nodemetrics import NODE_METRICS
+from cuminhill.util.kernel import run_to_end
 
 from .builders import make_queue
 
@@ -112,6 +114,24 @@
     assert table.queues.n_looks + load.placed.n_looks <= 10
 
 
+# Guards against a placer whose readings of metrics list each of its jobs and workers,
+# though no metric shows them.
+def test_every_metric_comes_from_the_summary(cluster):
+    async def scenario():
+        cluster.add_worker("w1")
+        await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        node = cluster.leader()
+        dump, summary = node.dump(), node.summary()
+        rows = {"jobs", "moving", "waiting", "workers"}
+        assert dump["leading"].keys() - summary["leading"].keys() == rows
+        assert dump.keys() == summary.keys()
+        sources = {tuple(item.source.split(".")[:2]) for item in NODE_METRICS}
+        assert not sources & {("leading", name) for name in rows}
+
+    run_to_end(scenario)
+
+
 def reference_wait_s(load, queue, table, now):
     """Return the estimate as its definition says, by a look at all queues."""
     pool = [item for item in table.queues.values() if item.pool == queue.pool]
