Keep the limits of a decision by pool instead of by queue

Cause: each decision, and each evacuation, looked at every queue of the configuration: `headroom_limits` twice, to find the pools that urgent and patient queues share and to list the limit of each queue, and `deduct_reservations` once. `limit_of` looked at all queues again for each surplus step of an urgent queue without a limit. A placer decides up to some 50 times a second in its only event loop, and a configuration grows to thousands of queues, nearly all of them idle.

Change: a queue table knows the pools of its urgent and of its patient queues, collected once when the table is made. Limits are kept by pool, and `queue_limit` finds that of a queue by the configuration in force, as before: none for an urgent or a removed queue, also if a step comes with a copy of the queue with another priority. Each limit is now seen once, so the mark that the places of gangs have been deducted is gone.

A test in test_asking.py removed a queue from the dict of a table in force. Production replaces the table, and the pools would not follow the dict, so the test installs a table without that queue; its assertions are unchanged.

--- a/bench/jobdecisions.py
+++ b/bench/jobdecisions.py
@@ -32,6 +32,7 @@
 BENCH = "jobdecisions"
 N_WORKERS = 270
 BACKLOGS = (50, 400, 2_000)  # waiting jobs
+N_QUEUES = (45, 1_446, 4_246)  # of the configuration, nearly all of them idle
 N_DECISIONS = 12
 N_REPEATS = 3  # of the yardstick
 DECISION_S = 0.1  # time between decisions
@@ -76,6 +77,15 @@
     return placer
 
 
+def add_idle_queues(placer: Placer, n_queues: int) -> None:
+    """Add idle queues on the pool of the others up to a total number."""
+    queues = dict(placer.table.queues)
+    for number in range(n_queues - len(queues)):
+        name = f"idle{number}"
+        queues[name] = Queue(name, "h", f"/{name}/", "pool", 1 + number % 2, 3, 2.0, 1)
+    placer.table = QueueTable(1, queues)
+
+
 def register_workers(placer: Placer, rng: random.Random, n_workers: int) -> None:
     """Register workers of 64 cores that have answered a renewal."""
     for number in range(n_workers):
@@ -146,7 +156,7 @@
 
 
 def run() -> list[dict[str, Any]]:
-    """Return the times of decisions with few and with many waiting jobs."""
+    """Return the times of decisions with few and many waiting jobs and queues."""
     rows = []
     with quiet():
         for n_jobs in BACKLOGS:
@@ -173,4 +183,24 @@
                         f"{TARGET_MS} ms; baseline: a division per worker and step",
                     )
                 )
+        for n_queues in N_QUEUES:
+            rng = random.Random(BACKLOGS[0])
+            placer = make_placer(rng, N_WORKERS)
+            add_idle_queues(placer, n_queues)
+            add_jobs(placer, rng, BACKLOGS[0])
+            baseline = _yardstick_ms()
+            decision_times(placer, N_DECISIONS)
+            blocked, _ = decision_times(placer, N_DECISIONS, BEGUN_AT + 10.0)
+            rows.append(
+                figure(
+                    BENCH,
+                    f"{N_WORKERS} workers, {BACKLOGS[0]} waiting jobs, {n_queues} "
+                    "queues, decision without tickets, median",
+                    quantile(blocked, 0.5),
+                    "ms",
+                    baseline=baseline,
+                    note=f"{N_DECISIONS} decisions, calls are not answered; baseline: "
+                    "a division per worker and step",
+                )
+            )
     return rows
--- a/cuminhill/jobs/adviceplans.py
+++ b/cuminhill/jobs/adviceplans.py
@@ -6,7 +6,7 @@
 
 from .advice import TICKET_MARGIN_S, AdviceCall, CallRank, make_advice_call
 from .decisionbudget import AHEAD_SHARE
-from .eligibility import eligible_workers, make_allowance
+from .eligibility import eligible_workers, make_allowance, queue_limit
 from .lostruns import lost_steps
 from .packing import (
     MAX_ADVISED_WORKERS,
@@ -99,7 +99,7 @@
             allowance=make_allowance(
                 placer,
                 step_run,
-                limits.get(queue.name),
+                queue_limit(placer, limits, queue),
                 now,
                 restart=step_run.step.long_running and not step_run.step.gang,
             ),
@@ -188,7 +188,8 @@
             outlook = placer.outlook(step_run, queue, wall, run_times)
             step = step_run.step
             eligible = eligible_workers(placer, step_run, pool, 0.0, now)
-            allowance = make_allowance(placer, step_run, limits.get(queue.name), now)
+            limit = queue_limit(placer, limits, queue)
+            allowance = make_allowance(placer, step_run, limit, now)
             named = choose_advised(
                 step,
                 n_wanted,
--- a/cuminhill/jobs/eligibility.py
+++ b/cuminhill/jobs/eligibility.py
@@ -42,23 +42,30 @@
 def headroom_limits(
     placer: Placer, pools: dict[str, list[Worker]], now: float
 ) -> dict[str, HeadroomLimit]:
-    """Return the limit for the steps of each lower-priority queue, by queue.
+    """Return the limit for the steps of lower-priority queues, by pool.
 
     Headroom is kept only in pools that urgent and lower-priority queues share.
     """
-    urgent: dict[str, bool] = {}
-    for queue in placer.table.queues.values():
-        urgent[queue.pool] = urgent.get(queue.pool, False) or queue.priority == 0
-    by_pool = {
+    table = placer.table
+    limits = {
         pool: headroom_limit(placer.headroom.setdefault(pool, Headroom()), workers, now)
         for pool, workers in pools.items()
-        if urgent.get(pool)
-    }
-    return {
-        queue.name: by_pool[queue.pool]
-        for queue in placer.table.queues.values()
-        if queue.priority > 0 and queue.pool in by_pool
+        if pool in table.urgent_pools
     }
+    return {pool: it for pool, it in limits.items() if pool in table.patient_pools}
+
+
+def queue_limit(
+    placer: Placer, limits: dict[str, HeadroomLimit], queue: Queue
+) -> HeadroomLimit | None:
+    """Return the limit for the steps of a queue, None for none.
+
+    Urgent queues and those that were removed from the configuration have none.
+    """
+    configured = placer.table.queues.get(queue.name)
+    if configured is None or configured.priority == 0:
+        return None
+    return limits.get(configured.pool)
 
 
 def eligible_workers(
@@ -130,11 +137,10 @@
 
     Surplus work of an urgent queue has the limit of the other queues of its pool.
     """
-    limit = limits.get(queue.name)
+    limit = queue_limit(placer, limits, queue)
     if limit is not None or step_run.name not in placer.shares.surplus_steps:
         return limit
-    names = (it.name for it in placer.table.queues.values() if it.pool == queue.pool)
-    return next((limits[name] for name in names if name in limits), None)
+    return limits.get(queue.pool)
 
 
 def core_limit_of(
--- a/cuminhill/jobs/evacuation.py
+++ b/cuminhill/jobs/evacuation.py
@@ -18,6 +18,7 @@
     available_workers,
     eligible_workers,
     headroom_limits,
+    queue_limit,
     step_candidates,
 )
 from .lateness import NO_OBJECTIVE
@@ -85,7 +86,7 @@
     calls = []
     pools = available_workers(placer, now)
     limits = headroom_limits(placer, pools, now)
-    for limit in set(limits.values()):
+    for limit in limits.values():
         for move in placer.moves.values():
             limit.use_cores(move.target, move.need.cores)
     for step_run, leaving in steps:
@@ -102,7 +103,7 @@
             queue,
             leaving,
             pool=pools.get(queue.pool, []),
-            core_limit=limits.get(queue.name),
+            core_limit=queue_limit(placer, limits, queue),
             now=now,
         )
         if call is not None:
--- a/cuminhill/jobs/headroom.py
+++ b/cuminhill/jobs/headroom.py
@@ -78,8 +78,6 @@
         Cores that lower-priority steps may still use on the fast workers.
     busy : bool
         Whether so much of the fast workers is in use that the limit applies to gangs.
-    deducted : bool
-        Whether the places kept for gangs have been deducted.
     kept : float
         Cores that are kept free on the fast workers.
     common : HeadroomLimit or None
@@ -89,7 +87,6 @@
     fast: set[str] = field(default_factory=set)
     cores: float = math.inf
     busy: bool = False
-    deducted: bool = False
     kept: float = 0.0
     common: HeadroomLimit | None = None
 
--- a/cuminhill/jobs/keptrooms.py
+++ b/cuminhill/jobs/keptrooms.py
@@ -276,14 +276,10 @@
     placer: Placer, limits: dict[str, HeadroomLimit], now: float
 ) -> None:
     """Deduct the places of gangs from what other steps may use on fast workers."""
-    for queue in placer.table.queues.values():
-        limit = limits.get(queue.name)
-        if limit is None:
-            continue
-        for reservation in placer.reservations.values():
-            if reservation.pool == queue.pool and not limit.deducted:
-                _deduct_reservation(placer, reservation, limit, now)
-        limit.deducted = True
+    for reservation in placer.reservations.values():
+        limit = limits.get(reservation.pool)
+        if limit is not None:
+            _deduct_reservation(placer, reservation, limit, now)
 
 
 def _deduct_reservation(
--- a/cuminhill/jobs/model.py
+++ b/cuminhill/jobs/model.py
@@ -255,6 +255,9 @@
         Teams by name; None if the configuration has none, so that callers need no keys.
     keys : KeyTable or None
         Keys of the teams; in one object with them, so that both change at once.
+    urgent_pools, patient_pools : frozenset of str
+        Pools of the queues of priority 0, and of the others. They are collected once,
+        since each decision needs them and a configuration may have thousands of queues.
     """
 
     version: int = 0
@@ -262,6 +265,15 @@
     max_body_bytes: int = 1 << 18
     teams: dict[str, Team] | None = None
     keys: KeyTable | None = field(default=None, repr=False, compare=False)
+    urgent_pools: frozenset[str] = field(init=False, repr=False, compare=False)
+    patient_pools: frozenset[str] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        queues = self.queues.values()
+        urgent = frozenset(queue.pool for queue in queues if queue.priority == 0)
+        patient = frozenset(queue.pool for queue in queues if queue.priority > 0)
+        object.__setattr__(self, "urgent_pools", urgent)
+        object.__setattr__(self, "patient_pools", patient)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix, None if none matches."""
--- a/tests/jobs/test_asking.py
+++ b/tests/jobs/test_asking.py
@@ -23,6 +23,7 @@
     make_placer,
     make_queue,
     make_step,
+    make_table,
     submit,
 )
 from .test_gang_waits import NOW, TICK_S, call_s, make_pool, permits
@@ -174,7 +175,8 @@
 def test_a_step_has_tickets_for_workers_on_which_room_becomes_free(more, seed):
     pool = make_used_pool(27.0, 27.0, seed=seed)
     pool.placer.headroom.clear()
-    pool.placer.table.queues.pop("u")
+    queues = [item for item in pool.placer.table.queues.values() if item.name != "u"]
+    pool.placer.table = make_table(*queues)
     pool.n_jobs = 20 * seed
     breathe(pool, 4)
     pool.run_until(NOW + 1.0)
