Index the unexpected tasks of a shard by request and by worker

Cause: the end of a request that a placer does not know looked at all tasks that workers list without a known request, and so did the loss of a worker. After a takeover both come in thousands, and all ends are processed in one piece: the work grew with the product of their numbers.

Ruled out: the search in `end_request` for tasks of known requests, which goes by the request, and the sort of the workers, which happens once a second at most.

Change: `UnexpectedTasks` keeps them by task, by request and by worker. The dump shows the same mapping.

--- a/cuminhill/scheduling/intake.py
+++ b/cuminhill/scheduling/intake.py
@@ -174,7 +174,7 @@
     if task.phase is Phase.QUEUED:
         shard.n_queued += 1
         task.owner.ready.append(task)
-    listed_on = shard.unexpected_tasks.pop(task.task_id, None)
+    listed_on = shard.unexpected_tasks.pop(task.task_id)
     if listed_on in shard.workers:
         adopt(shard, task, shard.workers[listed_on], now)
     apply_orphan(shard, task, now)
@@ -183,7 +183,7 @@
 
 def _stop_unexpected_tasks(shard: ShardState, request_id: str) -> None:
     """Stop tasks of a request that ended before it was known here."""
-    for task_id, worker_id in shard.unexpected_tasks.items():
+    for task_id, worker_id in shard.unexpected_tasks.of_request(request_id):
         worker = shard.workers.get(worker_id)
-        if worker is not None and task_id.startswith(f"{request_id}/"):
+        if worker is not None:
             shard.stop_on(worker, task_id)
--- a/cuminhill/scheduling/placer.py
+++ b/cuminhill/scheduling/placer.py
@@ -156,7 +156,7 @@
             "n_preempted": self._shard.n_preempted,
             "n_worker_crashes": self._shard.n_crashes,
             "requests": sorted(self.requests),
-            "strays": dict(self._shard.unexpected_tasks),
+            "strays": dict(self._shard.unexpected_tasks.worker_of),
             "n_orphans": len(self._shard.orphans.by_task),
             "workers": {
                 worker.worker_id: {
--- a/cuminhill/scheduling/reconcile.py
+++ b/cuminhill/scheduling/reconcile.py
@@ -121,10 +121,7 @@
     while len(shard.stopped_at) > MAX_STOPPED:
         del shard.stopped_at[next(iter(shard.stopped_at))]
     shard.teams.set_total(shard.free_capacity.total)
-    for task_id in [
-        key for key, on in shard.unexpected_tasks.items() if on == worker_id
-    ]:
-        del shard.unexpected_tasks[task_id]
+    shard.unexpected_tasks.drop_worker(worker_id)
     for task in tasks:
         if task.phase is Phase.RECORDING:
             continue  # decided once its started record is read back
@@ -222,7 +219,7 @@
             continue
         task = shard.tasks.get(task_id)
         if task is None or task.worker_id != worker.worker_id:
-            shard.unexpected_tasks.pop(task_id, None)
+            shard.unexpected_tasks.pop(task_id)
             shard.release_on(worker, task_id)
         else:
             _handle_absent(shard, worker, task, reply, now)
@@ -245,7 +242,7 @@
         adopt(shard, task, worker, now)
     else:
         worker.confirm(task_id, now)
-        shard.unexpected_tasks[task_id] = worker.worker_id
+        shard.unexpected_tasks.put(task_id, worker.worker_id)
 
 
 def _check_unconfirmed(shard: ShardState, task: TaskState, now: float) -> None:
--- a/cuminhill/scheduling/results.py
+++ b/cuminhill/scheduling/results.py
@@ -35,7 +35,7 @@
     if not worker.record_result(result.seq, result.task_id):
         return
     task = shard.tasks.get(result.task_id)
-    shard.unexpected_tasks.pop(result.task_id, None)
+    shard.unexpected_tasks.pop(result.task_id)
     was_present = (
         task is not None
         and task.worker_id == worker.worker_id
--- a/cuminhill/scheduling/shardstate.py
+++ b/cuminhill/scheduling/shardstate.py
@@ -19,6 +19,7 @@
 from .queueing import Queue
 from .quotas import TeamUsage
 from .state import OCCUPYING, Phase, Ran, RequestState, TaskState, WorkerState
+from .unexpected import UnexpectedTasks
 
 if TYPE_CHECKING:
     from ..platform.worker import TaskResult
@@ -40,8 +41,8 @@
         Tasks that have not ended, and those of requests without an answer.
     tasks_on : dict of str to dict
         Tasks by the worker on which they are believed to be.
-    unexpected_tasks : dict of str to str
-        Tasks that a worker lists but whose request is unknown: task to worker.
+    unexpected_tasks : UnexpectedTasks
+        Tasks that a worker lists but whose request is unknown.
     orphans : Orphans
         Results of tasks whose request is unknown.
     stopped_at : dict of str to float, seconds
@@ -62,7 +63,7 @@
     requests: dict[str, RequestState] = field(default_factory=dict)
     tasks: dict[str, TaskState] = field(default_factory=dict)
     tasks_on: dict[str, dict[str, TaskState]] = field(default_factory=dict)
-    unexpected_tasks: dict[str, str] = field(default_factory=dict)
+    unexpected_tasks: UnexpectedTasks = field(default_factory=UnexpectedTasks)
     stopped_at: dict[str, float] = field(default_factory=dict)
     orphans: Orphans = field(default_factory=Orphans)
     actions: list[Action] = field(default_factory=list)
--- a/tests/scheduling/test_reconcile.py
+++ b/tests/scheduling/test_reconcile.py
@@ -20,7 +20,7 @@
     WorkerUnreachable,
 )
 
-from .conftest import controls, finishes, starts
+from .conftest import Harness, controls, finishes, starts
 
 ONE = Resources(1, 256, 0, 1, 1)
 WHOLE = Resources(16, 256, 0, 1, 1)
@@ -226,3 +226,53 @@
             harness.end(action, ok=False, run_s=0.0)
         harness.tick(0.01)
     assert len(starts(harness.actions)) <= 8
+
+
+def end_unknown_requests(harness, n_lines, n_requests):
+    """Return the work for the ends of some requests with an unexpected task each."""
+    ids = [f"id-{number}" for number in range(n_requests)]
+    harness.report("w0", [(f"{name}/0", ONE) for name in ids], epoch=2)
+    assert len(harness.placer.dump()["strays"]) == n_requests
+
+    def end_all():
+        for name in ids:
+            stopped = [a.task_id for a in controls(harness.send(RequestEnded(name)))]
+            assert stopped == [f"{name}/0"]
+
+    return n_lines(end_all)
+
+
+def test_ends_of_unknown_requests_do_not_search_all_unexpected_tasks(n_lines):
+    """Guards against a takeover that is held up for seconds.
+
+    Each end looked at all tasks of unknown requests that the workers list.
+    """
+    few, many = (end_unknown_requests(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 5 * few
+
+
+def lose_first_worker(harness, n_lines, n_workers):
+    """Return the work for the loss of one of some workers with unexpected tasks."""
+    for number in range(n_workers):
+        harness.report(f"w{number}", [(f"id-{number}/0", ONE)])
+    n_executed = n_lines(lambda: harness.send(WorkerStopped("w0")))
+    strays = harness.placer.dump()["strays"]
+    assert (len(strays), "id-0/0" in strays) == (n_workers - 1, False)
+    return n_executed
+
+
+def test_a_lost_worker_does_not_search_the_unexpected_tasks_of_others(n_lines):
+    """Guards against the loss of a failure domain that is quadratic in its tasks."""
+    few, many = (lose_first_worker(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 1.2 * few
+
+
+def test_a_task_that_another_worker_lists_is_stopped_there(harness):
+    """Guards against the stop of an unexpected task on a worker that it has left."""
+    for name in ("w0", "w1"):
+        harness.report(name, [("id-a/0", ONE), ("id/0", ONE)])
+    harness.send(WorkerStopped("w0"))
+    stops = controls(harness.send(RequestEnded("id")))
+    assert [(a.task_id, a.worker_id) for a in stops] == [("id/0", "w1")]
+    stops = controls(harness.send(RequestEnded("id-a")))
+    assert [(a.task_id, a.worker_id) for a in stops] == [("id-a/0", "w1")]
