Index the results of unknown requests by request

Cause: the end of a request that a placer does not know looked at all results of unknown requests. A placer that takes over a shard keeps up to 20,000 of them for 5 s and then ends those of which the log says that they are over, one after the other in one tick.

Ruled out: the search for such requests itself, which is one pass in each tick, and the decisions behind each end, whose work does not depend on the number of results.

Change: `Orphans` keeps the ids of the tasks by request.

The new test that counts executed lines fails on the code before: 50 requests took 8,577 lines there and 200 took 64,305.

--- a/cuminhill/scheduling/orphans.py
+++ b/cuminhill/scheduling/orphans.py
@@ -38,11 +38,16 @@
 
     by_task: OrderedDict[str, Orphan] = field(default_factory=OrderedDict)
     n_dropped: int = 0
+    _of_request: dict[str, dict[str, None]] = field(default_factory=dict)
 
     def put(self, worker: WorkerState, result: TaskResult, now: float) -> None:
         """Keep a result, and have its worker keep it too."""
         worker.unsettled[result.seq] = result.request_id
+        earlier = self.by_task.get(result.task_id)
+        if earlier is not None:
+            self._unlink(earlier.result)
         self.by_task[result.task_id] = Orphan(worker, result, now)
+        self._of_request.setdefault(result.request_id, {})[result.task_id] = None
         if len(self.by_task) > MAX_ORPHANS:
             self.n_dropped += 1
             self._settle(self.by_task.popitem(last=False)[1])
@@ -56,9 +61,8 @@
 
     def drop(self, request_id: str) -> None:
         """Drop the results of a request that has ended."""
-        for task_id, orphan in list(self.by_task.items()):
-            if orphan.result.request_id == request_id:
-                self.pop_task(task_id)
+        for task_id in list(self._of_request.get(request_id, ())):
+            self.pop_task(task_id)
 
     def requests(self, before: float) -> set[str]:
         """Return the requests of results that arrived before a given time."""
@@ -70,3 +74,11 @@
 
     def _settle(self, orphan: Orphan) -> None:
         orphan.worker.unsettled.pop(orphan.result.seq, None)
+        self._unlink(orphan.result)
+
+    def _unlink(self, result: TaskResult) -> None:
+        """Remove a result from the index by request."""
+        task_ids = self._of_request[result.request_id]
+        del task_ids[result.task_id]
+        if not task_ids:
+            del self._of_request[result.request_id]
--- a/tests/scheduling/test_reconcile.py
+++ b/tests/scheduling/test_reconcile.py
@@ -6,6 +6,7 @@
 
 from cuminhill.coordination.claims import Started
 from cuminhill.model import Resources
+from cuminhill.platform.worker import TaskResult
 from cuminhill.scheduling.events import (
     CancelRequested,
     FenceWorker,
@@ -276,3 +277,44 @@
     assert [(a.task_id, a.worker_id) for a in stops] == [("id/0", "w1")]
     stops = controls(harness.send(RequestEnded("id-a")))
     assert [(a.task_id, a.worker_id) for a in stops] == [("id-a/0", "w1")]
+
+
+def end_orphan_requests(harness, n_lines, n_requests):
+    """Return the work for the ends of some unknown requests with a result each."""
+    results = [
+        TaskResult(f"id-{number}/0", f"id-{number}", True, "", None, 0.1, seq=number)
+        for number in range(1, n_requests + 1)
+    ]
+    harness.report("w0", finished=results)
+    assert harness.placer.orphan_requests(harness.now + 1.0) == {
+        result.request_id for result in results
+    }
+
+    def end_all():
+        for result in results:
+            harness.send(RequestEnded(result.request_id))
+
+    n_executed = n_lines(end_all)
+    assert harness.placer.dump()["n_orphans"] == 0
+    assert harness.placer.workers["w0"].ack_seq == n_requests
+    return n_executed
+
+
+def test_ends_of_unknown_requests_do_not_search_all_results(n_lines):
+    """Guards against a takeover that is held up for seconds.
+
+    Each end looked at all results whose request was unknown.
+    """
+    few, many = (end_orphan_requests(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 5 * few
+
+
+def test_a_repeated_result_of_an_unknown_request_is_dropped_once(harness):
+    """Guards against an unexpected error after two runs of a task have ended."""
+    for seq, name in enumerate(("w0", "w1"), start=1):
+        result = TaskResult("id/0", "id", True, "", None, 0.1, seq=seq)
+        harness.report(name, finished=[result])
+    assert harness.placer.dump()["n_orphans"] == 1
+    harness.send(RequestEnded("id"))
+    harness.send(RequestEnded("id"))
+    assert harness.placer.dump()["n_orphans"] == 0
