Dump the usage of teams in one pass over pools and jobs

Cause: a dump of the placer, and so each scrape of its metrics, looked for each team in each pool, and asked the buckets of the teams for all waiting jobs, also for those that were accepted too long ago to be surplus. `Progress.has_ended`, which it asks of each job, built a set of two members of an enumeration in each call, which Python 3.11 hashes in Python code.

Ruled out: the sums of the runs (0.2 ms for 1,000 workers without runs; the work is one addition a run) and the buckets, which are counted anew only if a job came late.

Change: `TeamUsage.by_team` sums all pools at once; jobs older than the longest wait for a share are not looked up; `has_ended` compares identities.

The new tests fail on the code before: 20 teams in 20 pools took 1,933 lines and 80 in 80 took 22,033 lines there.

--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -42,6 +42,9 @@
 NOT_BEGUN = -1  # in place of the number of an occurrence without a finished step
 # A step with more tasks has those that are done as bits in place of a list.
 MAX_LISTED_TASKS = 500
+# Names of their own, since Python 3.11 looks up and hashes members of an enumeration in
+# Python code, and each decision and dump asks for the state of all jobs.
+_COMPLETED, _FAILED = JobState.COMPLETED, JobState.FAILED
 
 
 @dataclass(eq=False, slots=True)
@@ -338,7 +341,7 @@
     @property
     def has_ended(self) -> bool:
         """Whether the job is completed or failed; runs of it may be present still."""
-        return self.state in {JobState.COMPLETED, JobState.FAILED}
+        return self.state is _COMPLETED or self.state is _FAILED
 
     def is_over(self) -> bool:
         """Return whether the job has ended and its final state can be journaled."""
--- a/cuminhill/jobs/shares.py
+++ b/cuminhill/jobs/shares.py
@@ -16,7 +16,7 @@
 
 from ..model import NO_RESOURCES
 from .ordering import Rank
-from .teamusage import TeamUsage
+from .teamusage import NOTHING, TeamUsage
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -244,21 +244,22 @@
     waiting: Counter[str] = Counter()
     surplus: Counter[str] = Counter()
     for progress in placer.jobs.values():
-        team = placer.table.team(progress.job)
-        if team is None:
+        job = progress.job
+        if job.team is None:
             continue
-        teams.setdefault(team.name, team)
+        name = job.team.name
+        if name not in teams:
+            teams[name] = job.team
         if progress.n_assigned or progress.is_over():
             continue
-        waiting[team.name] += 1
-        surplus[team.name] += placer.shares.is_surplus(placer, progress.job, wall)
-    usage = TeamUsage()
-    names = dict.fromkeys(teams)
-    for sums in usage.by_pool(placer).values():
-        names.update(dict.fromkeys(sums))
+        waiting[name] += 1
+        # Most jobs of a long queue were accepted too long ago to be surplus.
+        if abs(wall - job.accepted_at) <= MAX_SHARE_WAIT_S:
+            surplus[name] += placer.shares.is_surplus(placer, job, wall)
+    used_by_team = TeamUsage().by_team(placer)
     rows = {}
-    for name in names:
-        used, team = usage.used(placer, name), teams.get(name)
+    for name in dict.fromkeys([*teams, *used_by_team]):
+        used, team = used_by_team.get(name, NOTHING), teams.get(name)
         cap = team.cap if team is not None else NO_RESOURCES
         rows[name] = {
             "cores": round(used.cores, 3),
--- a/cuminhill/jobs/teamusage.py
+++ b/cuminhill/jobs/teamusage.py
@@ -200,6 +200,16 @@
                 accelerators += row[2]
         return TeamAmounts(cores, memory_mb, accelerators)
 
+    def by_team(self, placer: Placer) -> dict[str, TeamAmounts]:
+        """Return what each team uses in all pools."""
+        totals: dict[str, list[float]] = {}
+        for sums in self.by_pool(placer).values():
+            for team, row in sums.items():
+                total = totals.setdefault(team, [0.0, 0.0, 0.0])
+                for index, amount in enumerate(row):
+                    total[index] += amount
+        return {team: TeamAmounts(*total) for team, total in totals.items()}
+
     def by_pool(self, placer: Placer) -> dict[str, dict[str, list[float]]]:
         """Return the amounts that teams use, by pool and team.
 
--- a/tests/jobs/test_team_shares.py
+++ b/tests/jobs/test_team_shares.py
@@ -13,15 +13,23 @@
 from cuminhill.jobs.advice import CallRank
 from cuminhill.jobs.decisions import waiting_steps
 from cuminhill.jobs.fleet import Slot
-from cuminhill.jobs.model import AdviceTerms, EndKind
+from cuminhill.jobs.model import AdviceTerms, EndKind, JobState
 from cuminhill.jobs.nodemetrics import make_node_metrics
-from cuminhill.jobs.shares import HISTORY_S, MAX_SHARE_WAIT_S, Bucket, dump_team_usage
+from cuminhill.jobs.progress import Progress
+from cuminhill.jobs.shares import (
+    HISTORY_S,
+    MAX_SHARE_WAIT_S,
+    Bucket,
+    Shares,
+    dump_team_usage,
+)
 
 from .builders import (
     BEGUN_AT,
     WALL,
     answer_renewal,
     ended_row,
+    make_entry,
     make_job,
     make_placer,
     make_queue,
@@ -381,3 +389,52 @@
     text = metrics.render()
     assert b'team_surplus_jobs{team="t"} 2' in text
     assert b'team_cores{team="gone"} 1.5' in text
+
+
+def lines_of_usage_dump(n_lines, n_teams):
+    """Return the work of a dump with a run of each team in a pool of its own."""
+    placer = make_placer(n_workers=0)
+    with_teams(placer, *(make_team(f"t{number}") for number in range(n_teams)))
+    for number in range(n_teams):
+        entry = make_entry(f"w{number}", pool=f"pool-{number}")
+        placer.register_worker(entry, BEGUN_AT)
+        use_cores(placer, f"w{number}", 1.5, f"t{number}")
+    n_executed = n_lines(lambda: dump_team_usage(placer, WALL))
+    rows = dump_team_usage(placer, WALL)
+    assert [row["cores"] for row in rows.values()] == [1.5] * n_teams
+    return n_executed
+
+
+# Guards against a scrape whose work is the product of the numbers of teams and pools.
+def test_a_dump_does_not_look_for_each_team_in_each_pool(n_lines):
+    few, many = (lines_of_usage_dump(n_lines, n_teams) for n_teams in (20, 80))
+    assert many < 5 * few
+
+
+# Guards against a scrape that takes its time for jobs that can't be surplus any more.
+def test_a_dump_asks_only_for_new_jobs_whether_they_are_surplus(monkeypatch):
+    placer = make_placer(n_workers=1)
+    with_teams(placer, TEAM)
+    submit_some(placer, TEAM, "abcdef")
+    submit_some(placer, TEAM, "0123", at=MAX_SHARE_WAIT_S + 5.0)
+    asked = []
+    is_surplus = Shares.is_surplus
+
+    def count(shares, placer, job, wall):
+        asked.append(job.job_id[0])
+        return is_surplus(shares, placer, job, wall)
+
+    monkeypatch.setattr(Shares, "is_surplus", count)
+    rows = dump_team_usage(placer, WALL + MAX_SHARE_WAIT_S + 6.0)
+    assert (rows["t"]["n_waiting"], rows["t"]["n_surplus"]) == (10, 2)
+    assert asked == list("0123")
+
+
+# Guards against decisions and dumps that hash members of an enumeration for each job.
+@pytest.mark.parametrize("state", JobState)
+def test_whether_a_job_has_ended_hashes_no_state(state, monkeypatch):
+    progress = Progress(make_job(), state)
+    hashed = []
+    monkeypatch.setattr(JobState, "__hash__", lambda state: hashed.append(state) or 0)
+    assert progress.has_ended == (state.value in ("completed", "failed"))
+    assert hashed == []
