--- a/tests/scheduling/test_reconcile.py
+++ b/tests/scheduling/test_reconcile.py
@@ -6,6 +6,7 @@
 
 from cuminhill.coordination.claims import Started
 from cuminhill.model import Resources
+from cuminhill.platform.worker import TaskResult
 from cuminhill.scheduling.events import (
     CancelRequested,
     FenceWorker,
@@ -20,7 +21,7 @@
     WorkerUnreachable,
 )
 
-from .conftest import controls, finishes, starts
+from .conftest import Harness, controls, finishes, starts
 
 ONE = Resources(1, 256, 0, 1, 1)
 WHOLE = Resources(16, 256, 0, 1, 1)
@@ -226,3 +227,94 @@
             harness.end(action, ok=False, run_s=0.0)
         harness.tick(0.01)
     assert len(starts(harness.actions)) <= 8
+
+
+def end_unknown_requests(harness, n_lines, n_requests):
+    """Return the work for the ends of some requests with an unexpected task each."""
+    ids = [f"id-{number}" for number in range(n_requests)]
+    harness.report("w0", [(f"{name}/0", ONE) for name in ids], epoch=2)
+    assert len(harness.placer.dump()["strays"]) == n_requests
+
+    def end_all():
+        for name in ids:
+            stopped = [a.task_id for a in controls(harness.send(RequestEnded(name)))]
+            assert stopped == [f"{name}/0"]
+
+    return n_lines(end_all)
+
+
+def test_ends_of_unknown_requests_do_not_search_all_unexpected_tasks(n_lines):
+    """Guards against a takeover that is held up for seconds.
+
+    Each end looked at all tasks of unknown requests that the workers list.
+    """
+    few, many = (end_unknown_requests(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 5 * few
+
+
+def lose_first_worker(harness, n_lines, n_workers):
+    """Return the work for the loss of one of some workers with unexpected tasks."""
+    for number in range(n_workers):
+        harness.report(f"w{number}", [(f"id-{number}/0", ONE)])
+    n_executed = n_lines(lambda: harness.send(WorkerStopped("w0")))
+    strays = harness.placer.dump()["strays"]
+    assert (len(strays), "id-0/0" in strays) == (n_workers - 1, False)
+    return n_executed
+
+
+def test_a_lost_worker_does_not_search_the_unexpected_tasks_of_others(n_lines):
+    """Guards against the loss of a failure domain that is quadratic in its tasks."""
+    few, many = (lose_first_worker(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 1.2 * few
+
+
+def test_a_task_that_another_worker_lists_is_stopped_there(harness):
+    """Guards against the stop of an unexpected task on a worker that it has left."""
+    for name in ("w0", "w1"):
+        harness.report(name, [("id-a/0", ONE), ("id/0", ONE)])
+    harness.send(WorkerStopped("w0"))
+    stops = controls(harness.send(RequestEnded("id")))
+    assert [(a.task_id, a.worker_id) for a in stops] == [("id/0", "w1")]
+    stops = controls(harness.send(RequestEnded("id-a")))
+    assert [(a.task_id, a.worker_id) for a in stops] == [("id-a/0", "w1")]
+
+
+def end_orphan_requests(harness, n_lines, n_requests):
+    """Return the work for the ends of some unknown requests with a result each."""
+    results = [
+        TaskResult(f"id-{number}/0", f"id-{number}", True, "", None, 0.1, seq=number)
+        for number in range(1, n_requests + 1)
+    ]
+    harness.report("w0", finished=results)
+    assert harness.placer.orphan_requests(harness.now + 1.0) == {
+        result.request_id for result in results
+    }
+
+    def end_all():
+        for result in results:
+            harness.send(RequestEnded(result.request_id))
+
+    n_executed = n_lines(end_all)
+    assert harness.placer.dump()["n_orphans"] == 0
+    assert harness.placer.workers["w0"].ack_seq == n_requests
+    return n_executed
+
+
+def test_ends_of_unknown_requests_do_not_search_all_results(n_lines):
+    """Guards against a takeover that is held up for seconds.
+
+    Each end looked at all results whose request was unknown.
+    """
+    few, many = (end_orphan_requests(Harness(), n_lines, n) for n in (50, 200))
+    assert many < 5 * few
+
+
+def test_a_repeated_result_of_an_unknown_request_is_dropped_once(harness):
+    """Guards against an unexpected error after two runs of a task have ended."""
+    for seq, name in enumerate(("w0", "w1"), start=1):
+        result = TaskResult("id/0", "id", True, "", None, 0.1, seq=seq)
+        harness.report(name, finished=[result])
+    assert harness.placer.dump()["n_orphans"] == 1
+    harness.send(RequestEnded("id"))
+    harness.send(RequestEnded("id"))
+    assert harness.placer.dump()["n_orphans"] == 0
