--- a/cuminhill/jobs/admission.py
+++ b/cuminhill/jobs/admission.py
@@ -242,6 +242,10 @@
     _recent_refusals: RecentCounts = field(default_factory=RecentCounts)
     _refusals: dict[str, _Refusals] = field(default_factory=dict)
     _changes: list[RefusalChange] = field(default_factory=list)
+    # Bounds of late jobs, and what they were made for.
+    _bounds_s: dict[str, float] = field(default_factory=dict)
+    _bounds_table: QueueTable | None = None
+    _bounds_latency_s: float = 0.0
 
     def decide(
         self, job: Job, table: QueueTable, state: IndexState, now: float
@@ -441,16 +445,26 @@
         self, pool: str, table: QueueTable, state: IndexState, now: float
     ) -> Counter[str]:
         """Return the number of late jobs of a pool by team."""
-        bounds_s = {
-            queue.name: _late_after_s(queue) + round(state.latency_s, 1)
-            for queue in table.queues.values()
-        }
+        bounds_s = self._late_bounds_s(table, round(state.latency_s, 1))
         by_team: Counter[str] = Counter()
         for name, counts in self.load.late(bounds_s, now).items():
             if table.queues[name].pool == pool:
                 by_team.update(counts)
         return by_team
 
+    def _late_bounds_s(self, table: QueueTable, latency_s: float) -> dict[str, float]:
+        """Return the waits of all queues after which jobs are late.
+
+        They are kept, since a configuration may have thousands of queues.
+        """
+        if self._bounds_table is not table or self._bounds_latency_s != latency_s:
+            self._bounds_table, self._bounds_latency_s = table, latency_s
+            self._bounds_s = {
+                queue.name: _late_after_s(queue) + latency_s
+                for queue in table.queues.values()
+            }
+        return self._bounds_s
+
 
 def _late_after_s(queue: Queue) -> float:
     return min(MAX_LATE_S, max(MIN_LATE_S, LATE_FRACTION * queue.target_s))
--- a/cuminhill/jobs/jobload.py
+++ b/cuminhill/jobs/jobload.py
@@ -221,7 +221,8 @@
         late : dict of str to Counter
             Number of jobs by team, by queue.
         """
-        if self._late_bounds == bounds_s and 0 <= now - self._late_at < LATE_CACHE_S:
+        known = self._late_bounds is bounds_s or self._late_bounds == bounds_s
+        if known and 0 <= now - self._late_at < LATE_CACHE_S:
             return self._late
         shortest_s = min(bounds_s.values(), default=0.0)
         self._late_at, self._late_bounds, self._late = now, bounds_s, {}
--- a/tests/jobs/test_nodemetrics.py
+++ b/tests/jobs/test_nodemetrics.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cuminhill.jobs.admission import Admission
+from cuminhill.jobs.admission import Admission, IndexState
 from cuminhill.jobs.jobload import RECENT_S, JobLoad, RecentCounts
 from cuminhill.jobs.model import QueueTable
 from cuminhill.jobs.nodemetrics import NODE_METRICS
@@ -114,6 +114,21 @@
     assert table.queues.n_looks + load.placed.n_looks <= 10
 
 
+# Guards against submissions of busy teams that each look at all queues.
+def test_whether_a_pool_is_under_pressure_is_told_without_a_look_at_idle_queues():
+    table, state = make_counted_table(N_QUEUES), IndexState()
+    admission = Admission(JobLoad())
+    for number in range(10):
+        now = NOW + number
+        assert not admission.is_under_pressure("pool0", table, state, now, "t")
+    assert table.queues.n_looks <= 2 * N_QUEUES
+    # A slower journal and another configuration have bounds of their own.
+    slow = admission._late_bounds_s(table, 0.3)["q0"]
+    assert slow == pytest.approx(admission._late_bounds_s(table, 0.0)["q0"] + 0.3)
+    other = make_counted_table(1)
+    assert admission._late_bounds_s(other, 0.0).keys() == {"q0"}
+
+
 # Guards against a placer whose readings of metrics list each of its jobs and workers,
 # though no metric shows them.
 def test_every_metric_comes_from_the_summary(cluster):
