Count comparisons in the test of the dump, and test what a reading makes

An estimate that goes through a list of all waiting jobs for each queue passed them, and so did a reading of the metrics that makes the whole dump.

--- a/tests/jobs/test_nodemetrics.py
+++ b/tests/jobs/test_nodemetrics.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -15,7 +16,7 @@
 from cuminhill.jobs.admission import Admission
 from cuminhill.jobs.jobload import RECENT_S, JobLoad, RecentCounts
 from cuminhill.jobs.model import QueueTable
-from cuminhill.jobs.nodemetrics import NODE_METRICS
+from cuminhill.jobs.nodemetrics import NODE_METRICS, inspect
 from cuminhill.util.kernel import run_to_end
 
 from .builders import make_queue
@@ -60,6 +61,20 @@
         return super().recent(key, now)
 
 
+class CountedPriority(int):
+    """Priority that counts how often any is compared."""
+
+    n_looks = 0
+
+    def __lt__(self, other):
+        CountedPriority.n_looks += 1
+        return int(self) < other
+
+    def __gt__(self, other):
+        CountedPriority.n_looks += 1
+        return int(self) > other
+
+
 def make_counted_table(n_queues, n_pools=1, n_priorities=3):
     """Return a table of queues with all pairs of a pool and a priority."""
     names = CountedQueues()
@@ -89,6 +104,21 @@
     assert n_looks <= MAX_LOOKS_PER_QUEUE * N_QUEUES
 
 
+# Guards against estimates that go through all waiting jobs, or all queues with such
+# jobs, for each queue, without a look at the table.
+def test_the_comparisons_of_a_dump_grow_no_faster_than_those_of_a_sort():
+    names = {}
+    for number in range(N_QUEUES):
+        name = f"q{number}"
+        names[name] = make_queue(name, priority=CountedPriority(number))
+    load = JobLoad()
+    for name in names:
+        load.begin_wait(name, "", NOW)
+    CountedPriority.n_looks = 0
+    Admission(load).dump(QueueTable(1, names), NOW)
+    assert CountedPriority.n_looks <= 4 * N_QUEUES * math.log2(N_QUEUES)
+
+
 # Guards against a series in the metrics for each of thousands of idle queues, which a
 # VM would render and send with each reading.
 def test_a_dump_lists_only_queues_with_jobs():
@@ -132,6 +162,18 @@
     run_to_end(scenario)
 
 
+# Guards against a reading of the metrics that makes the whole dump.
+def test_a_reading_of_the_metrics_makes_no_dump(cluster, monkeypatch):
+    async def scenario():
+        await cluster.start_node("vm0")
+        await cluster.wait_for(cluster.leader)
+        node = cluster.leader()
+        monkeypatch.setattr(node, "dump", lambda: pytest.fail("a dump was made"))
+        assert inspect(node, "/metrics").status == 200
+
+    run_to_end(scenario)
+
+
 def reference_wait_s(load, queue, table, now):
     """Return the estimate as its definition says, by a look at all queues."""
     pool = [item for item in table.queues.values() if item.pool == queue.pool]
