Add a failing test of jobs whose record was rejected once

Cause: reject_progress allows half of the tasks under way from then on, none for a job of one task and too few for a gang, until the term ends.

--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -276,3 +276,19 @@
         assert part.leader_record.term == node.job_index.leader_record.term == 1
 
     curio.run(main)
+
+
+# Guards against a job that starts nothing on an idle pool for the rest of a term since
+# one record of its progress was rejected: the number of its tasks under way was halved
+# below the size of its gang, or to none.
+@pytest.mark.parametrize(("n_tasks", "gang"), [(1, False), (12, True)])
+def test_a_job_whose_record_was_rejected_once_starts_later_in_the_term(n_tasks, gang):
+    placer = make_placer(n_workers=20)
+    progress = submit(placer, make_job(make_step(n_tasks, 15.0, gang=gang)))
+    placements, _ = placer.decide(BEGUN_AT, WALL)
+    assert len(placements) == n_tasks
+    placer.reject_progress(progress, placements)
+    placed = []
+    for second in range(1, 31):
+        placed += placer.decide(BEGUN_AT + second, WALL + second)[0]
+    assert len(placed) == n_tasks
