Look for rows of crashes only in jobs that have some

Cause: a dump of the placer, and so each scrape of its metrics, sorted and looked at the states of all tasks of all jobs to find the few that may have crashed workers. So did each record of a job.

Ruled out: the sort alone; without it, each of 800,000 tasks would still be looked at.

Change: `Progress.set_crashes` sets the counts of a task and notes that the job has some. It is the only place that raises them. test_absences_do_not_make_a_record_too_long has set them on the tasks themselves and would no longer have had rows of crashes in its record; it calls the new method, and also checks now that the record has a row for each task.

--- a/cuminhill/jobs/crashes.py
+++ b/cuminhill/jobs/crashes.py
@@ -328,7 +328,7 @@
             n_start_crashes += 1
             start_exposure_s = max(start_exposure_s, suspect.exposed_s)
         for task in suspect.tasks:
-            task.n_crashes, task.n_start_crashes = n_crashes + 1, n_start_crashes
+            suspect.progress.set_crashes(task, n_crashes + 1, n_start_crashes)
             task.start_exposure_s = start_exposure_s
         placer.mark_dirty(suspect.progress)
     placer.counts["worker_crashes"] += 1
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -200,6 +200,9 @@
     ended_at : float, seconds
         When the newest run ended, or its worker stopped answering; 0 if that is not
         known.
+    has_crashes : bool
+        Whether `set_crashes` was called for one of its tasks: only then are they looked
+        at for the rows of crashes in a record or a dump.
     """
 
     job: Job
@@ -215,6 +218,7 @@
     idle_since: float = 0.0
     idle_from: str = ""
     ended_at: float = 0.0
+    has_crashes: bool = False
     # Results of `n_open` and `_max_bytes` until a task changes.
     _n_open: int | None = None
     _n_bytes: int | None = None
@@ -381,6 +385,13 @@
         step_run.n_open -= not task.run
         self._n_open = self._n_bytes = None
 
+    def set_crashes(
+        self, task: TaskState, n_crashes: int, n_start_crashes: int
+    ) -> None:
+        """Set how many crashes of workers one of the tasks may have caused."""
+        task.n_crashes, task.n_start_crashes = n_crashes, n_start_crashes
+        self.has_crashes = True
+
     def unassign(self, key: TaskKey) -> None:
         """Release a task whose run is certainly not present on any worker."""
         step_run = self.step_runs[key.occurrence, key.step]
@@ -619,6 +630,8 @@
     rows : list of [occurrence, step, task, n_crashes, n_start_crashes]
         One row for each task that is not done.
     """
+    if not progress.has_crashes:
+        return []
     return [
         [*step_run.key(index)[1:], task.n_crashes, task.n_start_crashes]
         for step_run in progress.step_runs.values()
@@ -769,9 +782,9 @@
             step_run.tasks.mark_all_done()
         if step_run.n_done == step_run.tasks.n_tasks:
             progress.note_finished(occurrence, number)
-    for occurrence, number, index, *counts in data.crashes:
+    for occurrence, number, index, n_crashes, n_start_crashes in data.crashes:
         task = progress.step_run(occurrence, number).tasks[index]
-        task.n_crashes, task.n_start_crashes = counts
+        progress.set_crashes(task, n_crashes, n_start_crashes)
         task.start_exposure_s = math.inf if task.n_start_crashes else 0.0
     if read_at is not None:
         _decode_times(progress, data, read_at)
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -42,6 +42,7 @@
     running_row,
     send_start,
     submit,
+    task_key,
 )
 
 # By then the placer has observed that workers do not crash by themselves.
@@ -389,6 +390,19 @@
     assert [item.worker_id for item in suspects] == [least.worker_id]
 
 
+# Guards against dumps and records that look at all tasks of all jobs for crashes.
+@pytest.mark.parametrize("reads_back", [False, True])
+def test_jobs_without_crashes_are_not_searched_for_them(placer, n_lines, reads_back):
+    progress = submit(placer, make_job(make_step(500, cores=0.1)))
+    assert len(start_all(placer, NOW)) == 500
+    if reads_back:
+        progress = decode_progress(progress.job, encode_progress(progress))
+    assert n_lines(lambda: crash_rows(progress)) < 10
+    progress.set_crashes(progress.task(task_key(499)), 1, 0)
+    progress.set_crashes(progress.task(task_key(7)), 2, 1)
+    assert crash_rows(progress) == [[0, 0, 7, 2, 1], [0, 0, 499, 1, 0]]
+
+
 # Guards against blame that a task keeps although it has run well elsewhere since.
 def test_a_run_that_survives_clears_its_task(placer):
     progress = submit(placer, make_job())
--- a/tests/jobs/test_large_records.py
+++ b/tests/jobs/test_large_records.py
@@ -118,9 +118,11 @@
         task = progress.task(item.key)
         progress.assign(item.key, task.worker, task.incarnation, 1 << 31)
         task.n_failed = task.failed_run = 1 << 31
-        task.n_crashes = task.n_start_crashes = 1 << 31
+        progress.set_crashes(task, 1 << 31, 1 << 31)
         task.away_since = BEGUN_AT
-    assert orjson.loads(encode_progress(progress, BEGUN_AT + 1e9))["away"]
+    record = orjson.loads(encode_progress(progress, BEGUN_AT + 1e9))
+    assert record["away"]
+    assert len(record["crashes"]) == len(placements)
     assert len(encode_progress(progress, BEGUN_AT + 1e9)) <= MAX_RECORD_BYTES
 
 
