Find the longest waits without sorting all steps that wait

Cause: a dump of the placer, and so each scrape of its metrics, put all waiting steps in order of their waits and showed ten.

Ruled out: a heap of all steps.

Change: one pass keeps the ten longest waits in order, and looks at the tasks of a step only if its wait is among those.

The new test fails on the code before, which looked at the tasks of 500 steps for ten rows.

--- a/cuminhill/jobs/waitnotes.py
+++ b/cuminhill/jobs/waitnotes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from bisect import insort
 from heapq import nsmallest
 from typing import TYPE_CHECKING, Any
 
@@ -203,13 +205,18 @@
 
 def longest_waits(placer: Placer, now: float) -> list[dict[str, Any]]:
     """Return the steps that have waited for longest, for the dump."""
-    waiting = [
-        step_run
-        for progress in placer.jobs.values()
-        for step_run in progress.step_runs.values()
-        if step_run.wait.since and step_run.n_waiting and not progress.cancelled
-    ]
-    waiting.sort(key=lambda step_run: step_run.wait.since)
+    waiting: list[StepRun] = []
+    before = math.inf
+    for progress in placer.jobs.values():
+        if progress.cancelled:
+            continue
+        for step_run in progress.step_runs.values():
+            since = step_run.wait.since
+            if since and since < before and step_run.n_waiting:
+                insort(waiting, step_run, key=lambda item: item.wait.since)
+                del waiting[MAX_DUMPED_STEPS:]
+                if len(waiting) == MAX_DUMPED_STEPS:
+                    before = waiting[-1].wait.since
     return [
         {
             "step": step_run.name,
@@ -217,5 +224,5 @@
             **placer.jobs[step_run.job.job_id].idle_fields(now),
             **(step_run.wait.cause.fields() if step_run.wait.cause else {}),
         }
-        for step_run in waiting[:MAX_DUMPED_STEPS]
+        for step_run in waiting
     ]
--- a/tests/jobs/test_waits.py
+++ b/tests/jobs/test_waits.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from structlog.testing import capture_logs
 
 from cuminhill.jobs import decisions, waits
 from cuminhill.jobs.headroom import HeadroomLimit
 from cuminhill.jobs.model import AdviceTerms, EndKind, QueueTable
-from cuminhill.jobs.progress import Progress, decode_progress, encode_progress
+from cuminhill.jobs.progress import (
+    Progress,
+    StepRun,
+    decode_progress,
+    encode_progress,
+)
 from cuminhill.jobs.records import task_need
 from cuminhill.jobs.waitcauses import explain_wait
 from cuminhill.jobs.waitnotes import longest_waits, note_unconsidered
-from cuminhill.jobs.waits import WaitReason
+from cuminhill.jobs.waits import MAX_DUMPED_STEPS, WaitReason
 from cuminhill.util.kernel import run_to_end
 
 from .builders import (
@@ -285,6 +292,47 @@
     assert rows[0]["step"] == "0000000000000000.0.0"
 
 
+def placer_with_waits(sinces):
+    """Return a placer with a waiting step for each time since which one waits."""
+    placer = make_placer()
+    for number, since in enumerate(sinces):
+        progress = submit(placer, make_job(job_id=f"{number:016x}"))
+        progress.step_run(0, 0).wait.since = since
+    return placer
+
+
+# Guards against a scrape that puts a backlog of thousands in order for ten rows.
+def test_the_dump_looks_only_at_the_longest_waits(monkeypatch):
+    placer = placer_with_waits([NOW + number for number in range(500)])
+    looked_at = []
+    n_waiting = StepRun.n_waiting.fget
+
+    def count(step_run):
+        looked_at.append(step_run.name)
+        return n_waiting(step_run)
+
+    monkeypatch.setattr(StepRun, "n_waiting", property(count))
+    rows = longest_waits(placer, NOW + 1e3)
+    assert len(rows) == MAX_DUMPED_STEPS
+    assert looked_at == [row["step"] for row in rows]
+
+
+# Guards against waits that the dump leaves out, in whatever order the waits began.
+@pytest.mark.parametrize("n_steps", [0, 3, MAX_DUMPED_STEPS, 200])
+def test_the_dump_lists_the_first_of_all_waits_in_order(n_steps):
+    rng = random.Random(5)
+    sinces = [rng.choice([0.0, NOW + rng.randrange(40)]) for _ in range(n_steps)]
+    placer = placer_with_waits(sinces)
+    for number, progress in enumerate(placer.jobs.values()):
+        progress.cancelled = number % 7 == 0
+    waiting = [
+        (since, number) for number, since in enumerate(sinces) if since and number % 7
+    ]
+    rows = longest_waits(placer, NOW + 1e3)
+    expected = [f"{number:016x}.0.0" for _, number in sorted(waiting)]
+    assert [row["step"] for row in rows] == expected[:MAX_DUMPED_STEPS]
+
+
 # Guards against a start line, metric and dump that are not connected to the waits.
 def test_a_node_shows_the_waits_of_steps(cluster):
     async def main():
