Extend leases in a new term before the ends that a worker reports are stored

Found while a failure of tests/jobs/test_first_record.py was traced.

Cause: the first renewal of a term reads the worker's clock and can extend no lease. The leases of all its other runs wait as well: 0.71 s after the term's first record with appends of 0.35 s, 0.03 s without an end.

Change: a renewal that extends no lease, after which the next one may, is followed by that one without the wait. It extends the leases and then waits as before, so there is no more than one renewal more. Workers whose leases are withheld are renewed as before.

--- a/cuminhill/jobs/leadership.py
+++ b/cuminhill/jobs/leadership.py
@@ -667,6 +667,8 @@
         if changed:
             await self._wake.set()
             await curio.sleep(RENEW_PAUSE_S)
+        if lease_until_ms is None and worker.may_extend_leases():
+            return True  # the next renewal extends the leases; the ends can wait
         give_up_at = boottime() + ACK_WAIT_S
         while worker.last_acked_end < worker.last_seen_end and boottime() < give_up_at:
             await curio.sleep(ACK_POLL_S)
--- a/tests/jobs/test_first_record.py
+++ b/tests/jobs/test_first_record.py
@@ -115,3 +115,32 @@
         assert boottime() - recorded_at < MARGIN_S
 
     run_to_end(scenario)
+
+
+# Guards against leases that a new term extends only once the ends of other runs on the
+# worker are in the journal, which takes several appends: on a slow journal they lapsed.
+def test_a_term_extends_leases_before_the_ends_that_a_worker_reports_are_stored(
+    cluster,
+):
+    use_long_leases(cluster)
+    for worker_id in ("w1", "w2"):
+        cluster.remove_worker(worker_id)
+    worker = cluster.workers.workers["w0"]
+
+    async def scenario():
+        second = await start_lasting_task(cluster)
+        (lasting,) = cluster.workers.history()
+        short = make_job(make_step(), job_id="00000000000000bb")
+        await cluster.submit(cluster.nodes["vm0"], short)
+        await cluster.wait_for(lambda: len(cluster.workers.history()) == 2)
+        cluster.views["vm1"][0].faults.delay_s = SLOW_APPEND_S
+        await cluster.kill_node("vm0")
+        worker.stop_run(cluster.workers.history()[1].key, 1)
+        before = worker.lease_until_ms
+        await cluster.wait_for(lambda: second.leadership is not None)
+        await cluster.wait_for(second.leadership._recorded.is_set)
+        await curio.sleep(MARGIN_S)
+        assert worker.lease_until_ms > before
+        assert not lasting.ended_at
+
+    run_to_end(scenario)
