--- a/cuminhill/jobs/placer.py
+++ b/cuminhill/jobs/placer.py
@@ -41,6 +41,7 @@
 from .model import EndKind, JobState, QueueTable, StartResult
 from .ordering import critical_path_s, objective_s
 from .packing import REMOTE_SLOWDOWN, slowdown_on
+from .progress import least_open
 from .shares import Shares
 from .speeds import SpeedModel
 from .teamusage import TeamUsage
@@ -92,6 +93,9 @@
 # Weight of a shorter time in the expected time until a start is sent. A longer one
 # counts at once, since a ticket that has lapsed costs another call.
 SEND_WEIGHT = 0.25
+# A job of which the journal has rejected each record starts nothing for this time: a
+# rejected batch is sent again record by record.
+REJECTED_PAUSE_S = 5.0
 MAX_SILENT_TIMES = 1000  # more than stop answering within a restart
 MAX_ENDED_WAITS = 1000  # more than end in one decision
 
@@ -216,6 +220,9 @@
         Pools that were nearly full at the newest decision (`placewait.FULL_FRACTION`).
     first_starts : FirstStarts
         First starts of jobs that the journal does not show yet.
+    rejected : dict of str to float
+        Jobs that may start nothing since the journal has rejected their records, with
+        the time in seconds until then; infinite until the next decision.
     """
 
     term: int
@@ -260,6 +267,7 @@
     remote_slowdown: float = REMOTE_SLOWDOWN
     full_pools: set[str] = field(default_factory=set)
     first_starts: FirstStarts = field(default_factory=FirstStarts)
+    rejected: dict[str, float] = field(default_factory=dict)
     _dirty: dict[str, Progress] = field(default_factory=dict)
     _stops: list[StopOrder] = field(default_factory=list)
 
@@ -1059,10 +1067,13 @@
         """Process that the journal has rejected the progress of a job.
 
         The placements, which only that record contains, are withdrawn, and fewer tasks
-        of the job may be under way from now on.
+        of the job may be under way from now on; none for a while if that is too few to
+        start any.
         """
         self.counts["records_rejected"] += 1
         progress.max_open = progress.n_open // 2
+        if progress.max_open < least_open(progress.job):
+            self.rejected.setdefault(progress.job.job_id, math.inf)
         logger.error(
             "progress rejected by the journal",
             job=progress.job.job_id,
@@ -1316,12 +1327,28 @@
         calls : list of AdviceCall
             Calls for advice, the most urgent first.
         """
+        self._retry_rejected(now)
         self.budget.begin()
         placements, calls = decide(self, now, wall)
         self.budget.end()
         calls += evacuate(self, now)
         return placements, sorted(calls, key=lambda call: call.rank)
 
+    def _retry_rejected(self, now: float) -> None:
+        """Let jobs start again some time after the journal has rejected their records.
+
+        It may have been the record of another moment, or of an end that is not needed
+        any more.
+        """
+        for job_id, until in list(self.rejected.items()):
+            if until == math.inf:
+                self.rejected[job_id] = now + REJECTED_PAUSE_S
+            elif now >= until:
+                del self.rejected[job_id]
+                progress = self.jobs.get(job_id)
+                if progress is not None:
+                    progress.max_open = least_open(progress.job)
+
 
 def _seconds_since(at: float, now: float) -> float | None:
     """Return the seconds since a time, None if it is 0, for log lines."""
--- a/cuminhill/jobs/progress.py
+++ b/cuminhill/jobs/progress.py
@@ -586,6 +586,14 @@
     return BASE_BYTES + FINISHED_BYTES * n_steps + rows
 
 
+def least_open(job: Job) -> int:
+    """Return the least number of open tasks with which a job can go on.
+
+    That is one task, or all tasks of its largest gang.
+    """
+    return max([1, *(step.n_tasks for step in job.steps if step.gang)])
+
+
 def _step_bytes(n_tasks: int) -> int:
     """Return the longest form of a step without the rows of its tasks."""
     n_done_bytes = INDEX_BYTES * n_tasks
