Let an idle gang use free places of another one that has no tickets

Cause: the places of a gang are kept as long as it may run there, also while its tickets lapse or its calls fail, and no other gang may use them. Ruled out: starvation of gangs by one another on a busy pool; there nothing changes, and the gang that has the tickets starts once.

--- a/cuminhill/jobs/keptrooms.py
+++ b/cuminhill/jobs/keptrooms.py
@@ -16,6 +16,7 @@
     HeldRoom,
     Hold,
     Reservation,
+    n_tasks_in,
     reserve,
     reserve_places,
     soonest_places,
@@ -23,7 +24,7 @@
 from .placewait import WaitBounds, is_local, is_worthwhile, soonest_local
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Container, Iterable
 
     from ..model import Resources
     from .fleet import Worker
@@ -151,10 +152,18 @@
     placer.reserved_room = reserved_rooms(placer)
 
 
-def reserved_rooms(placer: Placer) -> dict[str, HeldRoom]:
-    """Return the room that is kept for gangs, by worker."""
+def reserved_rooms(placer: Placer, without: Container[str] = ()) -> dict[str, HeldRoom]:
+    """Return the room that is kept for gangs, by worker.
+
+    Parameters
+    ----------
+    without : container of str, optional
+        Gangs that are left out.
+    """
     rooms: dict[str, HeldRoom] = {}
     for name, reservation in placer.reservations.items():
+        if name in without:
+            continue
         hold = Hold(reservation.step_run.step.need, reservation.at, name)
         for worker_id, n_tasks in reservation.places.items():
             if worker_id not in placer.workers:
@@ -449,7 +458,8 @@
     """Return the room on workers that a step leaves to others, by attempt.
 
     Short urgent work, and a job that waits idle, may use the places of gangs where
-    nothing else is left. Other gangs may not: they would starve one another.
+    nothing else is left. Another gang that waits idle may use only those whose own gang
+    has no tickets though all of them are free: they would starve one another.
 
     Parameters
     ----------
@@ -461,8 +471,31 @@
         return [held]
     reserved = _room_reserved_from(placer, step_run, run_s, now)
     kept = _sum_rooms(held, reserved)
-    insists = idle or _is_short_urgent(queue, run_s)
-    return [kept, held] if insists and not step_run.step.gang else [kept]
+    if not (idle or _is_short_urgent(queue, run_s)):
+        return [kept]
+    if not step_run.step.gang:
+        return [kept, held]
+    unused = _unused_reservations(placer, step_run) if idle else ()
+    if not unused:
+        return [kept]
+    rooms = reserved_rooms(placer, {*unused, step_run.name})
+    return [
+        kept,
+        _sum_rooms(held, _rooms_until(placer, rooms, step_run, run_s, now=now)),
+    ]
+
+
+def _unused_reservations(placer: Placer, step_run: StepRun) -> set[str]:
+    """Return the other gangs that don't start though all of their places are free."""
+    return {
+        name
+        for name, item in placer.reservations.items()
+        if name != step_run.name
+        and all(
+            n_tasks_in(item.step_run.step, placer.workers[worker_id].free) >= n_tasks
+            for worker_id, n_tasks in item.places.items()
+        )
+    }
 
 
 def _sum_rooms(
