Bound the series of a histogram

Cause: each queue that had ever had a job kept a series of fifteen lines in several histograms, also after its removal, and each reading of the metrics rendered all of them. Ruled out: dropping those of removed queues only; queues with jobs may be as many. Change: beyond 300 series, observations go to one with the label "other". Result: test_the_series_of_a_histogram_are_bounded.

--- a/cuminhill/metrics.py
+++ b/cuminhill/metrics.py
@@ -27,6 +27,11 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 5.0, 10.0, 15.0, 60.0,
 ]
 # fmt: on
+# Most series of a histogram, one for each of the VMs of the largest sites. Further label
+# values share one: they may be queues, of which a configuration may have thousands, and
+# a histogram of each takes fifteen lines in all later readings.
+MAX_HISTOGRAM_SERIES = 300
+OTHER = "other"
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
@@ -43,6 +48,8 @@
         self._registry = Registry()
         self._formatter = TextFormatter()
         self._metrics = {item.name: item for item in table}
+        # Label values of the series of each histogram.
+        self._series: dict[str, set[tuple[str, ...]]] = {}
         self._collectors = {
             item.name: self._register(item) for item in self._metrics.values()
         }
@@ -64,8 +71,19 @@
         self._collectors[name].set(self._labels(name, labels), value)
 
     def observe(self, name: str, value: float, **labels: Any) -> None:
-        """Add an observation to a histogram."""
-        self._collectors[name].observe(self._labels(name, labels), value)
+        """Add an observation to a histogram.
+
+        Beyond `MAX_HISTOGRAM_SERIES` it goes to a series with ``"other"`` as labels.
+        """
+        found = self._labels(name, labels)
+        known = self._series.setdefault(name, set())
+        key = tuple(found.values())
+        if key not in known:
+            if len(known) >= MAX_HISTOGRAM_SERIES:
+                found = dict.fromkeys(found, OTHER)
+            else:
+                known.add(key)
+        self._collectors[name].observe(found, value)
 
     def update_from(self, dump: Mapping[str, Any]) -> None:
         """Set the metrics that have a path in the state dump.
--- a/tests/jobs/test_nodemetrics.py
+++ b/tests/jobs/test_nodemetrics.py
@@ -8,6 +8,7 @@
 
 import math
 import random
+import re
 
 import pytest
 from hypothesis import given, settings
@@ -16,7 +17,8 @@
 from cuminhill.jobs.admission import Admission, IndexState
 from cuminhill.jobs.jobload import RECENT_S, JobLoad, RecentCounts
 from cuminhill.jobs.model import QueueTable
-from cuminhill.jobs.nodemetrics import NODE_METRICS, inspect
+from cuminhill.jobs.nodemetrics import NODE_METRICS, inspect, make_node_metrics
+from cuminhill.metrics import MAX_HISTOGRAM_SERIES
 from cuminhill.util.kernel import run_to_end
 
 from .builders import make_queue
@@ -177,6 +179,22 @@
     run_to_end(scenario)
 
 
+# Guards against a placer whose readings of metrics grow with all queues that have ever
+# had a job, also of configurations that are gone.
+def test_the_series_of_a_histogram_are_bounded():
+    metrics = make_node_metrics()
+    for number in range(2 * MAX_HISTOGRAM_SERIES):
+        metrics.observe("idle_seconds", 1.0, queue=f"q{number}")
+        metrics.observe("idle_seconds", 1.0, queue=f"q{number}")
+    counts = re.findall(
+        rb'cuminhill_idle_seconds_count\{queue="(\w+)"\} (\d+)', metrics.render()
+    )
+    assert len(counts) == MAX_HISTOGRAM_SERIES + 1
+    by_queue = {name.decode(): int(count) for name, count in counts}
+    assert by_queue.pop("other") == 2 * MAX_HISTOGRAM_SERIES
+    assert set(by_queue.values()) == {2}
+
+
 # Guards against a reading of the metrics that makes the whole dump.
 def test_a_reading_of_the_metrics_makes_no_dump(cluster, monkeypatch):
     async def scenario():
