--- a/cuminhill/metrics.py
+++ b/cuminhill/metrics.py
@@ -27,9 +27,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 5.0, 10.0, 15.0, 60.0,
 ]
 # fmt: on
-# Most series of a histogram, one for each of the VMs of the largest sites. Further label
-# values share one: they may be queues, of which a configuration may have thousands, and
-# a histogram of each takes fifteen lines in all later readings.
+# Most series of a histogram, one for each VM of the largest sites. Further label values
+# share one: they may be queues, of which a configuration may have thousands, and each
+# series takes fifteen lines in all later readings.
 MAX_HISTOGRAM_SERIES = 300
 OTHER = "other"
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
