Keep the places of a gang that has its tickets from idle gangs

Cause: let an idle gang take the free places of any other gang that had not started yet, also of one whose tickets had just come and whose turn was behind it in the same decision; its message says 'without tickets'. Ruled out: places of gangs whose queues need no advice; these start as soon as all are free, and keep them now as well. Change: only gangs that lack a ticket for one of their places leave them. Result: test_a_gang_that_has_its_tickets_keeps_its_places failed before and holds; the two cases of and the tests of gang waits, places, asking and caps of teams hold.

--- a/cuminhill/jobs/keptrooms.py
+++ b/cuminhill/jobs/keptrooms.py
@@ -475,7 +475,7 @@
         return [kept]
     if not step_run.step.gang:
         return [kept, held]
-    unused = _unused_reservations(placer, step_run) if idle else ()
+    unused = _gangs_without_tickets(placer, step_run, now) if idle else set()
     if not unused:
         return [kept]
     rooms = reserved_rooms(placer, {*unused, step_run.name})
@@ -485,8 +485,8 @@
     ]
 
 
-def _unused_reservations(placer: Placer, step_run: StepRun) -> set[str]:
-    """Return the other gangs that don't start though all of their places are free."""
+def _gangs_without_tickets(placer: Placer, step_run: StepRun, now: float) -> set[str]:
+    """Return the other gangs that lack only tickets: all of their places are free."""
     return {
         name
         for name, item in placer.reservations.items()
@@ -495,9 +495,24 @@
             n_tasks_in(item.step_run.step, placer.workers[worker_id].free) >= n_tasks
             for worker_id, n_tasks in item.places.items()
         )
+        and not _has_tickets(placer, item, now)
     }
 
 
+def _has_tickets(placer: Placer, reservation: Reservation, now: float) -> bool:
+    """Return whether a gang needs no tickets for its places, or has all of them."""
+    step_run = reservation.step_run
+    queue = placer.queue_of(placer.jobs[step_run.job.job_id])
+    if queue is None or queue.advice is None:
+        return True
+    advice = placer.advice.for_step(step_run.name)
+    sent_at = placer.sent_at(now, queue.advice, now)
+    return all(
+        advice.ticket(name, placer.workers[name].entry.incarnation, sent_at)
+        for name in reservation.places
+    )
+
+
 def _sum_rooms(
     first: dict[str, Resources], second: dict[str, Resources]
 ) -> dict[str, Resources]:
--- a/tests/jobs/test_gangs_without_tickets.py
+++ b/tests/jobs/test_gangs_without_tickets.py
@@ -50,3 +50,30 @@
             else:
                 advice.record_failure(now)
     assert started == {"b"}
+
+
+# Guards against a gang whose places another one takes in the decision in which it would
+# start: the tickets of both have come, and the other one has its turn first.
+def test_a_gang_that_has_its_tickets_keeps_its_places():
+    queue = make_queue(advice=AdviceTerms(0.05, 0.0005, VALID_S))
+    placer = make_placer(queue, n_workers=20)
+    submit(placer, make_job(make_step(12, 15.0, gang=True), job_id="a" * 16))
+    other = make_job(
+        make_step(10, 11.9, gang=True), job_id="b" * 16, accepted_at=WALL - 0.5
+    )
+    n_other = 0
+    for number in range(int(MAX_IDLE_S / STEP_S)):
+        now = BEGUN_AT + number * STEP_S
+        if number == 1:
+            submit(placer, other, now)
+        placements, calls = placer.decide(now, WALL + number * STEP_S)
+        assert not placements
+        for call in calls:
+            n_other += call.step.startswith("b")
+            answer(placer.advice.for_step(call.step), call, now, age_s=VALID_S)
+    assert n_other and list(placer.reservations) == ["a" * 16 + ".0.0"]
+    for advice in placer.advice.steps.values():
+        for worker in advice.ticket_until:
+            advice.ticket_until[worker] = now + VALID_S
+    placements, _ = placer.decide(now + STEP_S, WALL + MAX_IDLE_S)
+    assert {item.key.job_id[0] for item in placements} == {"a"}
